--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # savorypier: GNU make. One flat directory of sources; a file's family prefix
 # says what it belongs to:
 #   savorypierd.c daemon-*.c   the daemon        (not in the library)
+#   entry*.c platform/*.c      the daemon on a platform with a store
 #   savorypier.c  cmd-*.c      the tool          (not in the library)
 #   anything else              libsavorypier
 #   standins/NAME.c            one stand-in each; standins/common-*.c shared
@@ -16,7 +17,8 @@
 PKGS	= glib-2.0 libmicrohttpd libcurl libtirpc jansson libxxhash gnutls yaml-0.1 libbsd ck
 DEFS	= -D_GNU_SOURCE
 PKGCFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-PKGLIBS	:= $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+# http-parser has no pkg-config file.
+PKGLIBS	:= $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser
 WARN	= -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	  -Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter \
 	  -Wno-missing-field-initializers -Wformat=2
@@ -31,7 +33,7 @@
 LDLIBS	= $(SANFLAGS_$(SAN)) $(LDFLAGS) $(PKGLIBS) -lm -pthread
 
 GEN_SRCS := proto_xdr.c
-DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c)
+DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c entry*.c platform/*.c)
 TOOL_SRCS := savorypier.c $(wildcard cmd-*.c)
 LIB_SRCS := $(filter-out $(DAEMON_SRCS) $(TOOL_SRCS),$(wildcard *.c))
 STANDIN_COMMON := $(wildcard standins/common-*.c)
@@ -129,7 +131,7 @@
 	rpcgen -c -o proto_xdr.c proto.x
 	clang-format -i proto_xdr.c
 
-FMT_SRCS = $(filter-out proto.h proto_xdr.c,$(wildcard *.c *.h standins/*.c standins/*.h tests/*.c tests/*.h examples/*.c))
+FMT_SRCS = $(filter-out proto.h proto_xdr.c,$(wildcard *.c *.h platform/*.c platform/*.h standins/*.c standins/*.h tests/*.c tests/*.h examples/*.c))
 LINT_SRCS = $(filter %.c,$(FMT_SRCS))
 
 format:
--- /dev/null
+++ b/buffer.c
@@ -0,0 +1,88 @@
+/*
+ * Bytes queued in one block; see buffer.h.
+ */
+
+#include "buffer.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define BUFFER_LEAST 512
+
+void
+buffer_finish(struct buffer *b)
+{
+	g_free(b->data);
+	*b = (struct buffer){ 0 };
+}
+
+char *
+buffer_room(struct buffer *b, size_t n)
+{
+	size_t need;
+
+	if (b->at > 0 && b->len + n > b->size) {
+		memmove(b->data, b->data + b->at, b->len - b->at);
+		b->len -= b->at;
+		b->at = 0;
+	}
+	need = b->len + n;
+	if (need > b->size) {
+		b->size = MAX(MAX(need, b->size * 2), BUFFER_LEAST);
+		b->data = g_realloc(b->data, b->size);
+	}
+	return b->data + b->len;
+}
+
+void
+buffer_added(struct buffer *b, size_t n)
+{
+	b->len += n;
+}
+
+void
+buffer_add(struct buffer *b, const void *bytes, size_t n)
+{
+	if (n == 0)
+		return;
+	memcpy(buffer_room(b, n), bytes, n);
+	b->len += n;
+}
+
+void
+buffer_add_text(struct buffer *b, const char *s)
+{
+	buffer_add(b, s, strlen(s));
+}
+
+void
+buffer_printf(struct buffer *b, const char *fmt, ...)
+{
+	g_autofree char *s = NULL;
+	va_list ap;
+
+	va_start(ap, fmt);
+	s = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	buffer_add_text(b, s);
+}
+
+void
+buffer_drop(struct buffer *b, size_t n)
+{
+	b->at += n;
+	if (b->at >= b->len)
+		buffer_finish(b);
+}
+
+const char *
+buffer_bytes(const struct buffer *b)
+{
+	return b->data + b->at;
+}
+
+size_t
+buffer_left(const struct buffer *b)
+{
+	return b->len - b->at;
+}
--- /dev/null
+++ b/entry-caller.c
@@ -0,0 +1,476 @@
+/*
+ * Connections of callers: bytes in, one request after the other, bytes out.
+ * A request that waits is watched all the while, so that a caller that leaves
+ * is seen at once. A caller that closes only its sending side looks the same
+ * as one that has left, and is taken as such.
+ */
+
+#define LOG_PART "caller"
+#include "entry.h"
+
+#include <sys/socket.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CALLER_BACKLOG 1024
+#define CALLER_READ 16384
+/* Pipelined bytes that wait while a request is answered. */
+#define CALLER_AHEAD 65536
+/* A peer that does not take or confirm our bytes for so long is gone. */
+#define CALLER_SILENT_MS 4000
+/* After our end is closed, the peer has so long to close its own. */
+#define CALLER_LINGER_MS 500
+/* Before a configuration says more. */
+#define CALLER_HEAD_MAX 16384
+#define CALLER_BODY_MAX (4 * 1024 * 1024)
+#define CALLER_TIMEOUT_MS 10000
+
+static void caller_ready(struct loop_io *, uint32_t);
+static void caller_parse(struct caller *, msec);
+static void caller_timer(struct loop_timer *, msec);
+
+/* ---- begin and end ---- */
+
+static void
+caller_set_options(int fd)
+{
+	int on = 1, silent = CALLER_SILENT_MS, idle = 2, every = 1, count = 2;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+}
+
+static void
+caller_free(struct caller *c)
+{
+	struct entry *e = c->owner;
+
+	loop_timer_stop(&e->loop, &c->timer);
+	loop_close(&e->loop, &c->io);
+	http_reader_finish(&c->reader);
+	buffer_finish(&c->in);
+	buffer_finish(&c->body);
+	buffer_finish(&c->out);
+	TAILQ_REMOVE(&e->callers, c, entry);
+	if (c->counts)
+		e->ncallers--;
+	g_free(c);
+}
+
+/* The peer is gone, or must see that what it has is not whole. */
+static void
+caller_abort(struct caller *c, msec now)
+{
+	if (c->busy) {
+		c->busy = false;
+		c->ops->gone(c, now);
+	}
+	caller_free(c);
+}
+
+void
+caller_break(struct caller *c, msec now)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	c->busy = false;
+	/* What was written of the answer goes out before the break. */
+	if (buffer_left(&c->out) == 0 && !c->shut) {
+		shutdown(c->io.fd, SHUT_WR);
+		c->shut = c->closing = true;
+		loop_timer_set(
+		    &c->owner->loop, &c->timer, now + CALLER_LINGER_MS);
+		loop_watch(&c->owner->loop, &c->io, EPOLLIN | EPOLLRDHUP);
+		return;
+	}
+	setsockopt(c->io.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+	caller_free(c);
+}
+
+static struct route_limits
+caller_limits(const struct caller *c)
+{
+	const struct route_table *t = c->owner->table;
+
+	if (t != NULL)
+		return t->limits;
+	return (struct route_limits){ CALLER_HEAD_MAX, CALLER_BODY_MAX,
+		CALLER_TIMEOUT_MS, CALLER_TIMEOUT_MS };
+}
+
+static void
+caller_body(struct http_reader *r, const char *bytes, size_t n)
+{
+	struct caller *c = r->arg;
+
+	buffer_add(&c->body, bytes, n);
+}
+
+static void
+caller_new(struct listener_io *li, int fd)
+{
+	struct entry *e = li->entry;
+	struct caller *c = g_new0(struct caller, 1);
+	struct route_limits limits;
+
+	c->io = (struct loop_io){ caller_ready, fd, 0 };
+	c->ops = li->ops;
+	c->owner = e;
+	c->counts = li->counts;
+	limits = caller_limits(c);
+	http_reader_init(&c->reader, true, limits.head_bytes, limits.body_bytes,
+	    caller_body, c);
+	loop_timer_init(&c->timer, caller_timer, c);
+	TAILQ_INSERT_TAIL(&e->callers, c, entry);
+	if (c->counts)
+		e->ncallers++;
+	caller_set_options(fd);
+	loop_timer_set(&e->loop, &c->timer, e->loop.now + limits.idle_timeout);
+	if (!loop_watch(&e->loop, &c->io, EPOLLIN | EPOLLRDHUP))
+		caller_free(c);
+}
+
+static void
+listener_ready(struct loop_io *io, uint32_t events)
+{
+	struct listener_io *li = (struct listener_io *)io;
+	int fd;
+
+	while ((fd = accept4(
+		    io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) != -1)
+		caller_new(li, fd);
+	if (errno != EAGAIN && errno != ECONNABORTED && errno != EINTR)
+		log_warn("cannot accept: %s", g_strerror(errno));
+}
+
+bool
+caller_listen(struct entry *e, struct listener_io *li,
+    const struct endpoint *at, const struct caller_ops *ops, bool counts)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd, on = 1;
+
+	*li = (struct listener_io){ { listener_ready, -1, 0 }, e, ops, counts };
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd == -1)
+		return false;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+	sin.sin_addr.s_addr = htonl(at->address);
+	sin.sin_port = htons(at->port);
+	if (bind(fd, (struct sockaddr *)&sin, sizeof sin) == -1 ||
+	    listen(fd, CALLER_BACKLOG) == -1) {
+		log_warn("cannot listen on port %u: %s", at->port,
+		    g_strerror(errno));
+		close(fd);
+		return false;
+	}
+	li->io.fd = fd;
+	return loop_watch(&e->loop, &li->io, EPOLLIN);
+}
+
+/* ---- reading ---- */
+
+static void
+caller_watch(struct caller *c)
+{
+	uint32_t events = EPOLLRDHUP;
+
+	if (!c->eof && (!c->busy || buffer_left(&c->in) < CALLER_AHEAD))
+		events |= EPOLLIN;
+	if (c->eof)
+		events = 0;
+	if (buffer_left(&c->out) > 0)
+		events |= EPOLLOUT;
+	/* epoll reports errors and hang-ups in any case. */
+	loop_watch(&c->owner->loop, &c->io, events | EPOLLERR);
+}
+
+static unsigned int
+caller_error_status(enum http_error error)
+{
+	switch (error) {
+	case HTTP_ERROR_HEAD_TOO_LARGE:
+		return 431;
+	case HTTP_ERROR_BODY_TOO_LARGE:
+		return 413;
+	default:
+		return 400;
+	}
+}
+
+/* What was sent is not a request: say so, then close. */
+static void
+caller_refuse(struct caller *c, msec now, unsigned int status)
+{
+	entry_log(&c->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
+	    LOG_NUMBER(LOG_KEY_STATUS, status),
+	    LOG_TEXT(LOG_KEY_REASON, "not a request as HTTP/1.1 has it"));
+	c->busy = true;
+	buffer_finish(&c->in);
+	caller_answer(c, now, status, "", "text/plain", "", false);
+}
+
+static void
+caller_request_whole(struct caller *c, msec now)
+{
+	c->busy = true;
+	loop_timer_stop(&c->owner->loop, &c->timer);
+	c->ops->request(c, now);
+}
+
+/* The head has come: the body's bounds, and whether it may be sent at all. */
+static void
+caller_head(struct caller *c, msec now)
+{
+	const struct http_head *h = c->reader.head;
+	struct route_limits limits = caller_limits(c);
+
+	if (h->sized && h->length > limits.body_bytes) {
+		caller_refuse(c, now, 413);
+		return;
+	}
+	if (h->has_body && http_head_has_token(h, "Expect", "100-continue")) {
+		caller_write_text(c, "HTTP/1.1 100 Continue\r\n\r\n");
+		caller_flush(c);
+	}
+}
+
+static void
+caller_parse(struct caller *c, msec now)
+{
+	enum http_stage before;
+	size_t n;
+
+	while (!c->busy && !c->closing && buffer_left(&c->in) > 0) {
+		before = c->reader.stage;
+		if (http_reader_is_idle(&c->reader)) {
+			struct route_limits limits = caller_limits(c);
+
+			c->reader.head_max = limits.head_bytes;
+			c->reader.body_max = limits.body_bytes;
+			loop_timer_set(&c->owner->loop, &c->timer,
+			    now + limits.head_timeout);
+		}
+		n = http_reader_take(
+		    &c->reader, buffer_bytes(&c->in), buffer_left(&c->in));
+		if (c->reader.stage == HTTP_STAGE_FAILED) {
+			caller_refuse(
+			    c, now, caller_error_status(c->reader.error));
+			return;
+		}
+		buffer_drop(&c->in, n);
+		if (before == HTTP_STAGE_HEAD &&
+		    c->reader.stage == HTTP_STAGE_BODY)
+			caller_head(c, now);
+		if (c->reader.stage == HTTP_STAGE_WHOLE && !c->closing)
+			caller_request_whole(c, now);
+	}
+}
+
+/* False when the caller is freed. */
+static bool
+caller_read(struct caller *c, msec now)
+{
+	ssize_t n;
+
+	for (;;) {
+		if (c->busy && buffer_left(&c->in) >= CALLER_AHEAD)
+			return true;
+		n = recv(
+		    c->io.fd, buffer_room(&c->in, CALLER_READ), CALLER_READ, 0);
+		if (n > 0) {
+			buffer_added(&c->in, (size_t)n);
+			if (c->closing)
+				buffer_finish(&c->in);
+			if (n < CALLER_READ)
+				return true;
+			continue;
+		}
+		if (buffer_left(&c->in) == 0)
+			buffer_finish(&c->in);
+		if (n == -1 && errno == EINTR)
+			continue;
+		if (n == -1 && errno == EAGAIN)
+			return true;
+		if (n == -1) {
+			caller_abort(c, now);
+			return false;
+		}
+		c->eof = true;
+		return true;
+	}
+}
+
+static void
+caller_ready(struct loop_io *io, uint32_t events)
+{
+	struct caller *c = (struct caller *)io;
+	struct entry *e = c->owner;
+	msec now = e->loop.now;
+
+	if (events & EPOLLERR) {
+		caller_abort(c, now);
+		return;
+	}
+	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) && !c->eof &&
+	    !caller_read(c, now))
+		return;
+	if (c->eof && (c->busy || c->shut || buffer_left(&c->out) == 0)) {
+		caller_abort(c, now);
+		return;
+	}
+	/* caller_flush() and what a request calls may free it. */
+	if (events & EPOLLOUT) {
+		caller_flush(c);
+		return;
+	}
+	if (!c->busy)
+		caller_parse(c, now);
+	caller_watch(c);
+}
+
+static void
+caller_timer(struct loop_timer *t, msec now)
+{
+	struct caller *c = t->arg;
+
+	if (!c->closing && !c->busy && buffer_left(&c->in) > 0) {
+		caller_parse(c, now);
+		caller_watch(c);
+		return;
+	}
+	if (!c->closing && !c->busy && !http_reader_is_idle(&c->reader)) {
+		caller_refuse(c, now, 408);
+		return;
+	}
+	caller_abort(c, now);
+}
+
+/* ---- writing ---- */
+
+size_t
+caller_backlog(const struct caller *c)
+{
+	return buffer_left(&c->out);
+}
+
+void
+caller_write(struct caller *c, const char *bytes, size_t n)
+{
+	buffer_add(&c->out, bytes, n);
+}
+
+void
+caller_write_text(struct caller *c, const char *s)
+{
+	buffer_add_text(&c->out, s);
+}
+
+/* All is written and the connection is to end: wait for the peer's end. */
+static void
+caller_shut(struct caller *c, msec now)
+{
+	/*
+	 * Guards against a reset that overtakes the answer: closing while
+	 * bytes of the peer are unread resets the connection. So only our
+	 * side is closed, and what still comes is read and thrown away.
+	 */
+	shutdown(c->io.fd, SHUT_WR);
+	c->shut = true;
+	loop_timer_set(&c->owner->loop, &c->timer, now + CALLER_LINGER_MS);
+}
+
+void
+caller_flush(struct caller *c)
+{
+	msec now = c->owner->loop.now;
+	size_t before = buffer_left(&c->out);
+	ssize_t n;
+
+	while (buffer_left(&c->out) > 0) {
+		n = send(c->io.fd, buffer_bytes(&c->out), buffer_left(&c->out),
+		    MSG_NOSIGNAL);
+		if (n == -1 && errno == EINTR)
+			continue;
+		if (n == -1 && errno == EAGAIN)
+			break;
+		if (n <= 0) {
+			/* Freed on the next turn, when epoll says so: the
+			 * callers of this function still hold it. */
+			buffer_finish(&c->out);
+			break;
+		}
+		buffer_drop(&c->out, (size_t)n);
+	}
+	if (before >= CALLER_LOW && buffer_left(&c->out) < CALLER_LOW &&
+	    c->busy)
+		c->ops->drained(c, now);
+	if (c->closing && !c->shut && buffer_left(&c->out) == 0)
+		caller_shut(c, now);
+	caller_watch(c);
+}
+
+void
+caller_ended(struct caller *c, msec now, bool keep)
+{
+	struct entry *e = c->owner;
+
+	c->busy = false;
+	c->served++;
+	buffer_finish(&c->body);
+	if (!keep || c->reader.stage != HTTP_STAGE_WHOLE ||
+	    !c->reader.head->keep_alive)
+		c->closing = true;
+	if (!c->closing) {
+		http_reader_reset(&c->reader);
+		loop_timer_set(
+		    &e->loop, &c->timer, now + caller_limits(c).idle_timeout);
+	} else {
+		loop_timer_set(&e->loop, &c->timer, now + CALLER_SILENT_MS);
+	}
+	caller_flush(c);
+	/* Requests that came ahead: on the next turn, not from in here. */
+	if (!c->closing && buffer_left(&c->in) > 0)
+		loop_timer_set(&e->loop, &c->timer, now);
+}
+
+void
+caller_answer(struct caller *c, msec now, unsigned int status,
+    const char *fields, const char *type, const char *body, bool keep)
+{
+	keep = keep && c->reader.stage == HTTP_STAGE_WHOLE &&
+	       c->reader.head->keep_alive;
+	buffer_printf(
+	    &c->out, "HTTP/1.1 %u %s\r\n", status, http_status_text(status));
+	if (*body != '\0')
+		buffer_printf(&c->out, "Content-Type: %s\r\n", type);
+	buffer_printf(&c->out, "%s%sContent-Length: %zu\r\n\r\n", fields,
+	    keep ? "" : "Connection: close\r\n", strlen(body));
+	if (c->reader.head == NULL || c->reader.head->method == NULL ||
+	    strcmp(c->reader.head->method, "HEAD") != 0)
+		caller_write_text(c, body);
+	caller_ended(c, now, keep);
+}
+
+void
+caller_close_idle(struct entry *e)
+{
+	struct caller *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &e->callers, entry, next) {
+		if (c->busy || c->closing || !c->counts ||
+		    !http_reader_is_idle(&c->reader) || buffer_left(&c->in) > 0)
+			continue;
+		c->closing = true;
+		caller_flush(c);
+	}
+}
--- /dev/null
+++ b/entry-link.c
@@ -0,0 +1,449 @@
+/*
+ * Connections to backend servers. One request at a time on each; a kept
+ * connection goes back to its server's pool only when the answer ended where
+ * its framing says, not a byte came after it, and the server keeps it open.
+ */
+
+#define LOG_PART "link"
+#include "entry.h"
+
+#include <sys/socket.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LINK_READ 65536
+#define LINK_HEAD_MAX 65536
+#define LINK_BODY_MAX ((uint64_t)1 << 40)
+/* Servers are a few milliseconds away; beyond this none will answer. */
+#define LINK_CONNECT_MS 600
+/* Bytes of ours that are not confirmed for so long: the path is gone. */
+#define LINK_SILENT_MS 1500
+/* Kept connections may idle so long when the server does not say. */
+#define LINK_IDLE_MS 4000
+/* A server closes when its timeout is over: we stop using it before. */
+#define LINK_IDLE_MARGIN_MS 500
+/* Used that shortly ago, a kept connection is still open. */
+#define LINK_FRESH_MS 300
+
+static unsigned char link_input[LINK_READ];
+
+static void link_ready(struct loop_io *, uint32_t);
+static void link_timer(struct loop_timer *, msec);
+
+static struct link_pool *
+link_pool_of(struct server *v)
+{
+	struct link_pool *p = v->arg;
+
+	if (p == NULL) {
+		p = v->arg = g_new0(struct link_pool, 1);
+		TAILQ_INIT(&p->idle);
+	}
+	return p;
+}
+
+static void
+link_body(struct http_reader *r, const char *bytes, size_t n)
+{
+	struct link *k = r->arg;
+
+	if (!k->skip && k->job != NULL)
+		k->ops->body(k, bytes, n, k->owner->loop.now);
+}
+
+/* Out of its server's pool. */
+static void
+link_unpool(struct link_pool *p, struct link *k)
+{
+	TAILQ_REMOVE(&p->idle, k, entry);
+	p->nidle--;
+}
+
+/* Not while it is in the pool. */
+static void
+link_free(struct link *k)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+
+	loop_timer_stop(&e->loop, &k->timer);
+	loop_close(&e->loop, &k->io);
+	http_reader_finish(&k->reader);
+	buffer_finish(&k->out);
+	v->links--;
+	g_free(k);
+}
+
+/* The attempt ends without a whole answer; the link goes. */
+static void
+link_fail(struct link *k, msec now)
+{
+	enum link_end how = k->sent ? LINK_BROKEN : LINK_UNSENT;
+	struct job *j = k->job;
+
+	if (j != NULL)
+		k->ops->ended(k, how, now);
+	link_free(k);
+}
+
+/* ---- connecting and sending ---- */
+
+static void
+link_set_options(int fd)
+{
+	int on = 1, silent = LINK_SILENT_MS, idle = 1, every = 1, count = 2;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+}
+
+static struct link *
+link_connect(struct entry *e, struct server *v, msec now)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	struct link *k;
+	int fd;
+
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd == -1) {
+		log_warn("no socket: %s", g_strerror(errno));
+		return NULL;
+	}
+	link_set_options(fd);
+	sin.sin_addr.s_addr = htonl(v->address);
+	sin.sin_port = htons(v->port);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == -1 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	k = g_new0(struct link, 1);
+	k->io = (struct loop_io){ link_ready, fd, 0 };
+	k->owner = e;
+	k->server = v;
+	k->connecting = true;
+	v->links++;
+	e->counters.connects++;
+	http_reader_init(
+	    &k->reader, false, LINK_HEAD_MAX, LINK_BODY_MAX, link_body, k);
+	loop_timer_init(&k->timer, link_timer, k);
+	loop_timer_set(&e->loop, &k->timer, now + LINK_CONNECT_MS);
+	if (!loop_watch(&e->loop, &k->io, EPOLLOUT)) {
+		link_free(k);
+		return NULL;
+	}
+	return k;
+}
+
+/* The idle link that was used last, or NULL. */
+static struct link *
+link_take_idle(struct entry *e, struct server *v, bool fresh, msec now)
+{
+	struct link_pool *p = link_pool_of(v);
+	struct link *k, *next;
+
+	TAILQ_FOREACH_SAFE (k, &p->idle, entry, next) {
+		if (fresh && now - k->idle_since >= LINK_FRESH_MS)
+			return NULL;
+		link_unpool(p, k);
+		if (now - k->idle_since >= k->idle_max) {
+			link_free(k);
+			continue;
+		}
+		e->counters.reused++;
+		return k;
+	}
+	return NULL;
+}
+
+static void
+link_watch(struct link *k)
+{
+	uint32_t events = 0;
+
+	if (!k->paused)
+		events |= EPOLLIN | EPOLLRDHUP;
+	if (k->connecting || buffer_left(&k->out) > 0)
+		events |= EPOLLOUT;
+	loop_watch(&k->owner->loop, &k->io, events | EPOLLERR);
+}
+
+/* False when the link failed. */
+static bool
+link_flush(struct link *k)
+{
+	ssize_t n;
+
+	while (buffer_left(&k->out) > 0) {
+		n = send(k->io.fd, buffer_bytes(&k->out), buffer_left(&k->out),
+		    MSG_NOSIGNAL);
+		if (n == -1 && errno == EINTR)
+			continue;
+		if (n == -1 && errno == EAGAIN)
+			break;
+		if (n <= 0)
+			return false;
+		k->sent = true;
+		buffer_drop(&k->out, (size_t)n);
+	}
+	link_watch(k);
+	return true;
+}
+
+struct link *
+link_send(struct entry *e, struct server *v, struct job *j,
+    const struct link_ops *ops, struct buffer *request, bool to_head,
+    bool fresh, msec now)
+{
+	struct link *k = link_take_idle(e, v, fresh, now);
+
+	if (k == NULL && (k = link_connect(e, v, now)) == NULL)
+		return NULL;
+	k->job = j;
+	k->ops = ops;
+	k->sent = false;
+	k->paused = false;
+	k->reader.to_head = to_head;
+	k->out = *request;
+	*request = (struct buffer){ 0 };
+	/*
+	 * A kept connection that fails here is found by epoll on the next
+	 * turn: the job is not ready to hear of it from in here.
+	 */
+	if (!k->connecting) {
+		loop_timer_stop(&e->loop, &k->timer);
+		if (!link_flush(k)) {
+			k->job = NULL;
+			link_free(k);
+			return NULL;
+		}
+	}
+	return k;
+}
+
+static bool
+link_connected(struct link *k)
+{
+	int error = 0;
+	socklen_t len = sizeof error;
+
+	if (getsockopt(k->io.fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1 ||
+	    error != 0) {
+		log_debug("%s: %s", k->server->name, g_strerror(error));
+		return false;
+	}
+	k->connecting = false;
+	loop_timer_stop(&k->owner->loop, &k->timer);
+	return true;
+}
+
+/* ---- answers ---- */
+
+static void
+link_to_pool(struct link *k, msec now)
+{
+	struct link_pool *p = link_pool_of(k->server);
+	struct wire_answer a;
+
+	k->owner->wire->answer(k->reader.head, "", &a);
+	k->idle_max = LINK_IDLE_MS;
+	if (a.keeps_idle > 0)
+		k->idle_max = MIN(k->idle_max, a.keeps_idle);
+	k->idle_max = MAX(k->idle_max - LINK_IDLE_MARGIN_MS, 1);
+	k->idle_since = now;
+	k->used = true;
+	http_reader_reset(&k->reader);
+	TAILQ_INSERT_HEAD(&p->idle, k, entry);
+	p->nidle++;
+	loop_timer_set(&k->owner->loop, &k->timer, now + k->idle_max);
+	link_watch(k);
+}
+
+/* The answer in hand ended well; `rest` bytes follow it that nobody asked
+ * for. */
+static void
+link_whole(struct link *k, size_t rest, msec now)
+{
+	bool keep = k->reader.head->keep_alive && !k->reader.head->to_the_end &&
+		    rest == 0 && buffer_left(&k->out) == 0 &&
+		    k->server->state == SERVER_READY;
+
+	k->ops->whole(k, now);
+	k->job = NULL;
+	if (keep)
+		link_to_pool(k, now);
+	else
+		link_free(k);
+}
+
+/*
+ * Guards against an extra answer that comes late, at the point where the next
+ * one is expected: the request's id tells them apart, and a stray one is read
+ * to its end and thrown away.
+ */
+static bool
+link_head(struct link *k, msec now)
+{
+	struct http_head *h = k->reader.head;
+
+	/* 1xx: the answer proper follows. */
+	if (h->status < 200 || !k->ops->head(k, h, now)) {
+		k->skip = true;
+		k->owner->counters.strays += h->status >= 200;
+		return !h->to_the_end;
+	}
+	k->skip = false;
+	return true;
+}
+
+/* Feed bytes; may free the link. */
+static void
+link_take(struct link *k, const char *bytes, size_t n, msec now)
+{
+	enum http_stage before;
+	bool good = true;
+	size_t took;
+
+	k->owner->link_in_hand = k;
+	while (n > 0 && k->job != NULL) {
+		before = k->reader.stage;
+		took = http_reader_take(&k->reader, bytes, n);
+		bytes += took;
+		n -= took;
+		good = k->reader.stage != HTTP_STAGE_FAILED;
+		if (good && before == HTTP_STAGE_HEAD &&
+		    k->reader.stage >= HTTP_STAGE_BODY)
+			good = link_head(k, now);
+		if (!good || k->job == NULL)
+			break;
+		if (k->reader.stage != HTTP_STAGE_WHOLE)
+			continue;
+		if (!k->skip)
+			break;
+		http_reader_reset(&k->reader);
+	}
+	k->owner->link_in_hand = NULL;
+	/* The job may have given this attempt up meanwhile. */
+	if (k->job == NULL)
+		link_free(k);
+	else if (!good)
+		link_fail(k, now);
+	else if (k->reader.stage == HTTP_STAGE_WHOLE)
+		link_whole(k, n, now);
+}
+
+static void
+link_end_of_input(struct link *k, msec now)
+{
+	http_reader_close(&k->reader);
+	if (k->reader.stage == HTTP_STAGE_WHOLE && !k->skip)
+		link_whole(k, 0, now);
+	else
+		link_fail(k, now);
+}
+
+static void
+link_read(struct link *k, msec now)
+{
+	ssize_t n;
+
+	do {
+		n = recv(k->io.fd, link_input, sizeof link_input, 0);
+	} while (n == -1 && errno == EINTR);
+	if (n == -1 && errno == EAGAIN)
+		return;
+	if (n == -1) {
+		link_fail(k, now);
+		return;
+	}
+	if (n == 0) {
+		link_end_of_input(k, now);
+		return;
+	}
+	link_take(k, (const char *)link_input, (size_t)n, now);
+}
+
+static void
+link_ready(struct loop_io *io, uint32_t events)
+{
+	struct link *k = (struct link *)io;
+	msec now = k->owner->loop.now;
+
+	/* An idle connection has nothing to say but that it ends. */
+	if (k->job == NULL) {
+		link_unpool(link_pool_of(k->server), k);
+		link_free(k);
+		return;
+	}
+	if (k->connecting) {
+		if (!link_connected(k) || !link_flush(k))
+			link_fail(k, now);
+		return;
+	}
+	/* A reset after a whole answer: what has come is read first. */
+	if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+		link_read(k, now);
+		return;
+	}
+	if ((events & EPOLLOUT) && !link_flush(k))
+		link_fail(k, now);
+}
+
+static void
+link_timer(struct loop_timer *t, msec now)
+{
+	struct link *k = t->arg;
+
+	if (k->job == NULL) {
+		link_unpool(link_pool_of(k->server), k);
+		link_free(k);
+	} else if (k->connecting) {
+		link_fail(k, now);
+	}
+}
+
+void
+link_cancel(struct link *k)
+{
+	k->job = NULL;
+	/* link_take() sees that the job is gone, and frees it. */
+	if (k->owner->link_in_hand != k)
+		link_free(k);
+}
+
+void
+link_pause(struct link *k, bool paused)
+{
+	if (k->paused == paused)
+		return;
+	k->paused = paused;
+	link_watch(k);
+}
+
+void
+link_close_idle(struct entry *e, struct server *v)
+{
+	struct link_pool *p = link_pool_of(v);
+	struct link *k, *next;
+
+	TAILQ_FOREACH_SAFE (k, &p->idle, entry, next) {
+		link_unpool(p, k);
+		link_free(k);
+	}
+}
+
+void
+link_pool_free(struct server *v)
+{
+	g_free(v->arg);
+	v->arg = NULL;
+}
--- /dev/null
+++ b/entry-log.c
@@ -0,0 +1,222 @@
+/*
+ * Structured lines that never block; see entry-log.h.
+ */
+
+#include "entry-log.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A reader that is away for a second under full load loses nothing. */
+#define ENTRY_LOG_BYTES (128 * 1024)
+/* Lines a second beyond which only needed ones are written. */
+#define ENTRY_LOG_USUAL_PER_S 40
+#define ENTRY_LOG_NEEDED_PER_S 400
+
+const struct entry_log_word entry_log_events[LOG_EVENTS] = {
+	[LOG_EVENT_CONFIGURATION] = { "configuration",
+	    "A newer configuration is in force." },
+	[LOG_EVENT_CONFIGURATION_UNREADABLE] = { "configuration-unreadable",
+	    "The newest configuration cannot be understood; the last good one "
+	    "stays." },
+	[LOG_EVENT_EVENT_OUT_OF_ORDER] = { "event-out-of-order",
+	    "A stream did not go on at the event that was due." },
+	[LOG_EVENT_LOG_DROPPED] = { "log-dropped",
+	    "Lines were left out, to bound the volume or as nobody read." },
+	[LOG_EVENT_NO_RETRY_BUDGET] = { "no-retry-budget",
+	    "Another attempt was due and the allowance of retries is used "
+	    "up." },
+	[LOG_EVENT_NODE] = { "node",
+	    "Another node changed its state, as far as we know." },
+	[LOG_EVENT_PLATFORM_BACK] = { "platform-back",
+	    "The platform answers again." },
+	[LOG_EVENT_PLATFORM_LOST] = { "platform-lost",
+	    "The platform does not answer." },
+	[LOG_EVENT_REFUSED] = { "refused",
+	    "What came is no request that can be understood." },
+	[LOG_EVENT_RELOAD] = { "reload", "The settings were read again." },
+	[LOG_EVENT_REQUEST] = { "request", "A request has ended." },
+	[LOG_EVENT_SERVER] = { "server",
+	    "A backend server changed its state." },
+	[LOG_EVENT_SERVER_SILENT] = { "server-silent",
+	    "A backend server was given up, as it did not answer." },
+	[LOG_EVENT_SERVER_UNREADABLE] = { "server-unreadable",
+	    "A backend server's entry names none to use." },
+	[LOG_EVENT_STARTED] = { "started", "The process has started." },
+	[LOG_EVENT_STOPPED] = { "stopped", "The process ends." },
+	[LOG_EVENT_STOPPING] = { "stopping", "A planned stop has begun." },
+	[LOG_EVENT_STRAY_ANSWER] = { "stray-answer",
+	    "An answer to another request came and was thrown away." },
+};
+
+const struct entry_log_word entry_log_keys[LOG_KEYS] = {
+	[LOG_KEY_CAME] = { "came", "number of the event that came" },
+	[LOG_KEY_CONFIGURATION] = { "configuration", "version in force" },
+	[LOG_KEY_DOMAIN] = { "domain", "failure domain of this node" },
+	[LOG_KEY_FIRST_MS] = { "first_ms",
+	    "from the request to the first byte of the answer; -1: none" },
+	[LOG_KEY_LAST] = { "last",
+	    "why the last attempt ended, or number of the last event" },
+	[LOG_KEY_LEFT_MS] = { "left_ms", "until the deadline" },
+	[LOG_KEY_LINES] = { "lines", "lines left out" },
+	[LOG_KEY_MAY_HAVE_RUN] = { "may_have_run",
+	    "may a backend server have run it?" },
+	[LOG_KEY_MS] = { "ms", "how long it took" },
+	[LOG_KEY_NAME] = { "name", "of the other node" },
+	[LOG_KEY_ORGANISATION] = { "organisation", "that the key belongs to" },
+	[LOG_KEY_ORGANISATIONS] = { "organisations", "in the configuration" },
+	[LOG_KEY_OUTCOME] = { "outcome", "of the request" },
+	[LOG_KEY_PROOF_MS] = { "proof_ms",
+	    "age of the proof that the configuration is the newest; -1: none" },
+	[LOG_KEY_REASON] = { "reason", "what was wrong" },
+	[LOG_KEY_REQUEST] = { "request", "the caller's name for the request" },
+	[LOG_KEY_REQUESTS] = { "requests", "in flight" },
+	[LOG_KEY_ROUTE] = { "route", "that the request took" },
+	[LOG_KEY_ROUTES] = { "routes", "in the configuration" },
+	[LOG_KEY_RUNNING] = { "running", "requests of ours on the server" },
+	[LOG_KEY_RUNS] = { "runs", "attempts that may have run" },
+	[LOG_KEY_SENDS] = { "sends", "attempts begun" },
+	[LOG_KEY_SERVED] = { "served", "requests served since the start" },
+	[LOG_KEY_SERVER] = { "server", "name of the backend server" },
+	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
+	[LOG_KEY_STATE] = { "state", "the new one" },
+	[LOG_KEY_STATUS] = { "status", "of the answer" },
+	[LOG_KEY_VERSION] = { "version",
+	    "of the configuration, or of the program" },
+};
+
+void
+entry_log_init(struct entry_log *l, const char *node)
+{
+	int flags;
+
+	*l = (struct entry_log){ .fd = STDOUT_FILENO };
+	g_strlcpy(l->node, node, sizeof l->node);
+	flags = fcntl(l->fd, F_GETFL);
+	if (flags != -1)
+		fcntl(l->fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+void
+entry_log_finish(struct entry_log *l)
+{
+	entry_log_flush(l);
+	buffer_finish(&l->out);
+}
+
+static void
+log_text(struct buffer *b, const char *s)
+{
+	char escaped[8];
+
+	buffer_add(b, "\"", 1);
+	for (; *s != '\0'; s++) {
+		if ((guchar)*s >= ' ' && *s != '"' && *s != '\\' &&
+		    (guchar)*s < 0x7f) {
+			buffer_add(b, s, 1);
+			continue;
+		}
+		g_snprintf(escaped, sizeof escaped, "\\u%04x", (guchar)*s);
+		buffer_add_text(b, escaped);
+	}
+	buffer_add(b, "\"", 1);
+}
+
+static void
+log_number(struct buffer *b, int64_t n)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof text, "%" PRId64, n);
+	buffer_add_text(b, text);
+}
+
+/* Keeps the volume in bounds, the lines that explain failures longest. */
+static bool
+log_admit(struct entry_log *l, msec now, enum entry_log_weight weight)
+{
+	unsigned int most = weight == ENTRY_LOG_NEEDED ? ENTRY_LOG_NEEDED_PER_S
+						       : ENTRY_LOG_USUAL_PER_S;
+
+	if (now - l->second >= MSEC_SECOND) {
+		l->second = now;
+		l->in_second = 0;
+	}
+	if (l->in_second >= most || buffer_left(&l->out) > ENTRY_LOG_BYTES) {
+		l->dropped++;
+		return false;
+	}
+	l->in_second++;
+	l->lines++;
+	return true;
+}
+
+static void
+log_start(struct entry_log *l, enum entry_log_event event)
+{
+	buffer_add_text(&l->out, "{\"time_ms\":");
+	log_number(&l->out, msec_wall());
+	buffer_add_text(&l->out, ",\"node\":");
+	log_text(&l->out, l->node);
+	buffer_add_text(&l->out, ",\"event\":");
+	log_text(&l->out, entry_log_events[event].name);
+}
+
+static void
+log_field(struct buffer *b, const struct entry_log_field *f)
+{
+	buffer_add(b, ",", 1);
+	log_text(b, entry_log_keys[f->key].name);
+	buffer_add(b, ":", 1);
+	if (f->is_number)
+		log_number(b, f->number);
+	else if (f->text != NULL)
+		log_text(b, f->text);
+	else
+		buffer_add_text(b, "null");
+}
+
+static void
+log_dropped(struct entry_log *l)
+{
+	if (l->dropped == l->told || buffer_left(&l->out) > ENTRY_LOG_BYTES / 2)
+		return;
+	log_start(l, LOG_EVENT_LOG_DROPPED);
+	log_field(&l->out, &(struct entry_log_field)LOG_NUMBER(
+			       LOG_KEY_LINES, l->dropped - l->told));
+	buffer_add_text(&l->out, "}\n");
+	l->told = l->dropped;
+}
+
+void
+entry_log_fields(struct entry_log *l, msec now, enum entry_log_weight weight,
+    enum entry_log_event event, const struct entry_log_field *fields, size_t n)
+{
+	size_t i;
+
+	if (!log_admit(l, now, weight))
+		return;
+	log_start(l, event);
+	for (i = 0; i < n; i++)
+		log_field(&l->out, &fields[i]);
+	buffer_add_text(&l->out, "}\n");
+}
+
+void
+entry_log_flush(struct entry_log *l)
+{
+	ssize_t n;
+
+	log_dropped(l);
+	while (buffer_left(&l->out) > 0) {
+		n = write(l->fd, buffer_bytes(&l->out), buffer_left(&l->out));
+		if (n == -1 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		buffer_drop(&l->out, (size_t)n);
+	}
+}
--- /dev/null
+++ b/entry-log.h
@@ -0,0 +1,119 @@
+/*
+ * The log of an entry VM: a line of JSON for each decision, to standard
+ * output. Lines wait in a bounded buffer and go out as the reader takes them;
+ * when it does not, they are dropped and counted, and nothing ever blocks.
+ */
+
+#ifndef ENTRY_LOG_H
+#define ENTRY_LOG_H
+
+#include "buffer.h"
+#include "savory.h"
+
+struct entry_log {
+	struct buffer out;
+	int fd;
+	uint64_t lines, dropped, told; /* told: dropped lines reported so far */
+	msec second;		       /* the one in which `in_second` counts */
+	unsigned int in_second;
+	char node[NAME_SIZE];
+};
+
+/* Whether a line is needed to explain a failure, or may be left out. */
+enum entry_log_weight {
+	ENTRY_LOG_NEEDED,
+	ENTRY_LOG_USUAL
+};
+
+void entry_log_init(struct entry_log *, const char *node);
+void entry_log_finish(struct entry_log *);
+/* What happened. The table in entry-log.c has the words. */
+enum entry_log_event {
+	LOG_EVENT_CONFIGURATION,
+	LOG_EVENT_CONFIGURATION_UNREADABLE,
+	LOG_EVENT_EVENT_OUT_OF_ORDER,
+	LOG_EVENT_LOG_DROPPED,
+	LOG_EVENT_NO_RETRY_BUDGET,
+	LOG_EVENT_NODE,
+	LOG_EVENT_PLATFORM_BACK,
+	LOG_EVENT_PLATFORM_LOST,
+	LOG_EVENT_REFUSED,
+	LOG_EVENT_RELOAD,
+	LOG_EVENT_REQUEST,
+	LOG_EVENT_SERVER,
+	LOG_EVENT_SERVER_SILENT,
+	LOG_EVENT_SERVER_UNREADABLE,
+	LOG_EVENT_STARTED,
+	LOG_EVENT_STOPPED,
+	LOG_EVENT_STOPPING,
+	LOG_EVENT_STRAY_ANSWER,
+	LOG_EVENTS
+};
+
+/* What decided it, and the outcome. */
+enum entry_log_key {
+	LOG_KEY_CAME,
+	LOG_KEY_CONFIGURATION,
+	LOG_KEY_DOMAIN,
+	LOG_KEY_FIRST_MS,
+	LOG_KEY_LAST,
+	LOG_KEY_LEFT_MS,
+	LOG_KEY_LINES,
+	LOG_KEY_MAY_HAVE_RUN,
+	LOG_KEY_MS,
+	LOG_KEY_NAME,
+	LOG_KEY_ORGANISATION,
+	LOG_KEY_ORGANISATIONS,
+	LOG_KEY_OUTCOME,
+	LOG_KEY_PROOF_MS,
+	LOG_KEY_REASON,
+	LOG_KEY_REQUEST,
+	LOG_KEY_REQUESTS,
+	LOG_KEY_ROUTE,
+	LOG_KEY_ROUTES,
+	LOG_KEY_RUNNING,
+	LOG_KEY_RUNS,
+	LOG_KEY_SENDS,
+	LOG_KEY_SERVED,
+	LOG_KEY_SERVER,
+	LOG_KEY_SERVICES,
+	LOG_KEY_STATE,
+	LOG_KEY_STATUS,
+	LOG_KEY_VERSION,
+	LOG_KEYS
+};
+
+struct entry_log_field {
+	enum entry_log_key key;
+	const char *text; /* NULL: null, or the number */
+	int64_t number;
+	bool is_number;
+};
+#define LOG_TEXT(key, value)             \
+	{                                \
+		(key), (value), 0, false \
+	}
+#define LOG_NUMBER(key, value)                      \
+	{                                           \
+		(key), NULL, (int64_t)(value), true \
+	}
+
+/* A name and what it says, for pages and their tests. */
+struct entry_log_word {
+	const char *name;
+	const char *meaning;
+};
+extern const struct entry_log_word entry_log_events[LOG_EVENTS];
+extern const struct entry_log_word entry_log_keys[LOG_KEYS];
+
+/* One line: log, now, weight, event, then LOG_TEXT() and LOG_NUMBER(). */
+#define entry_log(l, now, weight, event, ...)                \
+	entry_log_fields((l), (now), (weight), (event),      \
+	    (const struct entry_log_field[]){ __VA_ARGS__ }, \
+	    G_N_ELEMENTS(((const struct entry_log_field[]){ __VA_ARGS__ })))
+void entry_log_fields(struct entry_log *, msec, enum entry_log_weight,
+    enum entry_log_event, const struct entry_log_field *, size_t);
+/* Hand over what the reader takes. */
+void entry_log_flush(struct entry_log *);
+
+#endif /* ENTRY_LOG_H */
--- /dev/null
+++ b/entry-query.c
@@ -0,0 +1,129 @@
+/*
+ * The small listeners: is this node ready, and which nodes should a caller
+ * use. A caller is sent to nodes of its own failure domain while two of them
+ * take work, so that one that fails leaves it another.
+ */
+
+#define LOG_PART "query"
+#include "entry.h"
+
+/* Most that an answer names, and fewest of the caller's failure domain. */
+#define QUERY_NODES_MAX 64
+#define QUERY_DOMAIN_LEAST 2
+/*
+ * How long callers keep an answer. Some keep it three times as long, so a
+ * node that stops is left alone after thrice this.
+ */
+#define QUERY_LIFE_MS 1000
+
+static void query_request(struct caller *, msec);
+static void query_nothing(struct caller *, msec);
+
+const struct caller_ops query_caller_ops = { query_request, query_nothing,
+	query_nothing };
+
+static void
+query_nothing(struct caller *c, msec now)
+{
+}
+
+/* A load of 1,000 says that the node takes no work now. */
+static bool
+member_takes_work(const struct member *m)
+{
+	if (m->state != MEMBER_ALIVE || m->leaving || m->caller_port == 0)
+		return false;
+	return m->load_at == MSEC_NEVER || m->load_permille < 1000;
+}
+
+static void
+query_collect(struct entry *e, const char *domain, GPtrArray *nodes, msec now)
+{
+	struct member *m;
+
+	if (entry_is_ready(e, now) &&
+	    (domain == NULL || g_strcmp0(domain, e->members.self.domain) == 0))
+		g_ptr_array_add(nodes, &e->members.self);
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (member_takes_work(m) &&
+		    (domain == NULL || g_strcmp0(domain, m->domain) == 0))
+			g_ptr_array_add(nodes, m);
+	}
+}
+
+/* A random part of them, the same for none two answers. */
+static void
+query_shorten(struct entry *e, GPtrArray *nodes)
+{
+	guint at;
+
+	while (nodes->len > QUERY_NODES_MAX) {
+		at = (guint)g_rand_int_range(e->rand, 0, (gint32)nodes->len);
+		g_ptr_array_remove_index_fast(nodes, at);
+	}
+}
+
+/*
+ * When nobody takes work, as while the platform is away for all, those that
+ * live are named all the same: what needs no key is still served there.
+ */
+static void
+query_collect_any(struct entry *e, GPtrArray *nodes)
+{
+	struct member *m;
+
+	if (e->phase == ENTRY_SERVING)
+		g_ptr_array_add(nodes, &e->members.self);
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state == MEMBER_ALIVE && !m->leaving)
+			g_ptr_array_add(nodes, m);
+	}
+}
+
+static void
+query_directory(struct caller *c, const char *domain, msec now)
+{
+	struct entry *e = c->owner;
+	g_autoptr(GPtrArray) nodes = g_ptr_array_new();
+	struct buffer body = { 0 };
+
+	query_collect(e, domain, nodes, now);
+	if (nodes->len < QUERY_DOMAIN_LEAST) {
+		g_ptr_array_set_size(nodes, 0);
+		query_collect(e, NULL, nodes, now);
+	}
+	if (nodes->len == 0)
+		query_collect_any(e, nodes);
+	query_shorten(e, nodes);
+	if (nodes->len == 0) {
+		caller_answer(
+		    c, now, 503, "Retry-After: 1\r\n", "text/plain", "", true);
+		return;
+	}
+	e->wire->directory(&body, (const struct member *const *)nodes->pdata,
+	    nodes->len, QUERY_LIFE_MS);
+	buffer_add(&body, "", 1);
+	caller_answer(
+	    c, now, 200, "", e->wire->content_type, buffer_bytes(&body), true);
+	buffer_finish(&body);
+}
+
+static void
+query_request(struct caller *c, msec now)
+{
+	struct entry *e = c->owner;
+	char domain[NAME_SIZE];
+
+	switch (e->wire->query(c->reader.head, domain, sizeof domain)) {
+	case WIRE_QUERY_READY:
+		caller_answer(c, now, entry_is_ready(e, now) ? 200 : 503, "",
+		    "text/plain", "", true);
+		break;
+	case WIRE_QUERY_DIRECTORY:
+		query_directory(c, domain, now);
+		break;
+	case WIRE_QUERY_UNKNOWN:
+		caller_answer(c, now, 404, "", "text/plain", "", true);
+		break;
+	}
+}
--- /dev/null
+++ b/entry-reply.c
@@ -0,0 +1,248 @@
+/*
+ * What of a backend server's answer goes to the caller, and when. A stream
+ * goes out event by event, so that it breaks only between two events and
+ * another server can go on after the last. Anything else is held until it is
+ * whole, as far as it is small, so that a broken one can be had again.
+ */
+
+#define LOG_PART "reply"
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Larger answers go out as they come. */
+#define REPLY_HOLD_MAX (256 * 1024)
+/* An event that does not end is an error of the server. */
+#define REPLY_EVENT_MAX (256 * 1024)
+
+enum reply_verdict
+reply_judge(const struct job *j, const struct http_head *h)
+{
+	struct wire_answer a;
+
+	j->owner->wire->answer(h, j->request.id, &a);
+	if (a.other)
+		return REPLY_STRAY;
+	if (a.not_executed)
+		return REPLY_REJECTED;
+	/* These would tell our caller that nothing ran, and nobody promised
+	 * it to us. */
+	if (h->status == 429 || h->status == 503 || h->status == 408 ||
+	    h->status == 421)
+		return h->status == 421 ? REPLY_REJECTED : REPLY_RUBBISH;
+	if (!a.ours || a.encoded || h->status < 200)
+		return REPLY_RUBBISH;
+	if (h->status < 300)
+		return a.genuine ? REPLY_TAKE : REPLY_RUBBISH;
+	return h->status >= 500 ? REPLY_FAILURE : REPLY_TAKE;
+}
+
+void
+reply_head(struct job *j, const struct http_head *h)
+{
+	const char *type = http_head_get(h, "Content-Type");
+	unsigned int i;
+
+	buffer_finish(&j->fields);
+	buffer_finish(&j->held);
+	j->status = h->status;
+	j->server_error = h->status >= 500;
+	j->streamed = j->route->kind == ROUTE_STREAM && h->status < 300 &&
+		      type != NULL &&
+		      g_str_has_prefix(type, "text/event-stream");
+	for (i = 0; i < h->nfields; i++) {
+		if (http_field_is_hop(h, h->fields[i].name))
+			continue;
+		buffer_add_text(&j->fields, h->fields[i].name);
+		buffer_add(&j->fields, ": ", 2);
+		buffer_add_text(&j->fields, h->fields[i].value);
+		buffer_add(&j->fields, "\r\n", 2);
+	}
+}
+
+void
+reply_forget(struct job *j)
+{
+	buffer_finish(&j->held);
+	if (!j->began)
+		buffer_finish(&j->fields);
+}
+
+/* The caller of a node that is leaving is to connect elsewhere. */
+static bool
+reply_keeps(const struct job *j)
+{
+	return j->owner->phase == ENTRY_SERVING && j->head->keep_alive;
+}
+
+static void
+reply_begin(struct job *j, msec now, bool whole)
+{
+	struct buffer *out = &j->caller->out;
+
+	j->began = true;
+	j->first_at = now;
+	buffer_printf(
+	    out, "HTTP/1.1 %u %s\r\n", j->status, http_status_text(j->status));
+	buffer_add(out, buffer_bytes(&j->fields), buffer_left(&j->fields));
+	buffer_finish(&j->fields);
+	if (!reply_keeps(j))
+		buffer_add_text(out, "Connection: close\r\n");
+	j->chunked = !whole;
+	if (whole)
+		buffer_printf(
+		    out, "Content-Length: %zu\r\n\r\n", buffer_left(&j->held));
+	else
+		buffer_add_text(out, "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+static void
+reply_pass(struct job *j, const char *bytes, size_t n, msec now)
+{
+	struct buffer *out = &j->caller->out;
+	char size[24];
+
+	if (n == 0)
+		return;
+	if (!j->began)
+		reply_begin(j, now, false);
+	g_snprintf(size, sizeof size, "%zx\r\n", n);
+	buffer_add_text(out, size);
+	buffer_add(out, bytes, n);
+	buffer_add(out, "\r\n", 2);
+	caller_flush(j->caller);
+	if (j->link != NULL)
+		link_pause(j->link, caller_backlog(j->caller) > CALLER_HIGH);
+}
+
+/* The number in an event's line "id: N"; false when it has none. */
+static bool
+event_number(const char *event, size_t n, uint64_t *number)
+{
+	const char *line = event, *end = event + n, *lf;
+
+	while (line < end) {
+		lf = memchr(line, '\n', (size_t)(end - line));
+		if (lf == NULL)
+			lf = end;
+		if (lf - line > 3 && strncmp(line, "id:", 3) == 0) {
+			*number = strtoull(line + 3, NULL, 10);
+			return true;
+		}
+		line = lf + 1;
+	}
+	return false;
+}
+
+/* The length of the first whole event, with the empty line that ends it. */
+static size_t
+event_length(const char *bytes, size_t n)
+{
+	const char *p = bytes, *end = bytes + n, *lf;
+
+	while ((lf = memchr(p, '\n', (size_t)(end - p))) != NULL) {
+		p = lf + 1;
+		if (p < end && *p == '\n')
+			return (size_t)(p + 1 - bytes);
+		if (p + 1 < end && p[0] == '\r' && p[1] == '\n')
+			return (size_t)(p + 2 - bytes);
+	}
+	return 0;
+}
+
+/*
+ * Guards against pieces of two runs joined with a gap or twice the same: a
+ * stream that another server goes on with begins at the event after the last
+ * that our caller has.
+ */
+static bool
+reply_event(struct job *j, const char *event, size_t n)
+{
+	uint64_t number;
+
+	if (!event_number(event, n, &number))
+		return true;
+	if (j->events > 0 && number != j->last_event + 1) {
+		entry_log(&j->owner->log, j->owner->loop.now, ENTRY_LOG_NEEDED,
+		    LOG_EVENT_EVENT_OUT_OF_ORDER,
+		    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+		    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
+		    LOG_NUMBER(LOG_KEY_CAME, number));
+		return false;
+	}
+	j->last_event = number;
+	j->events++;
+	return true;
+}
+
+static bool
+reply_events(struct job *j, msec now)
+{
+	const char *bytes = buffer_bytes(&j->held);
+	size_t left = buffer_left(&j->held), at = 0, n;
+	bool good = true;
+
+	while ((n = event_length(bytes + at, left - at)) > 0) {
+		if (!(good = reply_event(j, bytes + at, n)))
+			break;
+		at += n;
+	}
+	reply_pass(j, bytes, at, now);
+	if (at > 0)
+		buffer_drop(&j->held, at);
+	return good && buffer_left(&j->held) <= REPLY_EVENT_MAX;
+}
+
+bool
+reply_body(struct job *j, const char *bytes, size_t n, msec now)
+{
+	buffer_add(&j->held, bytes, n);
+	if (j->head->old)
+		return true;
+	if (j->streamed)
+		return reply_events(j, now);
+	if (j->began || buffer_left(&j->held) > REPLY_HOLD_MAX) {
+		reply_pass(
+		    j, buffer_bytes(&j->held), buffer_left(&j->held), now);
+		buffer_finish(&j->held);
+	}
+	return true;
+}
+
+bool
+reply_whole(struct job *j, msec now)
+{
+	struct caller *c = j->caller;
+
+	if (!j->began) {
+		reply_begin(j, now, true);
+		if (strcmp(j->head->method, "HEAD") != 0)
+			buffer_add(&c->out, buffer_bytes(&j->held),
+			    buffer_left(&j->held));
+	} else {
+		reply_pass(
+		    j, buffer_bytes(&j->held), buffer_left(&j->held), now);
+		caller_write_text(c, "0\r\n\r\n");
+	}
+	buffer_finish(&j->held);
+	caller_ended(c, now, reply_keeps(j));
+	return true;
+}
+
+void
+reply_own(
+    struct job *j, msec now, unsigned int status, msec retry_after, bool keep)
+{
+	struct buffer fields = { 0 };
+
+	j->status = status;
+	j->owner->wire->own(&fields, j->request.id);
+	if (retry_after > 0)
+		buffer_printf(&fields, "Retry-After: %.3f\r\n",
+		    (double)retry_after / MSEC_SECOND);
+	buffer_add(&fields, "", 1);
+	caller_answer(j->caller, now, status, buffer_bytes(&fields),
+	    "application/json", "{}", keep && reply_keeps(j));
+	buffer_finish(&fields);
+}
--- /dev/null
+++ b/entry-state.c
@@ -0,0 +1,275 @@
+/*
+ * What is in force on this node: the configuration and how surely it is the
+ * newest, the backend servers, the other nodes, and our own readiness.
+ */
+
+#define LOG_PART "state"
+#include "entry.h"
+
+#include <string.h>
+
+/* The state is looked after so often. */
+#define STATE_TICK_MS 100
+/*
+ * A proof is taken to end so much before its bound: a request is judged, then
+ * sent, then read by its server, and the clocks of two VMs do not run alike.
+ */
+#define STATE_FRESH_MARGIN_MS 700
+/*
+ * After the source is back, entries of servers that lapsed meanwhile return
+ * within two seconds.
+ */
+#define STATE_HOLD_MS 2300
+/* Others hear of us this long before callers are sent here by name. */
+#define STATE_LOAD_FULL 1000
+
+static int budget_compare(struct retry_budget *, struct retry_budget *);
+
+RB_PROTOTYPE(retry_budgets, retry_budget, entry, budget_compare)
+RB_GENERATE(retry_budgets, retry_budget, entry, budget_compare)
+
+static int
+budget_compare(struct retry_budget *a, struct retry_budget *b)
+{
+	return a->service < b->service ? -1 : a->service > b->service;
+}
+
+struct retry_budget *
+entry_budget(struct entry *e, name_id service)
+{
+	struct retry_budget find = { .service = service }, *b;
+
+	if ((b = RB_FIND(retry_budgets, &e->budgets, &find)) != NULL)
+		return b;
+	b = g_new0(struct retry_budget, 1);
+	retry_budget_init(b, service, e->started);
+	RB_INSERT(retry_budgets, &e->budgets, b);
+	return b;
+}
+
+/* ---- backend servers ---- */
+
+static void
+state_server_changed(struct servers *s, struct server *v)
+{
+	struct entry *e = s->arg;
+
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_SERVER,
+	    LOG_TEXT(LOG_KEY_SERVER, v->name),
+	    LOG_TEXT(LOG_KEY_STATE, v->state == SERVER_READY	  ? "ready"
+				    : v->state == SERVER_DRAINING ? "draining"
+								  : "gone"),
+	    LOG_NUMBER(LOG_KEY_RUNNING, v->running));
+	link_close_idle(e, v);
+}
+
+static void
+state_server_removed(struct servers *s, struct server *v)
+{
+	link_close_idle(s->arg, v);
+	link_pool_free(v);
+}
+
+static const struct server_ops state_server_ops = { state_server_changed,
+	state_server_removed };
+
+/* ---- other nodes ---- */
+
+static void
+state_member_send(
+    struct members *ms, uint32_t address, uint16_t port, const sp_msg *msg)
+{
+	struct entry *e = ms->arg;
+
+	net_send(&e->net, address, port, msg);
+}
+
+static void
+state_member_changed(struct members *ms, const struct member *m)
+{
+	struct entry *e = ms->arg;
+
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_NODE,
+	    LOG_TEXT(LOG_KEY_NAME, m->name),
+	    LOG_TEXT(LOG_KEY_STATE, member_state_name(m->state)));
+}
+
+static const struct member_ops state_member_ops = { state_member_send,
+	state_member_changed };
+
+static void
+state_message(struct net *net, name_id from, uint64_t incarnation,
+    uint32_t address, uint16_t port, const sp_msg *msg)
+{
+	struct entry *e = net->arg;
+
+	if (msg->kind < SP_RESERVE)
+		members_receive(&e->members, msec_now(), from, incarnation,
+		    address, port, msg);
+}
+
+static const struct net_ops state_net_ops = { state_message };
+
+static void
+state_net_ready(struct loop_io *io, uint32_t events)
+{
+	struct entry *e =
+	    (struct entry *)((char *)io - offsetof(struct entry, net_io));
+
+	net_read(&e->net);
+}
+
+static unsigned int
+state_live_nodes(struct entry *e)
+{
+	unsigned int n = 1;
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state != MEMBER_DEAD)
+			n++;
+	}
+	return n;
+}
+
+void
+entry_take_nodes(
+    struct entry *e, const struct vm *vms, unsigned int n, msec now)
+{
+	members_set_list(&e->members, now, vms, n);
+}
+
+/* ---- the source ---- */
+
+void
+entry_take_table(struct entry *e, struct route_table *t, msec now)
+{
+	/* Never back, whatever a platform that lost its way says. */
+	if (e->table != NULL && t->version <= e->table->version) {
+		route_table_drop(t);
+		return;
+	}
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_CONFIGURATION,
+	    LOG_NUMBER(LOG_KEY_VERSION, t->version),
+	    LOG_NUMBER(LOG_KEY_ROUTES, t->nroutes),
+	    LOG_NUMBER(LOG_KEY_SERVICES, t->nservices),
+	    LOG_NUMBER(LOG_KEY_ORGANISATIONS, t->norganisations));
+	route_table_drop(e->table);
+	e->table = t;
+	e->counters.tables++;
+	if (e->phase == ENTRY_STARTING) {
+		e->phase = ENTRY_SERVING;
+		e->source->ops->announce(e->source);
+	}
+}
+
+void
+entry_take_proof(struct entry *e, msec asked)
+{
+	if (e->table != NULL)
+		fresh_prove(&e->fresh, asked);
+}
+
+void
+entry_source_down(struct entry *e, msec now, const char *why)
+{
+	servers_hold(&e->servers, now + STATE_HOLD_MS);
+	if (!e->source_up)
+		return;
+	e->source_up = false;
+	e->source_lost = now;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_PLATFORM_LOST,
+	    LOG_TEXT(LOG_KEY_REASON, why),
+	    LOG_NUMBER(LOG_KEY_PROOF_MS, fresh_age(&e->fresh, now)));
+}
+
+void
+entry_source_up(struct entry *e, msec now)
+{
+	if (e->source_up)
+		return;
+	e->source_up = true;
+	servers_hold(&e->servers, now + STATE_HOLD_MS);
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_PLATFORM_BACK,
+	    LOG_NUMBER(LOG_KEY_MS, now - e->source_lost));
+}
+
+bool
+entry_is_ready(const struct entry *e, msec now)
+{
+	if (e->phase != ENTRY_SERVING || e->table == NULL)
+		return false;
+	return !e->table->keyed || fresh_holds(&e->fresh, now);
+}
+
+/* ---- start, time, stop ---- */
+
+static void
+state_apply_settings(struct entry *e)
+{
+	const struct settings *s = e->settings;
+
+	e->fresh.bound = s->keys_fail_closed
+			     ? MAX(s->keys_bound - STATE_FRESH_MARGIN_MS, 1)
+			     : 0;
+	e->budget = (struct retry_budget_config){ s->retry_window,
+		s->retry_permille, s->retry_fixed };
+}
+
+bool
+entry_state_init(struct entry *e, msec now)
+{
+	const struct settings *s = e->settings;
+	struct member_config mc = { .name = s->node,
+		.domain = s->domain,
+		.incarnation = e->incarnation,
+		.address = s->peer.address,
+		.peer_port = s->peer.port,
+		.caller_port = s->caller.port,
+		.control_port = s->control.port,
+		.seed = g_rand_int(e->rand) };
+
+	RB_INIT(&e->budgets);
+	fresh_init(&e->fresh, 0);
+	state_apply_settings(e);
+	servers_init(&e->servers, &state_server_ops);
+	e->servers.arg = e;
+	e->live_nodes = 1;
+	e->net.arg = e;
+	if (!net_init(&e->net, &state_net_ops, s->peer.address, s->peer.port,
+		name_hash(s->node), e->incarnation, s->peer_key))
+		return false;
+	members_init(&e->members, &state_member_ops, &mc, now);
+	e->members.arg = e;
+	e->net_io = (struct loop_io){ state_net_ready, e->net.fd, 0 };
+	return loop_watch(&e->loop, &e->net_io, EPOLLIN);
+}
+
+void
+entry_state_tick(struct entry *e, msec now)
+{
+	servers_tick(&e->servers, now);
+	members_set_self(&e->members, e->table != NULL ? e->table->version : 0,
+	    entry_is_ready(e, now) ? 0 : STATE_LOAD_FULL);
+	/* Others hear of us once we can serve. */
+	if (e->phase != ENTRY_STARTING)
+		members_tick(&e->members, now);
+	e->live_nodes = state_live_nodes(e);
+	net_flush(&e->net);
+}
+
+void
+entry_state_finish(struct entry *e)
+{
+	struct retry_budget *b;
+
+	while ((b = RB_MIN(retry_budgets, &e->budgets)) != NULL) {
+		RB_REMOVE(retry_budgets, &e->budgets, b);
+		g_free(b);
+	}
+	servers_finish(&e->servers);
+	members_finish(&e->members);
+	net_finish(&e->net);
+	route_table_drop(e->table);
+	e->table = NULL;
+}
--- /dev/null
+++ b/entry.c
@@ -0,0 +1,187 @@
+/*
+ * An entry VM's process: starts and stops what entry.h names.
+ */
+
+#define LOG_PART "entry"
+#include "entry.h"
+
+#include <sys/signalfd.h>
+
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define ENTRY_TICK_MS 100
+/*
+ * A stop: callers keep our address for up to three seconds, and are served
+ * until then; after that, once nothing is in flight and nobody came for a
+ * while, idle connections are closed and the process ends. Before the
+ * platform kills us, what is left is told so.
+ */
+#define ENTRY_STOP_LEAST_MS 3500
+#define ENTRY_STOP_QUIET_MS 400
+#define ENTRY_STOP_MARGIN_MS 500
+#define ENTRY_STOP_DEFAULT_MS 8000
+
+void
+entry_leave(struct entry *e, msec now)
+{
+	if (e->phase == ENTRY_LEAVING)
+		return;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_STOPPING,
+	    LOG_NUMBER(LOG_KEY_REQUESTS, e->njobs));
+	e->phase = ENTRY_LEAVING;
+	e->leaving_since = now;
+	e->source->ops->retract(e->source);
+	members_leave(&e->members, now);
+	net_flush(&e->net);
+}
+
+static void
+entry_signal(struct loop_io *io, uint32_t events)
+{
+	struct entry *e =
+	    (struct entry *)((char *)io - offsetof(struct entry, signal_io));
+	struct signalfd_siginfo si;
+
+	while (read(io->fd, &si, sizeof si) == sizeof si) {
+		if (si.ssi_signo == SIGHUP)
+			entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED,
+			    LOG_EVENT_RELOAD,
+			    LOG_TEXT(LOG_KEY_REASON, "SIGHUP"));
+		else
+			entry_leave(e, e->loop.now);
+	}
+}
+
+static bool
+entry_watch_signals(struct entry *e)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	e->signal_io = (struct loop_io){ entry_signal,
+		signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), 0 };
+	return e->signal_io.fd != -1 &&
+	       loop_watch(&e->loop, &e->signal_io, EPOLLIN);
+}
+
+/* Where a planned stop stands. */
+static void
+entry_stop_tick(struct entry *e, msec now)
+{
+	msec since = now - e->leaving_since, end = e->settings->stop_deadline;
+
+	if (e->phase != ENTRY_LEAVING)
+		return;
+	if (end == 0)
+		end = ENTRY_STOP_DEFAULT_MS;
+	if (since >= end - ENTRY_STOP_MARGIN_MS) {
+		job_cut_all(e, now);
+		e->loop.stopping = true;
+		return;
+	}
+	if (since < ENTRY_STOP_LEAST_MS || e->njobs > 0 ||
+	    now - e->last_request < ENTRY_STOP_QUIET_MS)
+		return;
+	caller_close_idle(e);
+	if (e->ncallers == 0)
+		e->loop.stopping = true;
+}
+
+static void
+entry_tick(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+
+	entry_state_tick(e, now);
+	entry_stop_tick(e, now);
+	loop_timer_set(&e->loop, t, now + ENTRY_TICK_MS);
+}
+
+static void
+entry_turn(struct loop *l, msec now)
+{
+	struct entry *e = l->arg;
+
+	net_flush(&e->net);
+	entry_log_flush(&e->log);
+}
+
+static bool
+entry_listen(struct entry *e)
+{
+	const struct settings *s = e->settings;
+
+	return caller_listen(
+		   e, &e->ready_io, &s->ready, &query_caller_ops, false) &&
+	       caller_listen(e, &e->directory_io, &s->directory,
+		   &query_caller_ops, false) &&
+	       caller_listen(
+		   e, &e->callers_io, &s->caller, &job_caller_ops, true);
+}
+
+static bool
+entry_start(struct entry *e)
+{
+	msec now = msec_now();
+
+	e->started = now;
+	e->incarnation = (uint64_t)g_get_real_time();
+	e->rand = g_rand_new();
+	TAILQ_INIT(&e->callers);
+	TAILQ_INIT(&e->jobs);
+	if (!loop_init(&e->loop))
+		return false;
+	e->loop.turn = entry_turn;
+	e->loop.arg = e;
+	entry_log_init(&e->log, e->settings->node);
+	if (!entry_watch_signals(e) || !entry_state_init(e, now) ||
+	    !entry_listen(e))
+		return false;
+	loop_timer_init(&e->tick, entry_tick, e);
+	loop_timer_set(&e->loop, &e->tick, now);
+	e->source->entry = e;
+	return e->source->ops->start(e->source);
+}
+
+static void
+entry_finish(struct entry *e)
+{
+	e->source->ops->finish(e->source);
+	entry_state_finish(e);
+	entry_log_finish(&e->log);
+	loop_close(&e->loop, &e->signal_io);
+	loop_finish(&e->loop);
+	g_rand_free(e->rand);
+}
+
+int
+entry_main(const struct settings *s, const struct wire_ops *wire,
+    struct source *source)
+{
+	static struct entry e;
+
+	e.settings = s;
+	e.wire = wire;
+	e.source = source;
+	if (!entry_start(&e)) {
+		log_warn("cannot start");
+		return EXIT_FAILURE;
+	}
+	entry_log(&e.log, msec_now(), ENTRY_LOG_NEEDED, LOG_EVENT_STARTED,
+	    LOG_TEXT(LOG_KEY_VERSION, SAVORY_VERSION),
+	    LOG_TEXT(LOG_KEY_DOMAIN, s->domain));
+	entry_log_flush(&e.log);
+	loop_run(&e.loop);
+	entry_log(&e.log, msec_now(), ENTRY_LOG_NEEDED, LOG_EVENT_STOPPED,
+	    LOG_NUMBER(LOG_KEY_SERVED, e.counters.codes[JOB_SERVED]));
+	entry_finish(&e);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/entry.h
@@ -0,0 +1,326 @@
+/*
+ * An entry VM as one process with one thread: callers on one side, backend
+ * servers on the other. The way of a request, top down; each file calls
+ * downward and hands results up through the ops of its caller:
+ *
+ *   entry-caller.c   a caller's connection: bytes to requests and back
+ *   entry-job.c      the life of one request: admission, attempts, outcome
+ *   entry-reply.c   what of a server's answer goes to the caller
+ *   server-choose.c  which server
+ *   entry-link.c     a connection to a server: one attempt's bytes
+ *
+ * Beside it: entry-state.c has what is in force (configuration, servers,
+ * other nodes), entry-query.c answers readiness and the directory, entry.c
+ * starts and stops it all.
+ */
+
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "buffer.h"
+#include "entry-log.h"
+#include "fresh.h"
+#include "http-message.h"
+#include "loop.h"
+#include "member.h"
+#include "net.h"
+#include "retry-budget.h"
+#include "route.h"
+#include "savory.h"
+#include "server.h"
+#include "settings.h"
+#include "wire.h"
+
+struct caller;
+struct job;
+struct link;
+TAILQ_HEAD(caller_list, caller);
+TAILQ_HEAD(job_list, job);
+TAILQ_HEAD(link_list, link);
+RB_HEAD(retry_budgets, retry_budget);
+
+/* ---- connections of callers: entry-caller.c ---- */
+
+/* What takes the requests of a listener's connections. */
+struct caller_ops {
+	/* A whole request; caller->body has its body. */
+	void (*request)(struct caller *, msec);
+	/* The caller left, or the connection broke, while it waited. */
+	void (*gone)(struct caller *, msec);
+	/* What was written has gone out to under the low mark. */
+	void (*drained)(struct caller *, msec);
+};
+
+struct listener_io {
+	struct loop_io io;
+	struct entry *entry;
+	const struct caller_ops *ops;
+	bool counts; /* its connections hold the end of a stop up */
+};
+
+struct caller {
+	struct loop_io io;
+	const struct caller_ops *ops;
+	TAILQ_ENTRY(caller) entry;
+	struct entry *owner;
+	struct http_reader reader;
+	struct buffer in; /* read, not parsed yet */
+	struct buffer body;
+	struct buffer out;
+	struct loop_timer timer;
+	struct job *job; /* the request in hand */
+	bool busy;	 /* a request waits for its answer */
+	bool closing;	 /* closes when all is written */
+	bool shut;	 /* our side is closed; waits for the peer's */
+	bool eof;	 /* the peer's side is closed */
+	bool counts;
+	uint64_t served;
+};
+
+bool caller_listen(struct entry *, struct listener_io *,
+    const struct endpoint *, const struct caller_ops *, bool counts);
+/* Bytes of an answer; caller_ended() after the last. */
+void caller_write(struct caller *, const char *, size_t);
+void caller_write_text(struct caller *, const char *);
+/* Send what has been written. */
+void caller_flush(struct caller *);
+/* The answer is whole; the next request may come, or the connection ends. */
+void caller_ended(struct caller *, msec, bool keep);
+/* The answer breaks off: the caller must see that it is not whole. */
+void caller_break(struct caller *, msec);
+/* A whole answer of our own; the body may be "". Then caller_ended(). */
+void caller_answer(struct caller *, msec, unsigned int status,
+    const char *fields, const char *type, const char *body, bool keep);
+/* Bytes written that have not gone out yet. */
+size_t caller_backlog(const struct caller *);
+/* Close connections that wait for nothing. */
+void caller_close_idle(struct entry *);
+/* Above the high mark a server's stream is paused, under the low it goes on. */
+#define CALLER_HIGH (256 * 1024)
+#define CALLER_LOW (64 * 1024)
+
+/* ---- connections to backend servers: entry-link.c ---- */
+
+/* How an attempt on a link ended without a whole answer. */
+enum link_end {
+	LINK_UNSENT, /* no byte of the request was handed over */
+	LINK_BROKEN  /* some may have been */
+};
+
+/* What hears of the attempt on a link. */
+struct link_ops {
+	/* The head of an answer; false: it is not for this request. */
+	bool (*head)(struct link *, const struct http_head *, msec);
+	void (*body)(struct link *, const char *, size_t, msec);
+	/* The answer is whole; the link is no longer the job's. */
+	void (*whole)(struct link *, msec);
+	/* It ended before; the link is no longer the job's. */
+	void (*ended)(struct link *, enum link_end, msec);
+};
+
+struct link {
+	struct loop_io io;
+	const struct link_ops *ops;
+	TAILQ_ENTRY(link) entry; /* of the server's idle links */
+	struct entry *owner;
+	struct server *server;
+	struct job *job; /* NULL: idle */
+	struct http_reader reader;
+	struct buffer out;
+	struct loop_timer timer;
+	bool connecting;
+	bool used;     /* an answer came on it before */
+	bool sent;     /* a byte of the request was handed over */
+	bool skip;     /* the answer in hand is for nobody */
+	bool paused;   /* the caller does not read */
+	msec idle_max; /* may idle so long */
+	msec idle_since;
+};
+
+/* What entry-link.c keeps of a server. */
+struct link_pool {
+	struct link_list idle;
+	unsigned int nidle;
+};
+
+/*
+ * Send a request to a server, on a kept connection or a new one. NULL when no
+ * connection can be had; nothing was sent then. `fresh`: only on a connection
+ * that certainly has not been closed by the server meanwhile.
+ */
+struct link *link_send(struct entry *, struct server *, struct job *,
+    const struct link_ops *, struct buffer *request, bool to_head, bool fresh,
+    msec);
+/* Give the attempt up: the connection closes, so that the server stops. */
+void link_cancel(struct link *);
+void link_pause(struct link *, bool);
+/* Close the idle links of a server. */
+void link_close_idle(struct entry *, struct server *);
+void link_pool_free(struct server *);
+
+/* ---- requests: entry-job.c, entry-reply.c ---- */
+
+/* Why a request ended as it did. */
+enum job_code {
+	JOB_SERVED,	  /* a server's whole answer */
+	JOB_SERVER_ERROR, /* a server's whole answer, a failure */
+	JOB_BAD_REQUEST,
+	JOB_NO_ROUTE,
+	JOB_NO_KEY,	 /* the key is missing or unknown */
+	JOB_NOT_FRESH,	 /* keys cannot be judged now */
+	JOB_STARTING,	 /* no configuration yet */
+	JOB_NO_SERVER,	 /* none is there, or all were tried */
+	JOB_FULL,	 /* servers said that they take no more */
+	JOB_UNREACHABLE, /* no connection could be had */
+	JOB_NO_BUDGET,	 /* another attempt was not allowed */
+	JOB_BROKEN,	 /* a server broke off; it may have run */
+	JOB_TIMEOUT,	 /* of the route, or the caller's deadline */
+	JOB_CALLER_GONE,
+	JOB_CODES
+};
+const char *job_code_name(enum job_code);
+
+struct job {
+	TAILQ_ENTRY(job) entry;
+	struct entry *owner;
+	struct caller *caller;
+	struct wire_request request;
+	char *id;		      /* request.id's own memory */
+	const struct http_head *head; /* in the caller's reader */
+	struct route_table *table;    /* a reference */
+	const struct route *route;
+	const struct route_organisation *organisation;
+	name_id service;
+	msec arrived;
+	msec deadline; /* a point: the caller's, or the route's timeout */
+	struct loop_timer timer;    /* at the deadline */
+	struct loop_timer patience; /* with the server in hand */
+	struct link *link;	    /* the attempt in hand */
+	struct server *server;	    /* its server */
+	/* Name of the last server; "": none. */
+	char server_name[SERVER_NAME_SIZE];
+	uint64_t unread;       /* counted in server->unread */
+	unsigned int sends;    /* requests handed to servers */
+	unsigned int arrivals; /* of those that may have reached one */
+	unsigned int runs;     /* of those that may have run */
+	bool may_have_run;
+	bool repeatable;
+	enum job_code last; /* why the last attempt ended */
+	unsigned int ntried;
+	name_id tried[SERVER_AVOID_MAX];
+	/* The answer: entry-reply.c. */
+	unsigned int status;
+	bool began;	   /* the head is out to the caller */
+	bool streamed;	   /* events, passed on one by one */
+	bool chunked;	   /* to the caller */
+	bool server_error; /* a server's own failure is kept in `held` */
+	bool refused_by_server;
+	msec sent_at, first_at;
+	struct buffer fields; /* of the server's head, for the caller */
+	struct buffer held;   /* body that is not passed on yet */
+	uint64_t last_event;  /* passed on to the caller */
+	uint64_t events;
+};
+
+extern const struct caller_ops job_caller_ops;
+/* End what is in flight, at the end of a stop. */
+void job_cut_all(struct entry *, msec);
+
+/* What a server's answer means, for entry-job.c. */
+enum reply_verdict {
+	REPLY_TAKE,	/* pass it on */
+	REPLY_STRAY,	/* for another request */
+	REPLY_REJECTED, /* not executed: try elsewhere */
+	REPLY_FAILURE,	/* its own failure: executed */
+	REPLY_RUBBISH	/* not to be trusted; it may have run */
+};
+enum reply_verdict reply_judge(const struct job *, const struct http_head *);
+/* Keep the head's fields for the caller. */
+void reply_head(struct job *, const struct http_head *);
+/* Body bytes; false when a stream does not go on where it must. */
+bool reply_body(struct job *, const char *, size_t, msec);
+/* All came: write the rest; the caller has the whole answer. */
+bool reply_whole(struct job *, msec);
+/* Forget what is not out yet, for another attempt. */
+void reply_forget(struct job *);
+/* An answer of our own. */
+void
+reply_own(struct job *, msec, unsigned int status, msec retry_after, bool keep);
+
+/* ---- readiness and directory: entry-query.c ---- */
+
+extern const struct caller_ops query_caller_ops;
+
+/* ---- what is in force: entry-state.c ---- */
+
+enum entry_phase {
+	ENTRY_STARTING, /* no configuration yet */
+	ENTRY_SERVING,
+	ENTRY_LEAVING
+};
+
+struct entry_counters {
+	uint64_t codes[JOB_CODES];
+	uint64_t attempts, retries, connects, reused, strays;
+	uint64_t tables;
+};
+
+struct entry {
+	struct loop loop;
+	const struct settings *settings;
+	const struct wire_ops *wire;
+	struct source *source;
+	enum entry_phase phase;
+	msec started;
+	msec leaving_since;
+	msec last_request;
+	uint64_t incarnation;
+	struct route_table *table; /* NULL: none yet */
+	struct fresh fresh;
+	struct servers servers;
+	struct members members;
+	struct net net;
+	struct loop_io net_io;
+	struct loop_io signal_io;
+	struct loop_timer tick;
+	struct listener_io callers_io, ready_io, directory_io;
+	struct caller_list callers;
+	unsigned int ncallers;
+	struct job_list jobs;
+	unsigned int njobs;
+	struct link *link_in_hand; /* its bytes are being read */
+	struct retry_budgets budgets;
+	struct retry_budget_config budget;
+	unsigned int live_nodes; /* with us */
+	bool source_up;
+	msec source_lost; /* since when it does not answer */
+	GRand *rand;
+	struct entry_log log;
+	struct entry_counters counters;
+};
+
+/* From the source: a newer configuration; takes over the reference. */
+void entry_take_table(struct entry *, struct route_table *, msec);
+/* The configuration in force is the newest; a read sent then said so. */
+void entry_take_proof(struct entry *, msec asked);
+/* Other nodes that announced themselves. */
+void entry_take_nodes(struct entry *, const struct vm *, unsigned int, msec);
+/* The source does not answer, or answers again. */
+void entry_source_down(struct entry *, msec, const char *why);
+void entry_source_up(struct entry *, msec);
+
+/* May callers be sent here? */
+bool entry_is_ready(const struct entry *, msec);
+struct retry_budget *entry_budget(struct entry *, name_id service);
+bool entry_state_init(struct entry *, msec);
+void entry_state_tick(struct entry *, msec);
+void entry_state_finish(struct entry *);
+void entry_leave(struct entry *, msec);
+
+/* ---- the process: entry.c ---- */
+
+/* Run until SIGTERM and its end; the exit status. */
+int
+entry_main(const struct settings *, const struct wire_ops *, struct source *);
+
+#endif /* ENTRY_H */
--- /dev/null
+++ b/exchange.c
@@ -0,0 +1,250 @@
+/*
+ * Calls to one service on a kept connection; see exchange.h.
+ */
+
+#define LOG_PART "exchange"
+#include "exchange.h"
+
+#include <sys/socket.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <errno.h>
+#include <string.h>
+
+#define EXCHANGE_HEAD_MAX 16384
+#define EXCHANGE_BODY_MAX ((uint64_t)8 * 1024 * 1024)
+#define EXCHANGE_READ 32768
+/* Bytes of ours that are not confirmed for so long: the path is gone. */
+#define EXCHANGE_SILENT_MS 1500
+
+static void exchange_ready(struct loop_io *, uint32_t);
+static void exchange_timer(struct loop_timer *, msec);
+
+static void
+exchange_body(struct http_reader *r, const char *bytes, size_t n)
+{
+	struct exchange *x = r->arg;
+
+	buffer_add(&x->body, bytes, n);
+}
+
+void
+exchange_init(struct exchange *x, struct loop *l, uint32_t address,
+    uint16_t port, exchange_done done, void *arg)
+{
+	*x = (struct exchange){ .io = { exchange_ready, -1, 0 },
+		.loop = l,
+		.address = address,
+		.port = port,
+		.done = done,
+		.arg = arg };
+	http_reader_init(&x->reader, false, EXCHANGE_HEAD_MAX,
+	    EXCHANGE_BODY_MAX, exchange_body, x);
+	loop_timer_init(&x->timer, exchange_timer, x);
+}
+
+void
+exchange_finish(struct exchange *x)
+{
+	loop_timer_stop(x->loop, &x->timer);
+	loop_close(x->loop, &x->io);
+	http_reader_finish(&x->reader);
+	buffer_finish(&x->request);
+	buffer_finish(&x->body);
+}
+
+static bool
+exchange_connect(struct exchange *x)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int on = 1, silent = EXCHANGE_SILENT_MS, idle = 1, every = 1, count = 2;
+	int fd;
+
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd == -1)
+		return false;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+	sin.sin_addr.s_addr = htonl(x->address);
+	sin.sin_port = htons(x->port);
+	x->io.fd = fd;
+	x->io.events = 0;
+	x->connecting = true;
+	x->reused = false;
+	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == -1 &&
+	    errno != EINPROGRESS) {
+		loop_close(x->loop, &x->io);
+		return false;
+	}
+	return loop_watch(x->loop, &x->io, EPOLLOUT);
+}
+
+/* The call is over; the connection stays only after a whole answer. */
+static void
+exchange_end(struct exchange *x, unsigned int status, msec now)
+{
+	bool keep = status != 0 && x->reader.head->keep_alive &&
+		    !x->reader.head->to_the_end;
+
+	loop_timer_stop(x->loop, &x->timer);
+	buffer_finish(&x->request);
+	http_reader_reset(&x->reader);
+	if (!keep)
+		loop_close(x->loop, &x->io);
+	x->busy = false;
+	x->done(x, status, now);
+	if (!x->busy)
+		buffer_finish(&x->body);
+}
+
+static void
+exchange_fail(struct exchange *x, msec now)
+{
+	bool again = x->repeat && x->reused &&
+		     http_reader_is_idle(&x->reader) && x->body.len == 0;
+
+	loop_close(x->loop, &x->io);
+	http_reader_reset(&x->reader);
+	x->repeat = false;
+	if (again) {
+		x->written = 0;
+		if (exchange_connect(x))
+			return;
+	}
+	exchange_end(x, 0, now);
+}
+
+static void
+exchange_write(struct exchange *x, msec now)
+{
+	const char *bytes = buffer_bytes(&x->request);
+	size_t n = buffer_left(&x->request);
+	ssize_t wrote;
+
+	while (x->written < n) {
+		wrote = send(
+		    x->io.fd, bytes + x->written, n - x->written, MSG_NOSIGNAL);
+		if (wrote == -1 && errno == EINTR)
+			continue;
+		if (wrote == -1 && errno == EAGAIN)
+			break;
+		if (wrote <= 0) {
+			exchange_fail(x, now);
+			return;
+		}
+		x->written += (size_t)wrote;
+	}
+	loop_watch(x->loop, &x->io,
+	    EPOLLIN | (x->written < n ? (uint32_t)EPOLLOUT : 0));
+}
+
+void
+exchange_call(struct exchange *x, const char *method, const char *target,
+    const void *body, size_t n, msec timeout)
+{
+	struct in_addr in = { htonl(x->address) };
+	char host[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &in, host, sizeof host);
+	buffer_finish(&x->body);
+	buffer_printf(&x->request, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n", method,
+	    target, host, x->port);
+	if (n > 0)
+		buffer_printf(&x->request,
+		    "Content-Type: application/octet-stream\r\n"
+		    "Content-Length: %zu\r\n",
+		    n);
+	buffer_add_text(&x->request, "\r\n");
+	buffer_add(&x->request, body, n);
+	x->busy = true;
+	x->repeat = strcmp(method, "GET") == 0;
+	x->written = 0;
+	x->asked = msec_now();
+	loop_timer_set(x->loop, &x->timer, x->asked + timeout);
+	if (x->io.fd != -1) {
+		x->reused = true;
+		/* epoll says at once that it can be written. */
+		loop_watch(x->loop, &x->io, EPOLLIN | EPOLLOUT);
+		return;
+	}
+	/* A failure is told by the timer, not from in here. */
+	if (!exchange_connect(x))
+		loop_timer_set(x->loop, &x->timer, x->asked);
+}
+
+static void
+exchange_read(struct exchange *x, msec now)
+{
+	char bytes[EXCHANGE_READ];
+	size_t at = 0, took;
+	ssize_t n;
+
+	n = recv(x->io.fd, bytes, sizeof bytes, 0);
+	if (n == -1 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (!x->busy || n == -1) {
+		/* Idle: it ends, or says what nobody asked for. */
+		if (x->busy)
+			exchange_fail(x, now);
+		else
+			loop_close(x->loop, &x->io);
+		return;
+	}
+	if (n == 0) {
+		http_reader_close(&x->reader);
+		if (x->reader.stage == HTTP_STAGE_WHOLE)
+			exchange_end(x, x->reader.head->status, now);
+		else
+			exchange_fail(x, now);
+		return;
+	}
+	while (at < (size_t)n && x->reader.stage < HTTP_STAGE_WHOLE) {
+		took = http_reader_take(&x->reader, bytes + at, (size_t)n - at);
+		at += took;
+	}
+	if (x->reader.stage == HTTP_STAGE_FAILED || at < (size_t)n)
+		exchange_fail(x, now);
+	else if (x->reader.stage == HTTP_STAGE_WHOLE)
+		exchange_end(x, x->reader.head->status, now);
+}
+
+static void
+exchange_ready(struct loop_io *io, uint32_t events)
+{
+	struct exchange *x = (struct exchange *)io;
+	msec now = x->loop->now;
+	int error = 0;
+	socklen_t len = sizeof error;
+
+	if (x->connecting) {
+		if (getsockopt(io->fd, SOL_SOCKET, SO_ERROR, &error, &len) ==
+			-1 ||
+		    error != 0) {
+			exchange_fail(x, now);
+			return;
+		}
+		x->connecting = false;
+	}
+	if (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) {
+		exchange_read(x, now);
+		return;
+	}
+	if (x->busy)
+		exchange_write(x, now);
+}
+
+static void
+exchange_timer(struct loop_timer *t, msec now)
+{
+	struct exchange *x = t->arg;
+
+	x->repeat = false;
+	exchange_fail(x, now);
+}
--- /dev/null
+++ b/http-message.c
@@ -0,0 +1,388 @@
+/*
+ * HTTP messages from bytes; see http-message.h.
+ */
+
+#define LOG_PART "http"
+#include "http-message.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HTTP_TCHARS                                           \
+	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz" \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+static int parser_headers(struct http_parser *);
+static int parser_body(struct http_parser *, const char *, size_t);
+static int parser_whole(struct http_parser *);
+
+static const struct http_parser_settings parser_settings = {
+	.on_headers_complete = parser_headers,
+	.on_body = parser_body,
+	.on_message_complete = parser_whole,
+};
+
+/* ---- the library's callbacks ---- */
+
+static int
+parser_headers(struct http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->head->keep_alive = http_should_keep_alive(p) != 0;
+	r->stage = HTTP_STAGE_BODY;
+	/* 1 says that no body follows, whatever the head says. */
+	return r->to_head ? 1 : 0;
+}
+
+static int
+parser_body(struct http_parser *p, const char *bytes, size_t n)
+{
+	struct http_reader *r = p->data;
+
+	r->body_len += n;
+	if (r->body_len > r->body_max) {
+		r->error = HTTP_ERROR_BODY_TOO_LARGE;
+		return 1;
+	}
+	r->body(r, bytes, n);
+	return 0;
+}
+
+static int
+parser_whole(struct http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->stage = HTTP_STAGE_WHOLE;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+/* ---- init and finish ---- */
+
+void
+http_reader_init(struct http_reader *r, bool requests, size_t head_max,
+    uint64_t body_max, http_body body, void *arg)
+{
+	*r = (struct http_reader){ .body = body,
+		.arg = arg,
+		.head_max = head_max,
+		.body_max = body_max };
+	http_parser_init(&r->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
+	r->parser.data = r;
+}
+
+void
+http_reader_finish(struct http_reader *r)
+{
+	buffer_finish(&r->text);
+	g_free(r->head);
+	r->head = NULL;
+}
+
+void
+http_reader_reset(struct http_reader *r)
+{
+	enum http_parser_type type = r->parser.type;
+
+	http_reader_finish(r);
+	r->stage = HTTP_STAGE_HEAD;
+	r->error = HTTP_ERROR_NONE;
+	r->body_len = 0;
+	r->line = 0;
+	http_parser_init(&r->parser, type);
+	r->parser.data = r;
+}
+
+bool
+http_reader_is_idle(const struct http_reader *r)
+{
+	return r->stage == HTTP_STAGE_HEAD && buffer_left(&r->text) == 0;
+}
+
+static size_t
+reader_fail(struct http_reader *r, enum http_error error)
+{
+	r->stage = HTTP_STAGE_FAILED;
+	if (r->error == HTTP_ERROR_NONE)
+		r->error = error;
+	return 0;
+}
+
+/* ---- the head ---- */
+
+/* Splits "name: value" in place; false for what must not pass. */
+static bool
+field_split(char *line, size_t n, struct http_field *f)
+{
+	size_t name = strspn(line, HTTP_TCHARS), i;
+	char *value;
+
+	if (name == 0 || line[name] != ':')
+		return false;
+	for (i = name; i < n; i++) {
+		if ((guchar)line[i] < ' ' && line[i] != '\t')
+			return false;
+		if (line[i] == 0x7f)
+			return false;
+	}
+	line[name] = '\0';
+	value = line + name + 1;
+	value += strspn(value, " \t");
+	f->name = line;
+	f->value = g_strchomp(value);
+	return true;
+}
+
+/* "METHOD target HTTP/1.x" or "HTTP/1.x status words", in place. */
+static bool
+start_split(struct http_reader *r, char *line, size_t n)
+{
+	struct http_head *h = r->head;
+	char *a = strchr(line, ' '), *b;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if ((guchar)line[i] < ' ' || line[i] == 0x7f)
+			return false;
+	}
+	if (a == NULL)
+		return false;
+	if (r->parser.type == HTTP_RESPONSE) {
+		h->status = (unsigned int)strtoul(a + 1, NULL, 10);
+		h->old = g_str_has_prefix(line, "HTTP/1.0 ");
+		return h->old || g_str_has_prefix(line, "HTTP/1.1 ");
+	}
+	if ((b = strchr(a + 1, ' ')) == NULL || a[1] != '/')
+		return false;
+	h->old = strcmp(b, " HTTP/1.0") == 0;
+	if (!h->old && strcmp(b, " HTTP/1.1") != 0)
+		return false;
+	*a = *b = '\0';
+	h->method = line;
+	h->target = a + 1;
+	return true;
+}
+
+/*
+ * Guards against two readings of where a body ends: a second request inside
+ * the first would run unasked. One length or chunks, never both, never twice.
+ */
+static bool
+head_framing(struct http_reader *r)
+{
+	struct http_head *h = r->head;
+	unsigned int lengths = http_head_count(h, "Content-Length");
+	unsigned int codings = http_head_count(h, "Transfer-Encoding");
+	const char *s;
+
+	if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0))
+		return false;
+	if (codings > 0) {
+		s = http_head_get(h, "Transfer-Encoding");
+		if (g_ascii_strcasecmp(s, "chunked") != 0 || h->old)
+			return false;
+		h->has_body = true;
+	}
+	if (lengths > 0) {
+		s = http_head_get(h, "Content-Length");
+		if (!g_ascii_string_to_unsigned(
+			s, 10, 0, G_MAXINT64, &h->length, NULL))
+			return false;
+		h->sized = true;
+		h->has_body = h->length > 0;
+	}
+	if (r->parser.type == HTTP_REQUEST)
+		return http_head_count(h, "Host") == 1 ||
+		       (h->old && http_head_count(h, "Host") == 0);
+	h->to_the_end = lengths == 0 && codings == 0 && !r->to_head &&
+			h->status >= 200 && h->status != 204 &&
+			h->status != 304;
+	return true;
+}
+
+static bool
+head_split(struct http_reader *r)
+{
+	char *line = r->text.data, *end = line + r->text.len, *crlf;
+	struct http_head *h = r->head;
+
+	for (; line < end; line = crlf + 2) {
+		if ((crlf = memmem(line, (size_t)(end - line), "\r\n", 2)) ==
+		    NULL)
+			return false;
+		if (crlf == line)
+			return h->nfields > 0 || h->status != 0 ||
+			       h->method != NULL;
+		*crlf = '\0';
+		if (line == r->text.data) {
+			if (!start_split(r, line, (size_t)(crlf - line)))
+				return false;
+			continue;
+		}
+		if (h->nfields == HTTP_FIELDS_MAX)
+			return false;
+		if (!field_split(
+			line, (size_t)(crlf - line), &h->fields[h->nfields]))
+			return false;
+		h->nfields++;
+	}
+	return false;
+}
+
+/* The head is there: the library's reading first, then ours. */
+static void
+reader_head(struct http_reader *r)
+{
+	size_t n = buffer_left(&r->text), took;
+
+	r->head = g_new0(struct http_head, 1);
+	took = http_parser_execute(
+	    &r->parser, &parser_settings, buffer_bytes(&r->text), n);
+	if (took < n || r->stage == HTTP_STAGE_HEAD ||
+	    (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK &&
+		HTTP_PARSER_ERRNO(&r->parser) != HPE_PAUSED)) {
+		reader_fail(r, HTTP_ERROR_MALFORMED);
+		return;
+	}
+	if (!head_split(r) || !head_framing(r))
+		reader_fail(r, HTTP_ERROR_MALFORMED);
+}
+
+/* Copy up to the end of the head; a bare line feed ends it all. */
+static size_t
+reader_take_head(struct http_reader *r, const char *bytes, size_t n)
+{
+	const char *lf;
+	size_t at = 0, step;
+
+	while (at < n) {
+		lf = memchr(bytes + at, '\n', n - at);
+		step = lf != NULL ? (size_t)(lf - bytes) - at + 1 : n - at;
+		if (r->text.len + step > r->head_max)
+			return reader_fail(r, HTTP_ERROR_HEAD_TOO_LARGE);
+		buffer_add(&r->text, bytes + at, step);
+		at += step;
+		if (lf == NULL)
+			break;
+		if (r->text.len - r->line < 2 ||
+		    r->text.data[r->text.len - 2] != '\r')
+			return reader_fail(r, HTTP_ERROR_MALFORMED);
+		if (r->text.len - r->line == 2) {
+			if (r->line > 0) {
+				reader_head(r);
+				return at;
+			}
+			/* An empty line before the first one is ignored. */
+			buffer_finish(&r->text);
+		}
+		r->line = r->text.len;
+	}
+	return at;
+}
+
+size_t
+http_reader_take(struct http_reader *r, const char *bytes, size_t n)
+{
+	size_t took;
+
+	if (r->stage == HTTP_STAGE_HEAD)
+		return reader_take_head(r, bytes, n);
+	if (r->stage != HTTP_STAGE_BODY || n == 0)
+		return 0;
+	took = http_parser_execute(&r->parser, &parser_settings, bytes, n);
+	if (r->stage == HTTP_STAGE_WHOLE)
+		return took;
+	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
+		reader_fail(r, HTTP_ERROR_MALFORMED);
+	return took;
+}
+
+void
+http_reader_close(struct http_reader *r)
+{
+	if (r->stage == HTTP_STAGE_WHOLE || r->stage == HTTP_STAGE_FAILED)
+		return;
+	if (r->stage == HTTP_STAGE_BODY)
+		http_parser_execute(&r->parser, &parser_settings, NULL, 0);
+	if (r->stage != HTTP_STAGE_WHOLE)
+		reader_fail(r, HTTP_ERROR_CUT);
+}
+
+/* ---- looking at a head ---- */
+
+const char *
+http_head_get(const struct http_head *h, const char *name)
+{
+	unsigned int i;
+
+	for (i = 0; i < h->nfields; i++) {
+		if (g_ascii_strcasecmp(h->fields[i].name, name) == 0)
+			return h->fields[i].value;
+	}
+	return NULL;
+}
+
+unsigned int
+http_head_count(const struct http_head *h, const char *name)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < h->nfields; i++) {
+		if (g_ascii_strcasecmp(h->fields[i].name, name) == 0)
+			n++;
+	}
+	return n;
+}
+
+static bool
+list_has_token(const char *list, const char *token)
+{
+	size_t n = strlen(token), len;
+
+	while (*list != '\0') {
+		list += strspn(list, ", \t");
+		len = strcspn(list, ", \t");
+		if (len == n && g_ascii_strncasecmp(list, token, n) == 0)
+			return true;
+		list += len;
+	}
+	return false;
+}
+
+bool
+http_head_has_token(
+    const struct http_head *h, const char *name, const char *token)
+{
+	unsigned int i;
+
+	for (i = 0; i < h->nfields; i++) {
+		if (g_ascii_strcasecmp(h->fields[i].name, name) == 0 &&
+		    list_has_token(h->fields[i].value, token))
+			return true;
+	}
+	return false;
+}
+
+bool
+http_field_is_hop(const struct http_head *h, const char *name)
+{
+	static const char *const hops[] = { "Connection", "Keep-Alive",
+		"Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"TE", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Content-Length", "Expect" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(hops); i++) {
+		if (g_ascii_strcasecmp(hops[i], name) == 0)
+			return true;
+	}
+	return http_head_has_token(h, "Connection", name);
+}
+
+const char *
+http_status_text(unsigned int status)
+{
+	return http_status_str((enum http_status)status);
+}
--- /dev/null
+++ b/loop.c
@@ -0,0 +1,154 @@
+/*
+ * The event loop; see loop.h.
+ */
+
+#define LOG_PART "loop"
+#include "loop.h"
+
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LOOP_BATCH 64
+/* Without a timer the loop still turns so often. */
+#define LOOP_IDLE_MS 1000
+
+static int loop_timer_compare(struct loop_timer *, struct loop_timer *);
+
+RB_PROTOTYPE(loop_timers, loop_timer, entry, loop_timer_compare)
+RB_GENERATE(loop_timers, loop_timer, entry, loop_timer_compare)
+
+/* Events of the turn in hand, so that a closed descriptor's can be dropped. */
+static __thread struct epoll_event *batch;
+static __thread int batch_len;
+
+static int
+loop_timer_compare(struct loop_timer *a, struct loop_timer *b)
+{
+	if (a->due != b->due)
+		return a->due < b->due ? -1 : 1;
+	return (uintptr_t)a < (uintptr_t)b ? -1 : (uintptr_t)a > (uintptr_t)b;
+}
+
+bool
+loop_init(struct loop *l)
+{
+	*l = (struct loop){ 0 };
+	RB_INIT(&l->timers);
+	l->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	l->now = msec_now();
+	return l->epoll_fd != -1;
+}
+
+void
+loop_finish(struct loop *l)
+{
+	if (l->epoll_fd != -1)
+		close(l->epoll_fd);
+	l->epoll_fd = -1;
+}
+
+bool
+loop_watch(struct loop *l, struct loop_io *io, uint32_t events)
+{
+	struct epoll_event ev = { .events = events, .data.ptr = io };
+	int op = io->events != 0 ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+
+	if (io->events == events)
+		return true;
+	if (epoll_ctl(l->epoll_fd, op, io->fd, &ev) == -1) {
+		log_warn("cannot watch a descriptor: %s", g_strerror(errno));
+		return false;
+	}
+	io->events = events;
+	return true;
+}
+
+void
+loop_close(struct loop *l, struct loop_io *io)
+{
+	int i;
+
+	if (io->fd == -1)
+		return;
+	for (i = 0; i < batch_len; i++) {
+		if (batch[i].data.ptr == io)
+			batch[i].data.ptr = NULL;
+	}
+	close(io->fd);
+	io->fd = -1;
+	io->events = 0;
+}
+
+void
+loop_timer_init(
+    struct loop_timer *t, void (*fire)(struct loop_timer *, msec), void *arg)
+{
+	*t = (struct loop_timer){ .fire = fire, .arg = arg };
+}
+
+void
+loop_timer_stop(struct loop *l, struct loop_timer *t)
+{
+	if (!t->set)
+		return;
+	RB_REMOVE(loop_timers, &l->timers, t);
+	t->set = false;
+}
+
+void
+loop_timer_set(struct loop *l, struct loop_timer *t, msec due)
+{
+	loop_timer_stop(l, t);
+	if (due == MSEC_NEVER)
+		return;
+	t->due = due;
+	t->set = true;
+	RB_INSERT(loop_timers, &l->timers, t);
+}
+
+static int
+loop_wait_ms(struct loop *l)
+{
+	struct loop_timer *t = RB_MIN(loop_timers, &l->timers);
+
+	if (t == NULL)
+		return LOOP_IDLE_MS;
+	return (int)CLAMP(t->due - msec_now(), 0, LOOP_IDLE_MS);
+}
+
+static void
+loop_fire(struct loop *l)
+{
+	struct loop_timer *t;
+
+	while (
+	    (t = RB_MIN(loop_timers, &l->timers)) != NULL && t->due <= l->now) {
+		loop_timer_stop(l, t);
+		t->fire(t, l->now);
+	}
+}
+
+void
+loop_run(struct loop *l)
+{
+	struct epoll_event events[LOOP_BATCH];
+	struct loop_io *io;
+	int i, n;
+
+	while (!l->stopping) {
+		n = epoll_wait(
+		    l->epoll_fd, events, LOOP_BATCH, loop_wait_ms(l));
+		l->now = msec_now();
+		batch = events;
+		batch_len = MAX(n, 0);
+		for (i = 0; i < batch_len; i++) {
+			if ((io = events[i].data.ptr) != NULL)
+				io->ready(io, events[i].events);
+		}
+		batch_len = 0;
+		loop_fire(l);
+		if (l->turn != NULL)
+			l->turn(l, l->now);
+	}
+}
--- /dev/null
+++ b/retry-budget.c
@@ -0,0 +1,76 @@
+/*
+ * The share of the retry allowance; see retry-budget.h.
+ */
+
+#define LOG_PART "retry"
+#include "retry-budget.h"
+
+#include <string.h>
+
+/* Nodes that may come before we hear of them: their parts are left to them. */
+#define RETRY_NODES_MARGIN 2
+
+void
+retry_budget_init(struct retry_budget *b, name_id service, msec started)
+{
+	*b = (struct retry_budget){ .service = service, .started = started };
+}
+
+/* Forget the slices that have left the window. */
+static unsigned int
+budget_slide(
+    struct retry_budget *b, const struct retry_budget_config *c, msec now)
+{
+	msec width = MAX(c->window / (RETRY_SLICES - 1), 1);
+	int64_t slice = now / width;
+
+	if (slice - b->slice >= RETRY_SLICES) {
+		memset(b->requests, 0, sizeof b->requests);
+		memset(b->retries, 0, sizeof b->retries);
+		b->slice = slice;
+	}
+	while (b->slice < slice) {
+		b->slice++;
+		b->requests[b->slice % RETRY_SLICES] = 0;
+		b->retries[b->slice % RETRY_SLICES] = 0;
+	}
+	return (unsigned int)(slice % RETRY_SLICES);
+}
+
+void
+retry_budget_request(
+    struct retry_budget *b, const struct retry_budget_config *c, msec now)
+{
+	b->requests[budget_slide(b, c, now)]++;
+}
+
+unsigned int
+retry_budget_left(struct retry_budget *b, const struct retry_budget_config *c,
+    msec now, unsigned int nodes)
+{
+	uint64_t requests = 0, used = 0, allowed;
+	unsigned int i;
+
+	budget_slide(b, c, now);
+	for (i = 0; i < RETRY_SLICES; i++) {
+		requests += b->requests[i];
+		used += b->retries[i];
+	}
+	allowed = requests * c->permille / 1000;
+	if (now - b->started >= c->window)
+		allowed += c->fixed / (RETRY_NODES_MARGIN * MAX(nodes, 1));
+	return allowed > used ? (unsigned int)(allowed - used) : 0;
+}
+
+bool
+retry_budget_take(struct retry_budget *b, const struct retry_budget_config *c,
+    msec now, unsigned int nodes)
+{
+	if (retry_budget_left(b, c, now, nodes) == 0) {
+		b->denied++;
+		return false;
+	}
+	b->retries[budget_slide(b, c, now)]++;
+	b->taken++;
+	return true;
+}
--- /dev/null
+++ b/retry-budget.h
@@ -0,0 +1,47 @@
+/*
+ * How many attempts beyond the first a service may get. All nodes share one
+ * allowance over a sliding window: a fraction of the requests and a fixed
+ * part. Each node keeps to a share that is safe whatever the others do: the
+ * fraction of its own requests, and an equal part of half of the fixed part,
+ * so that the nodes may double before the sum is reached. A node that has
+ * just started takes nothing of the fixed part for a window, as it does not
+ * know what it used before.
+ */
+
+#ifndef RETRY_BUDGET_H
+#define RETRY_BUDGET_H
+
+#include "savory.h"
+
+/* The window is counted in so many slices. */
+#define RETRY_SLICES 20
+
+struct retry_budget_config {
+	msec window;
+	unsigned int permille; /* retries for 1,000 requests */
+	unsigned int fixed;    /* retries of all nodes beside those */
+};
+
+/* One service's. */
+struct retry_budget {
+	RB_ENTRY(retry_budget) entry;
+	name_id service;
+	msec started;
+	int64_t slice; /* number of the newest */
+	unsigned int requests[RETRY_SLICES];
+	unsigned int retries[RETRY_SLICES];
+	uint64_t taken, denied; /* counters */
+};
+
+void retry_budget_init(struct retry_budget *, name_id service, msec started);
+/* A caller's request for the service has come. */
+void retry_budget_request(
+    struct retry_budget *, const struct retry_budget_config *, msec);
+/* Take one retry; `nodes` share the fixed part, we among them. */
+bool retry_budget_take(struct retry_budget *,
+    const struct retry_budget_config *, msec, unsigned int nodes);
+/* What could be taken now. */
+unsigned int retry_budget_left(struct retry_budget *,
+    const struct retry_budget_config *, msec, unsigned int nodes);
+
+#endif /* RETRY_BUDGET_H */
--- a/savorypierd.c
+++ b/savorypierd.c
@@ -5,6 +5,7 @@
 
 #define LOG_PART "main"
 #include "daemon.h"
+#include "platform/main.h"
 
 #include <sys/random.h>
 
@@ -187,6 +188,8 @@
 		findings_print(&findings, stderr);
 	else if (args.check)
 		rc = EXIT_SUCCESS;
+	else if (d.settings.store.port != 0)
+		rc = platform_main(&d.settings);
 	else if (log_open(d.settings.log_level, d.settings.log_json)) {
 		main_block_signals();
 		rc = main_run(&d);
--- /dev/null
+++ b/server-choose.c
@@ -0,0 +1,107 @@
+/*
+ * Which backend server gets a request. Work that shares a long prompt goes
+ * where the prompt was read before: rendezvous hashing (Thaler and
+ * Ravishankar, 1998) gives every node the same home for it without a message.
+ * A home that has much to read, or fails, loses to the next by cost.
+ */
+
+#define LOG_PART "choose"
+#include "server.h"
+
+#include <xxhash.h>
+
+/* Prompt tokens read in a millisecond until a server has shown its own. */
+#define CHOOSE_TOKENS_PER_MS 60.0
+/* What one more request on a server costs the others, in milliseconds. */
+#define CHOOSE_RUNNING_MS 6.0
+/* What a failure in the last requests costs, and a rest. */
+#define CHOOSE_FAILURE_MS 400.0
+#define CHOOSE_REST_MS 20000.0
+/* What a link to another failure domain costs. */
+#define CHOOSE_DOMAIN_MS 2.0
+
+static bool
+wish_avoids(const struct server_wish *w, name_id id)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->navoid; i++) {
+		if (w->avoid[i] == id)
+			return true;
+	}
+	return false;
+}
+
+static uint64_t
+choose_weight(const struct server *v, uint64_t prompt)
+{
+	uint64_t words[2] = { v->id, prompt };
+
+	return XXH64(words, sizeof words, 0);
+}
+
+/* The server that every node thinks of first for a prompt, or NULL. */
+static const struct server *
+choose_home(struct servers *s, const struct server_wish *w)
+{
+	const struct server *best = NULL;
+	uint64_t weight, most = 0;
+	struct server *v;
+
+	if (w->prompt == 0)
+		return NULL;
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (v->service != w->service || v->state != SERVER_READY)
+			continue;
+		weight = choose_weight(v, w->prompt);
+		if (best == NULL || weight > most) {
+			best = v;
+			most = weight;
+		}
+	}
+	return best;
+}
+
+static double
+choose_cost(const struct server *v, msec now, const struct server_wish *w,
+    const struct server *home)
+{
+	double tokens = (double)v->unread, cost;
+
+	tokens += w->own;
+	if (v != home)
+		tokens += w->shared;
+	cost = tokens / CHOOSE_TOKENS_PER_MS + v->running * CHOOSE_RUNNING_MS;
+	cost += v->failures * CHOOSE_FAILURE_MS;
+	if (now < v->resting_until)
+		cost += CHOOSE_REST_MS;
+	if (g_strcmp0(v->domain, w->domain) != 0)
+		cost += CHOOSE_DOMAIN_MS;
+	return cost;
+}
+
+struct server *
+server_choose(
+    struct servers *s, msec now, const struct server_wish *w, uint32_t draw)
+{
+	const struct server *home = choose_home(s, w);
+	struct server *v, *best = NULL;
+	uint64_t tie, best_tie = 0;
+	double cost, least = 0;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (v->service != w->service || !server_takes_work(v, now) ||
+		    wish_avoids(w, v->id))
+			continue;
+		cost = choose_cost(v, now, w, home);
+		tie = choose_weight(v, draw);
+		if (best != NULL && cost > least)
+			continue;
+		if (best != NULL && cost >= least && tie < best_tie)
+			continue;
+		best = v;
+		least = cost;
+		best_tie = tie;
+	}
+	return best;
+}
--- /dev/null
+++ b/server.c
@@ -0,0 +1,198 @@
+/*
+ * The table of backend servers; see server.h.
+ */
+
+#define LOG_PART "server"
+#include "server.h"
+
+#include <string.h>
+
+/*
+ * A server that failed several times in a row rests, twice as long each time.
+ * One failure in seven requests is ordinary on some services, so a single one
+ * says little.
+ */
+#define SERVER_FAILURES_MAX 3
+#define SERVER_REST_MS 500
+#define SERVER_REST_MAX_MS (4 * MSEC_SECOND)
+
+RB_GENERATE(server_tree, server, entry, server_compare)
+
+int
+server_compare(struct server *a, struct server *b)
+{
+	return a->id < b->id ? -1 : a->id > b->id;
+}
+
+void
+servers_init(struct servers *s, const struct server_ops *ops)
+{
+	*s = (struct servers){ .ops = ops };
+	RB_INIT(&s->tree);
+}
+
+static void
+servers_remove(struct servers *s, struct server *v)
+{
+	s->ops->removed(s, v);
+	RB_REMOVE(server_tree, &s->tree, v);
+	s->count--;
+	g_free(v);
+}
+
+void
+servers_finish(struct servers *s)
+{
+	struct server *v;
+
+	while ((v = RB_MIN(server_tree, &s->tree)) != NULL)
+		servers_remove(s, v);
+}
+
+struct server *
+servers_find(struct servers *s, name_id id)
+{
+	struct server find = { .id = id };
+
+	return RB_FIND(server_tree, &s->tree, &find);
+}
+
+/* What our requests showed belongs to the process that was there before. */
+static void
+server_forget(struct server *v)
+{
+	v->failures = 0;
+	v->resting_until = 0;
+	v->first_ms = 0;
+}
+
+static struct server *
+servers_add(struct servers *s, const struct server_entry *e, name_id id)
+{
+	struct server *v = g_new0(struct server, 1);
+
+	v->id = id;
+	g_strlcpy(v->name, e->name, sizeof v->name);
+	v->born = e->born;
+	v->address = e->address;
+	v->port = e->port;
+	RB_INSERT(server_tree, &s->tree, v);
+	s->count++;
+	log_info_of(
+	    LOG_NODE, v->name, "%s of %s is listed", v->name, e->service);
+	return v;
+}
+
+void
+servers_list(struct servers *s, msec now, const struct server_entry *e)
+{
+	name_id id = name_hash(e->name);
+	struct server *v = servers_find(s, id);
+	enum server_state state = e->draining ? SERVER_DRAINING : SERVER_READY;
+	bool anew;
+
+	if (strlen(e->name) >= SERVER_NAME_SIZE)
+		return;
+	if (v == NULL)
+		v = servers_add(s, e, id);
+	anew = (e->born != 0 && e->born != v->born) ||
+	       e->address != v->address || e->port != v->port;
+	v->service = name_hash(e->service);
+	g_strlcpy(v->domain, e->domain, sizeof v->domain);
+	v->address = e->address;
+	v->port = e->port;
+	v->slots = e->slots;
+	v->missing = false;
+	if (anew) {
+		log_info_of(LOG_NODE, v->name, "%s started anew", v->name);
+		server_forget(v);
+		v->born = e->born;
+	}
+	/* Draining is never taken back by the same process. */
+	if (v->state == SERVER_DRAINING && !anew)
+		state = SERVER_DRAINING;
+	if (state == v->state && !anew)
+		return;
+	if (state != v->state)
+		log_info_of(LOG_NODE, v->name, "%s is %s", v->name,
+		    state == SERVER_READY ? "ready" : "draining");
+	v->state = state;
+	s->ops->changed(s, v);
+}
+
+static void
+server_end(struct servers *s, struct server *v)
+{
+	if (v->state == SERVER_GONE)
+		return;
+	log_info_of(LOG_NODE, v->name, "%s is gone", v->name);
+	v->missing = false;
+	v->state = SERVER_GONE;
+	s->ops->changed(s, v);
+}
+
+void
+servers_unlist(struct servers *s, msec now, const char *name)
+{
+	struct server *v = servers_find(s, name_hash(name));
+
+	if (v == NULL || v->state == SERVER_GONE)
+		return;
+	if (now >= s->held_until) {
+		server_end(s, v);
+		return;
+	}
+	log_info_of(LOG_NODE, v->name, "%s is not listed, held", v->name);
+	v->missing = true;
+	v->missing_since = now;
+}
+
+void
+servers_hold(struct servers *s, msec until)
+{
+	s->held_until = MAX(s->held_until, until);
+}
+
+void
+servers_tick(struct servers *s, msec now)
+{
+	struct server *v, *next;
+
+	RB_FOREACH_SAFE (v, server_tree, &s->tree, next) {
+		if (v->missing && now >= s->held_until)
+			server_end(s, v);
+		if (v->state == SERVER_GONE && v->links == 0)
+			servers_remove(s, v);
+	}
+}
+
+void
+server_learn(struct server *v, msec now, enum server_result how)
+{
+	unsigned int n;
+
+	switch (how) {
+	case SERVER_WELL:
+		v->failures = 0;
+		v->resting_until = 0;
+		break;
+	case SERVER_FAILED:
+		n = ++v->failures;
+		if (n < SERVER_FAILURES_MAX)
+			break;
+		n = MIN(n - SERVER_FAILURES_MAX, 8);
+		v->resting_until =
+		    now + MIN(SERVER_REST_MS << n, SERVER_REST_MAX_MS);
+		log_debug("%s failed %u times, rests", v->name, v->failures);
+		break;
+	case SERVER_FULL:
+	case SERVER_UNKNOWN:
+		break;
+	}
+}
+
+bool
+server_takes_work(const struct server *v, msec now)
+{
+	return v->state == SERVER_READY;
+}
--- /dev/null
+++ b/server.h
@@ -0,0 +1,122 @@
+/*
+ * The backend servers as this node knows them: what the platform says of
+ * each, and what our own requests showed. A core without input or output;
+ * server-choose.c decides which one gets a request.
+ */
+
+#ifndef SERVER_H
+#define SERVER_H
+
+#include "savory.h"
+
+/* Platforms name their servers as they like; longer names are refused. */
+#define SERVER_NAME_SIZE 128
+
+enum server_state {
+	SERVER_READY,
+	SERVER_DRAINING, /* finishes what it has */
+	SERVER_GONE	 /* not listed any more; kept while links are open */
+};
+
+/* What the platform says of one. */
+struct server_entry {
+	const char *name;
+	const char *service;
+	const char *domain;
+	uint32_t address; /* IPv4, host byte order */
+	uint16_t port;
+	unsigned int slots; /* 0: not said */
+	bool draining;
+	int64_t born; /* when it started, in any unit; 0: not said */
+};
+
+struct server {
+	RB_ENTRY(server) entry;
+	name_id id;
+	char name[SERVER_NAME_SIZE];
+	name_id service;
+	char domain[NAME_SIZE];
+	uint32_t address;
+	uint16_t port;
+	unsigned int slots;
+	enum server_state state;
+	int64_t born;
+	bool missing; /* not listed; gone when the hold ends */
+	msec missing_since;
+	/* From our own requests. */
+	unsigned int running;  /* of ours, in flight */
+	uint64_t unread;       /* prompt tokens of ours without an answer yet */
+	unsigned int failures; /* in a row */
+	msec resting_until;    /* gets nothing before, after failures */
+	double first_ms;       /* smoothed time to an answer; 0: none yet */
+	unsigned int links;    /* connections of ours, used and idle */
+	void *arg;	       /* the embedder's */
+};
+RB_HEAD(server_tree, server);
+int server_compare(struct server *, struct server *);
+RB_PROTOTYPE(server_tree, server, entry, server_compare)
+
+struct servers;
+
+struct server_ops {
+	/* It drains, is gone, or started anew under its name. */
+	void (*changed)(struct servers *, struct server *);
+	/* Its memory is about to go. */
+	void (*removed)(struct servers *, struct server *);
+};
+
+struct servers {
+	const struct server_ops *ops;
+	struct server_tree tree;
+	unsigned int count;
+	msec held_until; /* no server is taken as gone before */
+	void *arg;	 /* the embedder's */
+};
+
+void servers_init(struct servers *, const struct server_ops *);
+void servers_finish(struct servers *);
+struct server *servers_find(struct servers *, name_id);
+/* What the platform now says of a server. */
+void servers_list(struct servers *, msec, const struct server_entry *);
+/* The platform does not list it any more. */
+void servers_unlist(struct servers *, msec, const char *name);
+/*
+ * Guards against a platform that was away: entries lapse meanwhile although
+ * the servers are well, and are back soon after its return. Until the point
+ * in time, a server that is not listed stays in use.
+ */
+void servers_hold(struct servers *, msec until);
+/* Do what is due. */
+void servers_tick(struct servers *, msec);
+
+/* How an attempt ended, for what is learned of its server. */
+enum server_result {
+	SERVER_WELL,   /* it answered */
+	SERVER_FULL,   /* it said that it takes no more now */
+	SERVER_FAILED, /* it broke off, was silent or answered rubbish */
+	SERVER_UNKNOWN /* our caller left, or we gave up */
+};
+void server_learn(struct server *, msec, enum server_result);
+/* May it get new work? */
+bool server_takes_work(const struct server *, msec);
+
+/* ---- the choice: server-choose.c ---- */
+
+#define SERVER_AVOID_MAX 8
+
+/* What a request needs. */
+struct server_wish {
+	name_id service;
+	const char *domain;  /* ours */
+	uint64_t prompt;     /* hash of the shared part; 0: none */
+	unsigned int shared; /* tokens of the shared part */
+	unsigned int own;    /* tokens beside it */
+	unsigned int navoid;
+	name_id avoid[SERVER_AVOID_MAX]; /* tried already */
+};
+
+/* The best server for it, or NULL when there is none at all. */
+struct server *server_choose(
+    struct servers *, msec, const struct server_wish *, uint32_t draw);
+
+#endif /* SERVER_H */
--- a/settings.c
+++ b/settings.c
@@ -30,6 +30,13 @@
 static void parse_log_url(struct walk *, const yaml_node_t *, void *);
 static void parse_vm_list_url(struct walk *, const yaml_node_t *, void *);
 static void parse_weight_url(struct walk *, const yaml_node_t *, void *);
+static void parse_ready(struct walk *, const yaml_node_t *, void *);
+static void parse_directory(struct walk *, const yaml_node_t *, void *);
+static void parse_store(struct walk *, const yaml_node_t *, void *);
+static void parse_stop_s(struct walk *, const yaml_node_t *, void *);
+static void parse_window_s(struct walk *, const yaml_node_t *, void *);
+static void parse_ratio(struct walk *, const yaml_node_t *, void *);
+static void check_platform(struct walk *, yaml_node_t *, void *);
 static void check_settings(struct walk *, yaml_node_t *, void *);
 
 static const char *const level_names[] = { "debug", "info", "warning", NULL };
@@ -44,17 +51,33 @@
 	(const struct walk_field[]){
 	    { "caller", WALK_CUSTOM, true, .parse = parse_caller },
 	    { "control", WALK_CUSTOM, true, .parse = parse_control },
-	    { "peer", WALK_CUSTOM, true, .parse = parse_peer }, { NULL } } };
+	    { "peer", WALK_CUSTOM, true, .parse = parse_peer },
+	    { "ready", WALK_CUSTOM, .parse = parse_ready },
+	    { "directory", WALK_CUSTOM, .parse = parse_directory },
+	    { NULL } } };
 
 static const struct walk_schema platform_schema = { "platform", 0,
 	(const struct walk_field[]){
-	    { "log", WALK_CUSTOM, true, .parse = parse_log_url },
-	    { "vm_list", WALK_CUSTOM, true, .parse = parse_vm_list_url },
-	    { "weights", WALK_CUSTOM, true, .parse = parse_weight_url },
+	    { "log", WALK_CUSTOM, .parse = parse_log_url },
+	    { "vm_list", WALK_CUSTOM, .parse = parse_vm_list_url },
+	    { "weights", WALK_CUSTOM, .parse = parse_weight_url },
 	    { "log_keeps_ms", WALK_MSEC, .offset = AT(s.log_keeps),
 		.min = 2 * LEDGER_WINDOW,
 		.max = 366 * 24 * 3600 * MSEC_SECOND },
-	    { NULL } } };
+	    { "store", WALK_CUSTOM, .parse = parse_store }, { NULL } },
+	check_platform };
+
+/* What a platform with a store promises and asks. */
+static const struct walk_schema bounds_schema = { "bounds", 0,
+	(const struct walk_field[]){
+	    { "keys_fail_closed", WALK_BOOL, .offset = AT(s.keys_fail_closed) },
+	    { "keys_bound_ms", WALK_MSEC, .offset = AT(s.keys_bound), .min = 1,
+		.max = 3600 * MSEC_SECOND },
+	    { "retry_ratio", WALK_CUSTOM, .parse = parse_ratio },
+	    { "retry_fixed", WALK_UINT, .offset = AT(s.retry_fixed), .min = 0,
+		.max = 1000000 },
+	    { "retry_window_s", WALK_CUSTOM, .parse = parse_window_s },
+	    { "stop_s", WALK_CUSTOM, .parse = parse_stop_s }, { NULL } } };
 
 static const struct walk_schema log_schema = { "log", 0,
 	(const struct walk_field[]){
@@ -91,6 +114,7 @@
 	    { "domain", WALK_NAME, true, .offset = AT(s.domain) },
 	    { "listen", WALK_MAP, true, .schema = &listen_schema },
 	    { "platform", WALK_MAP, true, .schema = &platform_schema },
+	    { "bounds", WALK_MAP, .schema = &bounds_schema },
 	    { "peer_key", WALK_STRING, .offset = AT(s.peer_key) },
 	    { "peer_key_file", WALK_STRING, .offset = AT(peer_key_file) },
 	    { "log", WALK_MAP, .schema = &log_schema },
@@ -165,6 +189,71 @@
 	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.peer);
 }
 
+static void
+parse_ready(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.ready);
+}
+
+static void
+parse_directory(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.directory);
+}
+
+static void
+parse_store(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.store);
+}
+
+/* A number of at least 0, which may have a fraction; false when it is none. */
+static bool
+parse_fraction(struct walk *w, const yaml_node_t *node, double max, double *out)
+{
+	const char *s = walk_text(node);
+	char *end;
+	double x = g_ascii_strtod(s, &end);
+
+	if (end != s && *end == '\0' && x >= 0 && x <= max) {
+		*out = x;
+		return true;
+	}
+	walk_add(w, node, "expected a number from 0 to %g, got \"%s\"", max, s);
+	return false;
+}
+
+static void
+parse_seconds(struct walk *w, const yaml_node_t *node, msec *out)
+{
+	double x;
+
+	if (parse_fraction(w, node, 86400, &x))
+		*out = (msec)(x * MSEC_SECOND);
+}
+
+static void
+parse_stop_s(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_seconds(w, node, &((struct settings_walk *)arg)->s.stop_deadline);
+}
+
+static void
+parse_window_s(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_seconds(w, node, &((struct settings_walk *)arg)->s.retry_window);
+}
+
+static void
+parse_ratio(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	double x;
+
+	if (parse_fraction(w, node, 1, &x))
+		((struct settings_walk *)arg)->s.retry_permille =
+		    (unsigned int)(x * 1000);
+}
+
 /* A URL without its last slashes; the clients append paths to it. */
 static void
 parse_url(struct walk *w, const yaml_node_t *node, char **out)
@@ -256,6 +345,36 @@
 		    PEER_KEY_MIN, strlen(sw->s.peer_key));
 }
 
+/* Either a store, or a log with a VM list and a weight store. */
+static void
+check_platform(struct walk *w, yaml_node_t *node, void *arg)
+{
+	static const char *const keys[] = { "log", "vm_list", "weights" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
+		if (walk_child(w, node, "store") != NULL &&
+		    walk_child(w, node, keys[i]) != NULL)
+			walk_add(w, walk_child(w, node, keys[i]),
+			    "%s: not with a store", keys[i]);
+		if (walk_child(w, node, "store") == NULL &&
+		    walk_child(w, node, keys[i]) == NULL)
+			walk_add(
+			    w, node, "missing key \"%s\" in platform", keys[i]);
+	}
+}
+
+static void
+check_store(struct walk *w, yaml_node_t *listen, const struct settings *s)
+{
+	if (s->store.port == 0 || listen == NULL)
+		return;
+	if (walk_child(w, listen, "ready") == NULL)
+		walk_add(w, listen, "missing key \"ready\" in listen");
+	if (walk_child(w, listen, "directory") == NULL)
+		walk_add(w, listen, "missing key \"directory\" in listen");
+}
+
 static void
 check_settings(struct walk *w, yaml_node_t *top, void *arg)
 {
@@ -264,6 +383,7 @@
 	yaml_node_t *listen = walk_child(w, top, "listen");
 
 	check_peer_key(w, top, sw);
+	check_store(w, listen, &sw->s);
 	if (a->port != 0 && a->address == b->address && a->port == b->port)
 		walk_add(w, walk_child(w, listen, "control"),
 		    "expected another address than caller's");
@@ -277,6 +397,9 @@
 	g_strlcpy(s->policy, "owner", sizeof s->policy);
 	s->leave_grace = 3 * MSEC_SECOND;
 	s->log_keeps = 24 * 3600 * MSEC_SECOND;
+	s->keys_bound = 5 * MSEC_SECOND;
+	s->retry_permille = 100;
+	s->retry_window = 10 * MSEC_SECOND;
 	s->keep_answers = 30 * MSEC_SECOND;
 	s->max_connections = 4096;
 	s->max_body_bytes = 1024 * 1024;
--- a/settings.h
+++ b/settings.h
@@ -17,12 +17,15 @@
 
 struct settings {
 	char node[NAME_SIZE];
-	char domain[NAME_SIZE];	 /* failure domain */
-	struct endpoint caller;	 /* HTTP for callers */
-	struct endpoint control; /* HTTP for the tool and peers */
-	struct endpoint peer;	 /* UDP between nodes */
-	char *log_url;		 /* log service, without last / */
-	msec log_keeps;		 /* how long the log keeps records */
+	char domain[NAME_SIZE];	   /* failure domain */
+	struct endpoint caller;	   /* HTTP for callers */
+	struct endpoint control;   /* HTTP for the tool and peers */
+	struct endpoint peer;	   /* UDP between nodes */
+	struct endpoint ready;	   /* HTTP, readiness; with a store only */
+	struct endpoint directory; /* HTTP, which node to use; the same */
+	struct endpoint store;	   /* the platform's store; port 0: a log */
+	char *log_url;		   /* log service, without last / */
+	msec log_keeps;		   /* how long the log keeps records */
 	char *vm_list_url;
 	char *weight_url;
 	char *peer_key; /* HMAC key, 16 bytes or more */
@@ -36,6 +39,12 @@
 	unsigned int max_body_bytes;
 	unsigned int caller_threads;
 	unsigned int engine_threads;
+	/* With a store: what the platform promises and asks. */
+	bool keys_fail_closed;	     /* a key taken away stops for sure */
+	msec keys_bound;	     /* within so long */
+	unsigned int retry_permille; /* retries for 1,000 requests */
+	unsigned int retry_fixed;    /* and so many of all nodes together */
+	msec retry_window;
 	char *tls_certificate; /* files; NULL: plain HTTP */
 	char *tls_key;
 };
