--- a/entry-job.c
+++ b/entry-job.c
@@ -103,6 +103,7 @@
 	loop_timer_stop(&j->owner->loop, &j->patience);
 	if (v == NULL)
 		return;
+	mix_ended(entry_mix(j->owner, j->service), now, j->route_id);
 	v->running--;
 	v->unread -= j->unread;
 	j->unread = 0;
@@ -269,7 +270,11 @@
 	j->repeatable = route_is_repeatable(j->route);
 	j->service = route_service_draw(j->route, g_rand_int(e->rand));
 	job_set_deadline(j, now);
+	j->route_id = name_hash(j->route->name);
 	retry_budget_request(entry_budget(e, j->service), &e->budget, now);
+	if (j->route->prompts)
+		mix_request(entry_mix(e, j->service), now, j->route_id,
+		    j->route->gap_target, j->request.prompt_tokens);
 	job_attempt(j, now);
 }
 
@@ -284,9 +289,13 @@
 }
 
 static void
-job_fill_wish(const struct job *j, struct server_wish *w)
+job_fill_wish(const struct job *j, struct server_wish *w, msec now)
 {
 	const struct wire_request *r = &j->request;
+	struct entry *e = j->owner;
+	struct mix *m = entry_mix(e, j->service);
+	const struct route_service *s =
+	    route_service_find(j->table, j->service);
 	uint64_t hash = 0;
 	unsigned int i;
 
@@ -302,6 +311,11 @@
 	w->prompt = hash;
 	w->own =
 	    r->prompt_tokens > w->shared ? r->prompt_tokens - w->shared : 0;
+	if (!j->route->prompts)
+		return;
+	w->light = mix_is_light(m, j->route_id);
+	w->quiet = mix_quiet_servers(m, now, e->live_nodes,
+	    servers_ready(&e->servers, j->service), s != NULL ? s->slots : 0);
 }
 
 /* The bytes of the request as a server gets them. */
@@ -382,7 +396,7 @@
 
 	if (j->ntried < SERVER_AVOID_MAX)
 		j->tried[j->ntried++] = v->id;
-	job_fill_wish(j, &w);
+	job_fill_wish(j, &w, now);
 	job_write(j, now, v, &request);
 	j->link = link_send(
 	    e, v, j, &job_link_ops, &request, to_head, !j->repeatable, now);
@@ -391,6 +405,7 @@
 		return false;
 	j->server = v;
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
+	mix_started(entry_mix(e, j->service), now, j->route_id);
 	v->running++;
 	j->unread = w.own + w.shared;
 	v->unread += j->unread;
@@ -423,7 +438,7 @@
 		return;
 	}
 	for (;;) {
-		job_fill_wish(j, &w);
+		job_fill_wish(j, &w, now);
 		v = server_choose(&e->servers, now, &w, g_rand_int(e->rand));
 		if (v == NULL) {
 			job_fail(
--- a/entry-state.c
+++ b/entry-state.c
@@ -24,9 +24,12 @@
 #define STATE_LOAD_FULL 1000
 
 static int budget_compare(struct retry_budget *, struct retry_budget *);
+static int mix_compare(struct mix *, struct mix *);
 
 RB_PROTOTYPE(retry_budgets, retry_budget, entry, budget_compare)
 RB_GENERATE(retry_budgets, retry_budget, entry, budget_compare)
+RB_PROTOTYPE(mixes, mix, entry, mix_compare)
+RB_GENERATE(mixes, mix, entry, mix_compare)
 
 static int
 budget_compare(struct retry_budget *a, struct retry_budget *b)
@@ -47,6 +50,25 @@
 	return b;
 }
 
+static int
+mix_compare(struct mix *a, struct mix *b)
+{
+	return a->service < b->service ? -1 : a->service > b->service;
+}
+
+struct mix *
+entry_mix(struct entry *e, name_id service)
+{
+	struct mix find = { .service = service }, *m;
+
+	if ((m = RB_FIND(mixes, &e->mixes, &find)) != NULL)
+		return m;
+	m = g_new0(struct mix, 1);
+	m->service = service;
+	RB_INSERT(mixes, &e->mixes, m);
+	return m;
+}
+
 /* ---- backend servers ---- */
 
 static void
@@ -230,6 +252,7 @@
 		.seed = g_rand_int(e->rand) };
 
 	RB_INIT(&e->budgets);
+	RB_INIT(&e->mixes);
 	fresh_init(&e->fresh, 0);
 	state_apply_settings(e);
 	servers_init(&e->servers, &state_server_ops);
@@ -262,11 +285,16 @@
 entry_state_finish(struct entry *e)
 {
 	struct retry_budget *b;
+	struct mix *m;
 
 	while ((b = RB_MIN(retry_budgets, &e->budgets)) != NULL) {
 		RB_REMOVE(retry_budgets, &e->budgets, b);
 		g_free(b);
 	}
+	while ((m = RB_MIN(mixes, &e->mixes)) != NULL) {
+		RB_REMOVE(mixes, &e->mixes, m);
+		g_free(m);
+	}
 	servers_finish(&e->servers);
 	members_finish(&e->members);
 	net_finish(&e->net);
--- a/entry.h
+++ b/entry.h
@@ -27,6 +27,7 @@
 #include "retry-budget.h"
 #include "route.h"
 #include "savory.h"
+#include "server-mix.h"
 #include "server.h"
 #include "settings.h"
 #include "wire.h"
@@ -38,6 +39,7 @@
 TAILQ_HEAD(job_list, job);
 TAILQ_HEAD(link_list, link);
 RB_HEAD(retry_budgets, retry_budget);
+RB_HEAD(mixes, mix);
 
 /* ---- connections of callers: entry-caller.c ---- */
 
@@ -191,6 +193,7 @@
 	const struct route *route;
 	const struct route_organisation *organisation;
 	name_id service;
+	name_id route_id;
 	msec arrived;
 	msec deadline; /* a point: the caller's, or the route's timeout */
 	struct loop_timer timer;    /* at the deadline */
@@ -290,6 +293,7 @@
 	unsigned int njobs;
 	struct link *link_in_hand; /* its bytes are being read */
 	struct retry_budgets budgets;
+	struct mixes mixes;
 	struct retry_budget_config budget;
 	unsigned int live_nodes; /* with us */
 	bool source_up;
@@ -312,6 +316,7 @@
 /* May callers be sent here? */
 bool entry_is_ready(const struct entry *, msec);
 struct retry_budget *entry_budget(struct entry *, name_id service);
+struct mix *entry_mix(struct entry *, name_id service);
 bool entry_state_init(struct entry *, msec);
 void entry_state_tick(struct entry *, msec);
 void entry_state_finish(struct entry *);
--- a/server-choose.c
+++ b/server-choose.c
@@ -19,6 +19,8 @@
 #define CHOOSE_REST_MS 20000.0
 /* What a link to another failure domain costs. */
 #define CHOOSE_DOMAIN_MS 2.0
+/* What it costs to put a long prompt beside light requests, or the reverse. */
+#define CHOOSE_MIX_MS 600.0
 
 static bool
 wish_avoids(const struct server_wish *w, name_id id)
@@ -40,6 +42,43 @@
 	return XXH64(words, sizeof words, 0);
 }
 
+/* In the same order on every node, whatever the request. */
+static uint64_t
+choose_rank(const struct server *v)
+{
+	return XXH64(&v->id, sizeof v->id, 1);
+}
+
+unsigned int
+servers_ready(struct servers *s, name_id service)
+{
+	struct server *v;
+	unsigned int n = 0;
+
+	RB_FOREACH (v, server_tree, &s->tree)
+		n += v->service == service && v->state == SERVER_READY;
+	return n;
+}
+
+/* Is it one of the first `quiet` servers of its service by rank? */
+static bool
+choose_is_quiet(struct servers *s, const struct server *v, unsigned int quiet)
+{
+	uint64_t rank = choose_rank(v);
+	struct server *other;
+	unsigned int before = 0;
+
+	if (quiet == 0)
+		return false;
+	RB_FOREACH (other, server_tree, &s->tree) {
+		if (other->service == v->service &&
+		    other->state == SERVER_READY && choose_rank(other) < rank &&
+		    ++before >= quiet)
+			return false;
+	}
+	return true;
+}
+
 /* The server that every node thinks of first for a prompt, or NULL. */
 static const struct server *
 choose_home(struct servers *s, const struct server_wish *w)
@@ -51,7 +90,8 @@
 	if (w->prompt == 0)
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (v->service != w->service || v->state != SERVER_READY)
+		if (v->service != w->service || v->state != SERVER_READY ||
+		    choose_is_quiet(s, v, w->quiet) != w->light)
 			continue;
 		weight = choose_weight(v, w->prompt);
 		if (best == NULL || weight > most) {
@@ -63,8 +103,8 @@
 }
 
 static double
-choose_cost(const struct server *v, msec now, const struct server_wish *w,
-    const struct server *home)
+choose_cost(struct servers *s, const struct server *v, msec now,
+    const struct server_wish *w, const struct server *home)
 {
 	double tokens = (double)v->unread, cost;
 
@@ -77,6 +117,8 @@
 		cost += CHOOSE_REST_MS;
 	if (g_strcmp0(v->domain, w->domain) != 0)
 		cost += CHOOSE_DOMAIN_MS;
+	if (w->quiet > 0 && choose_is_quiet(s, v, w->quiet) != w->light)
+		cost += CHOOSE_MIX_MS;
 	return cost;
 }
 
@@ -93,7 +135,7 @@
 		if (v->service != w->service || !server_takes_work(v, now) ||
 		    wish_avoids(w, v->id))
 			continue;
-		cost = choose_cost(v, now, w, home);
+		cost = choose_cost(s, v, now, w, home);
 		tie = choose_weight(v, draw);
 		if (best != NULL && cost > least)
 			continue;
--- /dev/null
+++ b/server-mix.c
@@ -0,0 +1,122 @@
+/*
+ * Parting light requests from long prompts; see server-mix.h.
+ */
+
+#define LOG_PART "mix"
+#include "server-mix.h"
+
+#include <math.h>
+
+/* Weight of the newest request in the smoothed prompt length. */
+#define MIX_ALPHA 0.05
+/* Light: prompts under this part of the longest kind's, on average. */
+#define MIX_LIGHT_PART 0.3
+/* The number in flight is smoothed over so long: bursts come in seconds. */
+#define MIX_BUSY_MS 2000.0
+/*
+ * A server left to light requests is planned to run this part of its slots,
+ * so that a burst of twice the traffic still fits.
+ */
+#define MIX_SLOTS_PART 0.35
+#define MIX_SLOTS_DEFAULT 32
+/* At most this part of the servers is left to them. */
+#define MIX_SERVERS_PART 0.5
+
+static struct mix_route *
+mix_find(const struct mix *m, name_id route)
+{
+	unsigned int i;
+
+	for (i = 0; i < m->nroutes; i++) {
+		if (m->routes[i].id == route)
+			return (struct mix_route *)&m->routes[i];
+	}
+	return NULL;
+}
+
+/* Bring the smoothed number in flight up to now. */
+static void
+mix_settle(struct mix_route *r, msec now)
+{
+	double keep = exp(-(double)(now - r->busy_at) / MIX_BUSY_MS);
+
+	r->busy = r->busy * keep + r->running * (1 - keep);
+	r->busy_at = now;
+}
+
+void
+mix_request(struct mix *m, msec now, name_id route, msec gap_target,
+    unsigned int tokens)
+{
+	struct mix_route *r = mix_find(m, route);
+
+	if (r == NULL) {
+		if (m->nroutes == MIX_ROUTES_MAX)
+			return;
+		r = &m->routes[m->nroutes++];
+		*r = (struct mix_route){
+			.id = route, .prompt_tokens = tokens, .busy_at = now
+		};
+	}
+	r->gap_target = gap_target;
+	r->prompt_tokens += MIX_ALPHA * (tokens - r->prompt_tokens);
+}
+
+void
+mix_started(struct mix *m, msec now, name_id route)
+{
+	struct mix_route *r = mix_find(m, route);
+
+	if (r == NULL)
+		return;
+	mix_settle(r, now);
+	r->running++;
+}
+
+void
+mix_ended(struct mix *m, msec now, name_id route)
+{
+	struct mix_route *r = mix_find(m, route);
+
+	if (r == NULL || r->running == 0)
+		return;
+	mix_settle(r, now);
+	r->running--;
+}
+
+bool
+mix_is_light(const struct mix *m, name_id route)
+{
+	const struct mix_route *r = mix_find(m, route);
+	double longest = 0;
+	unsigned int i;
+
+	if (r == NULL || r->gap_target == 0)
+		return false;
+	for (i = 0; i < m->nroutes; i++) {
+		/* Others that mind pauses as much have the same claim. */
+		if (m->routes[i].gap_target > r->gap_target)
+			longest = MAX(longest, m->routes[i].prompt_tokens);
+	}
+	return r->prompt_tokens < longest * MIX_LIGHT_PART;
+}
+
+unsigned int
+mix_quiet_servers(struct mix *m, msec now, unsigned int nodes,
+    unsigned int servers, unsigned int slots)
+{
+	double busy = 0, each;
+	unsigned int i, n;
+
+	for (i = 0; i < m->nroutes; i++) {
+		if (!mix_is_light(m, m->routes[i].id))
+			continue;
+		mix_settle(&m->routes[i], now);
+		busy += m->routes[i].busy;
+	}
+	if (busy <= 0.01 || servers < 2)
+		return 0;
+	each = (slots > 0 ? slots : MIX_SLOTS_DEFAULT) * MIX_SLOTS_PART;
+	n = (unsigned int)ceil(busy * nodes / each);
+	return CLAMP(n, 1, MAX((unsigned int)(servers * MIX_SERVERS_PART), 1));
+}
--- /dev/null
+++ b/server-mix.h
@@ -0,0 +1,52 @@
+/*
+ * Which servers of a service are kept free of long prompts. While a server
+ * reads a long prompt, every stream on it gets its tokens in the pauses
+ * between two pieces of the prompt; streams with short prompts and little
+ * patience then miss their pauses, and they are the most. A few servers, the
+ * same for every node without a message, are left to them.
+ */
+
+#ifndef SERVER_MIX_H
+#define SERVER_MIX_H
+
+#include "savory.h"
+
+#define MIX_ROUTES_MAX 32
+
+/* What one kind of request of a service was like, here. */
+struct mix_route {
+	name_id id;
+	msec gap_target;      /* 0: it does not mind pauses */
+	double prompt_tokens; /* smoothed */
+	unsigned int running; /* on its servers now */
+	double busy;	      /* running, smoothed over time */
+	msec busy_at;
+};
+
+/* One service's. */
+struct mix {
+	RB_ENTRY(mix) entry;
+	name_id service;
+	unsigned int nroutes;
+	struct mix_route routes[MIX_ROUTES_MAX];
+};
+
+/* A request of a route with so many prompt tokens has come. */
+void mix_request(
+    struct mix *, msec, name_id route, msec gap_target, unsigned int tokens);
+/* One of them is sent to a server, or has left it. */
+void mix_started(struct mix *, msec, name_id route);
+void mix_ended(struct mix *, msec, name_id route);
+/*
+ * Is it a route of short prompts that minds pauses, beside longer ones? One
+ * that was never seen is not.
+ */
+bool mix_is_light(const struct mix *, name_id route);
+/*
+ * How many of the service's servers are left to light requests, when so many
+ * nodes see the same traffic: 0 while there is nothing to part.
+ */
+unsigned int mix_quiet_servers(struct mix *, msec, unsigned int nodes,
+    unsigned int servers, unsigned int slots);
+
+#endif /* SERVER_MIX_H */
--- a/server.h
+++ b/server.h
@@ -111,10 +111,14 @@
 	uint64_t prompt;     /* hash of the shared part; 0: none */
 	unsigned int shared; /* tokens of the shared part */
 	unsigned int own;    /* tokens beside it */
+	bool light;	     /* goes to the quiet servers */
+	unsigned int quiet;  /* how many these are: server-mix.h */
 	unsigned int navoid;
 	name_id avoid[SERVER_AVOID_MAX]; /* tried already */
 };
 
+/* How many servers of a service take work. */
+unsigned int servers_ready(struct servers *, name_id service);
 /* The best server for it, or NULL when there is none at all. */
 struct server *server_choose(
     struct servers *, msec, const struct server_wish *, uint32_t draw);
