--- a/entry-job.c
+++ b/entry-job.c
@@ -409,6 +409,8 @@
 	v->running++;
 	j->unread = w.own + w.shared;
 	v->unread += j->unread;
+	if (w.prompt != 0)
+		server_memory_note(&e->servers.memory, now, v->id, w.prompt);
 	j->sends++;
 	j->sent_at = now;
 	e->counters.attempts++;
--- a/server-choose.c
+++ b/server-choose.c
@@ -12,6 +12,13 @@
 
 /* Prompt tokens read in a millisecond until a server has shown its own. */
 #define CHOOSE_TOKENS_PER_MS 60.0
+/*
+ * Reading a shared part again delays all streams beside it, so it weighs more
+ * than its own time.
+ */
+#define CHOOSE_AGAIN_TIMES 4.0
+/* What a server has read is still there so long after its last use. */
+#define CHOOSE_KEPT_MS 15000
 /* What one more request on a server costs the others, in milliseconds. */
 #define CHOOSE_RUNNING_MS 6.0
 /* What a failure in the last requests costs, and a rest. */
@@ -102,6 +109,18 @@
 	return best;
 }
 
+/*
+ * Its home has read a prompt, by the requests of all nodes; another server
+ * where ours showed it.
+ */
+static bool
+choose_has(struct servers *s, const struct server *v, msec now,
+    const struct server_wish *w, const struct server *home)
+{
+	return v == home || server_memory_has(&s->memory, now, v->id, w->prompt,
+				CHOOSE_KEPT_MS);
+}
+
 static double
 choose_cost(struct servers *s, const struct server *v, msec now,
     const struct server_wish *w, const struct server *home)
@@ -109,8 +128,8 @@
 	double tokens = (double)v->unread, cost;
 
 	tokens += w->own;
-	if (v != home)
-		tokens += w->shared;
+	if (!choose_has(s, v, now, w, home))
+		tokens += w->shared * CHOOSE_AGAIN_TIMES;
 	cost = tokens / CHOOSE_TOKENS_PER_MS + v->running * CHOOSE_RUNNING_MS;
 	cost += v->failures * CHOOSE_FAILURE_MS;
 	if (now < v->resting_until)
--- /dev/null
+++ b/server-memory.c
@@ -0,0 +1,41 @@
+/*
+ * What servers have read; see server-memory.h.
+ */
+
+#include "server-memory.h"
+
+#include <xxhash.h>
+
+#define MEMORY_UNIT_MS 100
+
+static uint64_t
+memory_hash(name_id server, uint64_t prompt)
+{
+	uint64_t words[2] = { server, prompt };
+
+	return XXH64(words, sizeof words, 2);
+}
+
+void
+server_memory_note(
+    struct server_memory *m, msec now, name_id server, uint64_t prompt)
+{
+	uint64_t hash = memory_hash(server, prompt);
+	size_t i = hash % SERVER_MEMORY_PLACES;
+
+	m->places[i].key = (uint32_t)(hash >> 32);
+	m->places[i].at = (uint32_t)(now / MEMORY_UNIT_MS) + 1;
+}
+
+bool
+server_memory_has(const struct server_memory *m, msec now, name_id server,
+    uint64_t prompt, msec within)
+{
+	uint64_t hash = memory_hash(server, prompt);
+	size_t i = hash % SERVER_MEMORY_PLACES;
+	uint32_t at = m->places[i].at;
+
+	if (at == 0 || m->places[i].key != (uint32_t)(hash >> 32))
+		return false;
+	return now - (msec)(at - 1) * MEMORY_UNIT_MS <= within;
+}
--- /dev/null
+++ b/server-memory.h
@@ -0,0 +1,31 @@
+/*
+ * Which server has read which prompt, as far as our own requests showed: a
+ * server keeps what it has read while nothing newer needs the room.
+ */
+
+#ifndef SERVER_MEMORY_H
+#define SERVER_MEMORY_H
+
+#include "savory.h"
+
+/*
+ * A table of this many places; two prompts that share a place push each other
+ * out. Room for the subjects of a few services on some servers each.
+ */
+#define SERVER_MEMORY_PLACES 2048
+
+struct server_memory {
+	struct {
+		uint32_t key;
+		uint32_t at; /* in tenths of a second; 0: empty */
+	} places[SERVER_MEMORY_PLACES];
+};
+
+/* The server has read the prompt, or used what it had of it. */
+void server_memory_note(
+    struct server_memory *, msec, name_id server, uint64_t prompt);
+/* Did it within the last so many ms? */
+bool server_memory_has(const struct server_memory *, msec, name_id server,
+    uint64_t prompt, msec within);
+
+#endif /* SERVER_MEMORY_H */
--- a/server.h
+++ b/server.h
@@ -8,6 +8,7 @@
 #define SERVER_H
 
 #include "savory.h"
+#include "server-memory.h"
 
 /* Platforms name their servers as they like; longer names are refused. */
 #define SERVER_NAME_SIZE 128
@@ -69,6 +70,7 @@
 	const struct server_ops *ops;
 	struct server_tree tree;
 	unsigned int count;
+	struct server_memory memory;
 	msec held_until; /* no server is taken as gone before */
 	void *arg;	 /* the embedder's */
 };
