--- a/entry-job.c
+++ b/entry-job.c
@@ -280,14 +280,6 @@
 
 /* ---- attempts ---- */
 
-static unsigned int
-job_priority(const struct job *j)
-{
-	if (j->organisation != NULL && j->organisation->has_priority)
-		return j->organisation->priority;
-	return j->route->priority;
-}
-
 static void
 job_fill_wish(const struct job *j, struct server_wish *w, msec now)
 {
@@ -326,7 +318,7 @@
 	struct wire_terms terms = { .deadline = j->deadline - now,
 		.server = v->name,
 		.ranked = j->route->prompts,
-		.priority = job_priority(j) };
+		.priority = route_rank(j->table, j->route, j->organisation) };
 	enum wire_field use;
 	unsigned int i;
 
--- a/route.c
+++ b/route.c
@@ -75,9 +75,61 @@
 	return n == m ? 0 : n > m ? -1 : 1;
 }
 
+/* Keep a list of the priorities in use, each once, in order. */
+static void
+rank_add(struct route_table *t, unsigned int list, unsigned int priority)
+{
+	unsigned int *ranks = t->ranks[list], n = t->nranks[list], i;
+
+	priority = MIN(priority, ROUTE_RANKS - 1);
+	for (i = 0; i < n && ranks[i] < priority; i++)
+		;
+	if (i < n && ranks[i] == priority)
+		return;
+	memmove(&ranks[i + 1], &ranks[i], (n - i) * sizeof *ranks);
+	ranks[i] = priority;
+	t->nranks[list]++;
+}
+
+/* Which in order a priority is; those not in use come last. */
+static unsigned int
+rank_index(
+    const struct route_table *t, unsigned int list, unsigned int priority)
+{
+	unsigned int i;
+
+	for (i = 0; i + 1 < t->nranks[list]; i++) {
+		if (t->ranks[list][i] >= priority)
+			break;
+	}
+	return i;
+}
+
+unsigned int
+route_rank(const struct route_table *t, const struct route *r,
+    const struct route_organisation *o)
+{
+	unsigned int n = MAX(t->nranks[1], 1), rank, own = n - 1;
+
+	if (o != NULL && o->has_priority)
+		own = rank_index(t, 1, o->priority);
+	rank = rank_index(t, 0, r->priority) * n + own;
+	/* More pairs than ranks: neighbours share one. */
+	n *= t->nranks[0];
+	return n <= ROUTE_RANKS ? rank : rank * ROUTE_RANKS / n;
+}
+
 void
 route_table_complete(struct route_table *t)
 {
+	unsigned int i;
+
+	for (i = 0; i < t->nroutes; i++)
+		rank_add(t, 0, t->routes[i].priority);
+	for (i = 0; i < t->norganisations; i++) {
+		if (t->organisations[i].has_priority)
+			rank_add(t, 1, t->organisations[i].priority);
+	}
 	if (t->nroutes > 0)
 		qsort(t->routes, t->nroutes, sizeof *t->routes, route_compare);
 }
--- a/route.h
+++ b/route.h
@@ -10,6 +10,8 @@
 #include "savory.h"
 
 #define ROUTE_SPLITS_MAX 16
+/* Priorities, and ranks at a server, are 0 to ROUTE_RANKS - 1; 0 is first. */
+#define ROUTE_RANKS 10
 
 /* What of a request may be repeated. */
 enum route_kind {
@@ -72,6 +74,8 @@
 	struct route *routes; /* longest prefix first */
 	struct route_service *services;
 	struct route_organisation *organisations;
+	unsigned int nranks[2]; /* private: see route_rank() */
+	unsigned int ranks[2][ROUTE_RANKS];
 	bool keyed;	  /* requests need a key */
 	GHashTable *keys; /* to the index of the organisation, plus 1 */
 };
@@ -101,6 +105,13 @@
 route_service_find(const struct route_table *, name_id);
 /* One of the route's services, by a number below 2^32 drawn at random. */
 name_id route_service_draw(const struct route *, uint32_t);
+/*
+ * The place of a request among all that may run on one server: by its route's
+ * priority, and where these are equal by its organisation's. 0 to
+ * ROUTE_RANKS - 1; 0 is first.
+ */
+unsigned int route_rank(const struct route_table *, const struct route *,
+    const struct route_organisation *);
 /* May it run more than once? */
 bool route_is_repeatable(const struct route *);
 
