--- a/entry-job.c
+++ b/entry-job.c
@@ -87,6 +87,7 @@
 	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
 	    LOG_TEXT(LOG_KEY_LAST, job_code_name(j->last)),
 	    LOG_NUMBER(LOG_KEY_FIRST_MS, job_span(first)),
+	    LOG_NUMBER(LOG_KEY_GAP_MS, j->gap),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS, job_span(left)),
 	    LOG_NUMBER(LOG_KEY_CONFIGURATION,
--- a/entry-log.c
+++ b/entry-log.c
@@ -13,7 +13,7 @@
 /* A reader that is away for a second under full load loses nothing. */
 #define ENTRY_LOG_BYTES (128 * 1024)
 /* Lines a second beyond which only needed ones are written. */
-#define ENTRY_LOG_USUAL_PER_S 40
+#define ENTRY_LOG_USUAL_PER_S 400
 #define ENTRY_LOG_NEEDED_PER_S 400
 
 const struct entry_log_word entry_log_events[LOG_EVENTS] = {
@@ -58,6 +58,8 @@
 	[LOG_KEY_DOMAIN] = { "domain", "failure domain of this node" },
 	[LOG_KEY_FIRST_MS] = { "first_ms",
 	    "from the request to the first byte of the answer; -1: none" },
+	[LOG_KEY_GAP_MS] = { "gap_ms",
+	    "longest pause between two parts of the answer" },
 	[LOG_KEY_LAST] = { "last",
 	    "why the last attempt ended, or number of the last event" },
 	[LOG_KEY_LEFT_MS] = { "left_ms", "until the deadline" },
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -107,6 +107,9 @@
 		return;
 	if (!j->began)
 		reply_begin(j, now, false);
+	else
+		j->gap = MAX(j->gap, now - j->passed_at);
+	j->passed_at = now;
 	g_snprintf(size, sizeof size, "%zx\r\n", n);
 	buffer_add_text(out, size);
 	buffer_add(out, bytes, n);
--- a/entry.h
+++ b/entry.h
@@ -219,6 +219,8 @@
 	bool server_error; /* a server's own failure is kept in `held` */
 	bool refused_by_server;
 	msec sent_at, first_at;
+	msec passed_at;	      /* the newest part of the answer */
+	msec gap;	      /* longest pause between two */
 	struct buffer fields; /* of the server's head, for the caller */
 	struct buffer held;   /* body that is not passed on yet */
 	uint64_t last_event;  /* passed on to the caller */
