A coordinator for each group of servers places requests

Cause: nodes that each know their own requests disagree which servers are quiet, and send prompts away from their home when it is others that are idle.

--- a/entry-job.c
+++ b/entry-job.c
@@ -102,13 +102,9 @@
 	struct server *v = j->server;
 
 	loop_timer_stop(&j->owner->loop, &j->patience);
-	if (v == NULL)
-		return;
-	mix_ended(entry_mix(j->owner, j->service), now, j->route_id);
-	v->running--;
-	v->unread -= j->unread;
-	j->unread = 0;
-	server_learn(v, now, how);
+	place_end(&j->owner->place, now, &j->place);
+	if (v != NULL)
+		server_learn(v, now, how);
 	j->server = NULL;
 }
 
@@ -245,6 +241,7 @@
 
 	j->owner = e;
 	j->caller = c;
+	j->place.arg = j;
 	c->job = j;
 	j->head = c->reader.head;
 	j->arrived = now;
@@ -271,44 +268,34 @@
 	j->repeatable = route_is_repeatable(j->route);
 	j->service = route_service_draw(j->route, g_rand_int(e->rand));
 	job_set_deadline(j, now);
-	j->route_id = name_hash(j->route->name);
 	retry_budget_request(entry_budget(e, j->service), &e->budget, now);
-	if (j->route->prompts)
-		mix_request(entry_mix(e, j->service), now, j->route_id,
-		    j->route->gap_target, j->request.prompt_tokens);
 	job_attempt(j, now);
 }
 
 /* ---- attempts ---- */
 
 static void
-job_fill_wish(const struct job *j, struct server_wish *w, msec now)
+job_fill_wish(const struct job *j, struct server_wish *w)
 {
 	const struct wire_request *r = &j->request;
-	struct entry *e = j->owner;
-	struct mix *m = entry_mix(e, j->service);
-	const struct route_service *s =
-	    route_service_find(j->table, j->service);
-	uint64_t hash = 0;
 	unsigned int i;
 
 	*w = (struct server_wish){ .service = j->service,
-		.domain = j->owner->settings->domain,
+		.route = name_hash(j->route->name),
+		.out = r->max_tokens,
+		.gap_target = j->route->gap_target,
+		.rank = route_rank(j->table, j->route, j->organisation),
 		.navoid = j->ntried };
 	memcpy(w->avoid, j->tried, sizeof w->avoid);
+	if (!j->route->prompts)
+		return;
 	/* The last part is the request's own. */
 	for (i = 0; i + 1 < r->nparts; i++) {
-		hash = hash * 0x9e3779b97f4a7c15ULL + r->parts[i].id;
+		w->prompt = w->prompt * 0x9e3779b97f4a7c15ULL + r->parts[i].id;
 		w->shared += r->parts[i].tokens;
 	}
-	w->prompt = hash;
-	w->own =
-	    r->prompt_tokens > w->shared ? r->prompt_tokens - w->shared : 0;
-	if (!j->route->prompts)
-		return;
-	w->light = mix_is_light(m, j->route_id);
-	w->quiet = mix_quiet_servers(m, now, e->live_nodes,
-	    servers_ready(&e->servers, j->service), s != NULL ? s->slots : 0);
+	if (r->prompt_tokens > w->shared)
+		w->own = r->prompt_tokens - w->shared;
 }
 
 /* The bytes of the request as a server gets them. */
@@ -384,12 +371,10 @@
 {
 	struct entry *e = j->owner;
 	struct buffer request = { 0 };
-	struct server_wish w;
 	bool to_head = strcmp(j->head->method, "HEAD") == 0;
 
 	if (j->ntried < SERVER_AVOID_MAX)
 		j->tried[j->ntried++] = v->id;
-	job_fill_wish(j, &w, now);
 	job_write(j, now, v, &request);
 	j->link = link_send(
 	    e, v, j, &job_link_ops, &request, to_head, !j->repeatable, now);
@@ -398,12 +383,6 @@
 		return false;
 	j->server = v;
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
-	mix_started(entry_mix(e, j->service), now, j->route_id);
-	v->running++;
-	j->unread = w.own + w.shared;
-	v->unread += j->unread;
-	if (w.prompt != 0)
-		server_memory_note(&e->servers.memory, now, v->id, w.prompt);
 	j->sends++;
 	j->sent_at = now;
 	e->counters.attempts++;
@@ -411,44 +390,63 @@
 	return true;
 }
 
+/*
+ * Guards against a key or route that was taken away while the request waited,
+ * or while the whole process was paused: each attempt is judged by what is in
+ * force when it is sent. False when the request has ended.
+ */
+static bool
+job_admit_again(struct job *j, msec now)
+{
+	enum job_code code = job_admit(j, now);
+
+	if (code == JOB_SERVED && j->deadline - now < JOB_LEAST_MS)
+		code = JOB_TIMEOUT;
+	if (code != JOB_SERVED)
+		job_fail(j, now, code);
+	return code == JOB_SERVED;
+}
+
+/* Ask for a server; job_placed() follows. */
 static void
 job_attempt(struct job *j, msec now)
 {
 	struct entry *e = j->owner;
-	struct server_wish w;
-	struct server *v;
-	enum job_code code;
 
-	/*
-	 * Guards against a key or route that was taken away while the request
-	 * waited, or while the whole process was paused: each attempt is
-	 * judged by what is in force when it is sent.
-	 */
-	if (j->sends > 0 && (code = job_admit(j, now)) != JOB_SERVED) {
-		job_fail(j, now, code);
+	if (j->ntried > 0 && !job_admit_again(j, now))
 		return;
-	}
-	if (j->deadline - now < JOB_LEAST_MS) {
-		job_fail(j, now, JOB_TIMEOUT);
+	if (!route_has_service(j->route, j->service))
+		j->service = route_service_draw(j->route, g_rand_int(e->rand));
+	job_fill_wish(j, &j->place.wish);
+	place_submit(&e->place, now, &j->place);
+}
+
+void
+job_placed(struct place *p, struct place_request *r, struct server *v, msec now)
+{
+	struct job *j = r->arg;
+
+	if (!job_admit_again(j, now))
+		return;
+	if (v == NULL) {
+		job_fail(j, now, j->sends > 0 ? j->last : JOB_NO_SERVER);
 		return;
 	}
-	for (;;) {
-		job_fill_wish(j, &w, now);
-		v = server_choose(&e->servers, now, &w, g_rand_int(e->rand));
-		if (v == NULL) {
-			job_fail(
-			    j, now, j->sends > 0 ? j->last : JOB_NO_SERVER);
-			return;
-		}
-		if (job_send(j, now, v))
-			return;
-		server_learn(v, now, SERVER_FAILED);
-		j->last = JOB_UNREACHABLE;
-		if (j->ntried == SERVER_AVOID_MAX) {
-			job_fail(j, now, j->last);
-			return;
-		}
+	if (!route_has_service(j->route, j->service)) {
+		/* The route moved meanwhile. */
+		place_end(p, now, r);
+		job_attempt(j, now);
+		return;
 	}
+	if (job_send(j, now, v))
+		return;
+	place_end(p, now, r);
+	server_learn(v, now, SERVER_FAILED);
+	j->last = JOB_UNREACHABLE;
+	if (j->ntried == SERVER_AVOID_MAX)
+		job_fail(j, now, j->last);
+	else
+		job_attempt(j, now);
 }
 
 /* May it go to another server after an attempt that ended so? */
@@ -548,10 +546,7 @@
 
 	if (j->refused_by_server)
 		return;
-	if (j->unread > 0) {
-		j->server->unread -= j->unread;
-		j->unread = 0;
-	}
+	place_read(&j->owner->place, now, &j->place);
 	if (reply_body(j, bytes, n, now)) {
 		job_arm_patience(j, now);
 		return;
--- a/entry-state.c
+++ b/entry-state.c
@@ -24,12 +24,9 @@
 #define STATE_LOAD_FULL 1000
 
 static int budget_compare(struct retry_budget *, struct retry_budget *);
-static int mix_compare(struct mix *, struct mix *);
 
 RB_PROTOTYPE(retry_budgets, retry_budget, entry, budget_compare)
 RB_GENERATE(retry_budgets, retry_budget, entry, budget_compare)
-RB_PROTOTYPE(mixes, mix, entry, mix_compare)
-RB_GENERATE(mixes, mix, entry, mix_compare)
 
 static int
 budget_compare(struct retry_budget *a, struct retry_budget *b)
@@ -50,25 +47,6 @@
 	return b;
 }
 
-static int
-mix_compare(struct mix *a, struct mix *b)
-{
-	return a->service < b->service ? -1 : a->service > b->service;
-}
-
-struct mix *
-entry_mix(struct entry *e, name_id service)
-{
-	struct mix find = { .service = service }, *m;
-
-	if ((m = RB_FIND(mixes, &e->mixes, &find)) != NULL)
-		return m;
-	m = g_new0(struct mix, 1);
-	m->service = service;
-	RB_INSERT(mixes, &e->mixes, m);
-	return m;
-}
-
 /* ---- backend servers ---- */
 
 static void
@@ -81,7 +59,7 @@
 	    LOG_TEXT(LOG_KEY_STATE, v->state == SERVER_READY	  ? "ready"
 				    : v->state == SERVER_DRAINING ? "draining"
 								  : "gone"),
-	    LOG_NUMBER(LOG_KEY_RUNNING, v->running));
+	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
 	link_close_idle(e, v);
 }
 
@@ -128,6 +106,8 @@
 	if (msg->kind < SP_RESERVE)
 		members_receive(&e->members, msec_now(), from, incarnation,
 		    address, port, msg);
+	else
+		place_receive(&e->place, msec_now(), from, msg);
 }
 
 static const struct net_ops state_net_ops = { state_message };
@@ -141,17 +121,58 @@
 	net_read(&e->net);
 }
 
-static unsigned int
-state_live_nodes(struct entry *e)
+/* ---- placement ---- */
+
+static void
+state_place_send(struct place *p, name_id node, const sp_msg *msg)
 {
+	struct entry *e = p->arg;
+	struct member *m = members_find(&e->members, node);
+
+	if (m != NULL)
+		net_send(&e->net, m->address, m->peer_port, msg);
+}
+
+static const struct place_ops state_place_ops = { state_place_send,
+	job_placed };
+
+static void
+state_place_timer(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+
+	loop_timer_set(&e->loop, t, place_tick(&e->place, now));
+}
+
+void
+entry_place_soon(struct entry *e, msec now)
+{
+	state_place_timer(&e->place_timer, now);
+}
+
+/* Whoever takes work can coordinate; we are one as soon as we serve. */
+static void
+state_push_nodes(struct entry *e)
+{
+	g_autofree struct place_node *nodes = NULL;
 	unsigned int n = 1;
 	struct member *m;
 
+	RB_FOREACH (m, member_tree, &e->members.tree)
+		n++;
+	nodes = g_new0(struct place_node, n);
+	nodes[0] = (struct place_node){ e->members.self.id, 0,
+		e->phase == ENTRY_SERVING };
+	e->live_nodes = 1;
+	n = 1;
 	RB_FOREACH (m, member_tree, &e->members.tree) {
-		if (m->state != MEMBER_DEAD)
-			n++;
+		if (m->state == MEMBER_DEAD)
+			continue;
+		e->live_nodes++;
+		nodes[n++] = (struct place_node){ m->id, 0,
+			m->state == MEMBER_ALIVE && !m->leaving };
 	}
-	return n;
+	place_set_nodes(&e->place, nodes, n);
 }
 
 void
@@ -252,11 +273,15 @@
 		.seed = g_rand_int(e->rand) };
 
 	RB_INIT(&e->budgets);
-	RB_INIT(&e->mixes);
 	fresh_init(&e->fresh, 0);
 	state_apply_settings(e);
 	servers_init(&e->servers, &state_server_ops);
 	e->servers.arg = e;
+	place_init(&e->place, &state_place_ops, &e->servers, name_hash(s->node),
+	    s->domain, e->rand);
+	e->place.arg = e;
+	loop_timer_init(&e->place_timer, state_place_timer, e);
+	loop_timer_set(&e->loop, &e->place_timer, now);
 	e->live_nodes = 1;
 	e->net.arg = e;
 	if (!net_init(&e->net, &state_net_ops, s->peer.address, s->peer.port,
@@ -277,7 +302,7 @@
 	/* Others hear of us once we can serve. */
 	if (e->phase != ENTRY_STARTING)
 		members_tick(&e->members, now);
-	e->live_nodes = state_live_nodes(e);
+	state_push_nodes(e);
 	net_flush(&e->net);
 }
 
@@ -285,16 +310,13 @@
 entry_state_finish(struct entry *e)
 {
 	struct retry_budget *b;
-	struct mix *m;
 
 	while ((b = RB_MIN(retry_budgets, &e->budgets)) != NULL) {
 		RB_REMOVE(retry_budgets, &e->budgets, b);
 		g_free(b);
 	}
-	while ((m = RB_MIN(mixes, &e->mixes)) != NULL) {
-		RB_REMOVE(mixes, &e->mixes, m);
-		g_free(m);
-	}
+	place_finish(&e->place);
+	loop_timer_stop(&e->loop, &e->place_timer);
 	servers_finish(&e->servers);
 	members_finish(&e->members);
 	net_finish(&e->net);
--- a/entry.h
+++ b/entry.h
@@ -24,10 +24,10 @@
 #include "loop.h"
 #include "member.h"
 #include "net.h"
+#include "place.h"
 #include "retry-budget.h"
 #include "route.h"
 #include "savory.h"
-#include "server-mix.h"
 #include "server.h"
 #include "settings.h"
 #include "wire.h"
@@ -39,7 +39,6 @@
 TAILQ_HEAD(job_list, job);
 TAILQ_HEAD(link_list, link);
 RB_HEAD(retry_budgets, retry_budget);
-RB_HEAD(mixes, mix);
 
 /* ---- connections of callers: entry-caller.c ---- */
 
@@ -193,7 +192,6 @@
 	const struct route *route;
 	const struct route_organisation *organisation;
 	name_id service;
-	name_id route_id;
 	msec arrived;
 	msec deadline; /* a point: the caller's, or the route's timeout */
 	struct loop_timer timer;    /* at the deadline */
@@ -202,7 +200,7 @@
 	struct server *server;	    /* its server */
 	/* Name of the last server; "": none. */
 	char server_name[SERVER_NAME_SIZE];
-	uint64_t unread;       /* counted in server->unread */
+	struct place_request place;
 	unsigned int sends;    /* requests handed to servers */
 	unsigned int arrivals; /* of those that may have reached one */
 	unsigned int runs;     /* of those that may have run */
@@ -228,6 +226,8 @@
 };
 
 extern const struct caller_ops job_caller_ops;
+/* From placement: the server for a request, or NULL. */
+void job_placed(struct place *, struct place_request *, struct server *, msec);
 /* End what is in flight, at the end of a stop. */
 void job_cut_all(struct entry *, msec);
 
@@ -283,6 +283,8 @@
 	struct route_table *table; /* NULL: none yet */
 	struct fresh fresh;
 	struct servers servers;
+	struct place place;
+	struct loop_timer place_timer;
 	struct members members;
 	struct net net;
 	struct loop_io net_io;
@@ -295,7 +297,6 @@
 	unsigned int njobs;
 	struct link *link_in_hand; /* its bytes are being read */
 	struct retry_budgets budgets;
-	struct mixes mixes;
 	struct retry_budget_config budget;
 	unsigned int live_nodes; /* with us */
 	bool source_up;
@@ -318,11 +319,12 @@
 /* May callers be sent here? */
 bool entry_is_ready(const struct entry *, msec);
 struct retry_budget *entry_budget(struct entry *, name_id service);
-struct mix *entry_mix(struct entry *, name_id service);
 bool entry_state_init(struct entry *, msec);
 void entry_state_tick(struct entry *, msec);
 void entry_state_finish(struct entry *);
 void entry_leave(struct entry *, msec);
+/* Placement has something due: set its timer anew. */
+void entry_place_soon(struct entry *, msec);
 
 /* ---- the process: entry.c ---- */
 
--- /dev/null
+++ b/place.h
@@ -0,0 +1,107 @@
+/*
+ * Placement: which server gets a request, decided by one node that hears of
+ * all requests for a group of servers, its coordinator. Bad knowledge is what
+ * costs most: nodes that each know their own requests only pile long prompts
+ * on one server, read shared parts again, and disagree which servers are
+ * quiet. Asking costs a round trip between nodes.
+ *
+ * A coordinator keeps nothing that has to last: it is found by rendezvous
+ * hashing over the live nodes, counts what it hears, and forgets what is not
+ * renewed. A node that gets no answer in time decides by itself, by its own
+ * requests, and tells the coordinator.
+ *
+ * A core without input or output.
+ */
+
+#ifndef PLACE_H
+#define PLACE_H
+
+#include "proto.h"
+#include "savory.h"
+#include "server-mix.h"
+#include "server.h"
+
+/*
+ * Servers of one coordinator. Beyond, a service is cut into groups, each with
+ * a coordinator of its own, so that no node hears of all requests.
+ */
+#define PLACE_GROUP_SERVERS 32
+
+/* One request that is placed, or runs. In the embedder's memory. */
+struct place_request {
+	TAILQ_ENTRY(place_request) entry;
+	struct server_wish wish;
+	void *arg;
+	/* Private from here. */
+	uint32_t id;	     /* 0: not known to place */
+	name_id coordinator; /* who counts it */
+	msec asked;
+	bool waiting; /* for an answer */
+	bool local;   /* counted in our own numbers */
+	bool unread;  /* its prompt is not read yet */
+	name_id server;
+};
+TAILQ_HEAD(place_requests, place_request);
+
+struct place_hold;
+RB_HEAD(place_holds, place_hold);
+RB_HEAD(place_mixes, mix);
+
+struct place;
+
+struct place_ops {
+	/* Send to a node; may be dropped. Must not call back. */
+	void (*send)(struct place *, name_id, const sp_msg *);
+	/* The server for it, or NULL: there is none. */
+	void (*decided)(
+	    struct place *, struct place_request *, struct server *, msec);
+};
+
+/* A node as the membership has it, ourselves too. */
+struct place_node {
+	name_id id;
+	name_id domain;
+	bool takes_work;
+};
+
+struct place_counters {
+	uint64_t asked, answered, late, alone, coordinated;
+};
+
+struct place {
+	const struct place_ops *ops;
+	struct servers *servers;
+	name_id self;
+	char domain[NAME_SIZE];
+	GRand *rand;
+	unsigned int nnodes;
+	struct place_node *nodes;
+	uint32_t next_id;
+	struct place_requests waiting;
+	double round_trip;   /* smoothed, ms */
+	unsigned int missed; /* answers in a row */
+	msec next_sweep;
+	msec alone_until; /* nobody is asked before */
+	struct place_mixes own, all;
+	struct place_holds holds; /* as coordinator */
+	struct place_counters counters;
+	void *arg; /* the embedder's */
+};
+
+void place_init(struct place *, const struct place_ops *, struct servers *,
+    name_id self, const char *domain, GRand *);
+void place_finish(struct place *);
+/* All nodes, ourselves among them. */
+void place_set_nodes(struct place *, const struct place_node *, unsigned int);
+/* Find a server; decided() is called before it returns, or later. */
+void place_submit(struct place *, msec, struct place_request *);
+/* Its prompt has been read: the answer has begun. */
+void place_read(struct place *, msec, struct place_request *);
+/* It is not wanted any more, or has left its server. */
+void place_end(struct place *, msec, struct place_request *);
+/* From a node. */
+void place_receive(struct place *, msec, name_id, const sp_msg *);
+/* Do what is due; the point at which to call it next. */
+msec place_tick(struct place *, msec);
+
+#endif /* PLACE_H */
--- a/proto.h
+++ b/proto.h
@@ -197,6 +197,55 @@
 	u_int credit;
 };
 typedef struct sp_share sp_share;
+#define SAVORY_AVOID_MAX 8
+
+struct sp_place_wish {
+	u_quad_t service;
+	u_quad_t route;
+	u_quad_t prompt;
+	u_int shared;
+	u_int own;
+	u_int out;
+	u_int gap_ms;
+	u_int rank;
+	struct {
+		u_int avoid_len;
+		u_quad_t *avoid_val;
+	} avoid;
+};
+typedef struct sp_place_wish sp_place_wish;
+
+struct sp_place_ask {
+	u_int id;
+	sp_place_wish wish;
+};
+typedef struct sp_place_ask sp_place_ask;
+
+struct sp_place_tell {
+	u_int id;
+	u_quad_t server;
+};
+typedef struct sp_place_tell sp_place_tell;
+
+struct sp_place_took {
+	u_int id;
+	u_quad_t server;
+	sp_place_wish wish;
+};
+typedef struct sp_place_took sp_place_took;
+
+enum sp_place_what {
+	SP_PLACE_READ = 0,
+	SP_PLACE_ENDED = 1,
+};
+typedef enum sp_place_what sp_place_what;
+
+struct sp_place_step {
+	u_int id;
+	u_quad_t service;
+	sp_place_what what;
+};
+typedef struct sp_place_step sp_place_step;
 
 enum sp_kind {
 	SP_PROBE = 1,
@@ -213,6 +262,10 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
+	SP_PLACE_ASK = 30,
+	SP_PLACE_TELL = 31,
+	SP_PLACE_TOOK = 32,
+	SP_PLACE_STEP = 33,
 };
 typedef enum sp_kind sp_kind;
 
@@ -233,6 +286,10 @@
 		sp_preempt preempt;
 		sp_queued queued;
 		sp_share share;
+		sp_place_ask place_ask;
+		sp_place_tell place_tell;
+		sp_place_took place_took;
+		sp_place_step place_step;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
@@ -286,6 +343,12 @@
 extern  bool_t xdr_sp_running (XDR *, sp_running*);
 extern  bool_t xdr_sp_preempt (XDR *, sp_preempt*);
 extern  bool_t xdr_sp_share (XDR *, sp_share*);
+extern  bool_t xdr_sp_place_wish (XDR *, sp_place_wish*);
+extern  bool_t xdr_sp_place_ask (XDR *, sp_place_ask*);
+extern  bool_t xdr_sp_place_tell (XDR *, sp_place_tell*);
+extern  bool_t xdr_sp_place_took (XDR *, sp_place_took*);
+extern  bool_t xdr_sp_place_what (XDR *, sp_place_what*);
+extern  bool_t xdr_sp_place_step (XDR *, sp_place_step*);
 extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
 extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
 extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
@@ -311,6 +374,12 @@
 extern bool_t xdr_sp_running ();
 extern bool_t xdr_sp_preempt ();
 extern bool_t xdr_sp_share ();
+extern bool_t xdr_sp_place_wish ();
+extern bool_t xdr_sp_place_ask ();
+extern bool_t xdr_sp_place_tell ();
+extern bool_t xdr_sp_place_took ();
+extern bool_t xdr_sp_place_what ();
+extern bool_t xdr_sp_place_step ();
 extern bool_t xdr_sp_kind ();
 extern bool_t xdr_sp_msg ();
 extern bool_t xdr_sp_batch ();
--- a/proto.x
+++ b/proto.x
@@ -190,6 +190,53 @@
 	unsigned int credit;		/* saved-up rate that goes with it */
 };
 
+/* ---- placement by a coordinator ---- */
+
+const SAVORY_AVOID_MAX = 8;
+
+/* What a request needs of a server; see server_wish in server.h. */
+struct sp_place_wish {
+	unsigned hyper service;
+	unsigned hyper route;
+	unsigned hyper prompt;
+	unsigned int shared;		/* tokens */
+	unsigned int own;
+	unsigned int out;
+	unsigned int gap_ms;
+	unsigned int rank;
+	unsigned hyper avoid<SAVORY_AVOID_MAX>;
+};
+
+/* Which server should run it? */
+struct sp_place_ask {
+	unsigned int id;		/* entry node's number */
+	sp_place_wish wish;
+};
+
+/* The coordinator's answer; from then on it counts the request there. */
+struct sp_place_tell {
+	unsigned int id;
+	unsigned hyper server;		/* 0: none */
+};
+
+/* The entry node chose by itself, as no answer came. */
+struct sp_place_took {
+	unsigned int id;
+	unsigned hyper server;
+	sp_place_wish wish;
+};
+
+enum sp_place_what {
+	SP_PLACE_READ = 0,		/* its prompt has been read */
+	SP_PLACE_ENDED = 1		/* it is not there any more */
+};
+
+struct sp_place_step {
+	unsigned int id;
+	unsigned hyper service;
+	sp_place_what what;
+};
+
 /* ---- the batch ---- */
 
 enum sp_kind {
@@ -206,7 +253,11 @@
 	SP_RUNNING = 15,
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
-	SP_SHARE = 20
+	SP_SHARE = 20,
+	SP_PLACE_ASK = 30,
+	SP_PLACE_TELL = 31,
+	SP_PLACE_TOOK = 32,
+	SP_PLACE_STEP = 33
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -238,6 +289,14 @@
 	sp_queued queued;
 case SP_SHARE:
 	sp_share share;
+case SP_PLACE_ASK:
+	sp_place_ask place_ask;
+case SP_PLACE_TELL:
+	sp_place_tell place_tell;
+case SP_PLACE_TOOK:
+	sp_place_took place_took;
+case SP_PLACE_STEP:
+	sp_place_step place_step;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -579,6 +579,162 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_place_wish(XDR *xdrs, sp_place_wish *objp)
+{
+	register int32_t *buf;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		if (!xdr_u_quad_t(xdrs, &objp->service))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->route))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->prompt))
+			return FALSE;
+		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			if (!xdr_u_int(xdrs, &objp->shared))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->own))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->out))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->gap_ms))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->rank))
+				return FALSE;
+
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->shared);
+			IXDR_PUT_U_LONG(buf, objp->own);
+			IXDR_PUT_U_LONG(buf, objp->out);
+			IXDR_PUT_U_LONG(buf, objp->gap_ms);
+			IXDR_PUT_U_LONG(buf, objp->rank);
+		}
+		if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
+			(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
+			sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+			return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		if (!xdr_u_quad_t(xdrs, &objp->service))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->route))
+			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->prompt))
+			return FALSE;
+		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			if (!xdr_u_int(xdrs, &objp->shared))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->own))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->out))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->gap_ms))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->rank))
+				return FALSE;
+
+		} else {
+			objp->shared = IXDR_GET_U_LONG(buf);
+			objp->own = IXDR_GET_U_LONG(buf);
+			objp->out = IXDR_GET_U_LONG(buf);
+			objp->gap_ms = IXDR_GET_U_LONG(buf);
+			objp->rank = IXDR_GET_U_LONG(buf);
+		}
+		if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
+			(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
+			sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+			return FALSE;
+		return TRUE;
+	}
+
+	if (!xdr_u_quad_t(xdrs, &objp->service))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->route))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->prompt))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->shared))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->own))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->out))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->gap_ms))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->rank))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
+		(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
+		sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_place_ask(XDR *xdrs, sp_place_ask *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->id))
+		return FALSE;
+	if (!xdr_sp_place_wish(xdrs, &objp->wish))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_place_tell(XDR *xdrs, sp_place_tell *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->id))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->server))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_place_took(XDR *xdrs, sp_place_took *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->id))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->server))
+		return FALSE;
+	if (!xdr_sp_place_wish(xdrs, &objp->wish))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_place_what(XDR *xdrs, sp_place_what *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_enum(xdrs, (enum_t *)objp))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_place_step(XDR *xdrs, sp_place_step *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->id))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->service))
+		return FALSE;
+	if (!xdr_sp_place_what(xdrs, &objp->what))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -653,6 +809,22 @@
 		if (!xdr_sp_share(xdrs, &objp->sp_msg_u.share))
 			return FALSE;
 		break;
+	case SP_PLACE_ASK:
+		if (!xdr_sp_place_ask(xdrs, &objp->sp_msg_u.place_ask))
+			return FALSE;
+		break;
+	case SP_PLACE_TELL:
+		if (!xdr_sp_place_tell(xdrs, &objp->sp_msg_u.place_tell))
+			return FALSE;
+		break;
+	case SP_PLACE_TOOK:
+		if (!xdr_sp_place_took(xdrs, &objp->sp_msg_u.place_took))
+			return FALSE;
+		break;
+	case SP_PLACE_STEP:
+		if (!xdr_sp_place_step(xdrs, &objp->sp_msg_u.place_step))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/route.c
+++ b/route.c
@@ -204,6 +204,18 @@
 	return NULL;
 }
 
+bool
+route_has_service(const struct route *r, name_id service)
+{
+	unsigned int i;
+
+	for (i = 0; i < r->nsplits; i++) {
+		if (r->splits[i].service == service)
+			return true;
+	}
+	return false;
+}
+
 name_id
 route_service_draw(const struct route *r, uint32_t draw)
 {
--- a/route.h
+++ b/route.h
@@ -103,6 +103,7 @@
 route_organisation_of(const struct route_table *, const char *);
 const struct route_service *
 route_service_find(const struct route_table *, name_id);
+bool route_has_service(const struct route *, name_id);
 /* One of the route's services, by a number below 2^32 drawn at random. */
 name_id route_service_draw(const struct route *, uint32_t);
 /*
--- a/server-choose.c
+++ b/server-choose.c
@@ -8,6 +8,8 @@
 #define LOG_PART "choose"
 #include "server.h"
 
+#include <string.h>
+
 #include <xxhash.h>
 
 /* Prompt tokens read in a millisecond until a server has shown its own. */
@@ -56,39 +58,56 @@
 	return XXH64(&v->id, sizeof v->id, 1);
 }
 
+bool
+server_in_group(
+    const struct server *v, unsigned int groups, unsigned int group)
+{
+	return groups <= 1 || choose_rank(v) % groups == group;
+}
+
+static bool
+choose_sees(const struct server *v, name_id service,
+    const struct server_view *view)
+{
+	return v->service == service && v->state == SERVER_READY &&
+	       server_in_group(v, view->groups, view->group);
+}
+
 unsigned int
-servers_ready(struct servers *s, name_id service)
+servers_ready(
+    struct servers *s, name_id service, const struct server_view *view)
 {
 	struct server *v;
 	unsigned int n = 0;
 
 	RB_FOREACH (v, server_tree, &s->tree)
-		n += v->service == service && v->state == SERVER_READY;
+		n += choose_sees(v, service, view);
 	return n;
 }
 
-/* Is it one of the first `quiet` servers of its service by rank? */
+/* Is it one of the view's first `quiet` servers by rank? */
 static bool
-choose_is_quiet(struct servers *s, const struct server *v, unsigned int quiet)
+choose_is_quiet(
+    struct servers *s, const struct server *v, const struct server_view *view)
 {
 	uint64_t rank = choose_rank(v);
 	struct server *other;
 	unsigned int before = 0;
 
-	if (quiet == 0)
+	if (view->quiet == 0)
 		return false;
 	RB_FOREACH (other, server_tree, &s->tree) {
-		if (other->service == v->service &&
-		    other->state == SERVER_READY && choose_rank(other) < rank &&
-		    ++before >= quiet)
+		if (choose_sees(other, v->service, view) &&
+		    choose_rank(other) < rank && ++before >= view->quiet)
 			return false;
 	}
 	return true;
 }
 
-/* The server that every node thinks of first for a prompt, or NULL. */
+/* The server that is thought of first for a prompt, or NULL. */
 static const struct server *
-choose_home(struct servers *s, const struct server_wish *w)
+choose_home(struct servers *s, const struct server_wish *w,
+    const struct server_view *view)
 {
 	const struct server *best = NULL;
 	uint64_t weight, most = 0;
@@ -97,8 +116,8 @@
 	if (w->prompt == 0)
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (v->service != w->service || v->state != SERVER_READY ||
-		    choose_is_quiet(s, v, w->quiet) != w->light)
+		if (!choose_sees(v, w->service, view) ||
+		    choose_is_quiet(s, v, view) != view->light)
 			continue;
 		weight = choose_weight(v, w->prompt);
 		if (best == NULL || weight > most) {
@@ -110,51 +129,56 @@
 }
 
 /*
- * Its home has read a prompt, by the requests of all nodes; another server
- * where ours showed it.
+ * A coordinator saw all requests, so it knows what a server has read. Another
+ * node takes it that a home has read its prompts, by the requests of others,
+ * and goes by its own requests beyond that.
  */
 static bool
 choose_has(struct servers *s, const struct server *v, msec now,
-    const struct server_wish *w, const struct server *home)
+    const struct server_wish *w, const struct server_view *view,
+    const struct server *home)
 {
+	if (view->all)
+		return server_memory_has(&s->all_memory, now, v->id, w->prompt,
+		    CHOOSE_KEPT_MS);
 	return v == home || server_memory_has(&s->memory, now, v->id, w->prompt,
 				CHOOSE_KEPT_MS);
 }
 
 static double
 choose_cost(struct servers *s, const struct server *v, msec now,
-    const struct server_wish *w, const struct server *home)
+    const struct server_wish *w, const struct server_view *view,
+    const struct server *home)
 {
-	double tokens = (double)v->unread, cost;
+	const struct server_load *l = view->all ? &v->all : &v->own;
+	double tokens = (double)l->unread + w->own, cost;
 
-	tokens += w->own;
-	if (!choose_has(s, v, now, w, home))
-		tokens += w->shared * CHOOSE_AGAIN_TIMES;
-	cost = tokens / CHOOSE_TOKENS_PER_MS + v->running * CHOOSE_RUNNING_MS;
+	if (!choose_has(s, v, now, w, view, home))
+		tokens += w->shared * (v == home ? 1.0 : CHOOSE_AGAIN_TIMES);
+	cost = tokens / CHOOSE_TOKENS_PER_MS + l->running * CHOOSE_RUNNING_MS;
 	cost += v->failures * CHOOSE_FAILURE_MS;
 	if (now < v->resting_until)
 		cost += CHOOSE_REST_MS;
-	if (g_strcmp0(v->domain, w->domain) != 0)
+	if (*view->domain != '\0' && strcmp(v->domain, view->domain) != 0)
 		cost += CHOOSE_DOMAIN_MS;
-	if (w->quiet > 0 && choose_is_quiet(s, v, w->quiet) != w->light)
+	if (view->quiet > 0 && choose_is_quiet(s, v, view) != view->light)
 		cost += CHOOSE_MIX_MS;
 	return cost;
 }
 
 struct server *
-server_choose(
-    struct servers *s, msec now, const struct server_wish *w, uint32_t draw)
+server_choose(struct servers *s, msec now, const struct server_wish *w,
+    const struct server_view *view, uint32_t draw)
 {
-	const struct server *home = choose_home(s, w);
+	const struct server *home = choose_home(s, w, view);
 	struct server *v, *best = NULL;
 	uint64_t tie, best_tie = 0;
 	double cost, least = 0;
 
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (v->service != w->service || !server_takes_work(v, now) ||
-		    wish_avoids(w, v->id))
+		if (!choose_sees(v, w->service, view) || wish_avoids(w, v->id))
 			continue;
-		cost = choose_cost(s, v, now, w, home);
+		cost = choose_cost(s, v, now, w, view, home);
 		tie = choose_weight(v, draw);
 		if (best != NULL && cost > least)
 			continue;
--- a/server.h
+++ b/server.h
@@ -31,6 +31,12 @@
 	int64_t born; /* when it started, in any unit; 0: not said */
 };
 
+/* What runs on a server. */
+struct server_load {
+	unsigned int running;
+	uint64_t unread; /* prompt tokens without an answer yet */
+};
+
 struct server {
 	RB_ENTRY(server) entry;
 	name_id id;
@@ -44,9 +50,9 @@
 	int64_t born;
 	bool missing; /* not listed; gone when the hold ends */
 	msec missing_since;
+	struct server_load own; /* of our requests */
+	struct server_load all; /* of all nodes', for a coordinator */
 	/* From our own requests. */
-	unsigned int running;  /* of ours, in flight */
-	uint64_t unread;       /* prompt tokens of ours without an answer yet */
 	unsigned int failures; /* in a row */
 	msec resting_until;    /* gets nothing before, after failures */
 	double first_ms;       /* smoothed time to an answer; 0: none yet */
@@ -70,7 +76,8 @@
 	const struct server_ops *ops;
 	struct server_tree tree;
 	unsigned int count;
-	struct server_memory memory;
+	struct server_memory memory;	 /* by our requests */
+	struct server_memory all_memory; /* by all nodes', for a coordinator */
 	msec held_until; /* no server is taken as gone before */
 	void *arg;	 /* the embedder's */
 };
@@ -109,20 +116,34 @@
 /* What a request needs. */
 struct server_wish {
 	name_id service;
-	const char *domain;  /* ours */
+	name_id route;
 	uint64_t prompt;     /* hash of the shared part; 0: none */
 	unsigned int shared; /* tokens of the shared part */
 	unsigned int own;    /* tokens beside it */
-	bool light;	     /* goes to the quiet servers */
-	unsigned int quiet;  /* how many these are: server-mix.h */
+	unsigned int out;    /* tokens expected of the answer */
+	msec gap_target;     /* longest pause in time; 0: any */
+	unsigned int rank;   /* 0 is first */
 	unsigned int navoid;
 	name_id avoid[SERVER_AVOID_MAX]; /* tried already */
 };
 
-/* How many servers of a service take work. */
-unsigned int servers_ready(struct servers *, name_id service);
+/* From where a choice is made. */
+struct server_view {
+	bool all;	    /* as coordinator: of all nodes' requests */
+	const char *domain; /* ours, or "" */
+	bool light;	    /* goes to the quiet servers: server-mix.h */
+	unsigned int quiet; /* how many these are */
+	unsigned int groups, group; /* of the service's servers; see place.h */
+};
+
+/* How many servers of a service, in the view's group, take work. */
+unsigned int servers_ready(
+    struct servers *, name_id service, const struct server_view *);
 /* The best server for it, or NULL when there is none at all. */
-struct server *server_choose(
-    struct servers *, msec, const struct server_wish *, uint32_t draw);
+struct server *server_choose(struct servers *, msec,
+    const struct server_wish *, const struct server_view *, uint32_t draw);
+/* Is a server in the group? */
+bool server_in_group(
+    const struct server *, unsigned int groups, unsigned int group);
 
 #endif /* SERVER_H */
