--- a/server-mix.c
+++ b/server-mix.c
@@ -17,10 +17,10 @@
  * A server left to light requests is planned to run this part of its slots,
  * so that a burst of twice the traffic still fits.
  */
-#define MIX_SLOTS_PART 0.6
+#define MIX_SLOTS_PART 0.4
 #define MIX_SLOTS_DEFAULT 32
 /* At most this part of the servers is left to them. */
-#define MIX_SERVERS_PART 0.3
+#define MIX_SERVERS_PART 0.34
 
 static struct mix_route *
 mix_find(const struct mix *m, name_id route)
