--- a/entry-state.c
+++ b/entry-state.c
@@ -152,7 +152,7 @@
 
 /* Whoever takes work can coordinate; we are one as soon as we serve. */
 static void
-state_push_nodes(struct entry *e)
+state_push_nodes(struct entry *e, msec now)
 {
 	g_autofree struct place_node *nodes = NULL;
 	unsigned int n = 1;
@@ -161,7 +161,7 @@
 	RB_FOREACH (m, member_tree, &e->members.tree)
 		n++;
 	nodes = g_new0(struct place_node, n);
-	nodes[0] = (struct place_node){ e->members.self.id, 0,
+	nodes[0] = (struct place_node){ e->members.self.id,
 		e->phase == ENTRY_SERVING };
 	e->live_nodes = 1;
 	n = 1;
@@ -169,10 +169,10 @@
 		if (m->state == MEMBER_DEAD)
 			continue;
 		e->live_nodes++;
-		nodes[n++] = (struct place_node){ m->id, 0,
+		nodes[n++] = (struct place_node){ m->id,
 			m->state == MEMBER_ALIVE && !m->leaving };
 	}
-	place_set_nodes(&e->place, nodes, n);
+	place_set_nodes(&e->place, now, nodes, n);
 }
 
 void
@@ -302,7 +302,7 @@
 	/* Others hear of us once we can serve. */
 	if (e->phase != ENTRY_STARTING)
 		members_tick(&e->members, now);
-	state_push_nodes(e);
+	state_push_nodes(e, now);
 	net_flush(&e->net);
 }
 
--- a/place.c
+++ b/place.c
@@ -18,6 +18,16 @@
 #define PLACE_ALONE_MS 1000
 /* What a coordinator has not heard of for so long has ended. */
 #define PLACE_HOLD_MS (30 * MSEC_SECOND)
+/*
+ * Guards against a partition that looks like a smaller fleet: a node that is
+ * cut off from the others would think that its own requests are all there
+ * are. It goes by the most nodes it saw in so long.
+ */
+#define PLACE_FLEET_MS (30 * MSEC_SECOND)
+/* A coordinator that was not asked for so long knows nothing any more. */
+#define PLACE_IDLE_MS (5 * MSEC_SECOND)
+/* One that began later than that may not know what servers have read. */
+#define PLACE_YOUNG_MS (15 * MSEC_SECOND)
 #define PLACE_SWEEP_MS MSEC_SECOND
 /* Slots of a server that does not say. */
 #define PLACE_SLOTS 32
@@ -89,6 +99,7 @@
 	};
 	g_strlcpy(p->domain, domain, sizeof p->domain);
 	TAILQ_INIT(&p->waiting);
+	TAILQ_INIT(&p->running);
 	RB_INIT(&p->own);
 	RB_INIT(&p->all);
 	RB_INIT(&p->holds);
@@ -109,14 +120,6 @@
 	p->nodes = NULL;
 }
 
-void
-place_set_nodes(struct place *p, const struct place_node *nodes, unsigned int n)
-{
-	g_free(p->nodes);
-	p->nodes = g_memdup2(nodes, n * sizeof *nodes);
-	p->nnodes = n;
-}
-
 /* ---- groups and their coordinators ---- */
 
 static unsigned int
@@ -196,13 +199,14 @@
 	struct mix *m = place_mix(all ? &p->all : &p->own, w->service);
 	struct server_view view = { .all = all,
 		.domain = all ? "" : p->domain,
+		.young = now - p->coordinates_since < PLACE_YOUNG_MS,
 		.groups = groups,
 		.group = group };
 
 	if (w->own + w->shared > 0) {
 		view.light = mix_is_light(m, w->route);
 		view.quiet =
-		    mix_quiet_servers(m, now, all ? 1 : MAX(p->nnodes, 1),
+		    mix_quiet_servers(m, now, all ? 1 : MAX(p->fleet, 1),
 			servers_ready(p->servers, w->service, &view),
 			place_slots(p, w->service));
 	}
@@ -309,6 +313,9 @@
 	unsigned int group = place_group(p, w, groups);
 	struct server *v;
 
+	if (now - p->coordinated_at > PLACE_IDLE_MS)
+		p->coordinates_since = now;
+	p->coordinated_at = now;
 	place_seen(&p->all, now, w);
 	v = place_choose(p, now, w, true, groups, group);
 	if (v != NULL)
@@ -391,6 +398,7 @@
 	if (v != NULL) {
 		r->server = v->id;
 		r->local = true;
+		TAILQ_INSERT_TAIL(&p->running, r, entry);
 		r->unread = true;
 		load_add(&v->own, r->wish.own + r->wish.shared);
 		mix_started(
@@ -402,25 +410,43 @@
 	p->ops->decided(p, r, v, now);
 }
 
+/* The coordinator hears of a request that it did not place itself. */
+static void
+place_tell_took(struct place *p, msec now, struct place_request *r)
+{
+	struct server *v = servers_find(p->servers, r->server);
+	sp_msg msg = { .kind = SP_PLACE_TOOK };
+	struct server_wish w = r->wish;
+
+	if (v == NULL || r->id == 0)
+		return;
+	if (!r->unread)
+		w.own = w.shared = 0;
+	if (r->coordinator == p->self) {
+		hold_begin(p, now, p->self, r->id, v, &w);
+		return;
+	}
+	msg.sp_msg_u.place_took.id = r->id;
+	msg.sp_msg_u.place_took.server = v->id;
+	wish_encode(&msg.sp_msg_u.place_took.wish, &w);
+	p->ops->send(p, r->coordinator, &msg);
+}
+
 /* Without an answer: by our own requests, and the coordinator hears of it. */
 static void
 place_alone(struct place *p, msec now, struct place_request *r)
 {
 	unsigned int groups = place_groups(p, r->wish.service);
 	unsigned int group = place_group(p, &r->wish, groups);
-	sp_msg msg = { .kind = SP_PLACE_TOOK };
 	struct server *v;
 
 	v = place_choose(p, now, &r->wish, false, groups, group);
 	if (v == NULL && groups > 1)
 		v = place_choose(p, now, &r->wish, false, 1, 0);
 	p->counters.alone++;
-	if (v != NULL && r->id != 0) {
-		msg.sp_msg_u.place_took.id = r->id;
-		msg.sp_msg_u.place_took.server = v->id;
-		wish_encode(&msg.sp_msg_u.place_took.wish, &r->wish);
-		p->ops->send(p, r->coordinator, &msg);
-	}
+	r->server = v != NULL ? v->id : 0;
+	r->unread = true;
+	place_tell_took(p, now, r);
 	place_decide(p, now, r, v);
 }
 
@@ -486,6 +512,7 @@
 		TAILQ_REMOVE(&p->waiting, r, entry);
 	r->waiting = false;
 	if (r->local) {
+		TAILQ_REMOVE(&p->running, r, entry);
 		v = servers_find(p->servers, r->server);
 		if (v != NULL && r->unread)
 			load_read(&v->own, r->wish.own + r->wish.shared);
@@ -561,6 +588,58 @@
 	}
 }
 
+/* ---- nodes ---- */
+
+/* Another node coordinates from now on: it hears what runs. */
+static void
+place_move(struct place *p, msec now, struct place_request *r)
+{
+	unsigned int groups = place_groups(p, r->wish.service);
+	unsigned int group = place_group(p, &r->wish, groups);
+	name_id to = place_coordinator(p, r->wish.service, group);
+
+	if (r->id == 0 || to == r->coordinator)
+		return;
+	place_tell_step(p, now, r, SP_PLACE_ENDED);
+	r->coordinator = to;
+	place_tell_took(p, now, r);
+}
+
+static bool
+nodes_same(
+    const struct place *p, const struct place_node *nodes, unsigned int n)
+{
+	unsigned int i;
+
+	if (n != p->nnodes)
+		return false;
+	for (i = 0; i < n; i++) {
+		if (nodes[i].id != p->nodes[i].id ||
+		    nodes[i].takes_work != p->nodes[i].takes_work)
+			return false;
+	}
+	return true;
+}
+
+void
+place_set_nodes(
+    struct place *p, msec now, const struct place_node *nodes, unsigned int n)
+{
+	struct place_request *r;
+
+	if (n >= p->fleet || now - p->fleet_at >= PLACE_FLEET_MS) {
+		p->fleet = n;
+		p->fleet_at = now;
+	}
+	if (nodes_same(p, nodes, n))
+		return;
+	g_free(p->nodes);
+	p->nodes = g_memdup2(nodes, n * sizeof *nodes);
+	p->nnodes = n;
+	TAILQ_FOREACH (r, &p->running, entry)
+		place_move(p, now, r);
+}
+
 /* ---- time ---- */
 
 static msec
--- a/place.h
+++ b/place.h
@@ -37,7 +37,7 @@
 	name_id coordinator; /* who counts it */
 	msec asked;
 	bool waiting; /* for an answer */
-	bool local;   /* counted in our own numbers */
+	bool local;   /* counted in our own numbers, and in `running` */
 	bool unread;  /* its prompt is not read yet */
 	name_id server;
 };
@@ -60,7 +60,6 @@
 /* A node as the membership has it, ourselves too. */
 struct place_node {
 	name_id id;
-	name_id domain;
 	bool takes_work;
 };
 
@@ -76,10 +75,15 @@
 	GRand *rand;
 	unsigned int nnodes;
 	struct place_node *nodes;
+	unsigned int fleet; /* most nodes seen lately */
+	msec fleet_at;
+	msec coordinated_at; /* when it was last asked */
+	msec coordinates_since;
 	uint32_t next_id;
-	struct place_requests waiting;
-	double round_trip;   /* smoothed, ms */
-	unsigned int missed; /* answers in a row */
+	struct place_requests waiting; /* for an answer */
+	struct place_requests running; /* on a server */
+	double round_trip;	       /* smoothed, ms */
+	unsigned int missed;	       /* answers in a row */
 	msec next_sweep;
 	msec alone_until; /* nobody is asked before */
 	struct place_mixes own, all;
@@ -92,7 +96,8 @@
     name_id self, const char *domain, GRand *);
 void place_finish(struct place *);
 /* All nodes, ourselves among them. */
-void place_set_nodes(struct place *, const struct place_node *, unsigned int);
+void
+place_set_nodes(struct place *, msec, const struct place_node *, unsigned int);
 /* Find a server; decided() is called before it returns, or later. */
 void place_submit(struct place *, msec, struct place_request *);
 /* Its prompt has been read: the answer has begun. */
--- a/server-choose.c
+++ b/server-choose.c
@@ -59,15 +59,14 @@
 }
 
 bool
-server_in_group(
-    const struct server *v, unsigned int groups, unsigned int group)
+server_in_group(const struct server *v, unsigned int groups, unsigned int group)
 {
 	return groups <= 1 || choose_rank(v) % groups == group;
 }
 
 static bool
-choose_sees(const struct server *v, name_id service,
-    const struct server_view *view)
+choose_sees(
+    const struct server *v, name_id service, const struct server_view *view)
 {
 	return v->service == service && v->state == SERVER_READY &&
 	       server_in_group(v, view->groups, view->group);
@@ -138,9 +137,11 @@
     const struct server_wish *w, const struct server_view *view,
     const struct server *home)
 {
-	if (view->all)
-		return server_memory_has(&s->all_memory, now, v->id, w->prompt,
-		    CHOOSE_KEPT_MS);
+	if (view->all && server_memory_has(&s->all_memory, now, v->id,
+			     w->prompt, CHOOSE_KEPT_MS))
+		return true;
+	if (view->all && !view->young)
+		return false;
 	return v == home || server_memory_has(&s->memory, now, v->id, w->prompt,
 				CHOOSE_KEPT_MS);
 }
--- a/server.h
+++ b/server.h
@@ -78,8 +78,8 @@
 	unsigned int count;
 	struct server_memory memory;	 /* by our requests */
 	struct server_memory all_memory; /* by all nodes', for a coordinator */
-	msec held_until; /* no server is taken as gone before */
-	void *arg;	 /* the embedder's */
+	msec held_until;		 /* no server is taken as gone before */
+	void *arg;			 /* the embedder's */
 };
 
 void servers_init(struct servers *, const struct server_ops *);
@@ -130,6 +130,7 @@
 /* From where a choice is made. */
 struct server_view {
 	bool all;	    /* as coordinator: of all nodes' requests */
+	bool young;	    /* but not for long */
 	const char *domain; /* ours, or "" */
 	bool light;	    /* goes to the quiet servers: server-mix.h */
 	unsigned int quiet; /* how many these are */
@@ -137,13 +138,13 @@
 };
 
 /* How many servers of a service, in the view's group, take work. */
-unsigned int servers_ready(
-    struct servers *, name_id service, const struct server_view *);
+unsigned int
+servers_ready(struct servers *, name_id service, const struct server_view *);
 /* The best server for it, or NULL when there is none at all. */
-struct server *server_choose(struct servers *, msec,
-    const struct server_wish *, const struct server_view *, uint32_t draw);
+struct server *server_choose(struct servers *, msec, const struct server_wish *,
+    const struct server_view *, uint32_t draw);
 /* Is a server in the group? */
-bool server_in_group(
-    const struct server *, unsigned int groups, unsigned int group);
+bool
+server_in_group(const struct server *, unsigned int groups, unsigned int group);
 
 #endif /* SERVER_H */
