--- a/Makefile
+++ b/Makefile
@@ -33,14 +33,17 @@
 LDLIBS	= $(SANFLAGS_$(SAN)) $(LDFLAGS) $(PKGLIBS) -lm -pthread
 
 GEN_SRCS := proto_xdr.c
-DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c entry*.c platform/*.c)
+# platform/test-*.c and platform/standin-*.c speak the platform's names too.
+ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c,$(wildcard platform/*.c))
+ENTRY_SRCS := $(wildcard entry*.c) $(ADAPTER_SRCS)
+DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c) $(ENTRY_SRCS)
 TOOL_SRCS := savorypier.c $(wildcard cmd-*.c)
 LIB_SRCS := $(filter-out $(DAEMON_SRCS) $(TOOL_SRCS),$(wildcard *.c))
 STANDIN_COMMON := $(wildcard standins/common-*.c)
-STANDIN_MAINS := $(filter-out $(STANDIN_COMMON),$(wildcard standins/*.c))
+STANDIN_MAINS := $(filter-out $(STANDIN_COMMON),$(wildcard standins/*.c)) $(wildcard platform/standin-*.c)
 TEST_COMMON := $(wildcard tests/util-*.c)
-TEST_MAINS := $(wildcard tests/test-*.c)
-PROC_MAINS := $(wildcard tests/proc-*.c)
+TEST_MAINS := $(wildcard tests/test-*.c) $(wildcard platform/test-*.c)
+PROC_MAINS := $(wildcard tests/proc-*.c) $(wildcard platform/proc-*.c)
 BENCH_MAINS := $(wildcard tests/bench-*.c)
 FUZZ_TARGETS := $(notdir $(wildcard tests/corpus/*))
 FUZZ_SECONDS = 60
@@ -94,11 +97,19 @@
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
 $(B)/savorypier: $(call obj,$(TOOL_SRCS)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
-$(STANDINS): $(B)/%: $(B)/obj/standins/%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
+PLATFORM_STANDINS = $(filter $(B)/standin-%,$(STANDINS))
+PLATFORM_TESTS = $(call prog,$(wildcard platform/test-*.c platform/proc-*.c))
+$(PLATFORM_STANDINS): $(B)/%: $(B)/obj/platform/%.o $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
-$(TESTS) $(PROCS) $(BENCHES): $(B)/%: $(B)/obj/tests/%.o $(call obj,$(TEST_COMMON)) $(LIB)
+$(PLATFORM_TESTS): $(B)/%: $(B)/obj/platform/%.o $(call obj,$(ENTRY_SRCS) $(TEST_COMMON)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
-# The tool's commands are no part of the library; these test them.
+$(filter-out $(PLATFORM_STANDINS),$(STANDINS)): $(B)/%: $(B)/obj/standins/%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
+	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
+$(filter-out $(PLATFORM_TESTS),$(TESTS) $(PROCS) $(BENCHES)): $(B)/%: $(B)/obj/tests/%.o $(call obj,$(TEST_COMMON)) $(LIB)
+	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
+# The daemon's parts are no part of the library; these test them.
+$(B)/test-entry-log: $(call obj,entry-log.c)
+# The same of the tool's commands.
 $(B)/test-cmd $(B)/test-man $(B)/test-pages: $(call obj,$(filter-out savorypier.c,$(TOOL_SRCS)))
 
 # The decoders under libFuzzer, each for FUZZ_SECONDS; new inputs stay in the
--- a/entry-log.c
+++ b/entry-log.c
@@ -12,8 +12,8 @@
 
 /* A reader that is away for a second under full load loses nothing. */
 #define ENTRY_LOG_BYTES (128 * 1024)
-/* Lines a second beyond which only needed ones are written. */
-#define ENTRY_LOG_USUAL_PER_S 400
+/* Enough to see what goes well; failures need room for the worst second. */
+#define ENTRY_LOG_USUAL_PER_S 40
 #define ENTRY_LOG_NEEDED_PER_S 400
 
 const struct entry_log_word entry_log_events[LOG_EVENTS] = {
@@ -136,22 +136,26 @@
 	buffer_add_text(b, text);
 }
 
-/* Keeps the volume in bounds, the lines that explain failures longest. */
+/* Lines a second of each weight. */
+static const unsigned int log_most[] = {
+	[ENTRY_LOG_NEEDED] = ENTRY_LOG_NEEDED_PER_S,
+	[ENTRY_LOG_USUAL] = ENTRY_LOG_USUAL_PER_S,
+};
+
+/* Keeps the volume in bounds; usual lines take no room from needed ones. */
 static bool
 log_admit(struct entry_log *l, msec now, enum entry_log_weight weight)
 {
-	unsigned int most = weight == ENTRY_LOG_NEEDED ? ENTRY_LOG_NEEDED_PER_S
-						       : ENTRY_LOG_USUAL_PER_S;
-
 	if (now - l->second >= MSEC_SECOND) {
 		l->second = now;
-		l->in_second = 0;
+		memset(l->in_second, 0, sizeof l->in_second);
 	}
-	if (l->in_second >= most || buffer_left(&l->out) > ENTRY_LOG_BYTES) {
+	if (l->in_second[weight] >= log_most[weight] ||
+	    buffer_left(&l->out) > ENTRY_LOG_BYTES) {
 		l->dropped++;
 		return false;
 	}
-	l->in_second++;
+	l->in_second[weight]++;
 	l->lines++;
 	return true;
 }
--- a/entry-log.h
+++ b/entry-log.h
@@ -15,7 +15,7 @@
 	int fd;
 	uint64_t lines, dropped, told; /* told: dropped lines reported so far */
 	msec second;		       /* the one in which `in_second` counts */
-	unsigned int in_second;
+	unsigned int in_second[2];     /* by weight */
 	char node[NAME_SIZE];
 };
 
--- /dev/null
+++ b/tests/test-fresh.c
@@ -0,0 +1,58 @@
+/*
+ * The proof that the configuration is the newest. A user whose key was taken
+ * away must be turned away in time by a node that was cut off, refused by the
+ * platform or paused; the proof's age counts from the asking.
+ */
+
+#include "fresh.h"
+
+static void
+test_age(void)
+{
+	struct fresh f;
+
+	fresh_init(&f, 4000);
+	g_assert_false(fresh_holds(&f, 0));
+	g_assert_cmpint(fresh_age(&f, 5), ==, MSEC_NEVER);
+	fresh_prove(&f, 1000);
+	g_assert_true(fresh_holds(&f, 4999));
+	g_assert_false(fresh_holds(&f, 5000));
+	/* An older proof that comes late takes nothing away, nor adds. */
+	fresh_prove(&f, 500);
+	g_assert_cmpint(fresh_age(&f, 1500), ==, 500);
+}
+
+/* A paused process wakes with the answer to a read that it sent long ago. */
+static void
+test_pause(void)
+{
+	struct fresh f;
+
+	fresh_init(&f, 4000);
+	fresh_prove(&f, 1000);
+	fresh_prove(&f, 1200);
+	g_assert_false(fresh_holds(&f, 9000));
+	fresh_prove(&f, 9001);
+	g_assert_true(fresh_holds(&f, 9002));
+}
+
+static void
+test_without_bound(void)
+{
+	struct fresh f;
+
+	fresh_init(&f, 0);
+	g_assert_false(fresh_holds(&f, 10));
+	fresh_prove(&f, 10);
+	g_assert_true(fresh_holds(&f, 1000000));
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fresh/age", test_age);
+	g_test_add_func("/fresh/pause", test_pause);
+	g_test_add_func("/fresh/without-bound", test_without_bound);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test-http-message.c
@@ -0,0 +1,242 @@
+/*
+ * HTTP messages as they come in pieces, and those that two parsers could read
+ * apart: each of these is refused, whatever the size of the pieces.
+ */
+
+#include "http-message.h"
+
+#include <string.h>
+
+#define HEAD_MAX 1024
+#define BODY_MAX 4096
+
+struct got {
+	GString *body;
+};
+
+static void
+take_body(struct http_reader *r, const char *bytes, size_t n)
+{
+	struct got *g = r->arg;
+
+	g_string_append_len(g->body, bytes, (gssize)n);
+}
+
+/* Feed in pieces of a size until the message ends; the bytes taken. */
+static size_t
+feed(struct http_reader *r, const char *bytes, size_t n, size_t piece)
+{
+	size_t at = 0, step, took;
+
+	while (at < n && r->stage < HTTP_STAGE_WHOLE) {
+		step = MIN(piece, n - at);
+		took = http_reader_take(r, bytes + at, step);
+		at += took;
+		if (took == 0 && r->stage < HTTP_STAGE_WHOLE)
+			break;
+	}
+	return at;
+}
+
+static void
+check_refused(const char *text, size_t n, enum http_error error)
+{
+	static const size_t pieces[] = { 1, 3, 4096 };
+	struct got g = { g_string_new(NULL) };
+	struct http_reader r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(pieces); i++) {
+		http_reader_init(&r, true, HEAD_MAX, BODY_MAX, take_body, &g);
+		feed(&r, text, n, pieces[i]);
+		g_assert_cmpint(r.stage, ==, HTTP_STAGE_FAILED);
+		g_assert_cmpint(r.error, ==, error);
+		http_reader_finish(&r);
+	}
+	g_string_free(g.body, TRUE);
+}
+
+#define REFUSED(text) \
+	check_refused((text), sizeof(text) - 1, HTTP_ERROR_MALFORMED)
+
+/*
+ * A caller sends one request that holds a second one: a server that reads the
+ * lengths in another way than we do would run it, and nobody asked for it.
+ */
+static void
+test_smuggling(void)
+{
+	REFUSED(
+	    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n");
+	REFUSED("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+		"Content-Length: 3\r\n\r\n0\r\n\r\n");
+	REFUSED("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+		"Content-Length: 5\r\n\r\nabcde");
+	REFUSED("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+		"Content-Length: 3\r\n\r\nabc");
+	REFUSED("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc");
+	REFUSED(
+	    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc");
+	REFUSED("POST / HTTP/1.1\r\nHost: a\r\n"
+		"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n");
+	REFUSED("POST / HTTP/1.1\r\nHost: a\r\n"
+		"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n");
+	REFUSED("POST / HTTP/1.0\r\nHost: a\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+}
+
+static void
+test_heads(void)
+{
+	REFUSED("GET / HTTP/1.1\nHost: a\n\n");
+	REFUSED("GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\nHost : a\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\nHost: a\r\nX: b\0c\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\nHost: a\r\nX: b\rc\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\n\r\n");
+	REFUSED("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+	REFUSED("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n");
+	REFUSED("GET / HTTP/2.0\r\nHost: a\r\n\r\n");
+	REFUSED("GET  / HTTP/1.1\r\nHost: a\r\n\r\n");
+}
+
+static void
+test_bounds(void)
+{
+	g_autofree char *large = g_strnfill(2 * HEAD_MAX, 'x');
+	g_autofree char *head = NULL, *body = NULL;
+
+	head = g_strdup_printf("GET / HTTP/1.1\r\nHost: a\r\nX: %s", large);
+	check_refused(head, strlen(head), HTTP_ERROR_HEAD_TOO_LARGE);
+	body = g_strdup_printf("POST / HTTP/1.1\r\nHost: a\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n"
+			       "800\r\n%s\r\n800\r\n%s\r\n1\r\nx\r\n0\r\n\r\n",
+	    large, large);
+	check_refused(body, strlen(body), HTTP_ERROR_BODY_TOO_LARGE);
+}
+
+/* The second request of a pipeline is left for after the first's answer. */
+static void
+test_pipeline(void)
+{
+	static const char text[] = "\r\nPOST /a?b HTTP/1.1\r\nHost: h:1\r\n"
+				   "Content-Length: 3\r\nX:  y \r\n\r\nabc"
+				   "POST /c HTTP/1.1\r\nHost: h\r\n"
+				   "Transfer-Encoding: Chunked\r\n\r\n"
+				   "2;e=1\r\nde\r\n0\r\n\r\nGET";
+	size_t piece, at;
+
+	for (piece = 1; piece < sizeof text; piece += 7) {
+		struct got g = { g_string_new(NULL) };
+		struct http_reader r;
+
+		http_reader_init(&r, true, HEAD_MAX, BODY_MAX, take_body, &g);
+		at = feed(&r, text, sizeof text - 1, piece);
+		g_assert_cmpint(r.stage, ==, HTTP_STAGE_WHOLE);
+		g_assert_cmpstr(r.head->method, ==, "POST");
+		g_assert_cmpstr(r.head->target, ==, "/a?b");
+		g_assert_cmpstr(http_head_get(r.head, "x"), ==, "y");
+		g_assert_cmpstr(g.body->str, ==, "abc");
+		http_reader_reset(&r);
+		at += feed(&r, text + at, sizeof text - 1 - at, piece);
+		g_assert_cmpint(r.stage, ==, HTTP_STAGE_WHOLE);
+		g_assert_cmpstr(g.body->str, ==, "abcde");
+		g_assert_cmpstr(text + at, ==, "GET");
+		http_reader_finish(&r);
+		g_string_free(g.body, TRUE);
+	}
+}
+
+static enum http_stage
+answer_stage(const char *text, bool close, char **body)
+{
+	struct got g = { g_string_new(NULL) };
+	enum http_stage stage;
+	struct http_reader r;
+
+	http_reader_init(&r, false, HEAD_MAX, BODY_MAX, take_body, &g);
+	feed(&r, text, strlen(text), 5);
+	if (close)
+		http_reader_close(&r);
+	stage = r.stage;
+	http_reader_finish(&r);
+	*body = g_string_free(g.body, FALSE);
+	return stage;
+}
+
+/*
+ * A server breaks off: its answer must not look whole. Without a length the
+ * orderly end of the connection is what makes it so.
+ */
+static void
+test_ends(void)
+{
+	static const struct {
+		const char *text;
+		bool close;
+		enum http_stage stage;
+		const char *body;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", true,
+		    HTTP_STAGE_FAILED, "ab" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2\r\nab\r\n",
+		    true, HTTP_STAGE_FAILED, "ab" },
+		{ "HTTP/1.1 200 OK\r\n\r\nab", true, HTTP_STAGE_WHOLE, "ab" },
+		{ "HTTP/1.1 200 OK\r\n\r\nab", false, HTTP_STAGE_BODY, "ab" },
+		{ "HTTP/1.1 200 OK\r\nContent-Le", true, HTTP_STAGE_FAILED,
+		    "" },
+		{ "HTTP/1.1 204 No Content\r\n\r\n", false, HTTP_STAGE_WHOLE,
+		    "" },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false,
+		    HTTP_STAGE_WHOLE, "" },
+		{ "garbage that is no answer\r\n\r\n", false, HTTP_STAGE_FAILED,
+		    "" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *body = NULL;
+
+		g_assert_cmpint(
+		    answer_stage(cases[i].text, cases[i].close, &body), ==,
+		    cases[i].stage);
+		g_assert_cmpstr(body, ==, cases[i].body);
+	}
+}
+
+static void
+test_hops(void)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: a\r\n"
+				   "Connection: close, X-Mine\r\n"
+				   "X-Mine: 1\r\nX-Other: 2\r\n\r\n";
+	struct got g = { g_string_new(NULL) };
+	struct http_reader r;
+
+	http_reader_init(&r, true, HEAD_MAX, BODY_MAX, take_body, &g);
+	feed(&r, text, sizeof text - 1, 100);
+	g_assert_cmpint(r.stage, ==, HTTP_STAGE_WHOLE);
+	g_assert_true(http_field_is_hop(r.head, "x-mine"));
+	g_assert_true(http_field_is_hop(r.head, "Transfer-Encoding"));
+	g_assert_false(http_field_is_hop(r.head, "X-Other"));
+	g_assert_false(r.head->keep_alive);
+	http_reader_finish(&r);
+	g_string_free(g.body, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-message/smuggling", test_smuggling);
+	g_test_add_func("/http-message/heads", test_heads);
+	g_test_add_func("/http-message/bounds", test_bounds);
+	g_test_add_func("/http-message/pipeline", test_pipeline);
+	g_test_add_func("/http-message/ends", test_ends);
+	g_test_add_func("/http-message/hops", test_hops);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test-place.c
@@ -0,0 +1,446 @@
+/*
+ * Placement over several nodes with messages that take time or are lost, in
+ * virtual time.
+ */
+
+#include "place.h"
+
+#include <math.h>
+#include <string.h>
+
+#define NODES_MAX 64
+#define SERVERS 18
+#define MESSAGES_MAX 65536
+
+struct node {
+	struct place place;
+	struct servers servers;
+	name_id id;
+	bool cut; /* gets and sends nothing */
+	unsigned int decided;
+	struct server *last;
+	msec decided_at;
+};
+
+struct message {
+	msec due;
+	unsigned int from, to;
+	sp_msg msg;
+	u_quad_t avoid[SERVER_AVOID_MAX];
+};
+
+static struct node nodes[NODES_MAX];
+static unsigned int nnodes;
+static struct message messages[MESSAGES_MAX];
+static unsigned int nmessages;
+static msec clock_now;
+static msec delay;
+static uint64_t sent;
+static GRand *rnd;
+
+static struct node *
+node_of(struct place *p)
+{
+	return p->arg;
+}
+
+static void
+net_send_message(struct place *p, name_id to, const sp_msg *msg)
+{
+	struct node *from = node_of(p);
+	sp_place_wish *w;
+	unsigned int i;
+
+	sent++;
+	for (i = 0; i < nnodes && nodes[i].id != to; i++)
+		;
+	if (i == nnodes || from->cut || nodes[i].cut)
+		return;
+	g_assert_cmpuint(nmessages, <, MESSAGES_MAX);
+	messages[nmessages] = (struct message){ clock_now + delay,
+		(unsigned int)(from - nodes), i, *msg, { 0 } };
+	if (msg->kind == SP_PLACE_ASK || msg->kind == SP_PLACE_TOOK) {
+		w = msg->kind == SP_PLACE_ASK
+			? &messages[nmessages].msg.sp_msg_u.place_ask.wish
+			: &messages[nmessages].msg.sp_msg_u.place_took.wish;
+		memcpy(messages[nmessages].avoid, w->avoid.avoid_val,
+		    w->avoid.avoid_len * sizeof(u_quad_t));
+		w->avoid.avoid_val = messages[nmessages].avoid;
+	}
+	nmessages++;
+}
+
+static void
+node_decided(
+    struct place *p, struct place_request *r, struct server *v, msec now)
+{
+	struct node *n = node_of(p);
+
+	n->decided++;
+	n->last = v;
+	n->decided_at = now;
+}
+
+static const struct place_ops ops = { net_send_message, node_decided };
+
+static void
+server_changed(struct servers *s, struct server *v)
+{
+}
+
+static const struct server_ops server_ops = { server_changed, server_changed };
+
+static void
+fleet_nodes(void)
+{
+	struct place_node list[NODES_MAX];
+	unsigned int i, n = 0;
+
+	for (i = 0; i < nnodes; i++) {
+		if (!nodes[i].cut)
+			list[n++] = (struct place_node){ nodes[i].id, true };
+	}
+	for (i = 0; i < nnodes; i++) {
+		if (!nodes[i].cut)
+			place_set_nodes(&nodes[i].place, clock_now, list, n);
+	}
+}
+
+static void
+fleet_start(unsigned int n, unsigned int servers)
+{
+	char name[16];
+	unsigned int i, j;
+
+	rnd = g_rand_new_with_seed(1);
+	nnodes = n;
+	nmessages = 0;
+	clock_now = 100000;
+	delay = 1;
+	sent = 0;
+	for (i = 0; i < n; i++) {
+		nodes[i] = (struct node){ 0 };
+		g_snprintf(name, sizeof name, "n%u", i);
+		nodes[i].id = name_hash(name);
+		servers_init(&nodes[i].servers, &server_ops);
+		for (j = 0; j < servers; j++) {
+			struct server_entry e = { .name = name,
+				.service = "svc",
+				.domain = "d",
+				.address = 1,
+				.port = 1,
+				.slots = 64 };
+
+			g_snprintf(name, sizeof name, "s%u", j);
+			servers_list(&nodes[i].servers, 0, &e);
+		}
+		place_init(&nodes[i].place, &ops, &nodes[i].servers,
+		    nodes[i].id, "d", rnd);
+		nodes[i].place.arg = &nodes[i];
+	}
+	fleet_nodes();
+}
+
+static void
+fleet_stop(void)
+{
+	unsigned int i;
+
+	for (i = 0; i < nnodes; i++) {
+		place_finish(&nodes[i].place);
+		servers_finish(&nodes[i].servers);
+	}
+	g_rand_free(rnd);
+}
+
+/* Let time pass: messages are handed over, timers looked after. */
+static void
+fleet_run(msec span)
+{
+	msec end = clock_now + span;
+	struct message m;
+	unsigned int i;
+
+	for (; clock_now < end; clock_now++) {
+		for (i = 0; i < nmessages;) {
+			if (messages[i].due > clock_now) {
+				i++;
+				continue;
+			}
+			m = messages[i];
+			messages[i] = messages[--nmessages];
+			if (m.msg.kind == SP_PLACE_ASK)
+				m.msg.sp_msg_u.place_ask.wish.avoid.avoid_val =
+				    m.avoid;
+			if (m.msg.kind == SP_PLACE_TOOK)
+				m.msg.sp_msg_u.place_took.wish.avoid.avoid_val =
+				    m.avoid;
+			if (!nodes[m.to].cut)
+				place_receive(&nodes[m.to].place, clock_now,
+				    nodes[m.from].id, &m.msg);
+		}
+		for (i = 0; i < nnodes; i++)
+			place_tick(&nodes[i].place, clock_now);
+	}
+}
+
+static void
+request_fill(struct place_request *r, uint64_t prompt, unsigned int own)
+{
+	*r = (struct place_request){ 0 };
+	r->wish.service = name_hash("svc");
+	r->wish.route = 1;
+	r->wish.gap_target = 1000;
+	r->wish.prompt = prompt;
+	r->wish.shared = prompt != 0 ? 13000 : 0;
+	r->wish.own = own;
+}
+
+/*
+ * All nodes send at once, each one long prompt after the other. By their own
+ * knowledge they pile up on some servers; by the coordinator's they are even.
+ */
+static void
+test_even(void)
+{
+	static struct place_request r[144];
+	unsigned int i, most = 0;
+	struct server *v;
+
+	fleet_start(8, SERVERS);
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		request_fill(&r[i], 0, 4000);
+		place_submit(&nodes[i % 8].place, clock_now, &r[i]);
+		if (i % 8 == 7)
+			fleet_run(5);
+	}
+	for (i = 0; i < nnodes; i++)
+		g_assert_cmpuint(nodes[i].decided, ==, 18);
+	for (i = 0; i < nnodes; i++) {
+		RB_FOREACH (v, server_tree, &nodes[i].servers.tree)
+			most = MAX(most, v->all.running);
+	}
+	g_assert_cmpuint(most, ==, 8);
+	/* All are counted off again. */
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		place_read(&nodes[i % 8].place, clock_now, &r[i]);
+		place_end(&nodes[i % 8].place, clock_now, &r[i]);
+	}
+	fleet_run(5);
+	for (i = 0; i < nnodes; i++) {
+		RB_FOREACH (v, server_tree, &nodes[i].servers.tree) {
+			g_assert_cmpuint(v->all.running, ==, 0);
+			g_assert_cmpuint(v->all.unread, ==, 0);
+			g_assert_cmpuint(v->own.running, ==, 0);
+			g_assert_cmpuint(v->own.unread, ==, 0);
+		}
+	}
+	fleet_stop();
+}
+
+/* One prompt, asked for everywhere: read on one server, not on eight. */
+static void
+test_one_reader(void)
+{
+	struct place_request r;
+	name_id where = 0;
+	unsigned int i;
+
+	fleet_start(8, SERVERS);
+	for (i = 0; i < 40; i++) {
+		request_fill(&r, 77, 100);
+		place_submit(&nodes[i % 8].place, clock_now, &r);
+		fleet_run(5);
+		if (i == 0)
+			where = nodes[0].last->id;
+		g_assert_true(nodes[i % 8].last->id == where);
+		place_end(&nodes[i % 8].place, clock_now, &r);
+	}
+	fleet_stop();
+}
+
+/* The node that coordinates for a request: it alone decides at once. */
+static unsigned int
+coordinator_index(void)
+{
+	struct place_request r;
+	unsigned int i;
+	bool at_once;
+
+	for (i = 0; i < nnodes; i++) {
+		request_fill(&r, 0, 100);
+		nodes[i].decided = 0;
+		place_submit(&nodes[i].place, clock_now, &r);
+		at_once = nodes[i].decided == 1;
+		fleet_run(5);
+		place_end(&nodes[i].place, clock_now, &r);
+		nodes[i].decided = 0;
+		if (at_once)
+			return i;
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * The coordinator is cut off: a request waits some milliseconds, then its own
+ * node decides; after a few of those nobody asks for a while.
+ */
+static void
+test_coordinator_lost(void)
+{
+	struct place_request r[20], last;
+	msec most = 0, began;
+	unsigned int i, n;
+
+	fleet_start(8, SERVERS);
+	n = coordinator_index();
+	nodes[n].cut = true;
+	n = (n + 1) % 8;
+	nodes[n].place.counters.asked = 0;
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		request_fill(&r[i], 0, 100);
+		began = clock_now;
+		place_submit(&nodes[n].place, clock_now, &r[i]);
+		fleet_run(80);
+		g_assert_cmpuint(nodes[n].decided, ==, i + 1);
+		most = MAX(most, nodes[n].decided_at - began);
+	}
+	g_assert_cmpint(most, <=, 60);
+	g_assert_cmpuint(nodes[n].place.counters.asked, <, 12);
+	/* The membership hears of it: another one coordinates. */
+	fleet_nodes();
+	fleet_run(1500);
+	nodes[n].place.counters.alone = 0;
+	request_fill(&last, 0, 100);
+	place_submit(&nodes[n].place, clock_now, &last);
+	fleet_run(10);
+	g_assert_cmpuint(nodes[n].place.counters.alone, ==, 0);
+	fleet_stop();
+}
+
+/*
+ * A coordinator stops in good order: the next one hears what runs, and does
+ * not take full servers for empty ones.
+ */
+static void
+test_handover(void)
+{
+	static struct place_request r[72];
+	unsigned int i, lost, total = 0;
+	struct server *v;
+
+	fleet_start(8, SERVERS);
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		request_fill(&r[i], 0, 1000);
+		place_submit(&nodes[i % 8].place, clock_now, &r[i]);
+		fleet_run(3);
+	}
+	for (lost = 0; lost < 8; lost++) {
+		if (nodes[lost].place.counters.coordinated > 0)
+			break;
+	}
+	nodes[lost].cut = true;
+	fleet_nodes();
+	fleet_run(10);
+	for (i = 0; i < 8; i++) {
+		if (i == lost)
+			continue;
+		RB_FOREACH (v, server_tree, &nodes[i].servers.tree)
+			total += v->all.running;
+	}
+	g_assert_cmpuint(total, ==, 72 - 9);
+	fleet_stop();
+}
+
+/* What a coordinator does not hear of again is forgotten. */
+static void
+test_node_dies(void)
+{
+	struct place_request r[8];
+	struct server *v;
+	unsigned int i, total;
+
+	fleet_start(8, SERVERS);
+	for (i = 0; i < 8; i++) {
+		request_fill(&r[i], 0, 1000);
+		place_submit(&nodes[i].place, clock_now, &r[i]);
+	}
+	fleet_run(10);
+	for (i = 0; i < 8; i++)
+		nodes[i].cut = true;
+	fleet_run(32000);
+	for (i = total = 0; i < 8; i++) {
+		RB_FOREACH (v, server_tree, &nodes[i].servers.tree)
+			total += v->all.running;
+	}
+	g_assert_cmpuint(total, ==, 0);
+	fleet_stop();
+}
+
+/* A choice of the coordinator's that we know to be draining is not taken. */
+static void
+test_draining(void)
+{
+	struct place_request r;
+	unsigned int n;
+	uint64_t prompt;
+
+	fleet_start(2, 2);
+	n = 1 - coordinator_index();
+	servers_find(&nodes[n].servers, name_hash("s0"))->state =
+	    SERVER_DRAINING;
+	/* The coordinator has not heard of it, and says s0 for some. */
+	for (prompt = 1; prompt <= 16; prompt++) {
+		request_fill(&r, prompt, 100);
+		place_submit(&nodes[n].place, clock_now, &r);
+		fleet_run(20);
+		g_assert_cmpuint(nodes[n].decided, ==, prompt);
+		g_assert_cmpstr(nodes[n].last->name, ==, "s1");
+		place_end(&nodes[n].place, clock_now, &r);
+	}
+	g_assert_cmpuint(nodes[n].place.counters.alone, >, 0);
+	fleet_stop();
+}
+
+/*
+ * At 60 nodes and 600 servers no node hears of all requests, and a request
+ * costs the same few messages.
+ */
+static void
+test_large(void)
+{
+	struct place_request r;
+	unsigned int i, most = 0;
+	uint64_t before;
+
+	fleet_start(60, 600);
+	before = sent;
+	for (i = 0; i < 1200; i++) {
+		request_fill(&r, i, 100);
+		place_submit(&nodes[i % 60].place, clock_now, &r);
+		fleet_run(4);
+		g_assert_nonnull(nodes[i % 60].last);
+		place_read(&nodes[i % 60].place, clock_now, &r);
+		place_end(&nodes[i % 60].place, clock_now, &r);
+	}
+	g_assert_cmpuint((sent - before) / 1200, <=, 4);
+	for (i = 0; i < 60; i++)
+		most = MAX(
+		    most, (unsigned int)nodes[i].place.counters.coordinated);
+	g_assert_cmpuint(most, <, 300);
+	fleet_stop();
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/place/even", test_even);
+	g_test_add_func("/place/one-reader", test_one_reader);
+	g_test_add_func("/place/coordinator-lost", test_coordinator_lost);
+	g_test_add_func("/place/handover", test_handover);
+	g_test_add_func("/place/node-dies", test_node_dies);
+	g_test_add_func("/place/draining", test_draining);
+	g_test_add_func("/place/large", test_large);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test-retry-budget.c
@@ -0,0 +1,93 @@
+/*
+ * The shared allowance of retries: over any window the sum of all nodes stays
+ * within it, also when nodes join that the others have not heard of.
+ */
+
+#include "retry-budget.h"
+
+#include <string.h>
+
+#define WINDOW ((msec)10000)
+
+static const struct retry_budget_config config = { WINDOW, 200, 56 };
+
+#define NODES_MAX 16
+#define STEPS 6000
+#define STEP_MS 10
+
+/*
+ * Servers fail half of their requests, and every node wants to send each
+ * failed one again at once. Then the number of nodes doubles, and the old
+ * ones do not know it yet.
+ */
+static void
+test_sum(void)
+{
+	struct retry_budget b[NODES_MAX];
+	static unsigned int took[STEPS], asked[STEPS];
+	unsigned int i, t, live, retries, requests, known, j;
+	msec now;
+
+	for (i = 0; i < NODES_MAX; i++)
+		retry_budget_init(&b[i], 1, i < 8 ? -WINDOW : 30000);
+	for (t = 0; t < STEPS; t++) {
+		now = (msec)t * STEP_MS;
+		live = now < 30000 ? 8 : 16;
+		known = now < 45000 ? 8 : 16;
+		for (i = 0; i < live; i++) {
+			if ((t + i) % 10 == 0) {
+				retry_budget_request(&b[i], &config, now);
+				asked[t]++;
+			}
+			took[t] += retry_budget_take(
+			    &b[i], &config, now, i < 8 ? known : 16);
+		}
+		/* Any window that ends here. */
+		retries = requests = 0;
+		for (j = t >= WINDOW / STEP_MS ? t - WINDOW / STEP_MS + 1 : 0;
+		     j <= t; j++) {
+			retries += took[j];
+			requests += asked[j];
+		}
+		g_assert_cmpuint(retries, <=, requests * 200 / 1000 + 56);
+	}
+	/* It is of use, too: most of the fraction is spent. */
+	g_assert_cmpuint(retries, >, requests * 150 / 1000);
+}
+
+/* A node that has just started does not know what it used before. */
+static void
+test_start(void)
+{
+	struct retry_budget b;
+
+	retry_budget_init(&b, 1, 1000);
+	g_assert_false(retry_budget_take(&b, &config, 1000, 8));
+	g_assert_false(retry_budget_take(&b, &config, 10999, 8));
+	g_assert_true(retry_budget_take(&b, &config, 11000, 8));
+	g_assert_cmpuint(b.denied, ==, 2);
+}
+
+static void
+test_long_silence(void)
+{
+	struct retry_budget b;
+	unsigned int i;
+
+	retry_budget_init(&b, 1, -WINDOW);
+	for (i = 0; i < 100; i++)
+		retry_budget_request(&b, &config, 0);
+	g_assert_cmpuint(retry_budget_left(&b, &config, 10, 56), ==, 20);
+	g_assert_cmpuint(
+	    retry_budget_left(&b, &config, 100 * WINDOW, 56), ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/retry-budget/sum", test_sum);
+	g_test_add_func("/retry-budget/start", test_start);
+	g_test_add_func("/retry-budget/long-silence", test_long_silence);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test-server-mix.c
@@ -0,0 +1,81 @@
+/*
+ * Which kinds of request are light, and how many servers are left to them.
+ */
+
+#include "server-mix.h"
+
+enum {
+	LONG = 1,
+	MIDDLE,
+	SHORT
+};
+
+static void
+traffic(struct mix *m, unsigned int n)
+{
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		mix_request(m, 0, LONG, 1000, 17000);
+		mix_request(m, 0, MIDDLE, 400, 9000);
+		mix_request(m, 0, SHORT, 250, 1400);
+	}
+}
+
+static void
+test_light(void)
+{
+	struct mix m = { 0 };
+
+	traffic(&m, 10);
+	g_assert_true(mix_is_light(&m, SHORT));
+	g_assert_false(mix_is_light(&m, MIDDLE));
+	g_assert_false(mix_is_light(&m, LONG));
+	g_assert_false(mix_is_light(&m, 99));
+}
+
+/* Nobody is light where all are alike, or where no longer pause is allowed. */
+static void
+test_alone(void)
+{
+	struct mix m = { 0 };
+
+	mix_request(&m, 0, SHORT, 250, 1400);
+	g_assert_false(mix_is_light(&m, SHORT));
+	mix_request(&m, 0, LONG, 250, 17000);
+	g_assert_false(mix_is_light(&m, SHORT));
+	g_assert_cmpuint(mix_quiet_servers(&m, 0, 1, 18, 64), ==, 0);
+}
+
+/* A burst is followed within two seconds, and given back after it. */
+static void
+test_burst(void)
+{
+	struct mix m = { 0 };
+	unsigned int i;
+
+	traffic(&m, 10);
+	for (i = 0; i < 20; i++)
+		mix_started(&m, 0, SHORT);
+	g_assert_cmpuint(mix_quiet_servers(&m, 10000, 1, 18, 64), ==, 1);
+	for (i = 0; i < 80; i++)
+		mix_started(&m, 10000, SHORT);
+	g_assert_cmpuint(mix_quiet_servers(&m, 12000, 1, 18, 64), >=, 3);
+	/* Never more than a third. */
+	for (i = 0; i < 800; i++)
+		mix_started(&m, 12000, SHORT);
+	g_assert_cmpuint(mix_quiet_servers(&m, 20000, 1, 18, 64), ==, 6);
+	for (i = 0; i < 890; i++)
+		mix_ended(&m, 20000, SHORT);
+	g_assert_cmpuint(mix_quiet_servers(&m, 32000, 1, 18, 64), ==, 1);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/server-mix/light", test_light);
+	g_test_add_func("/server-mix/alone", test_alone);
+	g_test_add_func("/server-mix/burst", test_burst);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test-server.c
@@ -0,0 +1,278 @@
+/*
+ * The table of backend servers: what the platform's entries do to it, and
+ * which server is chosen.
+ */
+
+#include "server.h"
+
+#include <string.h>
+
+static unsigned int changes;
+
+static void
+changed(struct servers *s, struct server *v)
+{
+	changes++;
+}
+
+static void
+removed(struct servers *s, struct server *v)
+{
+}
+
+static const struct server_ops ops = { changed, removed };
+
+static void
+list(struct servers *s, msec now, const char *name, bool draining, int64_t born)
+{
+	struct server_entry e = { .name = name,
+		.service = "svc",
+		.domain = "d1",
+		.address = 1,
+		.port = 80,
+		.slots = 64,
+		.draining = draining,
+		.born = born };
+
+	servers_list(s, now, &e);
+}
+
+static enum server_state
+state_of(struct servers *s, const char *name)
+{
+	return servers_find(s, name_hash(name))->state;
+}
+
+/*
+ * A server says that it drains and then, by a stale or crossed entry, that it
+ * is ready: a request sent then would be cut when it ends. Only a new process
+ * is ready again.
+ */
+static void
+test_draining(void)
+{
+	struct servers s;
+
+	servers_init(&s, &ops);
+	list(&s, 0, "a", false, 5);
+	list(&s, 1, "a", true, 5);
+	list(&s, 2, "a", false, 5);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_DRAINING);
+	list(&s, 3, "a", false, 6);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_READY);
+	servers_finish(&s);
+}
+
+/*
+ * The platform was away: entries lapsed though the servers are well, and are
+ * back within two seconds. Taken as gone, all would be gone at once.
+ */
+static void
+test_hold(void)
+{
+	struct servers s;
+
+	servers_init(&s, &ops);
+	list(&s, 0, "a", false, 0);
+	list(&s, 0, "b", false, 0);
+	servers_hold(&s, 3000);
+	servers_unlist(&s, 1000, "a");
+	servers_unlist(&s, 1000, "b");
+	servers_tick(&s, 1001);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_READY);
+	list(&s, 2000, "a", false, 0);
+	servers_tick(&s, 3000);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_READY);
+	/* The other one did not come back. */
+	servers_tick(&s, 3001);
+	g_assert_null(servers_find(&s, name_hash("b")));
+	/* Without a hold it is gone at once. */
+	servers_unlist(&s, 4000, "a");
+	servers_tick(&s, 4000);
+	g_assert_null(servers_find(&s, name_hash("a")));
+	servers_finish(&s);
+}
+
+/* What was learned of a process ends with it. */
+static void
+test_anew(void)
+{
+	struct servers s;
+	struct server *v;
+	unsigned int i;
+
+	servers_init(&s, &ops);
+	list(&s, 0, "a", false, 5);
+	v = servers_find(&s, name_hash("a"));
+	for (i = 0; i < 5; i++)
+		server_learn(v, 100, SERVER_FAILED);
+	g_assert_cmpint(v->resting_until, >, 100);
+	changes = 0;
+	list(&s, 200, "a", false, 9);
+	g_assert_cmpint(v->resting_until, ==, 0);
+	g_assert_cmpuint(changes, ==, 1);
+	servers_finish(&s);
+}
+
+static const struct server_wish light = { .own = 1000, .shared = 300 };
+
+static void
+many(struct servers *s, unsigned int n)
+{
+	char name[16];
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(name, sizeof name, "s%u", i);
+		list(s, 0, name, false, 0);
+	}
+}
+
+static struct server *
+choose(
+    struct servers *s, msec now, uint64_t prompt, const struct server_view *v)
+{
+	struct server_wish w = { .service = name_hash("svc"),
+		.prompt = prompt,
+		.shared = 13000,
+		.own = 4000 };
+
+	return server_choose(s, now, &w, v, 1);
+}
+
+/* Two nodes that never spoke send a prompt to the same server. */
+static void
+test_home(void)
+{
+	const struct server_view view = { .domain = "", .groups = 1 };
+	unsigned int used = 0;
+	struct servers a, b;
+	struct server *v;
+	uint64_t prompt;
+
+	servers_init(&a, &ops);
+	servers_init(&b, &ops);
+	many(&a, 18);
+	many(&b, 18);
+	for (prompt = 1; prompt <= 200; prompt++) {
+		v = choose(&a, 0, prompt, &view);
+		g_assert_true(choose(&b, 0, prompt, &view)->id == v->id);
+	}
+	/* Homes are spread. */
+	RB_FOREACH (v, server_tree, &a.tree) {
+		for (prompt = 1; prompt <= 200; prompt++) {
+			if (choose(&a, 0, prompt, &view) == v) {
+				used++;
+				break;
+			}
+		}
+	}
+	g_assert_cmpuint(used, ==, 18);
+	servers_finish(&a);
+	servers_finish(&b);
+}
+
+/*
+ * A home with a long queue loses to another, and then the prompt stays there:
+ * sending it elsewhere each time would read it again each time.
+ */
+static void
+test_second_choice(void)
+{
+	const struct server_view view = { .domain = "", .groups = 1 };
+	struct server *home, *second;
+	struct servers s;
+
+	servers_init(&s, &ops);
+	many(&s, 18);
+	home = choose(&s, 0, 7, &view);
+	home->own.unread = 30000;
+	g_assert_true(choose(&s, 0, 7, &view) == home);
+	home->own.unread = 200000;
+	second = choose(&s, 0, 7, &view);
+	g_assert_true(second != home);
+	server_memory_note(&s.memory, 0, second->id, 7);
+	second->own.unread = 20000;
+	g_assert_true(choose(&s, 1000, 7, &view) == second);
+	home->own.unread = 0;
+	g_assert_true(choose(&s, 1000, 7, &view) == home);
+	servers_finish(&s);
+}
+
+/*
+ * While servers read long prompts, drivers' streams beside them paused too
+ * long, a fifth of all on quiet days. Light requests and long prompts get
+ * servers of their own, and meet only when one side is overloaded.
+ */
+static void
+test_parted(void)
+{
+	struct server_view heavy = { .domain = "", .groups = 1, .quiet = 3 };
+	struct server_view quiet = heavy;
+	struct server_wish w = light;
+	GHashTable *a = g_hash_table_new(NULL, NULL);
+	struct server *v;
+	struct servers s;
+	uint64_t i;
+
+	quiet.light = true;
+	w.service = name_hash("svc");
+	servers_init(&s, &ops);
+	many(&s, 18);
+	for (i = 0; i < 400; i++) {
+		v = server_choose(&s, 0, &w, &quiet, (uint32_t)i);
+		v->own.running++;
+		g_hash_table_add(a, v);
+	}
+	g_assert_cmpuint(g_hash_table_size(a), >, 3);
+	RB_FOREACH (v, server_tree, &s.tree)
+		v->own.running = 0;
+	g_hash_table_remove_all(a);
+	for (i = 0; i < 60; i++) {
+		v = server_choose(&s, 0, &w, &quiet, (uint32_t)i);
+		v->own.running++;
+		g_hash_table_add(a, v);
+	}
+	g_assert_cmpuint(g_hash_table_size(a), ==, 3);
+	for (i = 1; i < 200; i++)
+		g_assert_false(
+		    g_hash_table_contains(a, choose(&s, 0, i, &heavy)));
+	g_hash_table_unref(a);
+	servers_finish(&s);
+}
+
+static void
+test_avoid(void)
+{
+	const struct server_view view = { .domain = "", .groups = 1 };
+	struct server_wish w = { .service = name_hash("svc") };
+	struct server *v = NULL;
+	struct servers s;
+
+	servers_init(&s, &ops);
+	many(&s, 3);
+	while (w.navoid < 3) {
+		v = server_choose(&s, 0, &w, &view, 5);
+		g_assert_nonnull(v);
+		w.avoid[w.navoid++] = v->id;
+	}
+	g_assert_null(server_choose(&s, 0, &w, &view, 5));
+	w.navoid = 2;
+	list(&s, 1, v->name, true, 0);
+	g_assert_null(server_choose(&s, 1, &w, &view, 5));
+	servers_finish(&s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/server/draining", test_draining);
+	g_test_add_func("/server/hold", test_hold);
+	g_test_add_func("/server/anew", test_anew);
+	g_test_add_func("/server/home", test_home);
+	g_test_add_func("/server/second-choice", test_second_choice);
+	g_test_add_func("/server/parted", test_parted);
+	g_test_add_func("/server/avoid", test_avoid);
+	return g_test_run();
+}
