The wait for a configuration follows the bound on keys

Cause: found by the process test under AddressSanitizer: with a bound of 3 s a proof in hand aged to twice the fixed wait of 1.5 s, past the bound, and keyed requests got 503 now and then with the store in good health. Another deployment may have such a bound. After: the wait is 35% of the bound, 1.5 s at most; the test passes.

--- a/entry-state.c
+++ b/entry-state.c
@@ -15,6 +15,13 @@
  * sent, then read by its server, and the clocks of two VMs do not run alike.
  */
 #define STATE_FRESH_MARGIN_MS 700
+/*
+ * A read that waits proves what held when it was sent, so the proof in hand
+ * ages to twice the wait. At this part of the bound a late answer still comes
+ * in time; longer waits would spare few calls.
+ */
+#define STATE_WAIT_PERCENT 35
+#define STATE_WAIT_MOST_MS 1500
 /*
  * After the source is back, entries of servers that lapsed meanwhile return
  * within two seconds.
@@ -213,6 +220,15 @@
 		fresh_prove(&e->fresh, asked);
 }
 
+msec
+entry_proof_wait(const struct entry *e)
+{
+	if (e->fresh.bound == 0)
+		return STATE_WAIT_MOST_MS;
+	return MIN(
+	    e->fresh.bound * STATE_WAIT_PERCENT / 100, STATE_WAIT_MOST_MS);
+}
+
 void
 entry_source_down(struct entry *e, msec now, const char *why)
 {
--- a/entry.h
+++ b/entry.h
@@ -310,6 +310,8 @@
 void entry_take_table(struct entry *, struct route_table *, msec);
 /* The configuration in force is the newest; a read sent then said so. */
 void entry_take_proof(struct entry *, msec asked);
+/* How long a read of the configuration may wait for a newer one. */
+msec entry_proof_wait(const struct entry *);
 /* Other nodes that announced themselves. */
 void entry_take_nodes(struct entry *, const struct vm *, unsigned int, msec);
 /* The source does not answer, or answers again. */
