--- a/buffer.h
+++ b/buffer.h
@@ -15,6 +15,7 @@
 	size_t at, len, size;
 };
 
+/* Free what it holds; it is empty then. */
 void buffer_finish(struct buffer *);
 /* Room for so many bytes at the end; buffer_added() says how many came. */
 char *buffer_room(struct buffer *, size_t);
--- /dev/null
+++ b/cmd-explain.c
@@ -0,0 +1,227 @@
+/*
+ * explain: the story of one request from the logs of several nodes. Beside
+ * the request's own lines it shows what changed around it: the servers that
+ * it met, the platform, the configuration.
+ */
+
+#define LOG_PART "explain"
+#include "cmd.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What happened so long before its first line may be the cause. */
+#define EXPLAIN_BEFORE_MS 3000
+
+static enum cmd_retval cmd_explain_exec(struct cmd *);
+
+const struct cmd_entry cmd_explain_entry = {
+	.name = "explain",
+	.args = "ID FILE...",
+	.usage = "Tell a request's story from the logs of nodes.",
+	.min = 2,
+	.max = CMD_ARGS_MAX,
+	.exec = cmd_explain_exec,
+};
+
+/* One line of a log. */
+struct line {
+	json_t *json;
+	int64_t time;
+	const char *event;
+	const char *node;
+	const char *request; /* NULL: of none */
+	const char *server;  /* NULL: none */
+};
+
+static const char *
+line_text(const json_t *o, const char *key)
+{
+	return json_string_value(json_object_get(o, key));
+}
+
+/* Lines may follow a prefix of whoever collected them. */
+static void
+explain_read(const char *name, const char *text, GArray *lines)
+{
+	g_auto(GStrv) all = g_strsplit(text, "\n", -1);
+	unsigned int i, cut = 0;
+	struct line l;
+	char *at;
+
+	for (i = 0; all[i] != NULL; i++) {
+		if ((at = strchr(all[i], '{')) == NULL)
+			continue;
+		l.json = json_loads(at, JSON_DISABLE_EOF_CHECK, NULL);
+		l.event = line_text(l.json, "event");
+		l.node = line_text(l.json, "node");
+		if (l.event == NULL || l.node == NULL) {
+			json_decref(l.json);
+			cut++;
+			continue;
+		}
+		l.time = json_integer_value(json_object_get(l.json, "time_ms"));
+		l.request = line_text(l.json, "request");
+		l.server = line_text(l.json, "server");
+		g_array_append_val(lines, l);
+	}
+	if (cut > 0)
+		cmd_say("%s: %u lines that cannot be read", name, cut);
+}
+
+static int
+line_compare(const void *a, const void *b)
+{
+	const struct line *x = a, *y = b;
+
+	return x->time < y->time ? -1 : x->time > y->time;
+}
+
+/* The time of the request's first line, or of its arrival; -1: none. */
+static int64_t
+explain_begin(const GArray *lines, const char *id, int64_t *end)
+{
+	const struct line *l;
+	int64_t begin = -1, at;
+	guint i;
+
+	for (i = 0; i < lines->len; i++) {
+		l = &g_array_index(lines, struct line, i);
+		if (g_strcmp0(l->request, id) != 0)
+			continue;
+		at = l->time;
+		if (strcmp(l->event, "request") == 0)
+			at -=
+			    json_integer_value(json_object_get(l->json, "ms"));
+		if (begin == -1 || at < begin)
+			begin = at;
+		*end = l->time;
+	}
+	return begin;
+}
+
+static bool
+explain_met(const GArray *lines, const char *id, const char *server)
+{
+	const struct line *l;
+	guint i;
+
+	for (i = 0; server != NULL && i < lines->len; i++) {
+		l = &g_array_index(lines, struct line, i);
+		if (g_strcmp0(l->request, id) == 0 &&
+		    g_strcmp0(l->server, server) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Lines of no request that may explain this one. */
+static bool
+explain_concerns(
+    const GArray *lines, const struct line *l, const char *id, const char *node)
+{
+	static const char *const others[] = { "configuration",
+		"configuration-unreadable", "platform-lost", "platform-back",
+		"started", "stopping", "stopped", "log-dropped" };
+	size_t i;
+
+	if (l->request != NULL)
+		return false;
+	if (l->server != NULL)
+		return explain_met(lines, id, l->server);
+	if (g_strcmp0(l->node, node) != 0)
+		return false;
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		if (strcmp(l->event, others[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+explain_print(const struct line *l, int64_t begin)
+{
+	const char *key;
+	json_t *value;
+
+	printf(
+	    "%+8" PRId64 " ms  %-24s %s", l->time - begin, l->node, l->event);
+	json_object_foreach (l->json, key, value) {
+		char *text;
+
+		if (strcmp(key, "time_ms") == 0 || strcmp(key, "node") == 0 ||
+		    strcmp(key, "event") == 0 || strcmp(key, "request") == 0 ||
+		    json_is_null(value))
+			continue;
+		text = json_dumps(value, JSON_ENCODE_ANY);
+		printf("  %s %s", key,
+		    json_is_string(value) ? json_string_value(value) : text);
+		free(text);
+	}
+	printf("\n");
+}
+
+static const char *
+explain_node(const GArray *lines, const char *id)
+{
+	const struct line *l;
+	guint i;
+
+	for (i = 0; i < lines->len; i++) {
+		l = &g_array_index(lines, struct line, i);
+		if (g_strcmp0(l->request, id) == 0)
+			return l->node;
+	}
+	return NULL;
+}
+
+static enum cmd_retval
+explain_lines(GArray *lines, const char *id)
+{
+	int64_t begin, end = 0;
+	const struct line *l;
+	const char *node;
+	guint i;
+
+	g_array_sort(lines, line_compare);
+	if ((begin = explain_begin(lines, id, &end)) == -1) {
+		cmd_say("no line is about %s; lines on what went well are a "
+			"part only",
+		    id);
+		return CMD_REFUSED;
+	}
+	node = explain_node(lines, id);
+	for (i = 0; i < lines->len; i++) {
+		l = &g_array_index(lines, struct line, i);
+		if (g_strcmp0(l->request, id) == 0 ||
+		    (l->time >= begin - EXPLAIN_BEFORE_MS && l->time <= end &&
+			explain_concerns(lines, l, id, node)))
+			explain_print(l, begin);
+	}
+	return CMD_OK;
+}
+
+static enum cmd_retval
+cmd_explain_exec(struct cmd *c)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct line));
+	enum cmd_retval rc = CMD_OK;
+	unsigned int i;
+
+	for (i = 1; i < c->nargs && rc == CMD_OK; i++) {
+		g_autoptr(GError) error = NULL;
+		g_autofree char *text = NULL;
+
+		if (!g_file_get_contents(c->args[i], &text, NULL, &error))
+			rc = cmd_fail(error);
+		else
+			explain_read(c->args[i], text, lines);
+	}
+	if (rc == CMD_OK)
+		rc = explain_lines(lines, c->args[0]);
+	for (i = 0; i < lines->len; i++)
+		json_decref(g_array_index(lines, struct line, i).json);
+	g_array_unref(lines);
+	return rc;
+}
--- a/cmd-table.c
+++ b/cmd-table.c
@@ -25,6 +25,7 @@
 extern const struct cmd_entry cmd_check_entry;
 extern const struct cmd_entry cmd_send_entry;
 extern const struct cmd_entry cmd_top_entry;
+extern const struct cmd_entry cmd_explain_entry;
 
 static error_t parse_global(int, char *, struct argp_state *);
 static error_t parse_name(int, char *, struct argp_state *);
@@ -32,9 +33,9 @@
 static char *help_commands(int, const char *, void *);
 
 const struct cmd_entry *const cmd_table[] = { &cmd_check_entry, &cmd_diff_entry,
-	&cmd_drain_entry, &cmd_dump_entry, &cmd_entry_entry, &cmd_history_entry,
-	&cmd_publish_entry, &cmd_send_entry, &cmd_show_entry, &cmd_status_entry,
-	&cmd_top_entry, NULL };
+	&cmd_drain_entry, &cmd_dump_entry, &cmd_entry_entry, &cmd_explain_entry,
+	&cmd_history_entry, &cmd_publish_entry, &cmd_send_entry,
+	&cmd_show_entry, &cmd_status_entry, &cmd_top_entry, NULL };
 
 enum global_index {
 	GLOBAL_LOG,
--- a/cmd.h
+++ b/cmd.h
@@ -22,7 +22,8 @@
 	CMD_NOT_RUN = 6	     /* the request certainly did not run */
 };
 
-#define CMD_ARGS_MAX 3
+/* Room for the logs of a few dozen nodes. */
+#define CMD_ARGS_MAX 66
 #define CMD_OPTIONS_MAX 16
 
 struct cmd_option {
--- a/entry-job.c
+++ b/entry-job.c
@@ -127,7 +127,7 @@
 {
 	struct entry *e = j->owner;
 
-	e->counters.codes[code]++;
+	entry_count(e, j, code, now);
 	job_log(j, now, code);
 	job_cancel(j, now, SERVER_UNKNOWN);
 	loop_timer_stop(&e->loop, &j->timer);
--- /dev/null
+++ b/entry-metrics.c
@@ -0,0 +1,320 @@
+/*
+ * Counters and gauges of an entry VM, as text, and its state as a dump, on the
+ * metrics address. docs/OPERATIONS.md says what each is for.
+ */
+
+#define LOG_PART "metrics"
+#include "entry.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+static void metrics_request_caller(struct caller *, msec);
+static void metrics_nothing(struct caller *, msec);
+
+const struct caller_ops metrics_caller_ops = { metrics_request_caller,
+	metrics_nothing, metrics_nothing };
+
+int
+entry_kind_compare(struct entry_kind *a, struct entry_kind *b)
+{
+	return strcmp(a->route, b->route);
+}
+
+RB_GENERATE(entry_kinds, entry_kind, entry, entry_kind_compare)
+
+void
+entry_count(struct entry *e, const struct job *j, enum job_code code, msec now)
+{
+	struct entry_kind find, *k;
+
+	e->counters.codes[code]++;
+	if (j->route == NULL)
+		return;
+	g_strlcpy(find.route, j->route->name, sizeof find.route);
+	if ((k = RB_FIND(entry_kinds, &e->kinds, &find)) == NULL) {
+		if (e->nkinds == ENTRY_KINDS_MAX)
+			return;
+		e->nkinds++;
+		k = g_new0(struct entry_kind, 1);
+		g_strlcpy(k->route, j->route->name, sizeof k->route);
+		RB_INSERT(entry_kinds, &e->kinds, k);
+	}
+	k->codes[code]++;
+	if (j->first_at != 0)
+		metrics_observe(&k->first, j->first_at - j->arrived);
+	if (code == JOB_SERVED)
+		metrics_observe(&k->whole, now - j->arrived);
+	if (j->gap > 0)
+		metrics_observe(&k->gap, j->gap);
+}
+
+void
+entry_kinds_free(struct entry *e)
+{
+	struct entry_kind *k;
+
+	while ((k = RB_MIN(entry_kinds, &e->kinds)) != NULL) {
+		RB_REMOVE(entry_kinds, &e->kinds, k);
+		g_free(k);
+	}
+}
+
+/* ---- text exposition ---- */
+
+static void
+text_head(GString *s, const char *name, const char *type, const char *help)
+{
+	g_string_append_printf(s,
+	    "# HELP savory_entry_%s %s\n# TYPE savory_entry_%s %s\n", name,
+	    help, name, type);
+}
+
+static void
+text_value(GString *s, const char *name, const char *type, const char *help,
+    int64_t value)
+{
+	text_head(s, name, type, help);
+	g_string_append_printf(s, "savory_entry_%s %" PRId64 "\n", name, value);
+}
+
+static void
+text_codes(GString *s, struct entry *e)
+{
+	struct entry_kind *k;
+	unsigned int i;
+
+	text_head(s, "requests_total", "counter", "Requests by route and end.");
+	RB_FOREACH (k, entry_kinds, &e->kinds) {
+		for (i = 0; i < JOB_CODES; i++) {
+			if (k->codes[i] == 0)
+				continue;
+			g_string_append_printf(s,
+			    "savory_entry_requests_total{route=\"%s\","
+			    "end=\"%s\"} %" PRIu64 "\n",
+			    k->route, job_code_name(i), k->codes[i]);
+		}
+	}
+	text_head(s, "ends_total", "counter", "Requests by end, all routes.");
+	for (i = 0; i < JOB_CODES; i++)
+		g_string_append_printf(s,
+		    "savory_entry_ends_total{end=\"%s\"} %" PRIu64 "\n",
+		    job_code_name(i), e->counters.codes[i]);
+}
+
+static void
+text_buckets(GString *s, const char *name, const struct entry_kind *k,
+    const struct metrics_histogram *h)
+{
+	uint64_t sum = 0;
+	unsigned int i;
+
+	for (i = 0; i < METRICS_BUCKETS; i++) {
+		sum += h->counts[i];
+		g_string_append_printf(s,
+		    "savory_entry_%s_bucket{route=\"%s\",le=\"%" PRId64
+		    "\"} %" PRIu64 "\n",
+		    name, k->route, metrics_bound(i), sum);
+	}
+	g_string_append_printf(s,
+	    "savory_entry_%s_bucket{route=\"%s\",le=\"+Inf\"} %" PRIu64 "\n"
+	    "savory_entry_%s_sum{route=\"%s\"} %" PRIu64 "\n"
+	    "savory_entry_%s_count{route=\"%s\"} %" PRIu64 "\n",
+	    name, k->route, h->count, name, k->route, h->sum, name, k->route,
+	    h->count);
+}
+
+static void
+text_histograms(GString *s, struct entry *e)
+{
+	struct entry_kind *k;
+
+	text_head(s, "first_ms", "histogram", "Arrival to first byte.");
+	RB_FOREACH (k, entry_kinds, &e->kinds)
+		text_buckets(s, "first_ms", k, &k->first);
+	text_head(s, "whole_ms", "histogram", "Arrival to the whole answer.");
+	RB_FOREACH (k, entry_kinds, &e->kinds)
+		text_buckets(s, "whole_ms", k, &k->whole);
+	text_head(s, "gap_ms", "histogram", "Longest pause in a stream.");
+	RB_FOREACH (k, entry_kinds, &e->kinds)
+		text_buckets(s, "gap_ms", k, &k->gap);
+}
+
+static void
+text_servers(GString *s, struct entry *e)
+{
+	unsigned int n[3] = { 0 }, resting = 0;
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &e->servers.tree) {
+		n[v->state]++;
+		resting += v->resting_until > e->loop.now;
+	}
+	text_head(s, "servers", "gauge", "Backend servers by state.");
+	g_string_append_printf(s,
+	    "savory_entry_servers{state=\"ready\"} %u\n"
+	    "savory_entry_servers{state=\"draining\"} %u\n"
+	    "savory_entry_servers{state=\"gone\"} %u\n",
+	    n[SERVER_READY], n[SERVER_DRAINING], n[SERVER_GONE]);
+	text_value(s, "servers_resting", "gauge",
+	    "Backend servers that get less after failures.", resting);
+}
+
+static void
+text_budgets(GString *s, struct entry *e, msec now)
+{
+	struct retry_budget *b;
+	const struct route_service *v;
+
+	text_head(s, "retries_left", "gauge", "What the share allows now.");
+	RB_FOREACH (b, retry_budgets, &e->budgets) {
+		v = e->table != NULL ? route_service_find(e->table, b->service)
+				     : NULL;
+		g_string_append_printf(s,
+		    "savory_entry_retries_left{service=\"%s\"} %u\n",
+		    v != NULL ? v->name : "?",
+		    retry_budget_left(b, &e->budget, now, e->live_nodes));
+	}
+}
+
+static void
+text_state(GString *s, struct entry *e, msec now)
+{
+	msec age = fresh_age(&e->fresh, now);
+
+	text_value(s, "ready", "gauge", "Callers may be sent here.",
+	    entry_is_ready(e, now));
+	text_value(s, "configuration_version", "gauge", "In force.",
+	    e->table != NULL ? (int64_t)e->table->version : 0);
+	text_value(s, "proof_age_ms", "gauge",
+	    "Age of the proof that it is the newest; -1: none.",
+	    age == MSEC_NEVER ? -1 : age);
+	text_value(
+	    s, "platform_up", "gauge", "The platform answers.", e->source_up);
+	text_value(
+	    s, "nodes", "gauge", "Live nodes, with this one.", e->live_nodes);
+	text_value(s, "requests_open", "gauge", "In flight.", e->njobs);
+	text_value(
+	    s, "callers", "gauge", "Connections of callers.", e->ncallers);
+}
+
+static void
+text_counters(GString *s, struct entry *e)
+{
+	const struct entry_counters *c = &e->counters;
+	const struct place_counters *p = &e->place.counters;
+
+	text_value(s, "attempts_total", "counter", "Sent to servers.",
+	    (int64_t)c->attempts);
+	text_value(s, "retries_total", "counter", "Beyond the first.",
+	    (int64_t)c->retries);
+	text_value(s, "connects_total", "counter", "New connections.",
+	    (int64_t)c->connects);
+	text_value(s, "reused_total", "counter", "Kept connections used.",
+	    (int64_t)c->reused);
+	text_value(s, "strays_total", "counter", "Answers to nobody.",
+	    (int64_t)c->strays);
+	text_value(s, "configurations_total", "counter", "Taken up.",
+	    (int64_t)c->tables);
+	text_value(s, "placements_asked_total", "counter",
+	    "Coordinators asked.", (int64_t)p->asked);
+	text_value(s, "placements_alone_total", "counter",
+	    "Placed without a coordinator's answer.", (int64_t)p->alone);
+	text_value(s, "placements_made_total", "counter",
+	    "Placed here as coordinator.", (int64_t)p->coordinated);
+	text_value(s, "prompt_tokens_total", "counter",
+	    "Prompt tokens of requests placed here as coordinator.",
+	    (int64_t)p->tokens);
+	text_value(s, "prompt_tokens_kept_total", "counter",
+	    "Of these, thought to be kept by the server.",
+	    (int64_t)p->tokens_kept);
+	text_value(
+	    s, "log_lines_total", "counter", "Written.", (int64_t)e->log.lines);
+	text_value(s, "log_dropped_total", "counter", "Left out.",
+	    (int64_t)e->log.dropped);
+}
+
+static void
+metrics_text(GString *s, struct entry *e, msec now)
+{
+	text_state(s, e, now);
+	text_codes(s, e);
+	text_histograms(s, e);
+	text_servers(s, e);
+	text_budgets(s, e, now);
+	text_counters(s, e);
+	e->source->ops->metrics(e->source, s);
+}
+
+/* ---- the dump ---- */
+
+static void
+dump_servers(GString *s, struct entry *e, msec now)
+{
+	static const char *const states[] = { "ready", "draining", "gone" };
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &e->servers.tree)
+		g_string_append_printf(s,
+		    "server %s domain %s state %s slots %u running %u "
+		    "unread %" PRIu64 " all-running %u all-unread %" PRIu64
+		    " failures %u rests-ms %" PRId64 " links %u\n",
+		    v->name, v->domain, states[v->state], v->slots,
+		    v->own.running, v->own.unread, v->all.running,
+		    v->all.unread, v->failures, MAX(v->resting_until - now, 0),
+		    v->links);
+}
+
+static void
+dump_jobs(GString *s, struct entry *e, msec now)
+{
+	struct job *j;
+
+	TAILQ_FOREACH (j, &e->jobs, entry)
+		g_string_append_printf(s,
+		    "request %s route %s server %s age-ms %" PRId64
+		    " sends %u began %s\n",
+		    j->request.id, j->route != NULL ? j->route->name : "-",
+		    *j->server_name != '\0' ? j->server_name : "-",
+		    now - j->arrived, j->sends, j->began ? "yes" : "no");
+}
+
+static void
+metrics_dump(GString *s, struct entry *e, msec now)
+{
+	static const char *const phases[] = { "starting", "serving",
+		"leaving" };
+	g_autofree char *members = members_dump(&e->members, now);
+
+	g_string_append_printf(s,
+	    "node %s domain %s phase %s ready %s configuration %" PRIu64
+	    " proof-ms %" PRId64 "\n",
+	    e->settings->node, e->settings->domain, phases[e->phase],
+	    entry_is_ready(e, now) ? "yes" : "no",
+	    e->table != NULL ? e->table->version : 0,
+	    e->fresh.proven == MSEC_NEVER ? -1 : now - e->fresh.proven);
+	dump_servers(s, e, now);
+	dump_jobs(s, e, now);
+	g_string_append(s, members);
+}
+
+static void
+metrics_nothing(struct caller *c, msec now)
+{
+}
+
+static void
+metrics_request_caller(struct caller *c, msec now)
+{
+	g_autoptr(GString) s = g_string_new(NULL);
+	const char *target = c->reader.head->target;
+	unsigned int status = 200;
+
+	if (strcmp(target, "/metrics") == 0)
+		metrics_text(s, c->owner, now);
+	else if (strcmp(target, "/dump") == 0)
+		metrics_dump(s, c->owner, now);
+	else
+		status = 404;
+	caller_answer(c, now, status, "", "text/plain", s->str, true);
+}
--- a/entry-state.c
+++ b/entry-state.c
@@ -30,17 +30,6 @@
 /* Others hear of us this long before callers are sent here by name. */
 #define STATE_LOAD_FULL 1000
 
-static int budget_compare(struct retry_budget *, struct retry_budget *);
-
-RB_PROTOTYPE(retry_budgets, retry_budget, entry, budget_compare)
-RB_GENERATE(retry_budgets, retry_budget, entry, budget_compare)
-
-static int
-budget_compare(struct retry_budget *a, struct retry_budget *b)
-{
-	return a->service < b->service ? -1 : a->service > b->service;
-}
-
 struct retry_budget *
 entry_budget(struct entry *e, name_id service)
 {
@@ -161,7 +150,7 @@
 static void
 state_push_nodes(struct entry *e, msec now)
 {
-	g_autofree struct place_node *nodes = NULL;
+	struct place_node *nodes;
 	unsigned int n = 1;
 	struct member *m;
 
@@ -180,6 +169,7 @@
 			m->state == MEMBER_ALIVE && !m->leaving };
 	}
 	place_set_nodes(&e->place, now, nodes, n);
+	g_free(nodes);
 }
 
 void
--- a/entry.c
+++ b/entry.c
@@ -120,6 +120,10 @@
 {
 	const struct settings *s = e->settings;
 
+	if (s->metrics.port != 0 &&
+	    !caller_listen(
+		e, &e->metrics_io, &s->metrics, &metrics_caller_ops, false))
+		return false;
 	return caller_listen(
 		   e, &e->ready_io, &s->ready, &query_caller_ops, false) &&
 	       caller_listen(e, &e->directory_io, &s->directory,
@@ -138,6 +142,7 @@
 	e->rand = g_rand_new();
 	TAILQ_INIT(&e->callers);
 	TAILQ_INIT(&e->jobs);
+	RB_INIT(&e->kinds);
 	if (!loop_init(&e->loop))
 		return false;
 	e->loop.turn = entry_turn;
@@ -157,6 +162,7 @@
 {
 	e->source->ops->finish(e->source);
 	entry_state_finish(e);
+	entry_kinds_free(e);
 	entry_log_finish(&e->log);
 	loop_close(&e->loop, &e->signal_io);
 	loop_finish(&e->loop);
--- a/entry.h
+++ b/entry.h
@@ -23,6 +23,7 @@
 #include "http-message.h"
 #include "loop.h"
 #include "member.h"
+#include "metrics.h"
 #include "net.h"
 #include "place.h"
 #include "retry-budget.h"
@@ -38,7 +39,6 @@
 TAILQ_HEAD(caller_list, caller);
 TAILQ_HEAD(job_list, job);
 TAILQ_HEAD(link_list, link);
-RB_HEAD(retry_budgets, retry_budget);
 
 /* ---- connections of callers: entry-caller.c ---- */
 
@@ -264,6 +264,19 @@
 	ENTRY_LEAVING
 };
 
+/* What is counted of the requests of one route. */
+struct entry_kind {
+	RB_ENTRY(entry_kind) entry;
+	char route[NAME_SIZE];
+	uint64_t codes[JOB_CODES];
+	struct metrics_histogram first, whole, gap;
+};
+RB_HEAD(entry_kinds, entry_kind);
+int entry_kind_compare(struct entry_kind *, struct entry_kind *);
+RB_PROTOTYPE(entry_kinds, entry_kind, entry, entry_kind_compare)
+/* Routes beyond that are counted together only. */
+#define ENTRY_KINDS_MAX 64
+
 struct entry_counters {
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays;
@@ -290,7 +303,7 @@
 	struct loop_io net_io;
 	struct loop_io signal_io;
 	struct loop_timer tick;
-	struct listener_io callers_io, ready_io, directory_io;
+	struct listener_io callers_io, ready_io, directory_io, metrics_io;
 	struct caller_list callers;
 	unsigned int ncallers;
 	struct job_list jobs;
@@ -304,6 +317,8 @@
 	GRand *rand;
 	struct entry_log log;
 	struct entry_counters counters;
+	struct entry_kinds kinds;
+	unsigned int nkinds;
 };
 
 /* From the source: a newer configuration; takes over the reference. */
@@ -328,6 +343,13 @@
 /* Placement has something due: set its timer anew. */
 void entry_place_soon(struct entry *, msec);
 
+/* ---- metrics and dump: entry-metrics.c ---- */
+
+extern const struct caller_ops metrics_caller_ops;
+/* A request has ended. */
+void entry_count(struct entry *, const struct job *, enum job_code, msec);
+void entry_kinds_free(struct entry *);
+
 /* ---- the process: entry.c ---- */
 
 /* Run until SIGTERM and its end; the exit status. */
--- a/fresh.h
+++ b/fresh.h
@@ -10,11 +10,13 @@
 
 #include "savory.h"
 
+/* A node's proof. */
 struct fresh {
 	msec proven; /* MSEC_NEVER: no proof yet */
 	msec bound;  /* a proof holds for so long; 0: for ever */
 };
 
+/* Without a proof, with the bound in milliseconds. */
 void fresh_init(struct fresh *, msec bound);
 /*
  * The newest configuration was read, and is in force: when the read was sent.
--- a/http-message.h
+++ b/http-message.h
@@ -14,6 +14,7 @@
 
 #include <http_parser.h>
 
+/* Heads with more fields are refused. */
 #define HTTP_FIELDS_MAX 128
 
 /* One header field; the text lies in the reader's memory. */
@@ -37,6 +38,7 @@
 	struct http_field fields[HTTP_FIELDS_MAX];
 };
 
+/* Where a message stands. */
 enum http_stage {
 	HTTP_STAGE_HEAD,
 	HTTP_STAGE_BODY,
@@ -44,6 +46,7 @@
 	HTTP_STAGE_FAILED /* see http_reader.error */
 };
 
+/* Why it failed. */
 enum http_error {
 	HTTP_ERROR_NONE,
 	HTTP_ERROR_MALFORMED,
@@ -57,6 +60,7 @@
 /* Takes a piece of the body; the bytes are lent for the call. */
 typedef void (*http_body)(struct http_reader *, const char *, size_t);
 
+/* One connection's reader, in the embedder's memory. */
 struct http_reader {
 	http_body body;
 	void *arg;
--- a/place.c
+++ b/place.c
@@ -286,6 +286,8 @@
 	if (!server_memory_has(
 		&p->servers->all_memory, now, v->id, w->prompt, PLACE_HOLD_MS))
 		h->tokens += w->shared;
+	p->counters.tokens += w->own + w->shared;
+	p->counters.tokens_kept += w->own + w->shared - h->tokens;
 	h->since = now;
 	RB_INSERT(place_holds, &p->holds, h);
 	load_add(&v->all, h->tokens);
@@ -350,9 +352,9 @@
 		.out = w->out,
 		.gap_ms = (u_int)w->gap_target,
 		.rank = w->rank };
-	/* An encoder only reads. */
+	/* An encoder only reads; its signature serves both directions. */
 	m->avoid.avoid_len = w->navoid;
-	m->avoid.avoid_val = (u_quad_t *)(uintptr_t)w->avoid;
+	m->avoid.avoid_val = (u_quad_t *)w->avoid;
 }
 
 static void
--- a/place.h
+++ b/place.h
@@ -44,11 +44,13 @@
 TAILQ_HEAD(place_requests, place_request);
 
 struct place_hold;
+/* Requests that a coordinator counts; kinds of request by service. */
 RB_HEAD(place_holds, place_hold);
 RB_HEAD(place_mixes, mix);
 
 struct place;
 
+/* What the core calls; both must be given. */
 struct place_ops {
 	/* Send to a node; may be dropped. Must not call back. */
 	void (*send)(struct place *, name_id, const sp_msg *);
@@ -63,10 +65,13 @@
 	bool takes_work;
 };
 
+/* Counters; all only grow. */
 struct place_counters {
 	uint64_t asked, answered, late, alone, coordinated;
+	uint64_t tokens, tokens_kept; /* of prompts, as coordinator */
 };
 
+/* The core's state; one per node, in the embedder's memory. */
 struct place {
 	const struct place_ops *ops;
 	struct servers *servers;
@@ -92,6 +97,7 @@
 	void *arg; /* the embedder's */
 };
 
+/* Start for a node's id and failure domain; the end. */
 void place_init(struct place *, const struct place_ops *, struct servers *,
     name_id self, const char *domain, GRand *);
 void place_finish(struct place *);
--- a/retry-budget.c
+++ b/retry-budget.c
@@ -12,6 +12,14 @@
 /* Part of the fraction that is used, percent. */
 #define RETRY_USED_PERCENT 80
 
+RB_GENERATE(retry_budgets, retry_budget, entry, retry_budget_compare)
+
+int
+retry_budget_compare(struct retry_budget *a, struct retry_budget *b)
+{
+	return a->service < b->service ? -1 : a->service > b->service;
+}
+
 void
 retry_budget_init(struct retry_budget *b, name_id service, msec started)
 {
--- a/retry-budget.h
+++ b/retry-budget.h
@@ -18,6 +18,7 @@
 /* The window is counted in so many slices. */
 #define RETRY_SLICES 20
 
+/* What all nodes share. */
 struct retry_budget_config {
 	msec window;
 	unsigned int permille; /* retries for 1,000 requests */
@@ -35,6 +36,12 @@
 	uint64_t taken, denied; /* counters */
 };
 
+/* Those of all services, by service. */
+RB_HEAD(retry_budgets, retry_budget);
+int retry_budget_compare(struct retry_budget *, struct retry_budget *);
+RB_PROTOTYPE(retry_budgets, retry_budget, entry, retry_budget_compare)
+
+/* Unused, for a service, on a node that started then. */
 void retry_budget_init(struct retry_budget *, name_id service, msec started);
 /* A caller's request for the service has come. */
 void retry_budget_request(
--- a/route.h
+++ b/route.h
@@ -9,6 +9,7 @@
 
 #include "savory.h"
 
+/* Services that one route may be split over. */
 #define ROUTE_SPLITS_MAX 16
 /* Priorities, and ranks at a server, are 0 to ROUTE_RANKS - 1; 0 is first. */
 #define ROUTE_RANKS 10
@@ -26,6 +27,7 @@
 	unsigned int weight;
 };
 
+/* Requests of one host below one path. */
 struct route {
 	char *name;
 	char *host;   /* lower case, without a port */
@@ -43,6 +45,7 @@
 	struct route_split splits[ROUTE_SPLITS_MAX];
 };
 
+/* What is said of a service's servers. */
 struct route_service {
 	char *name;
 	name_id id;
@@ -52,12 +55,14 @@
 	unsigned int tokens_per_event; /* 0: not said */
 };
 
+/* Who may ask. */
 struct route_organisation {
 	char *name;
 	bool has_priority;
 	unsigned int priority; /* goes before the route's */
 };
 
+/* What callers may send, and how slowly. */
 struct route_limits {
 	unsigned int head_bytes;
 	unsigned int body_bytes;
@@ -92,6 +97,7 @@
 /* Put it in order; nothing may be added after. */
 void route_table_complete(struct route_table *);
 
+/* One more reference; one less, and the end with the last. */
 struct route_table *route_table_take(struct route_table *);
 void route_table_drop(struct route_table *);
 
--- a/scripts/savorypier.bash
+++ b/scripts/savorypier.bash
@@ -13,12 +13,13 @@
 		esac
 	done
 	case $cmd in
-	'') words="check diff drain dump entry history publish send show status top" ;;
+	'') words="check diff drain dump entry explain history publish send show status top" ;;
 	check) words="" ;;
 	diff) words="" ;;
 	drain) words="" ;;
 	dump) words="" ;;
 	entry) words="--domain" ;;
+	explain) words="" ;;
 	history) words="" ;;
 	publish) words="--base --id --by --timeout-ms" ;;
 	send) words="--to --domain --key --service --class --model --max-tokens --deadline-ms --not-repeatable --idempotency-key --path" ;;
--- a/server-memory.h
+++ b/server-memory.h
@@ -14,6 +14,7 @@
  */
 #define SERVER_MEMORY_PLACES 2048
 
+/* The table; all zero is empty. */
 struct server_memory {
 	struct {
 		uint32_t key;
--- a/server-mix.h
+++ b/server-mix.h
@@ -11,6 +11,7 @@
 
 #include "savory.h"
 
+/* Routes of a service beyond these are not light. */
 #define MIX_ROUTES_MAX 32
 
 /* What one kind of request of a service was like, here. */
--- a/server.h
+++ b/server.h
@@ -14,6 +14,7 @@
 #define SERVER_NAME_SIZE 128
 #define SERVER_RANKS 10
 
+/* What the platform says of a server. */
 enum server_state {
 	SERVER_READY,
 	SERVER_DRAINING, /* finishes what it has */
@@ -38,6 +39,7 @@
 	uint64_t unread; /* prompt tokens without an answer yet */
 };
 
+/* A server: the platform's words, and what our requests showed. */
 struct server {
 	RB_ENTRY(server) entry;
 	name_id id;
@@ -66,12 +68,14 @@
 	unsigned int links; /* connections of ours, used and idle */
 	void *arg;	    /* the embedder's */
 };
+/* By id. */
 RB_HEAD(server_tree, server);
 int server_compare(struct server *, struct server *);
 RB_PROTOTYPE(server_tree, server, entry, server_compare)
 
 struct servers;
 
+/* What the table calls; both must be given. */
 struct server_ops {
 	/* It drains, is gone, or started anew under its name. */
 	void (*changed)(struct servers *, struct server *);
@@ -79,6 +83,7 @@
 	void (*removed)(struct servers *, struct server *);
 };
 
+/* All servers; in the embedder's memory. */
 struct servers {
 	const struct server_ops *ops;
 	struct server_tree tree;
@@ -89,6 +94,7 @@
 	void *arg;			 /* the embedder's */
 };
 
+/* Empty; its end; one by id, or NULL. */
 void servers_init(struct servers *, const struct server_ops *);
 void servers_finish(struct servers *);
 struct server *servers_find(struct servers *, name_id);
@@ -128,6 +134,7 @@
 
 /* ---- the choice: server-choose.c ---- */
 
+/* Servers that a request may avoid. */
 #define SERVER_AVOID_MAX 8
 
 /* What a request needs. */
--- a/settings.c
+++ b/settings.c
@@ -32,6 +32,7 @@
 static void parse_weight_url(struct walk *, const yaml_node_t *, void *);
 static void parse_ready(struct walk *, const yaml_node_t *, void *);
 static void parse_directory(struct walk *, const yaml_node_t *, void *);
+static void parse_metrics(struct walk *, const yaml_node_t *, void *);
 static void parse_store(struct walk *, const yaml_node_t *, void *);
 static void parse_stop_s(struct walk *, const yaml_node_t *, void *);
 static void parse_window_s(struct walk *, const yaml_node_t *, void *);
@@ -54,7 +55,7 @@
 	    { "peer", WALK_CUSTOM, true, .parse = parse_peer },
 	    { "ready", WALK_CUSTOM, .parse = parse_ready },
 	    { "directory", WALK_CUSTOM, .parse = parse_directory },
-	    { NULL } } };
+	    { "metrics", WALK_CUSTOM, .parse = parse_metrics }, { NULL } } };
 
 static const struct walk_schema platform_schema = { "platform", 0,
 	(const struct walk_field[]){
@@ -201,6 +202,12 @@
 	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.directory);
 }
 
+static void
+parse_metrics(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.metrics);
+}
+
 static void
 parse_store(struct walk *w, const yaml_node_t *node, void *arg)
 {
--- a/settings.h
+++ b/settings.h
@@ -23,6 +23,7 @@
 	struct endpoint peer;	   /* UDP between nodes */
 	struct endpoint ready;	   /* HTTP, readiness; with a store only */
 	struct endpoint directory; /* HTTP, which node to use; the same */
+	struct endpoint metrics;   /* HTTP, metrics and dump; port 0: none */
 	struct endpoint store;	   /* the platform's store; port 0: a log */
 	char *log_url;		   /* log service, without last / */
 	msec log_keeps;		   /* how long the log keeps records */
--- a/wire.h
+++ b/wire.h
@@ -103,8 +103,8 @@
 	void (*announce)(struct source *);
 	/* Others are not to find it any more. */
 	void (*retract)(struct source *);
-	/* The lines of a dump. */
-	void (*dump)(const struct source *, GString *);
+	/* Its own counters, as text exposition. */
+	void (*metrics)(const struct source *, GString *);
 	void (*finish)(struct source *);
 };
 
