Young proofs by short reads; refused connections are shared; truer log lines

Ruled out: a longer Retry-After alone (it only hides who came back). Also: a server's failure passed on is logged as such, not as broken.

--- a/entry-job.c
+++ b/entry-job.c
@@ -16,8 +16,10 @@
 #define JOB_LEAST_MS 20
 /* Nothing of a request that fails comes back sooner. */
 #define JOB_RETRY_AFTER_MS 400
-/* A node that cannot judge keys may again soon, or another can now. */
-#define JOB_NOT_FRESH_RETRY_MS 1000
+/* A node that starts knows more in a moment, and another knows now. */
+#define JOB_SOON_RETRY_MS 150
+/* The platform is away for all: nobody can judge keys for a while. */
+#define JOB_AWAY_RETRY_MS 1000
 /* Sends beyond the attempts allowed, for servers that said "not executed". */
 #define JOB_EXTRA_SENDS 1
 /* Part of the target after which a silent server is given up, percent. */
@@ -74,6 +76,8 @@
 	const char *route = j->route != NULL ? j->route->name : NULL;
 	const char *organisation =
 	    j->organisation != NULL ? j->organisation->name : NULL;
+	const char *last =
+	    j->last != JOB_SERVED ? job_code_name(j->last) : NULL;
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
 	msec left = j->deadline != MSEC_NEVER ? j->deadline - now : MSEC_NEVER;
@@ -88,7 +92,7 @@
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_RUNS, j->runs),
 	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
-	    LOG_TEXT(LOG_KEY_LAST, job_code_name(j->last)),
+	    LOG_TEXT(LOG_KEY_LAST, last),
 	    LOG_NUMBER(LOG_KEY_FIRST_MS, job_span(first)),
 	    LOG_NUMBER(LOG_KEY_GAP_MS, j->gap),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived),
@@ -102,12 +106,8 @@
 static void
 job_leave_server(struct job *j, msec now, enum server_result how)
 {
-	struct server *v = j->server;
-
 	loop_timer_stop(&j->owner->loop, &j->patience);
-	place_end(&j->owner->place, now, &j->place);
-	if (v != NULL)
-		server_learn(v, now, how);
+	place_end(&j->owner->place, now, &j->place, how);
 	j->server = NULL;
 }
 
@@ -164,8 +164,11 @@
 {
 	msec after = JOB_RETRY_AFTER_MS;
 
-	if (code == JOB_NOT_FRESH || code == JOB_STARTING)
-		after = JOB_NOT_FRESH_RETRY_MS;
+	if (code == JOB_STARTING ||
+	    (code == JOB_NOT_FRESH && entry_others_ready(j->owner)))
+		after = JOB_SOON_RETRY_MS;
+	else if (code == JOB_NOT_FRESH)
+		after = JOB_AWAY_RETRY_MS;
 	/* Spread, so that those refused together do not return together. */
 	return after + g_rand_int_range(j->owner->rand, 0, (gint32)after);
 }
@@ -176,6 +179,7 @@
 {
 	struct caller *c = j->caller;
 	unsigned int status = job_status(j, code);
+	bool cut = j->began;
 
 	job_cancel(j, now,
 	    code == JOB_TIMEOUT && j->may_have_run && !j->began
@@ -188,7 +192,7 @@
 	else
 		reply_own(j, now, status,
 		    status == 503 ? job_retry_after(j, code) : 0, true);
-	job_free(j, now, j->began && code != JOB_TIMEOUT ? JOB_BROKEN : code);
+	job_free(j, now, cut && code != JOB_TIMEOUT ? JOB_BROKEN : code);
 }
 
 /* ---- admission ---- */
@@ -437,14 +441,13 @@
 	}
 	if (!route_has_service(j->route, j->service)) {
 		/* The route moved meanwhile. */
-		place_end(p, now, r);
+		place_end(p, now, r, SERVER_UNKNOWN);
 		job_attempt(j, now);
 		return;
 	}
 	if (job_send(j, now, v))
 		return;
-	place_end(p, now, r);
-	server_learn(v, now, SERVER_FAILED);
+	place_end(p, now, r, SERVER_DOWN);
 	j->last = JOB_UNREACHABLE;
 	if (j->ntried == SERVER_AVOID_MAX)
 		job_fail(j, now, j->last);
@@ -462,6 +465,8 @@
 		return false;
 	if (j->began && (!j->streamed || j->events == 0))
 		return false;
+	if (j->ntried == SERVER_AVOID_MAX)
+		return false;
 	if (j->runs >= j->route->attempts ||
 	    j->sends >= j->route->attempts + JOB_EXTRA_SENDS)
 		return false;
@@ -591,8 +596,11 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
-	job_leave_server(j, now, SERVER_FAILED);
+	job_leave_server(
+	    j, now, how == LINK_UNSENT ? SERVER_DOWN : SERVER_FAILED);
 	if (how == LINK_UNSENT) {
+		/* Nothing was handed over: it does not count as a send. */
+		j->sends--;
 		job_next(j, now, JOB_UNREACHABLE);
 		return;
 	}
--- a/entry-log.c
+++ b/entry-log.c
@@ -60,8 +60,8 @@
 	    "from the request to the first byte of the answer; -1: none" },
 	[LOG_KEY_GAP_MS] = { "gap_ms",
 	    "longest pause between two parts of the answer" },
-	[LOG_KEY_LAST] = { "last",
-	    "why the last attempt ended, or number of the last event" },
+	[LOG_KEY_LAST] = { "last", "why an attempt before the end failed, or "
+				   "number of the last event" },
 	[LOG_KEY_LEFT_MS] = { "left_ms", "until the deadline" },
 	[LOG_KEY_LINES] = { "lines", "lines left out" },
 	[LOG_KEY_MAY_HAVE_RUN] = { "may_have_run",
--- a/entry-state.c
+++ b/entry-state.c
@@ -16,12 +16,13 @@
  */
 #define STATE_FRESH_MARGIN_MS 700
 /*
- * A read that waits proves what held when it was sent, so the proof in hand
- * ages to twice the wait. At this part of the bound a late answer still comes
- * in time; longer waits would spare few calls.
+ * The configuration is read so often: a proof is dated by the asking, so
+ * reading at once and often keeps it younger than long waits for news do, with
+ * the same number of calls. Parts of the bounds on keys and on changes.
  */
-#define STATE_WAIT_PERCENT 35
-#define STATE_WAIT_MOST_MS 1500
+#define STATE_READ_KEYS_PERCENT 25
+#define STATE_READ_CHANGE_PERCENT 50
+#define STATE_READ_MOST_MS 1000
 /*
  * After the source is back, entries of servers that lapsed meanwhile return
  * within two seconds.
@@ -211,12 +212,28 @@
 }
 
 msec
-entry_proof_wait(const struct entry *e)
+entry_read_every(const struct entry *e)
 {
-	if (e->fresh.bound == 0)
-		return STATE_WAIT_MOST_MS;
-	return MIN(
-	    e->fresh.bound * STATE_WAIT_PERCENT / 100, STATE_WAIT_MOST_MS);
+	msec every = STATE_READ_MOST_MS, change = e->settings->change_bound;
+
+	if (e->fresh.bound != 0)
+		every =
+		    MIN(every, e->fresh.bound * STATE_READ_KEYS_PERCENT / 100);
+	return MAX(MIN(every, change * STATE_READ_CHANGE_PERCENT / 100), 1);
+}
+
+/* Is another node there that takes work? */
+bool
+entry_others_ready(const struct entry *e)
+{
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, (struct member_tree *)&e->members.tree) {
+		if (m->state == MEMBER_ALIVE && !m->leaving &&
+		    m->load_permille < STATE_LOAD_FULL)
+			return true;
+	}
+	return false;
 }
 
 void
--- a/entry.h
+++ b/entry.h
@@ -325,14 +325,16 @@
 void entry_take_table(struct entry *, struct route_table *, msec);
 /* The configuration in force is the newest; a read sent then said so. */
 void entry_take_proof(struct entry *, msec asked);
-/* How long a read of the configuration may wait for a newer one. */
-msec entry_proof_wait(const struct entry *);
+/* How often the configuration is to be read. */
+msec entry_read_every(const struct entry *);
 /* Other nodes that announced themselves. */
 void entry_take_nodes(struct entry *, const struct vm *, unsigned int, msec);
 /* The source does not answer, or answers again. */
 void entry_source_down(struct entry *, msec, const char *why);
 void entry_source_up(struct entry *, msec);
 
+/* Is another node there that takes work? */
+bool entry_others_ready(const struct entry *);
 /* May callers be sent here? */
 bool entry_is_ready(const struct entry *, msec);
 struct retry_budget *entry_budget(struct entry *, name_id service);
--- a/place.c
+++ b/place.c
@@ -325,18 +325,58 @@
 	return v;
 }
 
+/* How a request ended, on the wire and back. */
+static const struct {
+	enum server_result result;
+	enum sp_place_what what;
+} place_ends[] = {
+	{ SERVER_WELL, SP_PLACE_WELL },
+	{ SERVER_FAILED, SP_PLACE_FAILED },
+	{ SERVER_DOWN, SP_PLACE_DOWN },
+};
+
+static enum server_result
+place_result(enum sp_place_what what)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(place_ends); i++) {
+		if (place_ends[i].what == what)
+			return place_ends[i].result;
+	}
+	return SERVER_UNKNOWN;
+}
+
+static enum sp_place_what
+place_what(enum server_result result)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(place_ends); i++) {
+		if (place_ends[i].result == result)
+			return place_ends[i].what;
+	}
+	return SP_PLACE_ENDED;
+}
+
 static void
 place_step(struct place *p, msec now, name_id node, uint32_t id,
     enum sp_place_what what)
 {
 	struct place_hold *h = hold_find(p, node, id);
+	struct server *v;
 
 	if (h == NULL)
 		return;
-	if (what == SP_PLACE_READ)
+	if (what == SP_PLACE_READ) {
 		hold_read(p, h);
-	else
-		hold_end(p, now, h);
+		return;
+	}
+	/* Our own requests have taught us already. */
+	v = servers_find(p->servers, h->server);
+	if (v != NULL && node != p->self)
+		server_learn(v, now, place_result(what));
+	hold_end(p, now, h);
 }
 
 /* ---- messages ---- */
@@ -506,7 +546,8 @@
 }
 
 void
-place_end(struct place *p, msec now, struct place_request *r)
+place_end(struct place *p, msec now, struct place_request *r,
+    enum server_result result)
 {
 	struct server *v;
 
@@ -518,13 +559,15 @@
 		v = servers_find(p->servers, r->server);
 		if (v != NULL && r->unread)
 			load_read(&v->own, r->wish.own + r->wish.shared);
-		if (v != NULL)
+		if (v != NULL) {
 			load_end(&v->own);
+			server_learn(v, now, result);
+		}
 		mix_ended(
 		    place_mix(&p->own, r->wish.service), now, r->wish.route);
 	}
 	r->local = r->unread = false;
-	place_tell_step(p, now, r, SP_PLACE_ENDED);
+	place_tell_step(p, now, r, place_what(result));
 	r->id = 0;
 }
 
--- a/place.h
+++ b/place.h
@@ -108,8 +108,12 @@
 void place_submit(struct place *, msec, struct place_request *);
 /* Its prompt has been read: the answer has begun. */
 void place_read(struct place *, msec, struct place_request *);
-/* It is not wanted any more, or has left its server. */
-void place_end(struct place *, msec, struct place_request *);
+/*
+ * It is not wanted any more, or has left its server in such a way: what is
+ * learned of the server, here and by the coordinator.
+ */
+void
+place_end(struct place *, msec, struct place_request *, enum server_result);
 /* From a node. */
 void place_receive(struct place *, msec, name_id, const sp_msg *);
 /* Do what is due; the point at which to call it next. */
--- a/proto.h
+++ b/proto.h
@@ -237,6 +237,9 @@
 enum sp_place_what {
 	SP_PLACE_READ = 0,
 	SP_PLACE_ENDED = 1,
+	SP_PLACE_WELL = 2,
+	SP_PLACE_FAILED = 3,
+	SP_PLACE_DOWN = 4,
 };
 typedef enum sp_place_what sp_place_what;
 
--- a/proto.x
+++ b/proto.x
@@ -228,7 +228,10 @@
 
 enum sp_place_what {
 	SP_PLACE_READ = 0,		/* its prompt has been read */
-	SP_PLACE_ENDED = 1		/* it is not there any more */
+	SP_PLACE_ENDED = 1,		/* it is not there any more */
+	SP_PLACE_WELL = 2,		/* the same, and it was answered */
+	SP_PLACE_FAILED = 3,		/* the same, and the server failed */
+	SP_PLACE_DOWN = 4		/* the same, and it cannot be reached */
 };
 
 struct sp_place_step {
--- a/server.c
+++ b/server.c
@@ -187,6 +187,13 @@
 		    now + MIN(SERVER_REST_MS << n, SERVER_REST_MAX_MS);
 		log_debug("%s failed %u times, rests", v->name, v->failures);
 		break;
+	case SERVER_DOWN:
+		/* Nobody listens there: one try says it all. */
+		v->failures = MAX(v->failures + 1, SERVER_FAILURES_MAX);
+		n = MIN(v->failures - SERVER_FAILURES_MAX, 8);
+		v->resting_until =
+		    now + MIN(SERVER_REST_MS << n, SERVER_REST_MAX_MS);
+		break;
 	case SERVER_FULL:
 	case SERVER_UNKNOWN:
 		break;
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -224,7 +224,8 @@
 	/* All are counted off again. */
 	for (i = 0; i < G_N_ELEMENTS(r); i++) {
 		place_read(&nodes[i % 8].place, clock_now, &r[i]);
-		place_end(&nodes[i % 8].place, clock_now, &r[i]);
+		place_end(
+		    &nodes[i % 8].place, clock_now, &r[i], SERVER_UNKNOWN);
 	}
 	fleet_run(5);
 	for (i = 0; i < nnodes; i++) {
@@ -254,7 +255,7 @@
 		if (i == 0)
 			where = nodes[0].last->id;
 		g_assert_true(nodes[i % 8].last->id == where);
-		place_end(&nodes[i % 8].place, clock_now, &r);
+		place_end(&nodes[i % 8].place, clock_now, &r, SERVER_UNKNOWN);
 	}
 	fleet_stop();
 }
@@ -273,7 +274,7 @@
 		place_submit(&nodes[i].place, clock_now, &r);
 		at_once = nodes[i].decided == 1;
 		fleet_run(5);
-		place_end(&nodes[i].place, clock_now, &r);
+		place_end(&nodes[i].place, clock_now, &r, SERVER_UNKNOWN);
 		nodes[i].decided = 0;
 		if (at_once)
 			return i;
@@ -377,6 +378,41 @@
 	fleet_stop();
 }
 
+/*
+ * Servers crash. Each node that sends to one is refused and must learn it for
+ * itself, and a request that may be sent twice only meets two of them: the
+ * coordinator hears of the first refusal and sends nobody there any more.
+ */
+static void
+test_down(void)
+{
+	struct place_request r;
+	struct server *v;
+	unsigned int i, hits = 0;
+	char down[SERVER_NAME_SIZE] = "";
+
+	fleet_start(8, SERVERS);
+	for (i = 0; i < 400; i++) {
+		request_fill(&r, 0, 100);
+		place_submit(&nodes[i % 8].place, clock_now, &r);
+		fleet_run(5);
+		v = nodes[i % 8].last;
+		if (i == 0)
+			g_strlcpy(down, v->name, sizeof down);
+		if (strcmp(v->name, down) == 0) {
+			hits++;
+			place_end(
+			    &nodes[i % 8].place, clock_now, &r, SERVER_DOWN);
+		} else {
+			place_end(
+			    &nodes[i % 8].place, clock_now, &r, SERVER_WELL);
+		}
+	}
+	/* 2,000 ms: tried again now and then, not by each node. */
+	g_assert_cmpuint(hits, <=, 4);
+	fleet_stop();
+}
+
 /* A choice of the coordinator's that we know to be draining is not taken. */
 static void
 test_draining(void)
@@ -396,7 +432,7 @@
 		fleet_run(20);
 		g_assert_cmpuint(nodes[n].decided, ==, prompt);
 		g_assert_cmpstr(nodes[n].last->name, ==, "s1");
-		place_end(&nodes[n].place, clock_now, &r);
+		place_end(&nodes[n].place, clock_now, &r, SERVER_UNKNOWN);
 	}
 	g_assert_cmpuint(nodes[n].place.counters.alone, >, 0);
 	fleet_stop();
@@ -421,7 +457,7 @@
 		fleet_run(4);
 		g_assert_nonnull(nodes[i % 60].last);
 		place_read(&nodes[i % 60].place, clock_now, &r);
-		place_end(&nodes[i % 60].place, clock_now, &r);
+		place_end(&nodes[i % 60].place, clock_now, &r, SERVER_UNKNOWN);
 	}
 	g_assert_cmpuint((sent - before) / 1200, <=, 4);
 	for (i = 0; i < 60; i++)
@@ -440,6 +476,7 @@
 	g_test_add_func("/place/coordinator-lost", test_coordinator_lost);
 	g_test_add_func("/place/handover", test_handover);
 	g_test_add_func("/place/node-dies", test_node_dies);
+	g_test_add_func("/place/down", test_down);
 	g_test_add_func("/place/draining", test_draining);
 	g_test_add_func("/place/large", test_large);
 	return g_test_run();
