Placement on many servers: cheap choices, smaller groups, longer patience

Cause: on 60 machines a third of all placements were made alone: coordinators answered too late, as a choice over 90 servers looked through all of them for each, on VMs of an eighth of a core, and patience was 8 ms. Change: the quiet servers are found once for a choice, groups of 20 servers, 20 to 80 ms of patience; reading a shared part again weighs ten times.

--- a/place.c
+++ b/place.c
@@ -10,11 +10,11 @@
 #include <xxhash.h>
 
 /* An answer that is not there by then is not waited for. */
-#define PLACE_WAIT_LEAST_MS 8
-#define PLACE_WAIT_MOST_MS 60
+#define PLACE_WAIT_LEAST_MS 20
+#define PLACE_WAIT_MOST_MS 80
 #define PLACE_WAIT_TIMES 4
 /* So many answers missed in a row, and nobody is asked for a while. */
-#define PLACE_MISSED_MAX 3
+#define PLACE_MISSED_MAX 6
 #define PLACE_ALONE_MS 1000
 /* What a coordinator has not heard of for so long has ended. */
 #define PLACE_HOLD_MS (30 * MSEC_SECOND)
--- a/place.h
+++ b/place.h
@@ -25,7 +25,7 @@
  * Servers of one coordinator. Beyond, a service is cut into groups, each with
  * a coordinator of its own, so that no node hears of all requests.
  */
-#define PLACE_GROUP_SERVERS 32
+#define PLACE_GROUP_SERVERS 20
 
 /* One request that is placed, or runs. In the embedder's memory. */
 struct place_request {
--- a/server-choose.c
+++ b/server-choose.c
@@ -18,7 +18,7 @@
  * Reading a shared part again delays all streams beside it, so it weighs more
  * than its own time.
  */
-#define CHOOSE_AGAIN_TIMES 4.0
+#define CHOOSE_AGAIN_TIMES 10.0
 /* What a server has read is still there so long after its last use. */
 #define CHOOSE_KEPT_MS 15000
 /* What one more request on a server costs the others, in milliseconds. */
@@ -28,6 +28,8 @@
 #define CHOOSE_REST_MS 20000.0
 /* What a link to another failure domain costs. */
 #define CHOOSE_DOMAIN_MS 2.0
+/* Quiet servers of one group, at most. */
+#define CHOOSE_QUIET_MAX 64
 /* What it costs to put a long prompt beside light requests, or the reverse. */
 #define CHOOSE_MIX_MS 600.0
 
@@ -51,17 +53,16 @@
 	return XXH64(words, sizeof words, 0);
 }
 
-/* In the same order on every node, whatever the request. */
-static uint64_t
-choose_rank(const struct server *v)
+void
+server_set_rank(struct server *v)
 {
-	return XXH64(&v->id, sizeof v->id, 1);
+	v->rank = XXH64(&v->id, sizeof v->id, 1);
 }
 
 bool
 server_in_group(const struct server *v, unsigned int groups, unsigned int group)
 {
-	return groups <= 1 || choose_rank(v) % groups == group;
+	return groups <= 1 || v->rank % groups == group;
 }
 
 static bool
@@ -84,29 +85,40 @@
 	return n;
 }
 
-/* Is it one of the view's first `quiet` servers by rank? */
-static bool
-choose_is_quiet(
-    struct servers *s, const struct server *v, const struct server_view *view)
+/*
+ * The first `quiet` servers by rank are quiet: the highest of their ranks, or
+ * 0 when there are none. Found once for a choice, since a service may have
+ * hundreds of servers.
+ */
+static uint64_t
+choose_quiet_rank(
+    struct servers *s, name_id service, const struct server_view *view)
 {
-	uint64_t rank = choose_rank(v);
-	struct server *other;
-	unsigned int before = 0;
+	uint64_t ranks[CHOOSE_QUIET_MAX];
+	unsigned int n = 0, most = MIN(view->quiet, CHOOSE_QUIET_MAX), i;
+	struct server *v;
 
-	if (view->quiet == 0)
-		return false;
-	RB_FOREACH (other, server_tree, &s->tree) {
-		if (choose_sees(other, v->service, view) &&
-		    choose_rank(other) < rank && ++before >= view->quiet)
-			return false;
+	if (most == 0)
+		return 0;
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (!choose_sees(v, service, view))
+			continue;
+		if (n == most && v->rank >= ranks[n - 1])
+			continue;
+		for (i = n < most ? n++ : n - 1; i > 0; i--) {
+			if (ranks[i - 1] < v->rank)
+				break;
+			ranks[i] = ranks[i - 1];
+		}
+		ranks[i] = v->rank;
 	}
-	return true;
+	return n > 0 ? ranks[n - 1] : 0;
 }
 
 /* The server that is thought of first for a prompt, or NULL. */
 static const struct server *
 choose_home(struct servers *s, const struct server_wish *w,
-    const struct server_view *view)
+    const struct server_view *view, uint64_t quiet_rank)
 {
 	const struct server *best = NULL;
 	uint64_t weight, most = 0;
@@ -116,7 +128,7 @@
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (!choose_sees(v, w->service, view) ||
-		    choose_is_quiet(s, v, view) != view->light)
+		    (v->rank <= quiet_rank) != view->light)
 			continue;
 		weight = choose_weight(v, w->prompt);
 		if (best == NULL || weight > most) {
@@ -149,7 +161,7 @@
 static double
 choose_cost(struct servers *s, const struct server *v, msec now,
     const struct server_wish *w, const struct server_view *view,
-    const struct server *home)
+    const struct server *home, uint64_t quiet_rank)
 {
 	const struct server_load *l = view->all ? &v->all : &v->own;
 	double tokens = (double)l->unread + w->own, cost;
@@ -162,7 +174,7 @@
 		cost += CHOOSE_REST_MS;
 	if (*view->domain != '\0' && strcmp(v->domain, view->domain) != 0)
 		cost += CHOOSE_DOMAIN_MS;
-	if (view->quiet > 0 && choose_is_quiet(s, v, view) != view->light)
+	if (view->quiet > 0 && (v->rank <= quiet_rank) != view->light)
 		cost += CHOOSE_MIX_MS;
 	return cost;
 }
@@ -171,7 +183,8 @@
 server_choose(struct servers *s, msec now, const struct server_wish *w,
     const struct server_view *view, uint32_t draw)
 {
-	const struct server *home = choose_home(s, w, view);
+	uint64_t quiet_rank = choose_quiet_rank(s, w->service, view);
+	const struct server *home = choose_home(s, w, view, quiet_rank);
 	struct server *v, *best = NULL;
 	uint64_t tie, best_tie = 0;
 	double cost, least = 0;
@@ -179,7 +192,7 @@
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (!choose_sees(v, w->service, view) || wish_avoids(w, v->id))
 			continue;
-		cost = choose_cost(s, v, now, w, view, home);
+		cost = choose_cost(s, v, now, w, view, home, quiet_rank);
 		tie = choose_weight(v, draw);
 		if (best != NULL && cost > least)
 			continue;
--- a/server.c
+++ b/server.c
@@ -75,6 +75,7 @@
 
 	v->id = id;
 	g_strlcpy(v->name, e->name, sizeof v->name);
+	server_set_rank(v);
 	v->born = e->born;
 	v->address = e->address;
 	v->port = e->port;
--- a/server.h
+++ b/server.h
@@ -44,6 +44,7 @@
 	RB_ENTRY(server) entry;
 	name_id id;
 	char name[SERVER_NAME_SIZE];
+	uint64_t rank; /* the same on every node, by no order */
 	name_id service;
 	char domain[NAME_SIZE];
 	uint32_t address;
@@ -168,6 +169,8 @@
 /* The best server for it, or NULL when there is none at all. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
+/* For a server that is new in the table. */
+void server_set_rank(struct server *);
 /* Is a server in the group? */
 bool
 server_in_group(const struct server *, unsigned int groups, unsigned int group);
