--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 /* What happened so long before its first line may be the cause. */
-#define EXPLAIN_BEFORE_MS 3000
+#define EXPLAIN_BEFORE_MS 6000
 
 static enum cmd_retval cmd_explain_exec(struct cmd *);
 
--- a/entry-job.c
+++ b/entry-job.c
@@ -490,6 +490,12 @@
 job_next(struct job *j, msec now, enum job_code why)
 {
 	j->last = why;
+	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
+	    LOG_EVENT_ATTEMPT_FAILED, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
+	    LOG_TEXT(LOG_KEY_REASON, job_code_name(why)),
+	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
+	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
 	if (!job_may_go_on(j, now, why)) {
 		job_fail(j, now, why);
 		return;
--- a/entry-log.c
+++ b/entry-log.c
@@ -17,6 +17,9 @@
 #define ENTRY_LOG_NEEDED_PER_S 400
 
 const struct entry_log_word entry_log_events[LOG_EVENTS] = {
+	[LOG_EVENT_ATTEMPT_FAILED] = { "attempt-failed",
+	    "An attempt on a backend server failed; the request goes on or "
+	    "ends." },
 	[LOG_EVENT_CONFIGURATION] = { "configuration",
 	    "A newer configuration is in force." },
 	[LOG_EVENT_CONFIGURATION_UNREADABLE] = { "configuration-unreadable",
--- a/entry-log.h
+++ b/entry-log.h
@@ -29,6 +29,7 @@
 void entry_log_finish(struct entry_log *);
 /* What happened. The table in entry-log.c has the words. */
 enum entry_log_event {
+	LOG_EVENT_ATTEMPT_FAILED,
 	LOG_EVENT_CONFIGURATION,
 	LOG_EVENT_CONFIGURATION_UNREADABLE,
 	LOG_EVENT_EVENT_OUT_OF_ORDER,
