--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -104,6 +104,7 @@
 	unlink(path);
 	missing = explain("0000", path, &rc);
 	g_assert_cmpint(rc, !=, CMD_OK);
+	g_assert_cmpstr(missing, ==, "");
 }
 
 static void
