--- /dev/null
+++ b/models/retry-budget.pml
@@ -0,0 +1,3 @@
+#define SHARE (FIXED / (2 * KNOWN))
+#define YOUNG WINDOW
+#include "retry-budget.inc"
