Settings of a running node are read again, after SIGHUP and without

Bounds are taken up; names and addresses need a new process; a wrong file is named with its places and changes nothing.

--- a/entry-log.c
+++ b/entry-log.c
@@ -40,7 +40,8 @@
 	    "The platform does not answer." },
 	[LOG_EVENT_REFUSED] = { "refused",
 	    "What came is no request that can be understood." },
-	[LOG_EVENT_RELOAD] = { "reload", "The settings were read again." },
+	[LOG_EVENT_RELOAD] = { "reload", "The settings were read again: taken "
+					 "up, or what is wrong with them." },
 	[LOG_EVENT_REQUEST] = { "request", "A request has ended." },
 	[LOG_EVENT_SERVER] = { "server",
 	    "A backend server changed its state." },
--- a/entry-state.c
+++ b/entry-state.c
@@ -270,8 +270,8 @@
 
 /* ---- start, time, stop ---- */
 
-static void
-state_apply_settings(struct entry *e)
+void
+entry_state_apply(struct entry *e)
 {
 	const struct settings *s = e->settings;
 
@@ -297,7 +297,7 @@
 
 	RB_INIT(&e->budgets);
 	fresh_init(&e->fresh, 0);
-	state_apply_settings(e);
+	entry_state_apply(e);
 	servers_init(&e->servers, &state_server_ops);
 	e->servers.arg = e;
 	place_init(&e->place, &state_place_ops, &e->servers, name_hash(s->node),
--- a/entry.c
+++ b/entry.c
@@ -13,6 +13,8 @@
 #include <unistd.h>
 
 #define ENTRY_TICK_MS 100
+/* The settings file may change without a signal. */
+#define ENTRY_SETTINGS_MS 1000
 /*
  * A stop: callers keep our address for up to three seconds, and are served
  * until then; after that, once nothing is in flight and nobody came for a
@@ -47,9 +49,7 @@
 
 	while (read(io->fd, &si, sizeof si) == sizeof si) {
 		if (si.ssi_signo == SIGHUP)
-			entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED,
-			    LOG_EVENT_RELOAD,
-			    LOG_TEXT(LOG_KEY_REASON, "SIGHUP"));
+			entry_settings_read(e, e->loop.now);
 		else
 			entry_leave(e, e->loop.now);
 	}
@@ -102,6 +102,10 @@
 
 	entry_state_tick(e, now);
 	entry_stop_tick(e, now);
+	if (now >= e->settings_look) {
+		e->settings_look = now + ENTRY_SETTINGS_MS;
+		entry_settings_look(e, now);
+	}
 	loop_timer_set(&e->loop, t, now + ENTRY_TICK_MS);
 }
 
@@ -170,12 +174,13 @@
 }
 
 int
-entry_main(const struct settings *s, const struct wire_ops *wire,
+entry_main(struct settings *s, const char *file, const struct wire_ops *wire,
     struct source *source)
 {
 	static struct entry e;
 
 	e.settings = s;
+	e.settings_file = file;
 	e.wire = wire;
 	e.source = source;
 	if (!entry_start(&e)) {
--- a/entry.h
+++ b/entry.h
@@ -285,7 +285,10 @@
 
 struct entry {
 	struct loop loop;
-	const struct settings *settings;
+	struct settings *settings;
+	const char *settings_file;
+	int64_t settings_stamp; /* of the file as read last */
+	msec settings_look;	/* when to look at it next */
 	const struct wire_ops *wire;
 	struct source *source;
 	enum entry_phase phase;
@@ -339,6 +342,8 @@
 bool entry_is_ready(const struct entry *, msec);
 struct retry_budget *entry_budget(struct entry *, name_id service);
 bool entry_state_init(struct entry *, msec);
+/* The bounds of the settings are in force from now on. */
+void entry_state_apply(struct entry *);
 void entry_state_tick(struct entry *, msec);
 void entry_state_finish(struct entry *);
 void entry_leave(struct entry *, msec);
@@ -354,8 +359,17 @@
 
 /* ---- the process: entry.c ---- */
 
-/* Run until SIGTERM and its end; the exit status. */
-int
-entry_main(const struct settings *, const struct wire_ops *, struct source *);
+/*
+ * Run until SIGTERM and its end, with the settings of a file, which are read
+ * again when it changes; the exit status.
+ */
+int entry_main(struct settings *, const char *file, const struct wire_ops *,
+    struct source *);
+
+/* ---- settings read again: entry-settings.c ---- */
+
+/* After SIGHUP, or when the file has another stamp than last time. */
+void entry_settings_read(struct entry *, msec);
+void entry_settings_look(struct entry *, msec);
 
 #endif /* ENTRY_H */
--- a/savorypierd.c
+++ b/savorypierd.c
@@ -189,7 +189,7 @@
 	else if (args.check)
 		rc = EXIT_SUCCESS;
 	else if (d.settings.store.port != 0)
-		rc = platform_main(&d.settings);
+		rc = platform_main(&d.settings, args.config);
 	else if (log_open(d.settings.log_level, d.settings.log_json)) {
 		main_block_signals();
 		rc = main_run(&d);
