--- a/entry.h
+++ b/entry.h
@@ -4,14 +4,14 @@
  * downward and hands results up through the ops of its caller:
  *
  *   entry-caller.c   a caller's connection: bytes to requests and back
- *   entry-job.c      the life of one request: admission, attempts, outcome
- *   entry-reply.c   what of a server's answer goes to the caller
- *   server-choose.c  which server
+ *   entry-job.c      the life of one request: admission, time, outcome
+ *   entry-attempt.c  its attempts: what a server gets, and what comes of it
  *   entry-link.c     a connection to a server: one attempt's bytes
+ *   entry-reply.c    what of a server's answer goes to the caller
  *
- * Beside it: entry-state.c has what is in force (configuration, servers,
- * other nodes), entry-query.c answers readiness and the directory, entry.c
- * starts and stops it all.
+ * Beside it: place.c and server-choose.c say which server; entry-state.c has
+ * what is in force (configuration, servers, other nodes), entry-query.c answers
+ * readiness and the directory, entry.c starts and stops it all.
  */
 
 #ifndef ENTRY_H
@@ -159,7 +159,7 @@
 void link_close_idle(struct entry *, struct server *);
 void link_pool_free(struct server *);
 
-/* ---- requests: entry-job.c, entry-reply.c ---- */
+/* ---- requests: entry-job.c, entry-attempt.c, entry-reply.c ---- */
 
 /* Why a request ended as it did. */
 enum job_code {
@@ -228,6 +228,20 @@
 extern const struct caller_ops job_caller_ops;
 /* From placement: the server for a request, or NULL. */
 void job_placed(struct place *, struct place_request *, struct server *, msec);
+/* May it pass by what is in force now? JOB_SERVED, or why not. */
+enum job_code job_admit(struct job *, msec);
+/* Less time than this and an attempt is not worth beginning. */
+#define JOB_LEAST_MS 20
+/* Begin an attempt, the first or another. */
+void job_attempt(struct job *, msec);
+/* The timer on a silent server. */
+void job_patience(struct loop_timer *, msec);
+/* The server in hand is left; and its connection is closed. */
+void job_leave_server(struct job *, msec, enum server_result);
+void job_cancel(struct job *, msec, enum server_result);
+/* The one answer, where no server's can be given; its end after any answer. */
+void job_fail(struct job *, msec, enum job_code);
+void job_free(struct job *, msec, enum job_code);
 /* End what is in flight, at the end of a stop. */
 void job_cut_all(struct entry *, msec);
 
--- a/proto.h
+++ b/proto.h
@@ -205,7 +205,6 @@
 	u_quad_t prompt;
 	u_int shared;
 	u_int own;
-	u_int out;
 	u_int gap_ms;
 	u_int rank;
 	struct {
--- a/proto.x
+++ b/proto.x
@@ -201,7 +201,6 @@
 	unsigned hyper prompt;
 	unsigned int shared;		/* tokens */
 	unsigned int own;
-	unsigned int out;
 	unsigned int gap_ms;
 	unsigned int rank;
 	unsigned hyper avoid<SAVORY_AVOID_MAX>;
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -591,14 +591,12 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->prompt))
 			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			if (!xdr_u_int(xdrs, &objp->shared))
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->own))
 				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->out))
-				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->gap_ms))
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->rank))
@@ -607,7 +605,6 @@
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->shared);
 			IXDR_PUT_U_LONG(buf, objp->own);
-			IXDR_PUT_U_LONG(buf, objp->out);
 			IXDR_PUT_U_LONG(buf, objp->gap_ms);
 			IXDR_PUT_U_LONG(buf, objp->rank);
 		}
@@ -623,14 +620,12 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->prompt))
 			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			if (!xdr_u_int(xdrs, &objp->shared))
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->own))
 				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->out))
-				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->gap_ms))
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->rank))
@@ -639,7 +634,6 @@
 		} else {
 			objp->shared = IXDR_GET_U_LONG(buf);
 			objp->own = IXDR_GET_U_LONG(buf);
-			objp->out = IXDR_GET_U_LONG(buf);
 			objp->gap_ms = IXDR_GET_U_LONG(buf);
 			objp->rank = IXDR_GET_U_LONG(buf);
 		}
@@ -660,8 +654,6 @@
 		return FALSE;
 	if (!xdr_u_int(xdrs, &objp->own))
 		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->out))
-		return FALSE;
 	if (!xdr_u_int(xdrs, &objp->gap_ms))
 		return FALSE;
 	if (!xdr_u_int(xdrs, &objp->rank))
--- a/server.h
+++ b/server.h
@@ -146,7 +146,6 @@
 	uint64_t prompt;     /* hash of the shared part; 0: none */
 	unsigned int shared; /* tokens of the shared part */
 	unsigned int own;    /* tokens beside it */
-	unsigned int out;    /* tokens expected of the answer */
 	msec gap_target;     /* longest pause in time; 0: any */
 	unsigned int rank;   /* 0 is first */
 	unsigned int navoid;
