--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -250,6 +250,10 @@
 	h->server = v->id;
 	h->service = w->service;
 	h->route = w->route;
+	if (RB_INSERT(place_holds, &p->holds, h) != NULL) {
+		g_free(h);
+		return;
+	}
 	h->tokens = w->own;
 	if (!server_memory_has(
 		&p->servers->all_memory, now, v->id, w->prompt, PLACE_HOLD_MS))
@@ -257,7 +261,6 @@
 	p->counters.tokens += w->own + w->shared;
 	p->counters.tokens_kept += w->own + w->shared - h->tokens;
 	h->since = now;
-	RB_INSERT(place_holds, &p->holds, h);
 	place_load_add(&v->all, h->tokens);
 	if (w->prompt != 0)
 		server_memory_note(
