A request is judged again when its new connection stands

Cause: found by reading: the bytes of a request are written before its new connection stands, up to 600 ms later, and a pause may lie between; the key, the route and the deadline were not looked at again before they went out. Ruled out: the rule's own case (a request sent by its caller after the bound cannot have been written before it).

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -19,14 +19,15 @@
 #define JOB_GAP_TIMES 4
 #define JOB_GAP_LEAST_MS 1200
 
+static bool link_sending(struct link *, msec);
 static bool link_head(struct link *, const struct http_head *, msec);
 static void link_body(struct link *, const char *, size_t, msec);
 static void link_whole(struct link *, msec);
 static void link_ended(struct link *, enum link_end, msec);
 static void job_next(struct job *, msec, enum job_code);
 
-static const struct link_ops job_link_ops = { link_head, link_body, link_whole,
-	link_ended };
+static const struct link_ops job_link_ops = { link_sending, link_head,
+	link_body, link_whole, link_ended };
 
 static void
 job_fill_wish(const struct job *j, struct server_wish *w)
@@ -261,6 +262,13 @@
 	j->arrivals++;
 }
 
+/* Connecting takes a while, and we may have been paused meanwhile. */
+static bool
+link_sending(struct link *k, msec now)
+{
+	return job_admit_again(k->job, now);
+}
+
 static bool
 link_head(struct link *k, const struct http_head *h, msec now)
 {
--- a/entry-link.c
+++ b/entry-link.c
@@ -385,7 +385,8 @@
 		return;
 	}
 	if (k->connecting) {
-		if (!link_connected(k) || !link_flush(k))
+		if (!link_connected(k) ||
+		    (k->ops->sending(k, now) && !link_flush(k)))
 			link_fail(k, now);
 		return;
 	}
--- a/entry.h
+++ b/entry.h
@@ -110,6 +110,11 @@
 
 /* What hears of the attempt on a link. */
 struct link_ops {
+	/*
+	 * A new connection stands and the request is about to go out on it:
+	 * false when it may not any more; the link is gone then.
+	 */
+	bool (*sending)(struct link *, msec);
 	/* The head of an answer; false: it is not for this request. */
 	bool (*head)(struct link *, const struct http_head *, msec);
 	void (*body)(struct link *, const char *, size_t, msec);
