A fetch that ends with the daemon is freed

Ruled out: the stop itself (the exit code was the leak's). After: the event's fetch is freed with it; the test passes again and again.

--- a/daemon-core.c
+++ b/daemon-core.c
@@ -27,10 +27,9 @@
 		g_thread_yield();
 }
 
-static void
-core_fetched(struct daemon *d, struct fetch *f, msec now)
+void
+fetch_free(struct fetch *f)
 {
-	f->done(d, f, now);
 	if (f->json != NULL)
 		json_decref(f->json);
 	g_free(f->url);
@@ -40,6 +39,13 @@
 	g_free(f);
 }
 
+static void
+core_fetched(struct daemon *d, struct fetch *f, msec now)
+{
+	f->done(d, f, now);
+	fetch_free(f);
+}
+
 static void
 core_event(struct daemon *d, struct event *e, msec now)
 {
--- a/daemon.h
+++ b/daemon.h
@@ -262,6 +262,8 @@
 
 struct fetch_thread *fetch_thread_start(struct daemon *);
 void fetch_thread_stop(struct fetch_thread *);
+/* Its memory and what it holds; not while it is under way. */
+void fetch_free(struct fetch *);
 /* Takes the fetch; it is freed after done(). */
 void fetch_start(struct daemon *, struct fetch *);
 
--- a/savorypierd.c
+++ b/savorypierd.c
@@ -127,6 +127,9 @@
 	while ((e = ring_get(&d->events)) != NULL) {
 		if (e->call != NULL)
 			call_drop(e->call);
+		/* Its done() has nobody to tell any more. */
+		if (e->kind == EVENT_FETCHED)
+			fetch_free(e->fetch);
 		g_free(e);
 	}
 	while ((le = ring_get(&d->log_events)) != NULL)
