Callers that leave while their request waits are seen

Cause: libmicrohttpd looks at no connection that it has suspended, and one whose request waits for a slot is suspended.

Ruled out: a keep-alive or TCP_USER_TIMEOUT (a close is no lost peer); polling in the caller's thread (it belongs to libmicrohttpd).

Change: the core keeps an epoll set of the sockets of waiting calls, for their end of input only (daemon-watch.c). A half-close counts as leaving, as on the users' platform.

--- a/daemon-answer.c
+++ b/daemon-answer.c
@@ -150,6 +150,17 @@
 	return is;
 }
 
+bool
+answer_is_gone(struct answer *a)
+{
+	bool is;
+
+	pthread_mutex_lock(&a->lock);
+	is = a->gone;
+	pthread_mutex_unlock(&a->lock);
+	return is;
+}
+
 /* The usual error object, with our stable code. */
 static void
 answer_error_body(struct answer *a, const struct request *r)
--- a/daemon-call.c
+++ b/daemon-call.c
@@ -36,6 +36,7 @@
 
 	c->refs = 1;
 	c->daemon = d;
+	c->watched_fd = -1;
 	STAILQ_INIT(&c->headers);
 	answer_init(&c->answer, connection);
 	return c;
@@ -254,7 +255,10 @@
 	d->ncalls++;
 	request_init(&c->request, &d->book, c->repeatable, !c->plain);
 	daemon_admit_begin(c);
-	daemon_admit(d, c, now);
+	if (answer_is_gone(&c->answer))
+		request_caller_gone(&c->request, now);
+	else
+		daemon_admit(d, c, now);
 }
 
 void
--- a/daemon-caller.c
+++ b/daemon-caller.c
@@ -138,6 +138,8 @@
 {
 	struct event e = { .kind = EVENT_CALL, .call = c };
 
+	if (c->kind == CALL_REQUEST)
+		daemon_watch_begin(c);
 	event_post(c->daemon, &e);
 	if (answer_wait(&c->answer))
 		return caller_respond(c);
@@ -186,6 +188,7 @@
 	if (c == NULL)
 		return;
 	d = c->daemon;
+	daemon_watch_end(c);
 	pthread_mutex_lock(&c->answer.lock);
 	whole = c->answer.ended;
 	c->answer.gone = !whole;
--- a/daemon-core.c
+++ b/daemon-core.c
@@ -108,6 +108,8 @@
 		ring_clear_wake(&d->log_events);
 	else if (fd == d->signal_fd)
 		core_signal(d, msec_now());
+	else if (fd == d->watch_fd)
+		daemon_watch_ready(d, msec_now());
 }
 
 static void
@@ -130,6 +132,7 @@
 	d->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	if (d->signal_fd == -1 || d->epoll_fd == -1)
 		return false;
+	core_watch(d, d->watch_fd);
 	core_watch(d, d->signal_fd);
 	core_watch(d, d->net.fd);
 	core_watch(d, d->events.wake_fd);
--- /dev/null
+++ b/daemon-watch.c
@@ -0,0 +1,105 @@
+/*
+ * Callers that leave while their request waits.
+ *
+ * libmicrohttpd looks at no connection that it has suspended, and one whose
+ * answer isn't there yet is suspended: its caller's close would be seen when
+ * the answer comes, after a server has worked for nobody. So the core looks
+ * at these sockets itself, for their end of input and for nothing else.
+ */
+
+#define LOG_PART "watch"
+#include "daemon.h"
+
+#include <sys/epoll.h>
+
+#include <unistd.h>
+
+/* Callers seen to leave at one look; the next look takes the others. */
+#define WATCH_BATCH 64
+
+static int watch_take(struct daemon *, struct call **);
+
+bool
+daemon_watch_open(struct daemon *d)
+{
+	pthread_mutex_init(&d->watch_lock, NULL);
+	d->watch_fd = epoll_create1(EPOLL_CLOEXEC);
+	return d->watch_fd != -1;
+}
+
+void
+daemon_watch_close(struct daemon *d)
+{
+	if (d->watch_fd != -1)
+		close(d->watch_fd);
+	pthread_mutex_destroy(&d->watch_lock);
+}
+
+/* By the connection's own thread, so that the socket cannot be another's. */
+void
+daemon_watch_begin(struct call *c)
+{
+	const union MHD_ConnectionInfo *info;
+	struct epoll_event ev = { .events = EPOLLRDHUP | EPOLLONESHOT,
+		.data.ptr = c };
+
+	info = MHD_get_connection_info(
+	    c->answer.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (info == NULL)
+		return;
+	c->watched_fd = info->connect_fd;
+	if (epoll_ctl(c->daemon->watch_fd, EPOLL_CTL_ADD, c->watched_fd, &ev) !=
+	    0) {
+		log_warn("%s: its caller is not watched: %s", c->id,
+		    g_strerror(errno));
+		c->watched_fd = -1;
+	}
+}
+
+/*
+ * By the connection's own thread, before its socket is closed. Guards against
+ * a call that is freed while the core looks at it: the core takes its
+ * references under the same lock.
+ */
+void
+daemon_watch_end(struct call *c)
+{
+	struct daemon *d = c->daemon;
+
+	if (c->watched_fd == -1)
+		return;
+	pthread_mutex_lock(&d->watch_lock);
+	epoll_ctl(d->watch_fd, EPOLL_CTL_DEL, c->watched_fd, NULL);
+	c->watched_fd = -1;
+	pthread_mutex_unlock(&d->watch_lock);
+}
+
+/* References to the calls whose callers have left, and their number. */
+static int
+watch_take(struct daemon *d, struct call **left)
+{
+	struct epoll_event ev[WATCH_BATCH];
+	int i, n;
+
+	pthread_mutex_lock(&d->watch_lock);
+	n = epoll_wait(d->watch_fd, ev, WATCH_BATCH, 0);
+	for (i = 0; i < n; i++)
+		left[i] = call_take(ev[i].data.ptr);
+	pthread_mutex_unlock(&d->watch_lock);
+	return n;
+}
+
+void
+daemon_watch_ready(struct daemon *d, msec now)
+{
+	struct call *left[WATCH_BATCH];
+	int i, n = watch_take(d, left);
+
+	for (i = 0; i < n; i++) {
+		pthread_mutex_lock(&left[i]->answer.lock);
+		left[i]->answer.gone = !left[i]->answer.ended;
+		pthread_mutex_unlock(&left[i]->answer.lock);
+		daemon_call_gone(d, left[i], now);
+		call_drop(left[i]);
+	}
+}
--- a/daemon.h
+++ b/daemon.h
@@ -121,6 +121,7 @@
     const char *content_type);
 /* Part of it is out, and it is not a stream of events. */
 bool answer_is_fixed(struct answer *);
+bool answer_is_gone(struct answer *);
 /* Core: the outcome, with a body of its own when nothing is out yet. */
 void answer_end(struct answer *, const struct request *);
 /* Give another call's whole answer; false when it was not all kept. */
@@ -183,6 +184,7 @@
 	name_id organisation;
 	msec arrived;
 	struct answer answer;
+	int watched_fd; /* its connection's socket, or -1; its thread's */
 	/* Core only from here. */
 	struct request request;
 	struct dispatch_request slot;
@@ -203,6 +205,12 @@
 };
 TAILQ_HEAD(call_list, call);
 
+bool daemon_watch_open(struct daemon *);
+void daemon_watch_close(struct daemon *);
+void daemon_watch_begin(struct call *);
+void daemon_watch_end(struct call *);
+void daemon_watch_ready(struct daemon *, msec);
+
 struct call *call_new(struct daemon *, struct MHD_Connection *);
 struct call *call_take(struct call *);
 void call_drop(struct call *);
@@ -304,6 +312,8 @@
 	struct ring events;
 	struct ring log_events;
 	int epoll_fd;
+	int watch_fd; /* callers' sockets: see daemon-watch.c */
+	pthread_mutex_t watch_lock;
 	int signal_fd;
 	struct net net;
 	struct members members;
--- a/savorypierd.c
+++ b/savorypierd.c
@@ -114,7 +114,7 @@
 	d->log = log_io_start(d->settings.log_url, &d->log_events, 20);
 	daemon_ledger_init(d);
 	log_io_follow(d->log, LOG_STREAM_DOCUMENTS, 1);
-	return daemon_http_start(d);
+	return daemon_watch_open(d) && daemon_http_start(d);
 }
 
 /* Events that nobody will handle any more; their references go. */
@@ -142,6 +142,7 @@
 	unsigned int i;
 
 	daemon_http_stop(d);
+	daemon_watch_close(d);
 	daemon_ledger_finish(d);
 	log_io_stop(d->log);
 	for (i = 0; i < d->settings.engine_threads; i++)
--- a/tests/proc-answers.c
+++ b/tests/proc-answers.c
@@ -91,6 +91,7 @@
 		caller_run(&c);
 		if (strcmp(c.outcome, "not-run") != 0)
 			break;
+		g_test_message("%ld: %s", c.status, c.text->str);
 		caller_finish(&c);
 		g_usleep(G_USEC_PER_SEC / 2);
 	}
@@ -661,6 +662,9 @@
 	nodes_finish(&s);
 }
 
+/* A caller that leaves is seen well within this; the queue lasts longer. */
+#define LEFT_TIMEOUT MSEC_SECOND
+
 /* Requests that wait for a slot at the first entry VM. */
 static unsigned int
 calls_queued(struct nodes *s)
@@ -683,6 +687,53 @@
 	return calls_queued(arg) >= 4;
 }
 
+/* A call as a dump of the first entry VM shows it. */
+struct seen_call {
+	struct nodes *nodes;
+	char id[64];
+};
+
+/* The call that came last, and whether it waits for a slot. */
+static bool
+youngest_is_queued(struct seen_call *y)
+{
+	json_t *v = nodes_control(y->nodes, 0, "/control/dump/calls"), *c;
+	json_int_t age, least = G_MAXINT64;
+	bool queued = false;
+	size_t i;
+
+	json_array_foreach (json_object_get(v, "calls"), i, c) {
+		age = json_integer_value(json_object_get(c, "age_ms"));
+		if (age >= least)
+			continue;
+		least = age;
+		queued =
+		    g_strcmp0(json_string_value(json_object_get(c, "state")),
+			"queued") == 0;
+		g_strlcpy(y->id, json_string_value(json_object_get(c, "id")),
+		    sizeof y->id);
+	}
+	json_decref(v);
+	return queued;
+}
+
+static bool
+call_is_over(void *arg)
+{
+	const struct seen_call *y = arg;
+	json_t *v = nodes_control(y->nodes, 0, "/control/dump/calls"), *c;
+	bool over = true;
+	size_t i;
+
+	json_array_foreach (json_object_get(v, "calls"), i, c) {
+		if (g_strcmp0(json_string_value(json_object_get(c, "id")),
+			y->id) == 0)
+			over = false;
+	}
+	json_decref(v);
+	return over;
+}
+
 static void
 test_caller_vanishes_waiting(void)
 {
@@ -721,6 +772,40 @@
 	nodes_finish(&s);
 }
 
+static void
+test_caller_vanishes_queued(void)
+{
+	/*
+	 * All slots are taken by streams that do not end, so no engine's
+	 * answer wakes those that wait. The last of these leaves: its place
+	 * in the queue is free at once, not when an answer comes.
+	 */
+	struct nodes s;
+	struct caller c[40], gone;
+	struct seen_call seen = { .nodes = &s };
+	char user[16];
+	unsigned int i;
+
+	nodes_up(&s, &one_one);
+	for (i = 0; i < G_N_ELEMENTS(c); i++) {
+		g_snprintf(user, sizeof user, "long-%u", i);
+		caller_ask(&c[i], entry_port(&s, 0), user, 100000);
+		caller_start(&c[i]);
+	}
+	g_assert_true(wait_until(many_are_queued, &s, NODES_TIMEOUT));
+	caller_ask(&gone, entry_port(&s, 0), "gone", 300);
+	caller_start(&gone);
+	g_usleep(200 * 1000);
+	g_assert_true(youngest_is_queued(&seen));
+	caller_leave(&gone);
+	g_assert_true(wait_until(call_is_over, &seen, LEFT_TIMEOUT));
+	for (i = 0; i < G_N_ELEMENTS(c); i++)
+		caller_finish(&c[i]);
+	caller_finish(&gone);
+	g_assert_true(wait_until(engines_are_idle, &s, NODES_TIMEOUT));
+	nodes_finish(&s);
+}
+
 static int64_t
 proc_rss_kib(const struct proc *p)
 {
@@ -883,6 +968,8 @@
 	g_test_add_func("/answers/caller-vanishes", test_caller_vanishes);
 	g_test_add_func(
 	    "/answers/caller-vanishes-waiting", test_caller_vanishes_waiting);
+	g_test_add_func(
+	    "/answers/caller-vanishes-queued", test_caller_vanishes_queued);
 	g_test_add_func("/answers/slow-reader", test_slow_reader);
 	g_test_add_func("/answers/entry-killed", test_entry_killed);
 	g_test_add_func(
