Nodes pass proofs on: one reads the store, the others ask it

Cause: each node read the configuration and the servers once a second, 2.1 calls a second a node.

Weighed: longer pauses (changes and keys have bounds), long polls (servers write each second, so a wait ends at once), pushing state between nodes (a push cannot date a proof). A question can: what the reader knew, less its age, counts from our asking (relay.c); a different mark makes the asker read. Nobody is elected; ages add up, a silent reader costs one and a half periods.

--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -203,6 +203,7 @@
 {
 	const struct entry_counters *c = &e->counters;
 	const struct place_counters *p = &e->place.counters;
+	const struct relay_counters *r = &e->relay.counters;
 
 	text_value(s, "attempts_total", "counter", "Sent to servers.",
 	    (int64_t)c->attempts);
@@ -228,6 +229,15 @@
 	text_value(s, "prompt_tokens_kept_total", "counter",
 	    "Of these, thought to be kept by the server.",
 	    (int64_t)p->tokens_kept);
+	text_value(s, "relay_asked_total", "counter",
+	    "Other nodes asked what they know.", (int64_t)r->asked);
+	text_value(s, "relay_told_total", "counter",
+	    "Answers and news from other nodes.", (int64_t)r->told);
+	text_value(s, "relay_proofs_total", "counter",
+	    "Of these, proofs that what is in force here is the newest.",
+	    (int64_t)r->proofs);
+	text_value(s, "relay_news_total", "counter",
+	    "Changes read here that others were told of.", (int64_t)r->news);
 	text_value(
 	    s, "log_lines_total", "counter", "Written.", (int64_t)e->log.lines);
 	text_value(s, "log_dropped_total", "counter", "Left out.",
--- a/entry-state.c
+++ b/entry-state.c
@@ -15,14 +15,6 @@
  * sent, then read by its server, and the clocks of two VMs do not run alike.
  */
 #define STATE_FRESH_MARGIN_MS 700
-/*
- * The configuration is read so often: a proof is dated by the asking, so
- * reading at once and often keeps it younger than long waits for news do, with
- * the same number of calls. Parts of the bounds on keys and on changes.
- */
-#define STATE_READ_KEYS_PERCENT 25
-#define STATE_READ_CHANGE_PERCENT 50
-#define STATE_READ_MOST_MS 1000
 /*
  * After the source is back, entries of servers that lapsed meanwhile return
  * within two seconds.
@@ -103,6 +95,8 @@
 	if (msg->kind < SP_RESERVE)
 		members_receive(&e->members, msec_now(), from, incarnation,
 		    address, port, msg);
+	else if (msg->kind >= SP_RELAY_ASK)
+		relay_receive(&e->relay, msec_now(), from, msg);
 	else
 		place_receive(&e->place, msec_now(), from, msg);
 }
@@ -152,7 +146,8 @@
 state_push_nodes(struct entry *e, msec now)
 {
 	struct place_node *nodes;
-	unsigned int n = 1;
+	name_id *takers;
+	unsigned int n = 1, ntakers = 0, i;
 	struct member *m;
 
 	RB_FOREACH (m, member_tree, &e->members.tree)
@@ -170,6 +165,13 @@
 			m->state == MEMBER_ALIVE && !m->leaving };
 	}
 	place_set_nodes(&e->place, now, nodes, n);
+	takers = g_new(name_id, n);
+	for (i = 0; i < n; i++) {
+		if (nodes[i].takes_work)
+			takers[ntakers++] = nodes[i].id;
+	}
+	relay_set_nodes(&e->relay, takers, ntakers);
+	g_free(takers);
 	g_free(nodes);
 }
 
@@ -204,24 +206,6 @@
 	}
 }
 
-void
-entry_take_proof(struct entry *e, msec asked)
-{
-	if (e->table != NULL)
-		fresh_prove(&e->fresh, asked);
-}
-
-msec
-entry_read_every(const struct entry *e)
-{
-	msec every = STATE_READ_MOST_MS, change = e->settings->change_bound;
-
-	if (e->fresh.bound != 0)
-		every =
-		    MIN(every, e->fresh.bound * STATE_READ_KEYS_PERCENT / 100);
-	return MAX(MIN(every, change * STATE_READ_CHANGE_PERCENT / 100), 1);
-}
-
 /* Is another node there that takes work? */
 bool
 entry_others_ready(const struct entry *e)
@@ -280,6 +264,7 @@
 			     : 0;
 	e->budget = (struct retry_budget_config){ s->retry_window,
 		s->retry_permille, s->retry_fixed };
+	entry_relay_apply(e);
 }
 
 bool
@@ -297,6 +282,7 @@
 
 	RB_INIT(&e->budgets);
 	fresh_init(&e->fresh, 0);
+	entry_relay_init(e, now);
 	entry_state_apply(e);
 	servers_init(&e->servers, &state_server_ops);
 	e->servers.arg = e;
@@ -339,6 +325,7 @@
 		g_free(b);
 	}
 	place_finish(&e->place);
+	entry_relay_finish(e);
 	loop_timer_stop(&e->loop, &e->place_timer);
 	servers_finish(&e->servers);
 	members_finish(&e->members);
--- a/entry.h
+++ b/entry.h
@@ -26,6 +26,7 @@
 #include "metrics.h"
 #include "net.h"
 #include "place.h"
+#include "relay.h"
 #include "retry-budget.h"
 #include "route.h"
 #include "savory.h"
@@ -320,6 +321,8 @@
 	struct servers servers;
 	struct place place;
 	struct loop_timer place_timer;
+	struct relay relay;
+	struct loop_timer relay_timer;
 	struct members members;
 	struct net net;
 	struct loop_io net_io;
@@ -347,8 +350,12 @@
 void entry_take_table(struct entry *, struct route_table *, msec);
 /* The configuration in force is the newest; a read sent then said so. */
 void entry_take_proof(struct entry *, msec asked);
-/* How often the configuration is to be read. */
-msec entry_read_every(const struct entry *);
+/* A read came to its end, but what it brought cannot be put in force. */
+void entry_take_nothing(struct entry *, enum relay_subject, msec asked);
+/* The servers are the newest; a read sent then said so. */
+void entry_take_servers(struct entry *, msec asked);
+/* How long the next read of a subject can wait, in ms; 0: it is due. */
+msec entry_read_due(const struct entry *, enum relay_subject, msec);
 /* Other nodes that announced themselves. */
 void entry_take_nodes(struct entry *, const struct vm *, unsigned int, msec);
 /* The source does not answer, or answers again. */
@@ -369,6 +376,13 @@
 /* Placement has something due: set its timer anew. */
 void entry_place_soon(struct entry *, msec);
 
+/* ---- what other nodes know of the newest state: entry-relay.c ---- */
+
+void entry_relay_init(struct entry *, msec);
+/* The bounds of the settings are in force from now on. */
+void entry_relay_apply(struct entry *);
+void entry_relay_finish(struct entry *);
+
 /* ---- metrics and dump: entry-metrics.c ---- */
 
 extern const struct caller_ops metrics_caller_ops;
--- a/proto.h
+++ b/proto.h
@@ -249,6 +249,24 @@
 };
 typedef struct sp_place_step sp_place_step;
 
+struct sp_relay_known {
+	u_quad_t mark;
+	u_int age_ms;
+};
+typedef struct sp_relay_known sp_relay_known;
+
+struct sp_relay_ask {
+	u_int seq;
+};
+typedef struct sp_relay_ask sp_relay_ask;
+
+struct sp_relay_tell {
+	u_int seq;
+	u_int hold_ms;
+	sp_relay_known known[2];
+};
+typedef struct sp_relay_tell sp_relay_tell;
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -268,6 +286,8 @@
 	SP_PLACE_TELL = 31,
 	SP_PLACE_TOOK = 32,
 	SP_PLACE_STEP = 33,
+	SP_RELAY_ASK = 40,
+	SP_RELAY_TELL = 41,
 };
 typedef enum sp_kind sp_kind;
 
@@ -292,6 +312,8 @@
 		sp_place_tell place_tell;
 		sp_place_took place_took;
 		sp_place_step place_step;
+		sp_relay_ask relay_ask;
+		sp_relay_tell relay_tell;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
@@ -351,6 +373,9 @@
 extern  bool_t xdr_sp_place_took (XDR *, sp_place_took*);
 extern  bool_t xdr_sp_place_what (XDR *, sp_place_what*);
 extern  bool_t xdr_sp_place_step (XDR *, sp_place_step*);
+extern  bool_t xdr_sp_relay_known (XDR *, sp_relay_known*);
+extern  bool_t xdr_sp_relay_ask (XDR *, sp_relay_ask*);
+extern  bool_t xdr_sp_relay_tell (XDR *, sp_relay_tell*);
 extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
 extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
 extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
@@ -382,6 +407,9 @@
 extern bool_t xdr_sp_place_took ();
 extern bool_t xdr_sp_place_what ();
 extern bool_t xdr_sp_place_step ();
+extern bool_t xdr_sp_relay_known ();
+extern bool_t xdr_sp_relay_ask ();
+extern bool_t xdr_sp_relay_tell ();
 extern bool_t xdr_sp_kind ();
 extern bool_t xdr_sp_msg ();
 extern bool_t xdr_sp_batch ();
--- a/proto.x
+++ b/proto.x
@@ -241,6 +241,26 @@
 
 /* ---- the batch ---- */
 
+/* ---- proofs passed on ---- */
+
+/* What a node knows of one subject, and how long ago it was the newest. */
+struct sp_relay_known {
+	unsigned hyper mark;		/* names what is in force there */
+	unsigned int age_ms;		/* the largest number: never known */
+};
+
+/* What do you know? */
+struct sp_relay_ask {
+	unsigned int seq;
+};
+
+/* The answer, or with seq 0 news for those who asked lately. */
+struct sp_relay_tell {
+	unsigned int seq;
+	unsigned int hold_ms;		/* missing servers are held so long */
+	sp_relay_known known[2];	/* configuration, servers */
+};
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -259,7 +279,9 @@
 	SP_PLACE_ASK = 30,
 	SP_PLACE_TELL = 31,
 	SP_PLACE_TOOK = 32,
-	SP_PLACE_STEP = 33
+	SP_PLACE_STEP = 33,
+	SP_RELAY_ASK = 40,
+	SP_RELAY_TELL = 41
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -299,6 +321,10 @@
 	sp_place_took place_took;
 case SP_PLACE_STEP:
 	sp_place_step place_step;
+case SP_RELAY_ASK:
+	sp_relay_ask relay_ask;
+case SP_RELAY_TELL:
+	sp_relay_tell relay_tell;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -727,6 +727,44 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_relay_known(XDR *xdrs, sp_relay_known *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->mark))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->age_ms))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_relay_ask(XDR *xdrs, sp_relay_ask *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_relay_tell(XDR *xdrs, sp_relay_tell *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->hold_ms))
+		return FALSE;
+	if (!xdr_vector(xdrs, (char *)objp->known, 2, sizeof(sp_relay_known),
+		(xdrproc_t)xdr_sp_relay_known))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -817,6 +855,14 @@
 		if (!xdr_sp_place_step(xdrs, &objp->sp_msg_u.place_step))
 			return FALSE;
 		break;
+	case SP_RELAY_ASK:
+		if (!xdr_sp_relay_ask(xdrs, &objp->sp_msg_u.relay_ask))
+			return FALSE;
+		break;
+	case SP_RELAY_TELL:
+		if (!xdr_sp_relay_tell(xdrs, &objp->sp_msg_u.relay_tell))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- /dev/null
+++ b/relay.c
@@ -0,0 +1,233 @@
+/*
+ * Proofs of the newest state, passed from node to node; see relay.h.
+ */
+
+#define LOG_PART "relay"
+#include "relay.h"
+
+#include <xxhash.h>
+
+/* Parts of `every`, in percent: a reader's reads, a question, our own read. */
+#define RELAY_READ_PERCENT 60
+#define RELAY_ASK_PERCENT 75
+#define RELAY_ALONE_PERCENT 150
+/* Who did not ask for so many times `every` is not told of changes. */
+#define RELAY_ASKER_TIMES 3
+/* An age that says: never known. */
+#define RELAY_NEVER UINT32_MAX
+
+void
+relay_init(
+    struct relay *r, const struct relay_ops *ops, name_id self, msec every)
+{
+	unsigned int i;
+
+	*r = (struct relay){
+		.ops = ops, .self = self, .every = every, .reader = self
+	};
+	for (i = 0; i < RELAY_SUBJECTS; i++)
+		r->known[i] = (struct relay_known){
+			.proven = MSEC_NEVER, .asked = -1, .look = -1
+		};
+}
+
+static uint64_t
+relay_weight(name_id node, uint64_t group)
+{
+	uint64_t words[2] = { node, group };
+
+	return XXH64(words, sizeof words, 5);
+}
+
+void
+relay_set_nodes(struct relay *r, const name_id *nodes, unsigned int n)
+{
+	unsigned int groups =
+	    MAX(1, (n + RELAY_GROUP_NODES - 1) / RELAY_GROUP_NODES);
+	uint64_t group = relay_weight(r->self, 0) % groups, weight, most = 0;
+	unsigned int i;
+
+	r->reader = r->self;
+	for (i = 0; i < n; i++) {
+		weight = relay_weight(nodes[i], group + 1);
+		if (weight < most)
+			continue;
+		most = weight;
+		r->reader = nodes[i];
+	}
+}
+
+/* ---- what is known ---- */
+
+static void
+relay_fill(const struct relay *r, msec now, uint32_t seq, sp_msg *msg)
+{
+	sp_relay_tell *t = &msg->sp_msg_u.relay_tell;
+	const struct relay_known *k;
+	unsigned int i;
+
+	msg->kind = SP_RELAY_TELL;
+	t->seq = seq;
+	t->hold_ms = (u_int)r->ops->hold((struct relay *)r, now);
+	for (i = 0; i < RELAY_SUBJECTS; i++) {
+		k = &r->known[i];
+		t->known[i].mark = k->mark;
+		t->known[i].age_ms = k->proven == MSEC_NEVER
+					 ? RELAY_NEVER
+					 : (u_int)(now - k->proven);
+	}
+}
+
+static void
+relay_tell_askers(struct relay *r, msec now)
+{
+	sp_msg msg = { 0 };
+	unsigned int i;
+
+	relay_fill(r, now, 0, &msg);
+	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
+		if (r->askers[i].node != 0 &&
+		    now - r->askers[i].at <= r->every * RELAY_ASKER_TIMES)
+			r->ops->send(r, r->askers[i].node, &msg);
+	}
+}
+
+void
+relay_read(
+    struct relay *r, msec now, enum relay_subject s, uint64_t mark, msec asked)
+{
+	struct relay_known *k = &r->known[s];
+	bool changed = k->proven != MSEC_NEVER && k->mark != mark;
+
+	k->mark = mark;
+	if (k->proven == MSEC_NEVER || asked > k->proven)
+		k->proven = asked;
+	relay_read_in_vain(r, s, asked);
+	if (changed) {
+		r->counters.news++;
+		relay_tell_askers(r, now);
+	}
+}
+
+void
+relay_read_in_vain(struct relay *r, enum relay_subject s, msec asked)
+{
+	r->known[s].asked = MAX(r->known[s].asked, asked);
+}
+
+msec
+relay_due(const struct relay *r, msec now, enum relay_subject s)
+{
+	const struct relay_known *k = &r->known[s];
+	bool reads = r->reader == r->self;
+	msec at = k->asked + r->every * RELAY_READ_PERCENT / 100;
+
+	/* A read that was under way when we heard may have missed it. */
+	if (k->asked < 0 || k->look > k->asked)
+		return 0;
+	/* Nothing is there to be read yet, and nobody waits for news of it. */
+	if (k->proven == MSEC_NEVER)
+		at = k->asked + r->every;
+	else if (!reads)
+		at = MAX(at, k->proven + r->every * RELAY_ALONE_PERCENT / 100);
+	return MAX(at - now, 0);
+}
+
+/* ---- messages ---- */
+
+static void
+relay_note_asker(struct relay *r, msec now, name_id node)
+{
+	struct relay_asker *a, *oldest = &r->askers[0];
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
+		a = &r->askers[i];
+		if (a->node == node) {
+			a->at = now;
+			return;
+		}
+		if (a->at < oldest->at)
+			oldest = a;
+	}
+	*oldest = (struct relay_asker){ node, now };
+}
+
+/*
+ * The teller had this mark, and knew it for the newest, `age` before it
+ * answered. It answered after we asked, so the proof is no older than our
+ * asking less the age; when its answer came says nothing, since that may have
+ * waited, or we may have been paused.
+ */
+static void
+relay_take(struct relay *r, msec now, enum relay_subject s,
+    const sp_relay_known *told, bool answer)
+{
+	struct relay_known *k = &r->known[s];
+	msec then;
+
+	if (told->age_ms == RELAY_NEVER || k->proven == MSEC_NEVER)
+		return;
+	if (told->mark != k->mark) {
+		k->look = now;
+		r->ops->look(r, s, now);
+		return;
+	}
+	then = r->asked - told->age_ms;
+	if (!answer || then <= k->proven)
+		return;
+	k->proven = then;
+	r->counters.proofs++;
+	r->ops->proven(r, s, then);
+}
+
+static void
+relay_told(struct relay *r, msec now, name_id from, const sp_relay_tell *t)
+{
+	bool answer = from == r->reader && t->seq != 0 && t->seq == r->seq;
+	unsigned int i;
+
+	r->counters.told++;
+	if (t->hold_ms != 0)
+		r->ops->take_hold(r, now + t->hold_ms);
+	for (i = 0; i < RELAY_SUBJECTS; i++)
+		relay_take(r, now, i, &t->known[i], answer);
+}
+
+void
+relay_receive(struct relay *r, msec now, name_id from, const sp_msg *msg)
+{
+	sp_msg reply = { 0 };
+
+	switch (msg->kind) {
+	case SP_RELAY_ASK:
+		relay_note_asker(r, now, from);
+		relay_fill(r, now, msg->sp_msg_u.relay_ask.seq, &reply);
+		r->ops->send(r, from, &reply);
+		break;
+	case SP_RELAY_TELL:
+		relay_told(r, now, from, &msg->sp_msg_u.relay_tell);
+		break;
+	default:
+		break;
+	}
+}
+
+msec
+relay_tick(struct relay *r, msec now)
+{
+	sp_msg msg = { .kind = SP_RELAY_ASK };
+
+	if (now < r->next_ask)
+		return r->next_ask;
+	r->next_ask = now + r->every * RELAY_ASK_PERCENT / 100;
+	if (r->reader == r->self)
+		return r->next_ask;
+	if (++r->seq == 0)
+		r->seq = 1;
+	r->asked = now;
+	r->counters.asked++;
+	msg.sp_msg_u.relay_ask.seq = r->seq;
+	r->ops->send(r, r->reader, &msg);
+	return r->next_ask;
+}
--- /dev/null
+++ b/relay.h
@@ -0,0 +1,103 @@
+/*
+ * Knowing that nothing is new without everybody asking. Each node must know,
+ * about once a second, that the configuration and the list of servers it goes
+ * by are the newest. Asked of the platform by each, that is the largest part
+ * of all calls. So a few nodes read, and the others ask these: "what do you
+ * know, and how old is it?" An answer that names what we have ourselves
+ * proves it for us as well; one that names something else makes us read.
+ *
+ * Nobody is elected. Each node asks the one of its group that rendezvous
+ * hashing over the live nodes gives, any node answers by what it knows, and
+ * ages add up, so that nodes with different views are slower and never wrong.
+ * A node that hears nothing in time reads by itself.
+ *
+ * A core without input or output.
+ */
+
+#ifndef RELAY_H
+#define RELAY_H
+
+#include "proto.h"
+#include "savory.h"
+
+/* Nodes that ask one reader. More of them cost the reader's processor. */
+#define RELAY_GROUP_NODES 40
+
+/* What there is to know. */
+enum relay_subject {
+	RELAY_TABLE,   /* the configuration; its mark is the version */
+	RELAY_SERVERS, /* the servers; the mark is servers_mark() */
+	RELAY_SUBJECTS
+};
+
+/* What this node knows of one. */
+struct relay_known {
+	uint64_t mark; /* names what is in force here */
+	msec proven;   /* it was the newest then; MSEC_NEVER: never */
+	msec asked;    /* the newest read of our own that ended; -1: none */
+	msec look;     /* another node knew otherwise then; -1: none */
+};
+
+/* A node that asked us; it is told of changes for a while. */
+struct relay_asker {
+	name_id node;
+	msec at;
+};
+
+struct relay_counters {
+	uint64_t asked;	 /* questions */
+	uint64_t told;	 /* answers and news heard */
+	uint64_t proofs; /* subjects proven by these */
+	uint64_t news;	 /* changes that our own reads brought */
+};
+
+struct relay;
+
+/* What the core calls; all must be given. */
+struct relay_ops {
+	/* Send to a node; may be dropped. Must not call back. */
+	void (*send)(struct relay *, name_id, const sp_msg *);
+	/* What is in force of a subject was the newest then. */
+	void (*proven)(struct relay *, enum relay_subject, msec then);
+	/* Read it now. */
+	void (*look)(struct relay *, enum relay_subject, msec);
+	/* How long missing servers are held, in ms: ours, and another's. */
+	msec (*hold)(struct relay *, msec);
+	void (*take_hold)(struct relay *, msec until);
+};
+
+/* In the embedder's memory. */
+struct relay {
+	const struct relay_ops *ops;
+	name_id self;
+	msec every; /* what is known should be no older, in ms */
+	struct relay_known known[RELAY_SUBJECTS];
+	name_id reader; /* whom we ask; our own id: nobody, we read */
+	uint32_t seq;	/* of the newest question */
+	msec asked;	/* when it was asked */
+	msec next_ask;
+	struct relay_asker askers[RELAY_GROUP_NODES];
+	struct relay_counters counters;
+	void *arg; /* the embedder's */
+};
+
+void
+relay_init(struct relay *, const struct relay_ops *, name_id self, msec every);
+/* The nodes that take work, ourselves among them when we do. */
+void relay_set_nodes(struct relay *, const name_id *, unsigned int);
+/*
+ * A read of our own, sent at `asked`, came to the end: the mark names what is
+ * in force. Those who asked lately are told when it is another than before.
+ */
+void relay_read(
+    struct relay *, msec now, enum relay_subject, uint64_t mark, msec asked);
+/* The same, but what was read cannot be put in force. */
+void relay_read_in_vain(struct relay *, enum relay_subject, msec asked);
+/* How long a read of our own can wait, in ms; 0: it is due. */
+msec relay_due(const struct relay *, msec now, enum relay_subject);
+/* A message of kind SP_RELAY_*. */
+void relay_receive(struct relay *, msec now, name_id from, const sp_msg *);
+/* Ask when it is time; when to call again. */
+msec relay_tick(struct relay *, msec now);
+
+#endif /* RELAY_H */
--- a/server.c
+++ b/server.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 /*
  * A server that failed several times in a row rests, twice as long each time.
  * One failure in seven requests is ordinary on some services, so a single one
@@ -156,6 +158,26 @@
 	s->held_until = MAX(s->held_until, until);
 }
 
+uint64_t
+servers_mark(struct servers *s)
+{
+	uint64_t words[6], mark = 0;
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (v->state == SERVER_GONE)
+			continue;
+		words[0] = v->id;
+		words[1] = v->service;
+		words[2] = ((uint64_t)v->address << 16) | v->port;
+		words[3] = v->state;
+		words[4] = (uint64_t)v->born;
+		words[5] = v->slots;
+		mark += XXH64(words, sizeof words, 6);
+	}
+	return mark;
+}
+
 void
 servers_tick(struct servers *s, msec now)
 {
--- a/server.h
+++ b/server.h
@@ -109,6 +109,11 @@
  * in time, a server that is not listed stays in use.
  */
 void servers_hold(struct servers *, msec until);
+/*
+ * Names what the platform says of all servers in use: the same on two nodes
+ * that go by the same entries.
+ */
+uint64_t servers_mark(struct servers *);
 /* Do what is due. */
 void servers_tick(struct servers *, msec);
 
--- /dev/null
+++ b/tests/test-relay.c
@@ -0,0 +1,346 @@
+/*
+ * Proofs of the newest state passed from node to node. What a user would see
+ * when it goes wrong: a key that was taken away still works, since a node took
+ * another's old knowledge for new; or a change that some nodes never hear of.
+ */
+
+#include "relay.h"
+
+#include <string.h>
+
+#define NODES 12
+#define EVERY 1000
+
+struct world;
+
+/* One node, with what its source would say. */
+struct node {
+	struct relay relay;
+	struct world *world;
+	uint64_t mark; /* in force */
+	msec proven, held;
+	unsigned int reads, looks;
+	bool cut; /* hears and says nothing */
+};
+
+struct parcel {
+	name_id from, to;
+	sp_msg msg;
+};
+
+struct world {
+	struct node nodes[NODES];
+	unsigned int n;
+	uint64_t newest; /* at the platform */
+	msec now;
+	GQueue mail;
+};
+
+static struct node *
+world_find(struct world *w, name_id id)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->n; i++) {
+		if (w->nodes[i].relay.self == id)
+			return &w->nodes[i];
+	}
+	return NULL;
+}
+
+static void
+node_send(struct relay *r, name_id to, const sp_msg *msg)
+{
+	struct node *v = r->arg;
+	struct parcel *p = g_new0(struct parcel, 1);
+
+	*p = (struct parcel){ r->self, to, *msg };
+	g_queue_push_tail(&v->world->mail, p);
+}
+
+static void
+node_proven(struct relay *r, enum relay_subject s, msec then)
+{
+	struct node *v = r->arg;
+
+	if (s == RELAY_TABLE)
+		v->proven = MAX(v->proven, then);
+}
+
+static void
+node_look(struct relay *r, enum relay_subject s, msec now)
+{
+	((struct node *)r->arg)->looks++;
+}
+
+static msec
+node_hold(struct relay *r, msec now)
+{
+	return MAX(((struct node *)r->arg)->held - now, 0);
+}
+
+static void
+node_take_hold(struct relay *r, msec until)
+{
+	struct node *v = r->arg;
+
+	v->held = MAX(v->held, until);
+}
+
+static const struct relay_ops node_ops = { node_send, node_proven, node_look,
+	node_hold, node_take_hold };
+
+static void
+world_init(struct world *w, unsigned int n)
+{
+	name_id ids[NODES];
+	unsigned int i;
+
+	memset(w, 0, sizeof *w);
+	g_queue_init(&w->mail);
+	w->n = n;
+	w->newest = 1;
+	w->now = 10000;
+	for (i = 0; i < n; i++)
+		ids[i] = 100 + i;
+	for (i = 0; i < n; i++) {
+		w->nodes[i].world = w;
+		relay_init(&w->nodes[i].relay, &node_ops, ids[i], EVERY);
+		w->nodes[i].relay.arg = &w->nodes[i];
+		relay_set_nodes(&w->nodes[i].relay, ids, n);
+	}
+}
+
+static void
+node_read(struct node *v, msec now)
+{
+	v->reads++;
+	v->mark = v->world->newest;
+	v->proven = now;
+	relay_read(&v->relay, now, RELAY_TABLE, v->mark, now);
+	relay_read(&v->relay, now, RELAY_SERVERS, 7, now);
+}
+
+static void
+world_post(struct world *w)
+{
+	struct parcel *p;
+	struct node *from, *to;
+
+	while ((p = g_queue_pop_head(&w->mail)) != NULL) {
+		from = world_find(w, p->from);
+		to = world_find(w, p->to);
+		if (!from->cut && !to->cut)
+			relay_receive(&to->relay, w->now, p->from, &p->msg);
+		g_free(p);
+	}
+}
+
+/* Time passes; nodes read when it is due. */
+static void
+world_run(struct world *w, msec ms)
+{
+	msec end = w->now + ms;
+	unsigned int i;
+
+	for (; w->now < end; w->now += 10) {
+		for (i = 0; i < w->n; i++) {
+			relay_tick(&w->nodes[i].relay, w->now);
+			if (relay_due(
+				&w->nodes[i].relay, w->now, RELAY_TABLE) == 0)
+				node_read(&w->nodes[i], w->now);
+		}
+		world_post(w);
+	}
+}
+
+static unsigned int
+world_reads(const struct world *w)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < w->n; i++)
+		n += w->nodes[i].reads;
+	return n;
+}
+
+static struct node *
+world_reader(struct world *w)
+{
+	return world_find(w, w->nodes[0].relay.reader);
+}
+
+/* One reads less than twice a second, and all know that they are up to date. */
+static void
+test_one_reads(void)
+{
+	struct world w;
+	unsigned int i, before;
+
+	world_init(&w, NODES);
+	world_run(&w, 2000);
+	before = world_reads(&w);
+	for (i = 0; i < 100; i++) {
+		world_run(&w, 100);
+		g_assert_cmpint(
+		    w.now - w.nodes[i % NODES].proven, <, EVERY * 14 / 10);
+	}
+	g_assert_cmpuint(world_reads(&w) - before, <=, 18);
+	g_assert_cmpuint(world_reads(&w) - before, >=, 15);
+}
+
+/* A change is in force everywhere soon after the reader has read it. */
+static void
+test_change(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w, NODES);
+	world_run(&w, 5000);
+	w.newest = 2;
+	world_run(&w, 600);
+	for (i = 0; i < NODES; i++)
+		g_assert_cmpuint(w.nodes[i].mark, ==, 2);
+}
+
+/*
+ * The reader is cut off. The others read by themselves before what they know
+ * grows old, and go on so until the live nodes change.
+ */
+static void
+test_reader_cut(void)
+{
+	struct world w;
+	unsigned int i, k;
+
+	world_init(&w, NODES);
+	world_run(&w, 5000);
+	world_reader(&w)->cut = true;
+	w.newest = 3;
+	for (k = 0; k < 50; k++) {
+		world_run(&w, 100);
+		for (i = 0; i < NODES; i++)
+			g_assert_cmpint(
+			    w.now - w.nodes[i].proven, <, EVERY * 16 / 10);
+	}
+	for (i = 0; i < NODES; i++)
+		g_assert_cmpuint(w.nodes[i].mark, ==, 3);
+}
+
+/*
+ * A key was taken away while a node slept with a question in flight. The
+ * answer, given before, is read when it wakes: it proves only the past.
+ */
+static void
+test_answer_that_waited(void)
+{
+	struct world w;
+	struct node *reader, *v;
+
+	world_init(&w, 2);
+	world_run(&w, 2000);
+	reader = world_reader(&w);
+	v = reader == &w.nodes[0] ? &w.nodes[1] : &w.nodes[0];
+	v->relay.next_ask = 0;
+	relay_tick(&v->relay, w.now);
+	relay_receive(&reader->relay, w.now, v->relay.self,
+	    &((struct parcel *)g_queue_peek_tail(&w.mail))->msg);
+	w.newest = 2;
+	w.now += 20000;
+	world_post(&w);
+	g_assert_cmpint(w.now - v->proven, >=, 20000);
+	g_assert_cmpint(relay_due(&v->relay, w.now, RELAY_TABLE), ==, 0);
+}
+
+/* One that goes by another version takes no proof from it, and reads. */
+static void
+test_other_mark(void)
+{
+	struct world w;
+	struct node *reader, *v;
+	msec before;
+
+	world_init(&w, 2);
+	world_run(&w, 2000);
+	reader = world_reader(&w);
+	v = reader == &w.nodes[0] ? &w.nodes[1] : &w.nodes[0];
+	w.newest = 9;
+	before = v->proven;
+	w.now += 300;
+	node_read(reader, w.now);
+	v->relay.next_ask = 0;
+	relay_tick(&v->relay, w.now);
+	world_post(&w);
+	g_assert_cmpint(v->proven, ==, before);
+	g_assert_cmpuint(v->looks, >, 0);
+	g_assert_cmpint(relay_due(&v->relay, w.now, RELAY_TABLE), ==, 0);
+	node_read(v, w.now);
+	g_assert_cmpint(relay_due(&v->relay, w.now, RELAY_TABLE), >, 0);
+}
+
+/*
+ * A configuration that nobody can read is no reason to ask without a pause,
+ * nor does it prove anything.
+ */
+static void
+test_in_vain(void)
+{
+	struct world w;
+	struct node *v;
+
+	world_init(&w, 1);
+	v = &w.nodes[0];
+	relay_read_in_vain(&v->relay, RELAY_TABLE, w.now);
+	g_assert_cmpint(relay_due(&v->relay, w.now, RELAY_TABLE), >=, 100);
+}
+
+/* Servers that are missing for a moment are not dropped by hearsay. */
+static void
+test_hold(void)
+{
+	struct world w;
+
+	world_init(&w, 2);
+	world_run(&w, 2000);
+	world_reader(&w)->held = w.now + 5000;
+	world_run(&w, 1000);
+	g_assert_cmpint(w.nodes[0].held, >=, w.now + 3000);
+	g_assert_cmpint(w.nodes[1].held, >=, w.now + 3000);
+}
+
+/* Nodes of many groups ask different readers. */
+static void
+test_groups(void)
+{
+	struct relay r[300];
+	GHashTable *readers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	name_id ids[300];
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(r); i++)
+		ids[i] = name_hash(g_strdup_printf("node-%u", i));
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		relay_init(&r[i], &node_ops, ids[i], EVERY);
+		relay_set_nodes(&r[i], ids, G_N_ELEMENTS(r));
+		g_hash_table_add(readers, &r[i].reader);
+	}
+	g_assert_cmpuint(g_hash_table_size(readers), >=, 5);
+	g_assert_cmpuint(g_hash_table_size(readers), <=, 8);
+	g_hash_table_unref(readers);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/relay/one-reads", test_one_reads);
+	g_test_add_func("/relay/change", test_change);
+	g_test_add_func("/relay/reader-cut", test_reader_cut);
+	g_test_add_func("/relay/answer-that-waited", test_answer_that_waited);
+	g_test_add_func("/relay/other-mark", test_other_mark);
+	g_test_add_func("/relay/in-vain", test_in_vain);
+	g_test_add_func("/relay/hold", test_hold);
+	g_test_add_func("/relay/groups", test_groups);
+	return g_test_run();
+}
--- a/wire.h
+++ b/wire.h
@@ -12,6 +12,7 @@
 #include "buffer.h"
 #include "http-message.h"
 #include "member.h"
+#include "relay.h"
 #include "route.h"
 #include "savory.h"
 #include "server.h"
@@ -103,6 +104,8 @@
 	void (*announce)(struct source *);
 	/* Others are not to find it any more. */
 	void (*retract)(struct source *);
+	/* Read a subject now, also when no read is due. */
+	void (*read)(struct source *, enum relay_subject);
 	/* Its own counters, as text exposition. */
 	void (*metrics)(const struct source *, GString *);
 	void (*finish)(struct source *);
