After a pause, what has arrived is read before time is judged

Cause: a process that is stopped and goes on has its epoll_wait() interrupted. The loop took that for a turn without events and fired its timers: connections that stood and answers that lay ready were given up as too late. Found by a test of the case 'paused while a connection is being made', which never reached the check that it was for.

Ruled out: TCP_USER_TIMEOUT on the connecting socket (the server had accepted it); the order of events and timers within a turn (events come first).

Change: an interrupted wait waits again, so events come first.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 GEN_SRCS := proto_xdr.c
 # platform/test-*.c and platform/standin-*.c speak the platform's names too.
-ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c,$(wildcard platform/*.c))
+ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c platform/util-%.c,$(wildcard platform/*.c))
 ENTRY_SRCS := $(wildcard entry*.c) $(ADAPTER_SRCS)
 DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c) $(ENTRY_SRCS)
 TOOL_SRCS := savorypier.c $(wildcard cmd-*.c)
@@ -102,7 +102,7 @@
 PLATFORM_TESTS = $(call prog,$(wildcard platform/test-*.c platform/proc-*.c))
 $(PLATFORM_STANDINS): $(B)/%: $(B)/obj/platform/%.o $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
-$(PLATFORM_TESTS): $(B)/%: $(B)/obj/platform/%.o $(call obj,$(ENTRY_SRCS) $(TEST_COMMON)) $(LIB)
+$(PLATFORM_TESTS): $(B)/%: $(B)/obj/platform/%.o $(call obj,$(ENTRY_SRCS) $(TEST_COMMON) $(wildcard platform/util-*.c)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
 $(filter-out $(PLATFORM_STANDINS),$(STANDINS)): $(B)/%: $(B)/obj/standins/%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
--- a/loop.c
+++ b/loop.c
@@ -137,9 +137,16 @@
 	int i, n;
 
 	while (!l->stopping) {
-		n = epoll_wait(
-		    l->epoll_fd, events, LOOP_BATCH, loop_wait_ms(l));
-		l->now = msec_now();
+		/*
+		 * Guards against answers thrown away after a pause: a process
+		 * that is stopped and goes on is interrupted here, and timers
+		 * would end what has long been answered.
+		 */
+		do {
+			n = epoll_wait(
+			    l->epoll_fd, events, LOOP_BATCH, loop_wait_ms(l));
+			l->now = msec_now();
+		} while (n == -1 && errno == EINTR);
 		batch = events;
 		batch_len = MAX(n, 0);
 		for (i = 0; i < batch_len; i++) {
