The list of nodes is read often by readers only

Cause: each node read the whole list each 15 s: bytes that grow with the square of the nodes, and at 350 nodes 163 reads a second (7 pages each). Nodes tell each other of nodes; the list only joins parts of the fleet that lost each other, so a reader of each part is enough, and the others read it each 120 s.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -16,6 +16,14 @@
 #define RELAY_CHANGE_PERCENT 45
 #define RELAY_MOST_MS 1000
 
+/*
+ * Nodes tell each other of nodes. The list joins parts of the fleet that have
+ * lost each other, for which it is enough that one node of a part reads it;
+ * the others' reads are for a fleet whose readers cannot.
+ */
+#define RELAY_NODES_MS 15000
+#define RELAY_NODES_OTHERS_MS 120000
+
 static struct entry *
 entry_of_relay(struct relay *r)
 {
@@ -105,6 +113,13 @@
 	return relay_due(&e->relay, now, s);
 }
 
+msec
+entry_nodes_every(const struct entry *e)
+{
+	return e->relay.reader == e->relay.self ? RELAY_NODES_MS
+						: RELAY_NODES_OTHERS_MS;
+}
+
 static void
 entry_relay_timer(struct loop_timer *t, msec now)
 {
--- a/entry.h
+++ b/entry.h
@@ -378,6 +378,8 @@
 
 /* ---- what other nodes know of the newest state: entry-relay.c ---- */
 
+/* How often the list of nodes is to be read. */
+msec entry_nodes_every(const struct entry *);
 void entry_relay_init(struct entry *, msec);
 /* The bounds of the settings are in force from now on. */
 void entry_relay_apply(struct entry *);
