Room for what a group of servers has read

Cause: a coordinator's table of what servers have read has 2,048 places, and a group of 20 servers up to 2,000 pairs of prompt and server under load: half of them pushed each other out, so prompts went to servers that had not read them.

Ruled out: the age limit of 15 s (prompts come back every 3 s).

--- a/server-memory.h
+++ b/server-memory.h
@@ -10,9 +10,10 @@
 
 /*
  * A table of this many places; two prompts that share a place push each other
- * out. Room for the subjects of a few services on some servers each.
+ * out: of the 2,000 pairs that a group of 20 servers may have under load, one
+ * in sixteen.
  */
-#define SERVER_MEMORY_PLACES 2048
+#define SERVER_MEMORY_PLACES 16384
 
 /* The table; all zero is empty. */
 struct server_memory {
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -294,6 +294,29 @@
 	servers_finish(&s);
 }
 
+/*
+ * A group's coordinator has some 400 prompts, each read by some servers. Those
+ * it forgets are sent elsewhere and read again.
+ */
+static void
+test_memory_room(void)
+{
+	static struct server_memory m;
+	unsigned int prompt, server, kept = 0;
+
+	for (prompt = 1; prompt <= 400; prompt++) {
+		for (server = 1; server <= 5; server++)
+			server_memory_note(
+			    &m, 1000, name_hash("v") + server, prompt * 977);
+	}
+	for (prompt = 1; prompt <= 400; prompt++) {
+		for (server = 1; server <= 5; server++)
+			kept += server_memory_has(&m, 1000,
+			    name_hash("v") + server, prompt * 977, 5000);
+	}
+	g_assert_cmpuint(kept, >=, 1800);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -306,5 +329,6 @@
 	g_test_add_func("/server/parted", test_parted);
 	g_test_add_func("/server/forgot", test_forgot);
 	g_test_add_func("/server/avoid", test_avoid);
+	g_test_add_func("/server/memory-room", test_memory_room);
 	return g_test_run();
 }
