Quiet servers stay quiet when the others' queues are long

Cause: a long prompt goes to a server kept for light requests when the others are 600 ms behind.

Ruled out: the number of quiet servers (2 to 8 of 18, as planned).

--- a/server-choose.c
+++ b/server-choose.c
@@ -31,7 +31,7 @@
 /* Quiet servers of one group, at most. */
 #define CHOOSE_QUIET_MAX 64
 /* What it costs to put a long prompt beside light requests, or the reverse. */
-#define CHOOSE_MIX_MS 600.0
+#define CHOOSE_MIX_MS 8000.0
 
 static bool
 wish_avoids(const struct server_wish *w, name_id id)
