Fewer reads at the start and in bursts of changes

Cause: nodes read servers while there is no configuration to serve by, and read each of many changes that come within half a second on its own.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -16,6 +16,8 @@
 #define RELAY_CHANGE_PERCENT 45
 #define RELAY_MOST_MS 1000
 
+/* Between two reads of servers that nobody needs yet. */
+#define RELAY_UNUSED_MS 5000
 /*
  * Nodes tell each other of nodes. The list joins parts of the fleet that have
  * lost each other, for which it is enough that one node of a part reads it;
@@ -107,10 +109,15 @@
 	    servers_mark(&e->servers), asked);
 }
 
+/* Until there is a configuration nobody is served, and no server used. */
 msec
 entry_read_due(const struct entry *e, enum relay_subject s, msec now)
 {
-	return relay_due(&e->relay, now, s);
+	msec due = relay_due(&e->relay, now, s);
+
+	return e->table == NULL && s == RELAY_SERVERS
+		   ? MAX(due, RELAY_UNUSED_MS)
+		   : due;
 }
 
 msec
--- a/entry-state.c
+++ b/entry-state.c
@@ -202,6 +202,7 @@
 	e->counters.tables++;
 	if (e->phase == ENTRY_STARTING) {
 		e->phase = ENTRY_SERVING;
+		e->source->ops->read(e->source, RELAY_SERVERS);
 		e->source->ops->announce(e->source);
 	}
 }
--- a/relay.c
+++ b/relay.c
@@ -7,10 +7,14 @@
 
 #include <xxhash.h>
 
-/* Parts of `every`, in percent: a reader's reads, a question, our own read. */
+/*
+ * Parts of `every`, in percent: between a reader's reads, between questions,
+ * until a read of our own, and between reads of many changes.
+ */
 #define RELAY_READ_PERCENT 60
 #define RELAY_ASK_PERCENT 75
 #define RELAY_ALONE_PERCENT 150
+#define RELAY_BURST_PERCENT 50
 /* Who did not ask for so many times `every` is not told of changes. */
 #define RELAY_ASKER_TIMES 3
 /* An age that says: never known. */
@@ -122,9 +126,15 @@
 	bool reads = r->reader == r->self;
 	msec at = k->asked + r->every * RELAY_READ_PERCENT / 100;
 
-	/* A read that was under way when we heard may have missed it. */
-	if (k->asked < 0 || k->look > k->asked)
+	if (k->asked < 0)
 		return 0;
+	/*
+	 * A read that was under way when we heard may have missed it. Changes
+	 * come in bursts: one read for some of them.
+	 */
+	if (k->look > k->asked)
+		return MAX(
+		    k->asked + r->every * RELAY_BURST_PERCENT / 100 - now, 0);
 	/* Nothing is there to be read yet, and nobody waits for news of it. */
 	if (k->proven == MSEC_NEVER)
 		at = k->asked + r->every;
--- a/relay.h
+++ b/relay.h
@@ -59,7 +59,7 @@
 	void (*send)(struct relay *, name_id, const sp_msg *);
 	/* What is in force of a subject was the newest then. */
 	void (*proven)(struct relay *, enum relay_subject, msec then);
-	/* Read it now. */
+	/* There is news of it: see relay_due(). */
 	void (*look)(struct relay *, enum relay_subject, msec);
 	/* How long missing servers are held, in ms: ours, and another's. */
 	msec (*hold)(struct relay *, msec);
--- a/wire.h
+++ b/wire.h
@@ -104,7 +104,7 @@
 	void (*announce)(struct source *);
 	/* Others are not to find it any more. */
 	void (*retract)(struct source *);
-	/* Read a subject now, also when no read is due. */
+	/* There is news of a subject: look again when it is due. */
 	void (*read)(struct source *, enum relay_subject);
 	/* Its own counters, as text exposition. */
 	void (*metrics)(const struct source *, GString *);
