Holds of missing servers are kept to oneself; baselines of placement

Cause: an answer of relay.c carried how long its sender holds servers that it misses.

Ruled out: lost records, stale pages (the node had read five other changes), old heartbeats.

Change: the field goes. An outage long enough for entries to lapse is noticed by each node itself, since its proofs run out.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -57,21 +57,8 @@
 	e->source->ops->read(e->source, s);
 }
 
-static msec
-entry_relay_hold(struct relay *r, msec now)
-{
-	return MAX(entry_of_relay(r)->servers.held_until - now, 0);
-}
-
-static void
-entry_relay_take_hold(struct relay *r, msec until)
-{
-	servers_hold(&entry_of_relay(r)->servers, until);
-}
-
 static const struct relay_ops entry_relay_ops = { entry_relay_send,
-	entry_relay_proven, entry_relay_look, entry_relay_hold,
-	entry_relay_take_hold };
+	entry_relay_proven, entry_relay_look };
 
 static msec
 entry_relay_every(const struct entry *e)
--- a/entry-state.c
+++ b/entry-state.c
@@ -290,6 +290,7 @@
 	place_init(&e->place, &state_place_ops, &e->servers, name_hash(s->node),
 	    s->domain, e->rand);
 	e->place.arg = e;
+	place_set_policy(&e->place, s->policy);
 	loop_timer_init(&e->place_timer, state_place_timer, e);
 	loop_timer_set(&e->loop, &e->place_timer, now);
 	e->live_nodes = 1;
--- a/place-private.h
+++ b/place-private.h
@@ -46,4 +46,7 @@
 void place_sweep(struct place *, msec);
 void place_holds_free(struct place *);
 
+/* By the baseline that is set; NULL: there is no server. */
+struct server *place_pick(struct place *, msec, const struct server_wish *);
+
 #endif /* PLACE_PRIVATE_H */
--- a/place.c
+++ b/place.c
@@ -84,7 +84,9 @@
 		.gap_target = m->gap_ms,
 		.rank = m->rank };
 	w->navoid = MIN(m->avoid.avoid_len, SERVER_AVOID_MAX);
-	memcpy(w->avoid, m->avoid.avoid_val, w->navoid * sizeof *w->avoid);
+	if (w->navoid > 0)
+		memcpy(
+		    w->avoid, m->avoid.avoid_val, w->navoid * sizeof *w->avoid);
 }
 
 static void
@@ -192,6 +194,11 @@
 	r->waiting = r->local = r->unread = false;
 	r->server = 0;
 	r->queue = (struct place_queue){ 0 };
+	if (p->policy != NULL) {
+		r->id = 0;
+		place_decide(p, now, r, place_pick(p, now, &r->wish));
+		return;
+	}
 	if (++p->next_id == 0)
 		p->next_id = 1;
 	r->id = p->next_id;
--- a/place.h
+++ b/place.h
@@ -64,6 +64,7 @@
 TAILQ_HEAD(place_requests, place_request);
 
 struct place_hold;
+struct place_policy;
 /* Requests that a coordinator counts; kinds of request by service. */
 RB_HEAD(place_holds, place_hold);
 RB_HEAD(place_mixes, mix);
@@ -114,12 +115,19 @@
 	struct place_mixes own, all;
 	struct place_holds holds; /* as coordinator */
 	struct place_counters counters;
-	void *arg; /* the embedder's */
+	void *arg;			   /* the embedder's */
+	const struct place_policy *policy; /* NULL: coordinators decide */
+	unsigned int next_pick;		   /* of round-robin */
 };
 
 /* Start for a node's id and failure domain; the end. */
 void place_init(struct place *, const struct place_ops *, struct servers *,
     name_id self, const char *domain, GRand *);
+/*
+ * How servers are chosen: "owner", by coordinators, or a baseline: "random",
+ * "round-robin", "least-load", "two-choices".
+ */
+void place_set_policy(struct place *, const char *);
 void place_finish(struct place *);
 /* All nodes, ourselves among them. */
 void
--- a/proto.h
+++ b/proto.h
@@ -264,7 +264,6 @@
 
 struct sp_relay_tell {
 	u_int seq;
-	u_int hold_ms;
 	sp_relay_known known[2];
 };
 typedef struct sp_relay_tell sp_relay_tell;
--- a/proto.x
+++ b/proto.x
@@ -259,7 +259,6 @@
 /* The answer, or with seq 0 news for those who asked lately. */
 struct sp_relay_tell {
 	unsigned int seq;
-	unsigned int hold_ms;		/* missing servers are held so long */
 	sp_relay_known known[2];	/* configuration, servers */
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -761,8 +761,6 @@
 	int i;
 	if (!xdr_u_int(xdrs, &objp->seq))
 		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->hold_ms))
-		return FALSE;
 	if (!xdr_vector(xdrs, (char *)objp->known, 2, sizeof(sp_relay_known),
 		(xdrproc_t)xdr_sp_relay_known))
 		return FALSE;
--- a/relay.c
+++ b/relay.c
@@ -72,7 +72,6 @@
 
 	msg->kind = SP_RELAY_TELL;
 	t->seq = seq;
-	t->hold_ms = (u_int)r->ops->hold((struct relay *)r, now);
 	for (i = 0; i < RELAY_SUBJECTS; i++) {
 		k = &r->known[i];
 		t->known[i].mark = k->mark;
@@ -198,8 +197,6 @@
 	unsigned int i;
 
 	r->counters.told++;
-	if (t->hold_ms != 0)
-		r->ops->take_hold(r, now + t->hold_ms);
 	for (i = 0; i < RELAY_SUBJECTS; i++)
 		relay_take(r, now, i, &t->known[i], answer);
 }
--- a/relay.h
+++ b/relay.h
@@ -44,6 +44,7 @@
 	msec at;
 };
 
+/* What a node counts of it. */
 struct relay_counters {
 	uint64_t asked;	 /* questions */
 	uint64_t told;	 /* answers and news heard */
@@ -61,9 +62,6 @@
 	void (*proven)(struct relay *, enum relay_subject, msec then);
 	/* There is news of it: see relay_due(). */
 	void (*look)(struct relay *, enum relay_subject, msec);
-	/* How long missing servers are held, in ms: ours, and another's. */
-	msec (*hold)(struct relay *, msec);
-	void (*take_hold)(struct relay *, msec until);
 };
 
 /* In the embedder's memory. */
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -545,6 +545,49 @@
 	fleet_stop();
 }
 
+/* Baselines use all servers, avoid those tried, and ask nobody. */
+static void
+test_baselines(void)
+{
+	static const char *const names[] = { "random", "round-robin",
+		"least-load", "two-choices" };
+	static struct place_request r[64];
+	struct server *first = NULL, *v;
+	unsigned int i, k, used;
+
+	for (k = 0; k < G_N_ELEMENTS(names); k++) {
+		fleet_start(1, 4);
+		place_set_policy(&nodes[0].place, names[k]);
+		for (i = 0; i < G_N_ELEMENTS(r); i++) {
+			request_fill(&r[i], 7, 4000);
+			place_submit(&nodes[0].place, clock_now, &r[i]);
+			if (i == 0)
+				first = nodes[0].last;
+		}
+		used = 0;
+		RB_FOREACH (v, server_tree, &nodes[0].servers.tree) {
+			used += v->own.running > 0;
+			if (k == 1 || k == 2)
+				g_assert_cmpuint(v->own.running, ==, 16);
+		}
+		g_assert_cmpuint(used, ==, 4);
+		g_assert_cmpuint(sent, ==, 0);
+		for (i = 0; i < G_N_ELEMENTS(r); i++)
+			place_end(
+			    &nodes[0].place, clock_now, &r[i], SERVER_WELL);
+		for (i = 0; i < 20; i++) {
+			request_fill(&r[0], 7, 4000);
+			r[0].wish.navoid = 1;
+			r[0].wish.avoid[0] = first->id;
+			place_submit(&nodes[0].place, clock_now, &r[0]);
+			g_assert_true(nodes[0].last != first);
+			place_end(
+			    &nodes[0].place, clock_now, &r[0], SERVER_WELL);
+		}
+		fleet_stop();
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -559,5 +602,6 @@
 	g_test_add_func("/place/large", test_large);
 	g_test_add_func("/place/busy-is-told", test_busy_is_told);
 	g_test_add_func("/place/turned-away", test_turned_away);
+	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
 }
