What was never read is not taken for read

Cause: a coordinator notes a prompt as read when it places it. A request that is turned away then, or given up in the queue, leaves a note of what no server has, and the next one with that prompt is thought to cost nothing. Found by reading the change that turns requests away.

Test: /place/never-read (before: 100 tokens counted instead of 13,100).

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -30,6 +30,7 @@
 	name_id server;
 	name_id service;
 	name_id route;
+	uint64_t prompt; /* shared part that it was the first to bring */
 	unsigned int rank;
 	unsigned int tokens; /* of its prompt, while it is not read */
 	msec since;
@@ -268,6 +269,10 @@
 {
 	struct server *v = servers_find(p->servers, h->server);
 
+	/* It was turned away, or given up, before its prompt was read. */
+	if (h->tokens > 0 && h->prompt != 0)
+		server_memory_forget(
+		    &p->servers->all_memory, h->server, h->prompt);
 	hold_read(p, h);
 	if (v != NULL)
 		place_load_end(&v->all);
@@ -297,9 +302,11 @@
 		return;
 	}
 	h->tokens = w->own;
-	if (!server_memory_has(
-		&p->servers->all_memory, now, v->id, w->prompt, PLACE_HOLD_MS))
+	if (!server_memory_has(&p->servers->all_memory, now, v->id, w->prompt,
+		PLACE_HOLD_MS)) {
 		h->tokens += w->shared;
+		h->prompt = w->prompt;
+	}
 	p->counters.tokens += w->own + w->shared;
 	p->counters.tokens_kept += w->own + w->shared - h->tokens;
 	h->since = now;
--- a/server-memory.c
+++ b/server-memory.c
@@ -27,6 +27,16 @@
 	m->places[i].at = (uint32_t)(now / MEMORY_UNIT_MS) + 1;
 }
 
+void
+server_memory_forget(struct server_memory *m, name_id server, uint64_t prompt)
+{
+	uint64_t hash = memory_hash(server, prompt);
+	size_t i = hash % SERVER_MEMORY_PLACES;
+
+	if (m->places[i].key == (uint32_t)(hash >> 32))
+		m->places[i].at = 0;
+}
+
 bool
 server_memory_has(const struct server_memory *m, msec now, name_id server,
     uint64_t prompt, msec within)
--- a/server-memory.h
+++ b/server-memory.h
@@ -26,6 +26,9 @@
 /* The server has read the prompt, or used what it had of it. */
 void server_memory_note(
     struct server_memory *, msec, name_id server, uint64_t prompt);
+/* It did not, after all. */
+void
+server_memory_forget(struct server_memory *, name_id server, uint64_t prompt);
 /* Did it within the last so many ms? */
 bool server_memory_has(const struct server_memory *, msec, name_id server,
     uint64_t prompt, msec within);
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -545,6 +545,35 @@
 	fleet_stop();
 }
 
+/*
+ * A request is turned away after it was placed, or given up in the queue: its
+ * prompt was never read. The next with that prompt counts as one that has to
+ * read it, and what another has read meanwhile is not forgotten.
+ */
+static void
+test_never_read(void)
+{
+	struct place_request r;
+	struct server *v;
+	uint64_t unread = 0;
+	unsigned int i;
+
+	fleet_start(1, 4);
+	for (i = 0; i < 3; i++) {
+		request_fill(&r, 7, 100);
+		place_submit(&nodes[0].place, clock_now, &r);
+		unread = 0;
+		RB_FOREACH (v, server_tree, &nodes[0].servers.tree)
+			unread += v->all.unread;
+		/* The first is turned away; the second reads it. */
+		g_assert_cmpuint(unread, ==, i < 2 ? 13100 : 100);
+		if (i > 0)
+			place_read(&nodes[0].place, clock_now, &r);
+		place_end(&nodes[0].place, clock_now, &r, SERVER_UNKNOWN);
+	}
+	fleet_stop();
+}
+
 /* Baselines use all servers, avoid those tried, and ask nobody. */
 static void
 test_baselines(void)
@@ -602,6 +631,7 @@
 	g_test_add_func("/place/large", test_large);
 	g_test_add_func("/place/busy-is-told", test_busy_is_told);
 	g_test_add_func("/place/turned-away", test_turned_away);
+	g_test_add_func("/place/never-read", test_never_read);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
 }
