--- a/relay.h
+++ b/relay.h
@@ -79,6 +79,8 @@
 	void *arg; /* the embedder's */
 };
 
+/* Knows nothing yet and reads for itself; what it knows is to be no older than
+ * ms. */
 void
 relay_init(struct relay *, const struct relay_ops *, name_id self, msec every);
 /* The nodes that take work, ourselves among them when we do. */
