--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -287,10 +287,13 @@
 	struct relay r[300];
 	GHashTable *readers = g_hash_table_new(g_int64_hash, g_int64_equal);
 	name_id ids[300];
+	char name[16];
 	unsigned int i;
 
-	for (i = 0; i < G_N_ELEMENTS(r); i++)
-		ids[i] = name_hash(g_strdup_printf("node-%u", i));
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		g_snprintf(name, sizeof name, "node-%u", i);
+		ids[i] = name_hash(name);
+	}
 	for (i = 0; i < G_N_ELEMENTS(r); i++) {
 		relay_init(&r[i], &node_ops, ids[i], EVERY);
 		relay_set_nodes(&r[i], ids, G_N_ELEMENTS(r));
