The limit rises only by requests that were near it

Change: as with a congestion window that is not used, a success raises the limit only when more than half of it lay ahead of that request. It starts at a quarter of the target.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -34,6 +34,7 @@
 	unsigned int rank;
 	unsigned int tokens; /* of its prompt, while it is not read */
 	bool model;	     /* it has a prompt */
+	bool pressed;	     /* the limit was near when it was let in */
 	bool late;	     /* it was learned from as such */
 	msec since;
 };
@@ -285,7 +286,7 @@
 
 void
 place_hold_begin(struct place *p, msec now, name_id node, uint32_t id,
-    struct server *v, const struct server_wish *w)
+    struct server *v, const struct server_wish *w, const struct place_queue *q)
 {
 	struct mix *m = place_mix(&p->all, w->service);
 	struct place_hold *h;
@@ -305,6 +306,7 @@
 	}
 	h->tokens = w->own;
 	h->model = w->own + w->shared > 0;
+	h->pressed = q != NULL && server_limit_is_near(q->ahead, q->limit);
 	if (!server_memory_has(&p->servers->all_memory, now, v->id, w->prompt,
 		PLACE_HOLD_MS)) {
 		h->tokens += w->shared;
@@ -363,7 +365,7 @@
 	q->ahead = MIN(server_reading(&v->all, w->rank),
 	    servers_reading(p->servers, w->service, w->rank, &view));
 	q->limit = coordinate_limit(place_mix(&p->all, w->service), w, &view);
-	place_hold_begin(p, now, node, id, v, w);
+	place_hold_begin(p, now, node, id, v, w, q);
 	q->wait = server_reading(&v->all, SERVER_RANKS);
 	return v;
 }
@@ -412,7 +414,8 @@
 		return;
 	h->late = late;
 	server_limit_learn(
-	    mix_is_light(m, h->route) ? &m->limit_light : &m->limit, late);
+	    mix_is_light(m, h->route) ? &m->limit_light : &m->limit, late,
+	    h->pressed);
 }
 
 void
--- a/place-private.h
+++ b/place-private.h
@@ -34,9 +34,9 @@
 /* As coordinator: choose for a node's request, and count it. */
 struct server *place_coordinate(struct place *, msec, name_id, uint32_t,
     const struct server_wish *, struct place_queue *);
-/* Count one that was placed elsewhere. */
+/* Count one, with the queue that it met; NULL: it was placed elsewhere. */
 void place_hold_begin(struct place *, msec, name_id node, uint32_t id,
-    struct server *, const struct server_wish *);
+    struct server *, const struct server_wish *, const struct place_queue *);
 /* One that is counted goes on, or ends. */
 void
 place_step(struct place *, msec, name_id node, uint32_t id, enum sp_place_what);
--- a/place.c
+++ b/place.c
@@ -142,7 +142,7 @@
 	if (!r->unread)
 		w.own = w.shared = 0;
 	if (r->coordinator == p->self) {
-		place_hold_begin(p, now, p->self, r->id, v, &w);
+		place_hold_begin(p, now, p->self, r->id, v, &w, NULL);
 		return;
 	}
 	msg.sp_msg_u.place_took.id = r->id;
@@ -323,7 +323,7 @@
 		wish_decode(&w, &took->wish);
 		place_seen(&p->all, now, &w);
 		if ((v = servers_find(p->servers, took->server)) != NULL)
-			place_hold_begin(p, now, from, took->id, v, &w);
+			place_hold_begin(p, now, from, took->id, v, &w, NULL);
 		break;
 	case SP_PLACE_STEP:
 		place_step(p, now, from, step->id, step->what);
--- a/server-limit.c
+++ b/server-limit.c
@@ -11,7 +11,9 @@
  */
 #define LIMIT_LEAST 0.12
 #define LIMIT_MOST 1.0
-#define LIMIT_START 0.5
+#define LIMIT_START 0.25
+/* Near is beyond this part of the limit. */
+#define LIMIT_NEAR 0.5
 /*
  * One in so many may be late before fewer are let in: 8 instead of 16 lost
  * 0.02 of worth on servers whose streams suffer (60 nodes, 90 servers, the
@@ -19,19 +21,25 @@
  */
 #define LIMIT_LATE_ONE_IN 16
 /*
- * For each that was in time. From least to most in about a hundred: a second
- * of usual traffic at a service, so that one which began anew loses little.
+ * For each near the limit that was in time. From least to most in about a
+ * hundred: a second of a burst.
  */
 #define LIMIT_STEP 0.01
 
+bool
+server_limit_is_near(msec ahead, msec limit)
+{
+	return limit > 0 && (double)ahead > (double)limit * LIMIT_NEAR;
+}
+
 void
-server_limit_learn(struct server_limit *l, bool late)
+server_limit_learn(struct server_limit *l, bool late, bool pressed)
 {
 	double part = l->part > 0 ? l->part : LIMIT_START;
 
 	if (late)
 		part -= LIMIT_STEP * (LIMIT_LATE_ONE_IN - 1);
-	else
+	else if (pressed)
 		part += LIMIT_STEP;
 	l->part = CLAMP(part, LIMIT_LEAST, LIMIT_MOST);
 	l->fared++;
--- a/server-limit.h
+++ b/server-limit.h
@@ -19,8 +19,15 @@
 	uint64_t fared; /* requests that it was learned from */
 };
 
-/* One that was let in was late, or served in time. */
-void server_limit_learn(struct server_limit *, bool late);
+/* Is a request that has so much ahead of it near the limit, both in ms? */
+bool server_limit_is_near(msec ahead, msec limit);
+/*
+ * One that was let in was late, or served in time; `pressed`: it was near the
+ * limit. Only the success of such a one shows that more could be let in: in
+ * quiet times all are in time, whatever the limit, and a limit that rose with
+ * them would let the whole beginning of a burst in.
+ */
+void server_limit_learn(struct server_limit *, bool late, bool pressed);
 /*
  * The most that may be ahead of a request, in ms. The more urgent tiers are
  * not turned away for what was learned while a less urgent one can be.
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -503,6 +503,28 @@
 	r->wish.target = 2500;
 }
 
+/* Requests end in time though the limit was near. */
+static void
+service_has_room(void)
+{
+	static struct place_request r[24];
+	unsigned int i, k;
+
+	for (k = 0; k < 8; k++) {
+		for (i = 0; i < G_N_ELEMENTS(r); i++) {
+			request_fill_last(&r[i], 0, 6000);
+			place_submit(&nodes[0].place, clock_now, &r[i]);
+			fleet_run(5);
+		}
+		for (i = 0; i < G_N_ELEMENTS(r); i++) {
+			place_read(&nodes[0].place, clock_now, &r[i]);
+			place_end(
+			    &nodes[0].place, clock_now, &r[i], SERVER_WELL);
+		}
+		fleet_run(5);
+	}
+}
+
 /* Requests that are let in end late, one after the other. */
 static void
 service_is_late(unsigned int times)
@@ -564,6 +586,7 @@
 	unsigned int i, away;
 
 	fleet_start(8, 4);
+	service_has_room();
 	/* 1,000 ms ahead of the last, with a target of 2,500. */
 	g_assert_cmpuint(away_of_forty(r), ==, 0);
 	end_forty(r);
