The reader of a group of nodes reads, also when it is of another group

Cause: with more than 40 nodes there are several groups, each with a node that reads the platform's store for it. That node was found among all nodes, but it asked by its own group: a reader of another group asked that group's reader, and what it knew was too old by the time others heard it.

Change: a node that is the reader of any group reads.

Test: test-relay groups-read, 82 nodes (395 reads in ten seconds before, at most 54 after).

--- a/relay.c
+++ b/relay.c
@@ -43,21 +43,46 @@
 	return XXH64(words, sizeof words, 5);
 }
 
-void
-relay_set_nodes(struct relay *r, const name_id *nodes, unsigned int n)
+/* The node that reads for a group. */
+static name_id
+relay_reader(const name_id *nodes, unsigned int n, uint64_t group)
 {
-	unsigned int groups =
-	    MAX(1, (n + RELAY_GROUP_NODES - 1) / RELAY_GROUP_NODES);
-	uint64_t group = relay_weight(r->self, 0) % groups, weight, most = 0;
+	uint64_t weight, most = 0;
+	name_id best = 0;
 	unsigned int i;
 
-	r->reader = r->self;
 	for (i = 0; i < n; i++) {
 		weight = relay_weight(nodes[i], group + 1);
 		if (weight < most)
 			continue;
 		most = weight;
-		r->reader = nodes[i];
+		best = nodes[i];
+	}
+	return best;
+}
+
+/*
+ * A node may be the reader of a group that it is not in itself. It must read
+ * then: if it asked its own group's reader, what it knew would be too old for
+ * those who ask it, and they would all read for themselves.
+ */
+void
+relay_set_nodes(struct relay *r, const name_id *nodes, unsigned int n)
+{
+	unsigned int groups =
+	    MAX(1, (n + RELAY_GROUP_NODES - 1) / RELAY_GROUP_NODES);
+	uint64_t own = relay_weight(r->self, 0) % groups, group;
+	name_id reader;
+
+	r->reader = r->self;
+	for (group = 0; group < groups && n > 0; group++) {
+		reader = relay_reader(nodes, n, group);
+		if (reader == r->self) {
+			r->reader = reader;
+			return;
+		}
+		if (group == own)
+			r->reader = reader;
 	}
 }
 
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define NODES 12
+#define LARGE_NODES 82
 #define EVERY 1000
 
 struct world;
@@ -29,7 +30,7 @@
 };
 
 struct world {
-	struct node nodes[NODES];
+	struct node nodes[LARGE_NODES];
 	unsigned int n;
 	uint64_t newest; /* at the platform */
 	msec now;
@@ -78,7 +79,7 @@
 static void
 world_init(struct world *w, unsigned int n)
 {
-	name_id ids[NODES];
+	name_id ids[LARGE_NODES];
 	unsigned int i;
 
 	memset(w, 0, sizeof *w);
@@ -304,6 +305,28 @@
 	g_hash_table_unref(readers);
 }
 
+/*
+ * Half of 82 nodes called the platform every one and a half seconds for each
+ * subject, the whole day: the node that they asked was of another group, asked
+ * that group's reader itself, and what it knew was too old to pass on.
+ */
+static void
+test_groups_read(void)
+{
+	static struct world w;
+	unsigned int i, before;
+
+	world_init(&w, LARGE_NODES);
+	world_run(&w, 3000);
+	before = world_reads(&w);
+	world_run(&w, 10000);
+	/* Three groups, a reader each. */
+	g_assert_cmpuint(world_reads(&w) - before, >=, 45);
+	g_assert_cmpuint(world_reads(&w) - before, <=, 54);
+	for (i = 0; i < w.n; i++)
+		g_assert_cmpint(w.now - w.nodes[i].proven, <, EVERY * 14 / 10);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -315,5 +338,6 @@
 	g_test_add_func("/relay/other-mark", test_other_mark);
 	g_test_add_func("/relay/in-vain", test_in_vain);
 	g_test_add_func("/relay/groups", test_groups);
+	g_test_add_func("/relay/groups-read", test_groups_read);
 	return g_test_run();
 }
