Reads of the store that fail are repeated later, and not while others prove

Cause: a node that the store turned away, or that was cut off, read each subject again after 0.25 to 0.5 s, also when the reader of its group told it all the while that nothing was new.

Change: relay_read_failed(): pauses double from a quarter of the interval to 0.6 of it, and as much again at random; the next read is made when it is due by what the others prove.

Tests: test-relay turned-away-by-platform and retries.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -96,6 +96,12 @@
 	    servers_mark(&e->servers), asked);
 }
 
+void
+entry_read_failed(struct entry *e, enum relay_subject s, msec now)
+{
+	relay_read_failed(&e->relay, now, s);
+}
+
 /* Until there is a configuration nobody is served, and no server used. */
 msec
 entry_read_due(const struct entry *e, enum relay_subject s, msec now)
--- a/entry.h
+++ b/entry.h
@@ -355,6 +355,8 @@
 void entry_take_nothing(struct entry *, enum relay_subject, msec asked);
 /* The servers are the newest; a read sent then said so. */
 void entry_take_servers(struct entry *, msec asked);
+/* A read of a subject failed; entry_read_due() says when the next may be. */
+void entry_read_failed(struct entry *, enum relay_subject, msec);
 /* How long the next read of a subject can wait, in ms; 0: it is due. */
 msec entry_read_due(const struct entry *, enum relay_subject, msec);
 /* Other nodes that announced themselves. */
--- a/relay.c
+++ b/relay.c
@@ -15,6 +15,14 @@
 #define RELAY_ASK_PERCENT 75
 #define RELAY_ALONE_PERCENT 150
 #define RELAY_BURST_PERCENT 50
+/*
+ * The same after failures: doubled from the least to the most, and up to as
+ * much again. With the time that a call without an answer takes (0.9 s) the
+ * most stays under the 2.3 s for which a server that is not listed is held, so
+ * that no hold lapses between two calls to a platform that is away.
+ */
+#define RELAY_RETRY_LEAST_PERCENT 25
+#define RELAY_RETRY_MOST_PERCENT 60
 /* Who did not ask for so many times `every` is not told of changes. */
 #define RELAY_ASKER_TIMES 3
 /* An age that says: never known. */
@@ -128,6 +136,7 @@
 	bool changed = k->proven != MSEC_NEVER && k->mark != mark;
 
 	k->mark = mark;
+	k->failures = 0;
 	if (k->proven == MSEC_NEVER || asked > k->proven)
 		k->proven = asked;
 	relay_read_in_vain(r, s, asked);
@@ -141,13 +150,30 @@
 relay_read_in_vain(struct relay *r, enum relay_subject s, msec asked)
 {
 	r->known[s].asked = MAX(r->known[s].asked, asked);
+	r->known[s].failures = 0;
 }
 
-msec
-relay_due(const struct relay *r, msec now, enum relay_subject s)
+void
+relay_read_failed(struct relay *r, msec now, enum relay_subject s)
+{
+	struct relay_known *k = &r->known[s];
+	msec wait = r->every * RELAY_RETRY_LEAST_PERCENT / 100,
+	     most = r->every * RELAY_RETRY_MOST_PERCENT / 100;
+
+	/* Nobody is served before the first read: it is not put off. */
+	if (k->proven != MSEC_NEVER)
+		wait = MIN(wait << MIN(k->failures, 4), most);
+	k->failures++;
+	/* Spread: nodes that failed together do not call together. */
+	wait += (msec)(relay_weight(r->self, (uint64_t)now) % (wait + 1));
+	k->retry_at = now + wait;
+}
+
+/* When a read is due, but for failures of the last. */
+static msec
+relay_due_at(const struct relay *r, enum relay_subject s)
 {
 	const struct relay_known *k = &r->known[s];
-	bool reads = r->reader == r->self;
 	msec at = k->asked + r->every * RELAY_READ_PERCENT / 100;
 
 	if (k->asked < 0)
@@ -157,13 +183,23 @@
 	 * come in bursts: one read for some of them.
 	 */
 	if (k->look > k->asked)
-		return MAX(
-		    k->asked + r->every * RELAY_BURST_PERCENT / 100 - now, 0);
+		return k->asked + r->every * RELAY_BURST_PERCENT / 100;
 	/* Nothing is there to be read yet, and nobody waits for news of it. */
 	if (k->proven == MSEC_NEVER)
-		at = k->asked + r->every;
-	else if (!reads)
-		at = MAX(at, k->proven + r->every * RELAY_ALONE_PERCENT / 100);
+		return k->asked + r->every;
+	if (r->reader == r->self)
+		return at;
+	return MAX(at, k->proven + r->every * RELAY_ALONE_PERCENT / 100);
+}
+
+msec
+relay_due(const struct relay *r, msec now, enum relay_subject s)
+{
+	const struct relay_known *k = &r->known[s];
+	msec at = relay_due_at(r, s);
+
+	if (k->failures > 0)
+		at = MAX(at, k->retry_at);
 	return MAX(at - now, 0);
 }
 
--- a/relay.h
+++ b/relay.h
@@ -36,6 +36,8 @@
 	msec proven;   /* it was the newest then; MSEC_NEVER: never */
 	msec asked;    /* the newest read of our own that ended; -1: none */
 	msec look;     /* another node knew otherwise then; -1: none */
+	unsigned int failures; /* of our own reads in a row */
+	msec retry_at;	       /* no read before, after failures */
 };
 
 /* A node that asked us; it is told of changes for a while. */
@@ -93,6 +95,12 @@
     struct relay *, msec now, enum relay_subject, uint64_t mark, msec asked);
 /* The same, but what was read cannot be put in force. */
 void relay_read_in_vain(struct relay *, enum relay_subject, msec asked);
+/*
+ * A read of our own failed. The next one waits, longer each time, and is not
+ * made at all while others prove what we know: a platform that is away for
+ * some nodes only would be called by these several times a second.
+ */
+void relay_read_failed(struct relay *, msec now, enum relay_subject);
 /* How long a read of our own can wait, in ms; 0: it is due. */
 msec relay_due(const struct relay *, msec now, enum relay_subject);
 /* A message of kind SP_RELAY_*. */
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -327,6 +327,57 @@
 		g_assert_cmpint(w.now - w.nodes[i].proven, <, EVERY * 14 / 10);
 }
 
+/*
+ * The platform turns some nodes away for eight seconds and serves the others.
+ * Those that were turned away called it three times a second for each subject,
+ * although the reader told them all the while that nothing was new.
+ */
+static void
+test_turned_away_by_platform(void)
+{
+	static struct world w;
+	struct relay *r;
+	unsigned int i;
+
+	world_init(&w, NODES);
+	world_run(&w, 3000);
+	i = &w.nodes[0] == world_reader(&w) ? 1 : 0;
+	r = &w.nodes[i].relay;
+	relay_read_failed(r, w.now, RELAY_TABLE);
+	for (i = 0; i < 800; i++) {
+		world_run(&w, 10);
+		g_assert_cmpint(relay_due(r, w.now, RELAY_TABLE), >, 0);
+	}
+}
+
+/* Calls to a platform that is away for a node that hears of nobody else. */
+static void
+test_retries(void)
+{
+	struct relay r;
+	msec now = 10000, wait, most = 0;
+	unsigned int n = 0;
+
+	relay_init(&r, &node_ops, 1, EVERY);
+	/* Before the first read it is in a hurry. */
+	relay_read_failed(&r, now, RELAY_TABLE);
+	relay_read_failed(&r, now, RELAY_TABLE);
+	wait = relay_due(&r, now, RELAY_TABLE);
+	g_assert_cmpint(wait, >=, EVERY / 4);
+	g_assert_cmpint(wait, <=, EVERY / 2);
+	relay_read(&r, now, RELAY_TABLE, 1, now);
+	for (now += EVERY; now < 22000; now += wait, n++) {
+		relay_read_failed(&r, now, RELAY_TABLE);
+		wait = relay_due(&r, now, RELAY_TABLE);
+		most = MAX(most, wait);
+	}
+	g_assert_cmpuint(n, <=, 18);
+	g_assert_cmpint(most, <=, EVERY * 12 / 10);
+	/* One that comes through ends it. */
+	relay_read(&r, now, RELAY_TABLE, 1, now);
+	g_assert_cmpint(relay_due(&r, now, RELAY_TABLE), ==, EVERY * 60 / 100);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -339,5 +390,8 @@
 	g_test_add_func("/relay/in-vain", test_in_vain);
 	g_test_add_func("/relay/groups", test_groups);
 	g_test_add_func("/relay/groups-read", test_groups_read);
+	g_test_add_func(
+	    "/relay/turned-away-by-platform", test_turned_away_by_platform);
+	g_test_add_func("/relay/retries", test_retries);
 	return g_test_run();
 }
