--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -160,23 +160,53 @@
 	    "Backend servers that get less after failures.", resting);
 }
 
+/* A service's name in the configuration. */
+static const char *
+service_name(const struct entry *e, name_id service)
+{
+	const struct route_service *v =
+	    e->table != NULL ? route_service_find(e->table, service) : NULL;
+
+	return v != NULL ? v->name : "?";
+}
+
 static void
 text_budgets(GString *s, struct entry *e, msec now)
 {
 	struct retry_budget *b;
-	const struct route_service *v;
 
 	text_head(s, "retries_left", "gauge", "What the share allows now.");
 	RB_FOREACH (b, retry_budgets, &e->budgets) {
-		v = e->table != NULL ? route_service_find(e->table, b->service)
-				     : NULL;
 		g_string_append_printf(s,
 		    "savory_entry_retries_left{service=\"%s\"} %u\n",
-		    v != NULL ? v->name : "?",
+		    service_name(e, b->service),
 		    retry_budget_left(b, &e->budget, now, e->live_nodes));
 	}
 }
 
+static void
+text_limits(GString *s, struct entry *e)
+{
+	struct mix *m;
+
+	text_head(s, "limit_percent", "gauge",
+	    "Part of the target that may lie ahead of the last tier, as "
+	    "learned here as coordinator.");
+	RB_FOREACH (m, place_mixes, &e->place.all) {
+		if (m->nroutes == 0)
+			continue;
+		g_string_append_printf(s,
+		    "savory_entry_limit_percent{service=\"%s\","
+		    "servers=\"quiet\"} %u\n"
+		    "savory_entry_limit_percent{service=\"%s\","
+		    "servers=\"others\"} %u\n",
+		    service_name(e, m->service),
+		    server_limit_percent(&m->limit_light),
+		    service_name(e, m->service),
+		    server_limit_percent(&m->limit));
+	}
+}
+
 static void
 text_state(GString *s, struct entry *e, msec now)
 {
@@ -252,6 +282,7 @@
 	text_histograms(s, e);
 	text_servers(s, e);
 	text_budgets(s, e, now);
+	text_limits(s, e);
 	text_counters(s, e);
 	e->source->ops->metrics(e->source, s);
 }
@@ -275,6 +306,35 @@
 		    v->links);
 }
 
+/* What this node has learned as coordinator. */
+static void
+dump_mixes(GString *s, struct entry *e)
+{
+	struct mix_route *r;
+	struct mix *m;
+	unsigned int i;
+
+	RB_FOREACH (m, place_mixes, &e->place.all) {
+		if (m->nroutes == 0)
+			continue;
+		g_string_append_printf(s,
+		    "limits of %s: quiet servers %u%% learned from %" PRIu64
+		    ", others %u%% from %" PRIu64 "\n",
+		    service_name(e, m->service),
+		    server_limit_percent(&m->limit_light), m->limit_light.fared,
+		    server_limit_percent(&m->limit), m->limit.fared);
+		for (i = 0; i < m->nroutes; i++) {
+			r = &m->routes[i];
+			g_string_append_printf(s,
+			    "kind %" PRIx64 " of %s: prompt %.0f light %s "
+			    "rank %u running %u\n",
+			    r->id, service_name(e, m->service),
+			    r->prompt_tokens, r->light ? "yes" : "no", r->rank,
+			    r->running);
+		}
+	}
+}
+
 static void
 dump_jobs(GString *s, struct entry *e, msec now)
 {
@@ -304,6 +364,7 @@
 	    e->table != NULL ? e->table->version : 0,
 	    e->fresh.proven == MSEC_NEVER ? -1 : now - e->fresh.proven);
 	dump_servers(s, e, now);
+	dump_mixes(s, e);
 	dump_jobs(s, e, now);
 	g_string_append(s, members);
 }
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -40,11 +40,9 @@
 };
 
 static int hold_compare(struct place_hold *, struct place_hold *);
-static int place_mix_compare(struct mix *, struct mix *);
 
 RB_PROTOTYPE(place_holds, place_hold, entry, hold_compare)
 RB_GENERATE(place_holds, place_hold, entry, hold_compare)
-RB_PROTOTYPE(place_mixes, mix, entry, place_mix_compare)
 RB_GENERATE(place_mixes, mix, entry, place_mix_compare)
 
 static int
@@ -55,7 +53,7 @@
 	return a->id < b->id ? -1 : a->id > b->id;
 }
 
-static int
+int
 place_mix_compare(struct mix *a, struct mix *b)
 {
 	return a->service < b->service ? -1 : a->service > b->service;
--- a/place.h
+++ b/place.h
@@ -65,6 +65,8 @@
 /* Requests that a coordinator counts; kinds of request by service. */
 RB_HEAD(place_holds, place_hold);
 RB_HEAD(place_mixes, mix);
+int place_mix_compare(struct mix *, struct mix *);
+RB_PROTOTYPE(place_mixes, mix, entry, place_mix_compare)
 
 struct place;
 
--- a/server-limit.c
+++ b/server-limit.c
@@ -26,6 +26,12 @@
  */
 #define LIMIT_STEP 0.01
 
+static double
+limit_part(const struct server_limit *l)
+{
+	return l->part > 0 ? l->part : LIMIT_START;
+}
+
 bool
 server_limit_is_near(msec ahead, msec limit)
 {
@@ -35,7 +41,7 @@
 void
 server_limit_learn(struct server_limit *l, bool late, bool pressed)
 {
-	double part = l->part > 0 ? l->part : LIMIT_START;
+	double part = limit_part(l);
 
 	if (late)
 		part -= LIMIT_STEP * (LIMIT_LATE_ONE_IN - 1);
@@ -48,9 +54,13 @@
 msec
 server_limit_ms(const struct server_limit *l, msec target, bool last_tier)
 {
-	double part = l->part > 0 ? l->part : LIMIT_START;
+	double part = last_tier ? limit_part(l) : LIMIT_MOST;
 
-	if (!last_tier)
-		part = LIMIT_MOST;
 	return MAX((msec)((double)target * part), 1);
 }
+
+unsigned int
+server_limit_percent(const struct server_limit *l)
+{
+	return (unsigned int)(limit_part(l) * 100 + 0.5);
+}
--- a/server-limit.h
+++ b/server-limit.h
@@ -34,4 +34,7 @@
  */
 msec server_limit_ms(const struct server_limit *, msec target, bool last_tier);
 
+/* What part of the target that is for the last tier, in percent. */
+unsigned int server_limit_percent(const struct server_limit *);
+
 #endif /* SERVER_LIMIT_H */
