No more than sixteen light streams are planned for a quiet server

Tests: test-server-mix many-slots; burst expects two servers for twenty streams (one before) and five for a hundred (three before).

--- a/server-mix.c
+++ b/server-mix.c
@@ -25,6 +25,12 @@
  * so that a burst of twice the traffic still fits.
  */
 #define MIX_SLOTS_PART 0.4
+/*
+ * And no more streams than that, however many slots it has: each light request
+ * has a prompt of its own to read, which makes the streams beside it pause.
+ * 0.02 of worth under twice the load on servers of 64 slots (14 seeds).
+ */
+#define MIX_STREAMS_MAX 16
 #define MIX_SLOTS_DEFAULT 32
 /* At most this part of the servers is left to them. */
 #define MIX_SERVERS_PART 0.34
@@ -149,6 +155,7 @@
 	if (busy <= 0.01 || servers < 2)
 		return 0;
 	each = (slots > 0 ? slots : MIX_SLOTS_DEFAULT) * MIX_SLOTS_PART;
+	each = MIN(each, MIX_STREAMS_MAX);
 	n = (unsigned int)ceil(busy * nodes / each);
 	return CLAMP(n, 1, MAX((unsigned int)(servers * MIX_SERVERS_PART), 1));
 }
