A prompt size that is stated falsely does not tilt what others meet

Cause: a caller states how many tokens its prompt has, and nothing bounded it. Three requests of "4 billion tokens", one on each server, lay ahead of all others of their tier, which were turned away until the three had begun; one such prompt made every kind beside it look light.

Change: what is counted of a prompt is at most what a server of the service holds, or a million tokens; in the mean of a kind a prompt counts for at most six of it.

Ruled out: bounding by the length of the body (callers of one deployment send a byte for a token, of another two, and bodies do not follow prompts).

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -17,6 +17,8 @@
 #define JOB_SILENCE_MS 1000
 /* Reading takes so many times longer beside streams, at most. */
 #define JOB_READING_TIMES 4
+/* Longest prompt, where a service does not say what its servers hold. */
+#define JOB_TOKENS_MAX 1000000
 /* Pauses in a stream beyond this many times its target are a silence. */
 #define JOB_GAP_TIMES 4
 #define JOB_GAP_LEAST_MS 1200
@@ -31,10 +33,27 @@
 static const struct link_ops job_link_ops = { link_sending, link_head,
 	link_body, link_whole, link_ended };
 
+/*
+ * Guards against a prompt of 4 billion tokens that a caller states: it would
+ * lie ahead of all others of its tier, which were turned away while it waits.
+ * No server reads more than it has memory for.
+ */
+static uint64_t
+job_tokens_max(const struct job *j)
+{
+	const struct route_service *v =
+	    route_service_find(j->table, j->service);
+
+	if (v != NULL && v->memory_tokens > 0)
+		return MIN(v->memory_tokens, JOB_TOKENS_MAX);
+	return JOB_TOKENS_MAX;
+}
+
 static void
 job_fill_wish(const struct job *j, struct server_wish *w)
 {
 	const struct wire_request *r = &j->request;
+	uint64_t most = job_tokens_max(j), shared = 0;
 	unsigned int i;
 
 	*w = (struct server_wish){ .service = j->service,
@@ -49,10 +68,12 @@
 	/* The last part is the request's own. */
 	for (i = 0; i + 1 < r->nparts; i++) {
 		w->prompt = w->prompt * 0x9e3779b97f4a7c15ULL + r->parts[i].id;
-		w->shared += r->parts[i].tokens;
+		shared += r->parts[i].tokens;
 	}
-	if (r->prompt_tokens > w->shared)
-		w->own = r->prompt_tokens - w->shared;
+	w->shared = (unsigned int)MIN(shared, most);
+	if (r->prompt_tokens > shared)
+		w->own = (unsigned int)MIN(
+		    r->prompt_tokens - shared, most - w->shared);
 }
 
 /* The bytes of the request as a server gets them. */
--- a/server-limit.c
+++ b/server-limit.c
@@ -11,6 +11,7 @@
  */
 #define LIMIT_LEAST 0.12
 #define LIMIT_MOST 1.0
+/* Between what suits servers that suffer and what suits those that do not. */
 #define LIMIT_START 0.25
 /* Near is beyond this part of the limit. */
 #define LIMIT_NEAR 0.5
--- a/server-mix.c
+++ b/server-mix.c
@@ -9,6 +9,12 @@
 
 /* Weight of the newest request in the smoothed prompt length. */
 #define MIX_ALPHA 0.05
+/*
+ * A prompt counts for no more than so many of its kind: one that is stated far
+ * too long must not make other kinds look light. True ones are up to 5 times
+ * as long as the mean.
+ */
+#define MIX_OUTLIER_TIMES 6
 /*
  * Light: prompts under this part of the longest kind's, on average. With 0.3
  * prompts of a quarter came to the quiet servers and broke the pauses of those
@@ -91,7 +97,9 @@
 	}
 	r->gap_target = gap_target;
 	r->rank = MAX(r->rank, rank);
-	r->prompt_tokens += MIX_ALPHA * (tokens - r->prompt_tokens);
+	r->prompt_tokens +=
+	    MIX_ALPHA * (MIN(tokens, r->prompt_tokens * MIX_OUTLIER_TIMES + 1) -
+			    r->prompt_tokens);
 	for (i = 0; i < m->nroutes; i++)
 		m->routes[i].light = mix_weigh(m, &m->routes[i]);
 }
--- a/tests/test-server-mix.c
+++ b/tests/test-server-mix.c
@@ -75,6 +75,33 @@
 	g_assert_cmpuint(changes, <=, 1);
 }
 
+/*
+ * One caller states that its prompt has 4 billion tokens. The notes beside it
+ * looked light for some hundred requests, and went to the quiet servers.
+ */
+static void
+test_false_size(void)
+{
+	struct mix m = { 0 };
+	unsigned int i;
+
+	for (i = 0; i < 100; i++) {
+		mix_request(&m, 0, LONG, 600, 2, 9200);
+		mix_request(&m, 0, MIDDLE, 250, 1, 2400);
+	}
+	mix_request(&m, 0, LONG, 600, 2, G_MAXUINT);
+	g_assert_false(mix_is_light(&m, MIDDLE));
+	/* A kind that has grown is followed all the same. */
+	for (i = 0; i < 300; i++)
+		mix_request(&m, 0, LONG, 600, 2, 90000);
+	g_assert_cmpfloat(m.routes[0].prompt_tokens, >, 80000);
+	/* So is one that began with a prompt of nothing. */
+	m = (struct mix){ 0 };
+	for (i = 0; i < 600; i++)
+		mix_request(&m, 0, LONG, 600, 2, i == 0 ? 0 : 9200);
+	g_assert_cmpfloat(m.routes[0].prompt_tokens, >, 8000);
+}
+
 /* Nobody is light where all are alike, or where no longer pause is allowed. */
 static void
 test_alone(void)
@@ -154,6 +181,7 @@
 	g_test_add_func("/server-mix/light", test_light);
 	g_test_add_func("/server-mix/quarter", test_quarter);
 	g_test_add_func("/server-mix/steady", test_steady);
+	g_test_add_func("/server-mix/false-size", test_false_size);
 	g_test_add_func("/server-mix/alone", test_alone);
 	g_test_add_func("/server-mix/last-tier", test_last_tier);
 	g_test_add_func("/server-mix/many-slots", test_many_slots);
