Messages between nodes have a new version number

Cause: placement's questions and answers have new fields under the number that they had, so a node of the older program would read a target as a rank, or drop the whole datagram with what else is in it.

Change: the program's version is 2; each side does not hear the other while nodes are replaced, as with a node of another deployment. Ruled out: telling the versions apart inside a message (a second set of types for a time of seconds).

Test: test-net other-version.

--- a/net-codec.c
+++ b/net-codec.c
@@ -53,7 +53,7 @@
 	call.rm_direction = CALL;
 	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 	call.rm_call.cb_prog = SAVORY_PROGRAM;
-	call.rm_call.cb_vers = SAVORY_VERSION_1;
+	call.rm_call.cb_vers = SAVORY_VERSION_2;
 	call.rm_call.cb_proc = SAVORY_BATCH;
 	call.rm_call.cb_cred.oa_flavor = AUTH_NONE;
 	call.rm_call.cb_verf.oa_flavor = NET_FLAVOUR;
@@ -76,7 +76,7 @@
 	if (call.rm_direction != CALL || body->cb_rpcvers != RPC_MSG_VERSION)
 		return false;
 	if (body->cb_prog != SAVORY_PROGRAM ||
-	    body->cb_vers != SAVORY_VERSION_1 || body->cb_proc != SAVORY_BATCH)
+	    body->cb_vers != SAVORY_VERSION_2 || body->cb_proc != SAVORY_BATCH)
 		return false;
 	return body->cb_cred.oa_length == 0 &&
 	       body->cb_verf.oa_flavor == NET_FLAVOUR &&
--- a/proto.h
+++ b/proto.h
@@ -333,19 +333,19 @@
 typedef struct sp_batch sp_batch;
 
 #define SAVORY_PROGRAM 0x20534156
-#define SAVORY_VERSION_1 1
+#define SAVORY_VERSION_2 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define SAVORY_BATCH 1
-extern  void * savory_batch_1(sp_batch *, CLIENT *);
-extern  void * savory_batch_1_svc(sp_batch *, struct svc_req *);
-extern int savory_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * savory_batch_2(sp_batch *, CLIENT *);
+extern  void * savory_batch_2_svc(sp_batch *, struct svc_req *);
+extern int savory_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define SAVORY_BATCH 1
-extern  void * savory_batch_1();
-extern  void * savory_batch_1_svc();
-extern int savory_program_1_freeresult ();
+extern  void * savory_batch_2();
+extern  void * savory_batch_2_svc();
+extern int savory_program_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
--- a/proto.x
+++ b/proto.x
@@ -338,7 +338,7 @@
 };
 
 program SAVORY_PROGRAM {
-	version SAVORY_VERSION_1 {
+	version SAVORY_VERSION_2 {
 		void SAVORY_BATCH(sp_batch) = 1;
-	} = 1;
+	} = 2;
 } = 0x20534156;
--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -139,6 +139,33 @@
 	g_assert_false(net_decode(&batch, "0123456789abcdeg", buf, len));
 }
 
+/*
+ * Nodes are replaced one after the other by a program whose placement messages
+ * have more fields. One that read an old node's question by the new fields took
+ * a rank for a target; so messages of another version are not read at all.
+ */
+static void
+test_other_version(void)
+{
+	/* After xid, direction, RPC version and program; big-endian. */
+	const size_t version_at = 16 + 3;
+	struct net_frame f;
+	sp_batch batch;
+
+	f.used = batch_make(f.data, sizeof f.data);
+	g_assert_true(net_decode(&batch, KEY, f.data, f.used));
+	f.count = batch.msgs.msgs_len;
+	net_batch_free(&batch);
+	g_assert_cmpint(f.data[version_at], ==, SAVORY_VERSION_2);
+	f.data[version_at]--;
+	net_frame_seal(&f, KEY);
+	g_assert_false(net_decode(&batch, KEY, f.data, f.used));
+	f.data[version_at]++;
+	net_frame_seal(&f, KEY);
+	g_assert_true(net_decode(&batch, KEY, f.data, f.used));
+	net_batch_free(&batch);
+}
+
 /*
  * A holder of the key has a fault and sends well authenticated nonsense. The
  * decoder must refuse it and free what it had built, byte by byte.
@@ -307,6 +334,7 @@
 	g_test_add_func("/net/bit-flips", test_bit_flips);
 	g_test_add_func(
 	    "/net/authenticated-nonsense", test_authenticated_nonsense);
+	g_test_add_func("/net/other-version", test_other_version);
 	g_test_add_func("/net/oversize", test_oversize);
 	g_test_add_func("/net/loopback", test_loopback);
 	g_test_add_func("/net/strangers", test_strangers);
