An engine whose only request is late is not taken to have one slot

Cause: requests without a first token long after their grant lower the slots to the number of the others. Where there are no others that made one slot; a stream that its caller reads slowly then held it, and since slots rise only by first tokens, everybody else was told "hopeless" until it ended.

Ruled out: a least of two slots (two such readers hold both).

Test: test-dispatch-faults lone-stall (1 instead of 8 before).

--- a/dispatch-slots.c
+++ b/dispatch-slots.c
@@ -207,6 +207,14 @@
 {
 	if (stalled == 0 || stalled < running * STALLED_PART)
 		return;
+	/*
+	 * Without others there is nothing to learn from: the engine is held up
+	 * as a whole. Taken for an engine of one slot, it was full with one
+	 * stream whose caller reads slowly, and all others were refused while
+	 * that lasted, as slots rise only by first tokens.
+	 */
+	if (stalled >= running)
+		return;
 	if (running - stalled >= slots_limit(s))
 		return;
 	slots_decrease(s, now, running - stalled);
--- a/tests/test-dispatch-faults.c
+++ b/tests/test-dispatch-faults.c
@@ -510,6 +510,27 @@
 	{ "/dispatch/planned-stop", { run_leave, { 0.98 }, .all_end = true } },
 };
 
+/*
+ * A caller reads a long stream at a crawl, and the stream's first token was
+ * late as the machine was busy. All others were then told "hopeless" for as
+ * long as it went on: the engine was taken to have a single slot, which the
+ * stream held, and slots rise only by first tokens of further requests.
+ */
+static void
+test_lone_stall(void)
+{
+	struct slots s;
+
+	slots_init(&s, 8, 0);
+	slots_stalled(&s, 1000, 1, 1);
+	g_assert_cmpuint(slots_limit(&s), ==, 8);
+	slots_stalled(&s, 2000, 3, 3);
+	g_assert_cmpuint(slots_limit(&s), ==, 8);
+	/* One that runs shows that the others wait inside the engine. */
+	slots_stalled(&s, 3000, 4, 3);
+	g_assert_cmpuint(slots_limit(&s), ==, 1);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -522,5 +543,6 @@
 		g_test_add_data_func(
 		    stories[i].path, &stories[i].story, test_story);
 	g_test_add_func("/dispatch/random", test_random);
+	g_test_add_func("/dispatch/lone-stall", test_lone_stall);
 	return g_test_run();
 }
