--- a/server-mix.c
+++ b/server-mix.c
@@ -34,8 +34,8 @@
 /*
  * And no more streams than that, however many slots it has: each light request
  * has a prompt of its own to read, which makes the streams beside it pause.
- * Under twice the load 0.02 of worth with 18 servers of 64 slots, nothing with 9
- * of them (14 seeds each).
+ * Under twice the load 0.02 of worth with 18 servers of 64 slots, nothing with
+ * 9 of them (14 seeds each).
  */
 #define MIX_STREAMS_MAX 16
 #define MIX_SLOTS_DEFAULT 32
