A request's line says how long its node had been leaving, and when the stop cut it

What callers saw: answers that break off at the end of a planned stop. The lines could not tell the hypotheses apart: an answer cut by the stop ended as `timeout`, like one whose deadline had passed, and no line said that its VM was already leaving when it came.

Now `leaving_ms` says so, and the end of a stop has an outcome of its own, `stopped`. With it goes a false lesson: a server whose answer had not begun when the stop cut it was counted as failed, also by its coordinator. Status and order of answers are as before; no decision is changed.

--- a/entry-job.c
+++ b/entry-job.c
@@ -32,7 +32,7 @@
 	static const char *const names[JOB_CODES] = { "served", "server-error",
 		"bad-request", "no-route", "no-key", "not-fresh", "starting",
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
-		"broken", "timeout", "caller-gone" };
+		"broken", "timeout", "stopped", "caller-gone" };
 
 	return names[c];
 }
@@ -60,6 +60,8 @@
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
 	msec left = j->deadline != MSEC_NEVER ? j->deadline - now : MSEC_NEVER;
+	msec leaving =
+	    j->came_leaving ? j->arrived - e->leaving_since : MSEC_NEVER;
 
 	entry_log(&e->log, now, weight, LOG_EVENT_REQUEST,
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
@@ -76,6 +78,7 @@
 	    LOG_NUMBER(LOG_KEY_GAP_MS, j->gap),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS, job_span(left)),
+	    LOG_NUMBER(LOG_KEY_LEAVING_MS, job_span(leaving)),
 	    LOG_NUMBER(LOG_KEY_CONFIGURATION,
 		e->table != NULL ? e->table->version : 0),
 	    LOG_NUMBER(LOG_KEY_PROOF_MS, job_span(fresh_age(&e->fresh, now))));
@@ -132,6 +135,7 @@
 	case JOB_NO_KEY:
 		return 401;
 	case JOB_TIMEOUT:
+	case JOB_STOPPED:
 		return j->may_have_run ? 504 : 503;
 	default:
 		return j->may_have_run ? 502 : 503;
@@ -158,7 +162,7 @@
 {
 	struct caller *c = j->caller;
 	unsigned int status = job_status(j, code);
-	bool cut = j->began;
+	bool broken = j->began && code != JOB_TIMEOUT && code != JOB_STOPPED;
 
 	job_cancel(j, now,
 	    code == JOB_TIMEOUT && j->may_have_run && !j->began
@@ -171,7 +175,7 @@
 	else
 		reply_own(j, now, status,
 		    status == 503 ? job_retry_after(j, code) : 0, true);
-	job_free(j, now, cut && code != JOB_TIMEOUT ? JOB_BROKEN : code);
+	job_free(j, now, broken ? JOB_BROKEN : code);
 }
 
 /* ---- admission ---- */
@@ -231,6 +235,7 @@
 	c->job = j;
 	j->head = c->reader.head;
 	j->arrived = now;
+	j->came_leaving = e->phase == ENTRY_LEAVING;
 	j->deadline = MSEC_NEVER;
 	loop_timer_init(&j->timer, job_timer, j);
 	loop_timer_init(&j->patience, job_patience, j);
@@ -296,6 +301,6 @@
 	TAILQ_FOREACH_SAFE (j, &e->jobs, entry, next) {
 		if (j->link != NULL && j->link->sent)
 			j->may_have_run = true;
-		job_fail(j, now, JOB_TIMEOUT);
+		job_fail(j, now, JOB_STOPPED);
 	}
 }
--- a/entry-log.c
+++ b/entry-log.c
@@ -70,6 +70,8 @@
 	    "longest pause between two parts of the answer" },
 	[LOG_KEY_LAST] = { "last", "why an attempt before the end failed, or "
 				   "number of the last event" },
+	[LOG_KEY_LEAVING_MS] = { "leaving_ms",
+	    "from the start of this node's stop to the request; -1: none" },
 	[LOG_KEY_LEFT_MS] = { "left_ms", "until the deadline" },
 	[LOG_KEY_LIMIT_MS] = { "limit_ms",
 	    "the most that may be read before it, as learned" },
--- a/entry.h
+++ b/entry.h
@@ -183,6 +183,7 @@
 	JOB_NO_BUDGET,	 /* another attempt was not allowed */
 	JOB_BROKEN,	 /* a server broke off; it may have run */
 	JOB_TIMEOUT,	 /* of the route, or the caller's deadline */
+	JOB_STOPPED,	 /* this node ended before it */
 	JOB_CALLER_GONE,
 	JOB_CODES
 };
@@ -212,6 +213,7 @@
 	unsigned int arrivals; /* of those that may have reached one */
 	unsigned int runs;     /* of those that may have run */
 	bool may_have_run;
+	bool came_leaving; /* this node was leaving when it came */
 	bool repeatable;
 	enum job_code last; /* why the last attempt ended */
 	unsigned int ntried;
