Failing test: a VM that is back stands idle until the others have heard of it

What callers saw: with sixty VMs restarted one each 270 ms, the VMs that are left do the work of those that are back. Meanwhile nodes do not agree who coordinates placement.

--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -201,6 +201,41 @@
 	}
 }
 
+/*
+ * Sixty VMs are restarted, one each 270 ms. A VM that was back and served stood
+ * idle for 1.5 s, until half of the others had heard of it by the probes; as
+ * long they did not agree which node coordinates the placement of a request.
+ * Each must know within half a second, and a whole fleet of 300 that is started
+ * at once must know itself within the 12 s in which it has to serve again.
+ */
+static void
+test_return_at_once(void)
+{
+	static const unsigned int fleets[] = { 8, 60, 300 };
+	struct fleet f;
+	unsigned int i, seed;
+	msec took;
+
+	for (i = 0; i < G_N_ELEMENTS(fleets); i++) {
+		for (seed = 0; seed < 2; seed++) {
+			fleet_init(&f, fleets[i], seed);
+			fleet_start_all(&f);
+			took = fleet_run_until_agreed(&f, 60 * MSEC_SECOND);
+			g_test_message("%u nodes: %d ms", fleets[i], (int)took);
+			assert_within(
+			    "start", took, 12 * MSEC_SECOND, fleets[i], seed);
+			members_leave(&f.nodes[2].members, f.now);
+			fleet_run(&f, 4 * MSEC_SECOND);
+			fleet_crash(&f, 2);
+			fleet_run(&f, 600);
+			fleet_start(&f, 2);
+			took = fleet_run_until_agreed(&f, 10 * MSEC_SECOND);
+			assert_within("return", took, 500, fleets[i], seed);
+			fleet_finish(&f);
+		}
+	}
+}
+
 /*
  * A leaving node is suspected because of loss, held dead during a pause, and
  * refutes. If the refutation carried it back to "alive", it would get new
@@ -625,6 +660,7 @@
 	g_test_add_func("/member/paused-refutes", test_paused_node_refutes);
 	g_test_add_func("/member/leaving", test_leaving);
 	g_test_add_func("/member/leaving-at-once", test_leaving_at_once);
+	g_test_add_func("/member/return-at-once", test_return_at_once);
 	g_test_add_func("/member/leaving-survives-refutation",
 	    test_leaving_survives_refutation);
 	g_test_add_func("/member/leaving-from-list", test_leaving_from_list);
