A VM that starts says so to all others at once

What callers saw: VMs that were back from a restart stood idle while the others were sent their work; nodes did not agree who coordinates placement meanwhile.

Cause: the news of a start went with the probes, and a node asks only eight strangers in 300 ms who they are. So a restart took 1.5 s to reach half of sixty nodes, and 300 nodes that start together needed 23 s to know each other.

Mend: a node tells each member what it is once it knows it (the message of the goodbye, 211 bytes), and answers the first word of a start that it did not know with its own. Only who did not say who it is gets asked. It holds under loss, as probes and syncs go on as before, and it ends, as each says it once to each.

--- a/member-private.h
+++ b/member-private.h
@@ -75,6 +75,7 @@
 	name_id sync_peer; /* whose page is awaited; 0: none */
 	uint64_t sync_after;
 	bool joining; /* until the first whole sync */
+	bool untold;  /* some members may not have been told of us */
 	unsigned int asks_left;
 	/* What is spread besides states. */
 	uint64_t newest_version;
@@ -107,8 +108,9 @@
 void member_probe_check(struct members *, msec);
 msec member_probe_due(const struct members *);
 void member_probe_send(struct members *, msec, struct member *, uint32_t);
-/* Tell one member that we are leaving. */
-void member_goodbye_send(struct members *, const struct member *);
+/* Tell one what we are, alive or leaving; all, or those not told yet. */
+void member_tell(struct members *, struct member *);
+void member_tell_all(struct members *, bool again);
 void member_probe_receive(struct members *, msec, struct member *, name_id,
     uint32_t, uint16_t, const sp_msg *);
 struct member *member_random_live(struct members *, name_id);
--- a/member-probe.c
+++ b/member-probe.c
@@ -145,11 +145,11 @@
 }
 
 /*
- * That we are leaving, and no more: 211 bytes on the wire, 63 KB for a fleet of
- * 300. It is an ack that nobody asked for, so that none answers it.
+ * What we are, and no more: 211 bytes on the wire, 63 KB for a fleet of 300. It
+ * is an ack that nobody asked for, so that none answers it.
  */
 void
-member_goodbye_send(struct members *ms, const struct member *m)
+member_tell(struct members *ms, struct member *m)
 {
 	sp_news self;
 	sp_msg msg;
@@ -160,13 +160,34 @@
 	msg.sp_msg_u.probe_ack.self.document_version =
 	    ms->self.document_version;
 	msg.sp_msg_u.probe_ack.self.load_permille = ms->self.load_permille;
-	msg.sp_msg_u.probe_ack.self.leaving = true;
+	msg.sp_msg_u.probe_ack.self.leaving = ms->self.leaving;
 	msg.sp_msg_u.probe_ack.newest_version = ms->priv->newest_version;
 	msg.sp_msg_u.probe_ack.news.news_val = &self;
 	msg.sp_msg_u.probe_ack.news.news_len = 1;
+	m->told = true;
 	ms->ops->send(ms, m->address, m->peer_port, &msg);
 }
 
+/*
+ * Do not wait for the probes, which reach the last of 60 nodes after 2.8 s.
+ * Callers go on being sent to one that leaves, for longer than it can serve
+ * them; one that is back stands idle, and nodes that have not all heard of it
+ * do not agree who coordinates. What datagrams lose the probes repair.
+ */
+void
+member_tell_all(struct members *ms, bool again)
+{
+	struct member *m;
+
+	ms->priv->untold = false;
+	RB_FOREACH (m, member_tree, &ms->tree) {
+		if (m->told && !again)
+			continue;
+		if (member_is_live(m) || m->listed)
+			member_tell(ms, m);
+	}
+}
+
 /* One dead member of the list, each with the same chance. */
 static struct member *
 probe_dead_listed(struct members *ms)
--- a/member.c
+++ b/member.c
@@ -140,6 +140,7 @@
 	m->state_since = now;
 	m->load_at = MSEC_NEVER;
 	RB_INSERT(member_tree, &ms->tree, m);
+	ms->priv->untold = true;
 	ms->priv->members++;
 	return m;
 }
@@ -231,6 +232,8 @@
 	struct member *m;
 	msec due;
 
+	if (p->untold)
+		member_tell_all(ms, false);
 	members_check_pause(ms, now);
 	members_expire_suspects(ms, now);
 	member_probe_check(ms, now);
@@ -253,6 +256,24 @@
 	return due;
 }
 
+/*
+ * A message came from a start of a node that we did not know. When it said who
+ * it is, we say it in turn: of two that start together, one comes too early to
+ * hear the other's first word. Asked is only one that did not, as few can be
+ * asked in a period: with all of 300 asked, they knew each other after 23 s.
+ */
+static void
+members_meet(struct members *ms, name_id from, uint64_t incarnation,
+    uint32_t address, uint16_t port, const sp_msg *msg)
+{
+	struct member *m = members_find(ms, from);
+
+	if (m == NULL || m->incarnation < incarnation)
+		member_sync_ask(ms, from, address, port);
+	else if (msg->kind == SP_PROBE_ACK && !m->leaving)
+		member_tell(ms, m);
+}
+
 void
 members_receive(struct members *ms, msec now, name_id from,
     uint64_t incarnation, uint32_t address, uint16_t port, const sp_msg *msg)
@@ -267,15 +288,14 @@
 		log_debug("message of an earlier %s ignored", m->name);
 		return;
 	}
-	if (m == NULL || incarnation > m->incarnation) {
-		/* News in the message itself may say who it is. */
+	if (m != NULL && incarnation > m->incarnation)
 		m = NULL;
-		member_sync_ask(ms, from, address, port);
-	}
 	if (msg->kind == SP_SYNC || msg->kind == SP_SYNC_PAGE)
 		member_sync_receive(ms, now, from, address, port, msg);
 	else
 		member_probe_receive(ms, now, m, from, address, port, msg);
+	if (m == NULL)
+		members_meet(ms, from, incarnation, address, port, msg);
 }
 
 void
@@ -296,22 +316,11 @@
 void
 members_leave(struct members *ms, msec now)
 {
-	struct member *m;
-
 	if (ms->self.leaving)
 		return;
 	log_info("%s is leaving", ms->self.name);
 	member_set(ms, now, &ms->self, MEMBER_ALIVE, true);
-	/*
-	 * Guards against callers who are sent to us until we have no time left
-	 * for them: by the probes alone the last of 60 nodes heard of a stop
-	 * after 2.8 s, and callers keep an answer that names us for 3 s more.
-	 * So each is told at once; the probes repair what is lost.
-	 */
-	RB_FOREACH (m, member_tree, &ms->tree) {
-		if (member_is_live(m))
-			member_goodbye_send(ms, m);
-	}
+	member_tell_all(ms, true);
 }
 
 char *
--- a/member.h
+++ b/member.h
@@ -51,6 +51,7 @@
 	uint32_t refutation;
 	unsigned int news_left; /* times still to piggyback */
 	bool seen;		/* on the list being read */
+	bool told;		/* by us what we are, since we know it */
 };
 RB_HEAD(member_tree, member);
 int member_compare(struct member *, struct member *);
