Explain tells why a leaving VM took a request or sent it elsewhere

The request's line has what its kind needs (`needs_ms`) beside how long the VM had been leaving; the dump has the lengths that were learned, by route.

--- a/entry-job.c
+++ b/entry-job.c
@@ -81,6 +81,7 @@
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS, job_span(left)),
 	    LOG_NUMBER(LOG_KEY_LEAVING_MS, job_span(leaving)),
+	    LOG_NUMBER(LOG_KEY_NEEDS_MS, j->needs),
 	    LOG_NUMBER(LOG_KEY_CONFIGURATION,
 		e->table != NULL ? e->table->version : 0),
 	    LOG_NUMBER(LOG_KEY_PROOF_MS, job_span(fresh_age(&e->fresh, now))));
--- a/entry-log.c
+++ b/entry-log.c
@@ -82,8 +82,8 @@
 	    "may a backend server have run it?" },
 	[LOG_KEY_MS] = { "ms", "how long it took" },
 	[LOG_KEY_NAME] = { "name", "of the other node" },
-	[LOG_KEY_NEEDS_MS] = { "needs_ms",
-	    "its kind hardly ever takes longer" },
+	[LOG_KEY_NEEDS_MS] = { "needs_ms", "its kind hardly ever takes longer; "
+					   "0: not asked, this node stays" },
 	[LOG_KEY_ORGANISATION] = { "organisation", "that the key belongs to" },
 	[LOG_KEY_ORGANISATIONS] = { "organisations", "in the configuration" },
 	[LOG_KEY_OUTCOME] = { "outcome", "of the request" },
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -317,6 +317,19 @@
 		    v->links);
 }
 
+/* How long requests take, which says what a leaving node still takes. */
+static void
+dump_kinds(GString *s, struct entry *e)
+{
+	struct entry_kind *k;
+
+	RB_FOREACH (k, entry_kinds, &e->kinds)
+		g_string_append_printf(s,
+		    "route %s lasts-ms %.0f deviation-ms %.0f seen %" PRIu64
+		    "\n",
+		    k->route, k->lasts.mean, k->lasts.deviation, k->lasts.seen);
+}
+
 /* What this node has learned as coordinator. */
 static void
 dump_mixes(GString *s, struct entry *e)
@@ -375,6 +388,7 @@
 	    e->table != NULL ? e->table->version : 0,
 	    e->fresh.proven == MSEC_NEVER ? -1 : now - e->fresh.proven);
 	dump_servers(s, e, now);
+	dump_kinds(s, e);
 	dump_mixes(s, e);
 	dump_jobs(s, e, now);
 	g_string_append(s, members);
--- a/entry-stop.c
+++ b/entry-stop.c
@@ -49,9 +49,9 @@
  * node.
  */
 bool
-entry_stop_leaves_time(struct entry *e, const struct job *j, msec now)
+entry_stop_leaves_time(struct entry *e, struct job *j, msec now)
 {
-	msec left = stop_end(e) - now, most = left + 1, needs;
+	msec left = stop_end(e) - now, most = left + 1;
 	struct entry_kind *k;
 
 	if (e->phase != ENTRY_LEAVING)
@@ -59,13 +59,13 @@
 	if (j->deadline != MSEC_NEVER)
 		most = j->deadline - now;
 	k = entry_kind_find(e, j->route->name);
-	needs = k != NULL ? duration_most(&k->lasts, most) : most;
-	if (needs <= left)
+	j->needs = k != NULL ? duration_most(&k->lasts, most) : most;
+	if (j->needs <= left)
 		return true;
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_NO_TIME_LEFT,
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_ROUTE, j->route->name),
-	    LOG_NUMBER(LOG_KEY_NEEDS_MS, needs),
+	    LOG_NUMBER(LOG_KEY_NEEDS_MS, j->needs),
 	    LOG_NUMBER(LOG_KEY_STOP_MS, left),
 	    LOG_NUMBER(LOG_KEY_SEEN, k != NULL ? k->lasts.seen : 0));
 	return false;
--- a/entry.h
+++ b/entry.h
@@ -217,6 +217,8 @@
 	unsigned int runs;     /* of those that may have run */
 	bool may_have_run;
 	bool came_leaving; /* this node was leaving when it came */
+	/* Hardly longer than that, when it began at a leaving node; or 0. */
+	msec needs;
 	bool repeatable;
 	enum job_code last; /* why the last attempt ended */
 	unsigned int ntried;
@@ -407,7 +409,7 @@
 /* It begins; nothing happens when it has begun before. */
 void entry_leave(struct entry *, msec);
 /* Can an attempt that begins now end before we do? */
-bool entry_stop_leaves_time(struct entry *, const struct job *, msec);
+bool entry_stop_leaves_time(struct entry *, struct job *, msec);
 void entry_stop_tick(struct entry *, msec);
 
 /* ---- the process: entry.c ---- */
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -78,6 +78,7 @@
 	check_story("34536908729632f0", "refused", "reason full");
 	check_story("fd1c5e2de35eb7a6", "broken", "reason broken");
 	check_story("48715e12a1e56455", "not-fresh", "platform-lost");
+	check_story("8738353752e5f463", "leaving", "no-time-left");
 }
 
 /* An id that is not there, a file cut in the middle, a file that is not. */
