A request that ends at its timeout says how long its kind takes

What callers saw: where servers hung, a VM that was being stopped took requests that had ended at their timeout all along, and cut them.

Cause: the lengths were learned of timeouts only where `runs` had been counted, and nothing counts a run whose time is over.

Mend: it goes by `may_have_run`, which the timer sets, and is learned as the least that the request would have taken: less than the mean says nothing.

--- a/duration.c
+++ b/duration.c
@@ -32,6 +32,14 @@
 	d->mean += DURATION_ALPHA * off;
 }
 
+void
+duration_learn_at_least(struct duration *d, msec took)
+{
+	/* That it takes longer than less than usual says nothing. */
+	if ((double)took > d->mean)
+		duration_learn(d, took);
+}
+
 msec
 duration_most(const struct duration *d, msec most)
 {
--- a/duration.h
+++ b/duration.h
@@ -18,8 +18,10 @@
 	uint64_t seen;
 };
 
-/* One took so long, or was given up after so long. */
+/* One took so long. */
 void duration_learn(struct duration *, msec);
+/* One was given up after so long: it would have taken longer still. */
+void duration_learn_at_least(struct duration *, msec);
 /*
  * Hardly one takes longer than that, in ms. Never more than `most`, which
  * stands as long as too few were seen.
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -53,9 +53,10 @@
 		metrics_observe(&k->first, j->first_at - j->arrived);
 	if (code == JOB_SERVED)
 		metrics_observe(&k->whole, now - j->arrived);
-	/* One whose time was over would have taken longer still. */
-	if (code == JOB_SERVED || (code == JOB_TIMEOUT && j->runs > 0))
+	if (code == JOB_SERVED)
 		duration_learn(&k->lasts, now - j->arrived);
+	else if (code == JOB_TIMEOUT && j->may_have_run)
+		duration_learn_at_least(&k->lasts, now - j->arrived);
 	if (j->gap > 0)
 		metrics_observe(&k->gap, j->gap);
 }
--- a/tests/test-duration.c
+++ b/tests/test-duration.c
@@ -60,6 +60,26 @@
 	g_assert_cmpint(duration_most(&d, MOST), >, 4800);
 }
 
+/*
+ * Half of the requests end at their timeout. Those that were given up early say
+ * nothing, those that were given up late that it takes longer.
+ */
+static void
+test_given_up(void)
+{
+	struct duration d = { 0 };
+	unsigned int i;
+
+	for (i = 0; i < 100; i++) {
+		duration_learn(&d, 600);
+		duration_learn_at_least(&d, 100);
+	}
+	g_assert_cmpint(duration_most(&d, MOST), <, 700);
+	for (i = 0; i < 20; i++)
+		duration_learn_at_least(&d, 1500);
+	g_assert_cmpint(duration_most(&d, MOST), >, 2500);
+}
+
 /* Never more than the caller waits. */
 static void
 test_bounded(void)
@@ -80,6 +100,7 @@
 	g_test_add_func("/duration/unknown", test_unknown);
 	g_test_add_func("/duration/long-tail", test_long_tail);
 	g_test_add_func("/duration/slower", test_slower);
+	g_test_add_func("/duration/given-up", test_given_up);
 	g_test_add_func("/duration/bounded", test_bounded);
 	return g_test_run();
 }
