A caller who leaves late says how long its kind of request takes

What callers saw: where servers had become slow and callers gave up in the middle, a VM that was being stopped still went by the answers of before, took a stream of 3.6 s with 2.9 s left and cut it.

Cause: requests whose callers left were not learned from.

Mend: learned as the least it would have taken, once it was sent to a server; one who leaves early says nothing. Ruled out: to learn each of them as an answer, by which callers who leave at once would make a kind look short. The test: cut before, 503 at once after.

--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -55,7 +55,8 @@
 		metrics_observe(&k->whole, now - j->arrived);
 	if (code == JOB_SERVED)
 		duration_learn(&k->lasts, now - j->arrived);
-	else if (code == JOB_TIMEOUT && j->may_have_run)
+	else if ((code == JOB_TIMEOUT && j->may_have_run) ||
+		 (code == JOB_CALLER_GONE && j->sends > 0))
 		duration_learn_at_least(&k->lasts, now - j->arrived);
 	if (j->gap > 0)
 		metrics_observe(&k->gap, j->gap);
