A stop that began while the VM stood still ends in time

What callers saw: a VM stood still when its process was told to stop, went on 2.5 s later, took a stream of 3.6 s 4.7 s after the signal, and would have ended 9.3 s after it, where the platform ends it after 8 s.

Cause: the stop was counted from the moment at which the signal was read.

Mend: it is counted from the turn of the loop before; the signal cannot be older, as that turn would have found it. It holds with the clock that counts the time in which a VM stands still. A stop is up to 100 ms shorter for it where nothing goes on. The test: taken at 4.7 s before; 503, and an end within 8 s, after.

--- a/entry-stop.c
+++ b/entry-stop.c
@@ -24,7 +24,11 @@
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_STOPPING,
 	    LOG_NUMBER(LOG_KEY_REQUESTS, e->njobs));
 	e->phase = ENTRY_LEAVING;
-	e->leaving_since = now;
+	/*
+	 * Guards against a stop that takes longer than the platform allows: the
+	 * signal may have waited while the whole VM stood still.
+	 */
+	e->leaving_since = e->loop.before;
 	e->source->ops->retract(e->source);
 	members_leave(&e->members, now);
 	net_flush(&e->net);
--- a/loop.c
+++ b/loop.c
@@ -136,7 +136,9 @@
 	struct loop_io *io;
 	int i, n;
 
+	l->now = msec_now();
 	while (!l->stopping) {
+		l->before = l->now;
 		/*
 		 * Guards against answers thrown away after a pause: a process
 		 * that is stopped and goes on is interrupted here, and timers
--- a/loop.h
+++ b/loop.h
@@ -37,7 +37,8 @@
 	/* Called at the end of each turn; may be NULL. */
 	void (*turn)(struct loop *, msec);
 	void *arg;
-	msec now; /* when this turn began */
+	msec now;    /* when this turn began */
+	msec before; /* when the one before began: nothing in hand is older */
 };
 
 bool loop_init(struct loop *);
