Once callers should be gone, a leaving VM takes only what has to end before it

What callers saw: many VMs were stopped at once, so that the directory had few or none to name; callers came to leaving VMs until 5 s after the signal, and one in a hundred of the answers begun after 3 s broke off.

Cause: what a kind of request hardly ever exceeds is exceeded by 2 to 3 in a hundred. Within the 3 s for which callers keep an address that is a fair risk against turning them away; later nothing excuses it.

Mend: after 3 s the caller's own deadline, or its route's timeout, must end before the stop; so no answer can break off, whatever it takes. Where no other node is ready, callers are told to come back in 1 to 2 s, when the first VMs are back.

The requests that keep its node up may now be turned away.

--- a/entry-job.c
+++ b/entry-job.c
@@ -16,7 +16,7 @@
 #define JOB_RETRY_AFTER_MS 400
 /* A node that starts knows more in a moment, and another knows now. */
 #define JOB_SOON_RETRY_MS 150
-/* The platform is away for all: nobody can judge keys for a while. */
+/* Nobody takes it for a while: the platform is away, or all nodes leave. */
 #define JOB_AWAY_RETRY_MS 1000
 /* Another node takes it now; a new connection takes as long as that. */
 #define JOB_ELSEWHERE_RETRY_MS 20
@@ -150,8 +150,9 @@
 {
 	msec after = JOB_RETRY_AFTER_MS;
 
-	if (code == JOB_LEAVING && entry_others_ready(j->owner))
-		after = JOB_ELSEWHERE_RETRY_MS;
+	if (code == JOB_LEAVING || code == JOB_STOPPED)
+		after = entry_others_ready(j->owner) ? JOB_ELSEWHERE_RETRY_MS
+						     : JOB_AWAY_RETRY_MS;
 	else if (code == JOB_STARTING ||
 		 (code == JOB_NOT_FRESH && entry_others_ready(j->owner)))
 		after = JOB_SOON_RETRY_MS;
--- a/entry-stop.c
+++ b/entry-stop.c
@@ -11,7 +11,8 @@
  * came for a while, idle connections are closed and the process ends. Before
  * the platform kills us, what is left is told so.
  */
-#define STOP_LEAST_MS 3500
+#define STOP_CALLERS_MS 3000
+#define STOP_LEAST_MS (STOP_CALLERS_MS + 500)
 #define STOP_QUIET_MS 400
 #define STOP_MARGIN_MS 500
 #define STOP_DEFAULT_MS 8000
@@ -45,6 +46,23 @@
 	return e->leaving_since + span - STOP_MARGIN_MS;
 }
 
+/*
+ * How long a request may take that begins now. Once callers should be gone,
+ * nothing excuses an answer that breaks off, so one that comes all the same is
+ * taken only if its whole time ends before us. With thirty of sixty nodes
+ * leaving at once, so that callers had nobody else to go to, one in a hundred
+ * of the answers begun so late broke off by what its kind hardly ever exceeds,
+ * one in four hundred by twice as many deviations.
+ */
+static msec
+stop_needs(
+    const struct entry *e, const struct entry_kind *k, msec now, msec most)
+{
+	if (k == NULL || now - e->leaving_since >= STOP_CALLERS_MS)
+		return most;
+	return duration_most(&k->lasts, most);
+}
+
 /*
  * Guards against answers that break off when we end: a request that comes
  * seconds after the stop began was taken like any other, and one in two hundred
@@ -63,7 +81,7 @@
 	if (j->deadline != MSEC_NEVER)
 		most = j->deadline - now;
 	k = entry_kind_find(e, j->route->name);
-	j->needs = k != NULL ? duration_most(&k->lasts, most) : most;
+	j->needs = stop_needs(e, k, now, most);
 	if (j->needs <= left)
 		return true;
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_NO_TIME_LEFT,
