A leaving VM waits for the first request of a connection that is new

Cause: at a quiet moment all connections without a request are closed, those too that were accepted an instant before; the request that crosses the close is read and thrown away.

Mend: one that has had no request yet is left open for half a second after it was accepted; the process ends after that. It holds for callers who send when they have connected; one that stays silent is closed then.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -25,6 +25,8 @@
 #define CALLER_SILENT_MS 4000
 /* After our end is closed, the peer has so long to close its own. */
 #define CALLER_LINGER_MS 500
+/* A caller that connects sends its first request within that. */
+#define CALLER_FIRST_MS 500
 /* Before a configuration says more. */
 #define CALLER_HEAD_MAX 16384
 #define CALLER_BODY_MAX (4 * 1024 * 1024)
@@ -126,6 +128,7 @@
 	c->ops = li->ops;
 	c->owner = e;
 	c->counts = li->counts;
+	c->accepted = e->loop.now;
 	limits = caller_limits(c);
 	http_reader_init(&c->reader, true, limits.head_bytes, limits.body_bytes,
 	    caller_body, c);
@@ -470,6 +473,14 @@
 		if (c->busy || c->closing || !c->counts ||
 		    !http_reader_is_idle(&c->reader) || buffer_left(&c->in) > 0)
 			continue;
+		/*
+		 * Guards against a first request that crosses our close: it
+		 * would be read and thrown away, and its caller left without an
+		 * answer.
+		 */
+		if (c->served == 0 &&
+		    e->loop.now - c->accepted < CALLER_FIRST_MS)
+			continue;
 		c->closing = true;
 		caller_flush(c);
 	}
--- a/entry.h
+++ b/entry.h
@@ -78,6 +78,7 @@
 	bool shut;	 /* our side is closed; waits for the peer's */
 	bool eof;	 /* the peer's side is closed */
 	bool counts;
+	msec accepted;
 	uint64_t served;
 };
 
