--- a/entry-query.c
+++ b/entry-query.c
@@ -15,6 +15,8 @@
  * node that stops is left alone after thrice this.
  */
 #define QUERY_LIFE_MS 1000
+/* One that leaves takes callers for so long, if it can finish them. */
+#define QUERY_LEAVING_MS 3000
 
 static void query_request(struct caller *, msec);
 static void query_nothing(struct caller *, msec);
@@ -80,6 +82,26 @@
 	}
 }
 
+/*
+ * When all leave, as when a whole small fleet is restarted, those that began to
+ * leave a moment ago are named: they take callers for as long as that. Without
+ * it every second look-up failed, and callers without an address went unserved.
+ */
+static void
+query_collect_leaving(struct entry *e, GPtrArray *nodes, msec now)
+{
+	struct member *m;
+
+	if (e->phase == ENTRY_LEAVING &&
+	    now - e->leaving_since < QUERY_LEAVING_MS)
+		g_ptr_array_add(nodes, &e->members.self);
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state == MEMBER_LEAVING && m->caller_port != 0 &&
+		    now - m->state_since < QUERY_LEAVING_MS)
+			g_ptr_array_add(nodes, m);
+	}
+}
+
 static void
 query_directory(struct caller *c, const char *domain, msec now)
 {
@@ -94,6 +116,8 @@
 	}
 	if (nodes->len == 0)
 		query_collect_any(e, nodes);
+	if (nodes->len == 0)
+		query_collect_leaving(e, nodes, now);
 	query_shorten(e, nodes);
 	if (nodes->len == 0) {
 		caller_answer(
