A connection closes after an answer only when its head said so

What callers saw: the request after a stream that was under way when its VM was told to stop ended without an answer.

Cause: whether the connection closes was judged twice, when the head went out and when the answer was whole; a stop between the two closed it unannounced.

Mend: what the head said holds. The next request's answer says that it closes. The test: no answer before, 200 with Connection: close after.

--- a/entry-reply.c
+++ b/entry-reply.c
@@ -87,7 +87,8 @@
 	    out, "HTTP/1.1 %u %s\r\n", j->status, http_status_text(j->status));
 	buffer_add(out, buffer_bytes(&j->fields), buffer_left(&j->fields));
 	buffer_finish(&j->fields);
-	if (!reply_keeps(j))
+	j->keeps = reply_keeps(j);
+	if (!j->keeps)
 		buffer_add_text(out, "Connection: close\r\n");
 	j->chunked = !whole;
 	if (whole)
@@ -229,7 +230,11 @@
 		caller_write_text(c, "0\r\n\r\n");
 	}
 	buffer_finish(&j->held);
-	caller_ended(c, now, reply_keeps(j));
+	/*
+	 * Not by what holds now: a caller that was not told sends its next
+	 * request here, which would be read and thrown away.
+	 */
+	caller_ended(c, now, j->keeps);
 	return true;
 }
 
--- a/entry.h
+++ b/entry.h
@@ -229,6 +229,7 @@
 	bool began;	   /* the head is out to the caller */
 	bool streamed;	   /* events, passed on one by one */
 	bool chunked;	   /* to the caller */
+	bool keeps;	   /* the connection, as its head said */
 	bool server_error; /* a server's own failure is kept in `held` */
 	bool refused_by_server;
 	msec sent_at, first_at;
