A request that is connecting leaves its server with the news

What callers saw: a request that was being connected when the store called its server draining, or gone, went on waiting for that connection: for 600 ms where the machine was lost, since packets that open a connection are not answered then; and where the connection did come, it was handed to a server that ends. The state of a server was looked at when it was chosen, and not again before the bytes went out (job_admit_again() looks at route, key, deadline and our own stop).

The links that are being connected are kept in a list by server, and with the news their requests go to another server at once. What was not handed over does not count as a send, and nothing is learned of the server by it: one that has started anew under its name is not down.

Ruled out: a look at the state in link_sending() alone. It keeps the request from the server that leaves, but the caller still waits for the connection.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -424,6 +424,21 @@
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
 }
 
+/* What is learned of a server where an attempt ended so. */
+static enum server_result
+link_result(enum link_end how)
+{
+	switch (how) {
+	case LINK_LEFT:
+		return SERVER_UNKNOWN;
+	case LINK_UNSENT:
+		return SERVER_DOWN;
+	case LINK_BROKEN:
+		break;
+	}
+	return SERVER_FAILED;
+}
+
 static void
 link_ended(struct link *k, enum link_end how, msec now)
 {
@@ -431,9 +446,8 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
-	job_leave_server(
-	    j, now, how == LINK_UNSENT ? SERVER_DOWN : SERVER_FAILED);
-	if (how == LINK_UNSENT) {
+	job_leave_server(j, now, link_result(how));
+	if (how != LINK_BROKEN) {
 		/* Nothing was handed over: it does not count as a send. */
 		j->sends--;
 		job_next(j, now, JOB_UNREACHABLE);
--- a/entry-link.c
+++ b/entry-link.c
@@ -43,6 +43,7 @@
 	if (p == NULL) {
 		p = v->arg = g_new0(struct link_pool, 1);
 		TAILQ_INIT(&p->idle);
+		TAILQ_INIT(&p->connecting);
 	}
 	return p;
 }
@@ -64,6 +65,15 @@
 	p->nidle--;
 }
 
+/* It stands now, or goes. */
+static void
+link_not_connecting(struct link *k)
+{
+	if (k->connecting)
+		TAILQ_REMOVE(&link_pool_of(k->server)->connecting, k, entry);
+	k->connecting = false;
+}
+
 /* Not while it is in the pool. */
 static void
 link_free(struct link *k)
@@ -71,6 +81,7 @@
 	struct entry *e = k->owner;
 	struct server *v = k->server;
 
+	link_not_connecting(k);
 	loop_timer_stop(&e->loop, &k->timer);
 	loop_close(&e->loop, &k->io);
 	http_reader_finish(&k->reader);
@@ -79,18 +90,21 @@
 	g_free(k);
 }
 
-/* The attempt ends without a whole answer; the link goes. */
 static void
-link_fail(struct link *k, msec now)
+link_end(struct link *k, enum link_end how, msec now)
 {
-	enum link_end how = k->sent ? LINK_BROKEN : LINK_UNSENT;
-	struct job *j = k->job;
-
-	if (j != NULL)
+	if (k->job != NULL)
 		k->ops->ended(k, how, now);
 	link_free(k);
 }
 
+/* The attempt ends without a whole answer; the link goes. */
+static void
+link_fail(struct link *k, msec now)
+{
+	link_end(k, k->sent ? LINK_BROKEN : LINK_UNSENT, now);
+}
+
 /* ---- connecting and sending ---- */
 
 static void
@@ -131,6 +145,7 @@
 	k->owner = e;
 	k->server = v;
 	k->connecting = true;
+	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
 	v->links++;
 	e->counters.connects++;
 	http_reader_init(
@@ -241,7 +256,7 @@
 		log_debug("%s: %s", k->server->name, g_strerror(error));
 		return false;
 	}
-	k->connecting = false;
+	link_not_connecting(k);
 	loop_timer_stop(&k->owner->loop, &k->timer);
 	return true;
 }
@@ -442,6 +457,18 @@
 	}
 }
 
+void
+link_leave(struct entry *e, struct server *v)
+{
+	struct link_pool *p = link_pool_of(v);
+	struct link *k;
+
+	link_close_idle(e, v);
+	/* Their requests do not come back here: no server is tried twice. */
+	while ((k = TAILQ_FIRST(&p->connecting)) != NULL)
+		link_end(k, LINK_LEFT, e->loop.now);
+}
+
 void
 link_pool_free(struct server *v)
 {
--- a/entry-state.c
+++ b/entry-state.c
@@ -49,7 +49,7 @@
 				    : v->state == SERVER_DRAINING ? "draining"
 								  : "gone"),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
-	link_close_idle(e, v);
+	link_leave(e, v);
 }
 
 static void
--- a/entry.h
+++ b/entry.h
@@ -107,6 +107,7 @@
 
 /* How an attempt on a link ended without a whole answer. */
 enum link_end {
+	LINK_LEFT,   /* the server takes no more; nothing was handed over */
 	LINK_UNSENT, /* no byte of the request was handed over */
 	LINK_BROKEN  /* some may have been */
 };
@@ -130,7 +131,7 @@
 struct link {
 	struct loop_io io;
 	const struct link_ops *ops;
-	TAILQ_ENTRY(link) entry; /* of the server's idle links */
+	TAILQ_ENTRY(link) entry; /* of the server's idle or connecting links */
 	struct entry *owner;
 	struct server *server;
 	struct job *job; /* NULL: idle */
@@ -148,7 +149,7 @@
 
 /* What entry-link.c keeps of a server. */
 struct link_pool {
-	struct link_list idle;
+	struct link_list idle, connecting;
 	unsigned int nidle;
 };
 
@@ -165,6 +166,11 @@
 void link_pause(struct link *, bool);
 /* Close the idle links of a server. */
 void link_close_idle(struct entry *, struct server *);
+/*
+ * The process that is there now takes no more work: idle links are closed, and
+ * requests that wait for a connection to it go elsewhere at once.
+ */
+void link_leave(struct entry *, struct server *);
 void link_pool_free(struct server *);
 
 /* ---- requests: entry-job.c, entry-attempt.c, entry-reply.c ---- */
