A connection to the process before is not kept for the next

What callers saw: a server started anew under its name, at another address, while the process before still answered a request. When that answer was whole its connection went into the pool of the server that is there now, since the pool was asked for the state only, and the next request went to a process that is about to end, or to whoever has the address next. With the news only idle connections were closed.

Each connection knows now which start of its server it was made to.

Ruled out: to cut the old connection with the news; its answer is still good.

--- a/entry-link.c
+++ b/entry-link.c
@@ -144,6 +144,7 @@
 	k->io = (struct loop_io){ link_ready, fd, 0 };
 	k->owner = e;
 	k->server = v;
+	k->starts = v->starts;
 	k->connecting = true;
 	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
 	v->links++;
@@ -283,6 +284,18 @@
 	link_watch(k);
 }
 
+/*
+ * Guards against a request that is sent to a process that ends, or to whoever
+ * has its address next: its connection is not kept for the process that has
+ * started anew under its name.
+ */
+static bool
+link_may_be_kept(const struct link *k)
+{
+	return k->server->state == SERVER_READY &&
+	       k->starts == k->server->starts;
+}
+
 /* The answer in hand ended well; `rest` bytes follow it that nobody asked
  * for. */
 static void
@@ -290,7 +303,7 @@
 {
 	bool keep = k->reader.head->keep_alive && !k->reader.head->to_the_end &&
 		    rest == 0 && buffer_left(&k->out) == 0 &&
-		    k->server->state == SERVER_READY;
+		    link_may_be_kept(k);
 
 	k->ops->whole(k, now);
 	k->job = NULL;
--- a/entry.h
+++ b/entry.h
@@ -134,7 +134,8 @@
 	TAILQ_ENTRY(link) entry; /* of the server's idle or connecting links */
 	struct entry *owner;
 	struct server *server;
-	struct job *job; /* NULL: idle */
+	unsigned int starts; /* of the server, when it was connected */
+	struct job *job;     /* NULL: idle */
 	struct http_reader reader;
 	struct buffer out;
 	struct loop_timer timer;
--- a/server.c
+++ b/server.c
@@ -111,6 +111,7 @@
 	if (anew) {
 		log_info_of(LOG_NODE, v->name, "%s started anew", v->name);
 		server_forget(v);
+		v->starts++;
 		v->born = e->born;
 	}
 	/* Draining is never taken back by the same process. */
--- a/server.h
+++ b/server.h
@@ -53,7 +53,8 @@
 	unsigned int slots;
 	enum server_state state;
 	int64_t born;
-	bool missing; /* not listed; gone when the hold ends */
+	unsigned int starts; /* grows with each process under the name */
+	bool missing;	     /* not listed; gone when the hold ends */
 	msec missing_since;
 	struct server_load own; /* of our requests */
 	struct server_load all; /* of all nodes', for a coordinator */
