A server that is not the one we name is down

What callers saw: a server crashed, and its address was given to one of another service before its entry lapsed (three heartbeats). That one answers every request at once that it is not the one named (421, not executed). We took this like "full": nothing was learned, and since such an address is quick and never busy, half of all requests went there first. Each cost an attempt, and one of the retries that all nodes share.

It counts as if no connection could be had: the server rests, here and at the coordinator, and is asked again at growing intervals until the entry lapses.

Ruled out: to take it as gone until its entry changes. A single wrong 421 would then take a sound server out for as long as it lives.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -327,6 +327,18 @@
 	return job_admit_again(k->job, now);
 }
 
+/*
+ * Guards against an address that is another server's by now, while the entry of
+ * the one that crashed has not lapsed: it says at once that it is not the one
+ * that we name (421), and being quick and never busy it would get half of all
+ * requests. Nobody is there for us, as if no connection could be had.
+ */
+static enum server_result
+job_refusal(const struct http_head *h)
+{
+	return h->status == 421 ? SERVER_DOWN : SERVER_FULL;
+}
+
 static bool
 link_head(struct link *k, const struct http_head *h, msec now)
 {
@@ -341,6 +353,7 @@
 		return false;
 	case REPLY_REJECTED:
 		j->refused_by_server = true;
+		j->refusal = job_refusal(h);
 		return true;
 	case REPLY_RUBBISH:
 		job_ran(j);
@@ -409,7 +422,7 @@
 	if (j->refused_by_server) {
 		j->refused_by_server = false;
 		j->arrivals++;
-		job_leave_server(j, now, SERVER_FULL);
+		job_leave_server(j, now, j->refusal);
 		job_next(j, now, JOB_FULL);
 		return;
 	}
--- a/entry.h
+++ b/entry.h
@@ -235,6 +235,7 @@
 	bool chunked;	   /* to the caller */
 	bool server_error; /* a server's own failure is kept in `held` */
 	bool refused_by_server;
+	enum server_result refusal; /* what that says of it */
 	msec sent_at, first_at;
 	msec passed_at;	      /* the newest part of the answer */
 	msec gap;	      /* longest pause between two */
--- a/server.h
+++ b/server.h
@@ -124,7 +124,7 @@
 	SERVER_WELL,   /* it answered */
 	SERVER_FULL,   /* it said that it takes no more now */
 	SERVER_FAILED, /* it broke off, was silent or answered rubbish */
-	SERVER_DOWN,   /* it takes no connection */
+	SERVER_DOWN,   /* it takes no connection, or another is there */
 	SERVER_UNKNOWN /* our caller left, or we gave up */
 };
 void server_learn(struct server *, msec, enum server_result);
