A kept connection whose end has come is not sent on

What callers saw: 502 for a request that may run only once. The node had stood still for a moment; a request came, then a server closed its idle connections, and both were found in the same turn of the loop, the request first. It was sent on a connection that was closed already. A request that may be repeated took a second attempt, from the retries that all nodes share.

Before a kept connection is used it is looked whether something can be read on it: nothing is due there, so that is its end, or an answer to nobody. One more system call for each request on a kept connection.

Ruled out: the connection's age (used within 300 ms), which requests that run only once ask for; a pause or a busy turn is shorter than that.

--- a/entry-link.c
+++ b/entry-link.c
@@ -160,6 +160,21 @@
 	return k;
 }
 
+/*
+ * Guards against a server's end that has come and waits in this very turn of
+ * the loop, behind the request that is about to be sent: a request that may run
+ * only once cannot be sent again, and its caller gets 502. Nothing is due on an
+ * idle connection, so whatever can be read there ends it.
+ */
+static bool
+link_is_open(const struct link *k)
+{
+	char byte;
+
+	return recv(k->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == -1 &&
+	       errno == EAGAIN;
+}
+
 /* The idle link that was used last, or NULL. */
 static struct link *
 link_take_idle(struct entry *e, struct server *v, bool fresh, msec now)
@@ -171,7 +186,7 @@
 		if (fresh && now - k->idle_since >= LINK_FRESH_MS)
 			return NULL;
 		link_unpool(p, k);
-		if (now - k->idle_since >= k->idle_max) {
+		if (now - k->idle_since >= k->idle_max || !link_is_open(k)) {
 			link_free(k);
 			continue;
 		}
