A leaving node does not give up what it has no time to begin again

What callers saw: 502 from a VM that was about to end, for requests whose answer was on its way. The server had been silent for a second, since it read other prompts first; the attempt was given up so that another server could be tried, and only then was it seen that no time was left for that (entry_stop_leaves_time in job_admit_again()).

It is looked at before the attempt in hand is given up; without time for another it goes on, until the answer comes or the process ends.

Ruled out: to go on with another attempt for all that; it is what would be cut.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -470,6 +470,17 @@
 	job_next(j, now, JOB_BROKEN);
 }
 
+/*
+ * Guards against an attempt that is given up for none: the answer may be on its
+ * way, and the caller would get 502 instead. A node that is about to end has
+ * no time for another attempt; a stream that has begun just goes on.
+ */
+static bool
+job_has_time_for_another(struct job *j, msec now)
+{
+	return j->began || entry_stop_leaves_time(j->owner, j, now);
+}
+
 /* The server is silent: if another attempt is allowed, it goes there. */
 void
 job_patience(struct loop_timer *t, msec now)
@@ -485,7 +496,8 @@
 		return;
 	}
 	if (retry_budget_left(entry_budget(j->owner, j->service),
-		&j->owner->budget, now, j->owner->live_nodes) == 0)
+		&j->owner->budget, now, j->owner->live_nodes) == 0 ||
+	    !job_has_time_for_another(j, now))
 		return;
 	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
 	    LOG_EVENT_SERVER_SILENT, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
