A silent server is not given up when there is no other

What callers saw: 502 after a second and more, where a service had one server left and that one read other prompts first. It was given up so that another might be tried; that there was none showed only when one was asked for.

Ruled out: to go by the number of servers; those that were tried do not count.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -472,15 +472,34 @@
 
 /*
  * Guards against an attempt that is given up for none: the answer may be on its
- * way, and the caller would get 502 instead. A node that is about to end has
- * no time for another attempt; a stream that has begun just goes on.
+ * way, and the caller would get 502 instead.
  */
 static bool
+job_has_another(struct job *j)
+{
+	struct server_wish w;
+
+	job_fill_wish(j, &w);
+	return servers_have_another(&j->owner->servers, &w);
+}
+
+/* The same at a node that is about to end; a stream that has begun goes on. */
+static bool
 job_has_time_for_another(struct job *j, msec now)
 {
 	return j->began || entry_stop_leaves_time(j->owner, j, now);
 }
 
+/* May the server in hand be given up as silent? If not yet, look again. */
+static bool
+job_is_forgotten(struct job *j, msec now)
+{
+	if (!j->began && !server_forgot(j->server, now, j->place.wish.rank,
+			     j->sent_at, job_silence_ms(j)))
+		return false;
+	return job_has_another(j);
+}
+
 /* The server is silent: if another attempt is allowed, it goes there. */
 void
 job_patience(struct loop_timer *t, msec now)
@@ -489,8 +508,7 @@
 
 	if (j->server == NULL || j->link == NULL)
 		return;
-	if (!j->began && !server_forgot(j->server, now, j->place.wish.rank,
-			     j->sent_at, job_silence_ms(j))) {
+	if (!job_is_forgotten(j, now)) {
 		loop_timer_set(
 		    &j->owner->loop, &j->patience, now + JOB_LOOK_AGAIN_MS);
 		return;
--- a/server-choose.c
+++ b/server-choose.c
@@ -112,6 +112,20 @@
 	return n;
 }
 
+bool
+servers_have_another(struct servers *s, const struct server_wish *w)
+{
+	const struct server_view whole = { .groups = 1 };
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (choose_sees(v, w->service, &whole) &&
+		    !wish_avoids(w, v->id))
+			return true;
+	}
+	return false;
+}
+
 /*
  * The first `quiet` servers by rank are quiet: the highest of their ranks, or
  * 0 when there are none. Found once for a choice, since a service may have
--- a/server.h
+++ b/server.h
@@ -174,6 +174,8 @@
 /* How many servers of a service, in the view's group, take work. */
 unsigned int
 servers_ready(struct servers *, name_id service, const struct server_view *);
+/* Is one there that takes work, of those that a request does not avoid? */
+bool servers_have_another(struct servers *, const struct server_wish *);
 /* The best server for it, or NULL when there is none at all. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -287,9 +287,12 @@
 		g_strlcpy(last, v->name, sizeof last);
 	}
 	g_assert_cmpuint(w.navoid, ==, 3);
+	g_assert_false(servers_have_another(&s, &w));
 	/* The one that is left drains. */
 	w.navoid = 2;
+	g_assert_true(servers_have_another(&s, &w));
 	list(&s, 1, last, true, 0);
+	g_assert_false(servers_have_another(&s, &w));
 	g_assert_null(server_choose(&s, 1, &w, &view, 5));
 	servers_finish(&s);
 }
