A VM whose own link is full refuses at once, and calls no server down

What callers saw: beside a burst, while VMs were stopped in turn, a request was refused after 4.7 s (mean of 1,453; 503, nothing had run), or was given up by its caller while its VM still tried to reach a server. The VM's own link was full of prompts on their way in, so that no connection to a server was confirmed within 600 ms, and it tried up to eight servers one after the other. It also told the coordinator of each that the server was down.

Connections that are not confirmed in time are counted now, and how many stand and how many answers begin beside them. When three servers and more did not answer within a second, and hardly one did, it is our own path: the request is refused at once, truly, and nothing is said of the server. A stream that has begun still tries others, since it can only go on from here.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -324,6 +324,7 @@
 static bool
 link_sending(struct link *k, msec now)
 {
+	servers_reached(&k->owner->servers, now);
 	return job_admit_again(k->job, now);
 }
 
@@ -344,6 +345,7 @@
 {
 	struct job *j = k->job;
 
+	servers_reached(&j->owner->servers, now);
 	switch (reply_judge(j, h)) {
 	case REPLY_STRAY:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
@@ -437,13 +439,29 @@
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
 }
 
+/*
+ * Guards against a server that is called down since our own link is full: no
+ * connection is confirmed in time, and in ten seconds one node of sixty named
+ * most of ninety servers so.
+ */
+static enum server_result
+link_unheard(struct link *k, msec now)
+{
+	struct servers *s = &k->owner->servers;
+
+	servers_missed(s, now, k->server);
+	return servers_in_reach(s, now) ? SERVER_DOWN : SERVER_UNKNOWN;
+}
+
 /* What is learned of a server where an attempt ended so. */
 static enum server_result
-link_result(enum link_end how)
+link_result(struct link *k, enum link_end how, msec now)
 {
 	switch (how) {
 	case LINK_LEFT:
 		return SERVER_UNKNOWN;
+	case LINK_UNHEARD:
+		return link_unheard(k, now);
 	case LINK_UNSENT:
 		return SERVER_DOWN;
 	case LINK_BROKEN:
@@ -452,6 +470,18 @@
 	return SERVER_FAILED;
 }
 
+/*
+ * Guards against a request that waits for one connection after the other while
+ * our own link is full: eight servers were tried for 600 ms each, and the
+ * caller heard after 4.8 s that nothing had run. Told at once, it has the time
+ * to go to another node. A stream that has begun can only go on from here.
+ */
+static bool
+job_is_cut_off(struct job *j, msec now)
+{
+	return !j->began && !servers_in_reach(&j->owner->servers, now);
+}
+
 static void
 link_ended(struct link *k, enum link_end how, msec now)
 {
@@ -459,15 +489,20 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
-	job_leave_server(j, now, link_result(how));
-	if (how != LINK_BROKEN) {
-		/* Nothing was handed over: it does not count as a send. */
-		j->sends--;
-		job_next(j, now, JOB_UNREACHABLE);
+	job_leave_server(j, now, link_result(k, how, now));
+	if (how == LINK_BROKEN) {
+		job_ran(j);
+		job_next(j, now, JOB_BROKEN);
 		return;
 	}
-	job_ran(j);
-	job_next(j, now, JOB_BROKEN);
+	/* Nothing was handed over: it does not count as a send. */
+	j->sends--;
+	if (how == LINK_UNHEARD && job_is_cut_off(j, now)) {
+		j->last = JOB_UNREACHABLE;
+		job_fail(j, now, JOB_UNREACHABLE);
+		return;
+	}
+	job_next(j, now, JOB_UNREACHABLE);
 }
 
 /*
--- a/entry-link.c
+++ b/entry-link.c
@@ -451,7 +451,7 @@
 		link_unpool(link_pool_of(k->server), k);
 		link_free(k);
 	} else if (k->connecting) {
-		link_fail(k, now);
+		link_end(k, LINK_UNHEARD, now);
 	}
 }
 
--- a/entry.h
+++ b/entry.h
@@ -107,9 +107,10 @@
 
 /* How an attempt on a link ended without a whole answer. */
 enum link_end {
-	LINK_LEFT,   /* the server takes no more; nothing was handed over */
-	LINK_UNSENT, /* no byte of the request was handed over */
-	LINK_BROKEN  /* some may have been */
+	LINK_LEFT,    /* the server takes no more; nothing was handed over */
+	LINK_UNSENT,  /* no byte of the request was handed over */
+	LINK_UNHEARD, /* nor did the server answer when we connected */
+	LINK_BROKEN   /* some may have been */
 };
 
 /* What hears of the attempt on a link. */
--- a/server.c
+++ b/server.c
@@ -5,6 +5,7 @@
 #define LOG_PART "server"
 #include "server.h"
 
+#include <math.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -17,6 +18,14 @@
 #define SERVER_FAILURES_MAX 3
 #define SERVER_REST_MS 500
 #define SERVER_REST_MAX_MS (4 * MSEC_SECOND)
+/* What connecting showed of our own path is of use for so long. */
+#define REACH_MS 1000
+/*
+ * So many different servers did not answer, and hardly one did: crashes that
+ * come together leave others that do.
+ */
+#define REACH_SERVERS 3
+#define REACH_TIMES 3
 
 RB_GENERATE(server_tree, server, entry, server_compare)
 
@@ -245,6 +254,63 @@
 	return now - MAX(v->heard, sent) >= silence;
 }
 
+/* ---- our own path ---- */
+
+static void
+reach_age(struct server_reach *r, msec now)
+{
+	double left = exp(-(double)(now - r->at) / REACH_MS);
+
+	r->misses *= left;
+	r->answers *= left;
+	r->at = now;
+}
+
+/* How many different servers did not answer lately. */
+static unsigned int
+reach_missed(const struct server_reach *r, msec now)
+{
+	unsigned int n = MIN(r->nmissed, SERVER_MISSED_MAX), i, k, count = 0;
+	name_id found[SERVER_MISSED_MAX];
+
+	for (i = 0; i < n; i++) {
+		if (now - r->missed_at[i] >= REACH_MS)
+			continue;
+		for (k = 0; k < count && found[k] != r->missed[i]; k++)
+			;
+		if (k == count)
+			found[count++] = r->missed[i];
+	}
+	return count;
+}
+
+void
+servers_reached(struct servers *s, msec now)
+{
+	reach_age(&s->reach, now);
+	s->reach.answers++;
+}
+
+void
+servers_missed(struct servers *s, msec now, const struct server *v)
+{
+	struct server_reach *r = &s->reach;
+	unsigned int at = r->nmissed++ % SERVER_MISSED_MAX;
+
+	reach_age(r, now);
+	r->misses++;
+	r->missed[at] = v->id;
+	r->missed_at[at] = now;
+}
+
+bool
+servers_in_reach(struct servers *s, msec now)
+{
+	reach_age(&s->reach, now);
+	return reach_missed(&s->reach, now) < REACH_SERVERS ||
+	       s->reach.misses <= REACH_TIMES * s->reach.answers;
+}
+
 bool
 server_takes_work(const struct server *v, msec now)
 {
--- a/server.h
+++ b/server.h
@@ -76,6 +76,20 @@
 int server_compare(struct server *, struct server *);
 RB_PROTOTYPE(server_tree, server, entry, server_compare)
 
+/* Servers that are remembered as not having answered when we connected. */
+#define SERVER_MISSED_MAX 8
+
+/* What connecting shows of our own path to the servers. */
+struct server_reach {
+	/* The last that did not answer, and when. */
+	name_id missed[SERVER_MISSED_MAX];
+	msec missed_at[SERVER_MISSED_MAX];
+	unsigned int nmissed; /* all in all */
+	/* Smoothed: how often one did not answer, and how often one did. */
+	double misses, answers;
+	msec at;
+};
+
 struct servers;
 
 /* What the table calls; both must be given. */
@@ -94,6 +108,7 @@
 	struct server_memory memory;	 /* by our requests */
 	struct server_memory all_memory; /* by all nodes', for a coordinator */
 	msec held_until;		 /* no server is taken as gone before */
+	struct server_reach reach;	 /* by our requests */
 	void *arg;			 /* the embedder's */
 };
 
@@ -138,6 +153,15 @@
  */
 bool server_forgot(
     const struct server *, msec, unsigned int rank, msec sent, msec silence);
+/* One answered: a connection to it stands, or its answer begins. */
+void servers_reached(struct servers *, msec);
+/* One did not answer in time when we connected. */
+void servers_missed(struct servers *, msec, const struct server *);
+/*
+ * Do servers answer us? False when several did not in a short time, and hardly
+ * any other did: then it is our own link that is full, or cut.
+ */
+bool servers_in_reach(struct servers *, msec);
 /* May it get new work? */
 bool server_takes_work(const struct server *, msec);
 
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -420,6 +420,61 @@
 	servers_finish(&s);
 }
 
+/*
+ * A VM's link was full of prompts on their way in: for ten seconds no server
+ * confirmed its connections in time. It said of one after the other that it was
+ * down, to all that coordinate, and they sent prompts where they had to be read
+ * again. Servers that are lost, three at once, are still found.
+ */
+static void
+test_out_of_reach(void)
+{
+	struct servers s;
+	struct server *v;
+	unsigned int i;
+
+	servers_init(&s, &ops);
+	many(&s, 12);
+	g_assert_true(servers_in_reach(&s, 0));
+	/* One server, however often. */
+	v = RB_MIN(server_tree, &s.tree);
+	for (i = 0; i < 20; i++)
+		servers_missed(&s, i, v);
+	g_assert_true(servers_in_reach(&s, 20));
+	/* Four of twelve are lost; the others answer. */
+	for (i = 0; i < 40; i++) {
+		if (i % 3 != 0)
+			servers_reached(&s, 3000 + i * 10);
+		else
+			servers_missed(&s, 3000 + i * 10, v);
+		v = RB_NEXT(server_tree, &s.tree, v);
+		if (v == NULL || i % 4 == 3)
+			v = RB_MIN(server_tree, &s.tree);
+		g_assert_true(servers_in_reach(&s, 3000 + i * 10));
+	}
+	/* No server answers. */
+	v = RB_MIN(server_tree, &s.tree);
+	for (i = 0; i < 3; i++) {
+		g_assert_true(servers_in_reach(&s, 9000 + i));
+		servers_missed(&s, 9000 + i, v);
+		v = RB_NEXT(server_tree, &s.tree, v);
+	}
+	g_assert_false(servers_in_reach(&s, 9003));
+	/* One of the packets comes through; more do. */
+	servers_reached(&s, 9100);
+	servers_reached(&s, 9101);
+	g_assert_true(servers_in_reach(&s, 9101));
+	/* Known for a second only. */
+	for (i = 0; i < 12; i++, v = RB_NEXT(server_tree, &s.tree, v)) {
+		if (v == NULL)
+			v = RB_MIN(server_tree, &s.tree);
+		servers_missed(&s, 20000, v);
+	}
+	g_assert_false(servers_in_reach(&s, 20500));
+	g_assert_true(servers_in_reach(&s, 21000));
+	servers_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -436,5 +491,6 @@
 	g_test_add_func("/server/slots-full", test_slots_full);
 	g_test_add_func("/server/mix-under-load", test_mix_under_load);
 	g_test_add_func("/server/groups-stay", test_groups_stay);
+	g_test_add_func("/server/out-of-reach", test_out_of_reach);
 	return g_test_run();
 }
