Servers that do not answer are remembered once each

That our own link is full is known by several different servers that did not answer. The last eight misses were remembered, so ten requests that were sent to one server together pushed the others out, and the node thought for a while that it reached its servers. Each server has one place now, with its newest miss.

test-server out-of-reach fails without it.

--- a/server.c
+++ b/server.c
@@ -270,20 +270,28 @@
 static unsigned int
 reach_missed(const struct server_reach *r, msec now)
 {
-	unsigned int n = MIN(r->nmissed, SERVER_MISSED_MAX), i, k, count = 0;
-	name_id found[SERVER_MISSED_MAX];
+	unsigned int i, count = 0;
 
-	for (i = 0; i < n; i++) {
-		if (now - r->missed_at[i] >= REACH_MS)
-			continue;
-		for (k = 0; k < count && found[k] != r->missed[i]; k++)
-			;
-		if (k == count)
-			found[count++] = r->missed[i];
-	}
+	for (i = 0; i < r->nmissed; i++)
+		count += now - r->missed_at[i] < REACH_MS;
 	return count;
 }
 
+/* Its place in the list; else a free one, or that of the oldest. */
+static unsigned int
+reach_place(struct server_reach *r, name_id id)
+{
+	unsigned int i, oldest = 0;
+
+	for (i = 0; i < r->nmissed; i++) {
+		if (r->missed[i] == id)
+			return i;
+		if (r->missed_at[i] < r->missed_at[oldest])
+			oldest = i;
+	}
+	return r->nmissed < SERVER_MISSED_MAX ? r->nmissed++ : oldest;
+}
+
 void
 servers_reached(struct servers *s, msec now)
 {
@@ -295,7 +303,7 @@
 servers_missed(struct servers *s, msec now, const struct server *v)
 {
 	struct server_reach *r = &s->reach;
-	unsigned int at = r->nmissed++ % SERVER_MISSED_MAX;
+	unsigned int at = reach_place(r, v->id);
 
 	reach_age(r, now);
 	r->misses++;
--- a/server.h
+++ b/server.h
@@ -81,10 +81,10 @@
 
 /* What connecting shows of our own path to the servers. */
 struct server_reach {
-	/* The last that did not answer, and when. */
+	/* The last that did not answer, each once, and when. */
 	name_id missed[SERVER_MISSED_MAX];
 	msec missed_at[SERVER_MISSED_MAX];
-	unsigned int nmissed; /* all in all */
+	unsigned int nmissed;
 	/* Smoothed: how often one did not answer, and how often one did. */
 	double misses, answers;
 	msec at;
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -460,10 +460,14 @@
 		v = RB_NEXT(server_tree, &s.tree, v);
 	}
 	g_assert_false(servers_in_reach(&s, 9003));
-	/* One of the packets comes through; more do. */
-	servers_reached(&s, 9100);
-	servers_reached(&s, 9101);
-	g_assert_true(servers_in_reach(&s, 9101));
+	/* Ten more were sent to one of them: it is no other knowledge. */
+	for (i = 0; i < 10; i++)
+		servers_missed(&s, 9003, RB_MIN(server_tree, &s.tree));
+	g_assert_false(servers_in_reach(&s, 9003));
+	/* Some of the packets come through. */
+	for (i = 0; i < 6; i++)
+		servers_reached(&s, 9100 + i);
+	g_assert_true(servers_in_reach(&s, 9105));
 	/* Known for a second only. */
 	for (i = 0; i < 12; i++, v = RB_NEXT(server_tree, &s.tree, v)) {
 		if (v == NULL)
