A full link is known also while servers rest

Servers that did not answer rest for up to 4 s and are not asked meanwhile, so that the newest misses of a node with a full link came from one server alone, and it thought that it reached its servers again. A miss counts for as long as a server may rest. Beside it two misses in the last second are asked for, so that a quiet node that meets three lost servers, one a second, does not take its own link for full.

--- a/server.c
+++ b/server.c
@@ -26,6 +26,9 @@
  */
 #define REACH_SERVERS 3
 #define REACH_TIMES 3
+/* Fewer in a second say nothing: a quiet node may just have met lost servers.
+ */
+#define REACH_MISSES 2
 
 RB_GENERATE(server_tree, server, entry, server_compare)
 
@@ -266,14 +269,17 @@
 	r->at = now;
 }
 
-/* How many different servers did not answer lately. */
+/*
+ * How many different servers did not answer. One that rests since is not asked,
+ * and says nothing new for so long.
+ */
 static unsigned int
 reach_missed(const struct server_reach *r, msec now)
 {
 	unsigned int i, count = 0;
 
 	for (i = 0; i < r->nmissed; i++)
-		count += now - r->missed_at[i] < REACH_MS;
+		count += now - r->missed_at[i] < SERVER_REST_MAX_MS;
 	return count;
 }
 
@@ -316,6 +322,7 @@
 {
 	reach_age(&s->reach, now);
 	return reach_missed(&s->reach, now) < REACH_SERVERS ||
+	       s->reach.misses < REACH_MISSES ||
 	       s->reach.misses <= REACH_TIMES * s->reach.answers;
 }
 
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -468,14 +468,29 @@
 	for (i = 0; i < 6; i++)
 		servers_reached(&s, 9100 + i);
 	g_assert_true(servers_in_reach(&s, 9105));
-	/* Known for a second only. */
+	/* A quiet node: three lost servers, one a second. */
+	for (i = 0; i < 3; i++) {
+		servers_missed(&s, 13000 + i * 1000, v);
+		v = RB_NEXT(server_tree, &s.tree, v);
+		g_assert_true(servers_in_reach(&s, 13000 + i * 1000));
+	}
+	/* Two that rest are not asked; the third goes on not to answer. */
+	for (i = 0; i < 3; i++) {
+		servers_missed(&s, 18000, v);
+		v = RB_NEXT(server_tree, &s.tree, v);
+	}
+	v = RB_MIN(server_tree, &s.tree);
+	for (i = 0; i < 10; i++)
+		servers_missed(&s, 18000 + i * 300, v);
+	g_assert_false(servers_in_reach(&s, 20700));
+	/* Known for as long as it is fresh. */
 	for (i = 0; i < 12; i++, v = RB_NEXT(server_tree, &s.tree, v)) {
 		if (v == NULL)
 			v = RB_MIN(server_tree, &s.tree);
-		servers_missed(&s, 20000, v);
+		servers_missed(&s, 26000, v);
 	}
-	g_assert_false(servers_in_reach(&s, 20500));
-	g_assert_true(servers_in_reach(&s, 21000));
+	g_assert_false(servers_in_reach(&s, 26500));
+	g_assert_true(servers_in_reach(&s, 28000));
 	servers_finish(&s);
 }
 
