A stream that cannot end in time any more is given up before it begins

What callers saw: beside a burst and stops a stream waited in a server's queue, and its caller heard after 7.5 s or 12 s that there was no answer.

A node learns how long streams of a kind that are served take from their first event on. A stream that may be repeated and has not begun is given up once less of its time is left than that: its connection closes, so that the server stops, and the caller is told at once that there is no answer (504; it may have run). Nothing is learned of the server: it is busy, not broken. The look at a silent server goes on every 250 ms for that, also where no other attempt is allowed.

Ruled out: to give up after twice the target, which is simpler.

--- a/duration.c
+++ b/duration.c
@@ -42,3 +42,9 @@
 	longest = (msec)ceil(d->mean + DURATION_TIMES * d->deviation);
 	return MIN(longest, most);
 }
+
+msec
+duration_usual(const struct duration *d, msec unknown)
+{
+	return d->seen < DURATION_LEAST_SEEN ? unknown : (msec)d->mean;
+}
--- a/duration.h
+++ b/duration.h
@@ -25,5 +25,7 @@
  * stands as long as too few were seen.
  */
 msec duration_most(const struct duration *, msec most);
+/* The usual one, in ms; `unknown` as long as too few were seen. */
+msec duration_usual(const struct duration *, msec unknown);
 
 #endif /* DURATION_H */
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -147,9 +147,7 @@
 {
 	msec wait = job_patience_ms(j);
 
-	/* Without another attempt left, waiting on is all that can be done. */
-	if (!j->repeatable || j->runs + 1 >= j->route->attempts ||
-	    wait == MSEC_NEVER)
+	if (!j->repeatable || wait == MSEC_NEVER)
 		return;
 	loop_timer_set(&j->owner->loop, &j->patience, now + wait);
 }
@@ -522,7 +520,8 @@
 static bool
 job_has_time_for_another(struct job *j, msec now)
 {
-	return j->began || entry_stop_leaves_time(j->owner, j, now);
+	j->is_last = !j->began && !entry_stop_leaves_time(j->owner, j, now);
+	return !j->is_last;
 }
 
 /*
@@ -535,6 +534,8 @@
 static bool
 job_is_forgotten(struct job *j, msec now)
 {
+	if (j->is_last || j->runs + 1 >= j->route->attempts)
+		return false;
 	if (!servers_in_reach(&j->owner->servers, now))
 		return false;
 	if (!j->began && !server_forgot(j->server, now, j->place.wish.rank,
@@ -543,6 +544,44 @@
 	return job_has_another(j);
 }
 
+/*
+ * Guards against prompts that are read for nobody: of the streams that wait in
+ * a server's queue until what is left of their time is shorter than what such
+ * streams take from their first event on, hardly one is served, and half are
+ * still read. The server is left, and the caller can come back in time.
+ */
+static bool
+job_is_hopeless(const struct job *j, msec now)
+{
+	struct entry_kind *k;
+
+	if (j->began || j->route->kind != ROUTE_STREAM ||
+	    j->deadline == MSEC_NEVER)
+		return false;
+	k = entry_kind_find(j->owner, j->route->name);
+	return k != NULL && duration_usual(&k->rest, 0) > j->deadline - now;
+}
+
+static void
+job_give_up(struct job *j, msec now)
+{
+	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_HOPELESS,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
+	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at),
+	    LOG_NUMBER(LOG_KEY_LEFT_MS, j->deadline - now));
+	job_ran(j);
+	/* It is busy, not broken. */
+	job_cancel(j, now, SERVER_UNKNOWN);
+	job_fail(j, now, JOB_TIMEOUT);
+}
+
+static void
+job_look_again(struct job *j, msec now)
+{
+	loop_timer_set(&j->owner->loop, &j->patience, now + JOB_LOOK_AGAIN_MS);
+}
+
 /* The server is silent: if another attempt is allowed, it goes there. */
 void
 job_patience(struct loop_timer *t, msec now)
@@ -551,15 +590,17 @@
 
 	if (j->server == NULL || j->link == NULL)
 		return;
-	if (!job_is_forgotten(j, now)) {
-		loop_timer_set(
-		    &j->owner->loop, &j->patience, now + JOB_LOOK_AGAIN_MS);
+	if (job_is_hopeless(j, now)) {
+		job_give_up(j, now);
 		return;
 	}
-	if (retry_budget_left(entry_budget(j->owner, j->service),
+	if (!job_is_forgotten(j, now) ||
+	    retry_budget_left(entry_budget(j->owner, j->service),
 		&j->owner->budget, now, j->owner->live_nodes) == 0 ||
-	    !job_has_time_for_another(j, now))
+	    !job_has_time_for_another(j, now)) {
+		job_look_again(j, now);
 		return;
+	}
 	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
 	    LOG_EVENT_SERVER_SILENT, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
--- a/entry-job.c
+++ b/entry-job.c
@@ -106,12 +106,25 @@
 	job_leave_server(j, now, how);
 }
 
+/* How long streams of its kind take from their first event on. */
+static void
+job_learn_rest(const struct job *j, msec now, enum job_code code)
+{
+	struct entry_kind *k;
+
+	if (code != JOB_SERVED || !j->streamed || j->route == NULL)
+		return;
+	if ((k = entry_kind_find(j->owner, j->route->name)) != NULL)
+		duration_learn(&k->rest, now - j->first_at);
+}
+
 void
 job_free(struct job *j, msec now, enum job_code code)
 {
 	struct entry *e = j->owner;
 
 	entry_count(e, j, code, now);
+	job_learn_rest(j, now, code);
 	job_log(j, now, code);
 	job_cancel(j, now, SERVER_UNKNOWN);
 	loop_timer_stop(&e->loop, &j->timer);
--- a/entry-log.c
+++ b/entry-log.c
@@ -27,6 +27,9 @@
 	    "stays." },
 	[LOG_EVENT_EVENT_OUT_OF_ORDER] = { "event-out-of-order",
 	    "A stream did not go on at the event that was due." },
+	[LOG_EVENT_HOPELESS] = { "hopeless",
+	    "A stream that has not begun would not end in time: its server is "
+	    "left." },
 	[LOG_EVENT_LOG_DROPPED] = { "log-dropped",
 	    "Lines were left out, to bound the volume or as nobody read." },
 	[LOG_EVENT_NO_RETRY_BUDGET] = { "no-retry-budget",
--- a/entry.h
+++ b/entry.h
@@ -226,6 +226,7 @@
 	bool may_have_run;
 	bool came_leaving; /* this node was leaving when it came */
 	bool repeatable;
+	bool is_last;	    /* the attempt in hand; none may follow */
 	enum job_code last; /* why the last attempt ended */
 	unsigned int ntried;
 	name_id tried[SERVER_AVOID_MAX];
@@ -306,6 +307,7 @@
 	uint64_t codes[JOB_CODES];
 	struct metrics_histogram first, whole, gap;
 	struct duration lasts; /* from arrival to the end of the answer */
+	struct duration rest;  /* of streams, from the first event on */
 };
 RB_HEAD(entry_kinds, entry_kind);
 int entry_kind_compare(struct entry_kind *, struct entry_kind *);
--- a/tests/test-duration.c
+++ b/tests/test-duration.c
@@ -18,8 +18,10 @@
 	for (i = 0; i < 7; i++)
 		duration_learn(&d, 10);
 	g_assert_cmpint(duration_most(&d, MOST), ==, MOST);
+	g_assert_cmpint(duration_usual(&d, 0), ==, 0);
 	duration_learn(&d, 10);
 	g_assert_cmpint(duration_most(&d, MOST), <, MOST);
+	g_assert_cmpint(duration_usual(&d, 0), ==, 10);
 }
 
 /*
