--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -147,9 +147,7 @@
 {
 	msec wait = job_patience_ms(j);
 
-	/* Without another attempt left, waiting on is all that can be done. */
-	if (!j->repeatable || j->runs + 1 >= j->route->attempts ||
-	    wait == MSEC_NEVER)
+	if (!j->repeatable || wait == MSEC_NEVER)
 		return;
 	loop_timer_set(&j->owner->loop, &j->patience, now + wait);
 }
@@ -324,14 +322,28 @@
 static bool
 link_sending(struct link *k, msec now)
 {
+	servers_reached(&k->owner->servers, now);
 	return job_admit_again(k->job, now);
 }
 
+/*
+ * Guards against an address that is another server's by now, while the entry of
+ * the one that crashed has not lapsed: it says at once that it is not the one
+ * that we name (421), and being quick and never busy it would get half of all
+ * requests. Nobody is there for us, as if no connection could be had.
+ */
+static enum server_result
+job_refusal(const struct http_head *h)
+{
+	return h->status == 421 ? SERVER_DOWN : SERVER_FULL;
+}
+
 static bool
 link_head(struct link *k, const struct http_head *h, msec now)
 {
 	struct job *j = k->job;
 
+	servers_reached(&j->owner->servers, now);
 	switch (reply_judge(j, h)) {
 	case REPLY_STRAY:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
@@ -341,6 +353,7 @@
 		return false;
 	case REPLY_REJECTED:
 		j->refused_by_server = true;
+		j->refusal = job_refusal(h);
 		return true;
 	case REPLY_RUBBISH:
 		job_ran(j);
@@ -409,7 +422,7 @@
 	if (j->refused_by_server) {
 		j->refused_by_server = false;
 		j->arrivals++;
-		job_leave_server(j, now, SERVER_FULL);
+		job_leave_server(j, now, j->refusal);
 		job_next(j, now, JOB_FULL);
 		return;
 	}
@@ -424,6 +437,49 @@
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
 }
 
+/*
+ * Guards against a server that is called down since our own link is full: no
+ * connection is confirmed in time, and in ten seconds one node of sixty named
+ * most of ninety servers so.
+ */
+static enum server_result
+link_unheard(struct link *k, msec now)
+{
+	struct servers *s = &k->owner->servers;
+
+	servers_missed(s, now, k->server);
+	return servers_in_reach(s, now) ? SERVER_DOWN : SERVER_UNKNOWN;
+}
+
+/* What is learned of a server where an attempt ended so. */
+static enum server_result
+link_result(struct link *k, enum link_end how, msec now)
+{
+	switch (how) {
+	case LINK_LEFT:
+		return SERVER_UNKNOWN;
+	case LINK_UNHEARD:
+		return link_unheard(k, now);
+	case LINK_UNSENT:
+		return SERVER_DOWN;
+	case LINK_BROKEN:
+		break;
+	}
+	return SERVER_FAILED;
+}
+
+/*
+ * Guards against a request that waits for one connection after the other while
+ * our own link is full: eight servers were tried for 600 ms each, and the
+ * caller heard after 4.8 s that nothing had run. Told at once, it has the time
+ * to go to another node. A stream that has begun can only go on from here.
+ */
+static bool
+job_is_cut_off(struct job *j, msec now)
+{
+	return !j->began && !servers_in_reach(&j->owner->servers, now);
+}
+
 static void
 link_ended(struct link *k, enum link_end how, msec now)
 {
@@ -431,16 +487,99 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
-	job_leave_server(
-	    j, now, how == LINK_UNSENT ? SERVER_DOWN : SERVER_FAILED);
-	if (how == LINK_UNSENT) {
-		/* Nothing was handed over: it does not count as a send. */
-		j->sends--;
-		job_next(j, now, JOB_UNREACHABLE);
+	job_leave_server(j, now, link_result(k, how, now));
+	if (how == LINK_BROKEN) {
+		job_ran(j);
+		job_next(j, now, JOB_BROKEN);
+		return;
+	}
+	/* Nothing was handed over: it does not count as a send. */
+	j->sends--;
+	if (how == LINK_UNHEARD && job_is_cut_off(j, now)) {
+		j->last = JOB_UNREACHABLE;
+		job_fail(j, now, JOB_UNREACHABLE);
 		return;
 	}
+	job_next(j, now, JOB_UNREACHABLE);
+}
+
+/*
+ * Guards against an attempt that is given up for none: the answer may be on its
+ * way, and the caller would get 502 instead.
+ */
+static bool
+job_has_another(struct job *j)
+{
+	struct server_wish w;
+
+	job_fill_wish(j, &w);
+	return servers_have_another(&j->owner->servers, &w);
+}
+
+/* The same at a node that is about to end; a stream that has begun goes on. */
+static bool
+job_has_time_for_another(struct job *j, msec now)
+{
+	j->is_last = !j->began && !entry_stop_leaves_time(j->owner, j, now);
+	return !j->is_last;
+}
+
+/*
+ * May the server in hand be given up as silent? If not yet, look again. Not
+ * while our own link is full: nothing comes from any server then, and another
+ * would read the prompt again for an answer that comes no sooner. Beside a
+ * burst and stops that was a third of the requests given up as silent (60
+ * nodes, 90 servers).
+ */
+static bool
+job_is_forgotten(struct job *j, msec now)
+{
+	if (j->is_last || j->runs + 1 >= j->route->attempts)
+		return false;
+	if (!servers_in_reach(&j->owner->servers, now))
+		return false;
+	if (!j->began && !server_forgot(j->server, now, j->place.wish.rank,
+			     j->sent_at, job_silence_ms(j)))
+		return false;
+	return job_has_another(j);
+}
+
+/*
+ * Guards against prompts that are read for nobody: of the streams that wait in
+ * a server's queue until what is left of their time is shorter than what such
+ * streams take from their first event on, hardly one is served, and half are
+ * still read. The server is left, and the caller can come back in time.
+ */
+static bool
+job_is_hopeless(const struct job *j, msec now)
+{
+	struct entry_kind *k;
+
+	if (j->began || j->route->kind != ROUTE_STREAM ||
+	    j->deadline == MSEC_NEVER)
+		return false;
+	k = entry_kind_find(j->owner, j->route->name);
+	return k != NULL && duration_usual(&k->rest, 0) > j->deadline - now;
+}
+
+static void
+job_give_up(struct job *j, msec now)
+{
+	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_HOPELESS,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
+	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at),
+	    LOG_NUMBER(LOG_KEY_LEFT_MS, j->deadline - now));
 	job_ran(j);
-	job_next(j, now, JOB_BROKEN);
+	/* It is busy, not broken. */
+	job_cancel(j, now, SERVER_UNKNOWN);
+	job_fail(j, now, JOB_TIMEOUT);
+}
+
+static void
+job_look_again(struct job *j, msec now)
+{
+	loop_timer_set(&j->owner->loop, &j->patience, now + JOB_LOOK_AGAIN_MS);
 }
 
 /* The server is silent: if another attempt is allowed, it goes there. */
@@ -451,15 +590,17 @@
 
 	if (j->server == NULL || j->link == NULL)
 		return;
-	if (!j->began && !server_forgot(j->server, now, j->place.wish.rank,
-			     j->sent_at, job_silence_ms(j))) {
-		loop_timer_set(
-		    &j->owner->loop, &j->patience, now + JOB_LOOK_AGAIN_MS);
+	if (job_is_hopeless(j, now)) {
+		job_give_up(j, now);
 		return;
 	}
-	if (retry_budget_left(entry_budget(j->owner, j->service),
-		&j->owner->budget, now, j->owner->live_nodes) == 0)
+	if (!job_is_forgotten(j, now) ||
+	    retry_budget_left(entry_budget(j->owner, j->service),
+		&j->owner->budget, now, j->owner->live_nodes) == 0 ||
+	    !job_has_time_for_another(j, now)) {
+		job_look_again(j, now);
 		return;
+	}
 	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
 	    LOG_EVENT_SERVER_SILENT, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
--- a/entry-link.c
+++ b/entry-link.c
@@ -43,6 +43,7 @@
 	if (p == NULL) {
 		p = v->arg = g_new0(struct link_pool, 1);
 		TAILQ_INIT(&p->idle);
+		TAILQ_INIT(&p->connecting);
 	}
 	return p;
 }
@@ -64,6 +65,15 @@
 	p->nidle--;
 }
 
+/* It stands now, or goes. */
+static void
+link_not_connecting(struct link *k)
+{
+	if (k->connecting)
+		TAILQ_REMOVE(&link_pool_of(k->server)->connecting, k, entry);
+	k->connecting = false;
+}
+
 /* Not while it is in the pool. */
 static void
 link_free(struct link *k)
@@ -71,6 +81,7 @@
 	struct entry *e = k->owner;
 	struct server *v = k->server;
 
+	link_not_connecting(k);
 	loop_timer_stop(&e->loop, &k->timer);
 	loop_close(&e->loop, &k->io);
 	http_reader_finish(&k->reader);
@@ -79,18 +90,21 @@
 	g_free(k);
 }
 
-/* The attempt ends without a whole answer; the link goes. */
 static void
-link_fail(struct link *k, msec now)
+link_end(struct link *k, enum link_end how, msec now)
 {
-	enum link_end how = k->sent ? LINK_BROKEN : LINK_UNSENT;
-	struct job *j = k->job;
-
-	if (j != NULL)
+	if (k->job != NULL)
 		k->ops->ended(k, how, now);
 	link_free(k);
 }
 
+/* The attempt ends without a whole answer; the link goes. */
+static void
+link_fail(struct link *k, msec now)
+{
+	link_end(k, k->sent ? LINK_BROKEN : LINK_UNSENT, now);
+}
+
 /* ---- connecting and sending ---- */
 
 static void
@@ -130,7 +144,9 @@
 	k->io = (struct loop_io){ link_ready, fd, 0 };
 	k->owner = e;
 	k->server = v;
+	k->starts = v->starts;
 	k->connecting = true;
+	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
 	v->links++;
 	e->counters.connects++;
 	http_reader_init(
@@ -144,6 +160,21 @@
 	return k;
 }
 
+/*
+ * Guards against a server's end that has come and waits in this very turn of
+ * the loop, behind the request that is about to be sent: a request that may run
+ * only once cannot be sent again, and its caller gets 502. Nothing is due on an
+ * idle connection, so whatever can be read there ends it.
+ */
+static bool
+link_is_open(const struct link *k)
+{
+	char byte;
+
+	return recv(k->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == -1 &&
+	       errno == EAGAIN;
+}
+
 /* The idle link that was used last, or NULL. */
 static struct link *
 link_take_idle(struct entry *e, struct server *v, bool fresh, msec now)
@@ -155,7 +186,7 @@
 		if (fresh && now - k->idle_since >= LINK_FRESH_MS)
 			return NULL;
 		link_unpool(p, k);
-		if (now - k->idle_since >= k->idle_max) {
+		if (now - k->idle_since >= k->idle_max || !link_is_open(k)) {
 			link_free(k);
 			continue;
 		}
@@ -241,7 +272,7 @@
 		log_debug("%s: %s", k->server->name, g_strerror(error));
 		return false;
 	}
-	k->connecting = false;
+	link_not_connecting(k);
 	loop_timer_stop(&k->owner->loop, &k->timer);
 	return true;
 }
@@ -268,6 +299,18 @@
 	link_watch(k);
 }
 
+/*
+ * Guards against a request that is sent to a process that ends, or to whoever
+ * has its address next: its connection is not kept for the process that has
+ * started anew under its name.
+ */
+static bool
+link_may_be_kept(const struct link *k)
+{
+	return k->server->state == SERVER_READY &&
+	       k->starts == k->server->starts;
+}
+
 /* The answer in hand ended well; `rest` bytes follow it that nobody asked
  * for. */
 static void
@@ -275,7 +318,7 @@
 {
 	bool keep = k->reader.head->keep_alive && !k->reader.head->to_the_end &&
 		    rest == 0 && buffer_left(&k->out) == 0 &&
-		    k->server->state == SERVER_READY;
+		    link_may_be_kept(k);
 
 	k->ops->whole(k, now);
 	k->job = NULL;
@@ -408,7 +451,7 @@
 		link_unpool(link_pool_of(k->server), k);
 		link_free(k);
 	} else if (k->connecting) {
-		link_fail(k, now);
+		link_end(k, LINK_UNHEARD, now);
 	}
 }
 
@@ -442,6 +485,18 @@
 	}
 }
 
+void
+link_leave(struct entry *e, struct server *v)
+{
+	struct link_pool *p = link_pool_of(v);
+	struct link *k;
+
+	link_close_idle(e, v);
+	/* Their requests do not come back here: no server is tried twice. */
+	while ((k = TAILQ_FIRST(&p->connecting)) != NULL)
+		link_end(k, LINK_LEFT, e->loop.now);
+}
+
 void
 link_pool_free(struct server *v)
 {
--- a/entry.h
+++ b/entry.h
@@ -108,8 +108,10 @@
 
 /* How an attempt on a link ended without a whole answer. */
 enum link_end {
-	LINK_UNSENT, /* no byte of the request was handed over */
-	LINK_BROKEN  /* some may have been */
+	LINK_LEFT,    /* the server takes no more; nothing was handed over */
+	LINK_UNSENT,  /* no byte of the request was handed over */
+	LINK_UNHEARD, /* nor did the server answer when we connected */
+	LINK_BROKEN   /* some may have been */
 };
 
 /* What hears of the attempt on a link. */
@@ -131,10 +133,11 @@
 struct link {
 	struct loop_io io;
 	const struct link_ops *ops;
-	TAILQ_ENTRY(link) entry; /* of the server's idle links */
+	TAILQ_ENTRY(link) entry; /* of the server's idle or connecting links */
 	struct entry *owner;
 	struct server *server;
-	struct job *job; /* NULL: idle */
+	unsigned int starts; /* of the server, when it was connected */
+	struct job *job;     /* NULL: idle */
 	struct http_reader reader;
 	struct buffer out;
 	struct loop_timer timer;
@@ -149,7 +152,7 @@
 
 /* What entry-link.c keeps of a server. */
 struct link_pool {
-	struct link_list idle;
+	struct link_list idle, connecting;
 	unsigned int nidle;
 };
 
@@ -166,6 +169,11 @@
 void link_pause(struct link *, bool);
 /* Close the idle links of a server. */
 void link_close_idle(struct entry *, struct server *);
+/*
+ * The process that is there now takes no more work: idle links are closed, and
+ * requests that wait for a connection to it go elsewhere at once.
+ */
+void link_leave(struct entry *, struct server *);
 void link_pool_free(struct server *);
 
 /* ---- requests: entry-job.c, entry-attempt.c, entry-reply.c ---- */
@@ -221,6 +229,7 @@
 	/* Hardly longer than that, when it began at a leaving node; or 0. */
 	msec needs;
 	bool repeatable;
+	bool is_last;	    /* the attempt in hand; none may follow */
 	enum job_code last; /* why the last attempt ended */
 	unsigned int ntried;
 	name_id tried[SERVER_AVOID_MAX];
@@ -232,6 +241,7 @@
 	bool keeps;	   /* the connection, as its head said */
 	bool server_error; /* a server's own failure is kept in `held` */
 	bool refused_by_server;
+	enum server_result refusal; /* what that says of it */
 	msec sent_at, first_at;
 	msec passed_at;	      /* the newest part of the answer */
 	msec gap;	      /* longest pause between two */
@@ -301,6 +311,7 @@
 	uint64_t codes[JOB_CODES];
 	struct metrics_histogram first, whole, gap;
 	struct duration lasts; /* from arrival to the end of the answer */
+	struct duration rest;  /* of streams, from the first event on */
 };
 RB_HEAD(entry_kinds, entry_kind);
 int entry_kind_compare(struct entry_kind *, struct entry_kind *);
--- a/server.c
+++ b/server.c
@@ -5,6 +5,7 @@
 #define LOG_PART "server"
 #include "server.h"
 
+#include <math.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -17,6 +18,17 @@
 #define SERVER_FAILURES_MAX 3
 #define SERVER_REST_MS 500
 #define SERVER_REST_MAX_MS (4 * MSEC_SECOND)
+/* What connecting showed of our own path is of use for so long. */
+#define REACH_MS 1000
+/*
+ * So many different servers did not answer, and hardly one did: crashes that
+ * come together leave others that do.
+ */
+#define REACH_SERVERS 3
+#define REACH_TIMES 3
+/* Fewer in a second say nothing: a quiet node may just have met lost servers.
+ */
+#define REACH_MISSES 2
 
 RB_GENERATE(server_tree, server, entry, server_compare)
 
@@ -111,6 +123,7 @@
 	if (anew) {
 		log_info_of(LOG_NODE, v->name, "%s started anew", v->name);
 		server_forget(v);
+		v->starts++;
 		v->born = e->born;
 	}
 	/* Draining is never taken back by the same process. */
@@ -244,6 +257,75 @@
 	return now - MAX(v->heard, sent) >= silence;
 }
 
+/* ---- our own path ---- */
+
+static void
+reach_age(struct server_reach *r, msec now)
+{
+	double left = exp(-(double)(now - r->at) / REACH_MS);
+
+	r->misses *= left;
+	r->answers *= left;
+	r->at = now;
+}
+
+/*
+ * How many different servers did not answer. One that rests since is not asked,
+ * and says nothing new for so long.
+ */
+static unsigned int
+reach_missed(const struct server_reach *r, msec now)
+{
+	unsigned int i, count = 0;
+
+	for (i = 0; i < r->nmissed; i++)
+		count += now - r->missed_at[i] < SERVER_REST_MAX_MS;
+	return count;
+}
+
+/* Its place in the list; else a free one, or that of the oldest. */
+static unsigned int
+reach_place(struct server_reach *r, name_id id)
+{
+	unsigned int i, oldest = 0;
+
+	for (i = 0; i < r->nmissed; i++) {
+		if (r->missed[i] == id)
+			return i;
+		if (r->missed_at[i] < r->missed_at[oldest])
+			oldest = i;
+	}
+	return r->nmissed < SERVER_MISSED_MAX ? r->nmissed++ : oldest;
+}
+
+void
+servers_reached(struct servers *s, msec now)
+{
+	reach_age(&s->reach, now);
+	s->reach.answers++;
+}
+
+void
+servers_missed(struct servers *s, msec now, const struct server *v)
+{
+	struct server_reach *r = &s->reach;
+	unsigned int at = reach_place(r, v->id);
+
+	reach_age(r, now);
+	r->misses++;
+	r->missed[at] = v->id;
+	r->missed_at[at] = now;
+}
+
+bool
+servers_in_reach(struct servers *s, msec now)
+{
+	reach_age(&s->reach, now);
+	return reach_missed(&s->reach, now) < REACH_SERVERS ||
+	       s->reach.misses < REACH_MISSES ||
+	       s->reach.misses <= REACH_TIMES * s->reach.answers;
+}
+
 bool
 server_takes_work(const struct server *v, msec now)
 {
--- a/server.h
+++ b/server.h
@@ -53,7 +53,8 @@
 	unsigned int slots;
 	enum server_state state;
 	int64_t born;
-	bool missing; /* not listed; gone when the hold ends */
+	unsigned int starts; /* grows with each process under the name */
+	bool missing;	     /* not listed; gone when the hold ends */
 	msec missing_since;
 	struct server_load own; /* of our requests */
 	struct server_load all; /* of all nodes', for a coordinator */
@@ -75,6 +76,20 @@
 int server_compare(struct server *, struct server *);
 RB_PROTOTYPE(server_tree, server, entry, server_compare)
 
+/* Servers that are remembered as not having answered when we connected. */
+#define SERVER_MISSED_MAX 8
+
+/* What connecting shows of our own path to the servers. */
+struct server_reach {
+	/* The last that did not answer, each once, and when. */
+	name_id missed[SERVER_MISSED_MAX];
+	msec missed_at[SERVER_MISSED_MAX];
+	unsigned int nmissed;
+	/* Smoothed: how often one did not answer, and how often one did. */
+	double misses, answers;
+	msec at;
+};
+
 struct servers;
 
 /* What the table calls; both must be given. */
@@ -93,6 +108,7 @@
 	struct server_memory memory;	 /* by our requests */
 	struct server_memory all_memory; /* by all nodes', for a coordinator */
 	msec held_until;		 /* no server is taken as gone before */
+	struct server_reach reach;	 /* by our requests */
 	void *arg;			 /* the embedder's */
 };
 
@@ -123,7 +139,7 @@
 	SERVER_WELL,   /* it answered */
 	SERVER_FULL,   /* it said that it takes no more now */
 	SERVER_FAILED, /* it broke off, was silent or answered rubbish */
-	SERVER_DOWN,   /* it takes no connection */
+	SERVER_DOWN,   /* it takes no connection, or another is there */
 	SERVER_UNKNOWN /* our caller left, or we gave up */
 };
 void server_learn(struct server *, msec, enum server_result);
@@ -137,6 +153,15 @@
  */
 bool server_forgot(
     const struct server *, msec, unsigned int rank, msec sent, msec silence);
+/* One answered: a connection to it stands, or its answer begins. */
+void servers_reached(struct servers *, msec);
+/* One did not answer in time when we connected. */
+void servers_missed(struct servers *, msec, const struct server *);
+/*
+ * Do servers answer us? False when several did not in a short time, and hardly
+ * any other did: then it is our own link that is full, or cut.
+ */
+bool servers_in_reach(struct servers *, msec);
 /* May it get new work? */
 bool server_takes_work(const struct server *, msec);
 
@@ -173,6 +198,8 @@
 /* How many servers of a service, in the view's group, take work. */
 unsigned int
 servers_ready(struct servers *, name_id service, const struct server_view *);
+/* Is one there that takes work, of those that a request does not avoid? */
+bool servers_have_another(struct servers *, const struct server_wish *);
 /* The best server for it, or NULL when there is none at all. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
