The stop of a VM that stood still is dated by the wait before the last

What callers saw: as in "A stop that began while the VM stood still ends in time", which still failed in one of five runs of its test, beside other load.

Cause: a turn of the loop is dated after its wait. Where the VM stands still between the two, as a busy one does that has been woken and waits for its processor, the turn before the one that reads the signal is dated after the pause.

Mend: the point at which that turn's wait was begun goes; the signal was not there yet when the wait came back. No further look at the clock is needed.

--- a/loop.c
+++ b/loop.c
@@ -112,9 +112,10 @@
 {
 	struct loop_timer *t = RB_MIN(loop_timers, &l->timers);
 
+	l->waiting = msec_now();
 	if (t == NULL)
 		return LOOP_IDLE_MS;
-	return (int)CLAMP(t->due - msec_now(), 0, LOOP_IDLE_MS);
+	return (int)CLAMP(t->due - l->waiting, 0, LOOP_IDLE_MS);
 }
 
 static void
@@ -136,9 +137,9 @@
 	struct loop_io *io;
 	int i, n;
 
-	l->now = msec_now();
+	l->waiting = msec_now();
 	while (!l->stopping) {
-		l->before = l->now;
+		l->before = l->waiting;
 		/*
 		 * Guards against answers thrown away after a pause: a process
 		 * that is stopped and goes on is interrupted here, and timers
--- a/loop.h
+++ b/loop.h
@@ -37,8 +37,14 @@
 	/* Called at the end of each turn; may be NULL. */
 	void (*turn)(struct loop *, msec);
 	void *arg;
-	msec now;    /* when this turn began */
-	msec before; /* when the one before began: nothing in hand is older */
+	msec now; /* when this turn began */
+	/*
+	 * When the wait of the turn before was begun: what this turn has in
+	 * hand was not there yet. Not when that turn began: a VM may stand
+	 * still between the end of a wait and the look at the clock.
+	 */
+	msec before;
+	msec waiting; /* when this turn's wait was begun */
 };
 
 bool loop_init(struct loop *);
