A randomized fault soak of the real daemons

Existing stand-ins and test modules are used as they are; servers get a stand-in of their own, since the checks need ids, times and ends of runs as they happen.

Ruled out: servers that skip an event as the broken twin of stream order. The daemon sees the gap by the events' numbers and takes it as a break, so callers got no torn stream; the twin gives another event under the right number.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 #   tests/test-*.c             core tests; tests/proc-*.c process tests;
 #                              tests/bench-*.c measurements;
 #                              tests/util-*.c shared by them
+#   platform/soak-*.c          the fault soak of the daemon on a platform
 #   tests/fuzz-main.c          one fuzzer for each folder of tests/corpus/
 # SAN=address or SAN=thread builds an instrumented tree beside the plain one.
 
@@ -34,7 +35,7 @@
 
 GEN_SRCS := proto_xdr.c
 # platform/test-*.c and platform/standin-*.c speak the platform's names too.
-ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c platform/util-%.c,$(wildcard platform/*.c))
+ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c platform/util-%.c platform/soak-%.c,$(wildcard platform/*.c))
 ENTRY_SRCS := $(wildcard entry*.c) $(ADAPTER_SRCS)
 DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c) $(ENTRY_SRCS)
 TOOL_SRCS := savorypier.c $(wildcard cmd-*.c)
@@ -68,8 +69,9 @@
 TESTS	= $(call prog,$(TEST_MAINS))
 PROCS	= $(call prog,$(PROC_MAINS))
 BENCHES	= $(call prog,$(BENCH_MAINS))
+SOAK	= $(B)/soak
 
-all: $(LIB) $(SHLIB) $(MAINS) $(STANDINS) $(TESTS) $(PROCS) $(BENCHES)
+all: $(LIB) $(SHLIB) $(MAINS) $(STANDINS) $(TESTS) $(PROCS) $(BENCHES) $(SOAK)
 
 # What an installation has.
 programs: $(LIB) $(SHLIB) $(MAINS)
@@ -104,6 +106,8 @@
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
 $(PLATFORM_TESTS): $(B)/%: $(B)/obj/platform/%.o $(call obj,$(ENTRY_SRCS) $(TEST_COMMON) $(wildcard platform/util-*.c)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
+$(SOAK): $(call obj,$(wildcard platform/soak-*.c) tests/util-proc.c tests/util-proxy.c) $(LIB)
+	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
 $(filter-out $(PLATFORM_STANDINS),$(STANDINS)): $(B)/%: $(B)/obj/standins/%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
 $(filter-out $(PLATFORM_TESTS),$(TESTS) $(PROCS) $(BENCHES)): $(B)/%: $(B)/obj/tests/%.o $(call obj,$(TEST_COMMON)) $(LIB)
