A node with a stop deadline takes only calls that it can finish

What callers saw: streams begun by a node that had been told to stop broke off at its stop deadline.

Cause: the door looked at leave_grace_ms alone. Whatever came within the grace was taken, also with less time left than the answer needs.

Mend: while a node leaves with a stop deadline, a call that comes must fit before it by what its class hardly ever takes longer than (duration.c, learned by service and class from answers that this node ran to their end; before 8 are seen the caller's own deadline, and without one nothing is promised). Else it hears what it hears after the grace: 503 at once, "not-run", code leaving, alternates. It holds as daemon-admit.c's door is passed by every new call, whichever way the node leaves (signal, drain, VM list and another node under its name all set one state), and request_fail() says "not-run" only where nothing may have run. Without a stop deadline nothing changes. The alternates are written under the answer's lock and are given to joined callers too.

Ruled out: learning from callers who gave up (a caller who leaves early would make the class look short).

Left: attempts that begin later (retries, queue, claims, loans).

--- a/daemon-admit.c
+++ b/daemon-admit.c
@@ -33,7 +33,7 @@
 {
 	struct directory_answer a;
 	const struct member *to[1 + DIRECTORY_ALTERNATES];
-	char at[ENDPOINT_SIZE], *text = c->answer.alternates;
+	char at[ENDPOINT_SIZE], text[sizeof c->answer.alternates] = "";
 	unsigned int i, n = 0;
 
 	directory_choose(&d->members, d->settings.domain, d->rng, &a);
@@ -44,10 +44,19 @@
 		if (to[i] == NULL)
 			continue;
 		if (n++ != 0)
-			g_strlcat(text, ", ", sizeof c->answer.alternates);
+			g_strlcat(text, ", ", sizeof text);
 		endpoint_text(at, to[i]->address, to[i]->caller_port);
-		g_strlcat(text, at, sizeof c->answer.alternates);
+		g_strlcat(text, at, sizeof text);
 	}
+	answer_alternates(&c->answer, text);
+}
+
+void
+daemon_admit_leaving(struct daemon *d, struct call *c, msec now)
+{
+	admit_alternates(d, c);
+	request_fail(
+	    &c->request, now, REQUEST_CODE_LEAVING, ADMIT_RETRY_AFTER_MS);
 }
 
 /*
@@ -57,11 +66,9 @@
 static void
 admit_door(struct daemon *d, struct call *c, msec now)
 {
-	if (d->state == DAEMON_LEAVING &&
-	    now - d->leaving_since >= d->settings.leave_grace) {
-		admit_alternates(d, c);
-		request_fail(&c->request, now, REQUEST_CODE_LEAVING,
-		    ADMIT_RETRY_AFTER_MS);
+	if (daemon_stop_is_past_grace(d, now) ||
+	    !daemon_stop_leaves_time(d, c, now)) {
+		daemon_admit_leaving(d, c, now);
 		return;
 	}
 	if (daemon_limits_take(d, c, now))
--- a/daemon-answer.c
+++ b/daemon-answer.c
@@ -181,6 +181,14 @@
 	answer_append(a, body, strlen(body));
 }
 
+void
+answer_alternates(struct answer *a, const char *text)
+{
+	pthread_mutex_lock(&a->lock);
+	g_strlcpy(a->alternates, text, sizeof a->alternates);
+	pthread_mutex_unlock(&a->lock);
+}
+
 void
 answer_end(struct answer *a, const struct request *r)
 {
@@ -237,6 +245,7 @@
 	to->outcome = from->outcome;
 	to->code = from->code;
 	to->retry_after = from->retry_after;
+	g_strlcpy(to->alternates, from->alternates, sizeof to->alternates);
 	to->broken = from->broken;
 	to->ended = true;
 	to->head = true;
--- a/daemon-call.c
+++ b/daemon-call.c
@@ -218,6 +218,7 @@
 	log_debug_of(LOG_REQUEST, c->id, "%s ends: %s, %s", c->id,
 	    request_outcome_name(r->outcome), request_code_name(r->code));
 	daemon_metrics_ended(c->daemon, c, now);
+	daemon_stop_learn(c->daemon, c, now);
 	answer_end(&c->answer, r);
 	join_ended(c->daemon->joins, c, now);
 	daemon_ledger_ended(c->daemon, c, now);
--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -28,6 +28,57 @@
 	daemon_nodes_push(d, now);
 }
 
+bool
+daemon_stop_is_past_grace(const struct daemon *d, msec now)
+{
+	return d->state == DAEMON_LEAVING &&
+	       now - d->leaving_since >= d->settings.leave_grace;
+}
+
+static struct metrics_class *
+stop_class(struct daemon *d, const struct call *c)
+{
+	const struct document *doc = &c->doc->doc;
+
+	return metrics_class_get(
+	    d->metrics, doc->service, doc->classes[c->class_index].name);
+}
+
+/*
+ * Only what we ran ourselves, and to its end: a joined answer took no time
+ * here, and a caller who gives up says little of how long it would have taken.
+ */
+void
+daemon_stop_learn(struct daemon *d, const struct call *c, msec now)
+{
+	if (c->request.outcome != REQUEST_RAN || c->request.attempts == 0 ||
+	    c->forward_to != 0)
+		return;
+	duration_learn(&stop_class(d, c)->lasts, now - c->arrived);
+}
+
+/*
+ * Guards against answers that break off at the stop deadline: callers come as
+ * long as they keep our address, and one that was taken in the last seconds was
+ * cut in the middle. What its class hardly ever takes longer than must fit
+ * before the deadline; a caller who hears at once that nothing ran can ask
+ * another node. Without a stop deadline every answer comes to its end.
+ */
+bool
+daemon_stop_leaves_time(struct daemon *d, const struct call *c, msec now)
+{
+	msec left, most;
+
+	if (d->state != DAEMON_LEAVING || d->settings.stop_deadline == 0)
+		return true;
+	left = d->leaving_since + d->settings.stop_deadline - now;
+	/* No answer was seen, and its caller has no deadline: no promise. */
+	most = left + 1;
+	if (c->slot.deadline != MSEC_NEVER)
+		most = c->slot.deadline - now;
+	return duration_most(&stop_class(d, c)->lasts, most) <= left;
+}
+
 /*
  * Guards against resetting a caller that connects in the moment in which the
  * listener is shut: it then sees neither a refusal nor an answer, and cannot
--- a/daemon.h
+++ b/daemon.h
@@ -122,6 +122,8 @@
 /* Part of it is out, and it is not a stream of events. */
 bool answer_is_fixed(struct answer *);
 bool answer_is_gone(struct answer *);
+/* Core: where else the caller may ask, before answer_end(). */
+void answer_alternates(struct answer *, const char *);
 /* Core: the outcome, with a body of its own when nothing is out yet. */
 void answer_end(struct answer *, const struct request *);
 /* Give another call's whole answer; false when it was not all kept. */
@@ -379,6 +381,8 @@
 /* Its organisation's limits allow it. */
 void daemon_admit_go(struct daemon *, struct call *, msec);
 void daemon_admit_ended(struct daemon *, struct call *);
+/* We leave, and do not run it; its slot has been given back. */
+void daemon_admit_leaving(struct daemon *, struct call *, msec);
 /* It belongs to another node, which decides. */
 void
 daemon_forward(struct daemon *, struct call *, const struct member *, msec);
@@ -432,6 +436,12 @@
 char *daemon_metrics_text(const struct daemon *);
 /* daemon-stop.c: leaving and the end */
 void daemon_leave(struct daemon *, msec);
+/* We have left for so long that no new work is taken. */
+bool daemon_stop_is_past_grace(const struct daemon *, msec);
+/* Can a request that begins now end before we do? */
+bool daemon_stop_leaves_time(struct daemon *, const struct call *, msec);
+/* A request has ended: how long its class's take. */
+void daemon_stop_learn(struct daemon *, const struct call *, msec);
 void daemon_stop_tick(struct daemon *, msec);
 /* daemon-caller.c: HTTP towards callers and the tool */
 bool daemon_http_start(struct daemon *);
--- a/metrics.h
+++ b/metrics.h
@@ -8,6 +8,7 @@
 #define METRICS_H
 
 #include "document.h"
+#include "duration.h"
 #include "request.h"
 #include "savory.h"
 
@@ -54,6 +55,7 @@
 	struct metrics_histogram first_token;
 	struct metrics_histogram between_tokens;
 	struct metrics_histogram whole;
+	struct duration lasts; /* from arrival to the end of the answer */
 };
 RB_HEAD(metrics_tree, metrics_class);
 
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -4,6 +4,7 @@
  */
 
 #include "util-nodes.h"
+#include "util-tool.h"
 
 #include <signal.h>
 #include <string.h>
@@ -21,6 +22,8 @@
 #define DEADLINE_MS 4000
 /* After the signal, such that a long answer would be cut. */
 #define LATE_MS 2900
+/* The VM list is read twice a second. */
+#define LIST_MS 1200
 /* A refusal comes at once. */
 #define SOON_MS 400
 
@@ -131,10 +134,93 @@
 	nodes_finish(&s);
 }
 
+/*
+ * A node leaves whose classes have not answered yet. It cannot tell how long
+ * they take, so it goes by how long the caller will wait; of a caller who does
+ * not say so it takes nothing.
+ */
+static void
+unseen_scenario(struct nodes *s)
+{
+	static const char class[] = "Savorypier-Class: foreman-question";
+	struct caller c[3];
+	msec asked;
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(c); i++)
+		ask(s, &c[i], 1, class, i == 0 ? "short" : "turned-away",
+		    SHORT_TOKENS);
+	caller_add_header(&c[0], "Savorypier-Deadline-Ms: 1000");
+	caller_add_header(&c[1], "Savorypier-Deadline-Ms: 30000");
+	caller_run(&c[0]);
+	caller_assert_whole(&c[0], SHORT_TOKENS);
+	/* One whole answer is too few to learn from. */
+	for (i = 1; i < G_N_ELEMENTS(c); i++) {
+		asked = msec_now();
+		caller_run(&c[i]);
+		assert_turned_away(s, &c[i], asked);
+	}
+	for (i = 0; i < G_N_ELEMENTS(c); i++)
+		caller_finish(&c[i]);
+	g_assert_cmpint(proc_wait(&s->entries[1].proc, PROC_STOP_MS), ==, 0);
+}
+
+static void
+test_unseen_drain(void)
+{
+	/* An operator drains the node by the tool. */
+	struct nodes s;
+
+	nodes_up(&s, &bounded);
+	g_assert_cmpint(tool_run("drain node-1", NULL, NULL), ==, 0);
+	unseen_scenario(&s);
+	nodes_finish(&s);
+}
+
+static void
+test_unseen_list(void)
+{
+	/* The platform's VM list has the node as leaving. */
+	struct nodes s;
+
+	nodes_up(&s, &bounded);
+	nodes_vm_entry(&s, 1, "leaving");
+	g_usleep(LIST_MS * 1000);
+	unseen_scenario(&s);
+	nodes_finish(&s);
+}
+
+static void
+test_unbounded(void)
+{
+	/*
+	 * Without a stop deadline every answer comes to its end, so a node
+	 * that leaves takes what comes during its grace, as ever.
+	 */
+	const struct nodes_config config = {
+		.nodes = 2, .engines = 2, .settings = "leave_grace_ms: 2000\n"
+	};
+	struct nodes s;
+	struct caller c;
+
+	nodes_up(&s, &config);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	g_usleep(1000 * 1000);
+	caller_ask(&c, s.entries[1].caller, "unbounded", 2 * LONG_TOKENS);
+	caller_run(&c);
+	caller_assert_whole(&c, 2 * LONG_TOKENS);
+	caller_finish(&c);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/leave/long-answer", test_long_answer);
+	g_test_add_func("/leave/unseen-drain", test_unseen_drain);
+	g_test_add_func("/leave/unseen-list", test_unseen_list);
+	g_test_add_func("/leave/unbounded", test_unbounded);
 	return g_test_run();
 }
