Calls that wait for an engine at a leaving node wait only while it helps

What callers saw: a call that waited in the queue when its node was told to stop got an engine in the last seconds and was cut; one that got none heard nothing until the stop deadline.

Cause: a grant was taken whatever time was left (slot_granted()), and nothing looked at the waiting calls while the node leaves.

Mend: once a waiting call would be too late even with an engine at once, by what its class hardly ever runs longer than (dispatched to end, learned beside the whole time), it is taken out of the queue and turned away: "not-run", code leaving, alternates. It holds as no other way leads from the queue to an engine. A stream that waits to be resumed stays.

Weighed: the whole time would turn away a queue at the signal that could still run, since under load most of that time is waiting.

--- a/daemon-admit.c
+++ b/daemon-admit.c
@@ -67,7 +67,7 @@
 admit_door(struct daemon *d, struct call *c, msec now)
 {
 	if (daemon_stop_is_past_grace(d, now) ||
-	    !daemon_stop_leaves_time(d, c, now)) {
+	    !daemon_stop_leaves_time(d, c, STOP_AHEAD_WHOLE, now)) {
 		daemon_admit_leaving(d, c, now);
 		return;
 	}
--- a/daemon-call.c
+++ b/daemon-call.c
@@ -99,6 +99,17 @@
 	return 0;
 }
 
+/*
+ * Every attempt but the resumption of a stream, which can only go on or break,
+ * must end in time when we leave.
+ */
+static bool
+call_has_time(const struct call *c, enum stop_ahead ahead, msec now)
+{
+	return c->request.tokens != 0 ||
+	       daemon_stop_leaves_time(c->daemon, c, ahead, now);
+}
+
 static void
 call_submit(struct request *r, msec now)
 {
@@ -321,6 +332,25 @@
 		request_ended(r, now, e->attempt, e->end, e->tokens);
 }
 
+/*
+ * Guards against callers who wait in vain: a call that would be too late even
+ * if it got its backend server now is cut at the stop deadline, while another
+ * node could run it meanwhile.
+ */
+void
+daemon_call_leaving(struct daemon *d, msec now)
+{
+	struct call *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &d->calls, entry, next) {
+		if (c->request.state != REQUEST_QUEUED ||
+		    call_has_time(c, STOP_AHEAD_RUN, now))
+			continue;
+		call_withdraw(&c->request, now);
+		daemon_admit_leaving(d, c, now);
+	}
+}
+
 /* ---- what dispatch tells ---- */
 
 static enum request_code
@@ -344,8 +374,14 @@
 slot_granted(struct dispatch *dp, struct dispatch_request *slot)
 {
 	struct call *c = slot->arg;
+	msec now = msec_now();
 
-	request_granted(&c->request, msec_now());
+	if (!call_has_time(c, STOP_AHEAD_RUN, now)) {
+		call_withdraw(&c->request, now);
+		daemon_admit_leaving(c->daemon, c, now);
+		return;
+	}
+	request_granted(&c->request, now);
 }
 
 static void
--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -55,6 +55,8 @@
 	    c->forward_to != 0)
 		return;
 	duration_learn(&stop_class(d, c)->lasts, now - c->arrived);
+	if (c->request.attempts == 1)
+		duration_learn(&stop_class(d, c)->runs, now - c->dispatched);
 }
 
 /*
@@ -65,8 +67,10 @@
  * another node. Without a stop deadline every answer comes to its end.
  */
 bool
-daemon_stop_leaves_time(struct daemon *d, const struct call *c, msec now)
+daemon_stop_leaves_time(
+    struct daemon *d, const struct call *c, enum stop_ahead ahead, msec now)
 {
+	struct metrics_class *mc;
 	msec left, most;
 
 	if (d->state != DAEMON_LEAVING || d->settings.stop_deadline == 0)
@@ -76,7 +80,9 @@
 	most = left + 1;
 	if (c->slot.deadline != MSEC_NEVER)
 		most = c->slot.deadline - now;
-	return duration_most(&stop_class(d, c)->lasts, most) <= left;
+	mc = stop_class(d, c);
+	return duration_most(ahead == STOP_AHEAD_RUN ? &mc->runs : &mc->lasts,
+		   most) <= left;
 }
 
 /*
@@ -147,6 +153,7 @@
 
 	if (d->state != DAEMON_LEAVING || d->stopping)
 		return;
+	daemon_call_leaving(d, now);
 	if (since < d->settings.leave_grace)
 		return;
 	if (stop_is_done(d, since)) {
--- a/daemon.h
+++ b/daemon.h
@@ -369,6 +369,8 @@
 extern const struct request_ops daemon_request_ops;
 extern const struct dispatch_ops daemon_dispatch_ops;
 void daemon_call_gone(struct daemon *, struct call *, msec);
+/* Turn away those that wait for a backend server with no time to run. */
+void daemon_call_leaving(struct daemon *, msec);
 void daemon_call_first(struct daemon *, const struct event *, msec);
 void daemon_call_ended(struct daemon *, const struct event *, msec);
 /* It was given another's answer, or that answer was not kept. */
@@ -438,8 +440,14 @@
 void daemon_leave(struct daemon *, msec);
 /* We have left for so long that no new work is taken. */
 bool daemon_stop_is_past_grace(const struct daemon *, msec);
-/* Can a request that begins now end before we do? */
-bool daemon_stop_leaves_time(struct daemon *, const struct call *, msec);
+/* What of a request is still to come. */
+enum stop_ahead {
+	STOP_AHEAD_WHOLE, /* its wait for a backend server, and its run */
+	STOP_AHEAD_RUN	  /* its run */
+};
+/* Can it end before we do? */
+bool daemon_stop_leaves_time(
+    struct daemon *, const struct call *, enum stop_ahead, msec);
 /* A request has ended: how long its class's take. */
 void daemon_stop_learn(struct daemon *, const struct call *, msec);
 void daemon_stop_tick(struct daemon *, msec);
--- a/metrics.h
+++ b/metrics.h
@@ -56,6 +56,7 @@
 	struct metrics_histogram between_tokens;
 	struct metrics_histogram whole;
 	struct duration lasts; /* from arrival to the end of the answer */
+	struct duration runs;  /* of that, on its backend server */
 };
 RB_HEAD(metrics_tree, metrics_class);
 
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -18,8 +18,10 @@
 /* At 5 ms a token: an answer of 1.5 s, and one of 50 ms. */
 #define LONG_TOKENS 300
 #define SHORT_TOKENS 10
+#define MIDDLE_TOKENS 200
 #define GRACE_MS 3500
 #define DEADLINE_MS 4000
+#define BRIEF_MS 2500
 /* After the signal, such that a long answer would be cut. */
 #define LATE_MS 2900
 /* The VM list is read twice a second. */
@@ -32,6 +34,14 @@
 	.settings = "leave_grace_ms: " G_STRINGIFY(
 	    GRACE_MS) "\nstop_deadline_ms: " G_STRINGIFY(DEADLINE_MS) "\n" };
 
+/* A deadline soon after the grace; one engine. */
+static const struct nodes_config brief = { .nodes = 2,
+	.engines = 1,
+	.settings = "leave_grace_ms: 500\nstop_deadline_ms: " G_STRINGIFY(
+	    BRIEF_MS) "\n",
+	.engine_proxy = true,
+	.log_proxy = true };
+
 static void
 ask(struct nodes *s, struct caller *c, unsigned int node, const char *class,
     const char *user, unsigned int tokens)
@@ -214,6 +224,38 @@
 	nodes_finish(&s);
 }
 
+/* ---- attempts that begin later, while the node leaves ---- */
+
+/*
+ * All engines were away for a moment. A call waited for one at a node that was
+ * told to stop, got it in the last half second, and was cut.
+ */
+static void
+test_waits_for_engine(void)
+{
+	static const char class[] = "Savorypier-Class: replan";
+	struct nodes s;
+	struct caller c;
+	msec begin;
+
+	nodes_up(&s, &brief);
+	warm(&s, 1, class, MIDDLE_TOKENS);
+	nodes_vm_engine(&s, 0, "leaving");
+	g_usleep(LIST_MS * 1000);
+	ask(&s, &c, 1, class, "waits", MIDDLE_TOKENS);
+	caller_start(&c);
+	g_usleep(300 * 1000);
+	begin = msec_now();
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	wait_since(begin, BRIEF_MS - 1000);
+	nodes_vm_engine(&s, 0, "live");
+	caller_wait(&c);
+	assert_turned_away(&s, &c, begin + BRIEF_MS - SOON_MS);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -222,5 +264,6 @@
 	g_test_add_func("/leave/unseen-drain", test_unseen_drain);
 	g_test_add_func("/leave/unseen-list", test_unseen_list);
 	g_test_add_func("/leave/unbounded", test_unbounded);
+	g_test_add_func("/leave/waits-for-engine", test_waits_for_engine);
 	return g_test_run();
 }
