Retries, claims and forwarded calls of a leaving node must end in time too

What callers saw: an engine broke off before the first token, the leaving node tried again and cut that attempt; a booking whose claim came back after the signal was sent and cut, so nobody knew whether it stood; a call with another node's ticket was sent on and the node ended before the answer.

Cause: the door is passed once, and attempts that begin after it were not looked at.

Mend: call_submit(), through which each attempt goes (first, after a claim, a retry, one that is forwarded), asks for the whole time as the door does. It holds for what is said: request_fail() says "not-run" only when no attempt may have run, so the retry and the forwarded call hear "unknown" with code leaving and alternates, the claimed booking "not-run" (its claim is taken back). Streams are resumed whatever time is left: the other choice is to break them off at once.

--- a/daemon-call.c
+++ b/daemon-call.c
@@ -115,6 +115,10 @@
 {
 	struct call *c = call_of_request(r);
 
+	if (!call_has_time(c, STOP_AHEAD_WHOLE, now)) {
+		daemon_admit_leaving(c->daemon, c, now);
+		return;
+	}
 	if (c->forward_to != 0) {
 		request_granted(r, now);
 		return;
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -256,6 +256,164 @@
 	nodes_finish(&s);
 }
 
+/*
+ * An engine broke a call off before its first token. The call's node had been
+ * told to stop and tried again, with no time for the answer: the engine worked
+ * for nothing, and the caller heard at the stop deadline what could be said at
+ * once.
+ */
+static void
+test_retry(void)
+{
+	const struct proxy_faults silent = {
+		.cut_to_server = -1, .cut_to_client = -1, .blackhole = true
+	};
+	struct nodes s;
+	struct caller c;
+	msec begin;
+
+	nodes_up(&s, &brief);
+	proxy_set(s.engines[0].proxy, &silent);
+	caller_ask(&c, s.entries[1].caller, "retry", 5000);
+	caller_start(&c);
+	g_usleep(300 * 1000);
+	begin = msec_now();
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	wait_since(begin, 300);
+	proxy_cut_all(s.engines[0].proxy);
+	proxy_set(s.engines[0].proxy, &proxy_no_faults);
+	caller_wait(&c);
+	g_assert_cmpint(msec_now() - begin, <, 300 + SOON_MS);
+	g_assert_cmpint(c.status, ==, 502);
+	g_assert_cmpstr(c.outcome, ==, "unknown");
+	g_assert_nonnull(strstr(c.text->str, "\"code\":\"leaving\""));
+	g_assert_nonnull(strstr(c.head->str, "Savorypier-Alternates: "));
+	g_assert_cmpint(nodes_executions(&s, "retry"), ==, 0);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
+/*
+ * A stream breaks on its engine while its node leaves. It is resumed, also when
+ * the time may not suffice: the other choice is to break it off at once.
+ */
+static void
+test_resumed(void)
+{
+	struct nodes s;
+	struct caller c;
+
+	nodes_up(&s, &brief);
+	caller_ask(&c, s.entries[1].caller, "resumed", MIDDLE_TOKENS);
+	caller_start(&c);
+	caller_wait_bytes(&c, EVENT_BYTES);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	g_usleep(200 * 1000);
+	proxy_cut_all(s.engines[0].proxy);
+	caller_wait(&c);
+	caller_assert_whole(&c, MIDDLE_TOKENS);
+	g_assert_cmpint(nodes_metric(&s, 1, "savory_resumed_total"), ==, 1);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
+/*
+ * A booking's claim was on its way to the log when its node was told to stop.
+ * The claim came back as the first, the booking was sent, and cut at the stop
+ * deadline: nobody knew whether it stood.
+ */
+static void
+test_claim(void)
+{
+	/* Its home is node-0, which stays. */
+	static const char claim_key[] = "Idempotency-Key: leave-4";
+	const struct proxy_faults slow = {
+		.cut_to_server = -1, .cut_to_client = -1, .delay = 300
+	};
+	struct nodes s;
+	struct caller c;
+	msec begin;
+
+	nodes_up(&s, &brief);
+	http_fault(s.plain.proc.port, "{\"delay_ms\": 5000}");
+	proxy_set(s.log.proxy, &slow);
+	caller_book(&c, s.entries[1].caller, "claimed");
+	caller_add_header(&c, claim_key);
+	begin = msec_now();
+	caller_start(&c);
+	g_usleep(100 * 1000);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	caller_wait(&c);
+	g_assert_cmpint(msec_now() - begin, <, BRIEF_MS);
+	g_assert_cmpint(c.status, ==, 503);
+	g_assert_cmpstr(c.outcome, ==, "not-run");
+	g_assert_nonnull(strstr(c.text->str, "\"code\":\"leaving\""));
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	g_assert_cmpint(nodes_plain_executions(&s, "claimed"), ==, 0);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
+/* ---- requests forwarded between nodes ---- */
+
+static char *
+ticket_get(struct nodes *s, unsigned int node)
+{
+	const char *const headers[] = { "Authorization: Bearer " NODES_KEY,
+		NULL };
+	struct http_reply r;
+	char *line;
+
+	http_call(
+	    &r, "POST", s->entries[node].caller, "/v1/tickets", "", headers);
+	g_assert_cmpint(r.status, ==, 200);
+	line = g_strdup_printf("Savorypier-Ticket: %s",
+	    json_string_value(json_object_get(r.json, "ticket")));
+	http_reply_free(&r);
+	return line;
+}
+
+/*
+ * A caller brings a ticket of another node to one that leaves, which sends the
+ * call there and ends before the answer. It must say so at once: the caller can
+ * go to the other node, and the ticket still stands for one run.
+ */
+static void
+test_forwards(void)
+{
+	g_autofree char *ticket = NULL;
+	struct nodes s;
+	struct caller c, again;
+	msec begin;
+
+	nodes_up(&s, &brief);
+	ticket = ticket_get(&s, 0);
+	http_fault(s.plain.proc.port, "{\"delay_ms\": 5000}");
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	g_usleep(300 * 1000);
+	caller_book(&c, s.entries[1].caller, "forwarded");
+	caller_add_header(&c, ticket);
+	begin = msec_now();
+	caller_run(&c);
+	g_assert_cmpint(msec_now() - begin, <, SOON_MS);
+	g_assert_cmpint(c.status, ==, 502);
+	g_assert_cmpstr(c.outcome, ==, "unknown");
+	g_assert_nonnull(strstr(c.text->str, "\"code\":\"leaving\""));
+	g_assert_nonnull(strstr(c.head->str, "Savorypier-Alternates: "));
+	http_fault(s.plain.proc.port, "{\"delay_ms\": 0}");
+	caller_book(&again, s.entries[0].caller, "forwarded");
+	caller_add_header(&again, ticket);
+	caller_run(&again);
+	g_assert_cmpstr(again.outcome, ==, "ran");
+	g_assert_cmpint(nodes_plain_executions(&s, "forwarded"), ==, 1);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	caller_finish(&again);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -265,5 +423,9 @@
 	g_test_add_func("/leave/unseen-list", test_unseen_list);
 	g_test_add_func("/leave/unbounded", test_unbounded);
 	g_test_add_func("/leave/waits-for-engine", test_waits_for_engine);
+	g_test_add_func("/leave/retry", test_retry);
+	g_test_add_func("/leave/resumed", test_resumed);
+	g_test_add_func("/leave/claim", test_claim);
+	g_test_add_func("/leave/forwards", test_forwards);
 	return g_test_run();
 }
