Calls that are held for a limit are turned away when their node leaves

What callers saw: a node that had just started holds calls until it has its share of their organisation's limits (up to 6 s). Told to stop meanwhile, it held them on, to its stop deadline.

Cause: daemon_limits_tick() looked at the loan and the hold's end only.

Mend: it asks for the time as the door does; without it the call hears "not-run", code leaving, and alternates. Without a stop deadline nothing changes.

--- a/daemon-limits.c
+++ b/daemon-limits.c
@@ -144,16 +144,20 @@
 daemon_limits_tick(struct daemon *d, msec now)
 {
 	struct call *c, *next;
-	bool ok;
+	bool ok, time;
 
 	TAILQ_FOREACH_SAFE (c, &d->held, held_entry, next) {
-		ok = c->open && limits_try(d, c, now);
-		if (c->open && !ok && now < c->held_until)
+		/* Held in vain, it would hear of it at our stop deadline. */
+		time = daemon_stop_leaves_time(d, c, STOP_AHEAD_WHOLE, now);
+		ok = c->open && time && limits_try(d, c, now);
+		if (c->open && time && !ok && now < c->held_until)
 			continue;
 		TAILQ_REMOVE(&d->held, c, held_entry);
 		d->nheld--;
 		if (ok)
 			daemon_admit_go(d, c, now);
+		else if (c->open && !time)
+			daemon_admit_leaving(d, c, now);
 		else if (c->open)
 			limits_refuse(c, now);
 		call_drop(c);
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -356,6 +356,33 @@
 	nodes_finish(&s);
 }
 
+/*
+ * A node that has just started holds calls until it has its share of their
+ * organisation's limits. It was told to stop meanwhile: they were held on, and
+ * heard at last that they were over a limit, or nothing.
+ */
+static void
+test_held(void)
+{
+	struct nodes s;
+	struct caller c;
+	msec begin;
+
+	nodes_up(&s, &brief);
+	caller_ask(&c, s.entries[1].caller, "held", LONG_TOKENS);
+	c.headers[0] = "Authorization: Bearer key-grandi-septic";
+	caller_start(&c);
+	g_usleep(300 * 1000);
+	g_assert_cmpint(g_atomic_int_get(&c.ended), ==, 0);
+	begin = msec_now();
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	caller_wait(&c);
+	assert_turned_away(&s, &c, begin);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
 /* ---- requests forwarded between nodes ---- */
 
 static char *
@@ -426,6 +453,7 @@
 	g_test_add_func("/leave/retry", test_retry);
 	g_test_add_func("/leave/resumed", test_resumed);
 	g_test_add_func("/leave/claim", test_claim);
+	g_test_add_func("/leave/held", test_held);
 	g_test_add_func("/leave/forwards", test_forwards);
 	return g_test_run();
 }
