A forwarded call takes its caller's deadline along

What callers saw: a caller with a deadline of 1 s brought the ticket of a leaving node to another one, and was turned away, though the leaving node had 3 s left.

Cause: the node that forwards left Savorypier-Deadline-Ms out. The other one then knows no bound of a class that it has not seen, and its queue no deadline.

Mend: what is left of the deadline goes along. It holds as both read one header.

--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -256,26 +256,36 @@
 	a->headers = curl_slist_append(a->headers, line);
 }
 
+/* What the node that it is forwarded to must know. */
+static void
+attempt_forward_headers(struct attempt *a)
+{
+	struct call *c = a->call;
+	msec left = c->slot.deadline - msec_now();
+
+	if (c->ticket != NULL)
+		attempt_add_header(a, "Savorypier-Ticket: %s", c->ticket);
+	if (c->key != NULL)
+		attempt_add_header(a, "Idempotency-Key: %s", c->key);
+	attempt_add_header(a, "Savorypier-Service: %s", c->doc->doc.service);
+	attempt_add_header(a, "Savorypier-Class: %s",
+	    c->doc->doc.classes[c->class_index].name);
+	attempt_add_header(
+	    a, "Savorypier-Repeatable: %s", c->repeatable ? "yes" : "no");
+	if (c->slot.deadline != MSEC_NEVER)
+		attempt_add_header(a,
+		    "Savorypier-Deadline-Ms: %" G_GINT64_FORMAT, MAX(left, 1));
+	attempt_add_header(a, "Authorization: %s", c->authorization);
+}
+
 static void
 attempt_set_headers(struct attempt *a, const struct command *cmd)
 {
 	struct call *c = a->call;
 	struct call_header *h;
 
-	if (c->forward_to != 0) {
-		if (c->ticket != NULL)
-			attempt_add_header(
-			    a, "Savorypier-Ticket: %s", c->ticket);
-		if (c->key != NULL)
-			attempt_add_header(a, "Idempotency-Key: %s", c->key);
-		attempt_add_header(
-		    a, "Savorypier-Service: %s", c->doc->doc.service);
-		attempt_add_header(a, "Savorypier-Class: %s",
-		    c->doc->doc.classes[c->class_index].name);
-		attempt_add_header(a, "Savorypier-Repeatable: %s",
-		    c->repeatable ? "yes" : "no");
-		attempt_add_header(a, "Authorization: %s", c->authorization);
-	}
+	if (c->forward_to != 0)
+		attempt_forward_headers(a);
 	attempt_add_header(a, "X-Request-Id: %s", c->id);
 	attempt_add_header(a, "X-Attempt: %u", a->number);
 	attempt_add_header(a, "X-Priority: %u", cmd->tier);
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -441,6 +441,43 @@
 	nodes_finish(&s);
 }
 
+/*
+ * A node leaves that has issued a ticket, and its caller brings it to another
+ * node. What that one hears is the caller's answer: nothing ran. A caller that
+ * will not wait for long is served, as its deadline goes along.
+ */
+static void
+test_forwarded_to(void)
+{
+	g_autofree char *ticket = NULL;
+	struct nodes s;
+	struct caller c, again;
+	msec begin;
+
+	nodes_up(&s, &bounded);
+	ticket = ticket_get(&s, 1);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	g_usleep(300 * 1000);
+	caller_book(&c, s.entries[0].caller, "sent-on");
+	caller_add_header(&c, ticket);
+	begin = msec_now();
+	caller_run(&c);
+	g_assert_cmpint(msec_now() - begin, <, SOON_MS);
+	g_assert_cmpint(c.status, ==, 503);
+	g_assert_cmpstr(c.outcome, ==, "not-run");
+	g_assert_cmpint(nodes_plain_executions(&s, "sent-on"), ==, 0);
+	caller_book(&again, s.entries[0].caller, "sent-on");
+	caller_add_header(&again, ticket);
+	caller_add_header(&again, "Savorypier-Deadline-Ms: 1000");
+	caller_run(&again);
+	g_assert_cmpstr(again.outcome, ==, "ran");
+	g_assert_cmpint(nodes_plain_executions(&s, "sent-on"), ==, 1);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	caller_finish(&again);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -455,5 +492,6 @@
 	g_test_add_func("/leave/claim", test_claim);
 	g_test_add_func("/leave/held", test_held);
 	g_test_add_func("/leave/forwards", test_forwards);
+	g_test_add_func("/leave/forwarded-to", test_forwarded_to);
 	return g_test_run();
 }
