Callers that are cut at the stop deadline hear that they were

What callers saw: at the stop deadline a stream's connection broke without the last event that tells outcome and code, as when a VM crashes; a call without an answer got none (curl 52).

Cause: stop_cut() ended every answer and the loop in the same turn, and the end of libmicrohttpd closes connections that still have bytes to send.

Mend: the process goes on for STOP_LAST_MS (100 ms) after the cut, with the listener shut as before the usual end. It holds for callers that read; one that does not read loses its answer as before. The door refuses meanwhile.

The process ends 0.1 s after the deadline.

--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -8,7 +8,7 @@
 
 /* Callers that keep a connection get so long to hear that it closes. */
 #define STOP_LINGER_MS 1000
-/* From the last connection taken to the end. */
+/* From the last connection taken, or the cut, to the end. */
 #define STOP_LAST_MS 100
 /* No call has come for so long; not waited for longer than the second. */
 #define STOP_QUIET_MS 500
@@ -143,7 +143,22 @@
 	log_warn("stop deadline reached, %u requests are cut", d->ncalls);
 	while ((c = TAILQ_FIRST(&d->calls)) != NULL)
 		request_cut(&c->request, now);
-	d->stopping = true;
+	daemon_http_quiesce(d);
+	d->cut = now;
+}
+
+/*
+ * Guards against callers who do not hear that they were cut: the end of the
+ * process takes the last event of their stream, or their whole answer, along
+ * when it comes at once, and they see what a crashed VM looks like.
+ */
+static void
+stop_deadline_tick(struct daemon *d, msec now)
+{
+	if (d->cut == 0)
+		stop_cut(d, now);
+	else if (now - d->cut >= STOP_LAST_MS)
+		d->stopping = true;
 }
 
 void
@@ -156,11 +171,11 @@
 	daemon_call_leaving(d, now);
 	if (since < d->settings.leave_grace)
 		return;
-	if (stop_is_done(d, since)) {
+	if (d->cut == 0 && stop_is_done(d, since)) {
 		stop_end(d, now);
 		return;
 	}
 	if (d->settings.stop_deadline != 0 &&
 	    since >= d->settings.stop_deadline)
-		stop_cut(d, now);
+		stop_deadline_tick(d, now);
 }
--- a/daemon.h
+++ b/daemon.h
@@ -340,6 +340,7 @@
 	struct listener caller_listener;
 	struct listener control_listener;
 	msec quiesced; /* since when no new connection is taken, or 0 */
+	msec cut;      /* when the stop deadline cut what was left, or 0 */
 	gint unsent;   /* answers not yet sent to their end; atomic */
 	struct backend_tree backends;
 	msec load_due;
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -19,6 +19,7 @@
 #define LONG_TOKENS 300
 #define SHORT_TOKENS 10
 #define MIDDLE_TOKENS 200
+#define CUT_STREAMS 4
 #define GRACE_MS 3500
 #define DEADLINE_MS 4000
 #define BRIEF_MS 2500
@@ -478,6 +479,40 @@
 	nodes_finish(&s);
 }
 
+/* ---- what is cut ---- */
+
+/*
+ * A stream is cut at the stop deadline. Its last event says so: without it the
+ * caller sees a connection that breaks, as if the VM had crashed.
+ */
+static void
+test_cut_is_told(void)
+{
+	struct nodes s;
+	struct caller c[CUT_STREAMS];
+	char user[16];
+	unsigned int i;
+
+	nodes_up(&s, &brief);
+	for (i = 0; i < CUT_STREAMS; i++) {
+		g_snprintf(user, sizeof user, "cut-%u", i);
+		caller_ask(&c[i], s.entries[1].caller, user, 5000);
+		caller_start(&c[i]);
+	}
+	for (i = 0; i < CUT_STREAMS; i++)
+		caller_wait_bytes(&c[i], EVENT_BYTES);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	for (i = 0; i < CUT_STREAMS; i++) {
+		caller_wait(&c[i]);
+		caller_assert_broken(&c[i], "unknown");
+		g_assert_nonnull(
+		    strstr(c[i].text->str, "\"code\":\"leaving\""));
+		caller_finish(&c[i]);
+	}
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -493,5 +528,6 @@
 	g_test_add_func("/leave/held", test_held);
 	g_test_add_func("/leave/forwards", test_forwards);
 	g_test_add_func("/leave/forwarded-to", test_forwarded_to);
+	g_test_add_func("/leave/cut-is-told", test_cut_is_told);
 	return g_test_run();
 }
