Operators see what a stop turns away and cuts

What was missing: `savory_endings_total`, code `leaving`, has calls past the grace, calls without time and calls that were cut in one number, and nothing said what a class is taken to need.

Now: the counters savory_stop_no_time_total and savory_stop_cut_total, the part `stop` of the dump (time left, both counts, and by class what was seen and learned), both numbers in the log's last line of a stop, and a line for each call that is cut.

Seen by /leave/sight (one call turned away, none cut). Not tested: the counter of cuts over HTTP, as the process ends 0.1 s after it rises; the log line with the same number shows in /leave/cut-is-told.

--- a/daemon-admit.c
+++ b/daemon-admit.c
@@ -51,14 +51,23 @@
 	answer_alternates(&c->answer, text);
 }
 
-void
-daemon_admit_leaving(struct daemon *d, struct call *c, msec now)
+static void
+admit_elsewhere(struct daemon *d, struct call *c, msec now)
 {
 	admit_alternates(d, c);
 	request_fail(
 	    &c->request, now, REQUEST_CODE_LEAVING, ADMIT_RETRY_AFTER_MS);
 }
 
+void
+daemon_admit_leaving(struct daemon *d, struct call *c, msec now)
+{
+	d->stop_no_time++;
+	log_debug_of(
+	    LOG_REQUEST, c->id, "%s: no time left before the stop", c->id);
+	admit_elsewhere(d, c, now);
+}
+
 /*
  * The door for new work. Callers that come back for work that was let in do
  * not pass it: they cost nothing, and their answer may be here only.
@@ -66,8 +75,11 @@
 static void
 admit_door(struct daemon *d, struct call *c, msec now)
 {
-	if (daemon_stop_is_past_grace(d, now) ||
-	    !daemon_stop_leaves_time(d, c, STOP_AHEAD_WHOLE, now)) {
+	if (daemon_stop_is_past_grace(d, now)) {
+		admit_elsewhere(d, c, now);
+		return;
+	}
+	if (!daemon_stop_leaves_time(d, c, STOP_AHEAD_WHOLE, now)) {
 		daemon_admit_leaving(d, c, now);
 		return;
 	}
--- a/daemon-metrics.c
+++ b/daemon-metrics.c
@@ -42,6 +42,8 @@
 	metrics_text_count(s, METRIC_LATE_EVENTS, b->late);
 	metrics_text_count(s, METRIC_WASTED_TOKENS, b->wasted_tokens);
 	metrics_text_count(s, METRIC_REPEATED_RUNS, b->repeated);
+	metrics_text_count(s, METRIC_STOP_NO_TIME, d->stop_no_time);
+	metrics_text_count(s, METRIC_STOP_CUT, d->stop_cut);
 }
 
 static void
--- a/daemon-query.c
+++ b/daemon-query.c
@@ -233,6 +233,8 @@
 		return query_lines(members_dump(&d->members, now));
 	if (strcmp(part, "placement") == 0)
 		return daemon_placement_dump(d, now);
+	if (strcmp(part, "stop") == 0)
+		return daemon_stop_dump(d, now);
 	if (strcmp(part, "documents") == 0)
 		return doc_fold_export(&d->fold);
 	if (strcmp(part, "metrics") == 0)
@@ -245,7 +247,7 @@
 query_dump(struct daemon *d, struct call *c, msec now)
 {
 	static const char *const parts[] = { "status", "calls", "members",
-		"dispatch", "placement", "documents", "metrics" };
+		"dispatch", "placement", "stop", "documents", "metrics" };
 	json_t *o = json_object(), *part;
 	size_t i;
 
--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -6,6 +6,8 @@
 #define LOG_PART "stop"
 #include "daemon.h"
 
+#include <inttypes.h>
+
 /* Callers that keep a connection get so long to hear that it closes. */
 #define STOP_LINGER_MS 1000
 /* From the last connection taken, or the cut, to the end. */
@@ -127,7 +129,9 @@
 		daemon_http_quiesce(d);
 		d->quiesced = now;
 	} else if (now - d->quiesced >= STOP_LAST_MS) {
-		log_info("nothing in flight, ending");
+		log_info("nothing in flight, ending; %" PRIu64
+			 " were turned away for lack of time",
+		    d->stop_no_time);
 		d->stopping = true;
 	}
 }
@@ -142,9 +146,16 @@
 {
 	struct call *c;
 
-	log_warn("stop deadline reached, %u requests are cut", d->ncalls);
-	while ((c = TAILQ_FIRST(&d->calls)) != NULL)
+	log_warn("stop deadline reached, %u requests are cut, %" PRIu64
+		 " were turned away for lack of time",
+	    d->ncalls, d->stop_no_time);
+	while ((c = TAILQ_FIRST(&d->calls)) != NULL) {
+		d->stop_cut++;
+		log_info_of(LOG_REQUEST, c->id,
+		    "%s is cut: %" PRId64 " ms old, %u tokens", c->id,
+		    now - c->arrived, c->request.tokens);
 		request_cut(&c->request, now);
+	}
 	daemon_http_quiesce(d);
 	d->cut = now;
 }
@@ -178,3 +189,46 @@
 		 since >= d->settings.stop_deadline)
 		stop_deadline_tick(d, now);
 }
+
+/* Null: too few were seen to tell. */
+static json_t *
+stop_duration(const struct duration *t)
+{
+	msec most = duration_most(t, MSEC_NEVER);
+
+	return most == MSEC_NEVER ? json_null() : json_integer(most);
+}
+
+static json_t *
+stop_classes(const struct daemon *d)
+{
+	json_t *list = json_array();
+	struct metrics_class *c;
+
+	RB_FOREACH (c, metrics_tree, &d->metrics->classes)
+		json_array_append_new(
+		    list, json_pack("{s:s, s:s, s:I, s:o, s:o}", "service",
+			      c->service, "class", c->name, "seen",
+			      (json_int_t)c->lasts.seen, "lasts_ms",
+			      stop_duration(&c->lasts), "runs_ms",
+			      stop_duration(&c->runs)));
+	return list;
+}
+
+json_t *
+daemon_stop_dump(struct daemon *d, msec now)
+{
+	json_t *o = json_pack("{s:b, s:I, s:I, s:o}", "leaving",
+	    d->state == DAEMON_LEAVING, "no_time", (json_int_t)d->stop_no_time,
+	    "cut", (json_int_t)d->stop_cut, "classes", stop_classes(d));
+
+	if (d->state != DAEMON_LEAVING)
+		return o;
+	json_object_set_new(
+	    o, "since_ms", json_integer(now - d->leaving_since));
+	if (d->settings.stop_deadline != 0)
+		json_object_set_new(o, "left_ms",
+		    json_integer(
+			d->leaving_since + d->settings.stop_deadline - now));
+	return o;
+}
--- a/daemon.h
+++ b/daemon.h
@@ -341,7 +341,9 @@
 	struct listener control_listener;
 	msec quiesced; /* since when no new connection is taken, or 0 */
 	msec cut;      /* when the stop deadline cut what was left, or 0 */
-	gint unsent;   /* answers not yet sent to their end; atomic */
+	uint64_t stop_no_time; /* turned away: would not end in time */
+	uint64_t stop_cut;     /* requests cut at the deadline */
+	gint unsent;	       /* answers not yet sent to their end; atomic */
 	struct backend_tree backends;
 	msec load_due;
 	msec vm_list_due;
@@ -384,7 +386,7 @@
 /* Its organisation's limits allow it. */
 void daemon_admit_go(struct daemon *, struct call *, msec);
 void daemon_admit_ended(struct daemon *, struct call *);
-/* We leave, and do not run it; its slot has been given back. */
+/* It would not end before we do; its slot has been given back. */
 void daemon_admit_leaving(struct daemon *, struct call *, msec);
 /* It belongs to another node, which decides. */
 void
@@ -452,6 +454,8 @@
 /* A request has ended: how long its class's take. */
 void daemon_stop_learn(struct daemon *, const struct call *, msec);
 void daemon_stop_tick(struct daemon *, msec);
+/* How the stop stands, and what is known of how long requests take. */
+json_t *daemon_stop_dump(struct daemon *, msec);
 /* daemon-caller.c: HTTP towards callers and the tool */
 bool daemon_http_start(struct daemon *);
 void daemon_http_quiesce(struct daemon *);
--- a/metrics.c
+++ b/metrics.c
@@ -8,10 +8,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-static int
-metrics_compare(const struct metrics_class *, const struct metrics_class *);
-
-RB_PROTOTYPE(metrics_tree, metrics_class, entry, metrics_compare)
 RB_GENERATE(metrics_tree, metrics_class, entry, metrics_compare)
 
 static const msec metrics_bounds[METRICS_BUCKETS] = { 1, 2, 5, 10, 20, 35, 50,
@@ -62,6 +58,10 @@
 	    "Tokens made for nothing, late ones too, all classes." },
 	[METRIC_REPEATED_RUNS] = { "repeated_runs_total", "counter",
 	    "Runs from the start after one that may have executed, all." },
+	[METRIC_STOP_NO_TIME] = { "stop_no_time_total", "counter",
+	    "Requests turned away as this node would end before they do." },
+	[METRIC_STOP_CUT] = { "stop_cut_total", "counter",
+	    "Requests cut at the stop deadline." },
 	[METRIC_SUBMITTED] = { "dispatch_submitted_total", "counter",
 	    "Slots asked for." },
 	[METRIC_GRANTED] = { "dispatch_granted_total", "counter",
@@ -124,7 +124,7 @@
 	    "Greatest resident memory since the start." },
 };
 
-static int
+int
 metrics_compare(const struct metrics_class *a, const struct metrics_class *b)
 {
 	int c = strcmp(a->service, b->service);
--- a/metrics.h
+++ b/metrics.h
@@ -59,6 +59,8 @@
 	struct duration runs;  /* of that, on its backend server */
 };
 RB_HEAD(metrics_tree, metrics_class);
+int metrics_compare(const struct metrics_class *, const struct metrics_class *);
+RB_PROTOTYPE(metrics_tree, metrics_class, entry, metrics_compare)
 
 /* All that a process counts here. */
 struct metrics {
@@ -98,6 +100,8 @@
 	METRIC_LATE_EVENTS,
 	METRIC_WASTED_TOKENS,
 	METRIC_REPEATED_RUNS,
+	METRIC_STOP_NO_TIME,
+	METRIC_STOP_CUT,
 	METRIC_SUBMITTED,
 	METRIC_GRANTED,
 	METRIC_REFUSED,
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -544,6 +544,52 @@
 	nodes_finish(&s);
 }
 
+/* ---- what an operator sees ---- */
+
+/*
+ * An operator wants to know why callers are turned away by a node that leaves,
+ * and how much time it has left. The metrics and the dump say so.
+ */
+static void
+test_sight(void)
+{
+	static const char class[] = "Savorypier-Class: driver-question";
+	struct nodes s;
+	struct caller c;
+	json_t *dump, *o;
+
+	nodes_up(&s, &bounded);
+	warm(&s, 1, class, SHORT_TOKENS);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	g_usleep(300 * 1000);
+	ask(&s, &c, 1, "Savorypier-Class: replan", "sight", SHORT_TOKENS);
+	caller_run(&c);
+	g_assert_cmpstr(c.outcome, ==, "not-run");
+	g_assert_cmpint(
+	    nodes_metric(&s, 1, "savory_stop_no_time_total"), ==, 1);
+	g_assert_cmpint(nodes_metric(&s, 1, "savory_stop_cut_total"), ==, 0);
+	dump = nodes_control(&s, 1, "/control/dump/stop");
+	o = json_object_get(dump, "stop");
+	g_assert_true(json_is_true(json_object_get(o, "leaving")));
+	g_assert_cmpint(
+	    json_integer_value(json_object_get(o, "no_time")), ==, 1);
+	g_assert_cmpint(
+	    json_integer_value(json_object_get(o, "left_ms")), >, 0);
+	g_assert_cmpint(
+	    json_integer_value(json_object_get(o, "left_ms")), <, DEADLINE_MS);
+	o = json_array_get(json_object_get(o, "classes"), 0);
+	g_assert_cmpstr(json_string_value(json_object_get(o, "class")), ==,
+	    "driver-question");
+	g_assert_cmpint(json_integer_value(json_object_get(o, "seen")), ==,
+	    WARM * WARM_ROUNDS);
+	g_assert_cmpint(
+	    json_integer_value(json_object_get(o, "lasts_ms")), >, 0);
+	json_decref(dump);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	caller_finish(&c);
+	nodes_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -561,5 +607,6 @@
 	g_test_add_func("/leave/forwarded-to", test_forwarded_to);
 	g_test_add_func("/leave/cut-is-told", test_cut_is_told);
 	g_test_add_func("/leave/short-deadline", test_short_deadline);
+	g_test_add_func("/leave/sight", test_sight);
 	return g_test_run();
 }
