Test: a node that was replaced under its name takes nothing that it can't finish

The fourth way to leave, beside the signal, the tool's drain and the VM list: another process starts under the node's name, and the old one hears of it from the others (member-news.c). It leaves by the same state, so the same door holds.

The scenario of the drain and the VM list is split for it; what they check is the same.

--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -145,37 +145,47 @@
 	nodes_finish(&s);
 }
 
+static const char unseen[] = "Savorypier-Class: foreman-question";
+
 /*
  * A node leaves whose classes have not answered yet. It cannot tell how long
  * they take, so it goes by how long the caller will wait; of a caller who does
  * not say so it takes nothing.
  */
 static void
-unseen_scenario(struct nodes *s)
+turned_away_scenario(struct nodes *s)
 {
-	static const char class[] = "Savorypier-Class: foreman-question";
-	struct caller c[3];
+	struct caller c[2];
 	msec asked;
 	unsigned int i;
 
-	for (i = 0; i < G_N_ELEMENTS(c); i++)
-		ask(s, &c[i], 1, class, i == 0 ? "short" : "turned-away",
-		    SHORT_TOKENS);
-	caller_add_header(&c[0], "Savorypier-Deadline-Ms: 1000");
-	caller_add_header(&c[1], "Savorypier-Deadline-Ms: 30000");
-	caller_run(&c[0]);
-	caller_assert_whole(&c[0], SHORT_TOKENS);
-	/* One whole answer is too few to learn from. */
-	for (i = 1; i < G_N_ELEMENTS(c); i++) {
+	for (i = 0; i < G_N_ELEMENTS(c); i++) {
+		ask(s, &c[i], 1, unseen, "turned-away", SHORT_TOKENS);
+		if (i == 0)
+			caller_add_header(
+			    &c[i], "Savorypier-Deadline-Ms: 30000");
 		asked = msec_now();
 		caller_run(&c[i]);
 		assert_turned_away(s, &c[i], asked);
-	}
-	for (i = 0; i < G_N_ELEMENTS(c); i++)
 		caller_finish(&c[i]);
+	}
 	g_assert_cmpint(proc_wait(&s->entries[1].proc, PROC_STOP_MS), ==, 0);
 }
 
+static void
+unseen_scenario(struct nodes *s)
+{
+	struct caller c;
+
+	ask(s, &c, 1, unseen, "short", SHORT_TOKENS);
+	caller_add_header(&c, "Savorypier-Deadline-Ms: 1000");
+	caller_run(&c);
+	caller_assert_whole(&c, SHORT_TOKENS);
+	caller_finish(&c);
+	/* One whole answer is too few to learn from. */
+	turned_away_scenario(s);
+}
+
 static void
 test_unseen_drain(void)
 {
@@ -201,6 +211,63 @@
 	nodes_finish(&s);
 }
 
+/* Another process under the node's name, at addresses of its own. */
+static void
+node_replace(struct nodes *s, unsigned int node, struct proc *p)
+{
+	g_autofree char *file = g_strdup_printf("%s/again.yaml", s->dir);
+	const char *const args[] = { "--config", file, NULL };
+	unsigned int from[] = { s->entries[node].caller,
+		s->entries[node].control, s->entries[node].peer };
+	unsigned int to[] = { port_free_tcp(), port_free_tcp(),
+		port_free_udp() };
+	g_autofree char *text = NULL;
+	GString *changed;
+	unsigned int i;
+
+	g_assert_true(
+	    g_file_get_contents(s->entries[node].file, &text, NULL, NULL));
+	changed = g_string_new(text);
+	for (i = 0; i < G_N_ELEMENTS(to); i++) {
+		g_autofree char *a = g_strdup_printf(":%u", from[i]);
+		g_autofree char *b = g_strdup_printf(":%u", to[i]);
+
+		g_assert_cmpuint(g_string_replace(changed, a, b, 0), ==, 1);
+	}
+	g_assert_true(g_file_set_contents(file, changed->str, -1, NULL));
+	g_string_free(changed, TRUE);
+	proc_start_unready(p, "savorypierd", args);
+}
+
+static void
+test_unseen_replaced(void)
+{
+	/*
+	 * Another VM was started under the node's name. Callers that still
+	 * have the old address are not taken by the node that leaves.
+	 */
+	struct nodes s;
+	struct proc again;
+	msec until = msec_now() + NODES_TIMEOUT;
+	json_t *v;
+	bool leaving = false;
+
+	nodes_up(&s, &bounded);
+	node_replace(&s, 1, &again);
+	while (!leaving) {
+		g_assert_cmpint(msec_now(), <, until);
+		g_usleep(20 * 1000);
+		v = nodes_control(&s, 1, "/control/status");
+		leaving =
+		    g_strcmp0(json_string_value(json_object_get(v, "state")),
+			"leaving") == 0;
+		json_decref(v);
+	}
+	turned_away_scenario(&s);
+	proc_kill(&again);
+	nodes_finish(&s);
+}
+
 static void
 test_unbounded(void)
 {
@@ -597,6 +664,7 @@
 	g_test_add_func("/leave/long-answer", test_long_answer);
 	g_test_add_func("/leave/unseen-drain", test_unseen_drain);
 	g_test_add_func("/leave/unseen-list", test_unseen_list);
+	g_test_add_func("/leave/unseen-replaced", test_unseen_replaced);
 	g_test_add_func("/leave/unbounded", test_unbounded);
 	g_test_add_func("/leave/waits-for-engine", test_waits_for_engine);
 	g_test_add_func("/leave/retry", test_retry);
