--- a/daemon-call.c
+++ b/daemon-call.c
@@ -99,11 +99,26 @@
 	return 0;
 }
 
+/*
+ * Every attempt but the resumption of a stream, which can only go on or break,
+ * must end in time when we leave.
+ */
+static bool
+call_has_time(const struct call *c, enum stop_ahead ahead, msec now)
+{
+	return c->request.tokens != 0 ||
+	       daemon_stop_leaves_time(c->daemon, c, ahead, now);
+}
+
 static void
 call_submit(struct request *r, msec now)
 {
 	struct call *c = call_of_request(r);
 
+	if (!call_has_time(c, STOP_AHEAD_WHOLE, now)) {
+		daemon_admit_leaving(c->daemon, c, now);
+		return;
+	}
 	if (c->forward_to != 0) {
 		request_granted(r, now);
 		return;
@@ -218,6 +233,7 @@
 	log_debug_of(LOG_REQUEST, c->id, "%s ends: %s, %s", c->id,
 	    request_outcome_name(r->outcome), request_code_name(r->code));
 	daemon_metrics_ended(c->daemon, c, now);
+	daemon_stop_learn(c->daemon, c, now);
 	answer_end(&c->answer, r);
 	join_ended(c->daemon->joins, c, now);
 	daemon_ledger_ended(c->daemon, c, now);
@@ -320,6 +336,25 @@
 		request_ended(r, now, e->attempt, e->end, e->tokens);
 }
 
+/*
+ * Guards against callers who wait in vain: a call that would be too late even
+ * if it got its backend server now is cut at the stop deadline, while another
+ * node could run it meanwhile.
+ */
+void
+daemon_call_leaving(struct daemon *d, msec now)
+{
+	struct call *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &d->calls, entry, next) {
+		if (c->request.state != REQUEST_QUEUED ||
+		    call_has_time(c, STOP_AHEAD_RUN, now))
+			continue;
+		call_withdraw(&c->request, now);
+		daemon_admit_leaving(d, c, now);
+	}
+}
+
 /* ---- what dispatch tells ---- */
 
 static enum request_code
@@ -343,8 +378,14 @@
 slot_granted(struct dispatch *dp, struct dispatch_request *slot)
 {
 	struct call *c = slot->arg;
+	msec now = msec_now();
 
-	request_granted(&c->request, msec_now());
+	if (!call_has_time(c, STOP_AHEAD_RUN, now)) {
+		call_withdraw(&c->request, now);
+		daemon_admit_leaving(c->daemon, c, now);
+		return;
+	}
+	request_granted(&c->request, now);
 }
 
 static void
--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -6,9 +6,11 @@
 #define LOG_PART "stop"
 #include "daemon.h"
 
+#include <inttypes.h>
+
 /* Callers that keep a connection get so long to hear that it closes. */
 #define STOP_LINGER_MS 1000
-/* From the last connection taken to the end. */
+/* From the last connection taken, or the cut, to the end. */
 #define STOP_LAST_MS 100
 /* No call has come for so long; not waited for longer than the second. */
 #define STOP_QUIET_MS 500
@@ -28,6 +30,65 @@
 	daemon_nodes_push(d, now);
 }
 
+bool
+daemon_stop_is_past_grace(const struct daemon *d, msec now)
+{
+	return d->state == DAEMON_LEAVING &&
+	       now - d->leaving_since >= d->settings.leave_grace;
+}
+
+static struct metrics_class *
+stop_class(struct daemon *d, const struct call *c)
+{
+	const struct document *doc = &c->doc->doc;
+
+	return metrics_class_get(
+	    d->metrics, doc->service, doc->classes[c->class_index].name);
+}
+
+/*
+ * Only what we ran ourselves, and to its end: a joined answer took no time
+ * here, and a caller who gives up says little of how long it would have taken.
+ */
+void
+daemon_stop_learn(struct daemon *d, const struct call *c, msec now)
+{
+	if (c->request.outcome != REQUEST_RAN || c->request.attempts == 0 ||
+	    c->forward_to != 0)
+		return;
+	duration_learn(&stop_class(d, c)->lasts, now - c->arrived);
+	if (c->request.attempts == 1)
+		duration_learn(&stop_class(d, c)->runs, now - c->dispatched);
+}
+
+/*
+ * Guards against answers that break off at the stop deadline: callers come as
+ * long as they keep our address, and one that was taken in the last seconds was
+ * cut in the middle. What its class hardly ever takes longer than must fit
+ * before the deadline; a caller who hears at once that nothing ran can ask
+ * another node. Without a stop deadline every answer comes to its end.
+ */
+bool
+daemon_stop_leaves_time(
+    struct daemon *d, const struct call *c, enum stop_ahead ahead, msec now)
+{
+	struct metrics_class *mc;
+	msec left, most;
+
+	if (d->state != DAEMON_LEAVING || d->settings.stop_deadline == 0)
+		return true;
+	left = d->leaving_since + d->settings.stop_deadline - now;
+	if (left <= 0)
+		return false;
+	/* No answer was seen, and its caller has no deadline: no promise. */
+	most = left + 1;
+	if (c->slot.deadline != MSEC_NEVER)
+		most = c->slot.deadline - now;
+	mc = stop_class(d, c);
+	return duration_most(ahead == STOP_AHEAD_RUN ? &mc->runs : &mc->lasts,
+		   most) <= left;
+}
+
 /*
  * Guards against resetting a caller that connects in the moment in which the
  * listener is shut: it then sees neither a refusal nor an answer, and cannot
@@ -68,7 +129,9 @@
 		daemon_http_quiesce(d);
 		d->quiesced = now;
 	} else if (now - d->quiesced >= STOP_LAST_MS) {
-		log_info("nothing in flight, ending");
+		log_info("nothing in flight, ending; %" PRIu64
+			 " were turned away for lack of time",
+		    d->stop_no_time);
 		d->stopping = true;
 	}
 }
@@ -83,10 +146,32 @@
 {
 	struct call *c;
 
-	log_warn("stop deadline reached, %u requests are cut", d->ncalls);
-	while ((c = TAILQ_FIRST(&d->calls)) != NULL)
+	log_warn("stop deadline reached, %u requests are cut, %" PRIu64
+		 " were turned away for lack of time",
+	    d->ncalls, d->stop_no_time);
+	while ((c = TAILQ_FIRST(&d->calls)) != NULL) {
+		d->stop_cut++;
+		log_info_of(LOG_REQUEST, c->id,
+		    "%s is cut: %" PRId64 " ms old, %u tokens", c->id,
+		    now - c->arrived, c->request.tokens);
 		request_cut(&c->request, now);
-	d->stopping = true;
+	}
+	daemon_http_quiesce(d);
+	d->cut = now;
+}
+
+/*
+ * Guards against callers who do not hear that they were cut: the end of the
+ * process takes the last event of their stream, or their whole answer, along
+ * when it comes at once, and they see what a crashed VM looks like.
+ */
+static void
+stop_deadline_tick(struct daemon *d, msec now)
+{
+	if (d->cut == 0)
+		stop_cut(d, now);
+	else if (now - d->cut >= STOP_LAST_MS)
+		d->stopping = true;
 }
 
 void
@@ -96,13 +181,54 @@
 
 	if (d->state != DAEMON_LEAVING || d->stopping)
 		return;
-	if (since < d->settings.leave_grace)
-		return;
-	if (stop_is_done(d, since)) {
+	daemon_call_leaving(d, now);
+	if (d->cut == 0 && since >= d->settings.leave_grace &&
+	    stop_is_done(d, since))
 		stop_end(d, now);
-		return;
-	}
-	if (d->settings.stop_deadline != 0 &&
-	    since >= d->settings.stop_deadline)
-		stop_cut(d, now);
+	else if (d->settings.stop_deadline != 0 &&
+		 since >= d->settings.stop_deadline)
+		stop_deadline_tick(d, now);
+}
+
+/* Null: too few were seen to tell. */
+static json_t *
+stop_duration(const struct duration *t)
+{
+	msec most = duration_most(t, MSEC_NEVER);
+
+	return most == MSEC_NEVER ? json_null() : json_integer(most);
+}
+
+static json_t *
+stop_classes(const struct daemon *d)
+{
+	json_t *list = json_array();
+	struct metrics_class *c;
+
+	RB_FOREACH (c, metrics_tree, &d->metrics->classes)
+		json_array_append_new(
+		    list, json_pack("{s:s, s:s, s:I, s:o, s:o}", "service",
+			      c->service, "class", c->name, "seen",
+			      (json_int_t)c->lasts.seen, "lasts_ms",
+			      stop_duration(&c->lasts), "runs_ms",
+			      stop_duration(&c->runs)));
+	return list;
+}
+
+json_t *
+daemon_stop_dump(struct daemon *d, msec now)
+{
+	json_t *o = json_pack("{s:b, s:I, s:I, s:o}", "leaving",
+	    d->state == DAEMON_LEAVING, "no_time", (json_int_t)d->stop_no_time,
+	    "cut", (json_int_t)d->stop_cut, "classes", stop_classes(d));
+
+	if (d->state != DAEMON_LEAVING)
+		return o;
+	json_object_set_new(
+	    o, "since_ms", json_integer(now - d->leaving_since));
+	if (d->settings.stop_deadline != 0)
+		json_object_set_new(o, "left_ms",
+		    json_integer(
+			d->leaving_since + d->settings.stop_deadline - now));
+	return o;
 }
--- a/daemon.h
+++ b/daemon.h
@@ -122,6 +122,8 @@
 /* Part of it is out, and it is not a stream of events. */
 bool answer_is_fixed(struct answer *);
 bool answer_is_gone(struct answer *);
+/* Core: where else the caller may ask, before answer_end(). */
+void answer_alternates(struct answer *, const char *);
 /* Core: the outcome, with a body of its own when nothing is out yet. */
 void answer_end(struct answer *, const struct request *);
 /* Give another call's whole answer; false when it was not all kept. */
@@ -338,7 +340,10 @@
 	struct listener caller_listener;
 	struct listener control_listener;
 	msec quiesced; /* since when no new connection is taken, or 0 */
-	gint unsent;   /* answers not yet sent to their end; atomic */
+	msec cut;      /* when the stop deadline cut what was left, or 0 */
+	uint64_t stop_no_time; /* turned away: would not end in time */
+	uint64_t stop_cut;     /* requests cut at the deadline */
+	gint unsent;	       /* answers not yet sent to their end; atomic */
 	struct backend_tree backends;
 	msec load_due;
 	msec vm_list_due;
@@ -367,6 +372,8 @@
 extern const struct request_ops daemon_request_ops;
 extern const struct dispatch_ops daemon_dispatch_ops;
 void daemon_call_gone(struct daemon *, struct call *, msec);
+/* Turn away those that wait for a backend server with no time to run. */
+void daemon_call_leaving(struct daemon *, msec);
 void daemon_call_first(struct daemon *, const struct event *, msec);
 void daemon_call_ended(struct daemon *, const struct event *, msec);
 /* It was given another's answer, or that answer was not kept. */
@@ -379,6 +386,8 @@
 /* Its organisation's limits allow it. */
 void daemon_admit_go(struct daemon *, struct call *, msec);
 void daemon_admit_ended(struct daemon *, struct call *);
+/* It would not end before we do; its slot has been given back. */
+void daemon_admit_leaving(struct daemon *, struct call *, msec);
 /* It belongs to another node, which decides. */
 void
 daemon_forward(struct daemon *, struct call *, const struct member *, msec);
@@ -432,7 +441,21 @@
 char *daemon_metrics_text(const struct daemon *);
 /* daemon-stop.c: leaving and the end */
 void daemon_leave(struct daemon *, msec);
+/* We have left for so long that no new work is taken. */
+bool daemon_stop_is_past_grace(const struct daemon *, msec);
+/* What of a request is still to come. */
+enum stop_ahead {
+	STOP_AHEAD_WHOLE, /* its wait for a backend server, and its run */
+	STOP_AHEAD_RUN	  /* its run */
+};
+/* Can it end before we do? */
+bool daemon_stop_leaves_time(
+    struct daemon *, const struct call *, enum stop_ahead, msec);
+/* A request has ended: how long its class's take. */
+void daemon_stop_learn(struct daemon *, const struct call *, msec);
 void daemon_stop_tick(struct daemon *, msec);
+/* How the stop stands, and what is known of how long requests take. */
+json_t *daemon_stop_dump(struct daemon *, msec);
 /* daemon-caller.c: HTTP towards callers and the tool */
 bool daemon_http_start(struct daemon *);
 void daemon_http_quiesce(struct daemon *);
