Try: the directory names VMs less whose own link is choked

A VM takes the shortest time in which a connection to a server stood within 0.5 s, against the least ever, for the delay of its link (all connections of a choked link are slow; one dead server says nothing), turns it into a load of 0 to 999 and tells it on the probes; the directory names the less loaded ones, and of the others so many that an answer has an eighth of all, at least two. Measured rather than counted in bytes against limits.link_mbps: no figure to configure, and a choke elsewhere on the way shows too.

--- a/link-load.h
+++ b/link-load.h
@@ -25,9 +25,8 @@
 	msec least;	       /* connecting ever took; MSEC_NEVER: none did */
 	/* The window in hand. */
 	msec ends;
-	msec shortest;	      /* MSEC_NEVER: no connection stood */
-	unsigned int stood;   /* connections that came to stand */
-	uint64_t tried_until; /* connections begun before it */
+	msec shortest;	       /* MSEC_NEVER: no connection stood */
+	uint64_t tried_before; /* connections begun until then */
 };
 
 void link_load_init(struct link_load *, msec now);
