Try: free VMs of other domains before choked ones of the caller's own

An eighth of an answer, at least two, was filled up with choked VMs of the caller's domain where one free one was left there: half of its names. Now the free ones of all domains are named.

--- a/link-load.c
+++ b/link-load.c
@@ -182,6 +182,18 @@
 	return kept;
 }
 
+/* How many are loaded at most so much. */
+static unsigned int
+members_free(const GPtrArray *members, unsigned int usual, unsigned int most)
+{
+	unsigned int n = 0;
+	guint i;
+
+	for (i = 0; i < members->len; i++)
+		n += member_load(g_ptr_array_index(members, i), usual) <= most;
+	return n;
+}
+
 GPtrArray *
 link_load_choose(const GPtrArray *all, const char *domain, GRand *r)
 {
@@ -191,8 +203,8 @@
 	    members_least_load(all, usual) +
 	    (unsigned int)g_rand_int_range(r, 0, LINK_LOAD_LEFT_OUT);
 
-	if (some->len < LINK_LOAD_LEAST_NAMED ||
-	    members_least_load(some, usual) > most) {
+	/* A free one elsewhere is better than a choked one that is near. */
+	if (members_free(some, usual, most) < LINK_LOAD_LEAST_NAMED) {
 		g_ptr_array_unref(some);
 		some = members_of_domain(all, NULL);
 	}
