Revert: the directory names VMs less whose own link is choked

What fills the small links is the bodies that callers send: 0.96 MB/s on average, 1.19 at most, of 1.25; to servers go 0.45 to 0.75, messages of nodes are 0.05 to 0.07. Suspected, not shown: callers do not get or take new answers in time, as look-ups go over the same links (7 to 9% fail).

Processor time is not the limit (0.03 of 0.12 cores at most).

--- a/entry-link.c
+++ b/entry-link.c
@@ -242,8 +242,6 @@
 		return false;
 	}
 	k->connecting = false;
-	link_load_stood(&k->owner->link_load,
-	    k->owner->loop.now - (k->timer.due - LINK_CONNECT_MS));
 	loop_timer_stop(&k->owner->loop, &k->timer);
 	return true;
 }
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -236,9 +236,6 @@
 	    s, "platform_up", "gauge", "The platform answers.", e->source_up);
 	text_value(
 	    s, "nodes", "gauge", "Live nodes, with this one.", e->live_nodes);
-	text_value(s, "link_load_permille", "gauge",
-	    "How loaded the link is, from how long connecting takes.",
-	    e->link_load.permille);
 	text_value(s, "requests_open", "gauge", "In flight.", e->njobs);
 	text_value(
 	    s, "callers", "gauge", "Connections of callers.", e->ncallers);
--- a/entry-query.c
+++ b/entry-query.c
@@ -1,15 +1,15 @@
 /*
  * The small listeners: is this node ready, and which nodes should a caller
  * use. A caller is sent to nodes of its own failure domain while two of them
- * take work, so that one that fails leaves it another, and less to nodes whose
- * link is loaded (link-load.c).
+ * take work, so that one that fails leaves it another.
  */
 
 #define LOG_PART "query"
 #include "entry.h"
 
-/* Most that an answer names. */
+/* Most that an answer names, and fewest of the caller's failure domain. */
 #define QUERY_NODES_MAX 64
+#define QUERY_DOMAIN_LEAST 2
 /*
  * How long callers keep an answer. Some keep it three times as long, so a
  * node that stops is left alone after thrice this.
@@ -27,23 +27,26 @@
 {
 }
 
+/* A load of 1,000 says that the node takes no work now. */
 static bool
 member_takes_work(const struct member *m)
 {
 	if (m->state != MEMBER_ALIVE || m->leaving || m->caller_port == 0)
 		return false;
-	return m->load_at == MSEC_NEVER || m->load_permille < LINK_LOAD_NO_WORK;
+	return m->load_at == MSEC_NEVER || m->load_permille < 1000;
 }
 
 static void
-query_collect(struct entry *e, GPtrArray *nodes, msec now)
+query_collect(struct entry *e, const char *domain, GPtrArray *nodes, msec now)
 {
 	struct member *m;
 
-	if (entry_is_ready(e, now))
+	if (entry_is_ready(e, now) &&
+	    (domain == NULL || g_strcmp0(domain, e->members.self.domain) == 0))
 		g_ptr_array_add(nodes, &e->members.self);
 	RB_FOREACH (m, member_tree, &e->members.tree) {
-		if (member_takes_work(m))
+		if (member_takes_work(m) &&
+		    (domain == NULL || g_strcmp0(domain, m->domain) == 0))
 			g_ptr_array_add(nodes, m);
 	}
 }
@@ -81,11 +84,14 @@
 query_directory(struct caller *c, const char *domain, msec now)
 {
 	struct entry *e = c->owner;
-	g_autoptr(GPtrArray) all = g_ptr_array_new(), nodes = NULL;
+	g_autoptr(GPtrArray) nodes = g_ptr_array_new();
 	struct buffer body = { 0 };
 
-	query_collect(e, all, now);
-	nodes = link_load_choose(all, domain, e->rand);
+	query_collect(e, domain, nodes, now);
+	if (nodes->len < QUERY_DOMAIN_LEAST) {
+		g_ptr_array_set_size(nodes, 0);
+		query_collect(e, NULL, nodes, now);
+	}
 	if (nodes->len == 0)
 		query_collect_any(e, nodes);
 	query_shorten(e, nodes);
--- a/entry-state.c
+++ b/entry-state.c
@@ -20,6 +20,8 @@
  * within two seconds.
  */
 #define STATE_HOLD_MS 2300
+/* Others hear of us this long before callers are sent here by name. */
+#define STATE_LOAD_FULL 1000
 
 struct retry_budget *
 entry_budget(struct entry *e, name_id service)
@@ -213,7 +215,7 @@
 
 	RB_FOREACH (m, member_tree, (struct member_tree *)&e->members.tree) {
 		if (m->state == MEMBER_ALIVE && !m->leaving &&
-		    m->load_permille < LINK_LOAD_NO_WORK)
+		    m->load_permille < STATE_LOAD_FULL)
 			return true;
 	}
 	return false;
@@ -283,7 +285,6 @@
 	fresh_init(&e->fresh, 0);
 	entry_relay_init(e, now);
 	entry_state_apply(e);
-	link_load_init(&e->link_load, now);
 	servers_init(&e->servers, &state_server_ops);
 	e->servers.arg = e;
 	place_init(&e->place, &state_place_ops, &e->servers, name_hash(s->node),
@@ -307,9 +308,8 @@
 entry_state_tick(struct entry *e, msec now)
 {
 	servers_tick(&e->servers, now);
-	link_load_tick(&e->link_load, now, e->counters.connects);
 	members_set_self(&e->members, e->table != NULL ? e->table->version : 0,
-	    entry_is_ready(e, now) ? e->link_load.permille : LINK_LOAD_NO_WORK);
+	    entry_is_ready(e, now) ? 0 : STATE_LOAD_FULL);
 	/* Others hear of us once we can serve. */
 	if (e->phase != ENTRY_STARTING)
 		members_tick(&e->members, now);
--- a/entry.h
+++ b/entry.h
@@ -23,7 +23,6 @@
 #include "entry-log.h"
 #include "fresh.h"
 #include "http-message.h"
-#include "link-load.h"
 #include "loop.h"
 #include "member.h"
 #include "metrics.h"
@@ -344,7 +343,6 @@
 	struct job_list jobs;
 	unsigned int njobs;
 	struct link *link_in_hand; /* its bytes are being read */
-	struct link_load link_load;
 	struct retry_budgets budgets;
 	struct retry_budget_config budget;
 	unsigned int live_nodes; /* with us */
