A VM that wakes from a long pause does not cut what is under way at once

What callers would see: a VM stood still for longer than its stop lasts, the signal came at the end of that, and all its answers broke off on waking.

Cause: the stop is dated by the last moment at which the signal was not there yet, which is safe for what is taken but may be long before the signal.

Mend: what is under way gets a second from the waking; what is taken goes by the safe date as before.

--- a/entry-stop.c
+++ b/entry-stop.c
@@ -16,6 +16,8 @@
 #define STOP_QUIET_MS 400
 #define STOP_MARGIN_MS 500
 #define STOP_DEFAULT_MS 8000
+/* After a VM stood still: what is under way gets so long from its waking. */
+#define STOP_AWAKE_MS 1000
 
 void
 entry_leave(struct entry *e, msec now)
@@ -30,6 +32,7 @@
 	 * signal may have waited while the whole VM stood still.
 	 */
 	e->leaving_since = e->loop.before;
+	e->leaving_read = now;
 	e->source->ops->retract(e->source);
 	members_leave(&e->members, now);
 	net_flush(&e->net);
@@ -98,7 +101,11 @@
 {
 	if (e->phase != ENTRY_LEAVING)
 		return;
-	if (now >= stop_end(e)) {
+	/*
+	 * The signal may as well have come at the end of a long pause, with all
+	 * of the stop's time left: what is under way is not cut on waking.
+	 */
+	if (now >= stop_end(e) && now - e->leaving_read >= STOP_AWAKE_MS) {
 		job_cut_all(e, now);
 		e->loop.stopping = true;
 		return;
--- a/entry.h
+++ b/entry.h
@@ -336,6 +336,7 @@
 	enum entry_phase phase;
 	msec started;
 	msec leaving_since;
+	msec leaving_read; /* the signal; it may have waited since the above */
 	msec last_request;
 	uint64_t incarnation;
 	struct route_table *table; /* NULL: none yet */
