Only connections to the process before are left with the news

Found by the linter's question whether the loop ends: while the requests that wait for a connection to the process before are sent elsewhere, the next request of one of their callers may begin to connect to the process that has started anew under the same name, and was then sent elsewhere as well. A connection is left by the same rule by which it is not kept.

--- a/entry-link.c
+++ b/entry-link.c
@@ -301,11 +301,11 @@
 
 /*
  * Guards against a request that is sent to a process that ends, or to whoever
- * has its address next: its connection is not kept for the process that has
- * started anew under its name.
+ * has its address next: a connection is not kept, nor waited for, when its
+ * server takes no work or has started anew under its name.
  */
 static bool
-link_may_be_kept(const struct link *k)
+link_is_current(const struct link *k)
 {
 	return k->server->state == SERVER_READY &&
 	       k->starts == k->server->starts;
@@ -318,7 +318,7 @@
 {
 	bool keep = k->reader.head->keep_alive && !k->reader.head->to_the_end &&
 		    rest == 0 && buffer_left(&k->out) == 0 &&
-		    link_may_be_kept(k);
+		    link_is_current(k);
 
 	k->ops->whole(k, now);
 	k->job = NULL;
@@ -489,12 +489,17 @@
 link_leave(struct entry *e, struct server *v)
 {
 	struct link_pool *p = link_pool_of(v);
-	struct link *k;
+	struct link *k, *next;
 
 	link_close_idle(e, v);
-	/* Their requests do not come back here: no server is tried twice. */
-	while ((k = TAILQ_FIRST(&p->connecting)) != NULL)
-		link_end(k, LINK_LEFT, e->loop.now);
+	/*
+	 * Their requests do not come back here: no server is tried twice. The
+	 * next request of a caller may, to the process that has started anew.
+	 */
+	TAILQ_FOREACH_SAFE (k, &p->connecting, entry, next) {
+		if (!link_is_current(k))
+			link_end(k, LINK_LEFT, e->loop.now);
+	}
 }
 
 void
