Failing test: a coordinator that comes back takes its groups at once

Nodes of placement now say how old their process is; nothing goes by it yet.

News of a return goes by the probes and takes 1 to 3 s to reach all 60: 39 nodes asked one and 16 the other at 29 s, 30 and 26 at 33 s. About six of the changes of coordinator in 14 s were a node's return.

--- a/entry-state.c
+++ b/entry-state.c
@@ -141,6 +141,16 @@
 	state_place_timer(&e->place_timer, now);
 }
 
+/*
+ * By the wall clock, in which nodes number their starts. One whose clock is
+ * ahead of ours seems not to have begun yet.
+ */
+static msec
+state_age(uint64_t incarnation)
+{
+	return (g_get_real_time() - (int64_t)incarnation) / 1000;
+}
+
 /* Whoever takes work can coordinate; we are one as soon as we serve. */
 static void
 state_push_nodes(struct entry *e, msec now)
@@ -154,7 +164,7 @@
 		n++;
 	nodes = g_new0(struct place_node, n);
 	nodes[0] = (struct place_node){ e->members.self.id,
-		e->phase == ENTRY_SERVING };
+		e->phase == ENTRY_SERVING, state_age(e->incarnation), false };
 	e->live_nodes = 1;
 	n = 1;
 	RB_FOREACH (m, member_tree, &e->members.tree) {
@@ -162,7 +172,8 @@
 			continue;
 		e->live_nodes++;
 		nodes[n++] = (struct place_node){ m->id,
-			m->state == MEMBER_ALIVE && !m->leaving };
+			m->state == MEMBER_ALIVE && !m->leaving,
+			state_age(m->incarnation), false };
 	}
 	place_set_nodes(&e->place, now, nodes, n);
 	takers = g_new(name_id, n);
--- a/place.h
+++ b/place.h
@@ -83,6 +83,9 @@
 struct place_node {
 	name_id id;
 	bool takes_work;
+	msec age; /* since its process began; less than 0: not known */
+	/* Private. */
+	bool coordinates;
 };
 
 /* Counters; all only grow. */
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -18,6 +18,8 @@
 	name_id id;
 	bool cut;     /* gets and sends nothing */
 	bool leaving; /* finishes what it has, and coordinates nothing */
+	msec began;   /* its process */
+	bool back;    /* it has begun again, and odd nodes have not heard */
 	unsigned int decided;
 	struct server *last;
 	msec decided_at;
@@ -95,23 +97,52 @@
 
 static const struct server_ops server_ops = { server_changed, server_changed };
 
+/* What a node has heard of the others. */
 static void
-fleet_nodes(void)
+node_hears(struct node *to)
 {
 	struct place_node list[NODES_MAX];
 	unsigned int i, n = 0;
 
 	for (i = 0; i < nnodes; i++) {
-		if (!nodes[i].cut)
-			list[n++] = (struct place_node){ nodes[i].id,
-				!nodes[i].leaving };
+		if (nodes[i].cut ||
+		    (nodes[i].back && (to - nodes) % 2 == 1 && &nodes[i] != to))
+			continue;
+		list[n++] = (struct place_node){ nodes[i].id, !nodes[i].leaving,
+			clock_now - nodes[i].began, false };
 	}
+	place_set_nodes(&to->place, clock_now, list, n);
+}
+
+static void
+fleet_nodes(void)
+{
+	unsigned int i;
+
 	for (i = 0; i < nnodes; i++) {
 		if (!nodes[i].cut)
-			place_set_nodes(&nodes[i].place, clock_now, list, n);
+			node_hears(&nodes[i]);
 	}
 }
 
+/* A node's process ends and begins again; it knows nothing. */
+static void
+node_restart(struct node *n)
+{
+	struct server *v;
+
+	place_finish(&n->place);
+	memset(&n->servers.memory, 0, sizeof n->servers.memory);
+	memset(&n->servers.all_memory, 0, sizeof n->servers.all_memory);
+	RB_FOREACH (v, server_tree, &n->servers.tree)
+		v->own = v->all = (struct server_load){ 0 };
+	place_init(&n->place, &ops, &n->servers, n->id, "d", rnd);
+	n->place.arg = n;
+	n->began = clock_now;
+	n->cut = false;
+	n->back = true;
+}
+
 static void
 fleet_start(unsigned int n, unsigned int servers)
 {
@@ -989,6 +1020,62 @@
 	load_stop();
 }
 
+/*
+ * A VM that coordinated comes back after a restart, in a burst. News of it
+ * takes seconds to reach all, so that half of the VMs asked it and half its
+ * successor; each counted half of the load, and both let in twice what the
+ * servers could read. It also knew nothing of what they had read. So it
+ * coordinates once all must have heard of it.
+ */
+static void
+test_burst_coordinator_returns(void)
+{
+	struct load_kind kinds[] = {
+		{ 480, 2, 630, 2890, 332, 1200, 600, 0, 0, 0 },
+		{ 22.2, 1, 568, 1800, 235, 400, 250, 0, 0, 0 },
+		{ 11.0, 0, 172, 543, 77, 300, 150, 0, 0, 0 },
+	};
+	struct load_kind start[G_N_ELEMENTS(kinds)];
+	struct node *n;
+	unsigned int before, i;
+
+	load_start();
+	load_kept =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	load_run(kinds, G_N_ELEMENTS(kinds), 2000);
+	n = load_coordinator();
+	load_kill(n);
+	fleet_nodes();
+	load_run(kinds, G_N_ELEMENTS(kinds), 2000);
+	memcpy(start, kinds, sizeof start);
+	load_run(kinds, G_N_ELEMENTS(kinds), 1000);
+	before = load_away(&start[0], &kinds[0]);
+	g_assert_cmpuint(before, >=, 25);
+
+	node_restart(n);
+	fleet_nodes();
+	memcpy(start, kinds, sizeof start);
+	load_run(kinds, G_N_ELEMENTS(kinds), 3000);
+	g_test_message("away %u%%, then %u%% late %u%%, it placed %u", before,
+	    load_away(&start[0], &kinds[0]), load_late(&start[0], &kinds[0]),
+	    (unsigned int)n->place.counters.coordinated);
+	g_assert_cmpuint(n->place.counters.coordinated, ==, 0);
+	g_assert_cmpuint(load_away(&start[0], &kinds[0]) * 4, >=, before * 3);
+
+	/* All have heard: it has its part again, and the others agree. */
+	n->back = false;
+	fleet_nodes();
+	load_run(kinds, G_N_ELEMENTS(kinds), 1000);
+	g_assert_cmpuint(n->place.counters.coordinated, ==, 0);
+	for (i = 0; i < 2; i++) {
+		load_run(kinds, G_N_ELEMENTS(kinds), 500);
+		fleet_nodes();
+	}
+	load_run(kinds, G_N_ELEMENTS(kinds), 500);
+	g_assert_cmpuint(n->place.counters.coordinated, >, 0);
+	load_stop();
+}
+
 /*
  * A request is turned away after it was placed, or given up in the queue: its
  * prompt was never read. The next with that prompt counts as one that has to
@@ -1080,6 +1167,8 @@
 	    "/place/tight-target-overload", test_tight_target_overload);
 	g_test_add_func(
 	    "/place/burst-coordinator-killed", test_burst_coordinator_killed);
+	g_test_add_func(
+	    "/place/burst-coordinator-returns", test_burst_coordinator_returns);
 	g_test_add_func("/place/never-read", test_never_read);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
