Who comes back after a restart coordinates once all have heard of it

A node that came back took its groups at once from whoever had them, for those nodes that had heard of it: two coordinators each counted a part of the load, and the new one knew nothing of what servers have read.

Change: a node coordinates once its process is 5 s old, by the start that its membership news carries anyway; where fewer than one in four of the nodes that take work are that old, all do. No message changes. A node whose clock is ahead of ours counts as old, one whose clock is behind as young for longer; at worst two nodes disagree as they did before.

Ruled out: announcing the return to all (it would still change the coordinator twice for each restart).

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -164,7 +164,7 @@
 	unsigned int i;
 
 	for (i = 0; i < p->nnodes; i++) {
-		if (!p->nodes[i].takes_work)
+		if (!p->nodes[i].coordinates)
 			continue;
 		weight = place_weight(p->nodes[i].id, service, group);
 		if (weight >= most) {
--- a/place.c
+++ b/place.c
@@ -21,6 +21,14 @@
  */
 #define PLACE_FLEET_MS (30 * MSEC_SECOND)
 #define PLACE_SWEEP_MS MSEC_SECOND
+/*
+ * A node coordinates once its process is so old: news of it takes up to 3 s to
+ * reach all of 60 nodes while others come and go. But where fewer than one in
+ * so many that take work are that old, all do: few nodes should not place for
+ * all.
+ */
+#define PLACE_GROWN_MS (5 * MSEC_SECOND)
+#define PLACE_GROWN_ONE_IN 4
 
 void
 place_init(struct place *p, const struct place_ops *ops, struct servers *s,
@@ -393,6 +401,31 @@
 	place_tell_took(p, now, r);
 }
 
+/*
+ * Guards against two coordinators of one group: a node that comes back would
+ * take its groups at once from whoever has them, for those nodes that have
+ * heard of it; each of the two then counts a part of the load and lets in what
+ * the other's part leaves no room for. All nodes go by the age of its process,
+ * so they agree when it is its turn.
+ */
+static void
+nodes_grow(struct place_node *nodes, unsigned int n)
+{
+	unsigned int i, takers = 0, grown = 0;
+
+	for (i = 0; i < n; i++) {
+		nodes[i].coordinates =
+		    nodes[i].takes_work &&
+		    (nodes[i].age < 0 || nodes[i].age >= PLACE_GROWN_MS);
+		takers += nodes[i].takes_work;
+		grown += nodes[i].coordinates;
+	}
+	if (grown * PLACE_GROWN_ONE_IN >= takers)
+		return;
+	for (i = 0; i < n; i++)
+		nodes[i].coordinates = nodes[i].takes_work;
+}
+
 static bool
 nodes_same(
     const struct place *p, const struct place_node *nodes, unsigned int n)
@@ -403,7 +436,8 @@
 		return false;
 	for (i = 0; i < n; i++) {
 		if (nodes[i].id != p->nodes[i].id ||
-		    nodes[i].takes_work != p->nodes[i].takes_work)
+		    nodes[i].takes_work != p->nodes[i].takes_work ||
+		    nodes[i].coordinates != p->nodes[i].coordinates)
 			return false;
 	}
 	return true;
@@ -411,18 +445,22 @@
 
 void
 place_set_nodes(
-    struct place *p, msec now, const struct place_node *nodes, unsigned int n)
+    struct place *p, msec now, const struct place_node *list, unsigned int n)
 {
+	struct place_node *nodes = g_memdup2(list, n * sizeof *list);
 	struct place_request *r;
 
 	if (n >= p->fleet || now - p->fleet_at >= PLACE_FLEET_MS) {
 		p->fleet = n;
 		p->fleet_at = now;
 	}
-	if (nodes_same(p, nodes, n))
+	nodes_grow(nodes, n);
+	if (nodes_same(p, nodes, n)) {
+		g_free(nodes);
 		return;
+	}
 	g_free(p->nodes);
-	p->nodes = g_memdup2(nodes, n * sizeof *nodes);
+	p->nodes = nodes;
 	p->nnodes = n;
 	TAILQ_FOREACH (r, &p->running, entry)
 		place_move(p, now, r);
--- a/place.h
+++ b/place.h
@@ -83,9 +83,8 @@
 struct place_node {
 	name_id id;
 	bool takes_work;
-	msec age; /* since its process began; less than 0: not known */
-	/* Private. */
-	bool coordinates;
+	msec age;	  /* since its process began; less than 0: not known */
+	bool coordinates; /* private */
 };
 
 /* Counters; all only grow. */
