Failing test: the next coordinator does not count the streams that run

Cause: a node tells the next coordinator what it runs; a prompt that is read has no tokens any more, so that message does not show what the kind is like, and what is of an unknown kind was not counted as running. When it ended, it was counted off, in the stead of a younger one. The number of light streams, by which servers are kept free of long prompts, so stayed near 0 for as long as the streams last.

That is the kind with most credit.

--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -1076,6 +1076,75 @@
 	load_stop();
 }
 
+/* How many of a route's requests a node counts as coordinator. */
+static unsigned int
+node_counts(struct node *n, name_id route)
+{
+	struct mix *m;
+	unsigned int i;
+
+	RB_FOREACH (m, place_mixes, &n->place.all) {
+		for (i = 0; i < m->nroutes; i++) {
+			if (m->routes[i].id == route)
+				return m->routes[i].running;
+		}
+	}
+	return 0;
+}
+
+/*
+ * A VM that coordinates leaves while answers are streamed. Its successor hears
+ * of them, but their prompts are read, and a request without a prompt to read
+ * does not show what its kind is like: they were not counted. As each ended,
+ * a younger one was counted off in its stead, so that few or no servers were
+ * kept free for the kind with the short pauses. Callers saw the pauses of half
+ * of its streams broken, of one in seven before.
+ */
+static void
+test_handover_of_streams(void)
+{
+	static struct place_request old[160], young[160];
+	struct node *n;
+	unsigned int i;
+
+	fleet_start(8, SERVERS);
+	for (i = 0; i < G_N_ELEMENTS(old); i++) {
+		request_fill(&old[i], 0, i % 2 == 0 ? 400 : 6000);
+		old[i].wish.route = 1 + i % 2;
+		old[i].wish.gap_target = i % 2 == 0 ? 300 : 1200;
+		place_submit(&nodes[i % 8].place, clock_now, &old[i]);
+		fleet_run(5);
+		place_read(&nodes[i % 8].place, clock_now, &old[i]);
+	}
+	n = load_coordinator();
+	g_assert_cmpuint(node_counts(n, 1), ==, 80);
+	n->leaving = true;
+	fleet_nodes();
+	fleet_run(5);
+	n = load_coordinator();
+	for (i = 0; i < G_N_ELEMENTS(young); i++) {
+		request_fill(&young[i], 0, i % 2 == 0 ? 400 : 6000);
+		young[i].wish.route = 1 + i % 2;
+		young[i].wish.gap_target = i % 2 == 0 ? 300 : 1200;
+		place_submit(&nodes[i % 8].place, clock_now, &young[i]);
+		fleet_run(5);
+		place_read(&nodes[i % 8].place, clock_now, &young[i]);
+		/* As many run as before. */
+		if (i == 1)
+			g_assert_cmpuint(node_counts(n, 1), ==, 80);
+		place_end(&nodes[i % 8].place, clock_now, &old[i], SERVER_WELL);
+	}
+	fleet_run(5);
+	g_assert_cmpuint(node_counts(n, 1), ==, 80);
+	g_assert_cmpuint(node_counts(n, 2), ==, 80);
+	for (i = 0; i < G_N_ELEMENTS(young); i++)
+		place_end(
+		    &nodes[i % 8].place, clock_now, &young[i], SERVER_WELL);
+	fleet_run(5);
+	g_assert_cmpuint(node_counts(n, 1), ==, 0);
+	fleet_stop();
+}
+
 /*
  * A request is turned away after it was placed, or given up in the queue: its
  * prompt was never read. The next with that prompt counts as one that has to
@@ -1169,6 +1238,7 @@
 	    "/place/burst-coordinator-killed", test_burst_coordinator_killed);
 	g_test_add_func(
 	    "/place/burst-coordinator-returns", test_burst_coordinator_returns);
+	g_test_add_func("/place/handover-of-streams", test_handover_of_streams);
 	g_test_add_func("/place/never-read", test_never_read);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
