The next coordinator counts the streams that run

Cause: see the failing test.

Change: a hold says whether it is counted as running of its kind, and is counted off only then; when the first request of a kind comes, what runs of it is counted, at once in full (it has been running for a while).

Test: 0 of 80 streams counted before, 80 with it, also when all have been replaced by younger ones.

Kept as the count was wrong.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -36,6 +36,7 @@
 	bool model;	     /* it has a prompt */
 	bool pressed;	     /* the limit was near when it was let in */
 	bool late;	     /* it was learned from as such */
+	bool counted;	     /* as running, of its kind */
 	msec since;
 };
 
@@ -278,7 +279,8 @@
 	hold_read(p, h);
 	if (v != NULL)
 		place_load_end(&v->all);
-	mix_ended(place_mix(&p->all, h->service), now, h->route);
+	if (h->counted)
+		mix_ended(place_mix(&p->all, h->service), now, h->route);
 	RB_REMOVE(place_holds, &p->holds, h);
 	g_free(h);
 }
@@ -318,17 +320,42 @@
 	if (w->prompt != 0)
 		server_memory_note(
 		    &p->servers->all_memory, now, v->id, w->prompt);
-	mix_started(m, now, w->route);
+	h->counted = mix_started(m, now, w->route);
 	p->counters.coordinated++;
 }
 
+/*
+ * Guards against a new coordinator that keeps no server free for streams with
+ * short pauses: it hears of those that run, but of their kind only by the next
+ * that comes.
+ */
+static void
+holds_adopt(struct place *p, msec now, name_id service, name_id route)
+{
+	struct place_hold *h;
+	unsigned int n = 0;
+
+	RB_FOREACH (h, place_holds, &p->holds) {
+		if (h->counted || h->service != service || h->route != route)
+			continue;
+		h->counted = true;
+		n++;
+	}
+	mix_adopt(place_mix(&p->all, service), now, route, n);
+}
+
 /* A kind of request is known by its first, whoever placed it. */
 void
-place_seen(struct place_mixes *mixes, msec now, const struct server_wish *w)
+place_seen(struct place *p, msec now, const struct server_wish *w, bool all)
 {
-	if (w->own + w->shared > 0)
-		mix_request(place_mix(mixes, w->service), now, w->route,
-		    w->gap_target, w->rank, w->own + w->shared);
+	struct mix *m = place_mix(all ? &p->all : &p->own, w->service);
+
+	if (w->own + w->shared == 0)
+		return;
+	if (mix_request(
+		m, now, w->route, w->gap_target, w->rank, w->own + w->shared) &&
+	    all)
+		holds_adopt(p, now, w->service, w->route);
 }
 
 /* The most that may be read before a request, by how others fared. */
@@ -356,7 +383,7 @@
 	if (now - p->coordinated_at > PLACE_IDLE_MS)
 		p->coordinates_since = now;
 	p->coordinated_at = now;
-	place_seen(&p->all, now, w);
+	place_seen(p, now, w, true);
 	view = place_view(p, now, w, true, groups, group);
 	v = server_choose(p->servers, now, w, &view, g_rand_int(p->rand));
 	if (v == NULL)
--- a/place-private.h
+++ b/place-private.h
@@ -11,8 +11,8 @@
 /* Kinds of request of a service, as a node or a coordinator saw them. */
 struct mix *place_mix(struct place_mixes *, name_id service);
 void place_mixes_free(struct place_mixes *);
-/* Note that a request of its kind has come. */
-void place_seen(struct place_mixes *, msec, const struct server_wish *);
+/* Note that a request of its kind has come, to this node or as coordinator. */
+void place_seen(struct place *, msec, const struct server_wish *, bool all);
 
 /* In how many groups a service's servers are; which is a request's. */
 unsigned int place_groups(struct place *, name_id service);
--- a/place.c
+++ b/place.c
@@ -251,7 +251,7 @@
 		p->next_id = 1;
 	r->id = p->next_id;
 	r->coordinator = place_coordinator(p, r->wish.service, group);
-	place_seen(&p->own, now, &r->wish);
+	place_seen(p, now, &r->wish, false);
 	if (r->coordinator == p->self) {
 		v = place_coordinate(
 		    p, now, p->self, r->id, &r->wish, &r->queue);
@@ -372,7 +372,7 @@
 		break;
 	case SP_PLACE_TOOK:
 		wish_decode(&w, &took->wish);
-		place_seen(&p->all, now, &w);
+		place_seen(p, now, &w, true);
 		if ((v = servers_find(p->servers, took->server)) != NULL)
 			place_hold_begin(p, now, from, took->id, v, &w, NULL);
 		break;
--- a/server-mix.c
+++ b/server-mix.c
@@ -81,16 +81,17 @@
 	       longest * (r->light ? MIX_LIGHT_STAYS : MIX_LIGHT_PART);
 }
 
-void
+bool
 mix_request(struct mix *m, msec now, name_id route, msec gap_target,
     unsigned int rank, unsigned int tokens)
 {
 	struct mix_route *r = mix_find(m, route);
+	bool first = r == NULL;
 	unsigned int i;
 
-	if (r == NULL) {
+	if (first) {
 		if (m->nroutes == MIX_ROUTES_MAX)
-			return;
+			return false;
 		r = &m->routes[m->nroutes++];
 		*r = (struct mix_route){
 			.id = route, .prompt_tokens = tokens, .busy_at = now
@@ -103,17 +104,31 @@
 			    r->prompt_tokens);
 	for (i = 0; i < m->nroutes; i++)
 		m->routes[i].light = mix_weigh(m, &m->routes[i]);
+	return first;
 }
 
-void
+bool
 mix_started(struct mix *m, msec now, name_id route)
 {
 	struct mix_route *r = mix_find(m, route);
 
 	if (r == NULL)
-		return;
+		return false;
 	mix_settle(r, now);
 	r->running++;
+	return true;
+}
+
+void
+mix_adopt(struct mix *m, msec now, name_id route, unsigned int running)
+{
+	struct mix_route *r = mix_find(m, route);
+
+	if (r == NULL)
+		return;
+	r->running += running;
+	r->busy = r->running;
+	r->busy_at = now;
 }
 
 void
--- a/server-mix.h
+++ b/server-mix.h
@@ -39,12 +39,17 @@
 	struct server_limit limit_light, limit;
 };
 
-/* A request of a route with so many prompt tokens has come. */
-void mix_request(struct mix *, msec, name_id route, msec gap_target,
+/* A request of a route with so many prompt tokens has come; is it the first? */
+bool mix_request(struct mix *, msec, name_id route, msec gap_target,
     unsigned int rank, unsigned int tokens);
-/* One of them is sent to a server, or has left it. */
-void mix_started(struct mix *, msec, name_id route);
+/*
+ * One of them is sent to a server, or has left it. False for a route that was
+ * never seen: it is not counted, and must not be counted off.
+ */
+bool mix_started(struct mix *, msec, name_id route);
 void mix_ended(struct mix *, msec, name_id route);
+/* So many have been running for a while, though the route is new here. */
+void mix_adopt(struct mix *, msec, name_id route, unsigned int running);
 /* One that was answered had been on its server for so long. */
 void mix_held(struct mix *, msec);
 /*
