A node's first word does not say that it takes no work

Cause: a node that starts answers the first word of others with its own, which had its load, and that is "takes no work" until its configuration is proved. It was noted, and with 300 nodes the next that says its load comes after up to 45 s; the directory leaves such a node out.

Mend: the load in such a word is not noted; one that was never heard of counts as taking work. That it leaves is still taken from it.

--- a/member-probe.c
+++ b/member-probe.c
@@ -361,6 +361,13 @@
 	}
 }
 
+/* From member_tell(): no probe is acknowledged with number 0. */
+static bool
+probe_is_word(const sp_msg *msg)
+{
+	return msg->kind == SP_PROBE_ACK && msg->sp_msg_u.probe_ack.seq == 0;
+}
+
 /* `m` is the sender, or NULL when that incarnation of it is unknown. */
 void
 member_probe_receive(struct members *ms, msec now, struct member *m,
@@ -374,7 +381,12 @@
 		    ms, now, address, port, &msg->sp_msg_u.probe_request);
 		return;
 	}
-	member_loads_merge(ms, now, m, probe);
+	/*
+	 * Guards against nodes that are held as full for long after a start of
+	 * all: a word of what a node is comes when it does not serve yet, and
+	 * in a large fleet the next that says its load comes 45 s later.
+	 */
+	member_loads_merge(ms, now, probe_is_word(msg) ? NULL : m, probe);
 	for (i = 0; i < probe->news.news_len; i++)
 		member_news_merge(ms, now, &probe->news.news_val[i]);
 	if (msg->kind == SP_PROBE_ACK)
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -363,6 +363,42 @@
 	}
 }
 
+/*
+ * All nodes of a large fleet are killed and start together. None takes work in
+ * its first moments, and said so in its answer to the first word of others;
+ * each was held as such until it happened to be probed, with 300 nodes for up
+ * to 45 s, and callers were sent to the few that were not. A word of what a
+ * node is must not say how loaded it is.
+ */
+static void
+test_ready_after_start(void)
+{
+	const struct member *m;
+	unsigned int a, b, held = 0;
+	struct fleet f;
+
+	fleet_init(&f, 60, 1);
+	for (a = 0; a < f.n; a++) {
+		fleet_start(&f, a);
+		members_set_self(&f.nodes[a].members, 1, 1000);
+	}
+	fleet_run(&f, 20);
+	for (a = 0; a < f.n; a++)
+		members_set_self(&f.nodes[a].members, 1, 0);
+	fleet_run(&f, 480);
+	for (a = 0; a < f.n; a++) {
+		for (b = 0; b < f.n; b++) {
+			m = a != b ? fleet_view(&f, a, b) : NULL;
+			if (m != NULL && m->load_at != MSEC_NEVER &&
+			    m->load_permille >= 1000)
+				held++;
+		}
+	}
+	g_test_message("%u of %u held as full", held, f.n * (f.n - 1));
+	g_assert_cmpuint(held, <, f.n);
+	fleet_finish(&f);
+}
+
 /*
  * A VM's clock is set back by more than its process had been up, and the
  * process is started again. Its number is less than its predecessor's, so the
@@ -721,6 +757,7 @@
 	g_test_add_func("/member/leaving-from-list", test_leaving_from_list);
 	g_test_add_func("/member/restart-replaces", test_restart_replaces);
 	g_test_add_func("/member/quick-restart", test_quick_restart);
+	g_test_add_func("/member/ready-after-start", test_ready_after_start);
 	g_test_add_func("/member/clock-set-back", test_clock_set_back);
 	g_test_add_func("/member/partition", test_partition);
 	g_test_add_func("/member/list-held-back", test_list_held_back);
