A node whose clock was set back takes a greater number than its predecessor

Cause: a process started after its VM's clock had been set back has a lesser number than the one before it. The others took its words as old, and the news of its predecessor read like that of a node that replaced it, so it left. Ruled out: taking any greater number at our own address as a predecessor's. A node that wakes from a pause must still leave when it was replaced meanwhile (replaced-while-paused), so only one that has not joined yet does so.

--- a/daemon-peers.c
+++ b/daemon-peers.c
@@ -64,6 +64,11 @@
 
 	log_info_of(LOG_NODE, m->name, "%s is %s", m->name,
 	    member_state_name(m->state));
+	if (m == &ms->self && m->incarnation != d->incarnation) {
+		d->incarnation = m->incarnation;
+		d->tickets.incarnation = m->incarnation;
+		net_set_incarnation(&d->net, m->incarnation);
+	}
 	if (m == &ms->self && m->leaving) {
 		/* We are inside members.c: the next tick acts on it. */
 		d->told_to_leave = true;
--- a/entry-state.c
+++ b/entry-state.c
@@ -78,6 +78,10 @@
 {
 	struct entry *e = ms->arg;
 
+	if (m == &ms->self && m->incarnation != e->incarnation) {
+		e->incarnation = m->incarnation;
+		net_set_incarnation(&e->net, m->incarnation);
+	}
 	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_NODE,
 	    LOG_TEXT(LOG_KEY_NAME, m->name),
 	    LOG_TEXT(LOG_KEY_STATE, member_state_name(m->state)));
--- a/member-news.c
+++ b/member-news.c
@@ -130,11 +130,34 @@
 	return state == MEMBER_SUSPECT ? 1 : 0;
 }
 
+/*
+ * Guards against a clock that was set back before we started: our number is
+ * then less than that of the process before us, and nobody listens to us.
+ * Whoever has been a member of the fleet had the greatest number then.
+ */
+static bool
+news_of_predecessor(const struct members *ms, const sp_news *n)
+{
+	const struct member *self = &ms->self;
+
+	return ms->priv->joining && !self->leaving &&
+	       n->address == self->address && n->peer_port == self->peer_port;
+}
+
 static void
 news_merge_self(struct members *ms, msec now, const sp_news *n)
 {
 	struct member *self = &ms->self;
 
+	if (n->incarnation > self->incarnation && news_of_predecessor(ms, n)) {
+		log_info("an earlier %s had the greater number", self->name);
+		self->incarnation = n->incarnation + 1;
+		self->incarnation_since = now;
+		self->refutation = 0;
+		member_news_queue(ms, self);
+		ms->ops->changed(ms, self);
+		return;
+	}
 	if (n->incarnation > self->incarnation) {
 		/*
 		 * Our VM was replaced under our name while we were paused or
--- a/member.h
+++ b/member.h
@@ -68,8 +68,9 @@
 	void (*send)(struct members *, uint32_t, uint16_t, const sp_msg *);
 	/*
 	 * A member came, changed its state, or went (state DEAD); also for
-	 * ourselves, when others or the VM list say that we are leaving. Must
-	 * not call back into members.
+	 * ourselves, when others or the VM list say that we are leaving, or
+	 * when we have taken a greater incarnation, which messages must bear
+	 * from then on. Must not call back into members.
 	 */
 	void (*changed)(struct members *, const struct member *);
 };
--- a/net.c
+++ b/net.c
@@ -121,6 +121,13 @@
 	return true;
 }
 
+void
+net_set_incarnation(struct net *n, uint64_t incarnation)
+{
+	net_flush(n);
+	n->priv->incarnation = incarnation;
+}
+
 void
 net_finish(struct net *n)
 {
--- a/net.h
+++ b/net.h
@@ -71,6 +71,8 @@
 bool net_init(struct net *, const struct net_ops *, uint32_t, uint16_t, name_id,
     uint64_t, const char *);
 void net_finish(struct net *);
+/* Our messages bear this incarnation from now on. */
+void net_set_incarnation(struct net *, uint64_t);
 /* The port it is bound to, for a bind to port 0; 0 on failure. */
 uint16_t net_port(const struct net *);
 /* Queue for an address; sent by net_flush(), many to a datagram. */
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -400,11 +400,8 @@
 }
 
 /*
- * A VM's clock is set back by more than its process had been up, and the
- * process is started again. Its number is less than its predecessor's, so the
- * others take what it says as old and hold it dead; the news of the predecessor
- * tells it that another runs under its name, and it leaves. It would serve
- * nobody for good.
+ * Guards against a node that leaves for good because the process before it,
+ * under a clock that was set back since, had a greater number.
  */
 static void
 test_clock_set_back(void)
--- a/tests/util-fleet.c
+++ b/tests/util-fleet.c
@@ -101,6 +101,8 @@
 	uint64_t *known = &n->known_leaving[i];
 
 	n->changes++;
+	if (m == &n->members.self)
+		n->incarnation = m->incarnation;
 	if (m->leaving)
 		*known = m->incarnation;
 	else if (*known == m->incarnation && *known != 0)
