--- /dev/null
+++ b/capacity.c
@@ -0,0 +1,517 @@
+/*
+ * How many servers; see capacity.h.
+ */
+
+#define LOG_PART "capacity"
+#include "capacity.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Prompt tokens that a server reads in a millisecond. */
+#define CAPACITY_TOKENS_PER_MS 60.0
+/*
+ * Servers are to read for so much of the time at the peak: streams beside a
+ * prompt that is read miss their pauses.
+ */
+#define CAPACITY_READING_PERCENT 40.0
+/* Streams on one server at the peak. */
+#define CAPACITY_STREAMS 16.0
+/* A report counts for so long; without any nothing is taken away. */
+#define CAPACITY_FRESH_MS 3000
+/* A holder has heard of all by then. */
+#define CAPACITY_SETTLE_MS 1000
+/* Between two steps down, and the part of it that a step takes. */
+#define CAPACITY_STEP_MS 2000
+#define CAPACITY_STEP_PERCENT 10
+#define CAPACITY_MOVE_PERCENT 25
+/* Servers that were ordered and are not there this long after their boot. */
+#define CAPACITY_LATE_MS 2500
+/* After none were to be had. */
+#define CAPACITY_REFUSED_MS 2500
+/* Between two orders for one place, also after one without an answer. */
+#define CAPACITY_ORDER_MS 1000
+/* More tokens in a millisecond than all servers anywhere read: a wrong report.
+ */
+#define CAPACITY_RATE_MAX 1e6
+
+const struct capacity_limits capacity_defaults = { 5, 100, 0 };
+
+struct capacity_report {
+	msec at;
+	uint64_t tokens, urgent;
+	double rate, urgent_rate; /* in a ms */
+	unsigned int running;
+};
+
+void
+capacity_init(struct capacity *c, const struct capacity_ops *ops)
+{
+	*c = (struct capacity){ .ops = ops, .limits = capacity_defaults };
+}
+
+static void
+service_finish(struct capacity_service *s)
+{
+	g_hash_table_unref(s->reports);
+}
+
+void
+capacity_finish(struct capacity *c)
+{
+	unsigned int i;
+
+	for (i = 0; i < c->nservices; i++)
+		service_finish(&c->services[i]);
+	g_free(c->services);
+	c->services = NULL;
+	c->nservices = 0;
+}
+
+static struct capacity_service *
+capacity_find(struct capacity *c, name_id id)
+{
+	unsigned int i;
+
+	for (i = 0; i < c->nservices; i++) {
+		if (c->services[i].id == id)
+			return &c->services[i];
+	}
+	return NULL;
+}
+
+static bool
+terms_same_domains(
+    const struct capacity_terms *a, const struct capacity_terms *b)
+{
+	unsigned int i;
+
+	if (a->ndomains != b->ndomains)
+		return false;
+	for (i = 0; i < a->ndomains; i++) {
+		if (strcmp(a->domains[i].name, b->domains[i].name) != 0)
+			return false;
+	}
+	return true;
+}
+
+void
+capacity_set_terms(
+    struct capacity *c, const struct capacity_terms *terms, unsigned int n)
+{
+	struct capacity_service *all, *old;
+	unsigned int i;
+
+	n = MIN(n, CAPACITY_SERVICES_MAX);
+	all = g_new0(struct capacity_service, n);
+	for (i = 0; i < n; i++) {
+		old = capacity_find(c, name_hash(terms[i].name));
+		if (old != NULL && terms_same_domains(&old->terms, &terms[i])) {
+			all[i] = *old;
+			g_hash_table_ref(all[i].reports);
+		} else {
+			all[i].id = name_hash(terms[i].name);
+			all[i].reports = g_hash_table_new_full(
+			    g_int64_hash, g_int64_equal, g_free, g_free);
+		}
+		all[i].terms = terms[i];
+	}
+	capacity_finish(c);
+	c->services = all;
+	c->nservices = n;
+}
+
+void
+capacity_hold(struct capacity *c, msec now, bool holds)
+{
+	unsigned int i, j, k;
+
+	c->holds = holds;
+	c->since = now;
+	for (i = 0; i < c->nservices; i++) {
+		struct capacity_service *s = &c->services[i];
+
+		for (j = 0; j < CAPACITY_DOMAINS_MAX; j++) {
+			for (k = 0; k < CAPACITY_KINDS; k++)
+				s->domains[j].kinds[k] =
+				    (struct capacity_place){ 0 };
+		}
+		g_hash_table_remove_all(s->reports);
+		memset(s->peaks, 0, sizeof s->peaks);
+		memset(s->urgent_peaks, 0, sizeof s->urgent_peaks);
+		memset(s->busy_peaks, 0, sizeof s->busy_peaks);
+		s->asked = s->reported = 0;
+		s->found = 0;
+		s->held = 0;
+	}
+}
+
+void
+capacity_clear_ready(struct capacity *c)
+{
+	unsigned int i, j, k;
+
+	for (i = 0; i < c->nservices; i++) {
+		for (j = 0; j < CAPACITY_DOMAINS_MAX; j++) {
+			for (k = 0; k < CAPACITY_KINDS; k++)
+				c->services[i].domains[j].kinds[k].ready = 0;
+		}
+	}
+}
+
+void
+capacity_add_ready(struct capacity *c, name_id service, const char *domain,
+    enum capacity_kind kind)
+{
+	struct capacity_service *s = capacity_find(c, service);
+	unsigned int i;
+
+	if (s == NULL)
+		return;
+	for (i = 0; i < s->terms.ndomains; i++) {
+		if (strcmp(s->terms.domains[i].name, domain) == 0)
+			s->domains[i].kinds[kind].ready++;
+	}
+}
+
+/* ---- demand ---- */
+
+void
+capacity_receive(struct capacity *c, msec now, name_id from, const sp_msg *msg)
+{
+	const sp_demand *m = &msg->sp_msg_u.demand;
+	struct capacity_service *s = capacity_find(c, m->service);
+	struct capacity_report *r;
+	double span, rate = 0, urgent = 0;
+
+	if (s == NULL) {
+		c->counters.dropped++;
+		return;
+	}
+	r = g_hash_table_lookup(s->reports, &from);
+	if (r == NULL) {
+		r = g_new0(struct capacity_report, 1);
+		g_hash_table_insert(
+		    s->reports, g_memdup2(&from, sizeof from), r);
+	} else if (now > r->at && m->tokens >= r->tokens &&
+		   m->urgent_tokens >= r->urgent) {
+		span = (double)(now - r->at);
+		rate = (double)(m->tokens - r->tokens) / span;
+		urgent = (double)(m->urgent_tokens - r->urgent) / span;
+	}
+	if (rate > CAPACITY_RATE_MAX || urgent > rate) {
+		log_info("demand of %.0f tokens a ms for %s is dropped", rate,
+		    s->terms.name);
+		c->counters.dropped++;
+		rate = urgent = 0;
+	}
+	*r = (struct capacity_report){ now, m->tokens, m->urgent_tokens, rate,
+		urgent, m->running };
+	s->reported = now;
+	if (s->asked == 0 && m->requests > 0)
+		s->asked = now;
+}
+
+/* What all coordinators that were heard of lately say. */
+static void
+service_sum(struct capacity_service *s, msec now, double *rate, double *urgent,
+    double *running)
+{
+	GHashTableIter i;
+	gpointer value;
+
+	*rate = *urgent = *running = 0;
+	g_hash_table_iter_init(&i, s->reports);
+	while (g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct capacity_report *r = value;
+
+		if (now - r->at > CAPACITY_FRESH_MS)
+			continue;
+		*rate += r->rate;
+		*urgent += r->urgent_rate;
+		*running += r->running;
+	}
+}
+
+static double
+peak_of(const double *seconds)
+{
+	double most = 0;
+	unsigned int i;
+
+	for (i = 0; i < CAPACITY_PEAK_S; i++)
+		most = MAX(most, seconds[i]);
+	return most;
+}
+
+/* Note what is asked now; the peaks of the last seconds remain. */
+static void
+service_watch(struct capacity_service *s, msec now)
+{
+	msec second = now / MSEC_SECOND;
+	double rate, urgent, running;
+	unsigned int at;
+
+	for (; s->second < second; s->second++) {
+		if (second - s->second > CAPACITY_PEAK_S)
+			s->second = second - CAPACITY_PEAK_S;
+		at = (unsigned int)((s->second + 1) % CAPACITY_PEAK_S);
+		s->peaks[at] = s->urgent_peaks[at] = s->busy_peaks[at] = 0;
+	}
+	service_sum(s, now, &rate, &urgent, &running);
+	at = (unsigned int)(second % CAPACITY_PEAK_S);
+	s->peaks[at] = MAX(s->peaks[at], rate);
+	s->urgent_peaks[at] = MAX(s->urgent_peaks[at], urgent);
+	s->busy_peaks[at] = MAX(s->busy_peaks[at], running);
+	s->tokens_per_ms = peak_of(s->peaks);
+	s->running = peak_of(s->busy_peaks);
+}
+
+/* ---- deciding ---- */
+
+static unsigned int
+service_ready(const struct capacity_service *s, enum capacity_kind kind)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < s->terms.ndomains; i++)
+		n += s->domains[i].kinds[kind].ready;
+	return n;
+}
+
+/* Ready, or on the way by an order that was taken. */
+static unsigned int
+service_coming(
+    const struct capacity_service *s, msec now, enum capacity_kind kind)
+{
+	const struct capacity_place *p;
+	unsigned int i, n = 0;
+
+	for (i = 0; i < s->terms.ndomains; i++) {
+		p = &s->domains[i].kinds[kind];
+		if (p->is_ordered && now >= p->refused_until &&
+		    now - p->ordered_at < s->terms.boot + CAPACITY_LATE_MS)
+			n += MAX(p->ordered, p->ready);
+		else
+			n += p->ready;
+	}
+	return n;
+}
+
+/* So many times as many that one domain of them may go. */
+static double
+service_spread(const struct capacity_service *s)
+{
+	return s->terms.ndomains > 1
+		   ? (double)s->terms.ndomains / (s->terms.ndomains - 1)
+		   : 1.0;
+}
+
+static unsigned int
+service_lasting_least(
+    const struct capacity *c, const struct capacity_service *s)
+{
+	double urgent =
+	    peak_of(s->urgent_peaks) /
+	    (CAPACITY_TOKENS_PER_MS * CAPACITY_READING_PERCENT / 100);
+	double part = s->needed * c->limits.lasting_percent / 100.0;
+
+	if (s->terms.reclaimable_price <= 0)
+		return s->needed;
+	return MAX((unsigned int)ceil(MAX(urgent, part)),
+	    s->terms.least * s->terms.ndomains);
+}
+
+static unsigned int
+service_needed(const struct capacity *c, const struct capacity_service *s)
+{
+	double reading = s->tokens_per_ms / (CAPACITY_TOKENS_PER_MS *
+						CAPACITY_READING_PERCENT / 100);
+	double streams = s->running / CAPACITY_STREAMS;
+	double n =
+	    MAX(reading, streams) * (100 + c->limits.spare_percent) / 100;
+
+	return MAX((unsigned int)ceil(n), s->terms.least * s->terms.ndomains);
+}
+
+/* What stood there carried the load so far: it stays until peaks are known. */
+static void
+service_decide_needed(
+    const struct capacity *c, struct capacity_service *s, msec now)
+{
+	unsigned int needed = service_needed(c, s);
+	bool known = s->asked != 0 &&
+		     now - s->asked >= CAPACITY_PEAK_S * MSEC_SECOND &&
+		     now - s->reported < CAPACITY_FRESH_MS;
+
+	if (s->found == 0)
+		s->found = s->held != 0
+			       ? s->held
+			       : service_ready(s, CAPACITY_LASTING) +
+				     (unsigned int)(service_ready(s,
+							CAPACITY_RECLAIMABLE) /
+						    service_spread(s));
+	if (!known)
+		needed = MAX(MAX(needed, s->found), s->needed);
+	/* Up at once, down in small steps. */
+	if (needed >= s->needed) {
+		s->needed = needed;
+		s->next_down = now + CAPACITY_STEP_MS;
+	} else if (now >= s->next_down) {
+		s->needed = MAX(needed,
+		    s->needed -
+			MAX(s->needed * CAPACITY_STEP_PERCENT / 100, 1));
+		s->next_down = now + CAPACITY_STEP_MS;
+	}
+}
+
+/*
+ * Share a number out over domains, each up to its room: evenly, the rest to
+ * the first. Where none are to be had nothing new is wanted.
+ */
+static void
+service_share(struct capacity_service *s, msec now, enum capacity_kind kind,
+    unsigned int total)
+{
+	unsigned int room[CAPACITY_DOMAINS_MAX], i, n, each, left = total;
+	struct capacity_place *p, *other;
+	bool full = false;
+
+	for (i = 0; i < s->terms.ndomains; i++) {
+		p = &s->domains[i].kinds[kind];
+		other = &s->domains[i].kinds[1 - kind];
+		p->want = 0;
+		room[i] = s->terms.most -
+			  MIN(s->terms.most, MAX(other->want, other->ready));
+		if (now < p->refused_until)
+			room[i] = MIN(room[i], p->ready);
+	}
+	while (left > 0 && !full) {
+		for (i = n = 0; i < s->terms.ndomains; i++)
+			n += room[i] > s->domains[i].kinds[kind].want;
+		full = n == 0;
+		each = n > 0 ? MAX(left / n, 1) : 0;
+		for (i = 0; i < s->terms.ndomains && left > 0; i++) {
+			p = &s->domains[i].kinds[kind];
+			n = MIN(
+			    MIN(each, left), room[i] - MIN(room[i], p->want));
+			p->want += n;
+			left -= n;
+		}
+	}
+	for (i = 0; i < s->terms.ndomains; i++) {
+		p = &s->domains[i].kinds[kind];
+		if (kind == CAPACITY_LASTING)
+			p->want = MAX(p->want, s->terms.least);
+	}
+}
+
+/* Lasting servers go once the others are there, and by degrees under load. */
+static unsigned int
+service_lasting(struct capacity *c, struct capacity_service *s, msec now)
+{
+	unsigned int least = service_lasting_least(c, s), have, step, n;
+	unsigned int others = service_ready(s, CAPACITY_RECLAIMABLE);
+
+	n = MAX(least, s->needed - MIN(s->needed, service_coming(s, now,
+						      CAPACITY_RECLAIMABLE)));
+	have = service_ready(s, CAPACITY_LASTING);
+	if (n < have)
+		n = MAX(n, MIN(have, s->needed - MIN(s->needed, others)));
+	if (s->running > 0 && n < have && s->lasting > n) {
+		step = MAX(s->lasting * CAPACITY_MOVE_PERCENT / 100, 1);
+		if (now >= s->next_down)
+			n = MAX(n, s->lasting - step);
+		else
+			n = s->lasting;
+	}
+	return n;
+}
+
+static void
+service_order(struct capacity *c, struct capacity_service *s, msec now,
+    unsigned int domain, enum capacity_kind kind)
+{
+	struct capacity_place *p = &s->domains[domain].kinds[kind];
+	msec late = s->terms.boot + CAPACITY_LATE_MS;
+	bool repeat = p->is_ordered && p->want == p->ordered;
+
+	if (p->pending || now - p->ordered_at < CAPACITY_ORDER_MS ||
+	    now < p->refused_until)
+		return;
+	if (p->want == p->ready && (!p->is_ordered || repeat))
+		return;
+	if (repeat && now - p->ordered_at < late)
+		return;
+	p->pending = true;
+	p->ordered_at = now;
+	c->counters.orders++;
+	c->counters.repeats += repeat;
+	c->ops->order(c, s, domain, kind, p->want);
+}
+
+void
+capacity_ordered(struct capacity *c, msec now, name_id service,
+    unsigned int domain, enum capacity_kind kind, unsigned int count,
+    enum capacity_result how)
+{
+	struct capacity_service *s = capacity_find(c, service);
+	struct capacity_place *p;
+
+	if (s == NULL || domain >= s->terms.ndomains)
+		return;
+	p = &s->domains[domain].kinds[kind];
+	p->pending = false;
+	switch (how) {
+	case CAPACITY_TAKEN:
+		p->is_ordered = true;
+		p->ordered = count;
+		c->counters.taken++;
+		break;
+	case CAPACITY_NONE:
+		p->refused_until = now + CAPACITY_REFUSED_MS;
+		c->counters.refused++;
+		break;
+	case CAPACITY_UNKNOWN:
+		/* It may come out late: what is wanted is ordered again. */
+		p->is_ordered = false;
+		c->counters.unanswered++;
+		break;
+	}
+}
+
+static void
+service_tick(struct capacity *c, struct capacity_service *s, msec now)
+{
+	unsigned int i, reclaimable, most;
+
+	service_watch(s, now);
+	if (now - c->since < CAPACITY_SETTLE_MS)
+		return;
+	service_decide_needed(c, s, now);
+	s->lasting = service_lasting(c, s, now);
+	reclaimable = (unsigned int)ceil(
+	    (s->needed - MIN(s->needed, service_lasting_least(c, s))) *
+	    service_spread(s));
+	most =
+	    (unsigned int)(reclaimable * c->limits.reclaimable_percent / 100);
+	if (s->terms.reclaimable_price <= 0)
+		most = 0;
+	service_share(s, now, CAPACITY_LASTING, s->lasting);
+	service_share(s, now, CAPACITY_RECLAIMABLE, MIN(reclaimable, most));
+	for (i = 0; i < s->terms.ndomains; i++) {
+		service_order(c, s, now, i, CAPACITY_LASTING);
+		service_order(c, s, now, i, CAPACITY_RECLAIMABLE);
+	}
+}
+
+void
+capacity_tick(struct capacity *c, msec now)
+{
+	unsigned int i;
+
+	if (!c->holds)
+		return;
+	for (i = 0; i < c->nservices; i++)
+		service_tick(c, &c->services[i], now);
+}
--- /dev/null
+++ b/duty.c
@@ -0,0 +1,377 @@
+/*
+ * One holder at a time; see duty.h.
+ */
+
+#define LOG_PART "duty"
+#include "duty.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+/* Renewals in a lease: two may fail. */
+#define DUTY_RENEWALS 3
+/* Clocks of two VMs differ in speed, and an order takes a while to arrive. */
+#define DUTY_MARGIN_MS 300
+/* One after the other, so that not all claim at once. */
+#define DUTY_TURN_MS 400
+/* A node that starts hears of the others, and of a holder, by then. */
+#define DUTY_START_MS 2500
+/* After an append without an answer. */
+#define DUTY_RETRY_MS 400
+#define DUTY_TICK_MS 100
+
+void
+duty_init(struct duty *d, const struct duty_ops *ops, name_id self, msec lease,
+    msec now)
+{
+	*d = (struct duty){ .ops = ops,
+		.self = self,
+		.lease = lease,
+		.started = now,
+		.end_at = MSEC_NEVER,
+		.ticked = now };
+}
+
+void
+duty_finish(struct duty *d)
+{
+	g_free(d->nodes);
+	d->nodes = NULL;
+	d->nnodes = 0;
+}
+
+/* ---- whose turn it is ---- */
+
+static uint64_t
+duty_weight(name_id node)
+{
+	return XXH64(&node, sizeof node, 7);
+}
+
+void
+duty_set_nodes(struct duty *d, const struct duty_node *nodes, unsigned int n)
+{
+	g_free(d->nodes);
+	d->nodes = g_memdup2(nodes, n * sizeof *nodes);
+	d->nnodes = n;
+}
+
+static const struct duty_node *
+duty_node_find(const struct duty *d, name_id id)
+{
+	unsigned int i;
+
+	for (i = 0; i < d->nnodes; i++) {
+		if (d->nodes[i].id == id)
+			return &d->nodes[i];
+	}
+	return NULL;
+}
+
+/* How many that take work come before us; standbys come before all. */
+static unsigned int
+duty_turn(const struct duty *d)
+{
+	uint64_t own = duty_weight(d->self);
+	unsigned int i, before = 0;
+
+	for (i = 0; i < DUTY_STANDBYS; i++) {
+		if (d->standbys[i] == d->self)
+			return i;
+	}
+	for (i = 0; i < d->nnodes; i++)
+		before += d->nodes[i].takes_work &&
+			  d->nodes[i].id != d->holder &&
+			  duty_weight(d->nodes[i].id) < own;
+	return before + DUTY_STANDBYS;
+}
+
+static bool
+duty_takes_work(const struct duty *d)
+{
+	const struct duty_node *n = duty_node_find(d, d->self);
+
+	return n != NULL && n->takes_work;
+}
+
+/* The next by weight, in another failure domain than those before if any is. */
+static name_id
+duty_pick(const struct duty *d, unsigned int have)
+{
+	const struct duty_node *own = duty_node_find(d, d->self), *n, *o;
+	uint64_t weight, least = UINT64_MAX;
+	name_id best = 0;
+	unsigned int i, j;
+
+	for (i = 0; i < d->nnodes; i++) {
+		n = &d->nodes[i];
+		if (!n->takes_work || n->id == d->self)
+			continue;
+		weight = duty_weight(n->id) >> 1;
+		if (own != NULL && n->domain == own->domain)
+			weight |= 1ULL << 63;
+		for (j = 0; j < have; j++) {
+			o = duty_node_find(d, d->standbys[j]);
+			if (o != NULL && n->domain == o->domain)
+				weight |= 1ULL << 63;
+			if (n->id == d->standbys[j])
+				weight = UINT64_MAX;
+		}
+		if (weight < least) {
+			least = weight;
+			best = n->id;
+		}
+	}
+	return best;
+}
+
+static void
+duty_pick_standbys(struct duty *d)
+{
+	unsigned int i;
+
+	memset(d->standbys, 0, sizeof d->standbys);
+	for (i = 0; i < DUTY_STANDBYS; i++)
+		d->standbys[i] = duty_pick(d, i);
+}
+
+/* ---- holding ---- */
+
+uint64_t
+duty_token(const struct duty *d, msec now)
+{
+	return d->token != 0 && now < d->until ? d->token : 0;
+}
+
+static void
+duty_lose(struct duty *d, msec now)
+{
+	bool held = d->token != 0;
+
+	d->token = 0;
+	d->holder = 0;
+	d->stood_down = now + d->lease + DUTY_MARGIN_MS;
+	d->end_at = now;
+	if (!held)
+		return;
+	d->counters.lost++;
+	d->ops->changed(d, now, false);
+}
+
+void
+duty_refused(struct duty *d, msec now)
+{
+	duty_lose(d, now);
+}
+
+static void
+duty_beat(struct duty *d, name_id hand_over)
+{
+	sp_msg msg = { .kind = SP_DUTY_BEAT };
+	sp_duty_beat *b = &msg.sp_msg_u.duty_beat;
+	unsigned int i;
+
+	b->token = d->token;
+	b->end = d->end;
+	b->hand_over = hand_over;
+	b->standbys.standbys_len = DUTY_STANDBYS;
+	b->standbys.standbys_val = d->standbys;
+	for (i = 0; i < d->nnodes; i++) {
+		if (d->nodes[i].id != d->self)
+			d->ops->send(d, d->nodes[i].id, &msg);
+	}
+}
+
+static void
+duty_append(struct duty *d, msec now, uint64_t at, bool claim)
+{
+	d->pending = true;
+	d->sent_at = now;
+	d->sent_end = at;
+	d->next = now + d->lease / DUTY_RENEWALS;
+	if (claim)
+		d->counters.claims++;
+	else
+		d->counters.renewals++;
+	d->ops->append(d, at, claim);
+}
+
+static void
+duty_taken(struct duty *d, msec now, uint64_t at, uint64_t end)
+{
+	bool begins = d->token == 0;
+
+	d->end = end;
+	d->end_at = now;
+	d->until = d->sent_at + d->lease;
+	d->lapsed = false;
+	if (begins) {
+		d->token = at + 1;
+		d->token_seen = MAX(d->token_seen, d->token);
+		d->holder = d->self;
+		d->ops->changed(d, now, true);
+	}
+	duty_pick_standbys(d);
+	d->next_beat = now;
+}
+
+void
+duty_appended(
+    struct duty *d, msec now, enum duty_result how, uint64_t at, uint64_t end)
+{
+	if (!d->pending)
+		return;
+	d->pending = false;
+	/* It took longer than a lease: nothing is known by it. */
+	if (how == DUTY_TAKEN && d->leaving && d->token == 0)
+		how = DUTY_UNKNOWN;
+	switch (how) {
+	case DUTY_TAKEN:
+		duty_taken(d, now, at, end);
+		return;
+	case DUTY_UNKNOWN:
+		d->counters.unknown++;
+		d->next = now + DUTY_RETRY_MS;
+		return;
+	case DUTY_REFUSED:
+		break;
+	}
+	d->counters.refused++;
+	d->end = end;
+	d->end_at = now;
+	if (d->token == 0)
+		return;
+	/* A renewal of ours that had no answer, or another's claim? */
+	d->pending = true;
+	d->ops->look(d);
+}
+
+void
+duty_looked(struct duty *d, msec now, bool ok, uint64_t claim, uint64_t end)
+{
+	d->pending = false;
+	if (!ok) {
+		d->next = now + DUTY_RETRY_MS;
+		return;
+	}
+	d->end = end;
+	d->end_at = now;
+	if (d->token != 0 && claim + 1 != d->token) {
+		d->token_seen = MAX(d->token_seen, claim + 1);
+		duty_lose(d, now);
+	}
+	d->next = now;
+}
+
+void
+duty_renew_now(struct duty *d, msec now)
+{
+	if (d->token != 0)
+		d->next = MIN(d->next, now);
+}
+
+void
+duty_leave(struct duty *d, msec now)
+{
+	d->leaving = true;
+	if (d->token == 0)
+		return;
+	/* With an append under way the log's end is not known. */
+	if (!d->pending && now < d->until)
+		duty_beat(d, d->standbys[0]);
+	duty_lose(d, now);
+}
+
+/* ---- watching ---- */
+
+static bool
+beat_is_valid(const sp_duty_beat *b)
+{
+	return b->token > 0 && b->end >= b->token;
+}
+
+void
+duty_receive(struct duty *d, msec now, name_id from, const sp_msg *msg)
+{
+	const sp_duty_beat *b = &msg->sp_msg_u.duty_beat;
+	unsigned int i;
+
+	if (!beat_is_valid(b) || from == d->self) {
+		d->counters.dropped++;
+		return;
+	}
+	/* Of a holder before the newest. */
+	if (b->token < d->token_seen ||
+	    (b->token == d->token_seen && b->end < d->end))
+		return;
+	if (d->token != 0)
+		duty_lose(d, now);
+	d->token_seen = b->token;
+	d->holder = from;
+	d->end = b->end;
+	d->end_at = now;
+	for (i = 0; i < DUTY_STANDBYS; i++)
+		d->standbys[i] = i < b->standbys.standbys_len
+				     ? b->standbys.standbys_val[i]
+				     : 0;
+	if (b->hand_over == 0)
+		return;
+	d->holder = 0;
+	/* Not back to who had it a moment ago, also in an earlier process. */
+	if (b->hand_over == d->self && !d->pending && duty_takes_work(d) &&
+	    now >= d->stood_down && now - d->started >= d->lease && !d->leaving)
+		duty_append(d, now, d->end, true);
+}
+
+/* When we may append to take it, as far as is known now. */
+static msec
+duty_claim_at(const struct duty *d)
+{
+	msec turn = (msec)duty_turn(d) * DUTY_TURN_MS, at;
+
+	if (d->end_at == MSEC_NEVER)
+		at = d->started + DUTY_START_MS + turn;
+	else
+		at = d->end_at + d->lease + DUTY_MARGIN_MS + turn;
+	return MAX(MAX(at, d->stood_down), d->next);
+}
+
+static void
+duty_watch(struct duty *d, msec now)
+{
+	if (d->leaving || d->pending || !duty_takes_work(d) ||
+	    now < duty_claim_at(d))
+		return;
+	/* The first append tells where the log ends, or begins it. */
+	duty_append(d, now, d->end_at == MSEC_NEVER ? 0 : d->end, true);
+}
+
+static void
+duty_hold(struct duty *d, msec now)
+{
+	if (now >= d->until && !d->lapsed) {
+		d->lapsed = true;
+		d->counters.lapsed++;
+	}
+	if (!d->pending && now >= d->next)
+		duty_append(d, now, d->end, false);
+	/* One that cannot renew is silent, so that others take over. */
+	if (now >= d->next_beat && now < d->until) {
+		d->next_beat = now + d->lease / DUTY_RENEWALS;
+		duty_beat(d, 0);
+	}
+}
+
+msec
+duty_tick(struct duty *d, msec now)
+{
+	if (d->holder == 0 || (d->holder == d->self && now >= d->until))
+		d->counters.without += now - d->ticked;
+	d->ticked = now;
+	if (d->token != 0)
+		duty_hold(d, now);
+	else
+		duty_watch(d, now);
+	return now + DUTY_TICK_MS;
+}
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -393,6 +393,17 @@
 		place_late(&j->owner->place, now, &j->place);
 }
 
+/* Its usage counts once, however often it is sent. */
+static void
+job_began_to_run(struct job *j, msec now)
+{
+	if (j->began_to_run)
+		return;
+	j->began_to_run = true;
+	if (j->organisation != NULL)
+		entry_duty_began(j->owner, j->organisation->name, now);
+}
+
 static void
 link_body(struct link *k, const char *bytes, size_t n, msec now)
 {
@@ -401,6 +412,7 @@
 
 	if (j->refused_by_server)
 		return;
+	job_began_to_run(j, now);
 	place_read(&j->owner->place, now, &j->place);
 	server_heard(j->server, now, j->place.wish.rank, j->sent_at);
 	if (reply_body(j, bytes, n, now)) {
@@ -427,6 +439,7 @@
 		return;
 	}
 	job_ran(j);
+	job_began_to_run(j, now);
 	if (j->server_error && j->repeatable) {
 		job_leave_server(j, now, SERVER_WELL);
 		job_next(j, now, JOB_SERVER_ERROR);
--- /dev/null
+++ b/entry-duty.c
@@ -0,0 +1,833 @@
+/*
+ * The node's side of duties; see entry-duty.h.
+ */
+
+#define LOG_PART "duty"
+#include "entry.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#define DUTY_TIMER_MS 100
+/* Coordinators tell what is asked of them so often. */
+#define DUTY_DEMAND_MS 1000
+/*
+ * A window is decided once all nodes have told theirs, and in any case so long
+ * after its end: what is missing by then comes from nodes that are gone.
+ */
+#define DUTY_DECIDE_LEAST_MS 400
+#define DUTY_DECIDE_MOST_MS 5000
+/* After a report that failed. */
+#define DUTY_REPORT_RETRY_MS 700
+/* Notes go with every renewal as long as they are so small. */
+#define DUTY_NOTES_BYTES 8192
+/* Windows that are decided and not done with. */
+#define DUTY_WINDOWS USAGE_WINDOWS
+/* A leaving node waits no longer for the end of its calls. */
+#define DUTY_LEAVE_MS 1000
+
+/* A window whose counts will not change any more. */
+struct duty_window {
+	bool used;
+	uint64_t number;
+	json_t *counts;
+	bool saved;   /* in the log: any holder sends just this */
+	bool done;    /* reported, or too late */
+	bool carried; /* by the append under way */
+};
+
+struct entry_duty {
+	struct duty duty;
+	struct usage usage;
+	struct capacity capacity;
+	struct loop_timer timer;
+	bool read_back; /* what the holder before us wrote is known */
+	bool looking;
+	bool core_looks; /* for duty.c, too */
+	struct duty_window windows[DUTY_WINDOWS];
+	bool reporting;
+	uint64_t reported; /* the window under way */
+	msec next_report, next_demand, next_nodes;
+	unsigned int notes_turn;
+	unsigned int orders; /* under way */
+	msec leaving_since;
+	struct usage_process *processes;
+	unsigned int nprocesses;
+	uint64_t reports, repeated, missed, fenced;
+	uint64_t orders_taken, orders_none, orders_failed;
+};
+
+static struct entry *
+entry_of(const struct duty *d)
+{
+	return d->arg;
+}
+
+/* ---- windows that are decided ---- */
+
+static struct duty_window *
+window_at(struct entry_duty *x, uint64_t number)
+{
+	return &x->windows[number % DUTY_WINDOWS];
+}
+
+static void
+window_drop(struct duty_window *w)
+{
+	if (w->counts != NULL)
+		json_decref(w->counts);
+	*w = (struct duty_window){ 0 };
+}
+
+static void
+window_put(struct entry_duty *x, uint64_t number, json_t *counts, bool saved,
+    bool done)
+{
+	struct duty_window *w = window_at(x, number);
+
+	window_drop(w);
+	*w = (struct duty_window){ true, number, counts, saved, done, false };
+	usage_decided(&x->usage, number);
+}
+
+static void
+windows_drop(struct entry_duty *x)
+{
+	unsigned int i;
+
+	for (i = 0; i < DUTY_WINDOWS; i++)
+		window_drop(&x->windows[i]);
+}
+
+static msec
+window_left(const struct entry *e, uint64_t number, msec now)
+{
+	const struct entry_duty *x = e->duty;
+
+	return (msec)(number + 1) * x->usage.window +
+	       e->settings->usage_lateness - usage_true(&x->usage, now);
+}
+
+/* Counts by name. One of an organisation that nobody names any more is lost. */
+static json_t *
+counts_named(struct entry *e, GHashTable *sum)
+{
+	const struct route_table *t = e->table;
+	json_t *counts = json_object();
+	unsigned int i, n;
+	name_id id;
+
+	for (i = 0; t != NULL && i < t->norganisations; i++) {
+		id = name_hash(t->organisations[i].name);
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(sum, &id));
+		if (n > 0)
+			json_object_set_new(
+			    counts, t->organisations[i].name, json_integer(n));
+	}
+	return counts;
+}
+
+static json_t *
+window_counts(struct entry *e, uint64_t number)
+{
+	GHashTable *sum = usage_sum(&e->duty->usage, number);
+	json_t *counts = counts_named(e, sum);
+
+	g_hash_table_unref(sum);
+	return counts;
+}
+
+/* ---- notes: what the next holder must know ---- */
+
+static json_t *
+notes_windows(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	uint64_t current =
+	    (uint64_t)(usage_true(&x->usage, now) / x->usage.window);
+	json_t *list = json_array(), *counts;
+	struct duty_window *w;
+	uint64_t n;
+
+	for (n = current - 2; n <= current; n++) {
+		w = window_at(x, n);
+		if (w->used && w->number == n) {
+			w->carried = true;
+			json_array_append_new(
+			    list, json_pack("{s:I,s:b,s:b,s:O}", "window",
+				      (json_int_t)n, "decided", 1, "done",
+				      w->done, "counts", w->counts));
+			continue;
+		}
+		counts = window_counts(e, n);
+		json_array_append_new(
+		    list, json_pack("{s:I,s:b,s:o}", "window", (json_int_t)n,
+			      "decided", 0, "counts", counts));
+	}
+	return list;
+}
+
+static json_t *
+notes_capacity(const struct capacity *c)
+{
+	json_t *needed = json_object();
+	unsigned int i;
+
+	for (i = 0; i < c->nservices; i++)
+		json_object_set_new(needed, c->services[i].terms.name,
+		    json_integer(c->services[i].needed));
+	return needed;
+}
+
+static char *
+notes_write(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	json_t *top;
+	char *text;
+
+	top = json_pack("{s:I,s:o,s:o}", "at",
+	    (json_int_t)usage_true(&x->usage, now), "windows",
+	    x->usage.window > 0 ? notes_windows(e, now) : json_array(),
+	    "servers", notes_capacity(&x->capacity));
+	text = json_dumps(top, JSON_COMPACT);
+	json_decref(top);
+	return text;
+}
+
+static void
+notes_read_window(struct entry *e, const json_t *o, msec at)
+{
+	struct entry_duty *x = e->duty;
+	json_t *counts = json_object_get(o, "counts"), *count;
+	uint64_t number =
+	    (uint64_t)json_integer_value(json_object_get(o, "window"));
+	const char *name;
+
+	if (!json_is_object(counts) || number == 0)
+		return;
+	if (json_is_true(json_object_get(o, "decided"))) {
+		window_put(x, number, json_incref(counts), true,
+		    json_is_true(json_object_get(o, "done")));
+		return;
+	}
+	json_object_foreach (counts, name, count)
+		usage_base(&x->usage, number, at, name_hash(name),
+		    (unsigned int)CLAMP(
+			json_integer_value(count), 0, G_MAXINT32));
+}
+
+static void
+notes_read(struct entry *e, const char *notes)
+{
+	struct entry_duty *x = e->duty;
+	json_t *top = json_loads(notes, 0, NULL), *o, *needed;
+	msec at = json_integer_value(json_object_get(top, "at"));
+	struct capacity_service *s;
+	unsigned int i;
+	size_t n;
+
+	json_array_foreach (json_object_get(top, "windows"), n, o)
+		notes_read_window(e, o, at);
+	for (i = 0; i < x->capacity.nservices; i++) {
+		s = &x->capacity.services[i];
+		needed = json_object_get(
+		    json_object_get(top, "servers"), s->terms.name);
+		s->held =
+		    (unsigned int)CLAMP(json_integer_value(needed), 0, 1000000);
+	}
+	json_decref(top);
+}
+
+/* ---- the cores' calls ---- */
+
+static void
+duty_op_append(struct duty *d, uint64_t at, bool claim)
+{
+	struct entry *e = entry_of(d);
+	struct entry_duty *x = e->duty;
+	char *notes = NULL;
+	size_t every;
+
+	if (!claim && x->read_back && x->notes_turn-- == 0) {
+		notes = notes_write(e, msec_now());
+		every = strlen(notes) / DUTY_NOTES_BYTES;
+		x->notes_turn = (unsigned int)every;
+	}
+	e->source->ops->duty_append(e->source, at, claim, notes);
+	free(notes);
+}
+
+static void
+duty_look(struct entry *e)
+{
+	struct entry_duty *x = e->duty;
+
+	if (x->looking)
+		return;
+	x->looking = true;
+	e->source->ops->duty_look(e->source);
+}
+
+static void
+duty_op_look(struct duty *d)
+{
+	struct entry *e = entry_of(d);
+
+	e->duty->core_looks = true;
+	duty_look(e);
+}
+
+static void
+duty_to_node(struct entry *e, name_id node, const sp_msg *msg)
+{
+	struct member *m = members_find(&e->members, node);
+
+	if (m != NULL)
+		net_send(&e->net, m->address, m->peer_port, msg);
+}
+
+static void
+duty_op_send(struct duty *d, name_id node, const sp_msg *msg)
+{
+	duty_to_node(entry_of(d), node, msg);
+}
+
+static void
+duty_op_changed(struct duty *d, msec now, bool holds)
+{
+	struct entry *e = entry_of(d);
+	struct entry_duty *x = e->duty;
+
+	x->read_back = false;
+	x->notes_turn = 0;
+	windows_drop(x);
+	capacity_hold(&x->capacity, now, false);
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_DUTY,
+	    LOG_TEXT(LOG_KEY_STATE, holds ? "held" : "not held"),
+	    LOG_NUMBER(LOG_KEY_TOKEN, d->token),
+	    LOG_NUMBER(LOG_KEY_MS, d->counters.without));
+}
+
+static const struct duty_ops entry_duty_ops = { duty_op_append, duty_op_look,
+	duty_op_send, duty_op_changed };
+
+static void
+usage_op_send(struct usage *u, name_id node, const sp_msg *msg)
+{
+	struct entry *e = u->arg;
+
+	if (node == e->members.self.id)
+		usage_receive(u, e->loop.now, node, e->incarnation, msg);
+	else
+		duty_to_node(e, node, msg);
+}
+
+static const struct usage_ops entry_usage_ops = { usage_op_send };
+
+static void
+capacity_op_order(struct capacity *c, const struct capacity_service *s,
+    unsigned int domain, enum capacity_kind kind, unsigned int count)
+{
+	struct entry *e = c->arg;
+	struct entry_duty *x = e->duty;
+	struct server_order order = {
+		.domain_index = domain, .kind = kind, .count = count
+	};
+
+	g_strlcpy(order.service, s->terms.name, sizeof order.service);
+	g_strlcpy(
+	    order.domain, s->terms.domains[domain].name, sizeof order.domain);
+	x->orders++;
+	if (!e->source->ops->order_servers(e->source, &order)) {
+		entry_duty_ordered(e, &order, DUTY_CALL_FAILED, e->loop.now);
+		return;
+	}
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_ORDER,
+	    LOG_TEXT(LOG_KEY_DOMAIN, order.domain),
+	    LOG_TEXT(LOG_KEY_KIND,
+		kind == CAPACITY_LASTING ? "lasting" : "reclaimable"),
+	    LOG_NUMBER(LOG_KEY_COUNT, count),
+	    LOG_NUMBER(LOG_KEY_READY, s->domains[domain].kinds[kind].ready),
+	    LOG_NUMBER(LOG_KEY_NEEDED, s->needed),
+	    LOG_NUMBER(LOG_KEY_TOKENS_PER_MS, (int64_t)s->tokens_per_ms),
+	    LOG_NUMBER(LOG_KEY_RUNNING, (int64_t)s->running),
+	    LOG_NUMBER(LOG_KEY_TOKEN, x->duty.token));
+}
+
+static const struct capacity_ops entry_capacity_ops = { capacity_op_order };
+
+/* ---- results of calls ---- */
+
+void
+entry_duty_appended(
+    struct entry *e, enum duty_result how, uint64_t at, uint64_t end, msec now)
+{
+	struct entry_duty *x = e->duty;
+	unsigned int i;
+
+	for (i = 0; i < DUTY_WINDOWS; i++) {
+		x->windows[i].saved =
+		    x->windows[i].saved ||
+		    (x->windows[i].carried && how == DUTY_TAKEN);
+		x->windows[i].carried = false;
+	}
+	duty_appended(&x->duty, now, how, at, end);
+}
+
+void
+entry_duty_looked(struct entry *e, bool ok, uint64_t claim, uint64_t end,
+    const char *notes, msec now)
+{
+	struct entry_duty *x = e->duty;
+	bool core = x->core_looks;
+
+	x->looking = x->core_looks = false;
+	if (core)
+		duty_looked(&x->duty, now, ok, claim, end);
+	/* Another's claim may stand after ours. */
+	if (!ok || x->read_back || x->duty.token == 0 ||
+	    claim + 1 != x->duty.token)
+		return;
+	notes_read(e, notes);
+	x->read_back = true;
+	capacity_hold(&x->capacity, now, e->settings->order_servers);
+	notes_read(e, notes);
+}
+
+void
+entry_duty_reported(struct entry *e, enum duty_call_result how, msec now)
+{
+	struct entry_duty *x = e->duty;
+	struct duty_window *w = window_at(x, x->reported);
+
+	x->reporting = false;
+	x->next_report =
+	    now + (how == DUTY_CALL_DONE ? 0 : DUTY_REPORT_RETRY_MS);
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_USAGE,
+	    LOG_NUMBER(LOG_KEY_WINDOW, x->reported),
+	    LOG_TEXT(LOG_KEY_OUTCOME, how == DUTY_CALL_DONE	? "taken"
+				      : how == DUTY_CALL_FENCED ? "fenced"
+								: "no answer"),
+	    LOG_NUMBER(LOG_KEY_LEFT_MS, window_left(e, x->reported, now)),
+	    LOG_NUMBER(LOG_KEY_TOKEN, x->duty.token));
+	if (how == DUTY_CALL_FENCED) {
+		x->fenced++;
+		duty_refused(&x->duty, now);
+		return;
+	}
+	if (!w->used || w->number != x->reported)
+		return;
+	if (how == DUTY_CALL_DONE) {
+		x->reports++;
+		w->done = true;
+	} else {
+		x->repeated++;
+	}
+}
+
+void
+entry_duty_ordered(struct entry *e, const struct server_order *o,
+    enum duty_call_result how, msec now)
+{
+	static const enum capacity_result results[] = {
+		[DUTY_CALL_DONE] = CAPACITY_TAKEN,
+		[DUTY_CALL_FENCED] = CAPACITY_UNKNOWN,
+		[DUTY_CALL_NONE] = CAPACITY_NONE,
+		[DUTY_CALL_FAILED] = CAPACITY_UNKNOWN,
+	};
+	struct entry_duty *x = e->duty;
+
+	x->orders--;
+	x->orders_taken += how == DUTY_CALL_DONE;
+	x->orders_none += how == DUTY_CALL_NONE;
+	x->orders_failed += how == DUTY_CALL_FAILED;
+	if (how != DUTY_CALL_DONE)
+		entry_log(&e->log, now, ENTRY_LOG_NEEDED,
+		    LOG_EVENT_ORDER_FAILED, LOG_TEXT(LOG_KEY_DOMAIN, o->domain),
+		    LOG_TEXT(LOG_KEY_REASON, how == DUTY_CALL_NONE ? "none left"
+					     : how == DUTY_CALL_FENCED
+						 ? "fenced"
+						 : "no answer"),
+		    LOG_NUMBER(LOG_KEY_COUNT, o->count));
+	capacity_ordered(&x->capacity, now, name_hash(o->service),
+	    o->domain_index, o->kind, o->count, results[how]);
+	if (how != DUTY_CALL_FENCED)
+		return;
+	x->fenced++;
+	duty_refused(&x->duty, now);
+}
+
+uint64_t
+entry_duty_token(const struct entry *e, msec now)
+{
+	return duty_token(&e->duty->duty, now);
+}
+
+/* ---- what others say, and what we count ---- */
+
+void
+entry_duty_began(struct entry *e, const char *organisation, msec now)
+{
+	if (e->duty != NULL && organisation != NULL &&
+	    e->duty->usage.window > 0)
+		usage_began(&e->duty->usage, now, name_hash(organisation));
+}
+
+void
+entry_duty_receive(struct entry *e, name_id from, uint64_t incarnation,
+    const sp_msg *msg, msec now)
+{
+	struct entry_duty *x = e->duty;
+
+	if (x == NULL)
+		return;
+	if (members_find(&e->members, from) == NULL) {
+		log_debug("a message of duties by no member is dropped");
+		x->duty.counters.dropped++;
+		return;
+	}
+	if (msg->kind == SP_DUTY_BEAT)
+		duty_receive(&x->duty, now, from, msg);
+	else if (msg->kind == SP_DEMAND)
+		capacity_receive(&x->capacity, now, from, msg);
+	else if (x->usage.window > 0)
+		usage_receive(&x->usage, now, from, incarnation, msg);
+}
+
+void
+entry_duty_take_table(struct entry *e, const struct route_table *t)
+{
+	struct entry_duty *x = e->duty;
+	struct capacity_terms *all;
+	unsigned int i, n = 0;
+
+	if (x == NULL)
+		return;
+	all = g_new(struct capacity_terms, MAX(t->nservices, 1));
+	for (i = 0; i < t->nservices; i++) {
+		if (t->services[i].scaling != NULL)
+			all[n++] = *t->services[i].scaling;
+	}
+	capacity_set_terms(&x->capacity, all, n);
+	g_free(all);
+}
+
+/* ---- time ---- */
+
+/* Nodes for the duty, and the processes that count. */
+static void
+duty_push_nodes(struct entry *e)
+{
+	struct entry_duty *x = e->duty;
+	struct duty_node *nodes;
+	struct member *m;
+	unsigned int n = 0, most = 1;
+
+	RB_FOREACH (m, member_tree, &e->members.tree)
+		most++;
+	nodes = g_new(struct duty_node, most);
+	x->processes = g_renew(struct usage_process, x->processes, most);
+	nodes[n] = (struct duty_node){ e->members.self.id,
+		name_hash(e->members.self.domain), e->phase == ENTRY_SERVING };
+	x->processes[n++] =
+	    (struct usage_process){ e->members.self.id, e->incarnation };
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state == MEMBER_DEAD)
+			continue;
+		nodes[n] = (struct duty_node){ m->id, name_hash(m->domain),
+			m->state == MEMBER_ALIVE && !m->leaving &&
+			    m->load_permille < 1000 };
+		x->processes[n++] =
+		    (struct usage_process){ m->id, m->incarnation };
+	}
+	x->nprocesses = n;
+	duty_set_nodes(&x->duty, nodes, n);
+	g_free(nodes);
+}
+
+static void
+duty_push_keepers(struct entry *e)
+{
+	struct entry_duty *x = e->duty;
+	name_id keepers[USAGE_KEEPERS_MAX];
+	unsigned int i, n = 0;
+
+	if (x->duty.holder == 0)
+		return;
+	keepers[n++] = x->duty.holder;
+	for (i = 0; i < DUTY_STANDBYS; i++) {
+		if (x->duty.standbys[i] != 0)
+			keepers[n++] = x->duty.standbys[i];
+	}
+	usage_set_keepers(&x->usage, keepers, n);
+}
+
+static void
+duty_tell_demand(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	sp_msg msg = { .kind = SP_DEMAND };
+	sp_demand *d = &msg.sp_msg_u.demand;
+	struct mix *m;
+
+	if (now < x->next_demand || x->duty.holder == 0)
+		return;
+	x->next_demand = now + DUTY_DEMAND_MS;
+	RB_FOREACH (m, place_mixes, &e->place.all) {
+		if (m->requests == 0)
+			continue;
+		d->service = m->service;
+		d->requests = m->requests;
+		d->tokens = m->tokens;
+		d->urgent_tokens = m->urgent_tokens;
+		d->running = mix_running(m);
+		if (x->duty.holder == e->members.self.id)
+			capacity_receive(
+			    &x->capacity, now, e->members.self.id, &msg);
+		else
+			duty_to_node(e, x->duty.holder, &msg);
+	}
+}
+
+static void
+duty_decide_usage(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	uint64_t number;
+	bool whole;
+	msec ago;
+
+	if (!usage_ended(&x->usage, now, x->processes, x->nprocesses, &number,
+		&ago, &whole))
+		return;
+	if (ago < DUTY_DECIDE_LEAST_MS || (!whole && ago < DUTY_DECIDE_MOST_MS))
+		return;
+	if (window_left(e, number, now) <= 0) {
+		x->missed++;
+		usage_decided(&x->usage, number);
+		return;
+	}
+	window_put(x, number, window_counts(e, number), false, false);
+	x->notes_turn = 0;
+	duty_renew_now(&x->duty, now);
+}
+
+static void
+duty_report_usage(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	struct duty_window *w, *oldest = NULL;
+	unsigned int i;
+
+	for (i = 0; i < DUTY_WINDOWS; i++) {
+		w = &x->windows[i];
+		if (!w->used || w->done)
+			continue;
+		if (window_left(e, w->number, now) <= 0) {
+			w->done = true;
+			x->missed++;
+			continue;
+		}
+		if (w->saved && (oldest == NULL || w->number < oldest->number))
+			oldest = w;
+	}
+	if (oldest == NULL || x->reporting || now < x->next_report)
+		return;
+	x->reporting = true;
+	x->reported = oldest->number;
+	e->source->ops->report_usage(e->source, oldest->number, oldest->counts);
+}
+
+/* Without fresh knowledge of what is there nothing is ordered. */
+static void
+duty_order_servers(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	struct server *v;
+
+	if (!e->source_up || now < e->servers.held_until)
+		return;
+	capacity_clear_ready(&x->capacity);
+	RB_FOREACH (v, server_tree, &e->servers.tree) {
+		if (v->state == SERVER_READY)
+			capacity_add_ready(&x->capacity, v->service, v->domain,
+			    v->reclaimable ? CAPACITY_RECLAIMABLE
+					   : CAPACITY_LASTING);
+	}
+	capacity_tick(&x->capacity, now);
+}
+
+static void
+duty_timer(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+	struct entry_duty *x = e->duty;
+
+	loop_timer_set(&e->loop, t, now + DUTY_TIMER_MS);
+	if (e->phase == ENTRY_STARTING)
+		return;
+	if (now >= x->next_nodes) {
+		x->next_nodes = now + 5 * DUTY_TIMER_MS;
+		duty_push_nodes(e);
+	}
+	duty_tick(&x->duty, now);
+	duty_push_keepers(e);
+	if (x->usage.window > 0)
+		usage_tick(&x->usage, now, msec_wall());
+	duty_tell_demand(e, now);
+	if (duty_token(&x->duty, now) == 0)
+		return;
+	if (!x->read_back) {
+		duty_look(e);
+		return;
+	}
+	if (x->usage.window > 0) {
+		duty_decide_usage(e, now);
+		duty_report_usage(e, now);
+	}
+	duty_order_servers(e, now);
+}
+
+bool
+entry_duty_leave(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+
+	if (x == NULL)
+		return true;
+	if (x->leaving_since == 0)
+		x->leaving_since = now;
+	if ((x->reporting || x->orders > 0 || x->duty.pending) &&
+	    now - x->leaving_since < DUTY_LEAVE_MS)
+		return false;
+	duty_leave(&x->duty, now);
+	return true;
+}
+
+void
+entry_duty_init(struct entry *e, msec now)
+{
+	const struct settings *s = e->settings;
+	struct entry_duty *x;
+
+	if (s->duties.port == 0)
+		return;
+	x = e->duty = g_new0(struct entry_duty, 1);
+	duty_init(
+	    &x->duty, &entry_duty_ops, name_hash(s->node), s->duty_lease, now);
+	x->duty.arg = e;
+	usage_init(
+	    &x->usage, &entry_usage_ops, s->usage_window, now, msec_wall());
+	x->usage.arg = e;
+	capacity_init(&x->capacity, &entry_capacity_ops);
+	x->capacity.limits = s->capacity;
+	x->capacity.arg = e;
+	loop_timer_init(&x->timer, duty_timer, e);
+	loop_timer_set(&e->loop, &x->timer, now + DUTY_TIMER_MS);
+}
+
+void
+entry_duty_finish(struct entry *e)
+{
+	struct entry_duty *x = e->duty;
+
+	if (x == NULL)
+		return;
+	loop_timer_stop(&e->loop, &x->timer);
+	windows_drop(x);
+	duty_finish(&x->duty);
+	usage_finish(&x->usage);
+	capacity_finish(&x->capacity);
+	g_free(x->processes);
+	g_free(x);
+	e->duty = NULL;
+}
+
+/* ---- metrics and dump ---- */
+
+static void
+metric(GString *s, const char *name, uint64_t n)
+{
+	g_string_append_printf(s,
+	    "# TYPE savory_%s counter\nsavory_%s %" PRIu64 "\n", name, name, n);
+}
+
+void
+entry_duty_metrics(const struct entry *e, GString *s)
+{
+	const struct entry_duty *x = e->duty;
+
+	if (x == NULL)
+		return;
+	g_string_append_printf(s,
+	    "# TYPE savory_duty_held gauge\nsavory_duty_held %d\n",
+	    x->duty.token != 0);
+	metric(s, "duty_claims_total", x->duty.counters.claims);
+	metric(s, "duty_renewals_total", x->duty.counters.renewals);
+	metric(s, "duty_lost_total", x->duty.counters.lost);
+	metric(s, "duty_without_holder_ms_total",
+	    (uint64_t)x->duty.counters.without);
+	metric(s, "duty_fenced_total", x->fenced);
+	metric(s, "duty_messages_dropped_total",
+	    x->duty.counters.dropped + x->usage.counters.dropped +
+		x->capacity.counters.dropped);
+	metric(s, "usage_windows_reported_total", x->reports);
+	metric(s, "usage_reports_repeated_total", x->repeated);
+	metric(s, "usage_windows_missed_total", x->missed);
+	metric(s, "usage_clock_jumps_total", x->usage.counters.jumps);
+	metric(s, "server_orders_taken_total", x->orders_taken);
+	metric(s, "server_orders_none_left_total", x->orders_none);
+	metric(s, "server_orders_failed_total", x->orders_failed);
+}
+
+static void
+dump_service(GString *s, const struct capacity_service *v)
+{
+	const struct capacity_place *p;
+	unsigned int i, k;
+
+	g_string_append_printf(s,
+	    "capacity %s needed %u lasting %u tokens-per-ms %.1f running "
+	    "%.0f\n",
+	    v->terms.name, v->needed, v->lasting, v->tokens_per_ms, v->running);
+	for (i = 0; i < v->terms.ndomains; i++) {
+		for (k = 0; k < CAPACITY_KINDS; k++) {
+			p = &v->domains[i].kinds[k];
+			g_string_append_printf(s,
+			    "capacity %s in %s %s ready %u want %u ordered "
+			    "%u\n",
+			    v->terms.name, v->terms.domains[i].name,
+			    k == CAPACITY_LASTING ? "lasting" : "reclaimable",
+			    p->ready, p->want, p->ordered);
+		}
+	}
+}
+
+void
+entry_duty_dump(const struct entry *e, GString *s, msec now)
+{
+	const struct entry_duty *x = e->duty;
+	unsigned int i;
+
+	if (x == NULL)
+		return;
+	g_string_append_printf(s,
+	    "duty token %" PRIu64 " until-ms %" PRId64 " token-seen %" PRIu64
+	    " end %" PRIu64 " standby %s read-back %s\n",
+	    x->duty.token, x->duty.token != 0 ? x->duty.until - now : 0,
+	    x->duty.token_seen, x->duty.end,
+	    x->duty.standbys[0] == e->members.self.id ? "yes" : "no",
+	    x->read_back ? "yes" : "no");
+	for (i = 0; i < DUTY_WINDOWS; i++) {
+		if (x->windows[i].used)
+			g_string_append_printf(s,
+			    "usage window %" PRIu64 " saved %s done %s\n",
+			    x->windows[i].number,
+			    x->windows[i].saved ? "yes" : "no",
+			    x->windows[i].done ? "yes" : "no");
+	}
+	for (i = 0; i < x->capacity.nservices; i++)
+		dump_service(s, &x->capacity.services[i]);
+}
--- a/entry-log.c
+++ b/entry-log.c
@@ -25,6 +25,9 @@
 	[LOG_EVENT_CONFIGURATION_UNREADABLE] = { "configuration-unreadable",
 	    "The newest configuration cannot be understood; the last good one "
 	    "stays." },
+	[LOG_EVENT_DUTY] = { "duty",
+	    "This node holds the duties of one node from now on, or not any "
+	    "more." },
 	[LOG_EVENT_EVENT_OUT_OF_ORDER] = { "event-out-of-order",
 	    "A stream did not go on at the event that was due." },
 	[LOG_EVENT_HOPELESS] = { "hopeless",
@@ -39,6 +42,11 @@
 	    "This node is leaving and would end before the answer does." },
 	[LOG_EVENT_NODE] = { "node",
 	    "Another node changed its state, as far as we know." },
+	[LOG_EVENT_ORDER] = { "order",
+	    "Backend servers are ordered: so many of a kind in a failure "
+	    "domain." },
+	[LOG_EVENT_ORDER_FAILED] = { "order-failed",
+	    "An order of backend servers was not taken." },
 	[LOG_EVENT_PLATFORM_BACK] = { "platform-back",
 	    "The platform answers again." },
 	[LOG_EVENT_PLATFORM_LOST] = { "platform-lost",
@@ -61,6 +69,8 @@
 	    "An answer to another request came and was thrown away." },
 	[LOG_EVENT_TURNED_AWAY] = { "turned-away",
 	    "Too much was to be read before the request: see ahead_ms." },
+	[LOG_EVENT_USAGE] = { "usage",
+	    "The usage of a window was reported to the platform." },
 };
 
 const struct entry_log_word entry_log_keys[LOG_KEYS] = {
@@ -68,11 +78,14 @@
 	    "what servers had to read before it, as urgent or more" },
 	[LOG_KEY_CAME] = { "came", "number of the event that came" },
 	[LOG_KEY_CONFIGURATION] = { "configuration", "version in force" },
-	[LOG_KEY_DOMAIN] = { "domain", "failure domain of this node" },
+	[LOG_KEY_COUNT] = { "count", "servers ordered, in all" },
+	[LOG_KEY_DOMAIN] = { "domain",
+	    "failure domain of this node, or of the servers ordered" },
 	[LOG_KEY_FIRST_MS] = { "first_ms",
 	    "from the request to the first byte of the answer; -1: none" },
 	[LOG_KEY_GAP_MS] = { "gap_ms",
 	    "longest pause between two parts of the answer" },
+	[LOG_KEY_KIND] = { "kind", "of server: lasting or reclaimable" },
 	[LOG_KEY_LAST] = { "last", "why an attempt before the end failed, or "
 				   "number of the last event" },
 	[LOG_KEY_LEAVING_MS] = { "leaving_ms",
@@ -85,6 +98,8 @@
 	    "may a backend server have run it?" },
 	[LOG_KEY_MS] = { "ms", "how long it took" },
 	[LOG_KEY_NAME] = { "name", "of the other node" },
+	[LOG_KEY_NEEDED] = { "needed",
+	    "servers that the service needs, if none is taken back" },
 	[LOG_KEY_NEEDS_MS] = { "needs_ms", "its kind hardly ever takes longer; "
 					   "0: not asked, this node stays" },
 	[LOG_KEY_ORGANISATION] = { "organisation", "that the key belongs to" },
@@ -92,6 +107,7 @@
 	[LOG_KEY_OUTCOME] = { "outcome", "of the request" },
 	[LOG_KEY_PROOF_MS] = { "proof_ms",
 	    "age of the proof that the configuration is the newest; -1: none" },
+	[LOG_KEY_READY] = { "ready", "servers of that kind that are ready" },
 	[LOG_KEY_REASON] = { "reason", "what was wrong" },
 	[LOG_KEY_REQUEST] = { "request", "the caller's name for the request" },
 	[LOG_KEY_REQUESTS] = { "requests", "in flight" },
@@ -109,8 +125,12 @@
 	[LOG_KEY_STOP_MS] = { "stop_ms", "until this node ends" },
 	[LOG_KEY_TARGET_MS] = { "target_ms",
 	    "within which the route wants an answer" },
+	[LOG_KEY_TOKEN] = { "token", "fencing token of the duty; 0: none" },
+	[LOG_KEY_TOKENS_PER_MS] = { "tokens_per_ms",
+	    "prompt tokens to be read in a ms, at the peak" },
 	[LOG_KEY_VERSION] = { "version",
 	    "of the configuration, or of the program" },
+	[LOG_KEY_WINDOW] = { "window", "number of the window of usage" },
 };
 
 void
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -301,6 +301,7 @@
 	text_limits(s, e);
 	text_counters(s, e);
 	e->source->ops->metrics(e->source, s);
+	entry_duty_metrics(e, s);
 }
 
 /* ---- the dump ---- */
@@ -396,6 +397,7 @@
 	dump_kinds(s, e);
 	dump_mixes(s, e);
 	dump_jobs(s, e, now);
+	entry_duty_dump(e, s, now);
 	g_string_append(s, members);
 }
 
--- a/entry-state.c
+++ b/entry-state.c
@@ -99,6 +99,8 @@
 	if (msg->kind < SP_RESERVE)
 		members_receive(&e->members, msec_now(), from, incarnation,
 		    address, port, msg);
+	else if (msg->kind >= SP_DUTY_BEAT)
+		entry_duty_receive(e, from, incarnation, msg, msec_now());
 	else if (msg->kind >= SP_RELAY_ASK)
 		relay_receive(&e->relay, msec_now(), from, msg);
 	else
@@ -214,6 +216,7 @@
 	    LOG_NUMBER(LOG_KEY_ORGANISATIONS, t->norganisations));
 	route_table_drop(e->table);
 	e->table = t;
+	entry_duty_take_table(e, t);
 	e->counters.tables++;
 	if (e->phase == ENTRY_STARTING) {
 		e->phase = ENTRY_SERVING;
@@ -315,6 +318,7 @@
 		return false;
 	members_init(&e->members, &state_member_ops, &mc, now);
 	e->members.arg = e;
+	entry_duty_init(e, now);
 	e->net_io = (struct loop_io){ state_net_ready, e->net.fd, 0 };
 	return loop_watch(&e->loop, &e->net_io, EPOLLIN);
 }
@@ -341,6 +345,7 @@
 		RB_REMOVE(retry_budgets, &e->budgets, b);
 		g_free(b);
 	}
+	entry_duty_finish(e);
 	place_finish(&e->place);
 	entry_relay_finish(e);
 	loop_timer_stop(&e->loop, &e->place_timer);
--- a/entry-stop.c
+++ b/entry-stop.c
@@ -34,6 +34,7 @@
 	e->leaving_since = e->loop.before;
 	e->leaving_read = now;
 	e->source->ops->retract(e->source);
+	entry_duty_leave(e, now);
 	members_leave(&e->members, now);
 	net_flush(&e->net);
 }
@@ -101,6 +102,7 @@
 {
 	if (e->phase != ENTRY_LEAVING)
 		return;
+	entry_duty_leave(e, now);
 	/*
 	 * The signal may as well have come at the end of a long pause, with all
 	 * of the stop's time left: what is under way is not cut on waking.
--- a/entry.h
+++ b/entry.h
@@ -20,6 +20,7 @@
 
 #include "buffer.h"
 #include "duration.h"
+#include "entry-duty.h"
 #include "entry-log.h"
 #include "fresh.h"
 #include "http-message.h"
@@ -229,6 +230,7 @@
 	/* Hardly longer than that, when it began at a leaving node; or 0. */
 	msec needs;
 	bool repeatable;
+	bool began_to_run;  /* a server sent a byte of its answer */
 	bool is_last;	    /* the attempt in hand; none may follow */
 	enum job_code last; /* why the last attempt ended */
 	unsigned int ntried;
@@ -346,6 +348,7 @@
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
+	struct entry_duty *duty; /* NULL: there are none */
 	struct members members;
 	struct net net;
 	struct loop_io net_io;
--- a/exchange.c
+++ b/exchange.c
@@ -128,6 +128,12 @@
 	size_t n = buffer_left(&x->request);
 	ssize_t wrote;
 
+	if (x->written == 0 && x->sending != NULL &&
+	    !x->sending(x, msec_now())) {
+		x->repeat = false;
+		exchange_fail(x, now);
+		return;
+	}
 	while (x->written < n) {
 		wrote = send(
 		    x->io.fd, bytes + x->written, n - x->written, MSG_NOSIGNAL);
@@ -148,19 +154,26 @@
 void
 exchange_call(struct exchange *x, const char *method, const char *target,
     const void *body, size_t n, msec timeout)
+{
+	exchange_call_fields(x, method, target,
+	    n > 0 ? "Content-Type: application/octet-stream\r\n" : "", body, n,
+	    timeout);
+}
+
+void
+exchange_call_fields(struct exchange *x, const char *method,
+    const char *target, const char *fields, const void *body, size_t n,
+    msec timeout)
 {
 	struct in_addr in = { htonl(x->address) };
 	char host[INET_ADDRSTRLEN];
 
 	inet_ntop(AF_INET, &in, host, sizeof host);
 	buffer_finish(&x->body);
-	buffer_printf(&x->request, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n", method,
-	    target, host, x->port);
+	buffer_printf(&x->request, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n%s",
+	    method, target, host, x->port, fields);
 	if (n > 0)
-		buffer_printf(&x->request,
-		    "Content-Type: application/octet-stream\r\n"
-		    "Content-Length: %zu\r\n",
-		    n);
+		buffer_printf(&x->request, "Content-Length: %zu\r\n", n);
 	buffer_add_text(&x->request, "\r\n");
 	buffer_add(&x->request, body, n);
 	x->busy = true;
--- a/exchange.h
+++ b/exchange.h
@@ -22,6 +22,12 @@
 	uint32_t address; /* IPv4, host byte order */
 	uint16_t port;
 	exchange_done done;
+	/*
+	 * Asked when a connection stands and the first byte is about to go
+	 * out, which may be long after the call: false, and it is not sent.
+	 * NULL: always.
+	 */
+	bool (*sending)(struct exchange *, msec);
 	void *arg;
 	msec asked; /* when the call in hand, or the last one, was made */
 	bool busy;
@@ -46,5 +52,9 @@
  */
 void exchange_call(struct exchange *, const char *method, const char *target,
     const void *body, size_t, msec timeout);
+/* The same with more header fields, each with its line end. */
+void exchange_call_fields(struct exchange *, const char *method,
+    const char *target, const char *fields, const void *body, size_t,
+    msec timeout);
 
 #endif /* EXCHANGE_H */
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -313,6 +313,8 @@
 		h->tokens += w->shared;
 		h->prompt = w->prompt;
 	}
+	if (h->model)
+		mix_demand(m, w->route, h->tokens);
 	p->counters.tokens += w->own + w->shared;
 	p->counters.tokens_kept += w->own + w->shared - h->tokens;
 	h->since = now;
--- a/proto.h
+++ b/proto.h
@@ -270,6 +270,51 @@
 	sp_relay_known known[2];
 };
 typedef struct sp_relay_tell sp_relay_tell;
+#define SAVORY_STANDBYS_MAX 4
+#define SAVORY_COUNTS_MAX 80
+
+struct sp_duty_beat {
+	u_quad_t token;
+	u_quad_t end;
+	u_quad_t hand_over;
+	struct {
+		u_int standbys_len;
+		u_quad_t *standbys_val;
+	} standbys;
+};
+typedef struct sp_duty_beat sp_duty_beat;
+
+struct sp_usage_count {
+	u_quad_t organisation;
+	u_int count;
+};
+typedef struct sp_usage_count sp_usage_count;
+
+struct sp_usage_counts {
+	u_quad_t window;
+	u_quad_t wall_ms;
+	bool_t last;
+	u_int total;
+	struct {
+		u_int list_len;
+		sp_usage_count *list_val;
+	} list;
+};
+typedef struct sp_usage_counts sp_usage_counts;
+
+struct sp_usage_time {
+	u_quad_t wall_ms;
+};
+typedef struct sp_usage_time sp_usage_time;
+
+struct sp_demand {
+	u_quad_t service;
+	u_int requests;
+	u_quad_t tokens;
+	u_quad_t urgent_tokens;
+	u_int running;
+};
+typedef struct sp_demand sp_demand;
 
 enum sp_kind {
 	SP_PROBE = 1,
@@ -292,6 +337,10 @@
 	SP_PLACE_STEP = 33,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
+	SP_DUTY_BEAT = 50,
+	SP_USAGE_COUNTS = 51,
+	SP_USAGE_TIME = 52,
+	SP_DEMAND = 53,
 };
 typedef enum sp_kind sp_kind;
 
@@ -318,6 +367,10 @@
 		sp_place_step place_step;
 		sp_relay_ask relay_ask;
 		sp_relay_tell relay_tell;
+		sp_duty_beat duty_beat;
+		sp_usage_counts usage_counts;
+		sp_usage_time usage_time;
+		sp_demand demand;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
@@ -380,6 +433,11 @@
 extern  bool_t xdr_sp_relay_known (XDR *, sp_relay_known*);
 extern  bool_t xdr_sp_relay_ask (XDR *, sp_relay_ask*);
 extern  bool_t xdr_sp_relay_tell (XDR *, sp_relay_tell*);
+extern  bool_t xdr_sp_duty_beat (XDR *, sp_duty_beat*);
+extern  bool_t xdr_sp_usage_count (XDR *, sp_usage_count*);
+extern  bool_t xdr_sp_usage_counts (XDR *, sp_usage_counts*);
+extern  bool_t xdr_sp_usage_time (XDR *, sp_usage_time*);
+extern  bool_t xdr_sp_demand (XDR *, sp_demand*);
 extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
 extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
 extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
@@ -414,6 +472,11 @@
 extern bool_t xdr_sp_relay_known ();
 extern bool_t xdr_sp_relay_ask ();
 extern bool_t xdr_sp_relay_tell ();
+extern bool_t xdr_sp_duty_beat ();
+extern bool_t xdr_sp_usage_count ();
+extern bool_t xdr_sp_usage_counts ();
+extern bool_t xdr_sp_usage_time ();
+extern bool_t xdr_sp_demand ();
 extern bool_t xdr_sp_kind ();
 extern bool_t xdr_sp_msg ();
 extern bool_t xdr_sp_batch ();
--- a/proto.x
+++ b/proto.x
@@ -265,6 +265,47 @@
 	sp_relay_known known[2];	/* configuration, servers */
 };
 
+/* ---- duties of one node ---- */
+
+const SAVORY_STANDBYS_MAX = 4;
+const SAVORY_COUNTS_MAX = 80;
+
+/* The holder is there; see duty.h. */
+struct sp_duty_beat {
+	unsigned hyper token;
+	unsigned hyper end;		/* of the log after its newest record */
+	unsigned hyper hand_over;	/* 0, or the node that is to take over */
+	unsigned hyper standbys<SAVORY_STANDBYS_MAX>;
+};
+
+struct sp_usage_count {
+	unsigned hyper organisation;
+	unsigned int count;		/* in all, since the window began */
+};
+
+/* Requests that began in a window at one node; see usage.h. */
+struct sp_usage_counts {
+	unsigned hyper window;
+	unsigned hyper wall_ms;		/* the sender's clock as it sends this */
+	bool last;			/* the window has ended there */
+	unsigned int total;		/* of all its organisations */
+	sp_usage_count list<SAVORY_COUNTS_MAX>;
+};
+
+/* What a keeper of counts takes the time to be. */
+struct sp_usage_time {
+	unsigned hyper wall_ms;
+};
+
+/* What a coordinator of placement has seen of a service; see capacity.h. */
+struct sp_demand {
+	unsigned hyper service;
+	unsigned int requests;		/* these grow */
+	unsigned hyper tokens;		/* to be read */
+	unsigned hyper urgent_tokens;	/* of the most urgent kinds */
+	unsigned int running;
+};
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -285,7 +326,11 @@
 	SP_PLACE_TOOK = 32,
 	SP_PLACE_STEP = 33,
 	SP_RELAY_ASK = 40,
-	SP_RELAY_TELL = 41
+	SP_RELAY_TELL = 41,
+	SP_DUTY_BEAT = 50,
+	SP_USAGE_COUNTS = 51,
+	SP_USAGE_TIME = 52,
+	SP_DEMAND = 53
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -329,6 +374,14 @@
 	sp_relay_ask relay_ask;
 case SP_RELAY_TELL:
 	sp_relay_tell relay_tell;
+case SP_DUTY_BEAT:
+	sp_duty_beat duty_beat;
+case SP_USAGE_COUNTS:
+	sp_usage_counts usage_counts;
+case SP_USAGE_TIME:
+	sp_usage_time usage_time;
+case SP_DEMAND:
+	sp_demand demand;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -777,6 +777,84 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_duty_beat(XDR *xdrs, sp_duty_beat *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->token))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->end))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->hand_over))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->standbys.standbys_val,
+		(u_int *)&objp->standbys.standbys_len, SAVORY_STANDBYS_MAX,
+		sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_usage_count(XDR *xdrs, sp_usage_count *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->organisation))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->count))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_usage_counts(XDR *xdrs, sp_usage_counts *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->window))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->wall_ms))
+		return FALSE;
+	if (!xdr_bool(xdrs, &objp->last))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->total))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
+		(u_int *)&objp->list.list_len, SAVORY_COUNTS_MAX,
+		sizeof(sp_usage_count), (xdrproc_t)xdr_sp_usage_count))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_usage_time(XDR *xdrs, sp_usage_time *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->wall_ms))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_demand(XDR *xdrs, sp_demand *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->service))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->requests))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->tokens))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->urgent_tokens))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->running))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -875,6 +953,22 @@
 		if (!xdr_sp_relay_tell(xdrs, &objp->sp_msg_u.relay_tell))
 			return FALSE;
 		break;
+	case SP_DUTY_BEAT:
+		if (!xdr_sp_duty_beat(xdrs, &objp->sp_msg_u.duty_beat))
+			return FALSE;
+		break;
+	case SP_USAGE_COUNTS:
+		if (!xdr_sp_usage_counts(xdrs, &objp->sp_msg_u.usage_counts))
+			return FALSE;
+		break;
+	case SP_USAGE_TIME:
+		if (!xdr_sp_usage_time(xdrs, &objp->sp_msg_u.usage_time))
+			return FALSE;
+		break;
+	case SP_DEMAND:
+		if (!xdr_sp_demand(xdrs, &objp->sp_msg_u.demand))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/route.c
+++ b/route.c
@@ -153,8 +153,10 @@
 		g_free(t->routes[i].host);
 		g_free(t->routes[i].prefix);
 	}
-	for (i = 0; i < t->nservices; i++)
+	for (i = 0; i < t->nservices; i++) {
 		g_free(t->services[i].name);
+		g_free(t->services[i].scaling);
+	}
 	for (i = 0; i < t->norganisations; i++)
 		g_free(t->organisations[i].name);
 	g_free(t->routes);
--- a/route.h
+++ b/route.h
@@ -7,6 +7,7 @@
 #ifndef ROUTE_H
 #define ROUTE_H
 
+#include "capacity.h"
 #include "savory.h"
 
 /* Services that one route may be split over. */
@@ -53,6 +54,7 @@
 	unsigned int slots;	       /* of one server; 0: not said */
 	uint64_t memory_tokens;	       /* of one server; 0: not a model */
 	unsigned int tokens_per_event; /* 0: not said */
+	struct capacity_terms *scaling; /* NULL: its servers are not ordered */
 };
 
 /* Who may ask. */
--- a/server-mix.c
+++ b/server-mix.c
@@ -179,6 +179,38 @@
 	return r != NULL;
 }
 
+bool
+mix_is_first_tier(const struct mix *m, name_id route)
+{
+	const struct mix_route *r = mix_find(m, route);
+	unsigned int i;
+
+	for (i = 0; r != NULL && i < m->nroutes; i++) {
+		if (m->routes[i].rank < r->rank)
+			return false;
+	}
+	return r != NULL;
+}
+
+void
+mix_demand(struct mix *m, name_id route, unsigned int tokens)
+{
+	m->requests++;
+	m->tokens += tokens;
+	if (mix_is_first_tier(m, route))
+		m->urgent_tokens += tokens;
+}
+
+unsigned int
+mix_running(const struct mix *m)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < m->nroutes; i++)
+		n += m->routes[i].running;
+	return n;
+}
+
 unsigned int
 mix_quiet_servers(struct mix *m, msec now, unsigned int nodes,
     unsigned int servers, unsigned int slots)
--- a/server-mix.h
+++ b/server-mix.h
@@ -35,6 +35,9 @@
 	unsigned int nroutes;
 	struct mix_route routes[MIX_ROUTES_MAX];
 	double hold_ms; /* smoothed, how long one is on its server; 0: none */
+	/* In all: requests, their tokens to read, and of the first tier. */
+	unsigned int requests;
+	uint64_t tokens, urgent_tokens;
 	/* Of the servers left to light requests, and of the others. */
 	struct server_limit limit_light, limit;
 };
@@ -59,8 +62,13 @@
 bool mix_is_light(const struct mix *, name_id route);
 /* What coordinators said of a route, or NULL: it was never seen. */
 struct server_told *mix_told(struct mix *, name_id route);
-/* Is none of the service's routes less urgent? */
+/* Is none of the service's routes less urgent, or more? */
 bool mix_is_last_tier(const struct mix *, name_id route);
+bool mix_is_first_tier(const struct mix *, name_id route);
+/* One of a route came, with so many tokens that its server has not read. */
+void mix_demand(struct mix *, name_id route, unsigned int tokens);
+/* How many of its requests run. */
+unsigned int mix_running(const struct mix *);
 /*
  * How many of the service's servers are left to light requests, when so many
  * nodes see the same traffic: 0 while there is nothing to part.
--- a/server.c
+++ b/server.c
@@ -119,6 +119,7 @@
 	v->address = e->address;
 	v->port = e->port;
 	v->slots = e->slots;
+	v->reclaimable = e->reclaimable;
 	v->missing = false;
 	if (anew) {
 		log_info_of(LOG_NODE, v->name, "%s started anew", v->name);
--- a/server.h
+++ b/server.h
@@ -30,7 +30,8 @@
 	uint16_t port;
 	unsigned int slots; /* 0: not said */
 	bool draining;
-	int64_t born; /* when it started, in any unit; 0: not said */
+	int64_t born;	  /* when it started, in any unit; 0: not said */
+	bool reclaimable; /* the platform may take it back at any time */
 };
 
 /* What runs on a server. */
@@ -52,6 +53,7 @@
 	uint16_t port;
 	unsigned int slots;
 	enum server_state state;
+	bool reclaimable;
 	int64_t born;
 	unsigned int starts; /* grows with each process under the name */
 	bool missing;	     /* not listed; gone when the hold ends */
--- a/settings.c
+++ b/settings.c
@@ -34,6 +34,9 @@
 static void parse_directory(struct walk *, const yaml_node_t *, void *);
 static void parse_metrics(struct walk *, const yaml_node_t *, void *);
 static void parse_store(struct walk *, const yaml_node_t *, void *);
+static void parse_duties(struct walk *, const yaml_node_t *, void *);
+static void parse_usage_window_s(struct walk *, const yaml_node_t *, void *);
+static void parse_usage_lateness_s(struct walk *, const yaml_node_t *, void *);
 static void parse_stop_s(struct walk *, const yaml_node_t *, void *);
 static void parse_window_s(struct walk *, const yaml_node_t *, void *);
 static void parse_ratio(struct walk *, const yaml_node_t *, void *);
@@ -82,6 +85,26 @@
 	    { "retry_window_s", WALK_CUSTOM, .parse = parse_window_s },
 	    { "stop_s", WALK_CUSTOM, .parse = parse_stop_s }, { NULL } } };
 
+/* What one node at a time does for all, and how it decides. */
+static const struct walk_schema duties_schema = { "duties", 0,
+	(const struct walk_field[]){
+	    { "address", WALK_CUSTOM, true, .parse = parse_duties },
+	    { "lease_ms", WALK_MSEC, .offset = AT(s.duty_lease), .min = 500,
+		.max = 600 * MSEC_SECOND },
+	    { "usage_window_s", WALK_CUSTOM, .parse = parse_usage_window_s },
+	    { "usage_lateness_s", WALK_CUSTOM,
+		.parse = parse_usage_lateness_s },
+	    { "order_servers", WALK_BOOL, .offset = AT(s.order_servers) },
+	    { "lasting_percent", WALK_UINT,
+		.offset = AT(s.capacity.lasting_percent), .min = 0,
+		.max = 100 },
+	    { "reclaimable_percent", WALK_UINT,
+		.offset = AT(s.capacity.reclaimable_percent), .min = 0,
+		.max = 100 },
+	    { "spare_percent", WALK_UINT,
+		.offset = AT(s.capacity.spare_percent), .min = 0, .max = 1000 },
+	    { NULL } } };
+
 static const struct walk_schema log_schema = { "log", 0,
 	(const struct walk_field[]){
 	    { "level", WALK_WORD, .offset = AT(s.log_level),
@@ -118,6 +141,7 @@
 	    { "listen", WALK_MAP, true, .schema = &listen_schema },
 	    { "platform", WALK_MAP, true, .schema = &platform_schema },
 	    { "bounds", WALK_MAP, .schema = &bounds_schema },
+	    { "duties", WALK_MAP, .schema = &duties_schema },
 	    { "peer_key", WALK_STRING, .offset = AT(s.peer_key) },
 	    { "peer_key_file", WALK_STRING, .offset = AT(peer_key_file) },
 	    { "log", WALK_MAP, .schema = &log_schema },
@@ -216,6 +240,12 @@
 	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.store);
 }
 
+static void
+parse_duties(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.duties);
+}
+
 /* A number of at least 0, which may have a fraction; false when it is none. */
 static bool
 parse_fraction(struct walk *w, const yaml_node_t *node, double max, double *out)
@@ -247,6 +277,19 @@
 	parse_seconds(w, node, &((struct settings_walk *)arg)->s.stop_deadline);
 }
 
+static void
+parse_usage_window_s(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_seconds(w, node, &((struct settings_walk *)arg)->s.usage_window);
+}
+
+static void
+parse_usage_lateness_s(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	parse_seconds(
+	    w, node, &((struct settings_walk *)arg)->s.usage_lateness);
+}
+
 static void
 parse_window_s(struct walk *w, const yaml_node_t *node, void *arg)
 {
@@ -410,6 +453,10 @@
 	s->change_bound = 2 * MSEC_SECOND;
 	s->retry_permille = 100;
 	s->retry_window = 10 * MSEC_SECOND;
+	s->duty_lease = 3 * MSEC_SECOND;
+	s->usage_lateness = 10 * MSEC_SECOND;
+	s->order_servers = true;
+	s->capacity = capacity_defaults;
 	s->keep_answers = 30 * MSEC_SECOND;
 	s->max_connections = 4096;
 	s->max_body_bytes = 1024 * 1024;
--- a/settings.h
+++ b/settings.h
@@ -5,6 +5,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include "capacity.h"
 #include "savory.h"
 
 #define SETTINGS_SEEDS_MAX 16
@@ -47,6 +48,13 @@
 	unsigned int retry_permille; /* retries for 1,000 requests */
 	unsigned int retry_fixed;    /* and so many of all nodes together */
 	msec retry_window;
+	/* Duties of one node at a time; port 0: there are none. */
+	struct endpoint duties; /* where their calls go */
+	msec duty_lease;
+	msec usage_window; /* 0: usage is not reported */
+	msec usage_lateness;
+	bool order_servers;
+	struct capacity_limits capacity;
 	char *tls_certificate; /* files; NULL: plain HTTP */
 	char *tls_key;
 };
--- /dev/null
+++ b/usage.c
@@ -0,0 +1,538 @@
+/*
+ * Counting what began to run; see usage.h.
+ */
+
+#define LOG_PART "usage"
+#include "usage.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Counts that have grown are told so often. */
+#define USAGE_TELL_MS 500
+/* All of a window is told so many times after its end: datagrams get lost. */
+#define USAGE_LAST_TIMES 3
+/* A wall clock that moves by more in one tick has been set. */
+#define USAGE_JUMP_MS 100
+/* Clocks that differ by less are left alone. */
+#define USAGE_APART_MS 150
+/* What a clock showed is of use for so long. */
+#define USAGE_CLOCK_MS (10 * MSEC_SECOND)
+/* So many other clocks, at least, to set ours by. */
+#define USAGE_CLOCKS_LEAST 3
+/* No process begins more in a window; a message of more is wrong. */
+#define USAGE_COUNT_MAX 10000000
+
+/* What one process has told of a window. */
+struct usage_told {
+	uint64_t incarnation;
+	bool last;
+	unsigned int total; /* as it says */
+	unsigned int sum;   /* of what has come */
+	GHashTable *counts;
+};
+
+static void
+told_free(void *p)
+{
+	struct usage_told *t = p;
+
+	g_hash_table_unref(t->counts);
+	g_free(t);
+}
+
+static GHashTable *
+table_new(GDestroyNotify value_free)
+{
+	return g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, value_free);
+}
+
+static unsigned int
+table_get(GHashTable *t, name_id id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(t, &id));
+}
+
+static void
+table_set(GHashTable *t, name_id id, unsigned int n)
+{
+	g_hash_table_insert(t, g_memdup2(&id, sizeof id), GUINT_TO_POINTER(n));
+}
+
+/* ---- windows ---- */
+
+static void
+window_clear(struct usage_window *w)
+{
+	if (w->own != NULL) {
+		g_hash_table_unref(w->own);
+		g_hash_table_unref(w->dirty);
+		g_hash_table_unref(w->nodes);
+		g_hash_table_unref(w->base);
+	}
+	*w = (struct usage_window){ 0 };
+}
+
+static void
+window_begin(struct usage_window *w, uint64_t number)
+{
+	window_clear(w);
+	w->used = true;
+	w->number = number;
+	w->own = table_new(NULL);
+	w->dirty = table_new(NULL);
+	w->nodes = table_new(told_free);
+	w->base = table_new(NULL);
+}
+
+static uint64_t
+usage_number(const struct usage *u, msec now)
+{
+	return (uint64_t)(usage_true(u, now) / u->window);
+}
+
+/* NULL for one that is over for long, or has not come. */
+static struct usage_window *
+usage_window(struct usage *u, msec now, uint64_t number)
+{
+	uint64_t current = usage_number(u, now);
+	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+
+	if (number > current + 1 || number + USAGE_WINDOWS <= current)
+		return NULL;
+	/* A clock that was set right may have gone back. */
+	if (w->used && w->number > number)
+		return NULL;
+	if (!w->used || w->number < number)
+		window_begin(w, number);
+	return w;
+}
+
+void
+usage_init(struct usage *u, const struct usage_ops *ops, msec window, msec now,
+    msec wall)
+{
+	*u = (struct usage){ .ops = ops,
+		.window = window,
+		.raw = wall - now,
+		.offset = wall - now };
+	u->clocks = table_new(g_free);
+}
+
+void
+usage_finish(struct usage *u)
+{
+	unsigned int i;
+
+	if (u->clocks == NULL)
+		return;
+	for (i = 0; i < USAGE_WINDOWS; i++)
+		window_clear(&u->windows[i]);
+	g_hash_table_unref(u->clocks);
+	u->clocks = NULL;
+}
+
+msec
+usage_true(const struct usage *u, msec now)
+{
+	return now + u->offset;
+}
+
+void
+usage_began(struct usage *u, msec now, name_id organisation)
+{
+	struct usage_window *w = usage_window(u, now, usage_number(u, now));
+
+	if (w == NULL)
+		return;
+	w->total++;
+	table_set(w->own, organisation, table_get(w->own, organisation) + 1);
+	table_set(w->dirty, organisation, 1);
+}
+
+/* ---- telling ---- */
+
+static void
+window_tell(struct usage *u, msec now, struct usage_window *w,
+    GHashTable *which, name_id to, bool last)
+{
+	sp_usage_count list[SAVORY_COUNTS_MAX];
+	sp_msg msg = { .kind = SP_USAGE_COUNTS };
+	sp_usage_counts *m = &msg.sp_msg_u.usage_counts;
+	GHashTableIter i;
+	gpointer key;
+	bool more;
+
+	m->window = w->number;
+	m->wall_ms = (uint64_t)(now + u->raw);
+	m->last = last;
+	m->total = w->total;
+	m->list.list_val = list;
+	g_hash_table_iter_init(&i, which);
+	more = g_hash_table_iter_next(&i, &key, NULL);
+	do {
+		m->list.list_len = 0;
+		while (more && m->list.list_len < SAVORY_COUNTS_MAX) {
+			list[m->list.list_len++] =
+			    (sp_usage_count){ *(name_id *)key,
+				    table_get(w->own, *(name_id *)key) };
+			more = g_hash_table_iter_next(&i, &key, NULL);
+		}
+		u->ops->send(u, to, &msg);
+	} while (more);
+}
+
+static void
+usage_tell(struct usage *u, msec now)
+{
+	uint64_t current = usage_number(u, now);
+	struct usage_window *w;
+	unsigned int i, j;
+	bool last;
+
+	for (i = 0; i < USAGE_WINDOWS; i++) {
+		w = &u->windows[i];
+		if (!w->used || w->number > current)
+			continue;
+		last = w->number < current;
+		if (last ? w->told_last == USAGE_LAST_TIMES
+			 : g_hash_table_size(w->dirty) == 0)
+			continue;
+		for (j = 0; j < u->nkeepers; j++)
+			window_tell(u, now, w, last ? w->own : w->dirty,
+			    u->keepers[j], last);
+		if (u->nkeepers == 0)
+			continue;
+		g_hash_table_remove_all(w->dirty);
+		w->told_last += last;
+	}
+}
+
+void
+usage_set_keepers(struct usage *u, const name_id *keepers, unsigned int n)
+{
+	unsigned int i;
+
+	n = MIN(n, USAGE_KEEPERS_MAX);
+	if (n == u->nkeepers &&
+	    memcmp(keepers, u->keepers, n * sizeof *keepers) == 0)
+		return;
+	memcpy(u->keepers, keepers, n * sizeof *keepers);
+	u->nkeepers = n;
+	for (i = 0; i < USAGE_WINDOWS; i++) {
+		GHashTableIter it;
+		gpointer key;
+
+		if (!u->windows[i].used)
+			continue;
+		u->windows[i].told_last = 0;
+		g_hash_table_iter_init(&it, u->windows[i].own);
+		while (g_hash_table_iter_next(&it, &key, NULL))
+			table_set(u->windows[i].dirty, *(name_id *)key, 1);
+	}
+}
+
+/* A window in which nothing began here is told of too: it is whole then. */
+static void
+usage_open(struct usage *u, msec now)
+{
+	usage_window(u, now, usage_number(u, now));
+}
+
+/* ---- time ---- */
+
+static int
+compare_msec(const void *a, const void *b)
+{
+	msec x = *(const msec *)a, y = *(const msec *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* By how much most clocks are ahead of ours, ours among them. */
+static msec
+usage_median(struct usage *u, msec now, unsigned int *n)
+{
+	struct usage_clock_seen *seen;
+	GHashTableIter i;
+	gpointer value;
+	msec *all, median;
+
+	all = g_new(msec, g_hash_table_size(u->clocks) + 1);
+	*n = 0;
+	all[(*n)++] = 0;
+	g_hash_table_iter_init(&i, u->clocks);
+	while (g_hash_table_iter_next(&i, NULL, &value)) {
+		seen = value;
+		if (now - seen->at > USAGE_CLOCK_MS)
+			g_hash_table_iter_remove(&i);
+		else
+			all[(*n)++] = seen->ahead;
+	}
+	qsort(all, *n, sizeof *all, compare_msec);
+	median = all[*n / 2];
+	g_free(all);
+	return median;
+}
+
+static void
+usage_set_time(struct usage *u, msec offset)
+{
+	if (llabs(offset - u->offset) < USAGE_APART_MS)
+		return;
+	log_info("the time is %" G_GINT64_FORMAT " ms off, set right",
+	    u->offset - offset);
+	u->offset = offset;
+	u->counters.set++;
+}
+
+/* A keeper hears many clocks, and tells the others. */
+static void
+usage_agree(struct usage *u, msec now)
+{
+	sp_msg msg = { .kind = SP_USAGE_TIME };
+	GHashTableIter i;
+	unsigned int n;
+	gpointer key;
+	msec median;
+
+	median = usage_median(u, now, &n);
+	if (n <= USAGE_CLOCKS_LEAST)
+		return;
+	usage_set_time(u, u->raw + median);
+	if (median == 0)
+		return;
+	msg.sp_msg_u.usage_time.wall_ms = (uint64_t)usage_true(u, now);
+	g_hash_table_iter_init(&i, u->clocks);
+	while (g_hash_table_iter_next(&i, &key, NULL)) {
+		struct usage_clock_seen *seen =
+		    g_hash_table_lookup(u->clocks, key);
+
+		if (llabs(seen->ahead - median) >= USAGE_APART_MS)
+			u->ops->send(u, *(name_id *)key, &msg);
+	}
+}
+
+/* Of one whose clock is off, too, though ours is right. */
+static void
+usage_correct(struct usage *u, msec now, name_id node, msec ahead)
+{
+	sp_msg msg = { .kind = SP_USAGE_TIME };
+	unsigned int n;
+	msec median = usage_median(u, now, &n);
+
+	if (n <= USAGE_CLOCKS_LEAST || llabs(ahead - median) < USAGE_APART_MS)
+		return;
+	msg.sp_msg_u.usage_time.wall_ms = (uint64_t)usage_true(u, now);
+	u->ops->send(u, node, &msg);
+}
+
+static void
+usage_note_clock(struct usage *u, msec now, name_id node, msec wall)
+{
+	struct usage_clock_seen *seen = g_new(struct usage_clock_seen, 1);
+
+	*seen = (struct usage_clock_seen){ now, wall - now - u->raw };
+	g_hash_table_insert(u->clocks, g_memdup2(&node, sizeof node), seen);
+	usage_correct(u, now, node, seen->ahead);
+}
+
+msec
+usage_tick(struct usage *u, msec now, msec wall)
+{
+	msec raw = wall - now;
+
+	/* After a jump we go on by our own clock. */
+	if (llabs(raw - u->raw) > USAGE_JUMP_MS) {
+		u->counters.jumps += raw != u->jumped;
+		u->jumped = raw;
+	} else {
+		u->offset += raw - u->raw;
+		u->raw = raw;
+	}
+	usage_open(u, now);
+	if (now >= u->next_tell) {
+		u->next_tell = now + USAGE_TELL_MS;
+		usage_agree(u, now);
+		usage_tell(u, now);
+	}
+	return u->next_tell;
+}
+
+/* ---- as a keeper ---- */
+
+static bool
+counts_are_valid(const sp_usage_counts *m)
+{
+	u_int i;
+
+	for (i = 0; i < m->list.list_len; i++) {
+		if (m->list.list_val[i].count > USAGE_COUNT_MAX)
+			return false;
+	}
+	return m->total <= USAGE_COUNT_MAX;
+}
+
+static struct usage_told *
+window_told(struct usage_window *w, name_id node, uint64_t incarnation)
+{
+	uint64_t key = node ^ (incarnation * 0x9e3779b97f4a7c15ULL);
+	struct usage_told *t = g_hash_table_lookup(w->nodes, &key);
+
+	if (t != NULL)
+		return t;
+	t = g_new0(struct usage_told, 1);
+	t->incarnation = incarnation;
+	t->counts = table_new(NULL);
+	g_hash_table_insert(w->nodes, g_memdup2(&key, sizeof key), t);
+	return t;
+}
+
+static void
+usage_take_counts(struct usage *u, msec now, name_id from, uint64_t incarnation,
+    const sp_usage_counts *m)
+{
+	struct usage_window *w;
+	struct usage_told *t;
+	unsigned int had;
+	u_int i;
+
+	usage_note_clock(u, now, from, (msec)m->wall_ms);
+	w = usage_window(u, now, m->window);
+	if (w == NULL || !counts_are_valid(m)) {
+		log_debug("counts of window %" G_GUINT64_FORMAT " dropped",
+		    (guint64)m->window);
+		u->counters.dropped++;
+		return;
+	}
+	t = window_told(w, from, incarnation);
+	t->last = t->last || m->last;
+	t->total = MAX(t->total, m->total);
+	for (i = 0; i < m->list.list_len; i++) {
+		const sp_usage_count *c = &m->list.list_val[i];
+
+		had = table_get(t->counts, c->organisation);
+		if (c->count <= had)
+			continue;
+		t->sum += c->count - had;
+		table_set(t->counts, c->organisation, c->count);
+	}
+}
+
+void
+usage_receive(struct usage *u, msec now, name_id from, uint64_t incarnation,
+    const sp_msg *msg)
+{
+	if (msg->kind == SP_USAGE_COUNTS)
+		usage_take_counts(
+		    u, now, from, incarnation, &msg->sp_msg_u.usage_counts);
+	else if (msg->kind == SP_USAGE_TIME)
+		usage_set_time(u, (msec)msg->sp_msg_u.usage_time.wall_ms - now);
+}
+
+/* ---- as the holder ---- */
+
+static bool
+window_is_whole(
+    struct usage_window *w, const struct usage_process *p, unsigned int n)
+{
+	struct usage_told *t;
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		t = window_told(w, p[i].node, p[i].incarnation);
+		if (!t->last || t->sum < t->total)
+			return false;
+	}
+	return true;
+}
+
+bool
+usage_ended(struct usage *u, msec now, const struct usage_process *p,
+    unsigned int n, uint64_t *number, msec *ago, bool *whole)
+{
+	uint64_t current = usage_number(u, now);
+	struct usage_window *w, *oldest = NULL;
+	unsigned int i;
+
+	for (i = 0; i < USAGE_WINDOWS; i++) {
+		w = &u->windows[i];
+		if (!w->used || w->decided || w->number >= current ||
+		    w->number + USAGE_WINDOWS <= current)
+			continue;
+		if (oldest == NULL || w->number < oldest->number)
+			oldest = w;
+	}
+	if (oldest == NULL)
+		return false;
+	*number = oldest->number;
+	*ago = usage_true(u, now) - (msec)(oldest->number + 1) * u->window;
+	*whole = window_is_whole(oldest, p, n);
+	return true;
+}
+
+/* Processes that began after the base was written are not in it. */
+GHashTable *
+usage_sum(struct usage *u, uint64_t number)
+{
+	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+	GHashTable *sum = table_new(NULL), *late = table_new(NULL);
+	GHashTableIter i, j;
+	gpointer value, org, count;
+
+	if (!w->used || w->number != number)
+		goto out;
+	g_hash_table_iter_init(&i, w->nodes);
+	while (g_hash_table_iter_next(&i, NULL, &value)) {
+		struct usage_told *t = value;
+		GHashTable *to = w->base_at != 0 && (msec)(t->incarnation /
+							   1000) > w->base_at
+				     ? late
+				     : sum;
+
+		g_hash_table_iter_init(&j, t->counts);
+		while (g_hash_table_iter_next(&j, &org, &count))
+			table_set(to, *(name_id *)org,
+			    table_get(to, *(name_id *)org) +
+				GPOINTER_TO_UINT(count));
+	}
+	g_hash_table_iter_init(&j, w->base);
+	while (g_hash_table_iter_next(&j, &org, &count))
+		table_set(sum, *(name_id *)org,
+		    MAX(table_get(sum, *(name_id *)org),
+			GPOINTER_TO_UINT(count)));
+	g_hash_table_iter_init(&j, late);
+	while (g_hash_table_iter_next(&j, &org, &count))
+		table_set(sum, *(name_id *)org,
+		    table_get(sum, *(name_id *)org) + GPOINTER_TO_UINT(count));
+out:
+	g_hash_table_unref(late);
+	return sum;
+}
+
+void
+usage_decided(struct usage *u, uint64_t number)
+{
+	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+
+	if (w->used && w->number > number)
+		return;
+	if (!w->used || w->number < number)
+		window_begin(w, number);
+	w->decided = true;
+}
+
+void
+usage_base(struct usage *u, uint64_t number, msec wall, name_id organisation,
+    unsigned int count)
+{
+	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+
+	if (w->used && w->number > number)
+		return;
+	if (!w->used || w->number < number)
+		window_begin(w, number);
+	w->base_at = wall;
+	table_set(w->base, organisation, count);
+}
--- a/wire.h
+++ b/wire.h
@@ -10,6 +10,7 @@
 #define WIRE_H
 
 #include "buffer.h"
+#include "capacity.h"
 #include "http-message.h"
 #include "member.h"
 #include "relay.h"
@@ -17,6 +18,8 @@
 #include "savory.h"
 #include "server.h"
 
+#include <jansson.h>
+
 #define WIRE_PARTS_MAX 32
 #define WIRE_KEY_SIZE 256
 
@@ -97,6 +100,15 @@
 struct entry;
 struct source;
 
+/* So many servers of a kind, of a service in a failure domain. */
+struct server_order {
+	char service[NAME_SIZE];
+	char domain[NAME_SIZE];
+	unsigned int domain_index; /* the core's */
+	enum capacity_kind kind;
+	unsigned int count;
+};
+
 /* Where state comes from. It calls the entry_take_*() of entry.h. */
 struct source_ops {
 	bool (*start)(struct source *);
@@ -106,6 +118,18 @@
 	void (*retract)(struct source *);
 	/* There is news of a subject: look again when it is due. */
 	void (*read)(struct source *, enum relay_subject);
+	/*
+	 * The log of duties: append a claim or a renewal with notes (NULL:
+	 * none) if the log ends there, then entry_duty_appended(); find the
+	 * newest claim and notes, then entry_duty_looked().
+	 */
+	void (*duty_append)(
+	    struct source *, uint64_t at, bool claim, const char *notes);
+	void (*duty_look)(struct source *);
+	/* Counts as JSON; then entry_duty_reported(). */
+	void (*report_usage)(struct source *, uint64_t window, json_t *counts);
+	/* False: not now; else entry_duty_ordered() follows. */
+	bool (*order_servers)(struct source *, const struct server_order *);
 	/* Its own counters, as text exposition. */
 	void (*metrics)(const struct source *, GString *);
 	void (*finish)(struct source *);
