Servers are ordered by what coordinators of placement count

The holder of the duties now orders by the peak of tokens to be read in 24 s: the kind that may be taken back carries the load and the spare for the loss of one failure domain, a floor of lasting ones the most urgent requests. Now what there is too little of goes nowhere, and a lasting server comes only for load that could not be served at all. The nodes next in turn keep counts as well, whoever of them is there (a window was off by 714 of 1,578 after both standbys had been stopped).

--- a/capacity.c
+++ b/capacity.c
@@ -15,6 +15,8 @@
  * prompt that is read miss their pauses.
  */
 #define CAPACITY_READING_PERCENT 40.0
+/* Beyond that requests are late or turned away, whatever a server costs. */
+#define CAPACITY_ESSENTIAL_PERCENT 90.0
 /* Streams on one server at the peak. */
 #define CAPACITY_STREAMS 16.0
 /* A report counts for so long; without any nothing is taken away. */
@@ -22,8 +24,9 @@
 /* A holder has heard of all by then. */
 #define CAPACITY_SETTLE_MS 1000
 /* Between two steps down, and the part of it that a step takes. */
-#define CAPACITY_STEP_MS 2000
-#define CAPACITY_STEP_PERCENT 10
+#define CAPACITY_STEP_MS 5000
+#define CAPACITY_STEP_PERCENT 20
+#define CAPACITY_MOVE_MS 2000
 #define CAPACITY_MOVE_PERCENT 25
 /* Servers that were ordered and are not there this long after their boot. */
 #define CAPACITY_LATE_MS 2500
@@ -307,13 +310,19 @@
 		   : 1.0;
 }
 
+/* Servers that read so many tokens in a ms, for so much of their time. */
+static double
+servers_for(double tokens_per_ms, double percent)
+{
+	return tokens_per_ms / (CAPACITY_TOKENS_PER_MS * percent / 100);
+}
+
 static unsigned int
 service_lasting_least(
     const struct capacity *c, const struct capacity_service *s)
 {
 	double urgent =
-	    peak_of(s->urgent_peaks) /
-	    (CAPACITY_TOKENS_PER_MS * CAPACITY_READING_PERCENT / 100);
+	    servers_for(peak_of(s->urgent_peaks), CAPACITY_READING_PERCENT);
 	double part = s->needed * c->limits.lasting_percent / 100.0;
 
 	if (s->terms.reclaimable_price <= 0)
@@ -325,8 +334,8 @@
 static unsigned int
 service_needed(const struct capacity *c, const struct capacity_service *s)
 {
-	double reading = s->tokens_per_ms / (CAPACITY_TOKENS_PER_MS *
-						CAPACITY_READING_PERCENT / 100);
+	double reading =
+	    servers_for(s->tokens_per_ms, CAPACITY_READING_PERCENT);
 	double streams = s->running / CAPACITY_STREAMS;
 	double n =
 	    MAX(reading, streams) * (100 + c->limits.spare_percent) / 100;
@@ -334,6 +343,16 @@
 	return MAX((unsigned int)ceil(n), s->terms.least * s->terms.ndomains);
 }
 
+/* What the load takes to be served at all, of the dear kind if need be. */
+static unsigned int
+service_essential(const struct capacity_service *s)
+{
+	unsigned int n = (unsigned int)ceil(
+	    servers_for(s->tokens_per_ms, CAPACITY_ESSENTIAL_PERCENT));
+
+	return MIN(n, s->needed);
+}
+
 /* What stood there carried the load so far: it stays until peaks are known. */
 static void
 service_decide_needed(
@@ -403,29 +422,34 @@
 		p = &s->domains[i].kinds[kind];
 		if (kind == CAPACITY_LASTING)
 			p->want = MAX(p->want, s->terms.least);
+		/* What there is too little of goes nowhere. */
+		else if (service_ready(s, kind) < total)
+			p->want = MAX(p->want, MIN(p->ready, room[i]));
 	}
 }
 
-/* Lasting servers go once the others are there, and by degrees under load. */
+/*
+ * Lasting servers go once the others are there, and by degrees under load; new
+ * ones come for the most urgent, and when the load could not be served at all.
+ */
 static unsigned int
 service_lasting(struct capacity *c, struct capacity_service *s, msec now)
 {
-	unsigned int least = service_lasting_least(c, s), have, step, n;
+	unsigned int least = service_lasting_least(c, s);
+	unsigned int essential = service_essential(s);
 	unsigned int others = service_ready(s, CAPACITY_RECLAIMABLE);
-
-	n = MAX(least, s->needed - MIN(s->needed, service_coming(s, now,
-						      CAPACITY_RECLAIMABLE)));
-	have = service_ready(s, CAPACITY_LASTING);
-	if (n < have)
-		n = MAX(n, MIN(have, s->needed - MIN(s->needed, others)));
-	if (s->running > 0 && n < have && s->lasting > n) {
-		step = MAX(s->lasting * CAPACITY_MOVE_PERCENT / 100, 1);
-		if (now >= s->next_down)
-			n = MAX(n, s->lasting - step);
-		else
-			n = s->lasting;
-	}
-	return n;
+	unsigned int coming = service_coming(s, now, CAPACITY_RECLAIMABLE);
+	unsigned int have = service_ready(s, CAPACITY_LASTING), n, step;
+
+	n = MAX(least, essential - MIN(essential, coming));
+	n = MAX(n, MIN(have, s->needed - MIN(s->needed, others)));
+	if (s->running <= 0 || n >= have)
+		return n;
+	step = MAX(have * CAPACITY_MOVE_PERCENT / 100, 1);
+	if (now < s->next_move)
+		return MAX(n, MIN(have, s->lasting));
+	s->next_move = now + CAPACITY_MOVE_MS;
+	return MAX(n, have - step);
 }
 
 static void
--- a/capacity.h
+++ b/capacity.h
@@ -90,7 +90,7 @@
 	double tokens_per_ms, urgent_part, running;
 	unsigned int needed, lasting, held;
 	unsigned int found; /* servers that stood there when we took over */
-	msec next_down;
+	msec next_down, next_move;
 };
 
 struct capacity;
--- a/duty.c
+++ b/duty.c
@@ -69,22 +69,66 @@
 	return NULL;
 }
 
-/* How many that take work come before us; standbys come before all. */
+static bool
+duty_is_standby(const struct duty *d, name_id id)
+{
+	unsigned int i;
+
+	for (i = 0; i < DUTY_STANDBYS; i++) {
+		if (d->standbys[i] == id)
+			return true;
+	}
+	return false;
+}
+
+/* Less comes first: standbys, then all by weight; the holder does not follow
+ * itself. */
+static uint64_t
+duty_order(const struct duty *d, const struct duty_node *n)
+{
+	if (!n->takes_work || n->id == d->holder)
+		return UINT64_MAX;
+	return (duty_weight(n->id) >> 1) |
+	       (duty_is_standby(d, n->id) ? 0 : 1ULL << 63);
+}
+
+/* How many come before us. */
 static unsigned int
 duty_turn(const struct duty *d)
 {
-	uint64_t own = duty_weight(d->self);
+	const struct duty_node *own = duty_node_find(d, d->self);
 	unsigned int i, before = 0;
 
-	for (i = 0; i < DUTY_STANDBYS; i++) {
-		if (d->standbys[i] == d->self)
-			return i;
+	for (i = 0; own != NULL && i < d->nnodes; i++)
+		before += duty_order(d, &d->nodes[i]) < duty_order(d, own);
+	return before;
+}
+
+unsigned int
+duty_first(const struct duty *d, name_id *first, unsigned int most)
+{
+	const struct duty_node *holder = duty_node_find(d, d->holder);
+	uint64_t after = 0, order, best;
+	unsigned int i, n = 0;
+	name_id id = 0;
+
+	if (holder != NULL && most > 0)
+		first[n++] = holder->id;
+	while (n < most) {
+		best = UINT64_MAX;
+		for (i = 0; i < d->nnodes; i++) {
+			order = duty_order(d, &d->nodes[i]);
+			if (order <= after || order >= best)
+				continue;
+			best = order;
+			id = d->nodes[i].id;
+		}
+		if (best == UINT64_MAX)
+			break;
+		first[n++] = id;
+		after = best;
 	}
-	for (i = 0; i < d->nnodes; i++)
-		before += d->nodes[i].takes_work &&
-			  d->nodes[i].id != d->holder &&
-			  duty_weight(d->nodes[i].id) < own;
-	return before + DUTY_STANDBYS;
+	return n;
 }
 
 static bool
--- a/duty.h
+++ b/duty.h
@@ -96,6 +96,11 @@
 void duty_finish(struct duty *);
 /* All live nodes, ourselves among them. */
 void duty_set_nodes(struct duty *, const struct duty_node *, unsigned int);
+/*
+ * The holder, if one is known, and those that would follow it, in their order;
+ * how many of so many.
+ */
+unsigned int duty_first(const struct duty *, name_id *, unsigned int most);
 /* A message of kind SP_DUTY_BEAT from a node that is a member. */
 void duty_receive(struct duty *, msec, name_id from, const sp_msg *);
 /*
--- a/entry-duty.c
+++ b/entry-duty.c
@@ -547,20 +547,15 @@
 	g_free(nodes);
 }
 
+/* Those that would follow, too, so that a new holder knows the counts. */
 static void
 duty_push_keepers(struct entry *e)
 {
 	struct entry_duty *x = e->duty;
-	name_id keepers[USAGE_KEEPERS_MAX];
-	unsigned int i, n = 0;
+	name_id keepers[DUTY_STANDBYS + 1];
+	unsigned int n;
 
-	if (x->duty.holder == 0)
-		return;
-	keepers[n++] = x->duty.holder;
-	for (i = 0; i < DUTY_STANDBYS; i++) {
-		if (x->duty.standbys[i] != 0)
-			keepers[n++] = x->duty.standbys[i];
-	}
+	n = duty_first(&x->duty, keepers, G_N_ELEMENTS(keepers));
 	usage_set_keepers(&x->usage, keepers, n);
 }
 
