--- a/entry-duty.c
+++ b/entry-duty.c
@@ -507,8 +507,13 @@
 		return;
 	all = g_new(struct capacity_terms, MAX(t->nservices, 1));
 	for (i = 0; i < t->nservices; i++) {
-		if (t->services[i].scaling != NULL)
-			all[n++] = *t->services[i].scaling;
+		if (t->services[i].scaling == NULL)
+			continue;
+		all[n++] = *t->services[i].scaling;
+		if (e->settings->order_servers)
+			place_set_most(&e->place, t->services[i].id,
+			    t->services[i].scaling->most *
+				t->services[i].scaling->ndomains);
 	}
 	capacity_set_terms(&x->capacity, all, n);
 	g_free(all);
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -19,6 +19,8 @@
 #define PLACE_YOUNG_MS (15 * MSEC_SECOND)
 /* A service has no more; then its groups are larger. */
 #define PLACE_GROUPS_MAX 64
+/* Ready servers of a group, at least, where groups are planned. */
+#define PLACE_GROUP_LEAST 6
 /* Slots of a server that does not say. */
 #define PLACE_SLOTS 32
 
@@ -97,14 +99,39 @@
 
 /* ---- groups and their coordinators ---- */
 
+void
+place_set_most(struct place *p, name_id service, unsigned int most)
+{
+	place_mix(&p->own, service)->servers_most = most;
+}
+
+static unsigned int
+groups_of(unsigned int servers)
+{
+	unsigned int n =
+	    (servers + PLACE_GROUP_SERVERS - 1) / PLACE_GROUP_SERVERS;
+
+	return CLAMP(n, 1, PLACE_GROUPS_MAX);
+}
+
+/*
+ * Guards against prompts that are read again whenever servers come or go by
+ * the dozen: another number of groups moves a part of all of them. Where
+ * servers are ordered, the number goes by the most that may be, and is halved
+ * only for groups that get too small to choose from.
+ */
 unsigned int
 place_groups(struct place *p, name_id service)
 {
 	struct server_view whole = { .groups = 1 };
-	unsigned int n = servers_ready(p->servers, service, &whole);
-
-	n = (n + PLACE_GROUP_SERVERS - 1) / PLACE_GROUP_SERVERS;
-	return CLAMP(n, 1, PLACE_GROUPS_MAX);
+	unsigned int ready = servers_ready(p->servers, service, &whole);
+	unsigned int most = place_mix(&p->own, service)->servers_most, n;
+
+	if (most == 0)
+		return groups_of(ready);
+	for (n = groups_of(most); n > 1 && ready < n * PLACE_GROUP_LEAST;)
+		n = (n + 1) / 2;
+	return n;
 }
 
 static uint64_t
--- a/place.h
+++ b/place.h
@@ -134,6 +134,8 @@
 /* All nodes, ourselves among them. */
 void
 place_set_nodes(struct place *, msec, const struct place_node *, unsigned int);
+/* So many servers a service may get, by what operators say; 0: not said. */
+void place_set_most(struct place *, name_id service, unsigned int);
 /* Find a server; decided() is called before it returns, or later. */
 void place_submit(struct place *, msec, struct place_request *);
 /* Its prompt has been read: the answer has begun. */
--- a/server-mix.h
+++ b/server-mix.h
@@ -32,6 +32,7 @@
 struct mix {
 	RB_ENTRY(mix) entry;
 	name_id service;
+	unsigned int servers_most; /* that it may get; 0: not said */
 	unsigned int nroutes;
 	struct mix_route routes[MIX_ROUTES_MAX];
 	double hold_ms; /* smoothed, how long one is on its server; 0: none */
