Changes of servers are passed on by the node that read them

The node that reads for a group sends the entries along, with the mark of all servers before and after, and how far it has read; a node whose own mark is another takes nothing and reads by itself. Ruled out: waiting longer between reads, since a draining server must be known within a bound.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -16,6 +16,8 @@
 #define RELAY_CHANGE_PERCENT 45
 #define RELAY_MOST_MS 1000
 
+/* Servers in one message: as long names as there may be still fit. */
+#define RELAY_SERVERS_EACH 4
 /* Between two reads of servers that nobody needs yet. */
 #define RELAY_UNUSED_MS 5000
 /*
@@ -57,8 +59,124 @@
 	e->source->ops->read(e->source, s);
 }
 
+/* ---- changes of servers, passed on ---- */
+
+static void
+server_encode(sp_server *m, const struct server *v)
+{
+	*m = (sp_server){ .name = (char *)v->name,
+		.service = (char *)v->service_name,
+		.domain = (char *)v->domain,
+		.address = v->address,
+		.port = v->port,
+		.slots = v->slots,
+		.born = (uint64_t)v->born,
+		.state = (sp_server_state)v->state,
+		.reclaimable = v->reclaimable };
+}
+
+static void
+relay_send_all(
+    struct relay *r, const name_id *to, unsigned int n, const sp_msg *msg)
+{
+	unsigned int i;
+
+	for (i = 0; i < n; i++)
+		entry_relay_send(r, to[i], msg);
+}
+
+/*
+ * Guards against a read of the platform by every node for each server that
+ * comes or goes. Each message stands for itself: it says which state of all
+ * servers it follows, so that one that is late, or whose forerunner was lost,
+ * changes nothing and the node reads by itself.
+ */
+static void
+entry_relay_news(
+    struct relay *r, enum relay_subject s, const name_id *to, unsigned int n)
+{
+	struct entry *e = entry_of_relay(r);
+	sp_server list[RELAY_SERVERS_EACH];
+	sp_msg msg = { .kind = SP_RELAY_SERVERS };
+	sp_relay_servers *m = &msg.sp_msg_u.relay_servers;
+	struct server *v;
+	uint64_t mark = 0, own;
+
+	if (s != RELAY_SERVERS)
+		return;
+	RB_FOREACH (v, server_tree, &e->servers.tree)
+		mark += v->told;
+	m->before = m->after = mark;
+	m->list.list_val = list;
+	RB_FOREACH (v, server_tree, &e->servers.tree) {
+		own = server_mark(v);
+		if (own == v->told)
+			continue;
+		server_encode(&list[m->list.list_len++], v);
+		m->after += own - v->told;
+		v->told = own;
+		if (m->list.list_len < RELAY_SERVERS_EACH)
+			continue;
+		relay_send_all(r, to, n, &msg);
+		m->before = m->after;
+		m->list.list_len = 0;
+	}
+	m->position = e->source->ops->servers_position(e->source);
+	relay_send_all(r, to, n, &msg);
+}
+
+static bool
+server_is_valid(const sp_server *m)
+{
+	return *m->name != '\0' && *m->service != '\0' && m->address != 0 &&
+	       m->port > 0 && m->port <= UINT16_MAX &&
+	       (unsigned int)m->state <= SP_SERVER_GONE;
+}
+
+static void
+server_take(struct entry *e, const sp_server *m, msec now)
+{
+	struct server_entry entry = { .name = m->name,
+		.service = m->service,
+		.domain = m->domain,
+		.address = m->address,
+		.port = (uint16_t)m->port,
+		.slots = m->slots,
+		.draining = m->state == SP_SERVER_DRAINING,
+		.born = (int64_t)m->born,
+		.reclaimable = m->reclaimable };
+
+	if (m->state == SP_SERVER_GONE)
+		servers_unlist(&e->servers, now, m->name);
+	else
+		servers_list(&e->servers, now, &entry);
+}
+
+void
+entry_relay_servers(
+    struct entry *e, name_id from, const sp_relay_servers *m, msec now)
+{
+	uint64_t mark = servers_mark(&e->servers);
+	u_int i;
+
+	if (from != e->relay.reader || m->before != mark)
+		return;
+	for (i = 0; i < m->list.list_len; i++) {
+		if (!server_is_valid(&m->list.list_val[i]))
+			return;
+	}
+	for (i = 0; i < m->list.list_len; i++)
+		server_take(e, &m->list.list_val[i], now);
+	mark = servers_mark(&e->servers);
+	if (mark != m->after)
+		return;
+	relay_took(&e->relay, RELAY_SERVERS, mark);
+	if (m->position > 0)
+		e->source->ops->set_servers_position(e->source, m->position);
+}
+
 static const struct relay_ops entry_relay_ops = { entry_relay_send,
-	entry_relay_proven, entry_relay_look };
+	entry_relay_proven, entry_relay_look, entry_relay_news };
 
 static msec
 entry_relay_every(const struct entry *e)
--- a/entry-state.c
+++ b/entry-state.c
@@ -101,6 +101,9 @@
 		    address, port, msg);
 	else if (msg->kind >= SP_DUTY_BEAT)
 		entry_duty_receive(e, from, incarnation, msg, msec_now());
+	else if (msg->kind == SP_RELAY_SERVERS)
+		entry_relay_servers(
+		    e, from, &msg->sp_msg_u.relay_servers, msec_now());
 	else if (msg->kind >= SP_RELAY_ASK)
 		relay_receive(&e->relay, msec_now(), from, msg);
 	else
--- a/entry.h
+++ b/entry.h
@@ -407,6 +407,8 @@
 
 /* How often the list of nodes is to be read. */
 msec entry_nodes_every(const struct entry *);
+void entry_relay_servers(
+    struct entry *, name_id from, const sp_relay_servers *, msec);
 void entry_relay_init(struct entry *, msec);
 /* The bounds of the settings are in force from now on. */
 void entry_relay_apply(struct entry *);
--- a/proto.h
+++ b/proto.h
@@ -315,6 +315,39 @@
 	u_int running;
 };
 typedef struct sp_demand sp_demand;
+#define SAVORY_SERVERS_MAX 4
+#define SAVORY_SERVER_NAME_MAX 127
+
+enum sp_server_state {
+	SP_SERVER_READY = 0,
+	SP_SERVER_DRAINING = 1,
+	SP_SERVER_GONE = 2,
+};
+typedef enum sp_server_state sp_server_state;
+
+struct sp_server {
+	char *name;
+	char *service;
+	sp_name domain;
+	u_int address;
+	u_int port;
+	u_int slots;
+	u_quad_t born;
+	sp_server_state state;
+	bool_t reclaimable;
+};
+typedef struct sp_server sp_server;
+
+struct sp_relay_servers {
+	u_quad_t before;
+	u_quad_t after;
+	u_quad_t position;
+	struct {
+		u_int list_len;
+		sp_server *list_val;
+	} list;
+};
+typedef struct sp_relay_servers sp_relay_servers;
 
 enum sp_kind {
 	SP_PROBE = 1,
@@ -337,6 +370,7 @@
 	SP_PLACE_STEP = 33,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
+	SP_RELAY_SERVERS = 42,
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
@@ -367,6 +401,7 @@
 		sp_place_step place_step;
 		sp_relay_ask relay_ask;
 		sp_relay_tell relay_tell;
+		sp_relay_servers relay_servers;
 		sp_duty_beat duty_beat;
 		sp_usage_counts usage_counts;
 		sp_usage_time usage_time;
@@ -438,6 +473,9 @@
 extern  bool_t xdr_sp_usage_counts (XDR *, sp_usage_counts*);
 extern  bool_t xdr_sp_usage_time (XDR *, sp_usage_time*);
 extern  bool_t xdr_sp_demand (XDR *, sp_demand*);
+extern  bool_t xdr_sp_server_state (XDR *, sp_server_state*);
+extern  bool_t xdr_sp_server (XDR *, sp_server*);
+extern  bool_t xdr_sp_relay_servers (XDR *, sp_relay_servers*);
 extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
 extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
 extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
@@ -477,6 +515,9 @@
 extern bool_t xdr_sp_usage_counts ();
 extern bool_t xdr_sp_usage_time ();
 extern bool_t xdr_sp_demand ();
+extern bool_t xdr_sp_server_state ();
+extern bool_t xdr_sp_server ();
+extern bool_t xdr_sp_relay_servers ();
 extern bool_t xdr_sp_kind ();
 extern bool_t xdr_sp_msg ();
 extern bool_t xdr_sp_batch ();
--- a/proto.x
+++ b/proto.x
@@ -306,6 +306,37 @@
 	unsigned int running;
 };
 
+/* ---- changes of servers passed on ---- */
+
+const SAVORY_SERVERS_MAX = 4;
+const SAVORY_SERVER_NAME_MAX = 127;
+
+enum sp_server_state {
+	SP_SERVER_READY = 0,
+	SP_SERVER_DRAINING = 1,
+	SP_SERVER_GONE = 2
+};
+
+struct sp_server {
+	string name<SAVORY_SERVER_NAME_MAX>;
+	string service<SAVORY_NAME_MAX>;
+	sp_name domain;
+	unsigned int address;
+	unsigned int port;
+	unsigned int slots;
+	unsigned hyper born;
+	sp_server_state state;
+	bool reclaimable;
+};
+
+/* What a reader of the platform has found, beside what was known before. */
+struct sp_relay_servers {
+	unsigned hyper before;		/* mark of all servers without this */
+	unsigned hyper after;		/* and with it */
+	unsigned hyper position;	/* the reader's, after this; 0: not the last */
+	sp_server list<SAVORY_SERVERS_MAX>;
+};
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -327,6 +358,7 @@
 	SP_PLACE_STEP = 33,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
+	SP_RELAY_SERVERS = 42,
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
@@ -374,6 +406,8 @@
 	sp_relay_ask relay_ask;
 case SP_RELAY_TELL:
 	sp_relay_tell relay_tell;
+case SP_RELAY_SERVERS:
+	sp_relay_servers relay_servers;
 case SP_DUTY_BEAT:
 	sp_duty_beat duty_beat;
 case SP_USAGE_COUNTS:
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -855,6 +855,118 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_server_state(XDR *xdrs, sp_server_state *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_enum(xdrs, (enum_t *)objp))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_server(XDR *xdrs, sp_server *objp)
+{
+	register int32_t *buf;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		if (!xdr_string(xdrs, &objp->name, SAVORY_SERVER_NAME_MAX))
+			return FALSE;
+		if (!xdr_string(xdrs, &objp->service, SAVORY_NAME_MAX))
+			return FALSE;
+		if (!xdr_sp_name(xdrs, &objp->domain))
+			return FALSE;
+		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			if (!xdr_u_int(xdrs, &objp->address))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->port))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->slots))
+				return FALSE;
+
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->address);
+			IXDR_PUT_U_LONG(buf, objp->port);
+			IXDR_PUT_U_LONG(buf, objp->slots);
+		}
+		if (!xdr_u_quad_t(xdrs, &objp->born))
+			return FALSE;
+		if (!xdr_sp_server_state(xdrs, &objp->state))
+			return FALSE;
+		if (!xdr_bool(xdrs, &objp->reclaimable))
+			return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		if (!xdr_string(xdrs, &objp->name, SAVORY_SERVER_NAME_MAX))
+			return FALSE;
+		if (!xdr_string(xdrs, &objp->service, SAVORY_NAME_MAX))
+			return FALSE;
+		if (!xdr_sp_name(xdrs, &objp->domain))
+			return FALSE;
+		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			if (!xdr_u_int(xdrs, &objp->address))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->port))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->slots))
+				return FALSE;
+
+		} else {
+			objp->address = IXDR_GET_U_LONG(buf);
+			objp->port = IXDR_GET_U_LONG(buf);
+			objp->slots = IXDR_GET_U_LONG(buf);
+		}
+		if (!xdr_u_quad_t(xdrs, &objp->born))
+			return FALSE;
+		if (!xdr_sp_server_state(xdrs, &objp->state))
+			return FALSE;
+		if (!xdr_bool(xdrs, &objp->reclaimable))
+			return FALSE;
+		return TRUE;
+	}
+
+	if (!xdr_string(xdrs, &objp->name, SAVORY_SERVER_NAME_MAX))
+		return FALSE;
+	if (!xdr_string(xdrs, &objp->service, SAVORY_NAME_MAX))
+		return FALSE;
+	if (!xdr_sp_name(xdrs, &objp->domain))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->address))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->port))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->slots))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->born))
+		return FALSE;
+	if (!xdr_sp_server_state(xdrs, &objp->state))
+		return FALSE;
+	if (!xdr_bool(xdrs, &objp->reclaimable))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_relay_servers(XDR *xdrs, sp_relay_servers *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->before))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->after))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->position))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
+		(u_int *)&objp->list.list_len, SAVORY_SERVERS_MAX,
+		sizeof(sp_server), (xdrproc_t)xdr_sp_server))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -953,6 +1065,10 @@
 		if (!xdr_sp_relay_tell(xdrs, &objp->sp_msg_u.relay_tell))
 			return FALSE;
 		break;
+	case SP_RELAY_SERVERS:
+		if (!xdr_sp_relay_servers(xdrs, &objp->sp_msg_u.relay_servers))
+			return FALSE;
+		break;
 	case SP_DUTY_BEAT:
 		if (!xdr_sp_duty_beat(xdrs, &objp->sp_msg_u.duty_beat))
 			return FALSE;
--- a/relay.c
+++ b/relay.c
@@ -115,17 +115,21 @@
 }
 
 static void
-relay_tell_askers(struct relay *r, msec now)
+relay_tell_askers(struct relay *r, msec now, enum relay_subject s)
 {
+	name_id askers[G_N_ELEMENTS(r->askers)];
 	sp_msg msg = { 0 };
-	unsigned int i;
+	unsigned int i, n = 0;
 
 	relay_fill(r, now, 0, &msg);
 	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
 		if (r->askers[i].node != 0 &&
 		    now - r->askers[i].at <= r->every * RELAY_ASKER_TIMES)
-			r->ops->send(r, r->askers[i].node, &msg);
+			askers[n++] = r->askers[i].node;
 	}
+	r->ops->news(r, s, askers, n);
+	for (i = 0; i < n; i++)
+		r->ops->send(r, askers[i], &msg);
 }
 
 void
@@ -142,10 +146,20 @@
 	relay_read_in_vain(r, s, asked);
 	if (changed) {
 		r->counters.news++;
-		relay_tell_askers(r, now);
+		relay_tell_askers(r, now, s);
 	}
 }
 
+void
+relay_took(struct relay *r, enum relay_subject s, uint64_t mark)
+{
+	if (r->known[s].mark == mark)
+		return;
+	r->known[s].mark = mark;
+	/* Its age is told with the next answer. */
+	r->known[s].look = -1;
+}
+
 void
 relay_read_in_vain(struct relay *r, enum relay_subject s, msec asked)
 {
--- a/relay.h
+++ b/relay.h
@@ -64,6 +64,12 @@
 	void (*proven)(struct relay *, enum relay_subject, msec then);
 	/* There is news of it: see relay_due(). */
 	void (*look)(struct relay *, enum relay_subject, msec);
+	/*
+	 * Our read brought changes of it, and these nodes are about to be told
+	 * so: what is sent to them now spares them a read.
+	 */
+	void (*news)(
+	    struct relay *, enum relay_subject, const name_id *, unsigned int);
 };
 
 /* In the embedder's memory. */
@@ -103,7 +109,12 @@
 void relay_read_failed(struct relay *, msec now, enum relay_subject);
 /* How long a read of our own can wait, in ms; 0: it is due. */
 msec relay_due(const struct relay *, msec now, enum relay_subject);
-/* A message of kind SP_RELAY_*. */
+/*
+ * What another node passed on is in force as if we had read it; whether it is
+ * the newest is not proven by that.
+ */
+void relay_took(struct relay *, enum relay_subject, uint64_t mark);
+/* A message of kind SP_RELAY_ASK or SP_RELAY_TELL. */
 void relay_receive(struct relay *, msec now, name_id from, const sp_msg *);
 /* Ask when it is time; when to call again. */
 msec relay_tick(struct relay *, msec now);
--- a/server.c
+++ b/server.c
@@ -115,6 +115,7 @@
 	anew = (e->born != 0 && e->born != v->born) ||
 	       e->address != v->address || e->port != v->port;
 	v->service = name_hash(e->service);
+	g_strlcpy(v->service_name, e->service, sizeof v->service_name);
 	g_strlcpy(v->domain, e->domain, sizeof v->domain);
 	v->address = e->address;
 	v->port = e->port;
@@ -172,23 +173,24 @@
 	s->held_until = MAX(s->held_until, until);
 }
 
+uint64_t
+server_mark(const struct server *v)
+{
+	uint64_t words[6] = { v->id, v->service,
+		((uint64_t)v->address << 16) | v->port, v->state,
+		(uint64_t)v->born, v->slots };
+
+	return v->state == SERVER_GONE ? 0 : XXH64(words, sizeof words, 6);
+}
+
 uint64_t
 servers_mark(struct servers *s)
 {
-	uint64_t words[6], mark = 0;
+	uint64_t mark = 0;
 	struct server *v;
 
-	RB_FOREACH (v, server_tree, &s->tree) {
-		if (v->state == SERVER_GONE)
-			continue;
-		words[0] = v->id;
-		words[1] = v->service;
-		words[2] = ((uint64_t)v->address << 16) | v->port;
-		words[3] = v->state;
-		words[4] = (uint64_t)v->born;
-		words[5] = v->slots;
-		mark += XXH64(words, sizeof words, 6);
-	}
+	RB_FOREACH (v, server_tree, &s->tree)
+		mark += server_mark(v);
 	return mark;
 }
 
--- a/server.h
+++ b/server.h
@@ -71,7 +71,9 @@
 	msec heard;	    /* the newest byte of an answer */
 	double first_ms;    /* smoothed time to an answer; 0: none yet */
 	unsigned int links; /* connections of ours, used and idle */
-	void *arg;	    /* the embedder's */
+	uint64_t told;	    /* its part of the mark as nodes were told */
+	char service_name[NAME_SIZE];
+	void *arg; /* the embedder's */
 };
 /* By id. */
 RB_HEAD(server_tree, server);
@@ -133,6 +135,8 @@
  * that go by the same entries.
  */
 uint64_t servers_mark(struct servers *);
+/* One server's part of it: the mark is the sum; 0 when it is gone. */
+uint64_t server_mark(const struct server *);
 /* Do what is due. */
 void servers_tick(struct servers *, msec);
 
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -74,7 +74,14 @@
 	((struct node *)r->arg)->looks++;
 }
 
-static const struct relay_ops node_ops = { node_send, node_proven, node_look };
+static void
+node_news(
+    struct relay *r, enum relay_subject s, const name_id *to, unsigned int n)
+{
+}
+
+static const struct relay_ops node_ops = { node_send, node_proven, node_look,
+	node_news };
 
 static void
 world_init(struct world *w, unsigned int n)
--- a/wire.h
+++ b/wire.h
@@ -118,6 +118,13 @@
 	void (*retract)(struct source *);
 	/* There is news of a subject: look again when it is due. */
 	void (*read)(struct source *, enum relay_subject);
+	/*
+	 * How far the servers' changes have been read, in a measure of the
+	 * source's own, which only grows; 0: not known. And go on from there,
+	 * as what lies before is in force.
+	 */
+	uint64_t (*servers_position)(const struct source *);
+	void (*set_servers_position)(struct source *, uint64_t);
 	/*
 	 * The log of duties: append a claim or a renewal with notes (NULL:
 	 * none) if the log ends there, then entry_duty_appended(); find the
