Orders begin with the first servers known, and lasting ones change by few

Cause: a holder waited for others' words and took a fleet that had just started for smaller than it was (needed 58 of 60, once 18), and rebalanced lasting servers that it had not yet heard of. Kept: reclaimable servers are ordered from the first tick on, the number grows as servers come to be known, lasting ones go once none has been new for 0.7 s, and are changed from what is there.

--- a/capacity.c
+++ b/capacity.c
@@ -21,8 +21,8 @@
 #define CAPACITY_STREAMS 16.0
 /* A report counts for so long; without any nothing is taken away. */
 #define CAPACITY_FRESH_MS 3000
-/* A holder has heard of all by then. */
-#define CAPACITY_SETTLE_MS 1000
+/* Servers that a holder finds have stopped coming and going for so long. */
+#define CAPACITY_SETTLE_MS 700
 /* Between two steps down, and the part of it that a step takes. */
 #define CAPACITY_STEP_MS 5000
 #define CAPACITY_STEP_PERCENT 20
@@ -144,7 +144,7 @@
 		memset(s->urgent_peaks, 0, sizeof s->urgent_peaks);
 		memset(s->busy_peaks, 0, sizeof s->busy_peaks);
 		s->asked = s->reported = 0;
-		s->found = 0;
+		s->found = s->found_lasting = s->found_reclaimable = 0;
 		s->held = 0;
 	}
 }
@@ -283,21 +283,24 @@
 }
 
 /* Ready, or on the way by an order that was taken. */
+static unsigned int
+place_coming(
+    const struct capacity_service *s, const struct capacity_place *p, msec now)
+{
+	if (p->is_ordered && now >= p->refused_until &&
+	    now - p->ordered_at < s->terms.boot + CAPACITY_LATE_MS)
+		return MAX(p->ordered, p->ready);
+	return p->ready;
+}
+
 static unsigned int
 service_coming(
     const struct capacity_service *s, msec now, enum capacity_kind kind)
 {
-	const struct capacity_place *p;
 	unsigned int i, n = 0;
 
-	for (i = 0; i < s->terms.ndomains; i++) {
-		p = &s->domains[i].kinds[kind];
-		if (p->is_ordered && now >= p->refused_until &&
-		    now - p->ordered_at < s->terms.boot + CAPACITY_LATE_MS)
-			n += MAX(p->ordered, p->ready);
-		else
-			n += p->ready;
-	}
+	for (i = 0; i < s->terms.ndomains; i++)
+		n += place_coming(s, &s->domains[i].kinds[kind], now);
 	return n;
 }
 
@@ -353,6 +356,28 @@
 	return MIN(n, s->needed);
 }
 
+/*
+ * What stood there when we took over: as the holder before us had it, or the
+ * servers that we find. Those of a fleet that has just started come to be known
+ * one by one.
+ */
+static void
+service_find(struct capacity_service *s, msec now)
+{
+	unsigned int lasting = service_ready(s, CAPACITY_LASTING);
+
+	if (s->found == 0)
+		s->found_reclaimable =
+		    (unsigned int)(service_ready(s, CAPACITY_RECLAIMABLE) /
+				   service_spread(s));
+	if (lasting > s->found_lasting) {
+		s->found_lasting = lasting;
+		s->found_at = now;
+	}
+	s->found =
+	    s->held != 0 ? s->held : s->found_reclaimable + s->found_lasting;
+}
+
 /* What stood there carried the load so far: it stays until peaks are known. */
 static void
 service_decide_needed(
@@ -363,13 +388,6 @@
 		     now - s->asked >= CAPACITY_PEAK_S * MSEC_SECOND &&
 		     now - s->reported < CAPACITY_FRESH_MS;
 
-	if (s->found == 0)
-		s->found = s->held != 0
-			       ? s->held
-			       : service_ready(s, CAPACITY_LASTING) +
-				     (unsigned int)(service_ready(s,
-							CAPACITY_RECLAIMABLE) /
-						    service_spread(s));
 	if (!known)
 		needed = MAX(MAX(needed, s->found), s->needed);
 	/* Up at once, down in small steps. */
@@ -389,16 +407,17 @@
  * the first. Where none are to be had nothing new is wanted.
  */
 static void
-service_share(struct capacity_service *s, msec now, enum capacity_kind kind,
-    unsigned int total)
+service_share_reclaimable(
+    struct capacity_service *s, msec now, unsigned int total)
 {
 	unsigned int room[CAPACITY_DOMAINS_MAX], i, n, each, left = total;
+	enum capacity_kind kind = CAPACITY_RECLAIMABLE;
 	struct capacity_place *p, *other;
 	bool full = false;
 
 	for (i = 0; i < s->terms.ndomains; i++) {
 		p = &s->domains[i].kinds[kind];
-		other = &s->domains[i].kinds[1 - kind];
+		other = &s->domains[i].kinds[CAPACITY_LASTING];
 		p->want = 0;
 		room[i] = s->terms.most -
 			  MIN(s->terms.most, MAX(other->want, other->ready));
@@ -420,11 +439,54 @@
 	}
 	for (i = 0; i < s->terms.ndomains; i++) {
 		p = &s->domains[i].kinds[kind];
-		if (kind == CAPACITY_LASTING)
-			p->want = MAX(p->want, s->terms.least);
 		/* What there is too little of goes nowhere. */
-		else if (service_ready(s, kind) < total)
-			p->want = MAX(p->want, MIN(p->ready, room[i]));
+		if (service_ready(s, kind) < total)
+			p->want =
+			    MAX(p->want, MIN(place_coming(s, p, now), room[i]));
+	}
+}
+
+/* The domain to change next: the fewest servers, or the most; else the price.
+ */
+static struct capacity_place *
+lasting_pick(struct capacity_service *s, bool more)
+{
+	struct capacity_place *p, *best = NULL;
+	double price = 0, other;
+	unsigned int i;
+
+	for (i = 0; i < s->terms.ndomains; i++) {
+		p = &s->domains[i].kinds[CAPACITY_LASTING];
+		other = s->terms.domains[i].price;
+		if (more ? p->want >= s->terms.most : p->want <= s->terms.least)
+			continue;
+		if (best != NULL && p->want != best->want &&
+		    (p->want < best->want) != more)
+			continue;
+		if (best != NULL && p->want == best->want &&
+		    (other < price) != more)
+			continue;
+		best = p;
+		price = other;
+	}
+	return best;
+}
+
+/* From what is there, with as few changes as may be. */
+static void
+service_share_lasting(struct capacity_service *s, unsigned int total)
+{
+	struct capacity_place *p;
+	unsigned int i, n = 0;
+
+	for (i = 0; i < s->terms.ndomains; i++) {
+		p = &s->domains[i].kinds[CAPACITY_LASTING];
+		p->want = p->ready;
+		n += p->want;
+	}
+	while (n != total && (p = lasting_pick(s, n < total)) != NULL) {
+		p->want += n < total ? 1 : -1U;
+		n += n < total ? 1 : -1U;
 	}
 }
 
@@ -443,7 +505,11 @@
 
 	n = MAX(least, essential - MIN(essential, coming));
 	n = MAX(n, MIN(have, s->needed - MIN(s->needed, others)));
-	if (s->running <= 0 || n >= have)
+	if (n >= have)
+		return n;
+	if (now - s->found_at < CAPACITY_SETTLE_MS)
+		return have;
+	if (s->running <= 0)
 		return n;
 	step = MAX(have * CAPACITY_MOVE_PERCENT / 100, 1);
 	if (now < s->next_move)
@@ -510,7 +576,8 @@
 	unsigned int i, reclaimable, most;
 
 	service_watch(s, now);
-	if (now - c->since < CAPACITY_SETTLE_MS)
+	service_find(s, now);
+	if (s->found == 0)
 		return;
 	service_decide_needed(c, s, now);
 	s->lasting = service_lasting(c, s, now);
@@ -521,8 +588,8 @@
 	    (unsigned int)(reclaimable * c->limits.reclaimable_percent / 100);
 	if (s->terms.reclaimable_price <= 0)
 		most = 0;
-	service_share(s, now, CAPACITY_LASTING, s->lasting);
-	service_share(s, now, CAPACITY_RECLAIMABLE, MIN(reclaimable, most));
+	service_share_lasting(s, s->lasting);
+	service_share_reclaimable(s, now, MIN(reclaimable, most));
 	for (i = 0; i < s->terms.ndomains; i++) {
 		service_order(c, s, now, i, CAPACITY_LASTING);
 		service_order(c, s, now, i, CAPACITY_RECLAIMABLE);
--- a/capacity.h
+++ b/capacity.h
@@ -89,7 +89,9 @@
 	/* What the newest decision went by. */
 	double tokens_per_ms, urgent_part, running;
 	unsigned int needed, lasting, held;
-	unsigned int found; /* servers that stood there when we took over */
+	/* Servers that stood there when we took over, in all and by kind. */
+	unsigned int found, found_lasting, found_reclaimable;
+	msec found_at;
 	msec next_down, next_move;
 };
 
--- a/duty.c
+++ b/duty.c
@@ -14,9 +14,9 @@
 /* Clocks of two VMs differ in speed, and an order takes a while to arrive. */
 #define DUTY_MARGIN_MS 300
 /* One after the other, so that not all claim at once. */
-#define DUTY_TURN_MS 400
+#define DUTY_TURN_MS 300
 /* A node that starts hears of the others, and of a holder, by then. */
-#define DUTY_START_MS 2500
+#define DUTY_START_MS 1500
 /* After an append without an answer. */
 #define DUTY_RETRY_MS 400
 #define DUTY_TICK_MS 100
