Counts are passed on to a new holder, and a hand-over frees the duty

Keepers pass on what they keep to one that is new; standbys are VMs that have been up for a lease; after a hand-over any node may claim in its turn, at once, unless it held the duty within a lease. A window is decided 3 s after its end instead of 5. Ruled out: sending a window that is not in the log yet while the store is away. The next holder could decide it otherwise, which breaks a rule; a window missed costs less.

--- a/duty.c
+++ b/duty.c
@@ -152,13 +152,15 @@
 		n = &d->nodes[i];
 		if (!n->takes_work || n->id == d->self)
 			continue;
-		weight = duty_weight(n->id) >> 1;
+		weight = duty_weight(n->id) >> 2;
 		if (own != NULL && n->domain == own->domain)
+			weight |= 1ULL << 62;
+		if (n->age >= 0 && n->age < d->lease + DUTY_MARGIN_MS)
 			weight |= 1ULL << 63;
 		for (j = 0; j < have; j++) {
 			o = duty_node_find(d, d->standbys[j]);
 			if (o != NULL && n->domain == o->domain)
-				weight |= 1ULL << 63;
+				weight |= 1ULL << 62;
 			if (n->id == d->standbys[j])
 				weight = UINT64_MAX;
 		}
@@ -197,6 +199,7 @@
 	d->holder = 0;
 	d->stood_down = now + d->lease + DUTY_MARGIN_MS;
 	d->end_at = now;
+	d->released = false;
 	if (!held)
 		return;
 	d->counters.lost++;
@@ -248,6 +251,7 @@
 
 	d->end = end;
 	d->end_at = now;
+	d->released = false;
 	d->until = d->sent_at + d->lease;
 	d->lapsed = false;
 	if (begins) {
@@ -284,6 +288,7 @@
 	d->counters.refused++;
 	d->end = end;
 	d->end_at = now;
+	d->released = false;
 	if (d->token == 0)
 		return;
 	/* A renewal of ours that had no answer, or another's claim? */
@@ -329,6 +334,32 @@
 
 /* ---- watching ---- */
 
+/* When we may append to take it, as far as is known now. */
+static msec
+duty_claim_at(const struct duty *d)
+{
+	msec turn = (msec)duty_turn(d) * DUTY_TURN_MS, at;
+
+	if (d->end_at == MSEC_NEVER)
+		at = d->started + DUTY_START_MS + turn;
+	/* Not back to who had it a moment ago, also in an earlier process. */
+	else if (d->released)
+		at = MAX(d->end_at + turn, d->started + d->lease);
+	else
+		at = d->end_at + d->lease + DUTY_MARGIN_MS + turn;
+	return MAX(MAX(at, d->stood_down), d->next);
+}
+
+static void
+duty_watch(struct duty *d, msec now)
+{
+	if (d->leaving || d->pending || !duty_takes_work(d) ||
+	    now < duty_claim_at(d))
+		return;
+	/* The first append tells where the log ends, or begins it. */
+	duty_append(d, now, d->end_at == MSEC_NEVER ? 0 : d->end, true);
+}
+
 static bool
 beat_is_valid(const sp_duty_beat *b)
 {
@@ -352,43 +383,16 @@
 	if (d->token != 0)
 		duty_lose(d, now);
 	d->token_seen = b->token;
-	d->holder = from;
+	d->holder = b->hand_over != 0 ? 0 : from;
 	d->end = b->end;
 	d->end_at = now;
+	d->released = b->hand_over != 0;
 	for (i = 0; i < DUTY_STANDBYS; i++)
 		d->standbys[i] = i < b->standbys.standbys_len
 				     ? b->standbys.standbys_val[i]
 				     : 0;
-	if (b->hand_over == 0)
-		return;
-	d->holder = 0;
-	/* Not back to who had it a moment ago, also in an earlier process. */
-	if (b->hand_over == d->self && !d->pending && duty_takes_work(d) &&
-	    now >= d->stood_down && now - d->started >= d->lease && !d->leaving)
-		duty_append(d, now, d->end, true);
-}
-
-/* When we may append to take it, as far as is known now. */
-static msec
-duty_claim_at(const struct duty *d)
-{
-	msec turn = (msec)duty_turn(d) * DUTY_TURN_MS, at;
-
-	if (d->end_at == MSEC_NEVER)
-		at = d->started + DUTY_START_MS + turn;
-	else
-		at = d->end_at + d->lease + DUTY_MARGIN_MS + turn;
-	return MAX(MAX(at, d->stood_down), d->next);
-}
-
-static void
-duty_watch(struct duty *d, msec now)
-{
-	if (d->leaving || d->pending || !duty_takes_work(d) ||
-	    now < duty_claim_at(d))
-		return;
-	/* The first append tells where the log ends, or begins it. */
-	duty_append(d, now, d->end_at == MSEC_NEVER ? 0 : d->end, true);
+	if (b->hand_over == d->self)
+		duty_watch(d, now);
 }
 
 static void
--- a/duty.h
+++ b/duty.h
@@ -49,6 +49,7 @@
 	name_id id;
 	name_id domain;
 	bool takes_work;
+	msec age; /* since its process began; less than 0: not known */
 };
 
 /* Counters; all only grow. */
@@ -73,6 +74,7 @@
 	uint64_t token_seen; /* the greatest */
 	uint64_t end;	     /* of the log */
 	msec end_at;	     /* when we heard so; MSEC_NEVER: never */
+	bool released;	     /* its holder has given it up there */
 	name_id standbys[DUTY_STANDBYS];
 	/* Our own part. */
 	uint64_t token; /* 0: we are not the holder */
--- a/entry-duty.c
+++ b/entry-duty.c
@@ -17,7 +17,7 @@
  * after its end: what is missing by then comes from nodes that are gone.
  */
 #define DUTY_DECIDE_LEAST_MS 400
-#define DUTY_DECIDE_MOST_MS 5000
+#define DUTY_DECIDE_MOST_MS 3000
 /* After a report that failed. */
 #define DUTY_REPORT_RETRY_MS 700
 /* Notes go with every renewal as long as they are so small. */
@@ -535,7 +535,8 @@
 	nodes = g_new(struct duty_node, most);
 	x->processes = g_renew(struct usage_process, x->processes, most);
 	nodes[n] = (struct duty_node){ e->members.self.id,
-		name_hash(e->members.self.domain), e->phase == ENTRY_SERVING };
+		name_hash(e->members.self.domain), e->phase == ENTRY_SERVING,
+		entry_age(e->incarnation) };
 	x->processes[n++] =
 	    (struct usage_process){ e->members.self.id, e->incarnation };
 	RB_FOREACH (m, member_tree, &e->members.tree) {
@@ -543,7 +544,8 @@
 			continue;
 		nodes[n] = (struct duty_node){ m->id, name_hash(m->domain),
 			m->state == MEMBER_ALIVE && !m->leaving &&
-			    m->load_permille < 1000 };
+			    m->load_permille < 1000,
+			entry_age(m->incarnation) };
 		x->processes[n++] =
 		    (struct usage_process){ m->id, m->incarnation };
 	}
@@ -561,7 +563,7 @@
 	unsigned int n;
 
 	n = duty_first(&x->duty, keepers, G_N_ELEMENTS(keepers));
-	usage_set_keepers(&x->usage, keepers, n);
+	usage_set_keepers(&x->usage, e->loop.now, keepers, n);
 }
 
 static void
--- a/entry-state.c
+++ b/entry-state.c
@@ -154,8 +154,8 @@
  * By the wall clock, in which nodes number their starts. One whose clock is
  * ahead of ours seems not to have begun yet.
  */
-static msec
-state_age(uint64_t incarnation)
+msec
+entry_age(uint64_t incarnation)
 {
 	return (g_get_real_time() - (int64_t)incarnation) / 1000;
 }
@@ -173,7 +173,7 @@
 		n++;
 	nodes = g_new0(struct place_node, n);
 	nodes[0] = (struct place_node){ e->members.self.id,
-		e->phase == ENTRY_SERVING, state_age(e->incarnation), false };
+		e->phase == ENTRY_SERVING, entry_age(e->incarnation), false };
 	e->live_nodes = 1;
 	n = 1;
 	RB_FOREACH (m, member_tree, &e->members.tree) {
@@ -182,7 +182,7 @@
 		e->live_nodes++;
 		nodes[n++] = (struct place_node){ m->id,
 			m->state == MEMBER_ALIVE && !m->leaving,
-			state_age(m->incarnation), false };
+			entry_age(m->incarnation), false };
 	}
 	place_set_nodes(&e->place, now, nodes, n);
 	takers = g_new(name_id, n);
--- a/entry.h
+++ b/entry.h
@@ -390,6 +390,8 @@
 void entry_source_down(struct entry *, msec, const char *why);
 void entry_source_up(struct entry *, msec);
 
+/* Since the process with an incarnation began, in ms. */
+msec entry_age(uint64_t incarnation);
 /* Is another node there that takes work? */
 bool entry_others_ready(const struct entry *);
 /* May callers be sent here? */
--- a/proto.h
+++ b/proto.h
@@ -291,6 +291,8 @@
 typedef struct sp_usage_count sp_usage_count;
 
 struct sp_usage_counts {
+	u_quad_t node;
+	u_quad_t incarnation;
 	u_quad_t window;
 	u_quad_t wall_ms;
 	bool_t last;
--- a/proto.x
+++ b/proto.x
@@ -285,6 +285,8 @@
 
 /* Requests that began in a window at one node; see usage.h. */
 struct sp_usage_counts {
+	unsigned hyper node;		/* 0: the sender's own; else passed on */
+	unsigned hyper incarnation;
 	unsigned hyper window;
 	unsigned hyper wall_ms;		/* the sender's clock as it sends this */
 	bool last;			/* the window has ended there */
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -812,6 +812,10 @@
 {
 	register int32_t *buf;
 
+	if (!xdr_u_quad_t(xdrs, &objp->node))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->incarnation))
+		return FALSE;
 	if (!xdr_u_quad_t(xdrs, &objp->window))
 		return FALSE;
 	if (!xdr_u_quad_t(xdrs, &objp->wall_ms))
--- a/usage.c
+++ b/usage.c
@@ -25,6 +25,7 @@
 
 /* What one process has told of a window. */
 struct usage_told {
+	name_id node;
 	uint64_t incarnation;
 	bool last;
 	unsigned int total; /* as it says */
@@ -153,21 +154,17 @@
 
 /* ---- telling ---- */
 
+/* Counts of `which` organisations in as many messages as they take. */
 static void
-window_tell(struct usage *u, msec now, struct usage_window *w,
-    GHashTable *which, name_id to, bool last)
+counts_send(struct usage *u, name_id to, sp_msg *msg, GHashTable *which,
+    GHashTable *counts)
 {
+	sp_usage_counts *m = &msg->sp_msg_u.usage_counts;
 	sp_usage_count list[SAVORY_COUNTS_MAX];
-	sp_msg msg = { .kind = SP_USAGE_COUNTS };
-	sp_usage_counts *m = &msg.sp_msg_u.usage_counts;
 	GHashTableIter i;
 	gpointer key;
 	bool more;
 
-	m->window = w->number;
-	m->wall_ms = (uint64_t)(now + u->raw);
-	m->last = last;
-	m->total = w->total;
 	m->list.list_val = list;
 	g_hash_table_iter_init(&i, which);
 	more = g_hash_table_iter_next(&i, &key, NULL);
@@ -176,13 +173,60 @@
 		while (more && m->list.list_len < SAVORY_COUNTS_MAX) {
 			list[m->list.list_len++] =
 			    (sp_usage_count){ *(name_id *)key,
-				    table_get(w->own, *(name_id *)key) };
+				    table_get(counts, *(name_id *)key) };
 			more = g_hash_table_iter_next(&i, &key, NULL);
 		}
-		u->ops->send(u, to, &msg);
+		u->ops->send(u, to, msg);
 	} while (more);
 }
 
+static void
+window_tell(struct usage *u, msec now, struct usage_window *w,
+    GHashTable *which, name_id to, bool last)
+{
+	sp_msg msg = { .kind = SP_USAGE_COUNTS };
+	sp_usage_counts *m = &msg.sp_msg_u.usage_counts;
+
+	m->window = w->number;
+	m->wall_ms = (uint64_t)(now + u->raw);
+	m->last = last;
+	m->total = w->total;
+	counts_send(u, to, &msg, which, w->own);
+}
+
+/*
+ * Guards against a holder that was no keeper before: nodes that have ended
+ * since told their counts to those that were.
+ */
+static void
+usage_pass_on(struct usage *u, msec now, name_id to)
+{
+	sp_msg msg = { .kind = SP_USAGE_COUNTS };
+	sp_usage_counts *m = &msg.sp_msg_u.usage_counts;
+	struct usage_window *w;
+	GHashTableIter it;
+	gpointer value;
+	unsigned int i;
+
+	m->wall_ms = (uint64_t)(now + u->raw);
+	for (i = 0; i < USAGE_WINDOWS; i++) {
+		w = &u->windows[i];
+		if (!w->used || w->decided)
+			continue;
+		g_hash_table_iter_init(&it, w->nodes);
+		while (g_hash_table_iter_next(&it, NULL, &value)) {
+			const struct usage_told *t = value;
+
+			m->node = t->node;
+			m->incarnation = t->incarnation;
+			m->window = w->number;
+			m->last = t->last;
+			m->total = t->total;
+			counts_send(u, to, &msg, t->counts, t->counts);
+		}
+	}
+}
+
 static void
 usage_tell(struct usage *u, msec now)
 {
@@ -209,21 +253,37 @@
 	}
 }
 
+static bool
+usage_has_keeper(const struct usage *u, name_id id)
+{
+	unsigned int i;
+
+	for (i = 0; i < u->nkeepers; i++) {
+		if (u->keepers[i] == id)
+			return true;
+	}
+	return false;
+}
+
 void
-usage_set_keepers(struct usage *u, const name_id *keepers, unsigned int n)
+usage_set_keepers(
+    struct usage *u, msec now, const name_id *keepers, unsigned int n)
 {
+	GHashTableIter it;
 	unsigned int i;
+	gpointer key;
 
 	n = MIN(n, USAGE_KEEPERS_MAX);
 	if (n == u->nkeepers &&
 	    memcmp(keepers, u->keepers, n * sizeof *keepers) == 0)
 		return;
+	for (i = 0; i < n; i++) {
+		if (!usage_has_keeper(u, keepers[i]))
+			usage_pass_on(u, now, keepers[i]);
+	}
 	memcpy(u->keepers, keepers, n * sizeof *keepers);
 	u->nkeepers = n;
 	for (i = 0; i < USAGE_WINDOWS; i++) {
-		GHashTableIter it;
-		gpointer key;
-
 		if (!u->windows[i].used)
 			continue;
 		u->windows[i].told_last = 0;
@@ -383,6 +443,7 @@
 	if (t != NULL)
 		return t;
 	t = g_new0(struct usage_told, 1);
+	t->node = node;
 	t->incarnation = incarnation;
 	t->counts = table_new(NULL);
 	g_hash_table_insert(w->nodes, g_memdup2(&key, sizeof key), t);
@@ -399,6 +460,10 @@
 	u_int i;
 
 	usage_note_clock(u, now, from, (msec)m->wall_ms);
+	if (m->node != 0) {
+		from = m->node;
+		incarnation = m->incarnation;
+	}
 	w = usage_window(u, now, m->window);
 	if (w == NULL || !counts_are_valid(m)) {
 		log_debug("counts of window %" G_GUINT64_FORMAT " dropped",
--- a/usage.h
+++ b/usage.h
@@ -83,8 +83,8 @@
 msec usage_true(const struct usage *, msec now);
 /* A request of an organisation began to run. */
 void usage_began(struct usage *, msec now, name_id organisation);
-/* Who keeps counts from now on; one that is new is told all. */
-void usage_set_keepers(struct usage *, const name_id *, unsigned int);
+/* Who keeps counts from now on; one that is new is told all that we know. */
+void usage_set_keepers(struct usage *, msec now, const name_id *, unsigned int);
 /* A message of kind SP_USAGE_* from a process of a node that is a member. */
 void usage_receive(struct usage *, msec now, name_id from, uint64_t incarnation,
     const sp_msg *);
