--- a/entry-duty.c
+++ b/entry-duty.c
@@ -22,8 +22,6 @@
 #define DUTY_REPORT_RETRY_MS 700
 /* Notes go with every renewal as long as they are so small. */
 #define DUTY_NOTES_BYTES 8192
-/* Windows that are decided and not done with. */
-#define DUTY_WINDOWS USAGE_WINDOWS
 /* A leaving node waits no longer for the end of its calls. */
 #define DUTY_LEAVE_MS 1000
 
@@ -44,8 +42,8 @@
 	struct loop_timer timer;
 	bool read_back; /* what the holder before us wrote is known */
 	bool looking;
-	bool core_looks; /* for duty.c, too */
-	struct duty_window windows[DUTY_WINDOWS];
+	bool core_looks;	     /* for duty.c, too */
+	struct duty_window *windows; /* as many as usage remembers */
 	bool reporting;
 	uint64_t reported; /* the window under way */
 	msec next_report, next_demand, next_nodes;
@@ -69,7 +67,7 @@
 static struct duty_window *
 window_at(struct entry_duty *x, uint64_t number)
 {
-	return &x->windows[number % DUTY_WINDOWS];
+	return &x->windows[number % x->usage.nwindows];
 }
 
 static void
@@ -96,7 +94,7 @@
 {
 	unsigned int i;
 
-	for (i = 0; i < DUTY_WINDOWS; i++)
+	for (i = 0; i < x->usage.nwindows; i++)
 		window_drop(&x->windows[i]);
 }
 
@@ -150,7 +148,7 @@
 	struct duty_window *w;
 	uint64_t n;
 
-	for (n = current - 2; n <= current; n++) {
+	for (n = current - x->usage.nwindows + 2; n <= current; n++) {
 		w = window_at(x, n);
 		if (w->used && w->number == n) {
 			w->carried = true;
@@ -205,7 +203,7 @@
 	    (uint64_t)json_integer_value(json_object_get(o, "window"));
 	const char *name;
 
-	if (!json_is_object(counts) || number == 0)
+	if (!json_is_object(counts) || number == 0 || x->usage.window == 0)
 		return;
 	if (json_is_true(json_object_get(o, "decided"))) {
 		window_put(x, number, json_incref(counts), true,
@@ -367,7 +365,7 @@
 	struct entry_duty *x = e->duty;
 	unsigned int i;
 
-	for (i = 0; i < DUTY_WINDOWS; i++) {
+	for (i = 0; i < x->usage.nwindows; i++) {
 		x->windows[i].saved =
 		    x->windows[i].saved ||
 		    (x->windows[i].carried && how == DUTY_TAKEN);
@@ -623,7 +621,7 @@
 	struct duty_window *w, *oldest = NULL;
 	unsigned int i;
 
-	for (i = 0; i < DUTY_WINDOWS; i++) {
+	for (i = 0; i < x->usage.nwindows; i++) {
 		w = &x->windows[i];
 		if (!w->used || w->done)
 			continue;
@@ -720,8 +718,9 @@
 	duty_init(
 	    &x->duty, &entry_duty_ops, name_hash(s->node), s->duty_lease, now);
 	x->duty.arg = e;
-	usage_init(
-	    &x->usage, &entry_usage_ops, s->usage_window, now, msec_wall());
+	usage_init(&x->usage, &entry_usage_ops, s->usage_window,
+	    s->usage_lateness, now, msec_wall());
+	x->windows = g_new0(struct duty_window, MAX(x->usage.nwindows, 1));
 	x->usage.arg = e;
 	capacity_init(&x->capacity, &entry_capacity_ops);
 	x->capacity.limits = s->capacity;
@@ -741,6 +740,7 @@
 	windows_drop(x);
 	duty_finish(&x->duty);
 	usage_finish(&x->usage);
+	g_free(x->windows);
 	capacity_finish(&x->capacity);
 	g_free(x->processes);
 	g_free(x);
@@ -822,7 +822,7 @@
 	    x->duty.token_seen, x->duty.end,
 	    x->duty.standbys[0] == e->members.self.id ? "yes" : "no",
 	    x->read_back ? "yes" : "no");
-	for (i = 0; i < DUTY_WINDOWS; i++) {
+	for (i = 0; i < x->usage.nwindows; i++) {
 		if (x->windows[i].used)
 			g_string_append_printf(s,
 			    "usage window %" PRIu64 " saved %s done %s\n",
--- a/tests/test-usage.c
+++ b/tests/test-usage.c
@@ -92,8 +92,8 @@
 	n->index = i;
 	n->up = true;
 	n->incarnation = (uint64_t)(world_true(w) + n->wall_ahead) * 1000;
-	usage_init(
-	    &n->usage, &ops, WINDOW, w->now, world_true(w) + n->wall_ahead);
+	usage_init(&n->usage, &ops, WINDOW, 2 * WINDOW, w->now,
+	    world_true(w) + n->wall_ahead);
 	n->usage.arg = n;
 }
 
--- a/usage.c
+++ b/usage.c
@@ -98,9 +98,9 @@
 usage_window(struct usage *u, msec now, uint64_t number)
 {
 	uint64_t current = usage_number(u, now);
-	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+	struct usage_window *w = &u->windows[number % u->nwindows];
 
-	if (number > current + 1 || number + USAGE_WINDOWS <= current)
+	if (number > current + 1 || number + u->nwindows <= current)
 		return NULL;
 	/* A clock that was set right may have gone back. */
 	if (w->used && w->number > number)
@@ -111,14 +111,20 @@
 }
 
 void
-usage_init(struct usage *u, const struct usage_ops *ops, msec window, msec now,
-    msec wall)
+usage_init(struct usage *u, const struct usage_ops *ops, msec window,
+    msec lateness, msec now, msec wall)
 {
 	*u = (struct usage){ .ops = ops,
 		.window = window,
 		.raw = wall - now,
 		.offset = wall - now };
 	u->clocks = table_new(g_free);
+	if (window <= 0)
+		return;
+	/* The running one, one that a clock ahead has begun, those not due. */
+	u->nwindows =
+	    (unsigned int)CLAMP(lateness / window + 3, 4, USAGE_WINDOWS_MAX);
+	u->windows = g_new0(struct usage_window, u->nwindows);
 }
 
 void
@@ -128,8 +134,10 @@
 
 	if (u->clocks == NULL)
 		return;
-	for (i = 0; i < USAGE_WINDOWS; i++)
+	for (i = 0; i < u->nwindows; i++)
 		window_clear(&u->windows[i]);
+	g_free(u->windows);
+	u->windows = NULL;
 	g_hash_table_unref(u->clocks);
 	u->clocks = NULL;
 }
@@ -209,7 +217,7 @@
 	unsigned int i;
 
 	m->wall_ms = (uint64_t)(now + u->raw);
-	for (i = 0; i < USAGE_WINDOWS; i++) {
+	for (i = 0; i < u->nwindows; i++) {
 		w = &u->windows[i];
 		if (!w->used || w->decided)
 			continue;
@@ -235,7 +243,7 @@
 	unsigned int i, j;
 	bool last;
 
-	for (i = 0; i < USAGE_WINDOWS; i++) {
+	for (i = 0; i < u->nwindows; i++) {
 		w = &u->windows[i];
 		if (!w->used || w->number > current)
 			continue;
@@ -283,7 +291,7 @@
 	}
 	memcpy(u->keepers, keepers, n * sizeof *keepers);
 	u->nkeepers = n;
-	for (i = 0; i < USAGE_WINDOWS; i++) {
+	for (i = 0; i < u->nwindows; i++) {
 		if (!u->windows[i].used)
 			continue;
 		u->windows[i].told_last = 0;
@@ -521,10 +529,10 @@
 	struct usage_window *w, *oldest = NULL;
 	unsigned int i;
 
-	for (i = 0; i < USAGE_WINDOWS; i++) {
+	for (i = 0; i < u->nwindows; i++) {
 		w = &u->windows[i];
 		if (!w->used || w->decided || w->number >= current ||
-		    w->number + USAGE_WINDOWS <= current)
+		    w->number + u->nwindows <= current)
 			continue;
 		if (oldest == NULL || w->number < oldest->number)
 			oldest = w;
@@ -541,7 +549,7 @@
 GHashTable *
 usage_sum(struct usage *u, uint64_t number)
 {
-	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+	struct usage_window *w = &u->windows[number % u->nwindows];
 	GHashTable *sum = table_new(NULL), *late = table_new(NULL);
 	GHashTableIter i, j;
 	gpointer value, org, count;
@@ -579,7 +587,7 @@
 void
 usage_decided(struct usage *u, uint64_t number)
 {
-	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+	struct usage_window *w = &u->windows[number % u->nwindows];
 
 	if (w->used && w->number > number)
 		return;
@@ -592,7 +600,7 @@
 usage_base(struct usage *u, uint64_t number, msec wall, name_id organisation,
     unsigned int count)
 {
-	struct usage_window *w = &u->windows[number % USAGE_WINDOWS];
+	struct usage_window *w = &u->windows[number % u->nwindows];
 
 	if (w->used && w->number > number)
 		return;
--- a/usage.h
+++ b/usage.h
@@ -17,8 +17,8 @@
 #include "proto.h"
 #include "savory.h"
 
-/* Windows that are remembered, the running one among them. */
-#define USAGE_WINDOWS 4
+/* Windows that are remembered, at most. */
+#define USAGE_WINDOWS_MAX 64
 #define USAGE_KEEPERS_MAX 4
 
 struct usage;
@@ -65,9 +65,10 @@
 	msec window;
 	/* Wall clock less our own clock: as it was last, and as we use it. */
 	msec raw, offset;
-	msec jumped;	    /* the former as it is now, after a jump */
-	GHashTable *clocks; /* node to struct usage_clock_seen */
-	struct usage_window windows[USAGE_WINDOWS];
+	msec jumped;	       /* the former as it is now, after a jump */
+	GHashTable *clocks;    /* node to struct usage_clock_seen */
+	unsigned int nwindows; /* remembered, the running one among them */
+	struct usage_window *windows;
 	name_id keepers[USAGE_KEEPERS_MAX];
 	unsigned int nkeepers;
 	msec next_tell;
@@ -75,9 +76,12 @@
 	void *arg; /* the embedder's */
 };
 
-/* For windows of so many ms, with the wall clock in ms since 1970; the end. */
-void usage_init(
-    struct usage *, const struct usage_ops *, msec window, msec now, msec wall);
+/*
+ * For windows of so many ms that are due so long after their end, with the wall
+ * clock in ms since 1970; the end.
+ */
+void usage_init(struct usage *, const struct usage_ops *, msec window,
+    msec lateness, msec now, msec wall);
 void usage_finish(struct usage *);
 /* True time in ms since 1970, as well as we know it. */
 msec usage_true(const struct usage *, msec now);
