--- a/capacity.h
+++ b/capacity.h
@@ -22,6 +22,7 @@
 #include "proto.h"
 #include "savory.h"
 
+/* Beyond these, failure domains and services are left as they are. */
 #define CAPACITY_DOMAINS_MAX 16
 #define CAPACITY_SERVICES_MAX 16
 /* Seconds of which the peaks are remembered. */
@@ -68,6 +69,7 @@
 	msec refused_until; /* none were to be had */
 };
 
+/* A service in one failure domain. */
 struct capacity_domain {
 	struct capacity_place kinds[CAPACITY_KINDS];
 };
@@ -75,6 +77,7 @@
 /* One coordinator's counts. */
 struct capacity_report;
 
+/* One service whose servers are ordered. */
 struct capacity_service {
 	name_id id;
 	struct capacity_terms terms;
@@ -128,6 +131,7 @@
 /* The defaults of the settings. */
 extern const struct capacity_limits capacity_defaults;
 
+/* Without services; the end. */
 void capacity_init(struct capacity *, const struct capacity_ops *);
 void capacity_finish(struct capacity *);
 /* What operators say of all services whose servers are ordered. */
--- /dev/null
+++ b/models/duty-broken-answer.pml
@@ -0,0 +1,3 @@
+/* Counts its lease from the answer. */
+#define BROKEN_ANSWER
+#include "duty.inc"
--- /dev/null
+++ b/models/duty-broken-blind.pml
@@ -0,0 +1,3 @@
+/* Appends without the condition. */
+#define BROKEN_BLIND
+#include "duty.inc"
--- /dev/null
+++ b/models/duty.pml
@@ -0,0 +1,1 @@
+#include "duty.inc"
