The mark of all servers goes by what is listed, not by what a node holds

Nodes that had been turned away by the platform hold servers that are not listed for 2.3 s; the mark still counted these. A reader that held such a server passed on another change with how far it had read; who took it skipped the record by which the server had left. Ruled out: the holds themselves (they ended in time where the record was read). A server that is not listed has no part in the mark and is passed on as gone; the first news, which would be the whole list, is not sent.

--- a/entry-relay.c
+++ b/entry-relay.c
@@ -71,7 +71,8 @@
 		.port = v->port,
 		.slots = v->slots,
 		.born = (uint64_t)v->born,
-		.state = (sp_server_state)v->state,
+		.state =
+		    v->missing ? SP_SERVER_GONE : (sp_server_state)v->state,
 		.reclaimable = v->reclaimable };
 }
 
@@ -106,6 +107,12 @@
 		return;
 	RB_FOREACH (v, server_tree, &e->servers.tree)
 		mark += v->told;
+	/* The first news would be all servers, which nobody could take. */
+	if (mark == 0) {
+		RB_FOREACH (v, server_tree, &e->servers.tree)
+			v->told = server_mark(v);
+		return;
+	}
 	m->before = m->after = mark;
 	m->list.list_val = list;
 	RB_FOREACH (v, server_tree, &e->servers.tree) {
--- a/server.c
+++ b/server.c
@@ -180,7 +180,9 @@
 		((uint64_t)v->address << 16) | v->port, v->state,
 		(uint64_t)v->born, v->slots };
 
-	return v->state == SERVER_GONE ? 0 : XXH64(words, sizeof words, 6);
+	if (v->state == SERVER_GONE || v->missing)
+		return 0;
+	return XXH64(words, sizeof words, 6);
 }
 
 uint64_t
--- a/server.h
+++ b/server.h
@@ -131,11 +131,11 @@
  */
 void servers_hold(struct servers *, msec until);
 /*
- * Names what the platform says of all servers in use: the same on two nodes
- * that go by the same entries.
+ * Names what the platform says of all servers: the same on two nodes that have
+ * read the same entries, also while one holds a server that is not listed.
  */
 uint64_t servers_mark(struct servers *);
-/* One server's part of it: the mark is the sum; 0 when it is gone. */
+/* One server's part of it: the mark is the sum; 0 when it is not listed. */
 uint64_t server_mark(const struct server *);
 /* Do what is due. */
 void servers_tick(struct servers *, msec);
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -93,6 +93,33 @@
 	servers_finish(&s);
 }
 
+/*
+ * Guards against a node that holds a server which is not listed any more, and
+ * passes its own way of seeing it on: whoever took that, with how far it had
+ * read, never heard that the server had left.
+ */
+static void
+test_mark_of_held(void)
+{
+	struct servers held, other;
+
+	servers_init(&held, &ops);
+	servers_init(&other, &ops);
+	list(&held, 0, "a", false, 0);
+	list(&held, 0, "b", false, 0);
+	list(&other, 0, "a", false, 0);
+	list(&other, 0, "b", false, 0);
+	servers_hold(&held, 3000);
+	servers_unlist(&held, 1000, "a");
+	servers_unlist(&other, 1000, "a");
+	g_assert_cmpint(state_of(&held, "a"), ==, SERVER_READY);
+	g_assert_cmpuint(servers_mark(&held), ==, servers_mark(&other));
+	list(&held, 2000, "a", false, 0);
+	g_assert_cmpuint(servers_mark(&held), !=, servers_mark(&other));
+	servers_finish(&held);
+	servers_finish(&other);
+}
+
 /* What was learned of a process ends with it. */
 static void
 test_anew(void)
@@ -500,6 +527,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/server/draining", test_draining);
 	g_test_add_func("/server/hold", test_hold);
+	g_test_add_func("/server/mark-of-held", test_mark_of_held);
 	g_test_add_func("/server/anew", test_anew);
 	g_test_add_func("/server/home", test_home);
 	g_test_add_func("/server/second-choice", test_second_choice);
