--- /dev/null
+++ b/tests/test-place-changes.c
@@ -0,0 +1,203 @@
+/*
+ * Placement on a fleet of servers that is ordered by the dozen. What a user
+ * would see when it goes wrong: long prompts are read again each time that
+ * servers come or go, and everything beside them is late.
+ */
+
+#include "place.h"
+
+#define PROMPTS 300
+#define SHARED 13000
+#define OWN 1000
+#define FEW 60
+#define MANY 90
+#define MOST 120
+/* What drawing 300 prompts may be off by. */
+#define DRAWN 0.05
+
+struct world {
+	struct place place;
+	struct servers servers;
+	GRand *rand;
+	msec now;
+	struct server *chosen;
+};
+
+static void
+op_send(struct place *p, name_id to, const sp_msg *msg)
+{
+}
+
+static void
+op_decided(struct place *p, struct place_request *r, struct server *v, msec now)
+{
+	((struct world *)p->arg)->chosen = v;
+}
+
+static const struct place_ops ops = { op_send, op_decided };
+
+static void
+server_changed(struct servers *s, struct server *v)
+{
+}
+
+static const struct server_ops server_ops = { server_changed, server_changed };
+
+static void
+servers_to(struct world *w, unsigned int n)
+{
+	char name[16];
+	unsigned int i;
+
+	for (i = 0; i < MOST; i++) {
+		struct server_entry e = { .name = name,
+			.service = "model",
+			.domain = "d",
+			.address = 1 + i,
+			.port = 80,
+			.slots = 64,
+			.born = 1 };
+
+		g_snprintf(name, sizeof name, "s-%u", i);
+		if (i < n)
+			servers_list(&w->servers, w->now, &e);
+		else
+			servers_unlist(&w->servers, w->now, name);
+	}
+	servers_tick(&w->servers, w->now);
+}
+
+static void
+world_init(struct world *w, unsigned int most)
+{
+	struct place_node self = { name_hash("n"), true, -1, false };
+
+	*w = (struct world){ .now = 100000, .rand = g_rand_new_with_seed(1) };
+	servers_init(&w->servers, &server_ops);
+	place_init(&w->place, &ops, &w->servers, name_hash("n"), "d", w->rand);
+	w->place.arg = w;
+	place_set_nodes(&w->place, w->now, &self, 1);
+	if (most > 0)
+		place_set_most(&w->place, name_hash("model"), most);
+	servers_to(w, FEW);
+}
+
+static void
+world_finish(struct world *w)
+{
+	place_finish(&w->place);
+	servers_finish(&w->servers);
+	g_rand_free(w->rand);
+}
+
+/* Each prompt once; the part of shared tokens that had been read before. */
+static double
+world_kept(struct world *w)
+{
+	uint64_t tokens = w->place.counters.tokens;
+	uint64_t kept = w->place.counters.tokens_kept;
+	unsigned int i;
+
+	for (i = 0; i < PROMPTS; i++) {
+		struct place_request r = { .wish = {
+					       .service = name_hash("model"),
+					       .route = 1,
+					       .prompt = 1000 + i,
+					       .shared = SHARED,
+					       .own = OWN } };
+
+		place_submit(&w->place, w->now, &r);
+		g_assert_nonnull(w->chosen);
+		w->now += 5;
+		place_read(&w->place, w->now, &r);
+		place_end(&w->place, w->now, &r, SERVER_WELL);
+	}
+	tokens = w->place.counters.tokens - tokens;
+	kept = w->place.counters.tokens_kept - kept;
+	return (double)kept / (double)(tokens - (uint64_t)PROMPTS * OWN);
+}
+
+/* The part of prompts that must change their group as sizes change. */
+static double
+groups_uneven(struct world *w, unsigned int from, unsigned int to)
+{
+	unsigned int groups = MOST / PLACE_GROUP_SERVERS, i;
+	double sizes[2][MOST] = { { 0 } }, moved = 0;
+	char name[16];
+
+	servers_to(w, MAX(from, to));
+	for (i = 0; i < MAX(from, to); i++) {
+		const struct server *v;
+
+		g_snprintf(name, sizeof name, "s-%u", i);
+		v = servers_find(&w->servers, name_hash(name));
+		if (i < from)
+			sizes[0][server_group(v, groups)] += 1.0 / from;
+		if (i < to)
+			sizes[1][server_group(v, groups)] += 1.0 / to;
+	}
+	for (i = 0; i < groups; i++)
+		moved += MAX(0, sizes[0][i] - sizes[1][i]);
+	return moved;
+}
+
+/* Guards against prompts that are read again when half as many servers come. */
+static void
+test_servers_come(void)
+{
+	double before, after;
+	struct world w;
+
+	world_init(&w, MOST);
+	world_kept(&w);
+	before = world_kept(&w);
+	servers_to(&w, MANY);
+	after = world_kept(&w);
+	g_test_message("kept %.3f, then %.3f", before, after);
+	g_assert_cmpfloat(
+	    after, >=, before - groups_uneven(&w, FEW, MANY) - DRAWN);
+	world_finish(&w);
+}
+
+/* Guards against more being read again than the servers that went had read. */
+static void
+test_servers_go(void)
+{
+	double after;
+	struct world w;
+
+	world_init(&w, MOST);
+	servers_to(&w, MANY);
+	world_kept(&w);
+	world_kept(&w);
+	servers_to(&w, FEW);
+	after = world_kept(&w);
+	g_test_message("kept %.3f", after);
+	g_assert_cmpfloat(after, >=,
+	    (double)FEW / MANY - groups_uneven(&w, MANY, FEW) - DRAWN);
+	world_finish(&w);
+}
+
+/* Guards against groups too small to choose from when few servers are there. */
+static void
+test_few_servers(void)
+{
+	struct world w;
+
+	world_init(&w, MOST);
+	servers_to(&w, 3);
+	world_kept(&w);
+	/* Nearly all pairs of server and prompt are remembered. */
+	g_assert_cmpfloat(world_kept(&w), >=, 0.95);
+	world_finish(&w);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/place-changes/servers-come", test_servers_come);
+	g_test_add_func("/place-changes/servers-go", test_servers_go);
+	g_test_add_func("/place-changes/few-servers", test_few_servers);
+	return g_test_run();
+}
