Servers come and go no faster than nodes can hear of them

All servers were replaced at once; each node read each change, with all the servers' beats in between, and the store's reading was used up. At first the reader had sent the thousands of entries to 40 nodes each, over a link of 10 Mbit/s. Nor does the number of groups stay at 6 when more servers are there than may be ordered. Tests: /capacity/large-fleet.

--- a/capacity.c
+++ b/capacity.c
@@ -34,6 +34,12 @@
 #define CAPACITY_REFUSED_MS 2500
 /* Between two orders for one place, also after one without an answer. */
 #define CAPACITY_ORDER_MS 1000
+/*
+ * Servers that come or go in a second, on average and at once: every node has
+ * to hear of each, and what they cannot be told they all read.
+ */
+#define CAPACITY_CHANGES_PER_S 40.0
+#define CAPACITY_CHANGES_MOST 60.0
 /* More tokens in a millisecond than all servers anywhere read: a wrong report.
  */
 #define CAPACITY_RATE_MAX 1e6
@@ -525,6 +531,9 @@
 	struct capacity_place *p = &s->domains[domain].kinds[kind];
 	msec late = s->terms.boot + CAPACITY_LATE_MS;
 	bool repeat = p->is_ordered && p->want == p->ordered;
+	unsigned int base = p->is_ordered ? p->ordered : p->ready;
+	unsigned int change = MAX(base, p->want) - MIN(base, p->want);
+	unsigned int count;
 
 	if (p->pending || now - p->ordered_at < CAPACITY_ORDER_MS ||
 	    now < p->refused_until)
@@ -533,11 +542,16 @@
 		return;
 	if (repeat && now - p->ordered_at < late)
 		return;
+	change = MIN(change, (unsigned int)c->changes);
+	count = p->want > base ? base + change : base - change;
+	if (count != p->want && change == 0)
+		return;
+	c->changes -= change;
 	p->pending = true;
 	p->ordered_at = now;
 	c->counters.orders++;
 	c->counters.repeats += repeat;
-	c->ops->order(c, s, domain, kind, p->want);
+	c->ops->order(c, s, domain, kind, count);
 }
 
 void
@@ -604,6 +618,10 @@
 
 	if (!c->holds)
 		return;
+	c->changes +=
+	    (double)(now - c->ticked) * CAPACITY_CHANGES_PER_S / MSEC_SECOND;
+	c->changes = MIN(c->changes, CAPACITY_CHANGES_MOST);
+	c->ticked = now;
 	for (i = 0; i < c->nservices; i++)
 		service_tick(c, &c->services[i], now);
 }
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -18,6 +18,8 @@
 
 /* Servers in one message: as long names as there may be still fit. */
 #define RELAY_SERVERS_EACH 4
+/* More that change together are cheaper read by each node than sent to each. */
+#define RELAY_SERVERS_NEWS 32
 /* Between two reads of servers that nobody needs yet. */
 #define RELAY_UNUSED_MS 5000
 /*
@@ -86,6 +88,18 @@
 		entry_relay_send(r, to[i], msg);
 }
 
+/* How many have changed since nodes were told. */
+static unsigned int
+servers_untold(struct servers *all)
+{
+	struct server *v;
+	unsigned int n = 0;
+
+	RB_FOREACH (v, server_tree, &all->tree)
+		n += server_mark(v) != v->told;
+	return n;
+}
+
 /*
  * Guards against a read of the platform by every node for each server that
  * comes or goes. Each message stands for itself: it says which state of all
@@ -107,8 +121,7 @@
 		return;
 	RB_FOREACH (v, server_tree, &e->servers.tree)
 		mark += v->told;
-	/* The first news would be all servers, which nobody could take. */
-	if (mark == 0) {
+	if (mark == 0 || servers_untold(&e->servers) > RELAY_SERVERS_NEWS) {
 		RB_FOREACH (v, server_tree, &e->servers.tree)
 			v->told = server_mark(v);
 		return;
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -127,7 +127,7 @@
 	unsigned int ready = servers_ready(p->servers, service, &whole);
 	unsigned int most = place_mix(&p->own, service)->servers_most, n;
 
-	if (most == 0)
+	if (ready > most)
 		return groups_of(ready);
 	for (n = groups_of(most); n > 1 && ready < n * PLACE_GROUP_LEAST;)
 		n = (n + 1) / 2;
--- a/tests/test-capacity.c
+++ b/tests/test-capacity.c
@@ -9,6 +9,7 @@
 
 #include "capacity.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define DOMAINS 3
@@ -39,7 +40,8 @@
 	GQueue late;
 	GRand *rand;
 	unsigned int lose_percent, orders;
-	bool silent; /* coordinators say nothing */
+	unsigned int changed; /* servers that orders made come or go */
+	bool silent;	      /* coordinators say nothing */
 };
 
 static const char *const domain_names[DOMAINS] = { "hall-a", "hall-b",
@@ -99,6 +101,8 @@
 		    c, w->now, s->id, domain, kind, count, CAPACITY_NONE);
 		return;
 	}
+	w->changed += (unsigned int)abs(
+	    (int)count - (int)(site->ready + site_booting(site)));
 	site_set(site, count);
 	capacity_ordered(c, w->now, s->id, domain, kind, count, CAPACITY_TAKEN);
 }
@@ -106,11 +110,11 @@
 static const struct capacity_ops ops = { op_order };
 
 static void
-world_terms(struct world *w, double price)
+world_terms(struct world *w, double price, unsigned int most)
 {
 	struct capacity_terms t = { .name = "model",
 		.least = 1,
-		.most = MOST,
+		.most = most,
 		.boot = BOOT,
 		.reclaimable_price = price,
 		.ndomains = DOMAINS };
@@ -133,7 +137,7 @@
 	w->rand = g_rand_new_with_seed(1);
 	capacity_init(&w->c, &ops);
 	w->c.arg = w;
-	world_terms(w, price);
+	world_terms(w, price, MOST);
 	for (i = 0; i < DOMAINS; i++)
 		w->sites[i][CAPACITY_LASTING].ready = lasting;
 	capacity_hold(&w->c, w->now, true);
@@ -262,6 +266,26 @@
 	world_finish(&w);
 }
 
+/* Guards against thousands of changes at once, of which all nodes must hear. */
+static void
+test_large_fleet(void)
+{
+	struct world w;
+	unsigned int before, i;
+
+	world_init(&w, 300, PRICE);
+	w.visible = UINT_MAX;
+	world_terms(&w, PRICE, 1000);
+	capacity_hold(&w.c, w.now, true);
+	for (i = 0; i < 120; i++) {
+		before = w.changed;
+		g_assert_cmpuint(world_run(&w, 1000, 0, 0), >=, 900);
+		g_assert_cmpuint(w.changed - before, <=, 100);
+	}
+	g_assert_cmpuint(world_ready(&w, CAPACITY_LASTING), <, 100);
+	world_finish(&w);
+}
+
 /* Guards against too few servers when all of a domain are taken back. */
 static void
 test_domain_taken_back(void)
@@ -465,6 +489,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/capacity/replace-lasting", test_replace_lasting);
 	g_test_add_func("/capacity/known-one-by-one", test_known_one_by_one);
+	g_test_add_func("/capacity/large-fleet", test_large_fleet);
 	g_test_add_func("/capacity/domain-taken-back", test_domain_taken_back);
 	g_test_add_func("/capacity/none-left", test_none_left);
 	g_test_add_func("/capacity/all-taken-back", test_all_taken_back);
