--- a/capacity.c
+++ b/capacity.c
@@ -35,11 +35,14 @@
 /* Between two orders for one place, also after one without an answer. */
 #define CAPACITY_ORDER_MS 1000
 /*
- * Servers that come or go in a second, on average and at once: every node has
- * to hear of each, and what they cannot be told they all read.
+ * Every node has to hear of each server that comes or goes, and what they
+ * cannot be told they all read: so many words of it a second, to all nodes
+ * together. No more servers change in a second than that, nor so many times as
+ * many at once.
  */
+#define CAPACITY_HEARD_PER_S 2600.0
 #define CAPACITY_CHANGES_PER_S 40.0
-#define CAPACITY_CHANGES_MOST 60.0
+#define CAPACITY_CHANGES_AT_ONCE 1.5
 /* More tokens in a millisecond than all servers anywhere read: a wrong report.
  */
 #define CAPACITY_RATE_MAX 1e6
@@ -615,12 +618,14 @@
 capacity_tick(struct capacity *c, msec now)
 {
 	unsigned int i;
+	double rate;
 
 	if (!c->holds)
 		return;
-	c->changes +=
-	    (double)(now - c->ticked) * CAPACITY_CHANGES_PER_S / MSEC_SECOND;
-	c->changes = MIN(c->changes, CAPACITY_CHANGES_MOST);
+	rate = MIN(
+	    CAPACITY_HEARD_PER_S / MAX(c->nodes, 1), CAPACITY_CHANGES_PER_S);
+	c->changes += (double)(now - c->ticked) * rate / MSEC_SECOND;
+	c->changes = MIN(c->changes, MAX(rate * CAPACITY_CHANGES_AT_ONCE, 1));
 	c->ticked = now;
 	for (i = 0; i < c->nservices; i++)
 		service_tick(c, &c->services[i], now);
--- a/capacity.h
+++ b/capacity.h
@@ -124,7 +124,8 @@
 	struct capacity_service *services;
 	bool holds;
 	msec since;
-	double changes; /* servers that may come or go now */
+	unsigned int nodes; /* that hear of servers */
+	double changes;	    /* servers that may come or go now */
 	msec ticked;
 	struct capacity_counters counters;
 	void *arg; /* the embedder's */
--- a/entry-duty.c
+++ b/entry-duty.c
@@ -649,6 +649,7 @@
 
 	if (!e->source_up || now < e->servers.held_until)
 		return;
+	x->capacity.nodes = x->nprocesses;
 	capacity_clear_ready(&x->capacity);
 	RB_FOREACH (v, server_tree, &e->servers.tree) {
 		if (v->state == SERVER_READY)
