A holder orders nothing before it knows all servers

A new holder reads 3,000 servers page by page; it knew a hundred, worked out that a few more are needed, and ordered that number where a thousand stood, so the platform took the others away. Ruled out: the rate of changes, which is the same at 40 and at 8.7 a second (30 s both), and the bytes of the busiest node (574 to 143 KB a second). Servers are counted as known once the whole list has been read. /capacity/new-holder-reads fails without it.

--- a/capacity.c
+++ b/capacity.c
@@ -159,10 +159,11 @@
 }
 
 void
-capacity_clear_ready(struct capacity *c)
+capacity_clear_ready(struct capacity *c, bool all)
 {
 	unsigned int i, j, k;
 
+	c->knows_all = all;
 	for (i = 0; i < c->nservices; i++) {
 		for (j = 0; j < CAPACITY_DOMAINS_MAX; j++) {
 			for (k = 0; k < CAPACITY_KINDS; k++)
@@ -620,7 +621,11 @@
 	unsigned int i;
 	double rate;
 
-	if (!c->holds)
+	/*
+	 * Guards against an order for a few more than are known so far, where
+	 * hundreds stand: a holder that has just started reads them one by one.
+	 */
+	if (!c->holds || !c->knows_all)
 		return;
 	rate = MIN(
 	    CAPACITY_HEARD_PER_S / MAX(c->nodes, 1), CAPACITY_CHANGES_PER_S);
--- a/capacity.h
+++ b/capacity.h
@@ -122,7 +122,7 @@
 	struct capacity_limits limits;
 	unsigned int nservices;
 	struct capacity_service *services;
-	bool holds;
+	bool holds, knows_all;
 	msec since;
 	unsigned int nodes; /* that hear of servers */
 	double changes;	    /* servers that may come or go now */
@@ -142,8 +142,11 @@
     struct capacity *, const struct capacity_terms *, unsigned int);
 /* We decide from now on, or do not any more. */
 void capacity_hold(struct capacity *, msec, bool);
-/* Ready servers of a service, by domain and kind, as they are now. */
-void capacity_clear_ready(struct capacity *);
+/*
+ * Ready servers of a service, by domain and kind, as they are now. `all`: none
+ * is left out; before that nothing is ordered.
+ */
+void capacity_clear_ready(struct capacity *, bool all);
 void capacity_add_ready(
     struct capacity *, name_id service, const char *domain, enum capacity_kind);
 /* A message of kind SP_DEMAND from a node that is a member. */
--- a/entry-duty.c
+++ b/entry-duty.c
@@ -650,7 +650,7 @@
 	if (!e->source_up || now < e->servers.held_until)
 		return;
 	x->capacity.nodes = x->nprocesses;
-	capacity_clear_ready(&x->capacity);
+	capacity_clear_ready(&x->capacity, e->servers.whole);
 	RB_FOREACH (v, server_tree, &e->servers.tree) {
 		if (v->state == SERVER_READY)
 			capacity_add_ready(&x->capacity, v->service, v->domain,
--- a/tests/test-capacity.c
+++ b/tests/test-capacity.c
@@ -202,7 +202,7 @@
 	world_platform(w);
 	if (w->now % 1000 == 0 && w->requests > 0)
 		world_report(w, running);
-	capacity_clear_ready(&w->c);
+	capacity_clear_ready(&w->c, !w->reading);
 	for (i = 0; i < DOMAINS; i++) {
 		for (k = 0; k < CAPACITY_KINDS; k++) {
 			for (n = 0; n < MIN(w->sites[i][k].ready, w->visible);
@@ -286,6 +286,25 @@
 	world_finish(&w);
 }
 
+/* Guards against a new holder that knows few servers and orders a few more. */
+static void
+test_new_holder_reads(void)
+{
+	struct world w;
+
+	world_init(&w, 20, PRICE);
+	world_run(&w, 60000, 1400, 200);
+	capacity_hold(&w.c, w.now, true);
+	w.c.services[0].held = 60;
+	w.reading = true;
+	for (w.visible = 0; w.visible < 30; w.visible++)
+		g_assert_cmpuint(world_run(&w, 300, 1400, 200), >=, 60);
+	w.reading = false;
+	w.visible = MOST;
+	g_assert_cmpuint(world_run(&w, 20000, 1400, 200), >=, 60);
+	world_finish(&w);
+}
+
 /* Guards against too few servers when all of a domain are taken back. */
 static void
 test_domain_taken_back(void)
@@ -490,6 +509,7 @@
 	g_test_add_func("/capacity/replace-lasting", test_replace_lasting);
 	g_test_add_func("/capacity/known-one-by-one", test_known_one_by_one);
 	g_test_add_func("/capacity/large-fleet", test_large_fleet);
+	g_test_add_func("/capacity/new-holder-reads", test_new_holder_reads);
 	g_test_add_func("/capacity/domain-taken-back", test_domain_taken_back);
 	g_test_add_func("/capacity/none-left", test_none_left);
 	g_test_add_func("/capacity/all-taken-back", test_all_taken_back);
