--- a/exchange.c
+++ b/exchange.c
@@ -161,9 +161,8 @@
 }
 
 void
-exchange_call_fields(struct exchange *x, const char *method,
-    const char *target, const char *fields, const void *body, size_t n,
-    msec timeout)
+exchange_call_fields(struct exchange *x, const char *method, const char *target,
+    const char *fields, const void *body, size_t n, msec timeout)
 {
 	struct in_addr in = { htonl(x->address) };
 	char host[INET_ADDRSTRLEN];
--- a/exchange.h
+++ b/exchange.h
@@ -53,8 +53,8 @@
 void exchange_call(struct exchange *, const char *method, const char *target,
     const void *body, size_t, msec timeout);
 /* The same with more header fields, each with its line end. */
-void exchange_call_fields(struct exchange *, const char *method,
-    const char *target, const char *fields, const void *body, size_t,
-    msec timeout);
+void
+exchange_call_fields(struct exchange *, const char *method, const char *target,
+    const char *fields, const void *body, size_t, msec timeout);
 
 #endif /* EXCHANGE_H */
