A core for the era of a store that comes back from a copy

Nothing of ours knew it. era.c says what an answer is worth (same, rose, old), when what the store has is the newest again, how marks of two eras differ, and makes fencing tokens that grow though places in the log are given out again.

Weighed for the token: the era in the upper bits, against a floor that holders tell each other. The floor needs a node that survived and heard; a holder of which all that knew it were killed could be numbered again. The era comes with the very answer that makes the claim. 21 bits of era and 32 of place stay under 2^53, so a token passes through any JSON; with no era it is what it was.

An answer without the header, once one had it, is not believed, nor is a lesser number; the first number a process hears is no change.

Test: tests/test-era.c, in virtual time.

--- /dev/null
+++ b/era.c
@@ -0,0 +1,98 @@
+/*
+ * Which answers of the store count; see era.h.
+ */
+
+#include "era.h"
+
+#include <xxhash.h>
+
+/* Bits of a token that hold the place in the log. */
+#define ERA_TOKEN_BITS 32
+#define ERA_TOKEN_PLACE (((uint64_t)1 << ERA_TOKEN_BITS) - 1)
+
+void
+era_init(struct era *a)
+{
+	*a = (struct era){ .since = MSEC_NEVER };
+}
+
+static void
+era_begin(struct era *a, msec now, uint64_t number)
+{
+	a->number = number;
+	a->heard = true;
+	a->since = now;
+}
+
+enum era_verdict
+era_heard(struct era *a, msec now, uint64_t number)
+{
+	if (number > ERA_MAX)
+		number = 0;
+	if (!a->heard) {
+		era_begin(a, now, number);
+		return ERA_SAME;
+	}
+	if (number == a->number)
+		return ERA_SAME;
+	if (number == 0) {
+		a->counters.unnamed++;
+		return ERA_OLD;
+	}
+	if (number < a->number) {
+		a->counters.old++;
+		return ERA_OLD;
+	}
+	era_begin(a, now, number);
+	a->seen = true;
+	a->counters.changes++;
+	return ERA_ROSE;
+}
+
+void
+era_told(struct era *a, msec now, uint64_t number, uint32_t age_ms)
+{
+	if (!a->heard || number != a->number || age_ms == ERA_AGE_UNKNOWN)
+		return;
+	a->since = a->seen ? MIN(a->since, now - age_ms) : now - age_ms;
+	a->seen = true;
+}
+
+uint32_t
+era_age(const struct era *a, msec now)
+{
+	if (!a->seen)
+		return ERA_AGE_UNKNOWN;
+	return (uint32_t)CLAMP(now - a->since, 0, (msec)ERA_AGE_UNKNOWN - 1);
+}
+
+bool
+era_settled(const struct era *a, msec then, msec rewrite)
+{
+	return !a->seen || then >= a->since + rewrite;
+}
+
+uint64_t
+era_mark(const struct era *a, uint64_t mark)
+{
+	return a->number == 0 ? mark
+			      : mark ^ XXH64(&a->number, sizeof a->number, 11);
+}
+
+uint64_t
+era_token(uint64_t era, uint64_t place)
+{
+	return (era << ERA_TOKEN_BITS) | ((place + 1) & ERA_TOKEN_PLACE);
+}
+
+uint64_t
+era_token_era(uint64_t token)
+{
+	return token >> ERA_TOKEN_BITS;
+}
+
+uint64_t
+era_token_end(uint64_t token)
+{
+	return token & ERA_TOKEN_PLACE;
+}
--- /dev/null
+++ b/tests/test-era.c
@@ -0,0 +1,159 @@
+/*
+ * A store that comes back from an older copy of itself: which of its answers
+ * count, and when what it has is the newest again.
+ */
+
+#include "era.h"
+
+#define REWRITE 5000
+
+/* Platforms of before name no era: nothing ever changes. */
+static void
+test_without(void)
+{
+	struct era a;
+
+	era_init(&a);
+	g_assert_cmpint(era_heard(&a, 10, 0), ==, ERA_SAME);
+	g_assert_cmpint(era_heard(&a, 20, 0), ==, ERA_SAME);
+	g_assert_true(era_settled(&a, 20, REWRITE));
+	g_assert_cmpuint(era_mark(&a, 77), ==, 77);
+	g_assert_cmpuint(era_age(&a, 30), ==, ERA_AGE_UNKNOWN);
+	g_assert_cmpuint(era_token(0, 41), ==, 42);
+}
+
+/* The first era that is heard of is no change: it may be old. */
+static void
+test_first(void)
+{
+	struct era a;
+
+	era_init(&a);
+	g_assert_cmpint(era_heard(&a, 10, 7), ==, ERA_SAME);
+	g_assert_cmpuint(a.number, ==, 7);
+	g_assert_true(era_settled(&a, 10, REWRITE));
+	g_assert_cmpuint(a.counters.changes, ==, 0);
+}
+
+/* An answer from before the change, read after it, proved old state. */
+static void
+test_in_flight(void)
+{
+	struct era a;
+
+	era_init(&a);
+	era_heard(&a, 10, 7);
+	g_assert_cmpint(era_heard(&a, 20, 8), ==, ERA_ROSE);
+	g_assert_cmpint(era_heard(&a, 21, 8), ==, ERA_SAME);
+	g_assert_cmpint(era_heard(&a, 22, 7), ==, ERA_OLD);
+	g_assert_cmpuint(a.number, ==, 8);
+	g_assert_cmpuint(a.counters.old, ==, 1);
+	/* Twice in a row, and more than one while we were away. */
+	g_assert_cmpint(era_heard(&a, 30, 11), ==, ERA_ROSE);
+	g_assert_cmpuint(a.counters.changes, ==, 2);
+}
+
+/* Answers without a number, or with one that cannot be, change nothing. */
+static void
+test_bad(void)
+{
+	struct era a;
+
+	era_init(&a);
+	era_heard(&a, 10, 7);
+	g_assert_cmpint(era_heard(&a, 20, 0), ==, ERA_OLD);
+	g_assert_cmpint(era_heard(&a, 20, ERA_MAX + 1), ==, ERA_OLD);
+	g_assert_cmpint(era_heard(&a, 20, UINT64_MAX), ==, ERA_OLD);
+	g_assert_cmpuint(a.counters.unnamed, ==, 3);
+	g_assert_cmpint(era_heard(&a, 30, 7), ==, ERA_SAME);
+}
+
+/* A platform that names eras from some day on: what was read may be gone. */
+static void
+test_begins_to_name(void)
+{
+	struct era a;
+
+	era_init(&a);
+	era_heard(&a, 10, 0);
+	g_assert_cmpint(era_heard(&a, 20, 1), ==, ERA_ROSE);
+}
+
+/* A key that was taken away in the lost seconds worked again. */
+static void
+test_settled(void)
+{
+	struct era a;
+
+	era_init(&a);
+	era_heard(&a, 10, 7);
+	era_heard(&a, 1000, 8);
+	g_assert_false(era_settled(&a, 1000, REWRITE));
+	g_assert_false(era_settled(&a, 1000 + REWRITE - 1, REWRITE));
+	g_assert_true(era_settled(&a, 1000 + REWRITE, REWRITE));
+}
+
+/* A node that starts after the change took the copy for the newest. */
+static void
+test_told(void)
+{
+	struct era a;
+
+	era_init(&a);
+	era_heard(&a, 9000, 8);
+	era_told(&a, 9000, 7, 100);
+	era_told(&a, 9000, 8, ERA_AGE_UNKNOWN);
+	g_assert_true(era_settled(&a, 9000, REWRITE));
+	era_told(&a, 9000, 8, 1500);
+	g_assert_cmpuint(era_age(&a, 9000), ==, 1500);
+	g_assert_false(era_settled(&a, 9000, REWRITE));
+	g_assert_true(era_settled(&a, 7500 + REWRITE, REWRITE));
+	/* Who saw it later does not make it younger. */
+	era_told(&a, 9000, 8, 300);
+	g_assert_cmpuint(era_age(&a, 9000), ==, 1500);
+}
+
+/* A word of one era was taken for a proof in the other. */
+static void
+test_marks(void)
+{
+	struct era a, b;
+
+	era_init(&a);
+	era_init(&b);
+	era_heard(&a, 10, 7);
+	era_heard(&b, 10, 7);
+	g_assert_cmpuint(era_mark(&a, 5), ==, era_mark(&b, 5));
+	era_heard(&b, 20, 8);
+	g_assert_cmpuint(era_mark(&a, 5), !=, era_mark(&b, 5));
+}
+
+/* A place that was given out again made one token of two holders. */
+static void
+test_tokens(void)
+{
+	uint64_t old = era_token(7, 900), new = era_token(8, 3);
+
+	g_assert_cmpuint(new, >, old);
+	g_assert_cmpuint(era_token_era(new), ==, 8);
+	g_assert_cmpuint(era_token_end(new), ==, 4);
+	g_assert_cmpuint(era_token(8, 900), !=, old);
+	g_assert_cmpuint(
+	    era_token(ERA_MAX, UINT32_MAX - 1), <, (uint64_t)1 << 53);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/era/without", test_without);
+	g_test_add_func("/era/first", test_first);
+	g_test_add_func("/era/in-flight", test_in_flight);
+	g_test_add_func("/era/bad", test_bad);
+	g_test_add_func("/era/begins-to-name", test_begins_to_name);
+	g_test_add_func("/era/settled", test_settled);
+	g_test_add_func("/era/told", test_told);
+	g_test_add_func("/era/marks", test_marks);
+	g_test_add_func("/era/tokens", test_tokens);
+	return g_test_run();
+}
