--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -122,8 +122,9 @@
     const GArray *lines, const struct line *l, const char *id, const char *node)
 {
 	static const char *const others[] = { "configuration",
-		"configuration-unreadable", "platform-lost", "platform-back",
-		"started", "stopping", "stopped", "log-dropped" };
+		"configuration-unreadable", "era", "platform-lost",
+		"platform-back", "started", "stopping", "stopped",
+		"log-dropped" };
 	size_t i;
 
 	if (l->request != NULL)
--- a/duty.c
+++ b/duty.c
@@ -4,7 +4,9 @@
 
 #define LOG_PART "duty"
 #include "duty.h"
+#include "era.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -212,6 +214,45 @@
 	duty_lose(d, now);
 }
 
+void
+duty_set_era(struct duty *d, uint64_t era)
+{
+	d->era = era;
+}
+
+bool
+duty_reclaims(const struct duty *d, msec now)
+{
+	return !d->leaving && now < d->reclaim_until;
+}
+
+void
+duty_rewound(struct duty *d, msec now, uint64_t era)
+{
+	bool held = d->token != 0;
+
+	log_debug("the log is of era %" PRIu64 " now", era);
+	if (held)
+		d->reclaim_until = d->until;
+	d->era = era;
+	d->token = 0;
+	d->holder = 0;
+	d->end = 0;
+	d->end_at = now;
+	d->released = false;
+	d->next = now;
+	if (!held)
+		return;
+	d->counters.rewound++;
+	d->ops->changed(d, now, false);
+}
+
+bool
+duty_is_claim(const struct duty *d, uint64_t claim)
+{
+	return d->token != 0 && era_token(d->era, claim) == d->token;
+}
+
 static void
 duty_beat(struct duty *d, name_id hand_over)
 {
@@ -236,6 +277,7 @@
 	d->pending = true;
 	d->sent_at = now;
 	d->sent_end = at;
+	d->sent_era = d->era;
 	d->next = now + d->lease / DUTY_RENEWALS;
 	if (claim)
 		d->counters.claims++;
@@ -255,7 +297,9 @@
 	d->until = d->sent_at + d->lease;
 	d->lapsed = false;
 	if (begins) {
-		d->token = at + 1;
+		d->continues = d->sent_at < d->reclaim_until;
+		d->reclaim_until = 0;
+		d->token = era_token(d->era, at);
 		d->token_seen = MAX(d->token_seen, d->token);
 		d->holder = d->self;
 		d->ops->changed(d, now, true);
@@ -274,6 +318,9 @@
 	/* It took longer than a lease: nothing is known by it. */
 	if (how == DUTY_TAKEN && d->leaving && d->token == 0)
 		how = DUTY_UNKNOWN;
+	/* The end that it followed was the log's before it went back. */
+	if (how == DUTY_TAKEN && d->sent_era != d->era)
+		how = DUTY_REFUSED;
 	switch (how) {
 	case DUTY_TAKEN:
 		duty_taken(d, now, at, end);
@@ -289,6 +336,8 @@
 	d->end = end;
 	d->end_at = now;
 	d->released = false;
+	if (duty_reclaims(d, now))
+		d->next = now;
 	if (d->token == 0)
 		return;
 	/* A renewal of ours that had no answer, or another's claim? */
@@ -306,8 +355,8 @@
 	}
 	d->end = end;
 	d->end_at = now;
-	if (d->token != 0 && claim + 1 != d->token) {
-		d->token_seen = MAX(d->token_seen, claim + 1);
+	if (d->token != 0 && !duty_is_claim(d, claim)) {
+		d->token_seen = MAX(d->token_seen, era_token(d->era, claim));
 		duty_lose(d, now);
 	}
 	d->next = now;
@@ -340,7 +389,10 @@
 {
 	msec turn = (msec)duty_turn(d) * DUTY_TURN_MS, at;
 
-	if (d->end_at == MSEC_NEVER)
+	/* A log that went back may be empty though somebody holds a lease. */
+	if (d->end_at == MSEC_NEVER && d->era != 0)
+		at = d->started + d->lease + DUTY_MARGIN_MS + turn;
+	else if (d->end_at == MSEC_NEVER)
 		at = d->started + DUTY_START_MS + turn;
 	/* Not back to who had it a moment ago, also in an earlier process. */
 	else if (d->released)
@@ -353,8 +405,9 @@
 static void
 duty_watch(struct duty *d, msec now)
 {
-	if (d->leaving || d->pending || !duty_takes_work(d) ||
-	    now < duty_claim_at(d))
+	msec at = duty_reclaims(d, now) ? d->next : duty_claim_at(d);
+
+	if (d->leaving || d->pending || !duty_takes_work(d) || now < at)
 		return;
 	/* The first append tells where the log ends, or begins it. */
 	duty_append(d, now, d->end_at == MSEC_NEVER ? 0 : d->end, true);
@@ -363,7 +416,7 @@
 static bool
 beat_is_valid(const sp_duty_beat *b)
 {
-	return b->token > 0 && b->end >= b->token;
+	return b->token > 0 && b->end >= era_token_end(b->token);
 }
 
 void
@@ -376,8 +429,8 @@
 		d->counters.dropped++;
 		return;
 	}
-	/* Of a holder before the newest. */
-	if (b->token < d->token_seen ||
+	/* Of a holder before the newest, or of a log that has gone back. */
+	if (b->token < d->token_seen || era_token_era(b->token) < d->era ||
 	    (b->token == d->token_seen && b->end < d->end))
 		return;
 	if (d->token != 0)
--- a/duty.h
+++ b/duty.h
@@ -11,6 +11,12 @@
  * renewed since, the log refuses; if not, its lease is over, by a clock that
  * runs on while a VM stands still.
  *
+ * The log may go back to an older copy of itself and give its places out again;
+ * see era.h. A token has the era before the place, so it grows all the same.
+ * What was known of the log's end is void then: who wants to take over learns
+ * it anew, and waits for a whole lease from there. Only the holder, while its
+ * lease runs, may claim in the new era at once.
+ *
  * A core without input or output.
  */
 
@@ -57,6 +63,7 @@
 	uint64_t claims, renewals, refused, unknown;
 	uint64_t lost;	  /* another holds it, or its token was refused */
 	uint64_t lapsed;  /* the lease ended before a renewal */
+	uint64_t rewound; /* the log went back while we held it */
 	uint64_t dropped; /* messages that cannot be right */
 	msec without;	  /* ms that no holder was known */
 };
@@ -72,6 +79,7 @@
 	/* What we have heard. */
 	name_id holder;	     /* 0: none */
 	uint64_t token_seen; /* the greatest */
+	uint64_t era;	     /* of the log */
 	uint64_t end;	     /* of the log */
 	msec end_at;	     /* when we heard so; MSEC_NEVER: never */
 	bool released;	     /* its holder has given it up there */
@@ -79,13 +87,17 @@
 	/* Our own part. */
 	uint64_t token; /* 0: we are not the holder */
 	msec until;	/* end of our lease */
+	/* The lease of an era that is over still runs; we may claim at once. */
+	msec reclaim_until;
+	bool continues; /* held without a break, in the era before too */
 	bool leaving;
 	bool pending; /* an append, or a look, is under way */
 	msec sent_at;
 	uint64_t sent_end;
-	msec next;	 /* no append before */
-	msec next_beat;	 /* of the holder */
-	msec stood_down; /* takes nothing before */
+	uint64_t sent_era; /* that the end was known in */
+	msec next;	   /* no append before */
+	msec next_beat;	   /* of the holder */
+	msec stood_down;   /* takes nothing before */
 	bool lapsed;
 	msec ticked;
 	struct duty_counters counters;
@@ -113,6 +125,16 @@
 duty_appended(struct duty *, msec, enum duty_result, uint64_t at, uint64_t end);
 /* The newest claim stands there, and the log's end; false: no answer. */
 void duty_looked(struct duty *, msec, bool ok, uint64_t claim, uint64_t end);
+/* The first era of the log that is heard of. */
+void duty_set_era(struct duty *, uint64_t era);
+/*
+ * The log has gone back and is of a new era: our token is void. The op
+ * changed() says so; duty_reclaims() says then whether we are to hold it on.
+ */
+void duty_rewound(struct duty *, msec, uint64_t era);
+bool duty_reclaims(const struct duty *, msec);
+/* Is the newest claim in the log, at that place, ours? */
+bool duty_is_claim(const struct duty *, uint64_t claim);
 /* The platform has seen a greater token than ours. */
 void duty_refused(struct duty *, msec);
 /*
--- a/entry-duty.c
+++ b/entry-duty.c
@@ -41,6 +41,7 @@
 	struct capacity capacity;
 	struct loop_timer timer;
 	bool read_back; /* what the holder before us wrote is known */
+	json_t *kept;	/* servers needed, while we claim in a new era */
 	bool looking;
 	bool core_looks;	     /* for duty.c, too */
 	struct duty_window *windows; /* as many as usage remembers */
@@ -53,6 +54,7 @@
 	struct usage_process *processes;
 	unsigned int nprocesses;
 	uint64_t reports, repeated, missed, fenced;
+	uint64_t skipped; /* windows that may have been reported */
 	uint64_t orders_taken, orders_none, orders_failed;
 };
 
@@ -185,8 +187,8 @@
 	json_t *top;
 	char *text;
 
-	top = json_pack("{s:I,s:o,s:o}", "at",
-	    (json_int_t)usage_true(&x->usage, now), "windows",
+	top = json_pack("{s:I,s:I,s:o,s:o}", "era", (json_int_t)e->era.number,
+	    "at", (json_int_t)usage_true(&x->usage, now), "windows",
 	    x->usage.window > 0 ? notes_windows(e, now) : json_array(),
 	    "servers", notes_capacity(&x->capacity));
 	text = json_dumps(top, JSON_COMPACT);
@@ -217,24 +219,60 @@
 }
 
 static void
-notes_read(struct entry *e, const char *notes)
+notes_read_capacity(struct capacity *c, const json_t *needed)
 {
-	struct entry_duty *x = e->duty;
-	json_t *top = json_loads(notes, 0, NULL), *o, *needed;
-	msec at = json_integer_value(json_object_get(top, "at"));
 	struct capacity_service *s;
+	json_int_t count;
 	unsigned int i;
+
+	for (i = 0; i < c->nservices; i++) {
+		s = &c->services[i];
+		count =
+		    json_integer_value(json_object_get(needed, s->terms.name));
+		s->held = (unsigned int)CLAMP(count, 0, 1000000);
+	}
+}
+
+/*
+ * Guards against a second report of a window, with other counts, by a holder
+ * who cannot know of the first: its record was written in an era that is over,
+ * and lost. What had ended when the era began is left out, also by those who
+ * follow us.
+ */
+static void
+windows_skip_lost(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	msec wall = usage_true(&x->usage, now);
+	uint64_t current = (uint64_t)(wall / x->usage.window), n;
+	uint64_t begun =
+	    (uint64_t)((wall - (now - e->era.since)) / x->usage.window);
+	const struct duty_window *w;
+
+	for (n = current - x->usage.nwindows + 2; n < begun; n++) {
+		w = window_at(x, n);
+		if (w->used && w->number == n)
+			continue;
+		window_put(x, n, json_object(), false, true);
+		x->skipped++;
+	}
+}
+
+static void
+notes_read(struct entry *e, const char *notes, msec now)
+{
+	struct entry_duty *x = e->duty;
+	json_t *top = json_loads(notes, 0, NULL), *o;
+	msec at = json_integer_value(json_object_get(top, "at"));
+	uint64_t era =
+	    (uint64_t)json_integer_value(json_object_get(top, "era"));
 	size_t n;
 
 	json_array_foreach (json_object_get(top, "windows"), n, o)
 		notes_read_window(e, o, at);
-	for (i = 0; i < x->capacity.nservices; i++) {
-		s = &x->capacity.services[i];
-		needed = json_object_get(
-		    json_object_get(top, "servers"), s->terms.name);
-		s->held =
-		    (unsigned int)CLAMP(json_integer_value(needed), 0, 1000000);
-	}
+	notes_read_capacity(&x->capacity, json_object_get(top, "servers"));
+	if (era != e->era.number && x->usage.window > 0)
+		windows_skip_lost(e, now);
 	json_decref(top);
 }
 
@@ -292,6 +330,42 @@
 	duty_to_node(entry_of(d), node, msg);
 }
 
+/* We hold nothing, and know nothing that another holder may not change. */
+static void
+duty_drop(struct entry_duty *x, msec now)
+{
+	g_clear_pointer(&x->kept, json_decref);
+	windows_drop(x);
+	capacity_hold(&x->capacity, now, false);
+}
+
+/* The log went back, and our lease runs: nobody else has held it meanwhile. */
+static void
+duty_keep(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+	unsigned int i;
+
+	g_clear_pointer(&x->kept, json_decref);
+	x->kept = notes_capacity(&x->capacity);
+	capacity_hold(&x->capacity, now, false);
+	/* What was in the log may be lost. */
+	for (i = 0; i < x->usage.nwindows; i++)
+		x->windows[i].saved = x->windows[i].carried = false;
+}
+
+static void
+duty_hold_on(struct entry *e, msec now)
+{
+	struct entry_duty *x = e->duty;
+
+	x->read_back = true;
+	capacity_hold(&x->capacity, now, e->settings->order_servers);
+	notes_read_capacity(&x->capacity, x->kept);
+	g_clear_pointer(&x->kept, json_decref);
+	duty_renew_now(&x->duty, now);
+}
+
 static void
 duty_op_changed(struct duty *d, msec now, bool holds)
 {
@@ -300,8 +374,12 @@
 
 	x->read_back = false;
 	x->notes_turn = 0;
-	windows_drop(x);
-	capacity_hold(&x->capacity, now, false);
+	if (holds && d->continues && x->kept != NULL)
+		duty_hold_on(e, now);
+	else if (!holds && duty_reclaims(d, now))
+		duty_keep(e, now);
+	else
+		duty_drop(x, now);
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_DUTY,
 	    LOG_TEXT(LOG_KEY_STATE, holds ? "held" : "not held"),
 	    LOG_NUMBER(LOG_KEY_TOKEN, d->token),
@@ -385,13 +463,11 @@
 	if (core)
 		duty_looked(&x->duty, now, ok, claim, end);
 	/* Another's claim may stand after ours. */
-	if (!ok || x->read_back || x->duty.token == 0 ||
-	    claim + 1 != x->duty.token)
+	if (!ok || x->read_back || !duty_is_claim(&x->duty, claim))
 		return;
-	notes_read(e, notes);
 	x->read_back = true;
 	capacity_hold(&x->capacity, now, e->settings->order_servers);
-	notes_read(e, notes);
+	notes_read(e, notes, now);
 }
 
 void
@@ -463,6 +539,20 @@
 	return duty_token(&e->duty->duty, now);
 }
 
+void
+entry_duty_set_era(struct entry *e)
+{
+	if (e->duty != NULL)
+		duty_set_era(&e->duty->duty, e->era.number);
+}
+
+void
+entry_duty_rewound(struct entry *e, msec now)
+{
+	if (e->duty != NULL)
+		duty_rewound(&e->duty->duty, now, e->era.number);
+}
+
 /* ---- what others say, and what we count ---- */
 
 void
@@ -738,6 +828,7 @@
 	if (x == NULL)
 		return;
 	loop_timer_stop(&e->loop, &x->timer);
+	g_clear_pointer(&x->kept, json_decref);
 	windows_drop(x);
 	duty_finish(&x->duty);
 	usage_finish(&x->usage);
@@ -779,6 +870,7 @@
 	metric(s, "usage_windows_reported_total", x->reports);
 	metric(s, "usage_reports_repeated_total", x->repeated);
 	metric(s, "usage_windows_missed_total", x->missed);
+	metric(s, "usage_windows_skipped_total", x->skipped);
 	metric(s, "usage_clock_jumps_total", x->usage.counters.jumps);
 	metric(s, "server_orders_taken_total", x->orders_taken);
 	metric(s, "server_orders_none_left_total", x->orders_none);
--- a/entry-duty.h
+++ b/entry-duty.h
@@ -52,6 +52,10 @@
 void entry_duty_ordered(
     struct entry *, const struct server_order *, enum duty_call_result, msec);
 
+/* The first era of the source's log, and one that follows another. */
+void entry_duty_set_era(struct entry *);
+void entry_duty_rewound(struct entry *, msec);
+
 void entry_duty_metrics(const struct entry *, GString *);
 void entry_duty_dump(const struct entry *, GString *, msec);
 
--- /dev/null
+++ b/entry-era.c
@@ -0,0 +1,136 @@
+/*
+ * What the store's answers are worth; see entry-era.h.
+ */
+
+#define LOG_PART "era"
+#include "entry.h"
+
+#include <inttypes.h>
+
+/* From the time that was given to write again until all nodes have read it. */
+#define ERA_READ_MS 1000
+/* A server that is gone may be in a copy that is so old. */
+#define ERA_COPY_MS 20000
+
+static void
+entry_era_log(struct entry *e, msec now, const char *state)
+{
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_ERA,
+	    LOG_TEXT(LOG_KEY_STATE, state),
+	    LOG_NUMBER(LOG_KEY_ERA, e->era.number),
+	    LOG_NUMBER(
+		LOG_KEY_VERSION, e->table != NULL ? e->table->version : 0),
+	    LOG_NUMBER(LOG_KEY_PROOF_MS, fresh_age(&e->fresh, now)));
+}
+
+static void
+entry_era_begun(struct entry *e, msec now)
+{
+	if (e->era.number == 0)
+		return;
+	servers_remember(&e->servers, ERA_COPY_MS);
+	entry_duty_set_era(e);
+}
+
+/*
+ * What was read is in force still, but nothing proves that it is the newest,
+ * and the list of servers lacks what has yet to be written again.
+ */
+static void
+entry_era_rose(struct entry *e, msec now)
+{
+	msec until = now + e->settings->rewrite + ERA_READ_MS;
+
+	servers_remember(&e->servers, ERA_COPY_MS);
+	servers_hold(&e->servers, until);
+	servers_doubt(&e->servers, until);
+	relay_forget(&e->relay);
+	entry_duty_rewound(e, now);
+	e->source->ops->rewound(e->source);
+	entry_era_log(e, now, "changed");
+}
+
+enum era_verdict
+entry_take_era(struct entry *e, uint64_t number, msec now)
+{
+	bool first = !e->era.heard;
+	enum era_verdict verdict = era_heard(&e->era, now, number);
+
+	switch (verdict) {
+	case ERA_SAME:
+		if (first)
+			entry_era_begun(e, now);
+		break;
+	case ERA_ROSE:
+		entry_era_rose(e, now);
+		break;
+	case ERA_OLD:
+		entry_log(&e->log, now, ENTRY_LOG_USUAL, LOG_EVENT_ERA,
+		    LOG_TEXT(LOG_KEY_STATE, number == 0 ? "not named" : "over"),
+		    LOG_NUMBER(LOG_KEY_ERA, number));
+		break;
+	}
+	return verdict;
+}
+
+bool
+entry_era_proves(const struct entry *e, msec asked)
+{
+	uint64_t newest =
+	    MAX(members_newest_version(&e->members), e->start.version);
+
+	if (e->era.number == 0)
+		return true;
+	return era_settled(&e->era, asked, e->settings->rewrite) &&
+	       e->table->version >= newest;
+}
+
+uint64_t
+entry_era_mark(const struct entry *e, uint64_t mark)
+{
+	return era_mark(&e->era, mark);
+}
+
+void
+entry_era_metrics(const struct entry *e, GString *s, msec now)
+{
+	const struct era_counters *c = &e->era.counters;
+
+	g_string_append_printf(s,
+	    "# HELP savory_entry_store_era Of the platform's store; 0: it "
+	    "names none.\n"
+	    "# TYPE savory_entry_store_era gauge\n"
+	    "savory_entry_store_era %" PRIu64 "\n"
+	    "# HELP savory_entry_store_settled What it lost had time to be "
+	    "written again.\n"
+	    "# TYPE savory_entry_store_settled gauge\n"
+	    "savory_entry_store_settled %d\n"
+	    "# HELP savory_entry_store_changes_total Times that it came back "
+	    "from an older copy.\n"
+	    "# TYPE savory_entry_store_changes_total counter\n"
+	    "savory_entry_store_changes_total %" PRIu64 "\n"
+	    "# HELP savory_entry_store_old_answers_total Answers of an era "
+	    "that is over, not believed.\n"
+	    "# TYPE savory_entry_store_old_answers_total counter\n"
+	    "savory_entry_store_old_answers_total %" PRIu64 "\n"
+	    "# HELP savory_entry_store_unnamed_answers_total Answers without "
+	    "an era, not believed.\n"
+	    "# TYPE savory_entry_store_unnamed_answers_total counter\n"
+	    "savory_entry_store_unnamed_answers_total %" PRIu64 "\n",
+	    e->era.number, era_settled(&e->era, now, e->settings->rewrite),
+	    c->changes, c->old, c->unnamed);
+}
+
+void
+entry_era_dump(const struct entry *e, GString *s, msec now)
+{
+	if (e->era.number == 0)
+		return;
+	g_string_append_printf(s,
+	    "store era %" PRIu64 " age-ms %" PRId64 " settled %s changes "
+	    "%" PRIu64 " newest-heard %" PRIu64 "\n",
+	    e->era.number, e->era.seen ? now - e->era.since : -1,
+	    era_settled(&e->era, now, e->settings->rewrite) ? "yes" : "no",
+	    e->era.counters.changes,
+	    MAX(members_newest_version(&e->members), e->start.version));
+}
--- a/entry-log.c
+++ b/entry-log.c
@@ -28,6 +28,9 @@
 	[LOG_EVENT_DUTY] = { "duty",
 	    "This node holds the duties of one node from now on, or not any "
 	    "more." },
+	[LOG_EVENT_ERA] = { "era",
+	    "The platform's store came back from an older copy of itself, or "
+	    "an answer of it is not believed." },
 	[LOG_EVENT_EVENT_OUT_OF_ORDER] = { "event-out-of-order",
 	    "A stream did not go on at the event that was due." },
 	[LOG_EVENT_HOPELESS] = { "hopeless",
@@ -81,6 +84,7 @@
 	[LOG_KEY_COUNT] = { "count", "servers ordered, in all" },
 	[LOG_KEY_DOMAIN] = { "domain",
 	    "failure domain of this node, or of the servers ordered" },
+	[LOG_KEY_ERA] = { "era", "of the platform's store" },
 	[LOG_KEY_FIRST_MS] = { "first_ms",
 	    "from the request to the first byte of the answer; -1: none" },
 	[LOG_KEY_GAP_MS] = { "gap_ms",
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -301,6 +301,7 @@
 	text_limits(s, e);
 	text_counters(s, e);
 	e->source->ops->metrics(e->source, s);
+	entry_era_metrics(e, s, now);
 	entry_duty_metrics(e, s);
 }
 
@@ -393,6 +394,7 @@
 	    entry_is_ready(e, now) ? "yes" : "no",
 	    e->table != NULL ? e->table->version : 0,
 	    e->fresh.proven == MSEC_NEVER ? -1 : now - e->fresh.proven);
+	entry_era_dump(e, s, now);
 	dump_servers(s, e, now);
 	dump_kinds(s, e);
 	dump_mixes(s, e);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -73,8 +73,7 @@
 		.port = v->port,
 		.slots = v->slots,
 		.born = (uint64_t)v->born,
-		.state =
-		    v->missing ? SP_SERVER_GONE : (sp_server_state)v->state,
+		.state = (sp_server_state)server_listed_as(v),
 		.reclaimable = v->reclaimable };
 }
 
@@ -126,21 +125,23 @@
 			v->told = server_mark(v);
 		return;
 	}
-	m->before = m->after = mark;
+	m->before = entry_era_mark(e, mark);
 	m->list.list_val = list;
 	RB_FOREACH (v, server_tree, &e->servers.tree) {
 		own = server_mark(v);
 		if (own == v->told)
 			continue;
 		server_encode(&list[m->list.list_len++], v);
-		m->after += own - v->told;
+		mark += own - v->told;
 		v->told = own;
 		if (m->list.list_len < RELAY_SERVERS_EACH)
 			continue;
+		m->after = entry_era_mark(e, mark);
 		relay_send_all(r, to, n, &msg);
 		m->before = m->after;
 		m->list.list_len = 0;
 	}
+	m->after = entry_era_mark(e, mark);
 	m->position = e->source->ops->servers_position(e->source);
 	relay_send_all(r, to, n, &msg);
 }
@@ -176,7 +177,7 @@
 entry_relay_servers(
     struct entry *e, name_id from, const sp_relay_servers *m, msec now)
 {
-	uint64_t mark = servers_mark(&e->servers);
+	uint64_t mark = entry_era_mark(e, servers_mark(&e->servers));
 	u_int i;
 
 	if (from != e->relay.reader || m->before != mark)
@@ -187,7 +188,7 @@
 	}
 	for (i = 0; i < m->list.list_len; i++)
 		server_take(e, &m->list.list_val[i], now);
-	mark = servers_mark(&e->servers);
+	mark = entry_era_mark(e, servers_mark(&e->servers));
 	if (mark != m->after)
 		return;
 	relay_took(&e->relay, RELAY_SERVERS, mark);
@@ -211,14 +212,16 @@
 void
 entry_take_proof(struct entry *e, msec asked)
 {
-	/* Nobody has published a configuration yet. */
-	if (e->table == NULL) {
+	if (entry_start_waits(e))
+		entry_start_hold_proof(e, asked);
+	/* Nobody has published one yet, or the newest may be lost. */
+	if (e->table == NULL || !entry_era_proves(e, asked)) {
 		relay_read_in_vain(&e->relay, RELAY_TABLE, asked);
 		return;
 	}
 	fresh_prove(&e->fresh, asked);
-	relay_read(
-	    &e->relay, e->loop.now, RELAY_TABLE, e->table->version, asked);
+	relay_read(&e->relay, e->loop.now, RELAY_TABLE,
+	    entry_era_mark(e, e->table->version), asked);
 }
 
 void
@@ -231,7 +234,7 @@
 entry_take_servers(struct entry *e, msec asked)
 {
 	relay_read(&e->relay, e->loop.now, RELAY_SERVERS,
-	    servers_mark(&e->servers), asked);
+	    entry_era_mark(e, servers_mark(&e->servers)), asked);
 }
 
 void
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -48,6 +48,7 @@
 	to->keys_fail_closed = from->keys_fail_closed;
 	to->keys_bound = from->keys_bound;
 	to->change_bound = from->change_bound;
+	to->rewrite = from->rewrite;
 	to->retry_permille = from->retry_permille;
 	to->retry_fixed = from->retry_fixed;
 	to->retry_window = from->retry_window;
--- /dev/null
+++ b/entry-start.c
@@ -0,0 +1,166 @@
+/*
+ * What others say to a node that starts; see entry-start.h.
+ */
+
+#define LOG_PART "start"
+#include "entry.h"
+
+#include <string.h>
+
+/* Nodes asked at a time; as many answers are enough. */
+#define START_NODES 3
+/* Between two rounds of questions; answers take a few milliseconds. */
+#define START_AGAIN_MS 60
+/* Nobody is served meanwhile. */
+#define START_MOST_MS 400
+
+static void
+start_end(struct entry *e, msec now)
+{
+	struct entry_start *s = &e->start;
+	struct route_table *t = s->table;
+
+	loop_timer_stop(&e->loop, &s->timer);
+	s->done = true;
+	s->asking = false;
+	s->table = NULL;
+	log_debug("%u nodes told what they know", s->told);
+	if (t == NULL)
+		return;
+	entry_take_table(e, t, now);
+	if (s->asked != MSEC_NEVER)
+		entry_take_proof(e, s->asked);
+}
+
+static void
+start_ask(struct entry *e, const struct vm *vm)
+{
+	sp_msg msg = { .kind = SP_START_ASK };
+
+	msg.sp_msg_u.start_ask.seq = e->start.seq;
+	net_send(&e->net, vm->address, vm->port, &msg);
+}
+
+static void
+start_timer(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+	struct entry_start *s = &e->start;
+	guint i, at;
+
+	if (now >= s->until || s->told >= START_NODES ||
+	    (s->listed && s->told >= s->nodes->len)) {
+		start_end(e, now);
+		return;
+	}
+	for (i = 0; i < START_NODES && s->nodes->len > 0; i++) {
+		at = (guint)g_rand_int_range(e->rand, 0, (gint32)s->nodes->len);
+		start_ask(e, &g_array_index(s->nodes, struct vm, at));
+	}
+	loop_timer_set(&e->loop, t, now + START_AGAIN_MS);
+}
+
+bool
+entry_start_waits(const struct entry *e)
+{
+	return e->phase == ENTRY_STARTING && !e->start.done &&
+	       e->era.number != 0;
+}
+
+void
+entry_start_hold(struct entry *e, struct route_table *t, msec now)
+{
+	struct entry_start *s = &e->start;
+
+	route_table_drop(s->table);
+	s->table = t;
+	if (s->asking)
+		return;
+	s->asking = true;
+	s->until = now + START_MOST_MS;
+	e->source->ops->find_nodes(e->source);
+	loop_timer_set(&e->loop, &s->timer, s->until);
+}
+
+void
+entry_start_hold_proof(struct entry *e, msec asked)
+{
+	e->start.asked = asked;
+}
+
+void
+entry_start_nodes(
+    struct entry *e, const struct vm *vms, unsigned int n, msec now)
+{
+	struct entry_start *s = &e->start;
+	unsigned int i;
+
+	if (!s->asking || s->listed)
+		return;
+	s->listed = true;
+	for (i = 0; i < n; i++) {
+		if (strcmp(vms[i].name, e->settings->node) != 0)
+			g_array_append_val(s->nodes, vms[i]);
+	}
+	loop_timer_set(&e->loop, &s->timer, now);
+}
+
+static void
+start_answer(struct entry *e, uint32_t address, uint16_t port,
+    const sp_start_ask *ask, msec now)
+{
+	sp_msg msg = { .kind = SP_START_TELL };
+	sp_start_tell *t = &msg.sp_msg_u.start_tell;
+
+	t->seq = ask->seq;
+	t->era = e->era.number;
+	t->era_age_ms = era_age(&e->era, now);
+	t->newest_version = MAX(members_newest_version(&e->members),
+	    e->table != NULL ? e->table->version : 0);
+	net_send(&e->net, address, port, &msg);
+}
+
+/* An answer may come after the configuration was taken, or twice. */
+static void
+start_told(struct entry *e, const sp_start_tell *t, msec now)
+{
+	struct entry_start *s = &e->start;
+
+	if (!s->asking || t->seq != s->seq) {
+		log_debug("an answer to nothing that was asked is dropped");
+		return;
+	}
+	s->told++;
+	s->version = MAX(s->version, t->newest_version);
+	era_told(&e->era, now, t->era, t->era_age_ms);
+	if (s->told >= START_NODES)
+		start_end(e, now);
+}
+
+void
+entry_start_receive(struct entry *e, uint32_t address, uint16_t port,
+    const sp_msg *msg, msec now)
+{
+	if (msg->kind == SP_START_ASK)
+		start_answer(e, address, port, &msg->sp_msg_u.start_ask, now);
+	else
+		start_told(e, &msg->sp_msg_u.start_tell, now);
+}
+
+void
+entry_start_init(struct entry *e)
+{
+	e->start = (struct entry_start){ .seq = g_rand_int(e->rand),
+		.nodes = g_array_new(FALSE, FALSE, sizeof(struct vm)),
+		.asked = MSEC_NEVER };
+	loop_timer_init(&e->start.timer, start_timer, e);
+}
+
+void
+entry_start_finish(struct entry *e)
+{
+	loop_timer_stop(&e->loop, &e->start.timer);
+	g_array_unref(e->start.nodes);
+	route_table_drop(e->start.table);
+	e->start.table = NULL;
+}
--- a/entry-state.c
+++ b/entry-state.c
@@ -96,7 +96,9 @@
 {
 	struct entry *e = net->arg;
 
-	if (msg->kind < SP_RESERVE)
+	if (msg->kind == SP_START_ASK || msg->kind == SP_START_TELL)
+		entry_start_receive(e, address, port, msg, msec_now());
+	else if (msg->kind < SP_RESERVE)
 		members_receive(&e->members, msec_now(), from, incarnation,
 		    address, port, msg);
 	else if (msg->kind >= SP_DUTY_BEAT)
@@ -200,6 +202,7 @@
     struct entry *e, const struct vm *vms, unsigned int n, msec now)
 {
 	members_set_list(&e->members, now, vms, n);
+	entry_start_nodes(e, vms, n, now);
 }
 
 /* ---- the source ---- */
@@ -212,6 +215,19 @@
 		route_table_drop(t);
 		return;
 	}
+	if (entry_start_waits(e)) {
+		entry_start_hold(e, t, now);
+		return;
+	}
+	/* Others know a newer one, which the store has lost. */
+	if (e->table == NULL && t->version < e->start.version) {
+		entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_ERA,
+		    LOG_TEXT(LOG_KEY_STATE, "older configuration"),
+		    LOG_NUMBER(LOG_KEY_ERA, e->era.number),
+		    LOG_NUMBER(LOG_KEY_VERSION, t->version));
+		route_table_drop(t);
+		return;
+	}
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_CONFIGURATION,
 	    LOG_NUMBER(LOG_KEY_VERSION, t->version),
 	    LOG_NUMBER(LOG_KEY_ROUTES, t->nroutes),
@@ -304,6 +320,8 @@
 
 	RB_INIT(&e->budgets);
 	fresh_init(&e->fresh, 0);
+	era_init(&e->era);
+	entry_start_init(e);
 	entry_relay_init(e, now);
 	entry_state_apply(e);
 	servers_init(&e->servers, &state_server_ops);
@@ -351,6 +369,7 @@
 	entry_duty_finish(e);
 	place_finish(&e->place);
 	entry_relay_finish(e);
+	entry_start_finish(e);
 	loop_timer_stop(&e->loop, &e->place_timer);
 	servers_finish(&e->servers);
 	members_finish(&e->members);
--- a/entry.h
+++ b/entry.h
@@ -10,7 +10,9 @@
  *   entry-reply.c    what of a server's answer goes to the caller
  *
  * Beside it: place.c and server-choose.c say which server; entry-state.c has
- * what is in force (configuration, servers, other nodes), entry-query.c answers
+ * what is in force (configuration, servers, other nodes), entry-era.c what the
+ * store's answers are worth, entry-start.c what others say at a start,
+ * entry-query.c answers
  * readiness and the directory, entry-stop.c has the planned stop, entry.c
  * starts and ends it all.
  */
@@ -21,7 +23,9 @@
 #include "buffer.h"
 #include "duration.h"
 #include "entry-duty.h"
+#include "entry-era.h"
 #include "entry-log.h"
+#include "entry-start.h"
 #include "fresh.h"
 #include "http-message.h"
 #include "loop.h"
@@ -343,6 +347,8 @@
 	uint64_t incarnation;
 	struct route_table *table; /* NULL: none yet */
 	struct fresh fresh;
+	struct era era; /* of the source's store */
+	struct entry_start start;
 	struct servers servers;
 	struct place place;
 	struct loop_timer place_timer;
--- a/exchange.c
+++ b/exchange.c
@@ -86,6 +86,17 @@
 	return loop_watch(x->loop, &x->io, EPOLLOUT);
 }
 
+static void
+exchange_keep_field(struct exchange *x, unsigned int status)
+{
+	const char *value = NULL;
+
+	if (status != 0 && x->field != NULL &&
+	    http_head_count(x->reader.head, x->field) == 1)
+		value = http_head_get(x->reader.head, x->field);
+	g_strlcpy(x->value, value != NULL ? value : "", sizeof x->value);
+}
+
 /* The call is over; the connection stays only after a whole answer. */
 static void
 exchange_end(struct exchange *x, unsigned int status, msec now)
@@ -95,6 +106,7 @@
 
 	loop_timer_stop(x->loop, &x->timer);
 	buffer_finish(&x->request);
+	exchange_keep_field(x, status);
 	http_reader_reset(&x->reader);
 	if (!keep)
 		loop_close(x->loop, &x->io);
--- a/exchange.h
+++ b/exchange.h
@@ -13,6 +13,9 @@
 
 struct exchange;
 
+/* Of a header field's value; a longer one is cut. */
+#define EXCHANGE_VALUE 32
+
 /* The status and exchange->body, or status 0: there was no whole answer. */
 typedef void (*exchange_done)(struct exchange *, unsigned int, msec);
 
@@ -32,6 +35,9 @@
 	msec asked; /* when the call in hand, or the last one, was made */
 	bool busy;
 	struct buffer body; /* of the answer; good within done() */
+	/* A header field whose value is wanted; NULL: none. */
+	const char *field;
+	char value[EXCHANGE_VALUE]; /* "" when it is missing, or there twice */
 	/* Private from here. */
 	struct http_reader reader;
 	struct buffer request; /* kept until an answer begins */
--- a/proto.h
+++ b/proto.h
@@ -351,6 +351,19 @@
 };
 typedef struct sp_relay_servers sp_relay_servers;
 
+struct sp_start_ask {
+	u_int seq;
+};
+typedef struct sp_start_ask sp_start_ask;
+
+struct sp_start_tell {
+	u_int seq;
+	u_quad_t era;
+	u_int era_age_ms;
+	u_quad_t newest_version;
+};
+typedef struct sp_start_tell sp_start_tell;
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -377,6 +390,8 @@
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
 	SP_DEMAND = 53,
+	SP_START_ASK = 60,
+	SP_START_TELL = 61,
 };
 typedef enum sp_kind sp_kind;
 
@@ -408,6 +423,8 @@
 		sp_usage_counts usage_counts;
 		sp_usage_time usage_time;
 		sp_demand demand;
+		sp_start_ask start_ask;
+		sp_start_tell start_tell;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
@@ -478,6 +495,8 @@
 extern  bool_t xdr_sp_server_state (XDR *, sp_server_state*);
 extern  bool_t xdr_sp_server (XDR *, sp_server*);
 extern  bool_t xdr_sp_relay_servers (XDR *, sp_relay_servers*);
+extern  bool_t xdr_sp_start_ask (XDR *, sp_start_ask*);
+extern  bool_t xdr_sp_start_tell (XDR *, sp_start_tell*);
 extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
 extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
 extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
@@ -520,6 +539,8 @@
 extern bool_t xdr_sp_server_state ();
 extern bool_t xdr_sp_server ();
 extern bool_t xdr_sp_relay_servers ();
+extern bool_t xdr_sp_start_ask ();
+extern bool_t xdr_sp_start_tell ();
 extern bool_t xdr_sp_kind ();
 extern bool_t xdr_sp_msg ();
 extern bool_t xdr_sp_batch ();
--- a/proto.x
+++ b/proto.x
@@ -339,6 +339,20 @@
 	sp_server list<SAVORY_SERVERS_MAX>;
 };
 
+/* ---- a node that starts ---- */
+
+/* What is known of the store? Answered to where it came from. */
+struct sp_start_ask {
+	unsigned int seq;
+};
+
+struct sp_start_tell {
+	unsigned int seq;
+	unsigned hyper era;		/* 0: none is known */
+	unsigned int era_age_ms;	/* the largest number: not known */
+	unsigned hyper newest_version;	/* of the configuration, heard of; 0 */
+};
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -364,7 +378,9 @@
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
-	SP_DEMAND = 53
+	SP_DEMAND = 53,
+	SP_START_ASK = 60,
+	SP_START_TELL = 61
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -418,6 +434,10 @@
 	sp_usage_time usage_time;
 case SP_DEMAND:
 	sp_demand demand;
+case SP_START_ASK:
+	sp_start_ask start_ask;
+case SP_START_TELL:
+	sp_start_tell start_tell;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -971,6 +971,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_start_ask(XDR *xdrs, sp_start_ask *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_start_tell(XDR *xdrs, sp_start_tell *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->era))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->era_age_ms))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->newest_version))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -1089,6 +1115,14 @@
 		if (!xdr_sp_demand(xdrs, &objp->sp_msg_u.demand))
 			return FALSE;
 		break;
+	case SP_START_ASK:
+		if (!xdr_sp_start_ask(xdrs, &objp->sp_msg_u.start_ask))
+			return FALSE;
+		break;
+	case SP_START_TELL:
+		if (!xdr_sp_start_tell(xdrs, &objp->sp_msg_u.start_tell))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/relay.c
+++ b/relay.c
@@ -29,18 +29,25 @@
 #define RELAY_NEVER UINT32_MAX
 
 void
-relay_init(
-    struct relay *r, const struct relay_ops *ops, name_id self, msec every)
+relay_forget(struct relay *r)
 {
 	unsigned int i;
 
+	for (i = 0; i < RELAY_SUBJECTS; i++)
+		r->known[i] = (struct relay_known){ .mark = r->known[i].mark,
+			.proven = MSEC_NEVER,
+			.asked = -1,
+			.look = -1 };
+}
+
+void
+relay_init(
+    struct relay *r, const struct relay_ops *ops, name_id self, msec every)
+{
 	*r = (struct relay){
 		.ops = ops, .self = self, .every = every, .reader = self
 	};
-	for (i = 0; i < RELAY_SUBJECTS; i++)
-		r->known[i] = (struct relay_known){
-			.proven = MSEC_NEVER, .asked = -1, .look = -1
-		};
+	relay_forget(r);
 }
 
 static uint64_t
--- a/relay.h
+++ b/relay.h
@@ -114,6 +114,11 @@
  * the newest is not proven by that.
  */
 void relay_took(struct relay *, enum relay_subject, uint64_t mark);
+/*
+ * What was read before proves nothing any more, whoever read it: all is to be
+ * read anew. The marks of what is in force stay until then.
+ */
+void relay_forget(struct relay *);
 /* A message of kind SP_RELAY_ASK or SP_RELAY_TELL. */
 void relay_receive(struct relay *, msec now, name_id from, const sp_msg *);
 /* Ask when it is time; when to call again. */
--- a/server.c
+++ b/server.c
@@ -114,6 +114,9 @@
 		return;
 	if (v == NULL)
 		v = servers_add(s, now, e, id);
+	/* An older list has the process that was there before. */
+	if (now < s->doubted_until && e->born != 0 && e->born < v->born)
+		return;
 	anew = (e->born != 0 && e->born != v->born) ||
 	       e->address != v->address || e->port != v->port;
 	v->service = name_hash(e->service);
@@ -131,6 +134,10 @@
 		v->new_at = now;
 		v->born = e->born;
 	}
+	if (v->state == SERVER_GONE && !anew && now < s->doubted_until) {
+		v->listed_again = true;
+		return;
+	}
 	/* Draining is never taken back by the same process. */
 	if (v->state == SERVER_DRAINING && !anew)
 		state = SERVER_DRAINING;
@@ -144,13 +151,14 @@
 }
 
 static void
-server_end(struct servers *s, struct server *v)
+server_end(struct servers *s, struct server *v, msec now)
 {
 	if (v->state == SERVER_GONE)
 		return;
 	log_info_of(LOG_NODE, v->name, "%s is gone", v->name);
 	v->missing = false;
 	v->state = SERVER_GONE;
+	v->gone_since = now;
 	s->ops->changed(s, v);
 }
 
@@ -165,10 +173,13 @@
 {
 	struct server *v = servers_find(s, name_hash(name));
 
-	if (v == NULL || v->state == SERVER_GONE)
+	if (v == NULL)
+		return;
+	v->listed_again = false;
+	if (v->state == SERVER_GONE)
 		return;
 	if (now >= s->held_until) {
-		server_end(s, v);
+		server_end(s, v, now);
 		return;
 	}
 	log_info_of(LOG_NODE, v->name, "%s is not listed, held", v->name);
@@ -182,14 +193,34 @@
 	s->held_until = MAX(s->held_until, until);
 }
 
+void
+servers_doubt(struct servers *s, msec until)
+{
+	s->doubted_until = MAX(s->doubted_until, until);
+}
+
+void
+servers_remember(struct servers *s, msec span)
+{
+	s->remember = span;
+}
+
+enum server_state
+server_listed_as(const struct server *v)
+{
+	if (v->listed_again)
+		return SERVER_READY;
+	return v->missing ? SERVER_GONE : v->state;
+}
+
 uint64_t
 server_mark(const struct server *v)
 {
 	uint64_t words[6] = { v->id, v->service,
-		((uint64_t)v->address << 16) | v->port, v->state,
+		((uint64_t)v->address << 16) | v->port, server_listed_as(v),
 		(uint64_t)v->born, v->slots };
 
-	if (v->state == SERVER_GONE || v->missing)
+	if (server_listed_as(v) == SERVER_GONE)
 		return 0;
 	return XXH64(words, sizeof words, 6);
 }
@@ -205,6 +236,16 @@
 	return mark;
 }
 
+/* The list had time to lose it again, and has not. */
+static void
+server_return(struct servers *s, struct server *v)
+{
+	log_info_of(LOG_NODE, v->name, "%s is back", v->name);
+	v->listed_again = false;
+	v->state = SERVER_READY;
+	s->ops->changed(s, v);
+}
+
 void
 servers_tick(struct servers *s, msec now)
 {
@@ -212,8 +253,11 @@
 
 	RB_FOREACH_SAFE (v, server_tree, &s->tree, next) {
 		if (v->missing && now >= s->held_until)
-			server_end(s, v);
-		if (v->state == SERVER_GONE && v->links == 0)
+			server_end(s, v, now);
+		if (v->listed_again && now >= s->doubted_until)
+			server_return(s, v);
+		if (v->state == SERVER_GONE && v->links == 0 &&
+		    !v->listed_again && now - v->gone_since >= s->remember)
 			servers_remove(s, v);
 	}
 }
--- a/server.h
+++ b/server.h
@@ -58,6 +58,8 @@
 	unsigned int starts; /* grows with each process under the name */
 	bool missing;	     /* not listed; gone when the hold ends */
 	msec missing_since;
+	msec gone_since;
+	bool listed_again;	/* in doubt; see servers_doubt() */
 	struct server_load own; /* of our requests */
 	struct server_load all; /* of all nodes', for a coordinator */
 	/* From our own requests. */
@@ -114,6 +116,8 @@
 	struct server_memory all_memory; /* by all nodes', for a coordinator */
 	bool whole;			 /* all that there were are known */
 	msec held_until;		 /* no server is taken as gone before */
+	msec remember;			 /* ms that one that is gone is kept */
+	msec doubted_until;		 /* nor as back, once it was gone */
 	struct server_reach reach;	 /* by our requests */
 	void *arg;			 /* the embedder's */
 };
@@ -134,6 +138,16 @@
  * in time, a server that is not listed stays in use.
  */
 void servers_hold(struct servers *, msec until);
+/*
+ * Guards against a platform that shows an older list again, with entries of
+ * servers that have left since: until the point in time, one that we know to
+ * be gone stays so, unless it has started anew. Servers that are gone are
+ * remembered for so many ms.
+ */
+void servers_doubt(struct servers *, msec until);
+void servers_remember(struct servers *, msec);
+/* What the platform says of it, whatever we hold on to or doubt. */
+enum server_state server_listed_as(const struct server *);
 /*
  * Names what the platform says of all servers: the same on two nodes that have
  * read the same entries, also while one holds a server that is not listed.
--- a/settings.c
+++ b/settings.c
@@ -79,6 +79,8 @@
 		.max = 3600 * MSEC_SECOND },
 	    { "change_bound_ms", WALK_MSEC, .offset = AT(s.change_bound),
 		.min = 1, .max = 3600 * MSEC_SECOND },
+	    { "rewrite_ms", WALK_MSEC, .offset = AT(s.rewrite), .min = 0,
+		.max = 3600 * MSEC_SECOND },
 	    { "retry_ratio", WALK_CUSTOM, .parse = parse_ratio },
 	    { "retry_fixed", WALK_UINT, .offset = AT(s.retry_fixed), .min = 0,
 		.max = 1000000 },
@@ -451,6 +453,7 @@
 	s->log_keeps = 24 * 3600 * MSEC_SECOND;
 	s->keys_bound = 5 * MSEC_SECOND;
 	s->change_bound = 2 * MSEC_SECOND;
+	s->rewrite = 5 * MSEC_SECOND;
 	s->retry_permille = 100;
 	s->retry_window = 10 * MSEC_SECOND;
 	s->duty_lease = 3 * MSEC_SECOND;
--- a/settings.h
+++ b/settings.h
@@ -45,6 +45,7 @@
 	bool keys_fail_closed;	     /* a key taken away stops for sure */
 	msec keys_bound;	     /* within so long */
 	msec change_bound;	     /* a change is in force within so long */
+	msec rewrite;		     /* what the store lost is written again */
 	unsigned int retry_permille; /* retries for 1,000 requests */
 	unsigned int retry_fixed;    /* and so many of all nodes together */
 	msec retry_window;
--- a/tests/test-duty.c
+++ b/tests/test-duty.c
@@ -5,10 +5,12 @@
  *
  * Nodes and a log in virtual time: appends take a while, are executed late or
  * lose their answers, nodes are killed, stand still, are cut from each other or
- * from the log. Each node acts whenever it may. Nothing checks the tokens.
+ * from the log. Each node acts whenever it may. Nothing checks the tokens. The
+ * log may come back from an older copy of itself.
  */
 
 #include "duty.h"
+#include "era.h"
 
 #include <string.h>
 
@@ -28,12 +30,19 @@
 	    deaf; /* cut: from the log; deaf: from nodes */
 	msec asleep_until;
 	msec born;
+	struct era era;
+};
+
+struct record {
+	msec at;
+	bool claim;
 };
 
 enum event_kind {
 	EVENT_APPEND,
 	EVENT_ANSWER,
-	EVENT_MESSAGE
+	EVENT_MESSAGE,
+	EVENT_HEAR /* another answer of the log's store */
 };
 
 struct event {
@@ -41,7 +50,7 @@
 	enum event_kind kind;
 	unsigned int node;
 	msec born; /* of the process that it is for */
-	uint64_t place, offset, end;
+	uint64_t place, offset, end, era;
 	bool claim, lost;
 	enum duty_result how;
 	bool is_look, ok;
@@ -55,9 +64,10 @@
 	GRand *rand;
 	msec now;
 	GList *events;
-	uint64_t end, claim; /* of the log; the newest claim's place */
+	GArray *records; /* struct record, of the log */
+	uint64_t era;
 	unsigned int late_permille, lost_permille;
-	bool down;
+	bool down, rewinds;
 	/* What was done. */
 	uint64_t token_acted;
 	unsigned int actor, before; /* nodes, plus 1 */
@@ -66,6 +76,18 @@
 	msec longest_without, without_since;
 };
 
+static uint64_t
+log_claim(const struct world *w)
+{
+	uint64_t i;
+
+	for (i = w->records->len; i-- > 0;) {
+		if (g_array_index(w->records, struct record, i).claim)
+			return i;
+	}
+	return 0;
+}
+
 static name_id
 id_of(unsigned int i)
 {
@@ -129,8 +151,9 @@
 			 .is_look = true,
 			 .ok = !n->cut && !w->down,
 			 .at = w->now + 10,
-			 .offset = w->claim,
-			 .end = w->end });
+			 .era = w->era,
+			 .offset = log_claim(w),
+			 .end = w->records->len });
 }
 
 static void
@@ -165,6 +188,26 @@
 
 static const struct duty_ops ops = { op_append, op_look, op_send, op_changed };
 
+/* False: the answer is of an era that is over. */
+static bool
+node_hear(struct node *n, uint64_t era)
+{
+	bool first = !n->era.heard;
+
+	switch (era_heard(&n->era, n->world->now, era)) {
+	case ERA_OLD:
+		return false;
+	case ERA_ROSE:
+		duty_rewound(&n->duty, n->world->now, era);
+		break;
+	case ERA_SAME:
+		if (first)
+			duty_set_era(&n->duty, era);
+		break;
+	}
+	return true;
+}
+
 static void
 node_start(struct world *w, unsigned int i)
 {
@@ -178,6 +221,8 @@
 	n->born = w->now;
 	duty_init(&n->duty, &ops, id_of(i), LEASE, w->now);
 	n->duty.arg = n;
+	era_init(&n->era);
+	node_hear(n, w->era);
 }
 
 static void
@@ -194,7 +239,8 @@
 {
 	unsigned int i;
 
-	*w = (struct world){ .rand = g_rand_new_with_seed(seed) };
+	*w = (struct world){ .rand = g_rand_new_with_seed(seed), .era = 4 };
+	w->records = g_array_new(FALSE, FALSE, sizeof(struct record));
 	w->now = 1000000;
 	w->without_since = w->now;
 	for (i = 0; i < NODES; i++)
@@ -209,9 +255,33 @@
 	for (i = 0; i < NODES; i++)
 		node_kill(w, i);
 	g_list_free_full(w->events, g_free);
+	g_array_unref(w->records);
 	g_rand_free(w->rand);
 }
 
+/* Back from a copy so many ms old; nodes that reach it hear so in time. */
+static void
+log_rewind(struct world *w, msec age)
+{
+	struct event e = { .kind = EVENT_HEAR };
+	unsigned int i;
+
+	while (
+	    w->records->len > 0 &&
+	    g_array_index(w->records, struct record, w->records->len - 1).at >
+		w->now - age)
+		g_array_set_size(w->records, w->records->len - 1);
+	e.era = ++w->era;
+	for (i = 0; i < NODES; i++) {
+		if (!w->nodes[i].up || w->nodes[i].cut)
+			continue;
+		e.node = i;
+		e.born = w->nodes[i].born;
+		e.at = w->now + g_rand_int_range(w->rand, 5, 1500);
+		event_add(w, &e);
+	}
+}
+
 static void
 event_do(struct world *w, struct event *e)
 {
@@ -222,16 +292,16 @@
 			.node = e->node,
 			.born = e->born,
 			.at = w->now + 2,
+			.era = w->era,
 			.how = DUTY_REFUSED };
+		struct record r = { w->now, e->claim };
 
-		if (w->end == e->place) {
+		if (w->records->len == e->place) {
 			answer.how = DUTY_TAKEN;
-			answer.offset = w->end;
-			if (e->claim)
-				w->claim = w->end;
-			w->end++;
+			answer.offset = w->records->len;
+			g_array_append_val(w->records, r);
 		}
-		answer.end = w->end;
+		answer.end = w->records->len;
 		if (!e->lost)
 			event_add(w, &answer);
 		return;
@@ -242,9 +312,14 @@
 		e->msg.sp_msg_u.duty_beat.standbys.standbys_val = e->standbys;
 		if (!n->deaf)
 			duty_receive(&n->duty, w->now, e->from, &e->msg);
+	} else if (e->kind == EVENT_HEAR) {
+		node_hear(n, e->era);
 	} else if (e->is_look) {
+		e->ok = e->ok && node_hear(n, e->era);
 		duty_looked(&n->duty, w->now, e->ok, e->offset, e->end);
 	} else {
+		if (e->how != DUTY_UNKNOWN && !node_hear(n, e->era))
+			e->how = DUTY_UNKNOWN;
 		duty_appended(&n->duty, w->now, e->how, e->offset, e->end);
 	}
 }
@@ -576,6 +651,100 @@
 	world_finish(&w);
 }
 
+/* Guards against a duty that stands still after the log went back. */
+static void
+test_rewound(void)
+{
+	struct world w;
+	unsigned int seed, h;
+
+	for (seed = 1; seed <= 20; seed++) {
+		world_init(&w, seed);
+		world_settle(&w);
+		world_run(&w, 10000);
+		h = holder_of(&w);
+		w.longest_without = 0;
+		log_rewind(&w, 1000 * (1 + seed % 10));
+		world_run(&w, 15000);
+		/* The holder claims at once where its lease still runs. */
+		g_assert_cmpuint(holder_of(&w), ==, h);
+		g_assert_cmpint(w.longest_without, <=, LEASE);
+		g_assert_true(w.nodes[h].duty.continues);
+		world_finish(&w);
+	}
+}
+
+/* Guards against a holder that is lost together with its claim. */
+static void
+test_rewound_and_killed(void)
+{
+	struct world w;
+	unsigned int seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		world_init(&w, seed);
+		world_settle(&w);
+		node_kill(&w, holder_of(&w));
+		/* The copy is from before the first claim. */
+		log_rewind(&w, seed % 2 == 0 ? 100000 : 3000);
+		world_run(&w, 20000);
+		g_assert_cmpuint(holder_of(&w), <, NODES);
+		/* One lease to be sure of the old one, one from the new end. */
+		g_assert_cmpint(w.longest_without, <=, 2 * TAKEOVER_MOST);
+		world_finish(&w);
+	}
+}
+
+/*
+ * Guards against a node that starts at a log which went back to nothing, and
+ * takes it while the holder of before still has its lease.
+ */
+static void
+test_rewound_to_nothing(void)
+{
+	struct world w;
+	unsigned int seed, h, i;
+
+	for (seed = 1; seed <= 40; seed++) {
+		world_init(&w, seed);
+		world_settle(&w);
+		h = holder_of(&w);
+		i = (h + 1 + seed % (NODES - 1)) % NODES;
+		node_kill(&w, i);
+		world_run(&w, (msec)seed * 20);
+		/* It is told by nobody, and the holder hears nothing. */
+		w.nodes[h].cut = true;
+		log_rewind(&w, 100000);
+		node_start(&w, i);
+		w.nodes[i].deaf = true;
+		world_run(&w, 20000);
+		world_finish(&w);
+	}
+}
+
+/* Guards against a beat of a log that has gone back since. */
+static void
+test_rewound_beats(void)
+{
+	struct world w;
+	sp_msg msg = { .kind = SP_DUTY_BEAT };
+	sp_duty_beat *b = &msg.sp_msg_u.duty_beat;
+	struct duty *d;
+	unsigned int h;
+
+	world_init(&w, 12);
+	world_settle(&w);
+	h = holder_of(&w);
+	d = &w.nodes[(h + 1) % NODES].duty;
+	b->token = w.nodes[h].duty.token;
+	b->end = w.nodes[h].duty.end + 50;
+	duty_rewound(d, w.now, w.era + 1);
+	duty_receive(d, w.now, id_of(h), &msg);
+	g_assert_cmpuint(d->end, ==, 0);
+	g_assert_cmpuint(d->holder, ==, 0);
+	world_finish(&w);
+}
+
 static void
 chaos_step(struct world *w)
 {
@@ -587,7 +756,11 @@
 	if (h < NODES && g_rand_int_range(w->rand, 0, 3) == 0)
 		i = h;
 	n = &w->nodes[i];
-	switch (g_rand_int_range(w->rand, 0, 9)) {
+	switch (g_rand_int_range(w->rand, 0, w->rewinds ? 11 : 9)) {
+	case 9:
+	case 10:
+		log_rewind(w, g_rand_int_range(w->rand, 100, 10000));
+		break;
 	case 0:
 		node_kill(w, i);
 		break;
@@ -623,15 +796,15 @@
 	}
 }
 
-/* Guards against any of the above together; afterwards there is a holder. */
 static void
-test_chaos(void)
+check_chaos(bool rewinds)
 {
 	struct world w;
 	unsigned int seed, i;
 
 	for (seed = 1; seed <= 200; seed++) {
 		world_init(&w, seed);
+		w.rewinds = rewinds;
 		for (i = 0; i < 60; i++) {
 			chaos_step(&w);
 			world_run(&w, g_rand_int_range(w.rand, 20, 3000));
@@ -650,6 +823,20 @@
 	}
 }
 
+/* Guards against any of the above together; afterwards there is a holder. */
+static void
+test_chaos(void)
+{
+	check_chaos(false);
+}
+
+/* The same while the log goes back, at any time and twice in a row. */
+static void
+test_chaos_rewound(void)
+{
+	check_chaos(true);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -667,5 +854,10 @@
 	g_test_add_func("/duty/all-killed", test_all_killed);
 	g_test_add_func("/duty/wrong-beats", test_wrong_beats);
 	g_test_add_func("/duty/chaos", test_chaos);
+	g_test_add_func("/duty/rewound", test_rewound);
+	g_test_add_func("/duty/rewound-and-killed", test_rewound_and_killed);
+	g_test_add_func("/duty/rewound-to-nothing", test_rewound_to_nothing);
+	g_test_add_func("/duty/rewound-beats", test_rewound_beats);
+	g_test_add_func("/duty/chaos-rewound", test_chaos_rewound);
 	return g_test_run();
 }
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -79,6 +79,7 @@
 	check_story("fd1c5e2de35eb7a6", "broken", "reason broken");
 	check_story("48715e12a1e56455", "not-fresh", "platform-lost");
 	check_story("8738353752e5f463", "leaving", "no-time-left");
+	check_story("5b0e77c1d2f94a36", "era", "state changed");
 }
 
 /* An id that is not there, a file cut in the middle, a file that is not. */
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -385,6 +385,38 @@
 	g_assert_cmpint(relay_due(&r, now, RELAY_TABLE), ==, EVERY * 60 / 100);
 }
 
+/*
+ * Guards against a proof from before the platform lost records, told or heard
+ * after it: nothing proves anything until each node has read anew.
+ */
+static void
+test_forget(void)
+{
+	sp_msg msg = { .kind = SP_RELAY_TELL };
+	name_id others[2] = { 1, 2 };
+	struct world w = { .n = 0 };
+	struct node v = { .world = &w };
+	struct relay *r = &v.relay;
+
+	g_queue_init(&w.mail);
+	relay_init(r, &node_ops, 1, EVERY);
+	r->arg = &v;
+	relay_set_nodes(r, others, 2);
+	r->reader = 2;
+	relay_read(r, 1000, RELAY_TABLE, 7, 1000);
+	relay_tick(r, 1100);
+	relay_forget(r);
+	g_assert_cmpint(relay_due(r, 1200, RELAY_TABLE), ==, 0);
+	msg.sp_msg_u.relay_tell.seq = r->seq;
+	msg.sp_msg_u.relay_tell.known[RELAY_TABLE].mark = 7;
+	relay_receive(r, 1200, 2, &msg);
+	g_assert_cmpint(r->known[RELAY_TABLE].proven, ==, MSEC_NEVER);
+	g_assert_cmpint(v.proven, ==, 0);
+	relay_read(r, 1300, RELAY_TABLE, 7, 1250);
+	g_assert_cmpint(r->known[RELAY_TABLE].proven, ==, 1250);
+	g_queue_clear_full(&w.mail, g_free);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -400,5 +432,6 @@
 	g_test_add_func(
 	    "/relay/turned-away-by-platform", test_turned_away_by_platform);
 	g_test_add_func("/relay/retries", test_retries);
+	g_test_add_func("/relay/forget", test_forget);
 	return g_test_run();
 }
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -93,6 +93,63 @@
 	servers_finish(&s);
 }
 
+/* Guards against work for a server that has left, by an older list. */
+static void
+test_doubt(void)
+{
+	struct servers s;
+	uint64_t gone, again;
+
+	servers_init(&s, &ops);
+	servers_remember(&s, 20000);
+	list(&s, 0, "a", false, 5);
+	list(&s, 0, "b", true, 5);
+	list(&s, 0, "c", false, 9);
+	servers_unlist(&s, 100, "a");
+	servers_tick(&s, 200);
+	servers_doubt(&s, 6000);
+	gone = servers_mark(&s);
+	list(&s, 1000, "a", false, 5);
+	list(&s, 1000, "b", false, 5);
+	/* The process that was there before. */
+	list(&s, 1000, "c", true, 4);
+	again = servers_mark(&s);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_GONE);
+	g_assert_cmpint(state_of(&s, "b"), ==, SERVER_DRAINING);
+	g_assert_cmpint(state_of(&s, "c"), ==, SERVER_READY);
+	/* Others, who did not know it, list it as it stands there. */
+	g_assert_cmpuint(again, !=, gone);
+	servers_unlist(&s, 2000, "a");
+	g_assert_cmpuint(servers_mark(&s), ==, gone);
+	servers_tick(&s, 7000);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_GONE);
+	servers_finish(&s);
+}
+
+/* Guards against a server that came back, and is never used again. */
+static void
+test_doubt_ends(void)
+{
+	struct servers s;
+
+	servers_init(&s, &ops);
+	servers_remember(&s, 20000);
+	list(&s, 0, "a", false, 5);
+	servers_unlist(&s, 100, "a");
+	servers_doubt(&s, 6000);
+	list(&s, 1000, "a", false, 5);
+	servers_tick(&s, 5900);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_GONE);
+	servers_tick(&s, 6000);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_READY);
+	/* A new process under its name needs no doubt. */
+	servers_unlist(&s, 7000, "a");
+	servers_doubt(&s, 15000);
+	list(&s, 8000, "a", false, 6);
+	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_READY);
+	servers_finish(&s);
+}
+
 /*
  * Guards against a node that holds a server which is not listed any more, and
  * passes its own way of seeing it on: whoever took that, with how far it had
@@ -527,6 +584,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/server/draining", test_draining);
 	g_test_add_func("/server/hold", test_hold);
+	g_test_add_func("/server/doubt", test_doubt);
+	g_test_add_func("/server/doubt-ends", test_doubt_ends);
 	g_test_add_func("/server/mark-of-held", test_mark_of_held);
 	g_test_add_func("/server/anew", test_anew);
 	g_test_add_func("/server/home", test_home);
--- a/wire.h
+++ b/wire.h
@@ -116,6 +116,13 @@
 	void (*announce)(struct source *);
 	/* Others are not to find it any more. */
 	void (*retract)(struct source *);
+	/* Find those others, once more: entry_take_nodes(). */
+	void (*find_nodes)(struct source *);
+	/*
+	 * What it reads from has come back from an older copy of itself: all
+	 * is read anew, and what this node wrote there is written again.
+	 */
+	void (*rewound)(struct source *);
 	/* There is news of a subject: look again when it is due. */
 	void (*read)(struct source *, enum relay_subject);
 	/*
