A node that starts counts only answers of different nodes that know something

All nodes had been stopped in turn while the store showed an older copy; the last to start asked the same beginner more than once, took its answers for enough, and went by the older configuration.

Nodes are asked in a random order, one after the other; answers count once a node, and are enough only of three that know a configuration, or of all that are listed. What a beginner was told itself it passes on.

--- a/entry-start.c
+++ b/entry-start.c
@@ -7,7 +7,10 @@
 
 #include <string.h>
 
-/* Nodes asked at a time; as many answers are enough. */
+/*
+ * Nodes asked at a time. Answers of as many that know something are enough;
+ * others start too, and may be asked again when they know more.
+ */
 #define START_NODES 3
 /* Between two rounds of questions; answers take a few milliseconds. */
 #define START_AGAIN_MS 60
@@ -24,7 +27,7 @@
 	s->done = true;
 	s->asking = false;
 	s->table = NULL;
-	log_debug("%u nodes told what they know", s->told);
+	log_debug("%u nodes told what they know", s->know);
 	if (t == NULL)
 		return;
 	entry_take_table(e, t, now);
@@ -41,25 +44,49 @@
 	net_send(&e->net, vm->address, vm->port, &msg);
 }
 
+static bool
+start_is_enough(const struct entry_start *s)
+{
+	return s->know >= START_NODES ||
+	       (s->listed && g_hash_table_size(s->told) >= s->nodes->len);
+}
+
 static void
 start_timer(struct loop_timer *t, msec now)
 {
 	struct entry *e = t->arg;
 	struct entry_start *s = &e->start;
-	guint i, at;
+	guint i;
 
-	if (now >= s->until || s->told >= START_NODES ||
-	    (s->listed && s->told >= s->nodes->len)) {
+	if (now >= s->until || start_is_enough(s)) {
 		start_end(e, now);
 		return;
 	}
-	for (i = 0; i < START_NODES && s->nodes->len > 0; i++) {
-		at = (guint)g_rand_int_range(e->rand, 0, (gint32)s->nodes->len);
-		start_ask(e, &g_array_index(s->nodes, struct vm, at));
+	for (i = 0; i < MIN(START_NODES, s->nodes->len); i++) {
+		start_ask(e, &g_array_index(s->nodes, struct vm, s->next));
+		s->next = (s->next + 1) % s->nodes->len;
 	}
 	loop_timer_set(&e->loop, t, now + START_AGAIN_MS);
 }
 
+/* No two nodes that start ask the same ones. */
+static void
+start_shuffle(struct entry *e)
+{
+	GArray *nodes = e->start.nodes;
+	struct vm *a, *b, vm;
+	guint i;
+
+	for (i = nodes->len; i > 1; i--) {
+		a = &g_array_index(nodes, struct vm, i - 1);
+		b = &g_array_index(
+		    nodes, struct vm, g_rand_int_range(e->rand, 0, (gint32)i));
+		vm = *a;
+		*a = *b;
+		*b = vm;
+	}
+}
+
 bool
 entry_start_waits(const struct entry *e)
 {
@@ -102,6 +129,7 @@
 		if (strcmp(vms[i].name, e->settings->node) != 0)
 			g_array_append_val(s->nodes, vms[i]);
 	}
+	start_shuffle(e);
 	loop_timer_set(&e->loop, &s->timer, now);
 }
 
@@ -116,35 +144,37 @@
 	t->era = e->era.number;
 	t->era_age_ms = era_age(&e->era, now);
 	t->newest_version = MAX(members_newest_version(&e->members),
-	    e->table != NULL ? e->table->version : 0);
+	    e->table != NULL ? e->table->version : e->start.version);
 	net_send(&e->net, address, port, &msg);
 }
 
 /* An answer may come after the configuration was taken, or twice. */
 static void
-start_told(struct entry *e, const sp_start_tell *t, msec now)
+start_told(struct entry *e, name_id from, const sp_start_tell *t, msec now)
 {
 	struct entry_start *s = &e->start;
+	bool first;
 
 	if (!s->asking || t->seq != s->seq) {
 		log_debug("an answer to nothing that was asked is dropped");
 		return;
 	}
-	s->told++;
+	first = g_hash_table_add(s->told, g_memdup2(&from, sizeof from));
+	s->know += first && t->newest_version > 0;
 	s->version = MAX(s->version, t->newest_version);
 	era_told(&e->era, now, t->era, t->era_age_ms);
-	if (s->told >= START_NODES)
+	if (start_is_enough(s))
 		start_end(e, now);
 }
 
 void
-entry_start_receive(struct entry *e, uint32_t address, uint16_t port,
-    const sp_msg *msg, msec now)
+entry_start_receive(struct entry *e, name_id from, uint32_t address,
+    uint16_t port, const sp_msg *msg, msec now)
 {
 	if (msg->kind == SP_START_ASK)
 		start_answer(e, address, port, &msg->sp_msg_u.start_ask, now);
 	else
-		start_told(e, &msg->sp_msg_u.start_tell, now);
+		start_told(e, from, &msg->sp_msg_u.start_tell, now);
 }
 
 void
@@ -152,6 +182,8 @@
 {
 	e->start = (struct entry_start){ .seq = g_rand_int(e->rand),
 		.nodes = g_array_new(FALSE, FALSE, sizeof(struct vm)),
+		.told = g_hash_table_new_full(
+		    g_int64_hash, g_int64_equal, g_free, NULL),
 		.asked = MSEC_NEVER };
 	loop_timer_init(&e->start.timer, start_timer, e);
 }
@@ -161,6 +193,7 @@
 {
 	loop_timer_stop(&e->loop, &e->start.timer);
 	g_array_unref(e->start.nodes);
+	g_hash_table_unref(e->start.told);
 	route_table_drop(e->start.table);
 	e->start.table = NULL;
 }
--- a/entry-start.h
+++ b/entry-start.h
@@ -22,10 +22,12 @@
 	bool done;
 	uint32_t seq;	   /* of the questions */
 	msec until;	   /* they end then at the latest */
-	unsigned int told; /* answers */
 	uint64_t version;  /* the newest that any of them has heard of */
 	bool listed;	   /* who may be asked is known */
-	GArray *nodes;	   /* struct vm: these */
+	GArray *nodes;	   /* struct vm: these, in the order of asking */
+	guint next;	   /* of them */
+	GHashTable *told;  /* name_id: who has answered */
+	unsigned int know; /* of these, who were no beginners themselves */
 	struct route_table *table; /* read meanwhile; NULL: none */
 	msec asked; /* the read that found none newer; MSEC_NEVER: none */
 };
@@ -41,7 +43,7 @@
 /* From the source: nodes that have announced themselves. */
 void entry_start_nodes(struct entry *, const struct vm *, unsigned int, msec);
 /* A message of kind SP_START_ASK or SP_START_TELL. */
-void entry_start_receive(
-    struct entry *, uint32_t address, uint16_t port, const sp_msg *, msec);
+void entry_start_receive(struct entry *, name_id from, uint32_t address,
+    uint16_t port, const sp_msg *, msec);
 
 #endif /* ENTRY_START_H */
--- a/entry-state.c
+++ b/entry-state.c
@@ -97,7 +97,7 @@
 	struct entry *e = net->arg;
 
 	if (msg->kind == SP_START_ASK || msg->kind == SP_START_TELL)
-		entry_start_receive(e, address, port, msg, msec_now());
+		entry_start_receive(e, from, address, port, msg, msec_now());
 	else if (msg->kind < SP_RESERVE)
 		members_receive(&e->members, msec_now(), from, incarnation,
 		    address, port, msg);
