--- a/relay.c
+++ b/relay.c
@@ -5,14 +5,18 @@
 #define LOG_PART "relay"
 #include "relay.h"
 
+#include <string.h>
+
 #include <xxhash.h>
 
 /*
  * Parts of `every`, in percent: between a reader's reads, between questions,
- * until a read of our own, and between reads of many changes.
+ * until one in vain is asked again, until a read of our own, and between reads
+ * of many changes.
  */
 #define RELAY_READ_PERCENT 60
 #define RELAY_ASK_PERCENT 75
+#define RELAY_AGAIN_PERCENT 25
 #define RELAY_ALONE_PERCENT 150
 #define RELAY_BURST_PERCENT 50
 /*
@@ -25,6 +29,11 @@
 #define RELAY_RETRY_MOST_PERCENT 60
 /* Who did not ask for so many times `every` is not told of changes. */
 #define RELAY_ASKER_TIMES 3
+/* Who has asked twice within so many times `every` takes us for its reader. */
+#define RELAY_ASKED_TIMES 2
+/* Questions in vain until another candidate is asked, and for how long. */
+#define RELAY_VAIN 3
+#define RELAY_TURN_TIMES 20
 /* An age that says: never known. */
 #define RELAY_NEVER UINT32_MAX
 
@@ -58,22 +67,70 @@
 	return XXH64(words, sizeof words, 5);
 }
 
-/* The node that reads for a group. */
-static name_id
-relay_reader(const name_id *nodes, unsigned int n, uint64_t group)
+/* Those that read for a group, the first by weight; the others if it cannot. */
+static void
+relay_candidates(
+    const name_id *nodes, unsigned int n, uint64_t group, name_id *best)
 {
-	uint64_t weight, most = 0;
-	name_id best = 0;
-	unsigned int i;
+	uint64_t weights[RELAY_CANDIDATES] = { 0 }, weight;
+	unsigned int i, k, j;
 
+	memset(best, 0, RELAY_CANDIDATES * sizeof *best);
 	for (i = 0; i < n; i++) {
 		weight = relay_weight(nodes[i], group + 1);
-		if (weight < most)
-			continue;
-		most = weight;
-		best = nodes[i];
+		for (k = 0; k < RELAY_CANDIDATES; k++) {
+			if (best[k] == 0 || weight > weights[k])
+				break;
+		}
+		for (j = RELAY_CANDIDATES; j-- > k + 1;) {
+			best[j] = best[j - 1];
+			weights[j] = weights[j - 1];
+		}
+		if (k < RELAY_CANDIDATES) {
+			best[k] = nodes[i];
+			weights[k] = weight;
+		}
+	}
+}
+
+/* Ask the candidate whose turn it is; one that is new is asked soon. */
+static void
+relay_ask_turn(struct relay *r)
+{
+	name_id reader = r->candidates[r->turn];
+
+	if (reader == 0) {
+		r->turn = 0;
+		reader = r->candidates[0] != 0 ? r->candidates[0] : r->self;
 	}
-	return best;
+	if (reader == r->reader)
+		return;
+	r->reader = reader;
+	r->vain = 0;
+	r->next_ask = 0;
+}
+
+/*
+ * Guards against a group that reads for itself, each node, for as long as its
+ * reader is turned away by the platform, or lost and not yet known to be.
+ */
+static void
+relay_judge(struct relay *r, msec now)
+{
+	if (r->turn != 0 && now - r->turned >= r->every * RELAY_TURN_TIMES) {
+		r->turn = 0;
+		relay_ask_turn(r);
+		return;
+	}
+	if (r->reader == r->self)
+		r->vain = r->known[RELAY_TABLE].failures;
+	else if (r->seq != 0 && !r->answered)
+		r->vain++;
+	if (r->vain < RELAY_VAIN)
+		return;
+	r->turn = (r->turn + 1) % RELAY_CANDIDATES;
+	r->turned = now;
+	relay_ask_turn(r);
 }
 
 /*
@@ -87,18 +144,19 @@
 	unsigned int groups =
 	    MAX(1, (n + RELAY_GROUP_NODES - 1) / RELAY_GROUP_NODES);
 	uint64_t own = relay_weight(r->self, 0) % groups, group;
-	name_id reader;
+	name_id best[RELAY_CANDIDATES], first = r->candidates[0];
 
-	r->reader = r->self;
+	memset(r->candidates, 0, sizeof r->candidates);
 	for (group = 0; group < groups && n > 0; group++) {
-		reader = relay_reader(nodes, n, group);
-		if (reader == r->self) {
-			r->reader = reader;
-			return;
-		}
-		if (group == own)
-			r->reader = reader;
+		relay_candidates(nodes, n, group, best);
+		if (group == own || best[0] == r->self)
+			memcpy(r->candidates, best, sizeof best);
+		if (best[0] == r->self)
+			break;
 	}
+	if (r->candidates[0] != first)
+		r->turn = 0;
+	relay_ask_turn(r);
 }
 
 /* ---- what is known ---- */
@@ -190,9 +248,25 @@
 	k->retry_at = now + wait;
 }
 
+/* Others take us for their reader, though we do not. */
+static bool
+relay_is_asked(const struct relay *r, msec now)
+{
+	const struct relay_asker *a;
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
+		a = &r->askers[i];
+		if (a->before != 0 &&
+		    now - a->before <= r->every * RELAY_ASKED_TIMES)
+			return true;
+	}
+	return false;
+}
+
 /* When a read is due, but for failures of the last. */
 static msec
-relay_due_at(const struct relay *r, enum relay_subject s)
+relay_due_at(const struct relay *r, msec now, enum relay_subject s)
 {
 	const struct relay_known *k = &r->known[s];
 	msec at = k->asked + r->every * RELAY_READ_PERCENT / 100;
@@ -208,7 +282,7 @@
 	/* Nothing is there to be read yet, and nobody waits for news of it. */
 	if (k->proven == MSEC_NEVER)
 		return k->asked + r->every;
-	if (r->reader == r->self)
+	if (r->reader == r->self || relay_is_asked(r, now))
 		return at;
 	return MAX(at, k->proven + r->every * RELAY_ALONE_PERCENT / 100);
 }
@@ -217,7 +291,7 @@
 relay_due(const struct relay *r, msec now, enum relay_subject s)
 {
 	const struct relay_known *k = &r->known[s];
-	msec at = relay_due_at(r, s);
+	msec at = relay_due_at(r, now, s);
 
 	if (k->failures > 0)
 		at = MAX(at, k->retry_at);
@@ -235,13 +309,14 @@
 	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
 		a = &r->askers[i];
 		if (a->node == node) {
+			a->before = a->at;
 			a->at = now;
 			return;
 		}
 		if (a->at < oldest->at)
 			oldest = a;
 	}
-	*oldest = (struct relay_asker){ node, now };
+	*oldest = (struct relay_asker){ node, now, 0 };
 }
 
 /*
@@ -272,6 +347,15 @@
 	r->ops->proven(r, s, then);
 }
 
+/* Before anybody has read anything there is nothing new to be told. */
+static unsigned int
+relay_vain(const struct relay *r, u_int age_ms)
+{
+	if (r->known[RELAY_TABLE].proven == MSEC_NEVER)
+		return 0;
+	return age_ms <= r->every ? 0 : r->vain + 1;
+}
+
 static void
 relay_told(struct relay *r, msec now, name_id from, const sp_relay_tell *t)
 {
@@ -279,6 +363,13 @@
 	unsigned int i;
 
 	r->counters.told++;
+	if (answer) {
+		r->answered = true;
+		r->vain = relay_vain(r, t->known[RELAY_TABLE].age_ms);
+		if (r->vain == 0)
+			r->next_ask =
+			    r->asked + r->every * RELAY_ASK_PERCENT / 100;
+	}
 	for (i = 0; i < RELAY_SUBJECTS; i++)
 		relay_take(r, now, i, &t->known[i], answer);
 }
@@ -309,11 +400,16 @@
 
 	if (now < r->next_ask)
 		return r->next_ask;
-	r->next_ask = now + r->every * RELAY_ASK_PERCENT / 100;
+	relay_judge(r, now);
+	r->next_ask = now + r->every *
+				(r->reader == r->self ? RELAY_ASK_PERCENT
+						      : RELAY_AGAIN_PERCENT) /
+				100;
 	if (r->reader == r->self)
 		return r->next_ask;
 	if (++r->seq == 0)
 		r->seq = 1;
+	r->answered = false;
 	r->asked = now;
 	r->counters.asked++;
 	msg.sp_msg_u.relay_ask.seq = r->seq;
--- a/relay.h
+++ b/relay.h
@@ -9,7 +9,9 @@
  * Nobody is elected. Each node asks the one of its group that rendezvous
  * hashing over the live nodes gives, any node answers by what it knows, and
  * ages add up, so that nodes with different views are slower and never wrong.
- * A node that hears nothing in time reads by itself.
+ * A node that hears nothing in time reads by itself. When the one that it asks
+ * is silent, or knows nothing new since the platform turns it away, the next by
+ * weight is asked; who is asked again reads.
  *
  * A core without input or output.
  */
@@ -44,8 +46,12 @@
 struct relay_asker {
 	name_id node;
 	msec at;
+	msec before; /* the question before that one; 0: none */
 };
 
+/* Nodes of which a group's reader is one. */
+#define RELAY_CANDIDATES 3
+
 /* What a node counts of it. */
 struct relay_counters {
 	uint64_t asked;	 /* questions */
@@ -79,8 +85,13 @@
 	msec every; /* what is known should be no older, in ms */
 	struct relay_known known[RELAY_SUBJECTS];
 	name_id reader; /* whom we ask; our own id: nobody, we read */
-	uint32_t seq;	/* of the newest question */
-	msec asked;	/* when it was asked */
+	name_id candidates[RELAY_CANDIDATES]; /* by weight; 0: none */
+	unsigned int turn;		      /* which of them is asked */
+	msec turned;	   /* since when it is not the first */
+	unsigned int vain; /* questions in a row that proved nothing */
+	bool answered;	   /* the newest question */
+	uint32_t seq;	   /* of the newest question */
+	msec asked;	   /* when it was asked */
 	msec next_ask;
 	struct relay_asker askers[RELAY_GROUP_NODES];
 	struct relay_counters counters;
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -21,7 +21,9 @@
 	uint64_t mark; /* in force */
 	msec proven;
 	unsigned int reads, looks;
-	bool cut; /* hears and says nothing */
+	bool cut;  /* hears and says nothing */
+	bool away; /* the platform turns it away */
+	unsigned int turned_away;
 };
 
 struct parcel {
@@ -114,6 +116,13 @@
 	relay_read(&v->relay, now, RELAY_SERVERS, 7, now);
 }
 
+static void
+node_turned_away(struct node *v, msec now)
+{
+	v->turned_away++;
+	relay_read_failed(&v->relay, now, RELAY_TABLE);
+}
+
 static void
 world_post(struct world *w)
 {
@@ -140,7 +149,11 @@
 		for (i = 0; i < w->n; i++) {
 			relay_tick(&w->nodes[i].relay, w->now);
 			if (relay_due(
-				&w->nodes[i].relay, w->now, RELAY_TABLE) == 0)
+				&w->nodes[i].relay, w->now, RELAY_TABLE) != 0)
+				continue;
+			if (w->nodes[i].away)
+				node_turned_away(&w->nodes[i], w->now);
+			else
 				node_read(&w->nodes[i], w->now);
 		}
 		world_post(w);
@@ -385,6 +398,43 @@
 	g_assert_cmpint(relay_due(&r, now, RELAY_TABLE), ==, EVERY * 60 / 100);
 }
 
+/*
+ * Guards against a group of which each node reads for itself, for as long as
+ * the platform turns its reader away: a third of the nodes, for nine seconds.
+ */
+static void
+test_reader_turned_away(void)
+{
+	static struct world w;
+	struct node *reader;
+	unsigned int i, k, before, away = 0;
+
+	world_init(&w, RELAY_GROUP_NODES);
+	world_run(&w, 3000);
+	reader = world_reader(&w);
+	for (i = 0; i < w.n; i++)
+		w.nodes[i].away = &w.nodes[i] == reader || i % 3 == 0;
+	before = world_reads(&w);
+	for (k = 0; k < 90; k++) {
+		world_run(&w, 100);
+		for (i = 0; i < w.n; i++)
+			g_assert_cmpint(w.now - w.nodes[i].proven, <,
+			    w.nodes[i].away ? EVERY * 4 : EVERY * 2);
+	}
+	for (i = 0; i < w.n; i++)
+		away += w.nodes[i].turned_away;
+	/* Three rounds of all until one that can read is asked; then it. */
+	g_assert_cmpuint(world_reads(&w) - before, <=, 3 * w.n + 18);
+	g_assert_cmpuint(away, <=, 4 * w.n);
+	/* The platform takes it again: it reads, and nobody else. */
+	for (i = 0; i < w.n; i++)
+		w.nodes[i].away = false;
+	world_run(&w, 30000);
+	before = world_reads(&w);
+	world_run(&w, 10000);
+	g_assert_cmpuint(world_reads(&w) - before, <=, 18);
+}
+
 /*
  * Guards against a proof from before the platform lost records, told or heard
  * after it: nothing proves anything until each node has read anew.
@@ -432,6 +482,7 @@
 	g_test_add_func(
 	    "/relay/turned-away-by-platform", test_turned_away_by_platform);
 	g_test_add_func("/relay/retries", test_retries);
+	g_test_add_func("/relay/reader-turned-away", test_reader_turned_away);
 	g_test_add_func("/relay/forget", test_forget);
 	return g_test_run();
 }
