A node that the store turns away takes the configuration from its reader

A change of the configuration came while the store turned a third of the nodes away: these heard from their readers that there was a newer version, could only get it from the store, called it once or twice a second in vain, and refused every caller with a key once their last proof was 4.3 s old.

It is decoded and taken as if read; that it is the newest only the reader's later answers prove.

Test: proc-nodes change-while-turned-away fails before (a good key refused).

--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -282,6 +282,12 @@
 	text_value(s, "relay_proofs_total", "counter",
 	    "Of these, proofs that what is in force here is the newest.",
 	    (int64_t)r->proofs);
+	text_value(s, "configurations_handed_total", "counter",
+	    "Taken up from another node, as the platform turned us away.",
+	    (int64_t)e->handed.taken);
+	text_value(s, "configurations_handed_dropped_total", "counter",
+	    "Not asked for, or not to be understood.",
+	    (int64_t)e->handed.dropped);
 	text_value(s, "relay_news_total", "counter",
 	    "Changes read here that others were told of.", (int64_t)r->news);
 	text_value(
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -241,6 +241,8 @@
 entry_read_failed(struct entry *e, enum relay_subject s, msec now)
 {
 	relay_read_failed(&e->relay, now, s);
+	if (s == RELAY_TABLE)
+		entry_table_ask(e, now);
 }
 
 /* Until there is a configuration nobody is served, and no server used. */
--- a/entry-state.c
+++ b/entry-state.c
@@ -98,6 +98,8 @@
 
 	if (msg->kind == SP_START_ASK || msg->kind == SP_START_TELL)
 		entry_start_receive(e, from, address, port, msg, msec_now());
+	else if (msg->kind == SP_TABLE_ASK || msg->kind == SP_TABLE_PART)
+		entry_table_receive(e, from, address, port, msg, msec_now());
 	else if (msg->kind < SP_RESERVE)
 		members_receive(&e->members, msec_now(), from, incarnation,
 		    address, port, msg);
@@ -322,6 +324,7 @@
 	fresh_init(&e->fresh, 0);
 	era_init(&e->era);
 	entry_start_init(e);
+	entry_table_init(e);
 	entry_relay_init(e, now);
 	entry_state_apply(e);
 	servers_init(&e->servers, &state_server_ops);
@@ -370,6 +373,7 @@
 	place_finish(&e->place);
 	entry_relay_finish(e);
 	entry_start_finish(e);
+	entry_table_finish(e);
 	loop_timer_stop(&e->loop, &e->place_timer);
 	servers_finish(&e->servers);
 	members_finish(&e->members);
--- /dev/null
+++ b/entry-table.c
@@ -0,0 +1,182 @@
+/*
+ * The configuration, passed on from node to node; see entry-table.h. A text
+ * goes in parts of a datagram each, which may overtake each other. What is lost
+ * is asked for again with the next read that fails.
+ */
+
+#define LOG_PART "table"
+#include "entry.h"
+
+#include <string.h>
+
+/* A longer text, of more parts than a word has bits, is read from the platform
+ * only. */
+#define TABLE_TEXT_MAX (64 * SAVORY_TABLE_PART_MAX)
+
+void
+entry_table_init(struct entry *e)
+{
+	e->handed = (struct entry_table){ .text = g_byte_array_new() };
+}
+
+void
+entry_table_finish(struct entry *e)
+{
+	g_byte_array_unref(e->handed.text);
+}
+
+static void
+table_forget(struct entry_table *t)
+{
+	t->version = 0;
+	t->total = 0;
+	t->parts = 0;
+	g_byte_array_set_size(t->text, 0);
+}
+
+/* Another node has told us of another configuration than ours. */
+static bool
+table_is_behind(const struct entry *e)
+{
+	const struct relay_known *k = &e->relay.known[RELAY_TABLE];
+
+	return e->table != NULL && k->look >= 0 && k->look > k->asked;
+}
+
+void
+entry_table_ask(struct entry *e, msec now)
+{
+	struct entry_table *t = &e->handed;
+	struct member *m = members_find(&e->members, e->relay.reader);
+	sp_msg msg = { .kind = SP_TABLE_ASK };
+	sp_table_ask *ask = &msg.sp_msg_u.table_ask;
+
+	if (m == NULL || !table_is_behind(e))
+		return;
+	ask->have = e->table->version;
+	ask->want = t->version;
+	ask->parts = t->parts;
+	log_debug("asks %s for the configuration", m->name);
+	/* In a datagram of its own: nodes of before do not know the kind. */
+	net_flush(&e->net);
+	net_send(&e->net, m->address, m->peer_port, &msg);
+	net_flush(&e->net);
+}
+
+static uint32_t
+part_length(uint32_t total, uint32_t part)
+{
+	return MIN(total - part * SAVORY_TABLE_PART_MAX, SAVORY_TABLE_PART_MAX);
+}
+
+/* Of a text that may be handed on, and as long as its place says. */
+static bool
+part_is_valid(const sp_table_part *p)
+{
+	return p->total > 0 && p->total <= TABLE_TEXT_MAX &&
+	       p->part < (p->total + SAVORY_TABLE_PART_MAX - 1) /
+			     SAVORY_TABLE_PART_MAX &&
+	       p->bytes.bytes_len == part_length(p->total, p->part);
+}
+
+static bool
+table_is_whole(const struct entry_table *t)
+{
+	uint32_t n =
+	    (t->total + SAVORY_TABLE_PART_MAX - 1) / SAVORY_TABLE_PART_MAX;
+
+	return t->parts == UINT64_MAX >> (64 - n);
+}
+
+static void
+table_answer(
+    struct entry *e, uint32_t address, uint16_t port, const sp_table_ask *ask)
+{
+	const struct route_table *t = e->table;
+	sp_msg msg = { .kind = SP_TABLE_PART };
+	sp_table_part *p = &msg.sp_msg_u.table_part;
+	uint64_t got;
+	const char *text;
+	gsize size, at;
+
+	if (t == NULL || t->text == NULL || t->version <= ask->have)
+		return;
+	text = g_bytes_get_data(t->text, &size);
+	if (size > TABLE_TEXT_MAX)
+		return;
+	got = ask->want == t->version ? ask->parts : 0;
+	p->table = t->version;
+	p->total = (u_int)size;
+	for (at = 0; at < size; at += SAVORY_TABLE_PART_MAX) {
+		p->part = (u_int)(at / SAVORY_TABLE_PART_MAX);
+		if ((got >> p->part & 1) != 0)
+			continue;
+		p->bytes.bytes_len = part_length(p->total, p->part);
+		p->bytes.bytes_val = (char *)text + at;
+		net_send(&e->net, address, port, &msg);
+	}
+}
+
+/* In force as if we had read it; that it is the newest others prove. */
+static void
+table_take_whole(struct entry *e, msec now)
+{
+	struct entry_table *t = &e->handed;
+	struct route_table *table;
+	uint64_t version = t->version;
+
+	table = e->source->ops->decode_table(
+	    e->source, (const char *)t->text->data, t->text->len);
+	table_forget(t);
+	if (table == NULL || table->version != version) {
+		t->dropped++;
+		route_table_drop(table);
+		return;
+	}
+	t->taken++;
+	entry_take_table(e, table, now);
+	relay_took(
+	    &e->relay, RELAY_TABLE, entry_era_mark(e, e->table->version));
+}
+
+static void
+table_take_part(struct entry *e, const sp_table_part *p, msec now)
+{
+	struct entry_table *t = &e->handed;
+
+	if (e->table == NULL || p->table <= e->table->version)
+		return;
+	if (!part_is_valid(p)) {
+		t->dropped++;
+		return;
+	}
+	if (t->version != p->table || t->total != p->total) {
+		table_forget(t);
+		t->version = p->table;
+		t->total = p->total;
+		g_byte_array_set_size(t->text, p->total);
+	}
+	memcpy(t->text->data + p->part * SAVORY_TABLE_PART_MAX,
+	    p->bytes.bytes_val, p->bytes.bytes_len);
+	t->parts |= (uint64_t)1 << p->part;
+	if (table_is_whole(t))
+		table_take_whole(e, now);
+}
+
+void
+entry_table_receive(struct entry *e, name_id from, uint32_t address,
+    uint16_t port, const sp_msg *msg, msec now)
+{
+	if (msg->kind == SP_TABLE_ASK) {
+		if (members_find(&e->members, from) != NULL)
+			table_answer(
+			    e, address, port, &msg->sp_msg_u.table_ask);
+		return;
+	}
+	if (from == e->relay.reader) {
+		table_take_part(e, &msg->sp_msg_u.table_part, now);
+		return;
+	}
+	log_debug("a configuration that nobody asked for is dropped");
+	e->handed.dropped++;
+}
--- a/entry.h
+++ b/entry.h
@@ -12,9 +12,9 @@
  * Beside it: place.c and server-choose.c say which server; entry-state.c has
  * what is in force (configuration, servers, other nodes), entry-era.c what the
  * store's answers are worth, entry-start.c what others say at a start,
- * entry-query.c answers
- * readiness and the directory, entry-stop.c has the planned stop, entry.c
- * starts and ends it all.
+ * entry-table.c takes the configuration from another node, entry-query.c
+ * answers readiness and the directory, entry-stop.c has the planned stop,
+ * entry.c starts and ends it all.
  */
 
 #ifndef ENTRY_H
@@ -26,6 +26,7 @@
 #include "entry-era.h"
 #include "entry-log.h"
 #include "entry-start.h"
+#include "entry-table.h"
 #include "fresh.h"
 #include "http-message.h"
 #include "loop.h"
@@ -349,6 +350,7 @@
 	struct fresh fresh;
 	struct era era; /* of the source's store */
 	struct entry_start start;
+	struct entry_table handed; /* by another node */
 	struct servers servers;
 	struct place place;
 	struct loop_timer place_timer;
--- a/proto.h
+++ b/proto.h
@@ -363,6 +363,25 @@
 	u_quad_t newest_version;
 };
 typedef struct sp_start_tell sp_start_tell;
+#define SAVORY_TABLE_PART_MAX 1024
+
+struct sp_table_ask {
+	u_quad_t have;
+	u_quad_t want;
+	u_quad_t parts;
+};
+typedef struct sp_table_ask sp_table_ask;
+
+struct sp_table_part {
+	u_quad_t table;
+	u_int total;
+	u_int part;
+	struct {
+		u_int bytes_len;
+		char *bytes_val;
+	} bytes;
+};
+typedef struct sp_table_part sp_table_part;
 
 enum sp_kind {
 	SP_PROBE = 1,
@@ -392,6 +411,8 @@
 	SP_DEMAND = 53,
 	SP_START_ASK = 60,
 	SP_START_TELL = 61,
+	SP_TABLE_ASK = 62,
+	SP_TABLE_PART = 63,
 };
 typedef enum sp_kind sp_kind;
 
@@ -425,6 +446,8 @@
 		sp_demand demand;
 		sp_start_ask start_ask;
 		sp_start_tell start_tell;
+		sp_table_ask table_ask;
+		sp_table_part table_part;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
@@ -497,6 +520,8 @@
 extern  bool_t xdr_sp_relay_servers (XDR *, sp_relay_servers*);
 extern  bool_t xdr_sp_start_ask (XDR *, sp_start_ask*);
 extern  bool_t xdr_sp_start_tell (XDR *, sp_start_tell*);
+extern  bool_t xdr_sp_table_ask (XDR *, sp_table_ask*);
+extern  bool_t xdr_sp_table_part (XDR *, sp_table_part*);
 extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
 extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
 extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
@@ -541,6 +566,8 @@
 extern bool_t xdr_sp_relay_servers ();
 extern bool_t xdr_sp_start_ask ();
 extern bool_t xdr_sp_start_tell ();
+extern bool_t xdr_sp_table_ask ();
+extern bool_t xdr_sp_table_part ();
 extern bool_t xdr_sp_kind ();
 extern bool_t xdr_sp_msg ();
 extern bool_t xdr_sp_batch ();
--- a/proto.x
+++ b/proto.x
@@ -353,6 +353,25 @@
 	unsigned hyper newest_version;	/* of the configuration, heard of; 0 */
 };
 
+/* ---- a configuration from another node ---- */
+
+const SAVORY_TABLE_PART_MAX = 1024;
+
+/* The configuration that follows ours: its text, but the parts we have. */
+struct sp_table_ask {
+	unsigned hyper have;		/* version in force here */
+	unsigned hyper want;		/* 0, or the version of the text so far */
+	unsigned hyper parts;		/* a bit for each, the first is the least */
+};
+
+/* A part of the text, as the platform has it. They may overtake each other. */
+struct sp_table_part {
+	unsigned hyper table;		/* its version */
+	unsigned int total;		/* bytes of the text */
+	unsigned int part;		/* 0 is the first */
+	opaque bytes<SAVORY_TABLE_PART_MAX>;
+};
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -380,7 +399,9 @@
 	SP_USAGE_TIME = 52,
 	SP_DEMAND = 53,
 	SP_START_ASK = 60,
-	SP_START_TELL = 61
+	SP_START_TELL = 61,
+	SP_TABLE_ASK = 62,
+	SP_TABLE_PART = 63
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -438,6 +459,10 @@
 	sp_start_ask start_ask;
 case SP_START_TELL:
 	sp_start_tell start_tell;
+case SP_TABLE_ASK:
+	sp_table_ask table_ask;
+case SP_TABLE_PART:
+	sp_table_part table_part;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -997,6 +997,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_table_ask(XDR *xdrs, sp_table_ask *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->have))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->want))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->parts))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_table_part(XDR *xdrs, sp_table_part *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->table))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->total))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->part))
+		return FALSE;
+	if (!xdr_bytes(xdrs, (char **)&objp->bytes.bytes_val,
+		(u_int *)&objp->bytes.bytes_len, SAVORY_TABLE_PART_MAX))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -1123,6 +1154,14 @@
 		if (!xdr_sp_start_tell(xdrs, &objp->sp_msg_u.start_tell))
 			return FALSE;
 		break;
+	case SP_TABLE_ASK:
+		if (!xdr_sp_table_ask(xdrs, &objp->sp_msg_u.table_ask))
+			return FALSE;
+		break;
+	case SP_TABLE_PART:
+		if (!xdr_sp_table_part(xdrs, &objp->sp_msg_u.table_part))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/route.c
+++ b/route.c
@@ -163,6 +163,7 @@
 	g_free(t->services);
 	g_free(t->organisations);
 	g_hash_table_unref(t->keys);
+	g_clear_pointer(&t->text, g_bytes_unref);
 	g_free(t);
 }
 
--- a/route.h
+++ b/route.h
@@ -85,6 +85,7 @@
 	unsigned int ranks[2][ROUTE_RANKS];
 	bool keyed;	  /* requests need a key */
 	GHashTable *keys; /* to the index of the organisation, plus 1 */
+	GBytes *text;	  /* as its source gave it; NULL: not kept */
 };
 
 /* Empty, of version 0 and with one reference. Fill it, then complete it. */
