A server that is gone does not come back by an older list that has it draining

Found in the read-through: in the time of doubt after the store went back, an entry of a server that we know to be gone was noted as listed again whatever it said, and at the end of that time it was made ready, also if the list has it as draining. Test: /server/doubt with such an entry, which fails before.

Comments shortened; no other change of code.

--- a/entry-table.c
+++ b/entry-table.c
@@ -9,8 +9,7 @@
 
 #include <string.h>
 
-/* A longer text, of more parts than a word has bits, is read from the platform
- * only. */
+/* A longer text, of more parts than a word has bits, is not handed on. */
 #define TABLE_TEXT_MAX (64 * SAVORY_TABLE_PART_MAX)
 
 void
--- a/era.h
+++ b/era.h
@@ -25,8 +25,7 @@
 
 #include "savory.h"
 
-/* Greater numbers are not believed: a token must stay under 2^53, so that
- * it passes through any JSON. */
+/* A token must stay under 2^53, so that it passes through any JSON. */
 #define ERA_MAX ((uint64_t)(1 << 21) - 1)
 /* The age of an era whose beginning nobody has seen. */
 #define ERA_AGE_UNKNOWN UINT32_MAX
--- a/server.c
+++ b/server.c
@@ -135,7 +135,7 @@
 		v->born = e->born;
 	}
 	if (v->state == SERVER_GONE && !anew && now < s->doubted_until) {
-		v->listed_again = true;
+		v->listed_again = !e->draining;
 		return;
 	}
 	/* Draining is never taken back by the same process. */
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -121,6 +121,8 @@
 	g_assert_cmpuint(again, !=, gone);
 	servers_unlist(&s, 2000, "a");
 	g_assert_cmpuint(servers_mark(&s), ==, gone);
+	list(&s, 3000, "a", false, 5);
+	list(&s, 3100, "a", true, 5);
 	servers_tick(&s, 7000);
 	g_assert_cmpint(state_of(&s, "a"), ==, SERVER_GONE);
 	servers_finish(&s);
--- a/tests/util-proxy.c
+++ b/tests/util-proxy.c
@@ -503,8 +503,7 @@
 	const struct link *l;
 	struct pollfd fd = { .fd = x->wake, .events = POLLIN };
 
-	/* Counted here: GLib moves the array's head between threads by locks
-	 * that ThreadSanitizer does not see. */
+	/* GLib's locks round the array's head are not instrumented. */
 	*n = 2;
 	g_array_append_val(fds, fd);
 	fd.fd = x->listener;
--- a/wire.h
+++ b/wire.h
@@ -144,8 +144,7 @@
 	void (*report_usage)(struct source *, uint64_t window, json_t *counts);
 	/* False: not now; else entry_duty_ordered() follows. */
 	bool (*order_servers)(struct source *, const struct server_order *);
-	/* A configuration's text, as another node had it from there; NULL: it
-	 * cannot be understood. */
+	/* A configuration's text; NULL: it cannot be understood. */
 	struct route_table *(*decode_table)(
 	    struct source *, const char *, size_t);
 	/* Its own counters, as text exposition. */
