Lines say what a request asks, however often its caller sends it

What our lines could not tell: whether one request is aboard every engine that ends, since each attempt of a caller has an id of its own. 'same' names path, caller and body (keyed 128-bit XXH3, the node's peer key as seed; where no key names the caller, its address does) on 'request' and 'attempt-failed'; 'running' on the latter says how many of ours were still there.

Cost: a pass of the hash over the body; no decision goes by it yet.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -292,11 +292,17 @@
 static void
 job_next(struct job *j, msec now, enum job_code why)
 {
+	struct server *v =
+	    servers_find(&j->owner->servers, name_hash(j->server_name));
+	char same[POISON_ID_SIZE];
+
 	j->last = why;
 	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
 	    LOG_EVENT_ATTEMPT_FAILED, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
 	    LOG_TEXT(LOG_KEY_REASON, job_code_name(why)),
+	    LOG_TEXT(LOG_KEY_SAME, job_same(j, same)),
+	    LOG_NUMBER(LOG_KEY_RUNNING, v != NULL ? v->own.running : 0),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
 	if (!job_may_go_on(j, now, why)) {
--- a/entry-caller.c
+++ b/entry-caller.c
@@ -10,6 +10,7 @@
 
 #include <sys/socket.h>
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -180,6 +181,18 @@
 	return loop_watch(&e->loop, &li->io, EPOLLIN);
 }
 
+void
+caller_address(const struct caller *c, char *text)
+{
+	struct sockaddr_in sin = { 0 };
+	socklen_t len = sizeof sin;
+
+	*text = '\0';
+	if (getpeername(c->io.fd, (struct sockaddr *)&sin, &len) == 0)
+		inet_ntop(
+		    AF_INET, &sin.sin_addr, text, (socklen_t)INET_ADDRSTRLEN);
+}
+
 /* ---- reading ---- */
 
 static void
--- a/entry-job.c
+++ b/entry-job.c
@@ -10,6 +10,8 @@
 #define LOG_PART "job"
 #include "entry.h"
 
+#include <netinet/in.h>
+
 #include <string.h>
 
 /* Nothing of a request that fails comes back sooner. */
@@ -48,6 +50,15 @@
 	return span == MSEC_NEVER ? -1 : span;
 }
 
+const char *
+job_same(const struct job *j, char text[POISON_ID_SIZE])
+{
+	if (poison_id_is_none(j->same))
+		return NULL;
+	poison_id_print(j->same, text);
+	return text;
+}
+
 static void
 job_log(struct job *j, msec now, enum job_code code)
 {
@@ -60,6 +71,7 @@
 	const char *last =
 	    j->last != JOB_SERVED ? job_code_name(j->last) : NULL;
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
+	char same[POISON_ID_SIZE];
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
 	msec left = j->deadline != MSEC_NEVER ? j->deadline - now : MSEC_NEVER;
 	msec leaving =
@@ -71,6 +83,7 @@
 	    LOG_NUMBER(LOG_KEY_STATUS, j->status),
 	    LOG_TEXT(LOG_KEY_ROUTE, route),
 	    LOG_TEXT(LOG_KEY_ORGANISATION, organisation),
+	    LOG_TEXT(LOG_KEY_SAME, job_same(j, same)),
 	    LOG_TEXT(LOG_KEY_SERVER, server),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_RUNS, j->runs),
@@ -240,6 +253,26 @@
 	loop_timer_set(&j->owner->loop, &j->timer, j->deadline);
 }
 
+/* Where no key names the caller, the address that it connects from does. */
+static void
+job_set_same(struct job *j)
+{
+	struct caller *c = j->caller;
+	char address[INET_ADDRSTRLEN] = "";
+	struct poison_request r = { .method = j->head->method,
+		.host = j->request.host,
+		.path = j->request.path,
+		.caller = address,
+		.body = buffer_bytes(&c->body),
+		.length = buffer_left(&c->body) };
+
+	if (j->organisation != NULL)
+		r.caller = j->organisation->name;
+	else
+		caller_address(c, address);
+	j->same = poison_id_make(j->owner->settings->peer_key, &r);
+}
+
 static void
 job_request(struct caller *c, msec now)
 {
@@ -275,6 +308,7 @@
 		job_fail(j, now, code);
 		return;
 	}
+	job_set_same(j);
 	j->repeatable = route_is_repeatable(j->route);
 	j->service = route_service_draw(j->route, g_rand_int(e->rand));
 	job_set_deadline(j, now);
--- a/entry-log.c
+++ b/entry-log.c
@@ -119,6 +119,8 @@
 	[LOG_KEY_ROUTES] = { "routes", "in the configuration" },
 	[LOG_KEY_RUNNING] = { "running", "requests of ours on the server" },
 	[LOG_KEY_RUNS] = { "runs", "attempts that may have run" },
+	[LOG_KEY_SAME] = { "same",
+	    "names what is asked: path, caller and body" },
 	[LOG_KEY_SEEN] = { "seen", "requests that this was learned from" },
 	[LOG_KEY_SENDS] = { "sends", "attempts begun" },
 	[LOG_KEY_SERVED] = { "served", "requests served since the start" },
--- a/entry.h
+++ b/entry.h
@@ -34,6 +34,7 @@
 #include "metrics.h"
 #include "net.h"
 #include "place.h"
+#include "poison.h"
 #include "relay.h"
 #include "retry-budget.h"
 #include "route.h"
@@ -102,6 +103,8 @@
 /* A whole answer of our own; the body may be "". Then caller_ended(). */
 void caller_answer(struct caller *, msec, unsigned int status,
     const char *fields, const char *type, const char *body, bool keep);
+/* The peer's address as text, INET_ADDRSTRLEN bytes; "" if it is not known. */
+void caller_address(const struct caller *, char *);
 /* Bytes written that have not gone out yet. */
 size_t caller_backlog(const struct caller *);
 /* Close connections that wait for nothing. */
@@ -217,6 +220,7 @@
 	struct route_table *table;    /* a reference */
 	const struct route *route;
 	const struct route_organisation *organisation;
+	struct poison_id same; /* however often its caller sends it */
 	name_id service;
 	msec arrived;
 	msec deadline; /* a point: the caller's, or the route's timeout */
@@ -261,6 +265,8 @@
 extern const struct caller_ops job_caller_ops;
 /* From placement: the server for a request, or NULL. */
 void job_placed(struct place *, struct place_request *, struct server *, msec);
+/* Its name for logs, or NULL: it has none yet. */
+const char *job_same(const struct job *, char[POISON_ID_SIZE]);
 /* May it pass by what is in force now? JOB_SERVED, or why not. */
 enum job_code job_admit(struct job *, msec);
 /* Less time than this and an attempt is not worth beginning. */
