--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -33,6 +33,7 @@
 	const char *node;
 	const char *request; /* NULL: of none */
 	const char *server;  /* NULL: none */
+	const char *same;    /* what it asks; NULL: not said */
 };
 
 static const char *
@@ -64,6 +65,7 @@
 		l.time = json_integer_value(json_object_get(l.json, "time_ms"));
 		l.request = line_text(l.json, "request");
 		l.server = line_text(l.json, "server");
+		l.same = line_text(l.json, "same");
 		g_array_append_val(lines, l);
 	}
 	if (cut > 0)
@@ -116,6 +118,22 @@
 	return false;
 }
 
+/* Is this said of what the request asks, however often it was sent? */
+static bool
+explain_is_same(const GArray *lines, const char *id, const char *same)
+{
+	const struct line *l;
+	guint i;
+
+	for (i = 0; same != NULL && i < lines->len; i++) {
+		l = &g_array_index(lines, struct line, i);
+		if (g_strcmp0(l->request, id) == 0 &&
+		    g_strcmp0(l->same, same) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Lines of no request that may explain this one. */
 static bool
 explain_concerns(
@@ -128,9 +146,12 @@
 	size_t i;
 
 	if (l->request != NULL)
-		return false;
+		return strcmp(l->event, "attempt-failed") == 0 &&
+		       explain_is_same(lines, id, l->same);
 	if (l->server != NULL)
 		return explain_met(lines, id, l->server);
+	if (l->same != NULL)
+		return explain_is_same(lines, id, l->same);
 	if (g_strcmp0(l->node, node) != 0)
 		return false;
 	for (i = 0; i < G_N_ELEMENTS(others); i++) {
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -189,6 +189,8 @@
 
 	if (code == JOB_SERVED && j->deadline - now < JOB_LEAST_MS)
 		code = JOB_TIMEOUT;
+	else if (code == JOB_SERVED && entry_poison_refuses(j, now))
+		code = JOB_POISON;
 	/* Also another attempt must end in time; a stream just goes on. */
 	else if (code == JOB_SERVED && !j->began &&
 		 !entry_stop_leaves_time(j->owner, j, now))
@@ -206,6 +208,8 @@
 
 	if (j->ntried > 0 && !job_admit_again(j, now))
 		return;
+	if (!entry_poison_admit(j, now))
+		return;
 	if (!route_has_service(j->route, j->service))
 		j->service = route_service_draw(j->route, g_rand_int(e->rand));
 	job_fill_wish(j, &j->place.wish);
@@ -250,6 +254,7 @@
 	}
 	if (job_send(j, now, v))
 		return;
+	poison_end(&j->owner->poison.core, now, &j->run, false);
 	place_end(p, now, r, SERVER_DOWN);
 	j->last = JOB_UNREACHABLE;
 	if (j->ntried == SERVER_AVOID_MAX)
@@ -258,12 +263,10 @@
 		job_attempt(j, now);
 }
 
-/* May it go to another server after an attempt that ended so? */
+/* Could it go to another server, if the allowance of retries lets it? */
 static bool
-job_may_go_on(struct job *j, msec now, enum job_code why)
+job_could_go_on(struct job *j, msec now)
 {
-	struct entry *e = j->owner;
-
 	if (j->may_have_run && !j->repeatable)
 		return false;
 	if (j->began && (!j->streamed || j->events == 0))
@@ -273,7 +276,16 @@
 	if (j->runs >= j->route->attempts ||
 	    j->sends >= j->route->attempts + JOB_EXTRA_SENDS)
 		return false;
-	if (j->deadline - now < JOB_LEAST_MS)
+	return j->deadline - now >= JOB_LEAST_MS;
+}
+
+/* May it go to another server after an attempt that ended so? */
+static bool
+job_may_go_on(struct job *j, msec now, enum job_code why)
+{
+	struct entry *e = j->owner;
+
+	if (!job_could_go_on(j, now))
 		return false;
 	if (j->arrivals == 0)
 		return true;
@@ -305,6 +317,10 @@
 	    LOG_NUMBER(LOG_KEY_RUNNING, v != NULL ? v->own.running : 0),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
+	if (entry_poison_refuses(j, now)) {
+		job_fail(j, now, JOB_POISON);
+		return;
+	}
 	if (!job_may_go_on(j, now, why)) {
 		job_fail(j, now, why);
 		return;
@@ -446,6 +462,7 @@
 	}
 	job_ran(j);
 	job_began_to_run(j, now);
+	poison_served(&j->owner->poison.core, now, j->same);
 	if (j->server_error && j->repeatable) {
 		job_leave_server(j, now, SERVER_WELL);
 		job_next(j, now, JOB_SERVER_ERROR);
@@ -506,10 +523,15 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
+	poison_end(&j->owner->poison.core, now, &j->run, how == LINK_BROKEN);
 	job_leave_server(j, now, link_result(k, how, now));
+	if (k->refused)
+		entry_poison_refused(k->owner, k->server, now);
 	if (how == LINK_BROKEN) {
 		job_ran(j);
-		job_next(j, now, JOB_BROKEN);
+		if (!entry_poison_broke(
+			j, k->server, job_could_go_on(j, now), now))
+			job_next(j, now, JOB_BROKEN);
 		return;
 	}
 	/* Nothing was handed over: it does not count as a send. */
@@ -522,6 +544,12 @@
 	job_next(j, now, JOB_UNREACHABLE);
 }
 
+void
+job_checked(struct job *j, msec now)
+{
+	job_next(j, now, JOB_BROKEN);
+}
+
 /*
  * Guards against an attempt that is given up for none: the answer may be on its
  * way, and the caller would get 502 instead.
--- a/entry-job.c
+++ b/entry-job.c
@@ -36,7 +36,8 @@
 	static const char *const names[JOB_CODES] = { "served", "server-error",
 		"bad-request", "no-route", "no-key", "not-fresh", "starting",
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
-		"broken", "timeout", "stopped", "leaving", "caller-gone" };
+		"broken", "timeout", "stopped", "leaving", "poison",
+		"caller-gone" };
 
 	return names[c];
 }
@@ -107,6 +108,7 @@
 	loop_timer_stop(&j->owner->loop, &j->patience);
 	place_end(&j->owner->place, now, &j->place, how);
 	j->server = NULL;
+	poison_end(&j->owner->poison.core, now, &j->run, false);
 }
 
 void
@@ -115,6 +117,9 @@
 	struct link *k = j->link;
 
 	j->link = NULL;
+	j->check = NULL;
+	if (k != NULL && k->sent)
+		entry_poison_left(j, k->server, now);
 	if (k != NULL)
 		link_cancel(k);
 	job_leave_server(j, now, how);
@@ -176,7 +181,11 @@
 {
 	msec after = JOB_RETRY_AFTER_MS;
 
-	if (code == JOB_LEAVING || code == JOB_STOPPED)
+	if (code == JOB_POISON)
+		after = MAX(poison_trial_in(&j->owner->poison.core,
+				j->owner->loop.now, j->same),
+		    JOB_AWAY_RETRY_MS);
+	else if (code == JOB_LEAVING || code == JOB_STOPPED)
 		after = entry_others_ready(j->owner) ? JOB_ELSEWHERE_RETRY_MS
 						     : JOB_AWAY_RETRY_MS;
 	else if (code == JOB_STARTING ||
--- a/entry-link.c
+++ b/entry-link.c
@@ -137,6 +137,8 @@
 	sin.sin_port = htons(v->port);
 	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == -1 &&
 	    errno != EINPROGRESS) {
+		if (errno == ECONNREFUSED)
+			entry_poison_refused(e, v, now);
 		close(fd);
 		return NULL;
 	}
@@ -270,6 +272,7 @@
 	if (getsockopt(k->io.fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1 ||
 	    error != 0) {
 		log_debug("%s: %s", k->server->name, g_strerror(error));
+		k->refused = error == ECONNREFUSED;
 		return false;
 	}
 	link_not_connecting(k);
--- a/entry-log.c
+++ b/entry-log.c
@@ -20,6 +20,9 @@
 	[LOG_EVENT_ATTEMPT_FAILED] = { "attempt-failed",
 	    "An attempt on a backend server failed; the request goes on or "
 	    "ends." },
+	[LOG_EVENT_CONDEMNED] = { "condemned",
+	    "Servers ended under a request, one after the other: it is sent to "
+	    "none for a long time." },
 	[LOG_EVENT_CONFIGURATION] = { "configuration",
 	    "A newer configuration is in force." },
 	[LOG_EVENT_CONFIGURATION_UNREADABLE] = { "configuration-unreadable",
@@ -61,6 +64,9 @@
 	[LOG_EVENT_REQUEST] = { "request", "A request has ended." },
 	[LOG_EVENT_SERVER] = { "server",
 	    "A backend server changed its state." },
+	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
+	    "A backend server's process ended while it had requests of ours; "
+	    "these are suspect." },
 	[LOG_EVENT_SERVER_SILENT] = { "server-silent",
 	    "A backend server was given up, as it did not answer." },
 	[LOG_EVENT_SERVER_UNREADABLE] = { "server-unreadable",
@@ -70,6 +76,9 @@
 	[LOG_EVENT_STOPPING] = { "stopping", "A planned stop has begun." },
 	[LOG_EVENT_STRAY_ANSWER] = { "stray-answer",
 	    "An answer to another request came and was thrown away." },
+	[LOG_EVENT_SUSPECT] = { "suspect",
+	    "A server ended under the request before: it waits for its turn, "
+	    "goes, or is refused." },
 	[LOG_EVENT_TURNED_AWAY] = { "turned-away",
 	    "Too much was to be read before the request: see ahead_ms." },
 	[LOG_EVENT_USAGE] = { "usage",
@@ -84,6 +93,7 @@
 	[LOG_KEY_COUNT] = { "count", "servers ordered, in all" },
 	[LOG_KEY_DOMAIN] = { "domain",
 	    "failure domain of this node, or of the servers ordered" },
+	[LOG_KEY_ENDS] = { "ends", "servers that ended under such a request" },
 	[LOG_KEY_ERA] = { "era", "of the platform's store" },
 	[LOG_KEY_FIRST_MS] = { "first_ms",
 	    "from the request to the first byte of the answer; -1: none" },
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -308,6 +308,7 @@
 	text_counters(s, e);
 	e->source->ops->metrics(e->source, s);
 	entry_era_metrics(e, s, now);
+	entry_poison_metrics(e, s);
 	entry_duty_metrics(e, s);
 }
 
@@ -406,6 +407,7 @@
 	dump_mixes(s, e);
 	dump_jobs(s, e, now);
 	entry_duty_dump(e, s, now);
+	entry_poison_dump(e, s, now);
 	g_string_append(s, members);
 }
 
--- /dev/null
+++ b/entry-poison.c
@@ -0,0 +1,564 @@
+/*
+ * Requests that end their servers, on this node; see entry-poison.h.
+ */
+
+#define LOG_PART "poison"
+#include "entry.h"
+
+#include <sys/socket.h>
+
+#include <netinet/in.h>
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+/*
+ * A process that ends closes its connections before it stops to listen, so it
+ * is looked at a moment later, and once more.
+ */
+#define CHECK_FIRST_MS 5
+#define CHECK_AGAIN_MS 40
+#define CHECK_LOOKS 2
+/* A request waits so long for what is found of its server. */
+#define CHECK_WAIT_MS 60
+/* A server that answers no connection is taken as silent after. */
+#define CHECK_SILENT_MS 300
+/* News of the platform that a process ended come within. */
+#define CHECK_LISTED_MS (10 * MSEC_SECOND)
+/* Connections to a process that ended have all broken within. */
+#define CHECK_ENDED_MS (2 * MSEC_SECOND)
+/* What left a server so long before its end may have caused it. */
+#define POISON_LEFT_MS 2000
+
+enum check_state {
+	CHECK_DUE,    /* it is about to be looked at */
+	CHECK_RUNS,   /* a connection to it is under way */
+	CHECK_SILENT, /* no answer; the platform will know */
+	CHECK_ENDED   /* nobody is there */
+};
+
+/* The process of a server, when a connection to it has broken. */
+struct server_check {
+	struct loop_io io;
+	TAILQ_ENTRY(server_check) entry;
+	struct entry *owner;
+	name_id server;
+	char name[SERVER_NAME_SIZE];
+	uint64_t life;
+	uint32_t address;
+	uint16_t port;
+	enum check_state state;
+	unsigned int looks;
+	struct loop_timer timer; /* of the state */
+	struct loop_timer wait;	 /* of the requests that wait */
+	msec since;
+	GArray *aboard; /* struct poison_id: what was there */
+};
+
+static void check_ready(struct loop_io *, uint32_t);
+static void check_timer(struct loop_timer *, msec);
+static void check_wait(struct loop_timer *, msec);
+static void check_look(struct server_check *, msec);
+
+/* The same for one process on all nodes. */
+static uint64_t
+server_life(const struct server *v)
+{
+	uint64_t words[3] = { v->id, (uint64_t)v->born,
+		((uint64_t)v->address << 16) | v->port };
+
+	return XXH64(words, sizeof words, 8);
+}
+
+/* ---- what a server's end means ---- */
+
+static struct job *
+check_waiting(const struct server_check *c)
+{
+	struct job *j;
+
+	TAILQ_FOREACH (j, &c->owner->jobs, entry) {
+		if (j->check == c)
+			return j;
+	}
+	return NULL;
+}
+
+/* Requests that wait to hear of it go on. */
+static void
+check_let_go(struct server_check *c, msec now)
+{
+	struct entry *e = c->owner;
+	struct job *j;
+
+	loop_timer_stop(&e->loop, &c->wait);
+	/* From the start each time: one that goes on may end others. */
+	while ((j = check_waiting(c)) != NULL) {
+		j->check = NULL;
+		poison_settled(&e->poison.core, now, j->same);
+		job_checked(j, now);
+	}
+}
+
+static void
+check_free(struct server_check *c)
+{
+	struct entry *e = c->owner;
+
+	loop_timer_stop(&e->loop, &c->timer);
+	loop_timer_stop(&e->loop, &c->wait);
+	loop_close(&e->loop, &c->io);
+	TAILQ_REMOVE(&e->poison.checks, c, entry);
+	g_array_unref(c->aboard);
+	g_free(c);
+}
+
+static void
+check_add_left(struct server_check *c, msec now)
+{
+	struct entry_poison *x = &c->owner->poison;
+	unsigned int i;
+
+	for (i = 0; i < POISON_LEFT; i++) {
+		if (x->left[i].life != c->life ||
+		    now - x->left[i].at > POISON_LEFT_MS)
+			continue;
+		g_array_append_val(c->aboard, x->left[i].id);
+		x->left[i].life = 0;
+	}
+}
+
+/* Its process has ended: all that was there is suspect. */
+static void
+check_ended(struct server_check *c, msec now)
+{
+	struct entry *e = c->owner;
+	g_autoptr(GArray) aboard = NULL;
+	guint i;
+
+	check_add_left(c, now);
+	aboard = c->aboard;
+	c->aboard = g_array_new(FALSE, FALSE, sizeof(struct poison_id));
+	c->state = CHECK_ENDED;
+	e->poison.ended++;
+	loop_close(&e->loop, &c->io);
+	loop_timer_set(&e->loop, &c->timer, now + CHECK_ENDED_MS);
+	if (aboard->len > 0)
+		entry_log(&e->log, now, ENTRY_LOG_NEEDED,
+		    LOG_EVENT_SERVER_ENDED, LOG_TEXT(LOG_KEY_SERVER, c->name),
+		    LOG_NUMBER(LOG_KEY_REQUESTS, aboard->len),
+		    LOG_NUMBER(LOG_KEY_MS, now - c->since));
+	for (i = 0; i < aboard->len; i++)
+		poison_ended(&e->poison.core, now,
+		    g_array_index(aboard, struct poison_id, i), c->life);
+	check_let_go(c, now);
+}
+
+/* It answers, it seems; requests need not wait any more. */
+static void
+check_stands(struct server_check *c, msec now)
+{
+	struct entry *e = c->owner;
+
+	check_let_go(c, now);
+	loop_close(&e->loop, &c->io);
+	if (c->looks == CHECK_LOOKS) {
+		check_free(c);
+		return;
+	}
+	c->state = CHECK_DUE;
+	loop_timer_set(&e->loop, &c->timer, now + CHECK_AGAIN_MS);
+}
+
+/* What became of it is the platform's to say. */
+static void
+check_silent(struct server_check *c, msec now)
+{
+	c->state = CHECK_SILENT;
+	loop_close(&c->owner->loop, &c->io);
+	loop_timer_set(&c->owner->loop, &c->timer, now + CHECK_LISTED_MS);
+	check_let_go(c, now);
+}
+
+static void
+check_timer(struct loop_timer *t, msec now)
+{
+	struct server_check *c = t->arg;
+
+	if (c->state == CHECK_DUE)
+		check_look(c, now);
+	else if (c->state == CHECK_RUNS)
+		check_silent(c, now);
+	else
+		check_free(c);
+}
+
+static void
+check_wait(struct loop_timer *t, msec now)
+{
+	check_let_go(t->arg, now);
+}
+
+static void
+check_ready(struct loop_io *io, uint32_t events)
+{
+	struct server_check *c = (struct server_check *)io;
+	msec now = c->owner->loop.now;
+	int error = 0;
+	socklen_t len = sizeof error;
+
+	if (getsockopt(io->fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1 ||
+	    error == 0 || error == ECONNRESET)
+		check_stands(c, now);
+	else if (error == ECONNREFUSED)
+		check_ended(c, now);
+	else
+		check_silent(c, now);
+}
+
+/* ---- looking at a server ---- */
+
+/*
+ * A connection of its own: kept ones may be broken as well, and no request may
+ * be lost for it. A process that has ended refuses it, here or a moment later.
+ */
+static enum check_state
+check_connect(struct server_check *c)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd;
+
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd == -1) {
+		log_warn("no socket: %s", g_strerror(errno));
+		return CHECK_SILENT;
+	}
+	c->owner->counters.connects++;
+	c->owner->poison.checked++;
+	sin.sin_addr.s_addr = htonl(c->address);
+	sin.sin_port = htons(c->port);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == -1 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return errno == ECONNREFUSED ? CHECK_ENDED : CHECK_SILENT;
+	}
+	c->io = (struct loop_io){ check_ready, fd, 0 };
+	return loop_watch(&c->owner->loop, &c->io, EPOLLOUT) ? CHECK_RUNS
+							     : CHECK_SILENT;
+}
+
+static struct server_check *
+check_find(struct entry *e, uint64_t life)
+{
+	struct server_check *c;
+
+	TAILQ_FOREACH (c, &e->poison.checks, entry) {
+		if (c->life == life)
+			return c;
+	}
+	return NULL;
+}
+
+static struct server_check *
+check_new(struct entry *e, const struct server *v, msec now)
+{
+	struct server_check *c = g_new0(struct server_check, 1);
+
+	c->io.fd = -1;
+	c->owner = e;
+	c->server = v->id;
+	g_strlcpy(c->name, v->name, sizeof c->name);
+	c->life = server_life(v);
+	c->address = v->address;
+	c->port = v->port;
+	c->since = now;
+	c->state = CHECK_DUE;
+	c->aboard = g_array_new(FALSE, FALSE, sizeof(struct poison_id));
+	loop_timer_init(&c->timer, check_timer, c);
+	loop_timer_init(&c->wait, check_wait, c);
+	TAILQ_INSERT_TAIL(&e->poison.checks, c, entry);
+	return c;
+}
+
+static void
+check_look(struct server_check *c, msec now)
+{
+	enum check_state state = check_connect(c);
+
+	c->looks++;
+	if (state == CHECK_ENDED) {
+		check_ended(c, now);
+	} else if (state == CHECK_SILENT) {
+		check_silent(c, now);
+	} else {
+		c->state = CHECK_RUNS;
+		loop_timer_set(
+		    &c->owner->loop, &c->timer, now + CHECK_SILENT_MS);
+	}
+}
+
+bool
+entry_poison_broke(struct job *j, const struct server *v, bool waits, msec now)
+{
+	struct entry *e = j->owner;
+	struct server_check *c;
+
+	/* One that leaves ends as it should. */
+	if (v->state != SERVER_READY || poison_id_is_none(j->same))
+		return false;
+	c = check_find(e, server_life(v));
+	if (c != NULL && c->state == CHECK_ENDED) {
+		poison_ended(&e->poison.core, now, j->same, c->life);
+		return false;
+	}
+	if (c == NULL) {
+		c = check_new(e, v, now);
+		loop_timer_set(&e->loop, &c->timer, now + CHECK_FIRST_MS);
+		loop_timer_set(&e->loop, &c->wait, now + CHECK_WAIT_MS);
+	}
+	g_array_append_val(c->aboard, j->same);
+	if (!waits || !c->wait.set)
+		return false;
+	j->check = c;
+	return true;
+}
+
+void
+entry_poison_left(const struct job *j, const struct server *v, msec now)
+{
+	struct entry_poison *x = &j->owner->poison;
+
+	if (v->state != SERVER_READY || poison_id_is_none(j->same))
+		return;
+	x->left[x->next_left] =
+	    (struct poison_left){ j->same, server_life(v), now };
+	x->next_left = (x->next_left + 1) % POISON_LEFT;
+}
+
+void
+entry_poison_refused(struct entry *e, struct server *v, msec now)
+{
+	struct server_check *c;
+
+	if (v->state != SERVER_READY)
+		return;
+	if ((c = check_find(e, server_life(v))) == NULL)
+		c = check_new(e, v, now);
+	if (c->state != CHECK_ENDED)
+		check_ended(c, now);
+}
+
+/*
+ * What a silent server had is known now: gone without having said that it
+ * leaves, or started anew. By its name, as its life is another already.
+ */
+void
+entry_poison_listed(struct entry *e, struct server *v, msec now)
+{
+	struct server_check *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &e->poison.checks, entry, next) {
+		if (c->server != v->id || c->state != CHECK_SILENT)
+			continue;
+		if (v->state == SERVER_DRAINING)
+			check_free(c);
+		else
+			check_ended(c, now);
+	}
+}
+
+/* ---- requests ---- */
+
+bool
+entry_poison_admit(struct job *j, msec now)
+{
+	struct entry *e = j->owner;
+	enum poison_verdict v;
+
+	j->run.id = j->same;
+	j->run.arg = j;
+	v = poison_ask(&e->poison.core, now, &j->run);
+	if (v == POISON_GO)
+		return true;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SUSPECT,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_OUTCOME, poison_verdict_name(v)),
+	    LOG_NUMBER(LOG_KEY_ENDS, poison_ends(&e->poison.core, j->same)));
+	if (v != POISON_WAIT)
+		job_fail(j, now, JOB_POISON);
+	else
+		entry_poison_soon(e, now);
+	return false;
+}
+
+bool
+entry_poison_refuses(const struct job *j, msec now)
+{
+	return !j->run.granted &&
+	       poison_is_condemned(&j->owner->poison.core, now, j->same);
+}
+
+static void
+poison_op_send(struct poisons *p, name_id node, const sp_msg *msg)
+{
+	struct entry *e = p->arg;
+	struct member *m = members_find(&e->members, node);
+
+	if (m != NULL)
+		net_send(&e->net, m->address, m->peer_port, msg);
+}
+
+static void
+poison_op_decided(
+    struct poisons *p, struct poison_run *run, enum poison_verdict v, msec now)
+{
+	struct job *j = run->arg;
+
+	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SUSPECT,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_OUTCOME, poison_verdict_name(v)),
+	    LOG_NUMBER(LOG_KEY_ENDS, poison_ends(p, j->same)));
+	if (v == POISON_GO)
+		job_attempt(j, now);
+	else
+		job_fail(j, now, JOB_POISON);
+}
+
+/* One that a server has, and has not begun to answer. */
+static struct job *
+poison_unbegun(struct entry *e, struct poison_id id)
+{
+	struct job *j;
+
+	TAILQ_FOREACH (j, &e->jobs, entry) {
+		if (poison_id_equal(j->same, id) && j->link != NULL &&
+		    !j->began_to_run)
+			return j;
+	}
+	return NULL;
+}
+
+/*
+ * Copies that wait in the queue of a server have not ended it yet. One whose
+ * answer has begun may yet come through, and clear it.
+ */
+static void
+poison_op_condemned(struct poisons *p, struct poison_id id, msec now)
+{
+	struct entry *e = p->arg;
+	char same[POISON_ID_SIZE];
+	struct job *j;
+
+	poison_id_print(id, same);
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_CONDEMNED,
+	    LOG_TEXT(LOG_KEY_SAME, same),
+	    LOG_NUMBER(LOG_KEY_ENDS, poison_ends(p, id)));
+	while ((j = poison_unbegun(e, id)) != NULL) {
+		j->may_have_run |= j->link->sent;
+		job_fail(j, now, JOB_POISON);
+	}
+}
+
+static const struct poison_ops entry_poison_ops = { poison_op_send,
+	poison_op_decided, poison_op_condemned };
+
+/* ---- nodes, time ---- */
+
+void
+entry_poison_set_nodes(struct entry *e, msec now)
+{
+	struct poison_node *nodes;
+	struct member *m;
+	unsigned int n = 0;
+
+	nodes = g_new0(struct poison_node, e->live_nodes + 1);
+	nodes[n++] = (struct poison_node){ e->members.self.id, e->incarnation,
+		e->phase == ENTRY_SERVING };
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state == MEMBER_DEAD || n > e->live_nodes)
+			continue;
+		nodes[n++] = (struct poison_node){ m->id, m->incarnation,
+			m->state == MEMBER_ALIVE && !m->leaving };
+	}
+	poisons_set_nodes(&e->poison.core, now, nodes, n);
+	g_free(nodes);
+}
+
+static void
+poison_timer(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+
+	loop_timer_set(&e->loop, t, poisons_tick(&e->poison.core, now));
+}
+
+void
+entry_poison_soon(struct entry *e, msec now)
+{
+	poison_timer(&e->poison.timer, now);
+}
+
+void
+entry_poison_init(struct entry *e)
+{
+	struct entry_poison *x = &e->poison;
+
+	*x = (struct entry_poison){ 0 };
+	TAILQ_INIT(&x->checks);
+	poisons_init(
+	    &x->core, &entry_poison_ops, name_hash(e->settings->node), e->rand);
+	x->core.arg = e;
+	loop_timer_init(&x->timer, poison_timer, e);
+}
+
+void
+entry_poison_finish(struct entry *e)
+{
+	struct server_check *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &e->poison.checks, entry, next)
+		check_free(c);
+	loop_timer_stop(&e->loop, &e->poison.timer);
+	poisons_finish(&e->poison.core);
+}
+
+/* ---- metrics and dump ---- */
+
+static void
+metric(GString *s, const char *name, const char *type, uint64_t n)
+{
+	g_string_append_printf(s,
+	    "# TYPE savory_entry_%s %s\nsavory_entry_%s %" PRIu64 "\n", name,
+	    type, name, n);
+}
+
+void
+entry_poison_metrics(const struct entry *e, GString *s)
+{
+	const struct entry_poison *x = &e->poison;
+	const struct poison_counters *c = &x->core.counters;
+
+	metric(s, "poison_records", "gauge", x->core.count);
+	metric(s, "poison_servers_checked_total", "counter", x->checked);
+	metric(s, "poison_servers_ended_total", "counter", x->ended);
+	metric(s, "poison_suspicions_total", "counter", c->ends);
+	metric(s, "poison_cleared_total", "counter", c->cleared);
+	metric(s, "poison_condemned_total", "counter", c->condemned);
+	metric(s, "poison_refused_total", "counter", c->refused);
+	metric(s, "poison_held_total", "counter", c->held);
+	metric(s, "poison_asked_total", "counter", c->asked);
+	metric(s, "poison_alone_total", "counter", c->alone);
+	metric(s, "poison_trials_total", "counter", c->trials);
+	metric(s, "poison_told_total", "counter", c->told);
+	metric(s, "poison_dropped_total", "counter", c->dropped);
+}
+
+void
+entry_poison_dump(const struct entry *e, GString *s, msec now)
+{
+	poisons_dump(&e->poison.core, s, now);
+}
--- a/entry-state.c
+++ b/entry-state.c
@@ -49,6 +49,7 @@
 				    : v->state == SERVER_DRAINING ? "draining"
 								  : "gone"),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
+	entry_poison_listed(e, v, e->loop.now);
 	link_leave(e, v);
 }
 
@@ -96,7 +97,9 @@
 {
 	struct entry *e = net->arg;
 
-	if (msg->kind == SP_START_ASK || msg->kind == SP_START_TELL)
+	if (msg->kind >= SP_POISON_TELL)
+		poisons_receive(&e->poison.core, msec_now(), from, msg);
+	else if (msg->kind == SP_START_ASK || msg->kind == SP_START_TELL)
 		entry_start_receive(e, from, address, port, msg, msec_now());
 	else if (msg->kind == SP_TABLE_ASK || msg->kind == SP_TABLE_PART)
 		entry_table_receive(e, from, address, port, msg, msec_now());
@@ -195,6 +198,7 @@
 			takers[ntakers++] = nodes[i].id;
 	}
 	relay_set_nodes(&e->relay, takers, ntakers);
+	entry_poison_set_nodes(e, now);
 	g_free(takers);
 	g_free(nodes);
 }
@@ -333,6 +337,7 @@
 	    s->domain, e->rand);
 	e->place.arg = e;
 	place_set_policy(&e->place, s->policy);
+	entry_poison_init(e);
 	loop_timer_init(&e->place_timer, state_place_timer, e);
 	loop_timer_set(&e->loop, &e->place_timer, now);
 	e->live_nodes = 1;
@@ -370,6 +375,7 @@
 		g_free(b);
 	}
 	entry_duty_finish(e);
+	entry_poison_finish(e);
 	place_finish(&e->place);
 	entry_relay_finish(e);
 	entry_start_finish(e);
--- a/entry.c
+++ b/entry.c
@@ -67,6 +67,7 @@
 	struct entry *e = l->arg;
 
 	entry_place_soon(e, now);
+	entry_poison_soon(e, now);
 	net_flush(&e->net);
 	entry_log_flush(&e->log);
 }
--- a/entry.h
+++ b/entry.h
@@ -8,6 +8,7 @@
  *   entry-attempt.c  its attempts: what a server gets, and what comes of it
  *   entry-link.c     a connection to a server: one attempt's bytes
  *   entry-reply.c    what of a server's answer goes to the caller
+ *   entry-poison.c   whether it ends the servers that run it
  *
  * Beside it: place.c and server-choose.c say which server; entry-state.c has
  * what is in force (configuration, servers, other nodes), entry-era.c what the
@@ -25,6 +26,7 @@
 #include "entry-duty.h"
 #include "entry-era.h"
 #include "entry-log.h"
+#include "entry-poison.h"
 #include "entry-start.h"
 #include "entry-table.h"
 #include "fresh.h"
@@ -155,6 +157,7 @@
 	bool sent;     /* a byte of the request was handed over */
 	bool skip;     /* the answer in hand is for nobody */
 	bool paused;   /* the caller does not read */
+	bool refused;  /* by the server, when we connected */
 	msec idle_max; /* may idle so long */
 	msec idle_since;
 };
@@ -205,6 +208,7 @@
 	JOB_TIMEOUT,	 /* of the route, or the caller's deadline */
 	JOB_STOPPED,	 /* this node ended before it */
 	JOB_LEAVING,	 /* this node would end before it */
+	JOB_POISON,	 /* it ends the servers that run it */
 	JOB_CALLER_GONE,
 	JOB_CODES
 };
@@ -220,7 +224,9 @@
 	struct route_table *table;    /* a reference */
 	const struct route *route;
 	const struct route_organisation *organisation;
-	struct poison_id same; /* however often its caller sends it */
+	struct poison_id same;	    /* however often its caller sends it */
+	struct poison_run run;	    /* leave to send it, where it is suspect */
+	struct server_check *check; /* that it waits for, or NULL */
 	name_id service;
 	msec arrived;
 	msec deadline; /* a point: the caller's, or the route's timeout */
@@ -273,6 +279,8 @@
 #define JOB_LEAST_MS 20
 /* Begin an attempt, the first or another. */
 void job_attempt(struct job *, msec);
+/* What became of the server that broke off is known. */
+void job_checked(struct job *, msec);
 /* The timer on a silent server. */
 void job_patience(struct loop_timer *, msec);
 /* The server in hand is left; and its connection is closed. */
@@ -359,6 +367,7 @@
 	struct entry_table handed; /* by another node */
 	struct servers servers;
 	struct place place;
+	struct entry_poison poison;
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
--- /dev/null
+++ b/poison-record.c
@@ -0,0 +1,228 @@
+/*
+ * What is known of each request that may end its servers: processes that ended
+ * while it was there, and when it was last answered whole. Merging two records
+ * gives the same in any order.
+ */
+
+#define LOG_PART "poison"
+#include "poison-private.h"
+
+#include <string.h>
+
+/* The first trial of a condemned request comes so long after its last end. */
+#define POISON_TRIAL_MS (10 * 60 * MSEC_SECOND)
+/* Each further one after so many times as long. */
+#define POISON_TRIAL_TIMES 4
+/* Ends this long after the one that condemned it are those of trials. */
+#define POISON_FIRST_MS (60 * MSEC_SECOND)
+/* As an age on the wire: never. */
+#define POISON_AGE_NEVER UINT32_MAX
+
+RB_GENERATE(poison_records, poison_record, entry, poison_record_compare)
+
+int
+poison_record_compare(struct poison_record *a, struct poison_record *b)
+{
+	if (a->id.high != b->id.high)
+		return a->id.high < b->id.high ? -1 : 1;
+	return a->id.low < b->id.low ? -1 : a->id.low > b->id.low;
+}
+
+struct poison_record *
+record_find(struct poisons *p, struct poison_id id)
+{
+	struct poison_record find = { .id = id };
+
+	return RB_FIND(poison_records, &p->tree, &find);
+}
+
+static struct poison_ages *
+record_list(struct poisons *p, const struct poison_record *r)
+{
+	return r->listed_high ? &p->high : &p->low;
+}
+
+static void
+record_free(struct poisons *p, struct poison_record *r)
+{
+	share_forget(p, r);
+	TAILQ_REMOVE(record_list(p, r), r, age);
+	RB_REMOVE(poison_records, &p->tree, r);
+	p->count--;
+	g_free(r);
+}
+
+void
+records_free(struct poisons *p)
+{
+	struct poison_record *r;
+
+	while ((r = RB_MIN(poison_records, &p->tree)) != NULL)
+		record_free(p, r);
+}
+
+/* The newest of its list, which goes by how much speaks against it. */
+static void
+record_place(struct poisons *p, struct poison_record *r)
+{
+	TAILQ_REMOVE(record_list(p, r), r, age);
+	r->listed_high = record_ends(r) > 1;
+	TAILQ_INSERT_TAIL(record_list(p, r), r, age);
+}
+
+struct poison_record *
+record_take(struct poisons *p, struct poison_id id)
+{
+	struct poison_record *r = record_find(p, id);
+
+	if (r != NULL)
+		return r;
+	if (p->count == POISON_RECORDS_MAX) {
+		p->counters.dropped++;
+		record_free(p, TAILQ_EMPTY(&p->low) ? TAILQ_FIRST(&p->high)
+						    : TAILQ_FIRST(&p->low));
+	}
+	r = g_new0(struct poison_record, 1);
+	r->id = id;
+	r->served = MSEC_NEVER;
+	r->tell_at = MSEC_NEVER;
+	RB_INSERT(poison_records, &p->tree, r);
+	TAILQ_INSERT_TAIL(&p->low, r, age);
+	p->count++;
+	return r;
+}
+
+unsigned int
+record_ends(const struct poison_record *r)
+{
+	return r->nlives;
+}
+
+static bool
+record_was_served_since(const struct poison_record *r, msec at)
+{
+	return r->served != MSEC_NEVER && r->served >= at;
+}
+
+/* Room for one more: of the middle ones the oldest goes. */
+static void
+record_make_room(struct poison_record *r)
+{
+	unsigned int at = POISON_ENDS;
+
+	if (r->nlives < POISON_LIVES)
+		return;
+	memmove(&r->lives[at], &r->lives[at + 1],
+	    (POISON_LIVES - at - 1) * sizeof *r->lives);
+	r->nlives--;
+}
+
+bool
+record_add_life(
+    struct poisons *p, struct poison_record *r, uint64_t life, msec at)
+{
+	unsigned int i;
+
+	if (record_was_served_since(r, at))
+		return false;
+	for (i = 0; i < r->nlives; i++) {
+		if (r->lives[i].life == life)
+			return false;
+	}
+	record_make_room(r);
+	for (i = r->nlives; i > 0 && r->lives[i - 1].at > at; i--)
+		r->lives[i] = r->lives[i - 1];
+	r->lives[i] = (struct poison_life){ life, at };
+	r->nlives++;
+	record_place(p, r);
+	return true;
+}
+
+bool
+record_add_served(struct poisons *p, struct poison_record *r, msec at)
+{
+	unsigned int i, kept = 0;
+
+	if (record_was_served_since(r, at))
+		return false;
+	r->served = at;
+	for (i = 0; i < r->nlives; i++) {
+		if (r->lives[i].at > at)
+			r->lives[kept++] = r->lives[i];
+	}
+	if (kept == r->nlives)
+		return false;
+	r->nlives = kept;
+	record_place(p, r);
+	return true;
+}
+
+msec
+record_trial_at(const struct poison_record *r)
+{
+	msec wait = POISON_TRIAL_MS, first;
+	unsigned int i;
+
+	if (r->nlives < POISON_ENDS)
+		return 0;
+	first = r->lives[POISON_ENDS - 1].at + POISON_FIRST_MS;
+	for (i = POISON_ENDS; i < r->nlives; i++) {
+		if (r->lives[i].at > first)
+			wait *= POISON_TRIAL_TIMES;
+	}
+	return r->lives[r->nlives - 1].at + wait;
+}
+
+bool
+record_is_condemned(const struct poison_record *r, msec now)
+{
+	return r->nlives >= POISON_ENDS && now < record_trial_at(r);
+}
+
+/* ---- on the wire ---- */
+
+static uint32_t
+age_encode(msec at, msec now)
+{
+	if (at == MSEC_NEVER || now - at >= (msec)POISON_AGE_NEVER)
+		return POISON_AGE_NEVER;
+	return (uint32_t)MAX(now - at, 0);
+}
+
+void
+record_encode(const struct poison_record *r, msec now, sp_poison_record *m,
+    sp_poison_life *lives)
+{
+	unsigned int i;
+
+	*m = (sp_poison_record){ .high = r->id.high, .low = r->id.low };
+	m->lives.lives_val = lives;
+	m->lives.lives_len = r->nlives;
+	m->served_age_ms = age_encode(r->served, now);
+	for (i = 0; i < r->nlives; i++)
+		lives[i] = (sp_poison_life){ r->lives[i].life,
+			age_encode(r->lives[i].at, now) };
+}
+
+/* True when it brought something that was not known. */
+bool
+record_merge(struct poisons *p, msec now, const sp_poison_record *m,
+    struct poison_record **found)
+{
+	struct poison_id id = { m->high, m->low };
+	struct poison_record *r;
+	bool news = false;
+	unsigned int i;
+
+	*found = NULL;
+	if (poison_id_is_none(id) ||
+	    (m->lives.lives_len == 0 && record_find(p, id) == NULL))
+		return false;
+	*found = r = record_take(p, id);
+	if (m->served_age_ms != POISON_AGE_NEVER)
+		news = record_add_served(p, r, now - m->served_age_ms);
+	for (i = 0; i < m->lives.lives_len; i++)
+		news |= record_add_life(p, r, m->lives.lives_val[i].life,
+		    now - m->lives.lives_val[i].age_ms);
+	return news;
+}
--- a/poison.c
+++ b/poison.c
@@ -1,15 +1,25 @@
 /*
- * Requests that end their servers; see poison.h.
+ * Requests that end their servers: who may be sent, and when; see poison.h.
  */
 
 #define LOG_PART "poison"
-#include "poison.h"
+#include "poison-private.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 #include <xxhash.h>
 
+/* A run waits so long for its turn. */
+#define POISON_HOLD_MS 500
+/* An owner that does not answer is asked so often, at such intervals. */
+#define POISON_ASK_MS 50
+#define POISON_ASKS 2
+/* Whether a server that broke off has ended is known, and told, within. */
+#define POISON_SETTLE_MS 120
+/* A run of which nothing more is heard is taken to be over. */
+#define POISON_RUN_MS (10 * MSEC_SECOND)
+
 /* ---- names ---- */
 
 /* With its length, so that no two fields can change places. */
@@ -56,3 +66,563 @@
 {
 	g_snprintf(text, POISON_ID_SIZE, "%016" PRIx64, id.high);
 }
+
+const char *
+poison_verdict_name(enum poison_verdict v)
+{
+	static const char *const names[] = { "go", "wait", "held",
+		"condemned" };
+
+	return names[v];
+}
+
+/* ---- runs ---- */
+
+/* Is one of this node under way, or has one asked? */
+static bool
+is_in_hand(struct poisons *p, struct poison_id id)
+{
+	const struct poison_release *out;
+	const struct poison_run *run;
+
+	TAILQ_FOREACH (run, &p->granted, entry) {
+		if (poison_id_equal(run->id, id))
+			return true;
+	}
+	TAILQ_FOREACH (run, &p->waiting, entry) {
+		if (poison_id_equal(run->id, id) && run->owner != 0)
+			return true;
+	}
+	TAILQ_FOREACH (out, &p->releases, entry) {
+		if (poison_id_equal(out->id, id))
+			return true;
+	}
+	return false;
+}
+
+/* The oldest of this node that waits. */
+static struct poison_run *
+run_waiting(struct poisons *p, struct poison_id id)
+{
+	struct poison_run *run;
+
+	TAILQ_FOREACH (run, &p->waiting, entry) {
+		if (poison_id_equal(run->id, id))
+			return run;
+	}
+	return NULL;
+}
+
+static void
+run_count(struct poisons *p, enum poison_verdict v)
+{
+	p->counters.refused += v == POISON_NO;
+	p->counters.held += v == POISON_HELD;
+}
+
+/* Its wait is over. The embedder may begin or end runs in this call. */
+static void
+run_decide(struct poisons *p, msec now, struct poison_run *run,
+    enum poison_verdict v, bool granted)
+{
+	TAILQ_REMOVE(&p->waiting, run, entry);
+	run->waiting = false;
+	run->granted = granted;
+	if (granted)
+		TAILQ_INSERT_TAIL(&p->granted, run, entry);
+	run_count(p, v);
+	p->ops->decided(p, run, v, now);
+}
+
+/* All of this node that wait. */
+static void
+runs_decide(
+    struct poisons *p, msec now, struct poison_id id, enum poison_verdict v)
+{
+	struct poison_run *run;
+
+	while ((run = run_waiting(p, id)) != NULL)
+		run_decide(p, now, run, v, false);
+}
+
+static bool
+node_is_live(const struct poisons *p, name_id node)
+{
+	unsigned int i;
+
+	for (i = 0; i < p->nnodes; i++) {
+		if (p->nodes[i].id == node)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * As owner: may a node send it now? A node has one under way at a time, so
+ * when it asks again what it had before is over.
+ */
+static bool
+owner_grants(struct poisons *p, msec now, struct poison_record *r, name_id node,
+    uint32_t seq)
+{
+	bool free = r->runner == 0 || r->runner == node ||
+		    now - r->runner_since >= POISON_RUN_MS ||
+		    !node_is_live(p, r->runner);
+
+	if (!free)
+		return false;
+	if (record_ends(r) >= POISON_ENDS &&
+	    (r->runner != node || r->runner_seq != seq))
+		p->counters.trials++;
+	r->runner = node;
+	r->runner_seq = seq;
+	r->runner_since = now;
+	return true;
+}
+
+static void
+owner_releases(
+    struct poisons *p, struct poison_id id, name_id node, uint32_t seq)
+{
+	struct poison_record *r = record_find(p, id);
+
+	if (r != NULL && r->runner == node && r->runner_seq == seq)
+		r->runner = 0;
+}
+
+static void
+run_send_ask(struct poisons *p, msec now, struct poison_run *run)
+{
+	struct poison_record *r = record_find(p, run->id);
+	sp_msg msg = { .kind = SP_POISON_ASK };
+	sp_poison_life lives[SAVORY_LIVES_MAX];
+
+	run->asked = now;
+	run->asks++;
+	p->counters.asked++;
+	msg.sp_msg_u.poison_ask.seq = run->seq;
+	record_encode(r, now, &msg.sp_msg_u.poison_ask.record, lives);
+	p->ops->send(p, run->owner, &msg);
+}
+
+/* It asks for leave; true when that is given at once. */
+static bool
+run_begin(struct poisons *p, msec now, struct poison_run *run,
+    struct poison_record *r)
+{
+	name_id deputy;
+
+	share_owners(p, run->id, &run->owner, &deputy);
+	if (++p->seq == 0)
+		p->seq = 1;
+	run->seq = p->seq;
+	run->asks = 0;
+	if (run->owner == p->self)
+		return owner_grants(p, now, r, p->self, run->seq);
+	run_send_ask(p, now, run);
+	return false;
+}
+
+/* The next of this node, when none is in hand. */
+static void
+runs_go_on(struct poisons *p, msec now, struct poison_id id)
+{
+	struct poison_run *run = run_waiting(p, id);
+	struct poison_record *r = record_find(p, id);
+
+	if (run == NULL || is_in_hand(p, id))
+		return;
+	if (r == NULL || record_ends(r) == 0)
+		runs_decide(p, now, id, POISON_GO);
+	else if (run_begin(p, now, run, r))
+		run_decide(p, now, run, POISON_GO, true);
+}
+
+enum poison_verdict
+poison_ask(struct poisons *p, msec now, struct poison_run *run)
+{
+	struct poison_record *r = record_find(p, run->id);
+
+	if (run->granted || r == NULL || record_ends(r) == 0)
+		return POISON_GO;
+	if (record_is_condemned(r, now)) {
+		run_count(p, POISON_NO);
+		return POISON_NO;
+	}
+	run->owner = 0;
+	run->since = now;
+	if (!is_in_hand(p, run->id) && run_begin(p, now, run, r)) {
+		run->granted = true;
+		TAILQ_INSERT_TAIL(&p->granted, run, entry);
+		return POISON_GO;
+	}
+	run->waiting = true;
+	TAILQ_INSERT_TAIL(&p->waiting, run, entry);
+	return POISON_WAIT;
+}
+
+/* Whoever decides on it hears that it is over. */
+static void
+release_send(
+    struct poisons *p, struct poison_id id, name_id owner, uint32_t seq)
+{
+	sp_msg msg = { .kind = SP_POISON_DONE };
+
+	if (owner == p->self) {
+		owner_releases(p, id, owner, seq);
+	} else if (owner != 0) {
+		msg.sp_msg_u.poison_done.seq = seq;
+		msg.sp_msg_u.poison_done.high = id.high;
+		msg.sp_msg_u.poison_done.low = id.low;
+		p->ops->send(p, owner, &msg);
+	}
+}
+
+static void
+release_later(struct poisons *p, msec now, const struct poison_run *run)
+{
+	struct poison_release *out = g_new0(struct poison_release, 1);
+
+	*out = (struct poison_release){ .id = run->id,
+		.owner = run->owner,
+		.seq = run->seq,
+		.due = now + POISON_SETTLE_MS };
+	TAILQ_INSERT_TAIL(&p->releases, out, entry);
+}
+
+static void
+release_now(struct poisons *p, msec now, struct poison_release *out)
+{
+	struct poison_id id = out->id;
+
+	TAILQ_REMOVE(&p->releases, out, entry);
+	release_send(p, id, out->owner, out->seq);
+	g_free(out);
+	runs_go_on(p, now, id);
+}
+
+/* All wait as long, so the first is due first. */
+static void
+releases_tick(struct poisons *p, msec now)
+{
+	struct poison_release *out = TAILQ_FIRST(&p->releases);
+
+	while (out != NULL && now >= out->due) {
+		release_now(p, now, out);
+		out = TAILQ_FIRST(&p->releases);
+	}
+}
+
+void
+poison_settled(struct poisons *p, msec now, struct poison_id id)
+{
+	struct poison_release *out;
+
+	TAILQ_FOREACH (out, &p->releases, entry) {
+		if (poison_id_equal(out->id, id)) {
+			release_now(p, now, out);
+			return;
+		}
+	}
+}
+
+void
+poison_end(struct poisons *p, msec now, struct poison_run *run, bool broke)
+{
+	struct poison_id id = run->id;
+
+	if (!run->waiting && !run->granted)
+		return;
+	TAILQ_REMOVE(run->waiting ? &p->waiting : &p->granted, run, entry);
+	if (broke && run->granted)
+		release_later(p, now, run);
+	else
+		release_send(p, id, run->owner, run->seq);
+	run->waiting = run->granted = false;
+	runs_go_on(p, now, id);
+}
+
+/* ---- what was learned ---- */
+
+/* What is known has changed: it may have been condemned, or cleared. */
+static void
+record_changed(struct poisons *p, msec now, struct poison_record *r,
+    unsigned int before, bool ours)
+{
+	unsigned int ends = record_ends(r);
+	struct poison_id id = r->id;
+
+	share_changed(p, now, r, ours);
+	if (ends >= POISON_ENDS && before < POISON_ENDS) {
+		p->counters.condemned++;
+		runs_decide(p, now, id, POISON_NO);
+		p->ops->condemned(p, id, now);
+	} else if (ends == 0 && before > 0) {
+		runs_decide(p, now, id, POISON_GO);
+	}
+}
+
+void
+poison_ended(struct poisons *p, msec now, struct poison_id id, uint64_t life)
+{
+	struct poison_record *r;
+	unsigned int before;
+
+	if (poison_id_is_none(id))
+		return;
+	r = record_take(p, id);
+	before = record_ends(r);
+	p->counters.ends++;
+	if (record_add_life(p, r, life, now))
+		record_changed(p, now, r, before, true);
+}
+
+void
+poison_served(struct poisons *p, msec now, struct poison_id id)
+{
+	struct poison_record *r = record_find(p, id);
+	unsigned int before;
+
+	if (r == NULL || (before = record_ends(r)) == 0)
+		return;
+	p->counters.cleared++;
+	if (record_add_served(p, r, now))
+		record_changed(p, now, r, before, true);
+}
+
+unsigned int
+poison_ends(struct poisons *p, struct poison_id id)
+{
+	const struct poison_record *r = record_find(p, id);
+
+	return r != NULL ? record_ends(r) : 0;
+}
+
+bool
+poison_is_condemned(struct poisons *p, msec now, struct poison_id id)
+{
+	const struct poison_record *r = record_find(p, id);
+
+	return r != NULL && record_is_condemned(r, now);
+}
+
+msec
+poison_trial_in(struct poisons *p, msec now, struct poison_id id)
+{
+	const struct poison_record *r = record_find(p, id);
+
+	return r != NULL ? MAX(record_trial_at(r) - now, 0) : 0;
+}
+
+/* ---- messages ---- */
+
+static void
+take_record(struct poisons *p, msec now, const sp_poison_record *m)
+{
+	struct poison_id id = { m->high, m->low };
+	unsigned int before = poison_ends(p, id);
+	struct poison_record *r;
+
+	if (record_merge(p, now, m, &r))
+		record_changed(p, now, r, before, false);
+}
+
+static void
+take_ask(struct poisons *p, msec now, name_id from, const sp_poison_ask *ask)
+{
+	struct poison_id id = { ask->record.high, ask->record.low };
+	sp_msg msg = { .kind = SP_POISON_ANSWER };
+	sp_poison_answer *a = &msg.sp_msg_u.poison_answer;
+	sp_poison_life lives[SAVORY_LIVES_MAX];
+	struct poison_record *r;
+
+	take_record(p, now, &ask->record);
+	if ((r = record_find(p, id)) == NULL)
+		return;
+	a->seq = ask->seq;
+	if (record_is_condemned(r, now))
+		a->verdict = SP_POISON_NO;
+	else if (record_ends(r) == 0 || owner_grants(p, now, r, from, ask->seq))
+		a->verdict = SP_POISON_GO;
+	else
+		a->verdict = SP_POISON_WAIT;
+	record_encode(r, now, &a->record, lives);
+	p->ops->send(p, from, &msg);
+}
+
+static void
+take_answer(
+    struct poisons *p, msec now, name_id from, const sp_poison_answer *a)
+{
+	struct poison_run *run;
+
+	TAILQ_FOREACH (run, &p->waiting, entry) {
+		if (run->seq == a->seq && run->owner == from)
+			break;
+	}
+	if (run == NULL)
+		return;
+	run->asks = 0;
+	if (a->verdict == SP_POISON_GO)
+		run_decide(p, now, run, POISON_GO, true);
+	else if (a->verdict == SP_POISON_NO)
+		run_decide(p, now, run, POISON_NO, false);
+	take_record(p, now, &a->record);
+}
+
+void
+poisons_receive(struct poisons *p, msec now, name_id from, const sp_msg *msg)
+{
+	const sp_poison_tell *t = &msg->sp_msg_u.poison_tell;
+	const sp_poison_done *d = &msg->sp_msg_u.poison_done;
+	u_int i;
+
+	switch (msg->kind) {
+	case SP_POISON_TELL:
+		for (i = 0; i < t->list.list_len; i++)
+			take_record(p, now, &t->list.list_val[i]);
+		break;
+	case SP_POISON_ASK:
+		take_ask(p, now, from, &msg->sp_msg_u.poison_ask);
+		break;
+	case SP_POISON_ANSWER:
+		take_answer(p, now, from, &msg->sp_msg_u.poison_answer);
+		break;
+	case SP_POISON_DONE:
+		owner_releases(
+		    p, (struct poison_id){ d->high, d->low }, from, d->seq);
+		break;
+	default:
+		break;
+	}
+}
+
+/* ---- time ---- */
+
+/*
+ * The owner does not answer. One end says little, so it is sent, if no other
+ * of this node is; a second would be likely to cost a server.
+ */
+static void
+run_alone(struct poisons *p, msec now, struct poison_run *run)
+{
+	bool go = poison_ends(p, run->id) <= 1;
+
+	p->counters.alone++;
+	run->owner = 0;
+	run_decide(p, now, run, go ? POISON_GO : POISON_HELD, go);
+}
+
+/* True when the list of those that wait may have changed. */
+static bool
+run_tick(struct poisons *p, msec now, struct poison_run *run)
+{
+	struct poison_record *r = record_find(p, run->id);
+
+	if (now - run->since >= POISON_HOLD_MS) {
+		release_send(p, run->id, run->owner, run->seq);
+		run_decide(p, now, run, POISON_HELD, false);
+		return true;
+	}
+	if (run->owner == 0) {
+		if (run_waiting(p, run->id) != run || is_in_hand(p, run->id))
+			return false;
+		runs_go_on(p, now, run->id);
+		return true;
+	}
+	if (run->owner == p->self) {
+		if (r == NULL || !owner_grants(p, now, r, p->self, run->seq))
+			return false;
+		run_decide(p, now, run, POISON_GO, true);
+		return true;
+	}
+	if (now - run->asked < POISON_ASK_MS)
+		return false;
+	if (run->asks >= POISON_ASKS) {
+		run_alone(p, now, run);
+		return true;
+	}
+	run_send_ask(p, now, run);
+	return false;
+}
+
+/* From the start again whenever one is decided: that may change the list. */
+static void
+runs_tick(struct poisons *p, msec now)
+{
+	struct poison_run *run;
+	bool again = true;
+
+	while (again) {
+		again = false;
+		TAILQ_FOREACH (run, &p->waiting, entry) {
+			if (now < run->looked || !run->waiting)
+				continue;
+			run->looked = now + POISON_ASK_MS;
+			if (run_tick(p, now, run)) {
+				again = true;
+				break;
+			}
+		}
+	}
+}
+
+msec
+poisons_tick(struct poisons *p, msec now)
+{
+	msec due;
+
+	releases_tick(p, now);
+	runs_tick(p, now);
+	share_tick(p, now);
+	due = share_due(p, now);
+	if (!TAILQ_EMPTY(&p->releases))
+		due = MIN(due, TAILQ_FIRST(&p->releases)->due);
+	if (!TAILQ_EMPTY(&p->waiting))
+		due = MIN(due, now + POISON_ASK_MS);
+	return due;
+}
+
+void
+poisons_init(
+    struct poisons *p, const struct poison_ops *ops, name_id self, GRand *rand)
+{
+	*p = (struct poisons){ .ops = ops, .self = self, .rand = rand };
+	RB_INIT(&p->tree);
+	TAILQ_INIT(&p->low);
+	TAILQ_INIT(&p->high);
+	TAILQ_INIT(&p->waiting);
+	TAILQ_INIT(&p->granted);
+	TAILQ_INIT(&p->releases);
+}
+
+void
+poisons_finish(struct poisons *p)
+{
+	struct poison_release *out, *next;
+
+	TAILQ_FOREACH_SAFE (out, &p->releases, entry, next)
+		g_free(out);
+	records_free(p);
+	g_free(p->nodes);
+	p->nodes = NULL;
+}
+
+void
+poisons_dump(const struct poisons *p, GString *s, msec now)
+{
+	char name[POISON_ID_SIZE];
+	const struct poison_record *r;
+
+	TAILQ_FOREACH (r, &p->high, age) {
+		poison_id_print(r->id, name);
+		g_string_append_printf(s,
+		    "poison %s ends %u newest-ms %" PRId64
+		    " condemned %s trial-ms %" PRId64 "\n",
+		    name, record_ends(r), now - r->lives[r->nlives - 1].at,
+		    record_is_condemned(r, now) ? "yes" : "no",
+		    MAX(record_trial_at(r) - now, 0));
+	}
+	g_string_append_printf(s, "poison records %u waiting %s\n", p->count,
+	    TAILQ_EMPTY(&p->waiting) ? "no" : "yes");
+}
--- a/proto.h
+++ b/proto.h
@@ -8,7 +8,6 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -382,6 +381,60 @@
 	} bytes;
 };
 typedef struct sp_table_part sp_table_part;
+#define SAVORY_LIVES_MAX 8
+#define SAVORY_POISONS_MAX 4
+
+struct sp_poison_life {
+	u_quad_t life;
+	u_int age_ms;
+};
+typedef struct sp_poison_life sp_poison_life;
+
+struct sp_poison_record {
+	u_quad_t high;
+	u_quad_t low;
+	struct {
+		u_int lives_len;
+		sp_poison_life *lives_val;
+	} lives;
+	u_int served_age_ms;
+};
+typedef struct sp_poison_record sp_poison_record;
+
+struct sp_poison_tell {
+	struct {
+		u_int list_len;
+		sp_poison_record *list_val;
+	} list;
+};
+typedef struct sp_poison_tell sp_poison_tell;
+
+struct sp_poison_ask {
+	u_int seq;
+	sp_poison_record record;
+};
+typedef struct sp_poison_ask sp_poison_ask;
+
+enum sp_poison_verdict {
+	SP_POISON_GO = 0,
+	SP_POISON_WAIT = 1,
+	SP_POISON_NO = 2,
+};
+typedef enum sp_poison_verdict sp_poison_verdict;
+
+struct sp_poison_answer {
+	u_int seq;
+	sp_poison_verdict verdict;
+	sp_poison_record record;
+};
+typedef struct sp_poison_answer sp_poison_answer;
+
+struct sp_poison_done {
+	u_int seq;
+	u_quad_t high;
+	u_quad_t low;
+};
+typedef struct sp_poison_done sp_poison_done;
 
 enum sp_kind {
 	SP_PROBE = 1,
@@ -413,6 +466,10 @@
 	SP_START_TELL = 61,
 	SP_TABLE_ASK = 62,
 	SP_TABLE_PART = 63,
+	SP_POISON_TELL = 70,
+	SP_POISON_ASK = 71,
+	SP_POISON_ANSWER = 72,
+	SP_POISON_DONE = 73,
 };
 typedef enum sp_kind sp_kind;
 
@@ -448,6 +505,10 @@
 		sp_start_tell start_tell;
 		sp_table_ask table_ask;
 		sp_table_part table_part;
+		sp_poison_tell poison_tell;
+		sp_poison_ask poison_ask;
+		sp_poison_answer poison_answer;
+		sp_poison_done poison_done;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
@@ -467,110 +528,124 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define SAVORY_BATCH 1
-extern  void * savory_batch_2(sp_batch *, CLIENT *);
-extern  void * savory_batch_2_svc(sp_batch *, struct svc_req *);
-extern int savory_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern void *savory_batch_2(sp_batch *, CLIENT *);
+extern void *savory_batch_2_svc(sp_batch *, struct svc_req *);
+extern int savory_program_2_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define SAVORY_BATCH 1
-extern  void * savory_batch_2();
-extern  void * savory_batch_2_svc();
-extern int savory_program_2_freeresult ();
+extern void *savory_batch_2();
+extern void *savory_batch_2_svc();
+extern int savory_program_2_freeresult();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_sp_name (XDR *, sp_name*);
-extern  bool_t xdr_sp_member_state (XDR *, sp_member_state*);
-extern  bool_t xdr_sp_news (XDR *, sp_news*);
-extern  bool_t xdr_sp_self (XDR *, sp_self*);
-extern  bool_t xdr_sp_load (XDR *, sp_load*);
-extern  bool_t xdr_sp_probe (XDR *, sp_probe*);
-extern  bool_t xdr_sp_probe_request (XDR *, sp_probe_request*);
-extern  bool_t xdr_sp_sync (XDR *, sp_sync*);
-extern  bool_t xdr_sp_sync_page (XDR *, sp_sync_page*);
-extern  bool_t xdr_sp_reserve (XDR *, sp_reserve*);
-extern  bool_t xdr_sp_grant (XDR *, sp_grant*);
-extern  bool_t xdr_sp_queued (XDR *, sp_queued*);
-extern  bool_t xdr_sp_refusal (XDR *, sp_refusal*);
-extern  bool_t xdr_sp_refuse (XDR *, sp_refuse*);
-extern  bool_t xdr_sp_cancel (XDR *, sp_cancel*);
-extern  bool_t xdr_sp_done (XDR *, sp_done*);
-extern  bool_t xdr_sp_running_one (XDR *, sp_running_one*);
-extern  bool_t xdr_sp_running (XDR *, sp_running*);
-extern  bool_t xdr_sp_preempt (XDR *, sp_preempt*);
-extern  bool_t xdr_sp_share (XDR *, sp_share*);
-extern  bool_t xdr_sp_place_wish (XDR *, sp_place_wish*);
-extern  bool_t xdr_sp_place_ask (XDR *, sp_place_ask*);
-extern  bool_t xdr_sp_place_tell (XDR *, sp_place_tell*);
-extern  bool_t xdr_sp_place_took (XDR *, sp_place_took*);
-extern  bool_t xdr_sp_place_what (XDR *, sp_place_what*);
-extern  bool_t xdr_sp_place_step (XDR *, sp_place_step*);
-extern  bool_t xdr_sp_relay_known (XDR *, sp_relay_known*);
-extern  bool_t xdr_sp_relay_ask (XDR *, sp_relay_ask*);
-extern  bool_t xdr_sp_relay_tell (XDR *, sp_relay_tell*);
-extern  bool_t xdr_sp_duty_beat (XDR *, sp_duty_beat*);
-extern  bool_t xdr_sp_usage_count (XDR *, sp_usage_count*);
-extern  bool_t xdr_sp_usage_counts (XDR *, sp_usage_counts*);
-extern  bool_t xdr_sp_usage_time (XDR *, sp_usage_time*);
-extern  bool_t xdr_sp_demand (XDR *, sp_demand*);
-extern  bool_t xdr_sp_server_state (XDR *, sp_server_state*);
-extern  bool_t xdr_sp_server (XDR *, sp_server*);
-extern  bool_t xdr_sp_relay_servers (XDR *, sp_relay_servers*);
-extern  bool_t xdr_sp_start_ask (XDR *, sp_start_ask*);
-extern  bool_t xdr_sp_start_tell (XDR *, sp_start_tell*);
-extern  bool_t xdr_sp_table_ask (XDR *, sp_table_ask*);
-extern  bool_t xdr_sp_table_part (XDR *, sp_table_part*);
-extern  bool_t xdr_sp_kind (XDR *, sp_kind*);
-extern  bool_t xdr_sp_msg (XDR *, sp_msg*);
-extern  bool_t xdr_sp_batch (XDR *, sp_batch*);
+extern bool_t xdr_sp_name(XDR *, sp_name *);
+extern bool_t xdr_sp_member_state(XDR *, sp_member_state *);
+extern bool_t xdr_sp_news(XDR *, sp_news *);
+extern bool_t xdr_sp_self(XDR *, sp_self *);
+extern bool_t xdr_sp_load(XDR *, sp_load *);
+extern bool_t xdr_sp_probe(XDR *, sp_probe *);
+extern bool_t xdr_sp_probe_request(XDR *, sp_probe_request *);
+extern bool_t xdr_sp_sync(XDR *, sp_sync *);
+extern bool_t xdr_sp_sync_page(XDR *, sp_sync_page *);
+extern bool_t xdr_sp_reserve(XDR *, sp_reserve *);
+extern bool_t xdr_sp_grant(XDR *, sp_grant *);
+extern bool_t xdr_sp_queued(XDR *, sp_queued *);
+extern bool_t xdr_sp_refusal(XDR *, sp_refusal *);
+extern bool_t xdr_sp_refuse(XDR *, sp_refuse *);
+extern bool_t xdr_sp_cancel(XDR *, sp_cancel *);
+extern bool_t xdr_sp_done(XDR *, sp_done *);
+extern bool_t xdr_sp_running_one(XDR *, sp_running_one *);
+extern bool_t xdr_sp_running(XDR *, sp_running *);
+extern bool_t xdr_sp_preempt(XDR *, sp_preempt *);
+extern bool_t xdr_sp_share(XDR *, sp_share *);
+extern bool_t xdr_sp_place_wish(XDR *, sp_place_wish *);
+extern bool_t xdr_sp_place_ask(XDR *, sp_place_ask *);
+extern bool_t xdr_sp_place_tell(XDR *, sp_place_tell *);
+extern bool_t xdr_sp_place_took(XDR *, sp_place_took *);
+extern bool_t xdr_sp_place_what(XDR *, sp_place_what *);
+extern bool_t xdr_sp_place_step(XDR *, sp_place_step *);
+extern bool_t xdr_sp_relay_known(XDR *, sp_relay_known *);
+extern bool_t xdr_sp_relay_ask(XDR *, sp_relay_ask *);
+extern bool_t xdr_sp_relay_tell(XDR *, sp_relay_tell *);
+extern bool_t xdr_sp_duty_beat(XDR *, sp_duty_beat *);
+extern bool_t xdr_sp_usage_count(XDR *, sp_usage_count *);
+extern bool_t xdr_sp_usage_counts(XDR *, sp_usage_counts *);
+extern bool_t xdr_sp_usage_time(XDR *, sp_usage_time *);
+extern bool_t xdr_sp_demand(XDR *, sp_demand *);
+extern bool_t xdr_sp_server_state(XDR *, sp_server_state *);
+extern bool_t xdr_sp_server(XDR *, sp_server *);
+extern bool_t xdr_sp_relay_servers(XDR *, sp_relay_servers *);
+extern bool_t xdr_sp_start_ask(XDR *, sp_start_ask *);
+extern bool_t xdr_sp_start_tell(XDR *, sp_start_tell *);
+extern bool_t xdr_sp_table_ask(XDR *, sp_table_ask *);
+extern bool_t xdr_sp_table_part(XDR *, sp_table_part *);
+extern bool_t xdr_sp_poison_life(XDR *, sp_poison_life *);
+extern bool_t xdr_sp_poison_record(XDR *, sp_poison_record *);
+extern bool_t xdr_sp_poison_tell(XDR *, sp_poison_tell *);
+extern bool_t xdr_sp_poison_ask(XDR *, sp_poison_ask *);
+extern bool_t xdr_sp_poison_verdict(XDR *, sp_poison_verdict *);
+extern bool_t xdr_sp_poison_answer(XDR *, sp_poison_answer *);
+extern bool_t xdr_sp_poison_done(XDR *, sp_poison_done *);
+extern bool_t xdr_sp_kind(XDR *, sp_kind *);
+extern bool_t xdr_sp_msg(XDR *, sp_msg *);
+extern bool_t xdr_sp_batch(XDR *, sp_batch *);
 
 #else /* K&R C */
-extern bool_t xdr_sp_name ();
-extern bool_t xdr_sp_member_state ();
-extern bool_t xdr_sp_news ();
-extern bool_t xdr_sp_self ();
-extern bool_t xdr_sp_load ();
-extern bool_t xdr_sp_probe ();
-extern bool_t xdr_sp_probe_request ();
-extern bool_t xdr_sp_sync ();
-extern bool_t xdr_sp_sync_page ();
-extern bool_t xdr_sp_reserve ();
-extern bool_t xdr_sp_grant ();
-extern bool_t xdr_sp_queued ();
-extern bool_t xdr_sp_refusal ();
-extern bool_t xdr_sp_refuse ();
-extern bool_t xdr_sp_cancel ();
-extern bool_t xdr_sp_done ();
-extern bool_t xdr_sp_running_one ();
-extern bool_t xdr_sp_running ();
-extern bool_t xdr_sp_preempt ();
-extern bool_t xdr_sp_share ();
-extern bool_t xdr_sp_place_wish ();
-extern bool_t xdr_sp_place_ask ();
-extern bool_t xdr_sp_place_tell ();
-extern bool_t xdr_sp_place_took ();
-extern bool_t xdr_sp_place_what ();
-extern bool_t xdr_sp_place_step ();
-extern bool_t xdr_sp_relay_known ();
-extern bool_t xdr_sp_relay_ask ();
-extern bool_t xdr_sp_relay_tell ();
-extern bool_t xdr_sp_duty_beat ();
-extern bool_t xdr_sp_usage_count ();
-extern bool_t xdr_sp_usage_counts ();
-extern bool_t xdr_sp_usage_time ();
-extern bool_t xdr_sp_demand ();
-extern bool_t xdr_sp_server_state ();
-extern bool_t xdr_sp_server ();
-extern bool_t xdr_sp_relay_servers ();
-extern bool_t xdr_sp_start_ask ();
-extern bool_t xdr_sp_start_tell ();
-extern bool_t xdr_sp_table_ask ();
-extern bool_t xdr_sp_table_part ();
-extern bool_t xdr_sp_kind ();
-extern bool_t xdr_sp_msg ();
-extern bool_t xdr_sp_batch ();
+extern bool_t xdr_sp_name();
+extern bool_t xdr_sp_member_state();
+extern bool_t xdr_sp_news();
+extern bool_t xdr_sp_self();
+extern bool_t xdr_sp_load();
+extern bool_t xdr_sp_probe();
+extern bool_t xdr_sp_probe_request();
+extern bool_t xdr_sp_sync();
+extern bool_t xdr_sp_sync_page();
+extern bool_t xdr_sp_reserve();
+extern bool_t xdr_sp_grant();
+extern bool_t xdr_sp_queued();
+extern bool_t xdr_sp_refusal();
+extern bool_t xdr_sp_refuse();
+extern bool_t xdr_sp_cancel();
+extern bool_t xdr_sp_done();
+extern bool_t xdr_sp_running_one();
+extern bool_t xdr_sp_running();
+extern bool_t xdr_sp_preempt();
+extern bool_t xdr_sp_share();
+extern bool_t xdr_sp_place_wish();
+extern bool_t xdr_sp_place_ask();
+extern bool_t xdr_sp_place_tell();
+extern bool_t xdr_sp_place_took();
+extern bool_t xdr_sp_place_what();
+extern bool_t xdr_sp_place_step();
+extern bool_t xdr_sp_relay_known();
+extern bool_t xdr_sp_relay_ask();
+extern bool_t xdr_sp_relay_tell();
+extern bool_t xdr_sp_duty_beat();
+extern bool_t xdr_sp_usage_count();
+extern bool_t xdr_sp_usage_counts();
+extern bool_t xdr_sp_usage_time();
+extern bool_t xdr_sp_demand();
+extern bool_t xdr_sp_server_state();
+extern bool_t xdr_sp_server();
+extern bool_t xdr_sp_relay_servers();
+extern bool_t xdr_sp_start_ask();
+extern bool_t xdr_sp_start_tell();
+extern bool_t xdr_sp_table_ask();
+extern bool_t xdr_sp_table_part();
+extern bool_t xdr_sp_poison_life();
+extern bool_t xdr_sp_poison_record();
+extern bool_t xdr_sp_poison_tell();
+extern bool_t xdr_sp_poison_ask();
+extern bool_t xdr_sp_poison_verdict();
+extern bool_t xdr_sp_poison_answer();
+extern bool_t xdr_sp_poison_done();
+extern bool_t xdr_sp_kind();
+extern bool_t xdr_sp_msg();
+extern bool_t xdr_sp_batch();
 
 #endif /* K&R C */
 
--- a/proto.x
+++ b/proto.x
@@ -372,6 +372,54 @@
 	opaque bytes<SAVORY_TABLE_PART_MAX>;
 };
 
+/* ---- requests that end their servers ---- */
+
+const SAVORY_LIVES_MAX = 8;
+const SAVORY_POISONS_MAX = 4;
+
+/* The process of a server that ended. */
+struct sp_poison_life {
+	unsigned hyper life;
+	unsigned int age_ms;
+};
+
+/* What is known of a request; see poison.h. */
+struct sp_poison_record {
+	unsigned hyper high;
+	unsigned hyper low;
+	sp_poison_life lives<SAVORY_LIVES_MAX>;
+	unsigned int served_age_ms;	/* the largest number: never */
+};
+
+struct sp_poison_tell {
+	sp_poison_record list<SAVORY_POISONS_MAX>;
+};
+
+/* May it be sent now? Asked of its owner, with what the asker knows. */
+struct sp_poison_ask {
+	unsigned int seq;
+	sp_poison_record record;
+};
+
+enum sp_poison_verdict {
+	SP_POISON_GO = 0,
+	SP_POISON_WAIT = 1,
+	SP_POISON_NO = 2
+};
+
+struct sp_poison_answer {
+	unsigned int seq;
+	sp_poison_verdict verdict;
+	sp_poison_record record;
+};
+
+/* What was given leave is over. */
+struct sp_poison_done {
+	unsigned int seq;
+	unsigned hyper high;
+	unsigned hyper low;
+};
+
 enum sp_kind {
 	SP_PROBE = 1,
 	SP_PROBE_ACK = 2,
@@ -401,7 +449,11 @@
 	SP_START_ASK = 60,
 	SP_START_TELL = 61,
 	SP_TABLE_ASK = 62,
-	SP_TABLE_PART = 63
+	SP_TABLE_PART = 63,
+	SP_POISON_TELL = 70,
+	SP_POISON_ASK = 71,
+	SP_POISON_ANSWER = 72,
+	SP_POISON_DONE = 73
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -463,6 +515,14 @@
 	sp_table_ask table_ask;
 case SP_TABLE_PART:
 	sp_table_part table_part;
+case SP_POISON_TELL:
+	sp_poison_tell poison_tell;
+case SP_POISON_ASK:
+	sp_poison_ask poison_ask;
+case SP_POISON_ANSWER:
+	sp_poison_answer poison_answer;
+case SP_POISON_DONE:
+	sp_poison_done poison_done;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1028,6 +1028,98 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_poison_life(XDR *xdrs, sp_poison_life *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->life))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->age_ms))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_poison_record(XDR *xdrs, sp_poison_record *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_quad_t(xdrs, &objp->high))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->low))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->lives.lives_val,
+		(u_int *)&objp->lives.lives_len, SAVORY_LIVES_MAX,
+		sizeof(sp_poison_life), (xdrproc_t)xdr_sp_poison_life))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->served_age_ms))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_poison_tell(XDR *xdrs, sp_poison_tell *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
+		(u_int *)&objp->list.list_len, SAVORY_POISONS_MAX,
+		sizeof(sp_poison_record), (xdrproc_t)xdr_sp_poison_record))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_poison_ask(XDR *xdrs, sp_poison_ask *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_sp_poison_record(xdrs, &objp->record))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_poison_verdict(XDR *xdrs, sp_poison_verdict *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_enum(xdrs, (enum_t *)objp))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_poison_answer(XDR *xdrs, sp_poison_answer *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_sp_poison_verdict(xdrs, &objp->verdict))
+		return FALSE;
+	if (!xdr_sp_poison_record(xdrs, &objp->record))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_poison_done(XDR *xdrs, sp_poison_done *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->high))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->low))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_kind(XDR *xdrs, sp_kind *objp)
 {
@@ -1162,6 +1254,22 @@
 		if (!xdr_sp_table_part(xdrs, &objp->sp_msg_u.table_part))
 			return FALSE;
 		break;
+	case SP_POISON_TELL:
+		if (!xdr_sp_poison_tell(xdrs, &objp->sp_msg_u.poison_tell))
+			return FALSE;
+		break;
+	case SP_POISON_ASK:
+		if (!xdr_sp_poison_ask(xdrs, &objp->sp_msg_u.poison_ask))
+			return FALSE;
+		break;
+	case SP_POISON_ANSWER:
+		if (!xdr_sp_poison_answer(xdrs, &objp->sp_msg_u.poison_answer))
+			return FALSE;
+		break;
+	case SP_POISON_DONE:
+		if (!xdr_sp_poison_done(xdrs, &objp->sp_msg_u.poison_done))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -80,6 +80,7 @@
 	check_story("48715e12a1e56455", "not-fresh", "platform-lost");
 	check_story("8738353752e5f463", "leaving", "no-time-left");
 	check_story("5b0e77c1d2f94a36", "era", "state changed");
+	check_story("s7-000358", "poison", "condemned");
 }
 
 /* An id that is not there, a file cut in the middle, a file that is not. */
