Lines say which rate of requests a server names, and what it was sent since

What our lines could not tell: whether a server's rate is not read, obeyed by each node for itself, or kept by first sends only. 'rate' says when a server names one, another, or none any more, and 'sent' what this node sent it since; counters for changes and for values that cannot be read. Answers of another process (421, another start) are not counted.

No decision goes by it yet.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -171,6 +171,7 @@
 	j->server = v;
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
 	j->sends++;
+	v->rate.sent++;
 	j->sent_at = now;
 	e->counters.attempts++;
 	job_arm_patience(j, now);
@@ -366,6 +367,7 @@
 	struct job *j = k->job;
 
 	servers_reached(&j->owner->servers, now);
+	entry_rate_heard(k, h, now);
 	switch (reply_judge(j, h)) {
 	case REPLY_STRAY:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
--- a/entry-log.c
+++ b/entry-log.c
@@ -57,6 +57,9 @@
 	    "The platform answers again." },
 	[LOG_EVENT_PLATFORM_LOST] = { "platform-lost",
 	    "The platform does not answer." },
+	[LOG_EVENT_RATE] = { "rate",
+	    "A backend server names the requests a second that it takes, "
+	    "another number of them, or none any more." },
 	[LOG_EVENT_REFUSED] = { "refused",
 	    "What came is no request that can be understood." },
 	[LOG_EVENT_RELOAD] = { "reload", "The settings were read again: taken "
@@ -121,6 +124,7 @@
 	[LOG_KEY_OUTCOME] = { "outcome", "of the request" },
 	[LOG_KEY_PROOF_MS] = { "proof_ms",
 	    "age of the proof that the configuration is the newest; -1: none" },
+	[LOG_KEY_RATE] = { "rate", "requests a second from all nodes" },
 	[LOG_KEY_READY] = { "ready", "servers of that kind that are ready" },
 	[LOG_KEY_REASON] = { "reason", "what was wrong" },
 	[LOG_KEY_REQUEST] = { "request", "the caller's name for the request" },
@@ -133,6 +137,8 @@
 	    "names what is asked: path, caller and body" },
 	[LOG_KEY_SEEN] = { "seen", "requests that this was learned from" },
 	[LOG_KEY_SENDS] = { "sends", "attempts begun" },
+	[LOG_KEY_SENT] = { "sent",
+	    "requests of this node since it named the last one" },
 	[LOG_KEY_SERVED] = { "served", "requests served since the start" },
 	[LOG_KEY_SERVER] = { "server", "name of the backend server" },
 	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -258,6 +258,12 @@
 	    (int64_t)c->reused);
 	text_value(s, "strays_total", "counter", "Answers to nobody.",
 	    (int64_t)c->strays);
+	text_value(s, "server_rates_total", "counter",
+	    "Rates that servers named, changed or took back.",
+	    (int64_t)c->rates);
+	text_value(s, "server_rates_unreadable_total", "counter",
+	    "Answers with a rate that cannot be read.",
+	    (int64_t)c->rates_unreadable);
 	text_value(s, "configurations_total", "counter", "Taken up.",
 	    (int64_t)c->tables);
 	text_value(s, "placements_asked_total", "counter",
@@ -324,11 +330,11 @@
 		g_string_append_printf(s,
 		    "server %s domain %s state %s slots %u running %u "
 		    "unread %" PRIu64 " all-running %u all-unread %" PRIu64
-		    " failures %u rests-ms %" PRId64 " links %u\n",
+		    " failures %u rests-ms %" PRId64 " links %u rate %.3f\n",
 		    v->name, v->domain, states[v->state], v->slots,
 		    v->own.running, v->own.unread, v->all.running,
 		    v->all.unread, v->failures, MAX(v->resting_until - now, 0),
-		    v->links);
+		    v->links, v->rate.per_s);
 }
 
 /* How long requests take, which says what a leaving node still takes. */
--- /dev/null
+++ b/entry-rate.c
@@ -0,0 +1,53 @@
+/*
+ * What backend servers say of the rate of requests that they take, as this
+ * node hears it in their answers; see server-rate.h.
+ */
+
+#define LOG_PART "rate"
+#include "entry.h"
+
+#define RATE_TEXT_SIZE 24
+
+static void
+rate_log(struct entry *e, const struct server *v, const char *rate,
+    uint64_t sent, msec now)
+{
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_RATE,
+	    LOG_TEXT(LOG_KEY_SERVER, v->name), LOG_TEXT(LOG_KEY_RATE, rate),
+	    LOG_NUMBER(LOG_KEY_SENT, (int64_t)sent));
+}
+
+/* One line for each process, however often it says so. */
+static void
+rate_odd(struct entry *e, struct server *v, msec now)
+{
+	e->counters.rates_unreadable++;
+	if (!v->rate.odd)
+		rate_log(e, v, "unreadable", v->rate.sent, now);
+	v->rate.odd = true;
+}
+
+void
+entry_rate_heard(struct link *k, const struct http_head *h, msec now)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+	uint64_t sent = v->rate.sent;
+	char text[RATE_TEXT_SIZE];
+	struct wire_answer a;
+
+	e->wire->answer(h, k->job->request.id, &a);
+	/* Of another process, or of nobody that we know. */
+	if (h->status == 421 || k->starts != v->starts || a.other ||
+	    (!a.genuine && !a.not_executed))
+		return;
+	if (a.rate == WIRE_RATE_UNREADABLE) {
+		rate_odd(e, v, now);
+		return;
+	}
+	if (!server_rate_hear(&v->rate, now, a.per_s))
+		return;
+	e->counters.rates++;
+	g_snprintf(text, sizeof text, "%.3f", v->rate.per_s);
+	rate_log(e, v, v->rate.per_s > 0 ? text : "none", sent, now);
+}
--- a/entry.h
+++ b/entry.h
@@ -313,6 +313,11 @@
 void
 reply_own(struct job *, msec, unsigned int status, msec retry_after, bool keep);
 
+/* ---- rates that servers name: entry-rate.c ---- */
+
+/* The head of an answer to the link's job has come. */
+void entry_rate_heard(struct link *, const struct http_head *, msec);
+
 /* ---- readiness and directory: entry-query.c ---- */
 
 extern const struct caller_ops query_caller_ops;
@@ -344,6 +349,7 @@
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays;
 	uint64_t tables;
+	uint64_t rates, rates_unreadable; /* changes that servers named */
 };
 
 struct entry {
--- a/server.c
+++ b/server.c
@@ -79,6 +79,7 @@
 	v->resting_until = 0;
 	v->first_ms = 0;
 	v->heard = 0;
+	server_rate_reset(&v->rate);
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
@@ -91,6 +92,7 @@
 	v->id = id;
 	g_strlcpy(v->name, e->name, sizeof v->name);
 	server_set_rank(v);
+	server_rate_reset(&v->rate);
 	v->born = e->born;
 	v->new_at = s->whole ? now : 0;
 	v->address = e->address;
--- a/server.h
+++ b/server.h
@@ -9,6 +9,7 @@
 
 #include "savory.h"
 #include "server-memory.h"
+#include "server-rate.h"
 
 /* Platforms name their servers as they like; longer names are refused. */
 #define SERVER_NAME_SIZE 128
@@ -70,11 +71,12 @@
 	 * to answer. An older one without an answer was passed over.
 	 */
 	msec begun_sent[SERVER_RANKS];
-	msec heard;	    /* the newest byte of an answer */
-	double first_ms;    /* smoothed time to an answer; 0: none yet */
-	unsigned int links; /* connections of ours, used and idle */
-	msec new_at;	    /* came while all others were known; 0: before */
-	uint64_t told;	    /* its part of the mark as nodes were told */
+	msec heard;		 /* the newest byte of an answer */
+	double first_ms;	 /* smoothed time to an answer; 0: none yet */
+	unsigned int links;	 /* connections of ours, used and idle */
+	struct server_rate rate; /* that it says it takes */
+	msec new_at;   /* came while all others were known; 0: before */
+	uint64_t told; /* its part of the mark as nodes were told */
 	char service_name[NAME_SIZE];
 	void *arg; /* the embedder's */
 };
--- a/wire.h
+++ b/wire.h
@@ -53,6 +53,13 @@
 	uint64_t after; /* go on after this event */
 };
 
+/* Does an answer say how many requests its server takes? */
+enum wire_rate {
+	WIRE_RATE_NONE,
+	WIRE_RATE_NAMED,
+	WIRE_RATE_UNREADABLE
+};
+
 /* What the head of a backend server's answer says of it. */
 struct wire_answer {
 	bool ours;	   /* answers the request with that id */
@@ -61,6 +68,8 @@
 	bool not_executed; /* did not run, and will not */
 	bool encoded;	   /* not the bytes that the caller asked for */
 	msec keeps_idle;   /* the connection may idle so long; 0: not said */
+	enum wire_rate rate;
+	double per_s; /* requests a second, where a rate is named; else 0 */
 };
 
 /* Who gets a field of a caller's head. */
