A server that takes hardly any request is no home of prompts, and not kept free

Cause as read from the code and shown by a test: the server that is kept free of long prompts, when it names a rate, gets hardly any of the streams that it is kept for, and these were strewn over all others (.46 at one server; test homes, fails before). Now a server that has refused a request by its rate in the last 3 s is passed over for that, and another is kept free (.94).

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -232,6 +232,7 @@
 		.groups = groups,
 		.group = group,
 		.nodes = MAX(p->fleet, 1),
+		.now = now,
 		.began = now - p->coordinates_since < PLACE_BEGAN_MS };
 
 	if (w->own + w->shared > 0) {
--- a/server-choose.c
+++ b/server-choose.c
@@ -100,6 +100,18 @@
 		   server_group(v, view->groups) == view->group);
 }
 
+/*
+ * Can it be kept for a kind of request, or be a prompt's home? Not one that
+ * takes hardly any: what belongs there would be strewn over all others.
+ */
+static bool
+choose_keeps(
+    const struct server *v, name_id service, const struct server_view *view)
+{
+	return choose_sees(v, service, view) &&
+	       !server_rate_is_short(&v->rate, view->now);
+}
+
 unsigned int
 servers_ready(
     struct servers *s, name_id service, const struct server_view *view)
@@ -142,7 +154,7 @@
 	if (most == 0)
 		return 0;
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (!choose_sees(v, service, view))
+		if (!choose_keeps(v, service, view))
 			continue;
 		if (n == most && v->rank >= ranks[n - 1])
 			continue;
@@ -168,7 +180,7 @@
 	if (w->prompt == 0)
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (!choose_sees(v, w->service, view) ||
+		if (!choose_keeps(v, w->service, view) ||
 		    (v->rank <= quiet_rank) != view->light)
 			continue;
 		weight = choose_weight(v, w->prompt);
--- a/server-rate.c
+++ b/server-rate.c
@@ -9,6 +9,8 @@
 /* Requests that a coordinator hears of afterwards are made up for, so many. */
 #define RATE_DEBT 2
 #define RATE_YOUNG_PART 0.5
+/* It is short of what it is given for so long after the last that was not. */
+#define RATE_SHORT_MS (3 * MSEC_SECOND)
 /* Part of the rate that all nodes share which decide alone. */
 #define RATE_ALONE_PART 0.5
 /* Not asked for so long, a node was not alone meanwhile. */
@@ -65,7 +67,17 @@
 	if (r->per_s == 0)
 		return true;
 	rate_fill(r, now, young ? RATE_YOUNG_PART : 1);
-	return r->tokens >= 1;
+	if (r->tokens >= 1)
+		return true;
+	r->refused = now;
+	return false;
+}
+
+bool
+server_rate_is_short(const struct server_rate *r, msec now)
+{
+	return r->per_s > 0 && r->refused != 0 &&
+	       now - r->refused < RATE_SHORT_MS;
 }
 
 void
--- a/server-rate.h
+++ b/server-rate.h
@@ -32,6 +32,7 @@
 	/* As coordinator. */
 	double tokens;
 	msec filled;
+	msec refused; /* the newest request that it did not take; 0: none */
 	/* While deciding alone. */
 	msec asked;
 };
@@ -48,6 +49,8 @@
  * half of the rate, as another may not know yet.
  */
 bool server_rate_allows(struct server_rate *, msec, bool young);
+/* As coordinator: does it take less than it would be given? */
+bool server_rate_is_short(const struct server_rate *, msec);
 /* As coordinator: one goes there. */
 void server_rate_take(struct server_rate *, msec);
 /* Alone, as one of so many nodes: may one go there? By a draw from 0 to 1. */
--- a/server.h
+++ b/server.h
@@ -220,6 +220,7 @@
 	double hold_ms; /* how long a request is on a server; 0: not known */
 	unsigned int groups, group; /* of the service's servers; see place.h */
 	unsigned int nodes;	    /* that there are */
+	msec now;
 	bool began; /* as coordinator: another may not know yet */
 };
 
--- a/tests/test-place-rate.c
+++ b/tests/test-place-rate.c
@@ -11,6 +11,7 @@
 
 #define NODES_MAX 14
 #define SERVERS 4
+#define KINDS 2
 #define STABLE_MS 3000
 #define WINDOW_MS 4000
 /* Of what a server takes, with more than that asked for. */
@@ -49,10 +50,24 @@
 	GRand *rand;
 	msec now;
 	unsigned int lost_permille, placed, refused;
+	bool mixed; /* kinds[] by turns */
+	unsigned int turn;
+	unsigned int by_kind[KINDS][SERVERS];
 };
 
 static const char *const names[SERVERS] = { "s-0", "s-1", "s-2", "s-3" };
 
+/* Long prompts, each shared by many requests, and streams that mind pauses. */
+static const struct server_wish kinds[] = {
+	{ .route = KINDS,
+	    .gap_target = 1000,
+	    .rank = 1,
+	    .prompt = 7,
+	    .shared = 13300,
+	    .own = 3720 },
+	{ .route = KINDS + 1, .gap_target = 250, .rank = 0, .own = 1400 },
+};
+
 /* ---- what the core calls ---- */
 
 static void
@@ -98,6 +113,7 @@
 		return;
 	}
 	w->placed++;
+	w->by_kind[r->wish.route % KINDS][server_index(v)]++;
 	g_array_append_val(w->arrivals[server_index(v)], now);
 	q->answers = now + 2;
 	q->ends = now + 40;
@@ -282,8 +298,11 @@
 		q->node = &w->nodes[g_rand_int_range(w->rand, 0, (gint32)w->n)];
 	while (q->node->down);
 	q->place.arg = q;
+	if (w->mixed)
+		q->place.wish = kinds[w->turn++ % KINDS];
+	else
+		q->place.wish.route = 1;
 	q->place.wish.service = name_hash("model");
-	q->place.wish.route = 1;
 	q->answers = q->ends = MSEC_NEVER;
 	g_ptr_array_add(w->requests, q);
 	place_submit(&q->node->place, w->now, &q->place);
@@ -521,6 +540,49 @@
 	world_finish(&w);
 }
 
+/* The server that gets most requests of a kind, and which part of them. */
+static unsigned int
+kind_home(const struct world *w, unsigned int kind, double *part)
+{
+	unsigned int i, best = 0, sum = 0;
+
+	for (i = 0; i < SERVERS; i++) {
+		sum += w->by_kind[kind][i];
+		if (w->by_kind[kind][i] > w->by_kind[kind][best])
+			best = i;
+	}
+	*part = sum > 0 ? (double)w->by_kind[kind][best] / sum : 0;
+	return best;
+}
+
+/*
+ * Guards against a server kept for streams that mind pauses, or the home of a
+ * long prompt, that takes hardly any of them: they were strewn over all others.
+ */
+static void
+test_homes(void)
+{
+	struct world w;
+	unsigned int kind, home;
+	double part;
+
+	for (kind = 0; kind < G_N_ELEMENTS(kinds); kind++) {
+		world_init(&w, 6, 7);
+		w.mixed = true;
+		world_run(&w, 8000, 30);
+		home = kind_home(&w, kind, &part);
+		g_assert_cmpfloat(part, >, 0.6);
+		w.rates[home] = 1;
+		world_run(&w, 4000, 30);
+		memset(w.by_kind, 0, sizeof w.by_kind);
+		world_run(&w, 10000, 30);
+		g_assert_cmpuint(kind_home(&w, kind, &part), !=, home);
+		g_test_message("kind %u: %.2f at one other", kind, part);
+		g_assert_cmpfloat(part, >, 0.6);
+		world_finish(&w);
+	}
+}
+
 /* Guards against an answer that another has overtaken, and a new process. */
 static void
 test_newest(void)
@@ -553,5 +615,6 @@
 	g_test_add_func("/place-rate/coordinators", test_coordinators);
 	g_test_add_func("/place-rate/alone", test_alone);
 	g_test_add_func("/place-rate/ends", test_ends);
+	g_test_add_func("/place-rate/homes", test_homes);
 	return g_test_run();
 }
