The queue before a request is measured at servers that take it

Cause: the average queue of servers that a request might go to was 0 where all of them name a rate, so nothing was turned away; and the only server left was kept free of long prompts. Now there is no average without such a server, and servers are parted by those that take what they are given.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -239,7 +239,7 @@
 		view.light = mix_is_light(m, w->route);
 		view.quiet =
 		    mix_quiet_servers(m, now, all ? 1 : MAX(p->fleet, 1),
-			servers_ready(p->servers, w->service, &view),
+			servers_kept(p->servers, w->service, &view),
 			place_slots(p, w->service));
 	}
 	return view;
--- a/server-choose.c
+++ b/server-choose.c
@@ -112,6 +112,17 @@
 	       !server_rate_is_short(&v->rate, view->now);
 }
 
+unsigned int
+servers_kept(struct servers *s, name_id service, const struct server_view *view)
+{
+	struct server *v;
+	unsigned int n = 0;
+
+	RB_FOREACH (v, server_tree, &s->tree)
+		n += choose_keeps(v, service, view);
+	return n;
+}
+
 unsigned int
 servers_ready(
     struct servers *s, name_id service, const struct server_view *view)
@@ -276,7 +287,7 @@
 		sum += server_reading(view->all ? &v->all : &v->own, rank);
 		n++;
 	}
-	return n > 0 ? sum / n : 0;
+	return n > 0 ? sum / n : MSEC_NEVER;
 }
 
 /* By the rate that it names; see server-rate.h. */
--- a/server.h
+++ b/server.h
@@ -227,6 +227,9 @@
 /* How many servers of a service, in the view's group, take work. */
 unsigned int
 servers_ready(struct servers *, name_id service, const struct server_view *);
+/* The same of those that take as much as they are given. */
+unsigned int
+servers_kept(struct servers *, name_id service, const struct server_view *);
 /* Is one there that takes work, of those that a request does not avoid? */
 bool servers_have_another(struct servers *, const struct server_wish *);
 /* The best server for it, or NULL when there is none at all. */
@@ -239,7 +242,7 @@
 msec servers_rate_wait(struct servers *, name_id service);
 /* How long it takes to read what it was given up to a rank, in ms. */
 msec server_reading(const struct server_load *, unsigned int rank);
-/* The same of a view's servers on average. */
+/* The same of a view's servers on average; MSEC_NEVER: it has none. */
 msec servers_reading(struct servers *, name_id service, unsigned int rank,
     const struct server_view *);
 /* For a server that is new in the table. */
