Where all servers name a rate, urgent requests go first

A bucket holds two requests now, and most requests that are less urgent than another kind leave one; a quarter of them do not, so that no kind gets nothing.

--- a/server-choose.c
+++ b/server-choose.c
@@ -295,10 +295,12 @@
 choose_rate_allows(
     struct server *v, msec now, const struct server_view *view, uint64_t draw)
 {
+	double part = (double)draw / (double)UINT64_MAX;
+
 	if (view->all)
-		return server_rate_allows(&v->rate, now, view->began);
-	return server_rate_alone(
-	    &v->rate, now, view->nodes, (double)draw / (double)UINT64_MAX);
+		return server_rate_allows(
+		    &v->rate, now, view->began, view->urgent, part);
+	return server_rate_alone(&v->rate, now, view->nodes, part);
 }
 
 msec
--- a/server-mix.c
+++ b/server-mix.c
@@ -192,6 +192,18 @@
 	return r != NULL;
 }
 
+bool
+mix_has_more_urgent(const struct mix *m, unsigned int rank)
+{
+	unsigned int i;
+
+	for (i = 0; i < m->nroutes; i++) {
+		if (m->routes[i].rank < rank)
+			return true;
+	}
+	return false;
+}
+
 void
 mix_demand(struct mix *m, name_id route, unsigned int tokens)
 {
--- a/server-mix.h
+++ b/server-mix.h
@@ -66,6 +66,8 @@
 /* Is none of the service's routes less urgent, or more? */
 bool mix_is_last_tier(const struct mix *, name_id route);
 bool mix_is_first_tier(const struct mix *, name_id route);
+/* Has it a kind that is more urgent than a rank? */
+bool mix_has_more_urgent(const struct mix *, unsigned int rank);
 /* One of a route came, with so many tokens that its server has not read. */
 void mix_demand(struct mix *, name_id route, unsigned int tokens);
 /* How many of its requests run. */
--- a/server-rate.c
+++ b/server-rate.c
@@ -4,8 +4,11 @@
 
 #include "server-rate.h"
 
-/* A bucket holds what the rate brings in so long, and one request at least. */
+/* A bucket holds what the rate brings in so long, and two requests at least. */
 #define RATE_HOLDS_MS 200
+#define RATE_HOLDS_LEAST 2
+/* Less urgent requests leave one, but for this part of them. */
+#define RATE_LESS_URGENT_PART 0.25
 /* Requests that a coordinator hears of afterwards are made up for, so many. */
 #define RATE_DEBT 2
 #define RATE_YOUNG_PART 0.5
@@ -25,7 +28,7 @@
 static double
 rate_holds(const struct server_rate *r)
 {
-	return MAX(r->per_s * RATE_HOLDS_MS / MSEC_SECOND, 1);
+	return MAX(r->per_s * RATE_HOLDS_MS / MSEC_SECOND, RATE_HOLDS_LEAST);
 }
 
 bool
@@ -62,12 +65,15 @@
 }
 
 bool
-server_rate_allows(struct server_rate *r, msec now, bool young)
+server_rate_allows(
+    struct server_rate *r, msec now, bool young, bool urgent, double draw)
 {
+	bool leaves_one = !urgent && draw >= RATE_LESS_URGENT_PART;
+
 	if (r->per_s == 0)
 		return true;
 	rate_fill(r, now, young ? RATE_YOUNG_PART : 1);
-	if (r->tokens >= 1)
+	if (r->tokens >= (leaves_one ? 2 : 1))
 		return true;
 	r->refused = now;
 	return false;
--- a/server-rate.h
+++ b/server-rate.h
@@ -45,10 +45,13 @@
  */
 bool server_rate_hear(struct server_rate *, msec now, msec then, double per_s);
 /*
- * As coordinator: may a request go there now? For one that has just become it
- * half of the rate, as another may not know yet.
+ * As coordinator: may a request go there now? A young coordinator gives half
+ * of the rate, as another may not know yet. Most requests that are less urgent
+ * than others leave one for these, by a draw from 0 to 1; the rest see to it
+ * that no kind gets nothing.
  */
-bool server_rate_allows(struct server_rate *, msec, bool young);
+bool server_rate_allows(
+    struct server_rate *, msec, bool young, bool urgent, double draw);
 /* As coordinator: does it take less than it would be given? */
 bool server_rate_is_short(const struct server_rate *, msec);
 /* As coordinator: one goes there. */
--- a/server.h
+++ b/server.h
@@ -221,7 +221,8 @@
 	unsigned int groups, group; /* of the service's servers; see place.h */
 	unsigned int nodes;	    /* that there are */
 	msec now;
-	bool began; /* as coordinator: another may not know yet */
+	bool urgent; /* no other kind of the service is more urgent */
+	bool began;  /* as coordinator: another may not know yet */
 };
 
 /* How many servers of a service, in the view's group, take work. */
--- a/tests/test-place-rate.c
+++ b/tests/test-place-rate.c
@@ -583,6 +583,34 @@
 	}
 }
 
+/*
+ * Guards against less urgent requests that take what urgent ones need, where
+ * all servers are in need; and against none of them being served at all.
+ */
+static void
+test_tiers(void)
+{
+	unsigned int k, i, sum[KINDS] = { 0 };
+	struct world w;
+
+	world_init(&w, 6, 8);
+	w.mixed = true;
+	for (i = 0; i < SERVERS; i++)
+		w.rates[i] = 3;
+	world_run(&w, 6000, 60);
+	memset(w.by_kind, 0, sizeof w.by_kind);
+	world_run(&w, 20000, 60);
+	for (k = 0; k < KINDS; k++)
+		for (i = 0; i < SERVERS; i++)
+			sum[k] += w.by_kind[k][i];
+	g_test_message("less urgent %u, urgent %u", sum[0], sum[1]);
+	g_assert_cmpuint(sum[1], >, 2 * sum[0]);
+	/* Both are asked for as often. */
+	g_assert_cmpuint(sum[0] * 4 * KINDS, >=, sum[0] + sum[1]);
+	g_assert_cmpfloat(sum[0] + sum[1], >=, 20 * 3 * SERVERS * USED_PART);
+	world_finish(&w);
+}
+
 /* Guards against an answer that another has overtaken, and a new process. */
 static void
 test_newest(void)
@@ -594,14 +622,14 @@
 	g_assert_false(server_rate_hear(&r, 110, 90, 0));
 	g_assert_cmpfloat(r.per_s, ==, 5);
 	g_assert_true(server_rate_hear(&r, 120, 120, 0));
-	g_assert_true(server_rate_allows(&r, 120, false));
+	g_assert_true(server_rate_allows(&r, 120, false, true, 0));
 	g_assert_true(server_rate_hear(&r, 130, 130, 0.01));
 	g_assert_cmpfloat(r.per_s, ==, SERVER_RATE_LEAST);
-	g_assert_false(server_rate_allows(&r, 130, false));
+	g_assert_false(server_rate_allows(&r, 130, false, true, 0));
 	g_assert_true(server_rate_allows(
-	    &r, 130 + (msec)(MSEC_SECOND / SERVER_RATE_LEAST), false));
+	    &r, 130 + (msec)(MSEC_SECOND / SERVER_RATE_LEAST), false, true, 0));
 	server_rate_reset(&r);
-	g_assert_true(server_rate_allows(&r, 140, false));
+	g_assert_true(server_rate_allows(&r, 140, false, true, 0));
 }
 
 int
@@ -616,5 +644,6 @@
 	g_test_add_func("/place-rate/alone", test_alone);
 	g_test_add_func("/place-rate/ends", test_ends);
 	g_test_add_func("/place-rate/homes", test_homes);
+	g_test_add_func("/place-rate/tiers", test_tiers);
 	return g_test_run();
 }
