--- /dev/null
+++ b/tests/util-poison.c
@@ -0,0 +1,366 @@
+/*
+ * The world of tests of poison requests; see util-poison.h.
+ */
+
+#include "util-poison.h"
+
+#include <string.h>
+
+/* ---- messages ---- */
+
+static void
+node_send(struct poisons *p, name_id to, const sp_msg *msg)
+{
+	struct node *v = p->arg;
+	struct world *w = v->world;
+	struct node *other;
+	unsigned int i;
+
+	for (i = 0; i < w->n; i++) {
+		other = &w->nodes[i];
+		if (other->core.self == to && !v->cut && !other->cut &&
+		    !other->deaf && !other->down)
+			mail_send(&w->mail, w->now, v, other, msg);
+	}
+}
+
+static void
+node_receive(void *from, void *to, const sp_msg *msg)
+{
+	struct node *v = to;
+
+	if (!v->down && !v->cut)
+		poisons_receive(&v->core, v->world->now,
+		    ((struct node *)from)->core.self, msg);
+}
+
+/* ---- requests ---- */
+
+static void request_go(struct world *, struct request *);
+
+struct poison_id
+poison_name(unsigned int n)
+{
+	return (struct poison_id){ 77, n };
+}
+
+static struct server *
+server_draw(struct world *w)
+{
+	struct server *v;
+	unsigned int i;
+
+	for (i = 0; i < 200; i++) {
+		v = &w->servers[g_rand_int_range(
+		    w->rand, 0, (gint32)w->servers_n)];
+		if (v->back <= w->now)
+			return v;
+	}
+	return NULL;
+}
+
+static void
+request_over(struct world *w, struct request *r, bool served, bool refused)
+{
+	r->done = true;
+	r->server = NULL;
+	if (r->poison != 0) {
+		w->poisons_refused += refused;
+		return;
+	}
+	w->wrongly += poison_is_condemned(&r->node->core, w->now, r->run.id);
+	w->served += served;
+	w->refused += refused;
+	w->failed += !served && !refused;
+}
+
+/* It reaches a server. */
+static void
+request_send(struct world *w, struct request *r)
+{
+	struct seen *s = &w->poisons[r->poison];
+
+	r->server = server_draw(w);
+	r->attempts++;
+	if (r->server == NULL) {
+		poison_end(&r->node->core, w->now, &r->run, false);
+		request_over(w, r, false, false);
+		return;
+	}
+	if (r->poison != 0 && s->third != 0 && w->now > s->third + STABLE_MS &&
+	    !r->node->cut)
+		s->later++;
+	r->ends =
+	    w->now + (r->poison != 0 ? g_rand_int_range(w->rand, 50, 400)
+				     : g_rand_int_range(w->rand, 100, 1500));
+}
+
+static void
+node_decided(
+    struct poisons *p, struct poison_run *run, enum poison_verdict v, msec now)
+{
+	struct world *w = ((struct node *)p->arg)->world;
+	struct request *r = run->arg;
+
+	w->held += v == POISON_HELD && r->poison == 0;
+	if (v == POISON_GO)
+		request_go(w, r);
+	else
+		request_over(w, r, false, true);
+}
+
+static void
+request_go(struct world *w, struct request *r)
+{
+	enum poison_verdict v = poison_ask(&r->node->core, w->now, &r->run);
+
+	if (v == POISON_GO)
+		request_send(w, r);
+	else if (v != POISON_WAIT)
+		request_over(w, r, false, true);
+}
+
+static void
+node_condemned(struct poisons *p, struct poison_id id, msec now)
+{
+	struct world *w = ((struct node *)p->arg)->world;
+	struct request *r;
+	guint i;
+
+	for (i = 0; i < w->requests->len; i++) {
+		r = g_ptr_array_index(w->requests, i);
+		if (r->node->core.self != p->self || r->done ||
+		    r->server == NULL || !poison_id_equal(r->run.id, id) ||
+		    r->poison == 0)
+			continue;
+		poison_end(p, now, &r->run, false);
+		request_over(w, r, false, true);
+	}
+}
+
+static const struct poison_ops node_ops = { node_send, node_decided,
+	node_condemned };
+
+struct request *
+poison_request_new(struct world *w, struct node *v, unsigned int poison)
+{
+	struct request *r = g_new0(struct request, 1);
+
+	r->node = v;
+	r->poison = poison;
+	r->run.arg = r;
+	r->run.id = poison != 0 ? poison_name(poison)
+				: (struct poison_id){ 1 + g_rand_int(w->rand),
+					  g_rand_int(w->rand) };
+	g_ptr_array_add(w->requests, r);
+	request_go(w, r);
+	return r;
+}
+
+static struct node *
+node_draw(struct world *w)
+{
+	struct node *v;
+
+	do
+		v = &w->nodes[g_rand_int_range(w->rand, 0, (gint32)w->n)];
+	while (v->down);
+	return v;
+}
+
+/* ---- servers ---- */
+
+static void
+server_end(struct world *w, struct server *v, const struct request *by)
+{
+	struct seen *s = &w->poisons[by->poison];
+	uint64_t life = v->life;
+	struct request *r;
+	guint i, count = w->requests->len;
+
+	if (++s->ended == POISON_ENDS)
+		s->third = w->now;
+	v->back = w->now + SERVER_DOWN_MS;
+	v->life = ++w->lives;
+	for (i = 0; i < count; i++) {
+		r = g_ptr_array_index(w->requests, i);
+		if (r->done || r->server != v)
+			continue;
+		r->server = NULL;
+		poison_end(&r->node->core, w->now, &r->run, true);
+		poison_ended(&r->node->core, w->now, r->run.id, life);
+		poison_settled(&r->node->core, w->now, r->run.id);
+		if (r->attempts < ATTEMPTS)
+			request_go(w, r);
+		else
+			request_over(w, r, false, false);
+	}
+}
+
+static void
+requests_tick(struct world *w)
+{
+	struct request *r;
+	guint i;
+
+	for (i = 0; i < w->requests->len; i++) {
+		r = g_ptr_array_index(w->requests, i);
+		if (r->done || r->server == NULL || w->now < r->ends)
+			continue;
+		if (r->poison != 0) {
+			server_end(w, r->server, r);
+			continue;
+		}
+		poison_served(&r->node->core, w->now, r->run.id);
+		poison_end(&r->node->core, w->now, &r->run, false);
+		request_over(w, r, true, false);
+	}
+}
+
+static void
+requests_forget(struct world *w)
+{
+	struct request *r;
+	guint i;
+
+	for (i = w->requests->len; i-- > 0;) {
+		r = g_ptr_array_index(w->requests, i);
+		if (!r->done || r->run.waiting || r->run.granted)
+			continue;
+		g_free(r);
+		g_ptr_array_remove_index_fast(w->requests, i);
+	}
+}
+
+/* ---- the world ---- */
+
+void
+poison_nodes_push(struct world *w)
+{
+	struct poison_node list[NODES_MAX];
+	unsigned int i, k, n;
+
+	for (i = 0; i < w->n; i++) {
+		n = 0;
+		for (k = 0; k < w->n; k++) {
+			if (w->nodes[k].down ||
+			    (k != i && (w->nodes[k].cut || w->nodes[i].cut)))
+				continue;
+			list[n++] = (struct poison_node){ w->nodes[k].core.self,
+				w->nodes[k].incarnation, true };
+		}
+		if (!w->nodes[i].down)
+			poisons_set_nodes(&w->nodes[i].core, w->now, list, n);
+	}
+}
+
+void
+poison_node_start(struct world *w, unsigned int i)
+{
+	struct node *v = &w->nodes[i];
+
+	poisons_init(&v->core, &node_ops, 100 + i, w->rand);
+	v->core.arg = v;
+	v->world = w;
+	v->incarnation++;
+	v->down = false;
+}
+
+void
+poison_node_kill(struct world *w, unsigned int i)
+{
+	struct node *v = &w->nodes[i];
+	struct request *r;
+	guint k;
+
+	for (k = 0; k < w->requests->len; k++) {
+		r = g_ptr_array_index(w->requests, k);
+		if (r->node != v || r->done)
+			continue;
+		poison_end(&v->core, w->now, &r->run, false);
+		request_over(w, r, false, false);
+	}
+	for (k = 0; k < w->requests->len; k++) {
+		r = g_ptr_array_index(w->requests, k);
+		if (r->node == v)
+			poison_end(&v->core, w->now, &r->run, false);
+	}
+	poisons_finish(&v->core);
+	v->down = true;
+}
+
+void
+poison_world_init(
+    struct world *w, unsigned int nodes, unsigned int servers, uint32_t seed)
+{
+	unsigned int i;
+
+	memset(w, 0, sizeof *w);
+	w->rand = g_rand_new_with_seed(seed);
+	w->requests = g_ptr_array_new();
+	mail_init(&w->mail, w->rand);
+	w->now = 1000000;
+	w->n = nodes;
+	w->servers_n = servers;
+	for (i = 0; i < servers; i++)
+		w->servers[i].life = ++w->lives;
+	for (i = 0; i < nodes; i++)
+		poison_node_start(w, i);
+	poison_nodes_push(w);
+}
+
+void
+poison_world_finish(struct world *w)
+{
+	struct request *r;
+	unsigned int i;
+	guint k;
+
+	for (k = 0; k < w->requests->len; k++) {
+		r = g_ptr_array_index(w->requests, k);
+		if (!r->node->down)
+			poison_end(&r->node->core, w->now, &r->run, false);
+	}
+	for (i = 0; i < w->n; i++) {
+		if (!w->nodes[i].down)
+			poisons_finish(&w->nodes[i].core);
+	}
+	for (k = 0; k < w->requests->len; k++)
+		g_free(g_ptr_array_index(w->requests, k));
+	g_ptr_array_unref(w->requests);
+	mail_finish(&w->mail);
+	g_rand_free(w->rand);
+}
+
+void
+poison_world_run(struct world *w, msec span, unsigned int every,
+    unsigned int poisons, unsigned int poison_every)
+{
+	msec until = w->now + span;
+	double due = 0;
+	unsigned int i;
+
+	for (; w->now < until; w->now++) {
+		mail_deliver(&w->mail, w->now, node_receive);
+		requests_tick(w);
+		if (every > 0 && w->now % every == 0)
+			poison_request_new(w, node_draw(w), 0);
+		due += w->burst;
+		while (due >= 1) {
+			poison_request_new(w, node_draw(w), 0);
+			due -= 1;
+		}
+		for (i = 1; i <= poisons; i++) {
+			if (w->now % poison_every == i * 37 % poison_every)
+				poison_request_new(w, node_draw(w), i);
+		}
+		for (i = 0; i < w->n && w->now % 10 == 0; i++) {
+			if (!w->nodes[i].down)
+				poisons_tick(&w->nodes[i].core, w->now);
+		}
+		if (w->now % 100 == 0) {
+			poison_nodes_push(w);
+			requests_forget(w);
+		}
+	}
+}
--- /dev/null
+++ b/tests/util-poison.h
@@ -0,0 +1,90 @@
+/*
+ * Nodes, servers and callers on virtual time, for requests that end the
+ * servers that run them: a server takes with it whatever else is there, and is
+ * back after a while as another process.
+ */
+
+#ifndef UTIL_POISON_H
+#define UTIL_POISON_H
+
+#include "poison.h"
+#include "util-mail.h"
+
+#define NODES_MAX 350
+#define SERVERS 40
+#define SERVER_DOWN_MS 3500
+#define ATTEMPTS 3
+#define STABLE_MS 3000
+#define LATER_MAX 3
+#define POISONS_MAX 50
+
+struct world;
+
+struct node {
+	struct poisons core;
+	struct world *world;
+	uint64_t incarnation;
+	bool cut;  /* hears and says nothing, and the others know */
+	bool deaf; /* messages to it are lost */
+	bool down; /* its process is away */
+};
+
+struct server {
+	uint64_t life;
+	msec back;
+};
+
+/* A caller's request at a node. */
+struct request {
+	struct poison_run run;
+	struct node *node;
+	struct server *server; /* NULL: at none */
+	unsigned int poison;   /* from 1 on; 0: it does no harm */
+	unsigned int attempts;
+	msec ends; /* it, or its server */
+	bool done;
+};
+
+struct seen {
+	unsigned int ended, later;
+	msec third;
+};
+
+struct world {
+	struct node nodes[NODES_MAX];
+	unsigned int n, servers_n;
+	struct server servers[SERVERS];
+	struct seen poisons[POISONS_MAX + 1];
+	GPtrArray *requests;
+	struct mail mail;
+	GRand *rand;
+	msec now;
+	uint64_t lives;
+	unsigned int served, refused, failed; /* that do no harm */
+	unsigned int wrongly; /* condemned, of those that do no harm */
+	unsigned int poisons_refused,
+	    held;     /* of `refused`, those that waited */
+	double burst; /* ordinary requests a ms beside those of
+			 poison_world_run() */
+};
+
+struct poison_id poison_name(unsigned int);
+/* A caller's request comes to a node: a poison, from 1 on, or 0. */
+struct request *
+poison_request_new(struct world *, struct node *, unsigned int poison);
+/* Which nodes are there is known to all that are not cut off. */
+void poison_nodes_push(struct world *);
+void poison_node_start(struct world *, unsigned int);
+/* Its process ends, with all that it had in hand. */
+void poison_node_kill(struct world *, unsigned int);
+void poison_world_init(
+    struct world *, unsigned int nodes, unsigned int servers, uint32_t seed);
+void poison_world_finish(struct world *);
+/*
+ * So many ms, with ordinary requests and copies of so many poisons at such
+ * intervals; 0: none.
+ */
+void poison_world_run(struct world *, msec span, unsigned int every,
+    unsigned int poisons, unsigned int poison_every);
+
+#endif /* UTIL_POISON_H */
