--- a/tests/util-proc.c
+++ b/tests/util-proc.c
@@ -149,6 +149,16 @@
 	g_assert_no_errno(kill(p->pid, sig));
 }
 
+/* Its end has been waited for; the exit status, or -signal. */
+static int
+proc_reaped(struct proc *p, int status)
+{
+	close(p->out);
+	g_free(p->name);
+	memset(p, 0, sizeof *p);
+	return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+}
+
 int
 proc_wait(struct proc *p, msec span)
 {
@@ -163,10 +173,7 @@
 		g_usleep(PROC_POLL_US);
 	}
 	g_assert_cmpint(got, ==, p->pid);
-	close(p->out);
-	g_free(p->name);
-	memset(p, 0, sizeof *p);
-	return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+	return proc_reaped(p, status);
 }
 
 int
@@ -184,14 +191,26 @@
 }
 
 /* Returns once it has stopped: the signal alone may come a moment later. */
-void
-proc_pause(struct proc *p)
+bool
+proc_pause_or_end(struct proc *p, int *ended)
 {
 	int status = 0;
 
 	proc_signal(p, SIGSTOP);
 	g_assert_cmpint(waitpid(p->pid, &status, WUNTRACED), ==, p->pid);
-	g_assert_true(WIFSTOPPED(status));
+	if (WIFSTOPPED(status))
+		return true;
+	*ended = proc_reaped(p, status);
+	return false;
+}
+
+void
+proc_pause(struct proc *p)
+{
+	int ended;
+
+	if (!proc_pause_or_end(p, &ended))
+		g_error("a process that was to be paused has ended: %d", ended);
 }
 
 void
--- a/tests/util-proc.h
+++ b/tests/util-proc.h
@@ -44,6 +44,8 @@
 int proc_stop(struct proc *);
 void proc_kill(struct proc *);
 void proc_pause(struct proc *);
+/* False when it has ended meanwhile: its status, as proc_wait() gives it. */
+bool proc_pause_or_end(struct proc *, int *);
 void proc_resume(struct proc *);
 
 struct http_reply {
