--- a/entry-start.c
+++ b/entry-start.c
@@ -87,6 +87,45 @@
 	}
 }
 
+/* Once each, and not ourselves. */
+static void
+start_add(struct entry *e, const struct vm *vm)
+{
+	const struct settings *s = e->settings;
+	GArray *nodes = e->start.nodes;
+	const struct vm *known;
+	guint i;
+
+	if (vm->address == s->peer.address && vm->port == s->peer.port)
+		return;
+	for (i = 0; i < nodes->len; i++) {
+		known = &g_array_index(nodes, struct vm, i);
+		if (known->address == vm->address && known->port == vm->port)
+			return;
+	}
+	g_array_append_val(nodes, *vm);
+}
+
+/*
+ * Guards against a copy of the store in which no node stands, as all were
+ * stopped in turn since it was made: nobody would be asked, and an older
+ * configuration be taken for the newest.
+ */
+static void
+start_add_seeds(struct entry *e)
+{
+	const struct settings *s = e->settings;
+	struct vm vm = { 0 };
+	unsigned int i;
+
+	for (i = 0; i < s->nseeds; i++) {
+		vm.address = s->seeds[i].address;
+		vm.port = s->seeds_port != 0 ? (uint16_t)s->seeds_port
+					     : s->seeds[i].port;
+		start_add(e, &vm);
+	}
+}
+
 bool
 entry_start_waits(const struct entry *e)
 {
@@ -105,8 +144,9 @@
 		return;
 	s->asking = true;
 	s->until = now + START_MOST_MS;
+	start_add_seeds(e);
 	e->source->ops->find_nodes(e->source);
-	loop_timer_set(&e->loop, &s->timer, s->until);
+	loop_timer_set(&e->loop, &s->timer, s->nodes->len > 0 ? now : s->until);
 }
 
 void
@@ -127,7 +167,7 @@
 	s->listed = true;
 	for (i = 0; i < n; i++) {
 		if (strcmp(vms[i].name, e->settings->node) != 0)
-			g_array_append_val(s->nodes, vms[i]);
+			start_add(e, &vms[i]);
 	}
 	start_shuffle(e);
 	loop_timer_set(&e->loop, &s->timer, now);
--- a/settings.c
+++ b/settings.c
@@ -34,6 +34,7 @@
 static void parse_directory(struct walk *, const yaml_node_t *, void *);
 static void parse_metrics(struct walk *, const yaml_node_t *, void *);
 static void parse_store(struct walk *, const yaml_node_t *, void *);
+static void parse_seeds(struct walk *, const yaml_node_t *, void *);
 static void parse_duties(struct walk *, const yaml_node_t *, void *);
 static void parse_usage_window_s(struct walk *, const yaml_node_t *, void *);
 static void parse_usage_lateness_s(struct walk *, const yaml_node_t *, void *);
@@ -68,7 +69,11 @@
 	    { "log_keeps_ms", WALK_MSEC, .offset = AT(s.log_keeps),
 		.min = 2 * LEDGER_WINDOW,
 		.max = 366 * 24 * 3600 * MSEC_SECOND },
-	    { "store", WALK_CUSTOM, .parse = parse_store }, { NULL } },
+	    { "store", WALK_CUSTOM, .parse = parse_store },
+	    { "seeds", WALK_CUSTOM, .parse = parse_seeds },
+	    { "seeds_port", WALK_UINT, .offset = AT(s.seeds_port), .min = 1,
+		.max = 65535 },
+	    { NULL } },
 	check_platform };
 
 /* What a platform with a store promises and asks. */
@@ -242,6 +247,32 @@
 	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.store);
 }
 
+/* Several with commas between. */
+static void
+parse_seeds(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	struct settings *s = &((struct settings_walk *)arg)->s;
+	g_auto(GStrv) all = g_strsplit(walk_text(node), ",", -1);
+	unsigned int i;
+
+	for (i = 0; all[i] != NULL; i++) {
+		if (*g_strstrip(all[i]) == '\0')
+			continue;
+		if (s->nseeds == SETTINGS_SEEDS_MAX) {
+			walk_add(
+			    w, node, "more than %d seeds", SETTINGS_SEEDS_MAX);
+			return;
+		}
+		if (endpoint_parse(all[i], &s->seeds[s->nseeds]))
+			s->nseeds++;
+		else
+			walk_add(w, node,
+			    "expected an IPv4 number and a port like "
+			    "192.0.2.1:8080, got \"%s\"",
+			    all[i]);
+	}
+}
+
 static void
 parse_duties(struct walk *w, const yaml_node_t *node, void *arg)
 {
--- a/settings.h
+++ b/settings.h
@@ -26,8 +26,12 @@
 	struct endpoint directory; /* HTTP, which node to use; the same */
 	struct endpoint metrics;   /* HTTP, metrics and dump; port 0: none */
 	struct endpoint store;	   /* the platform's store; port 0: a log */
-	char *log_url;		   /* log service, without last / */
-	msec log_keeps;		   /* how long the log keeps records */
+	/* Nodes that may be there, by their `peer`; they may be stale. */
+	struct endpoint seeds[SETTINGS_SEEDS_MAX];
+	unsigned int nseeds;
+	unsigned int seeds_port; /* in place of theirs; 0: none */
+	char *log_url;		 /* log service, without last / */
+	msec log_keeps;		 /* how long the log keeps records */
 	char *vm_list_url;
 	char *weight_url;
 	char *peer_key; /* HMAC key, 16 bytes or more */
