--- a/tests/test-place-rate.c
+++ b/tests/test-place-rate.c
@@ -13,6 +13,8 @@
 #define NODES_MAX 14
 #define SERVERS 4
 #define KINDS 2
+#define ANSWER_MS 2
+#define TOKENS_PER_MS 60
 #define STABLE_MS 3000
 #define WINDOW_MS 4000
 /* Of what a server takes, with more than that asked for. */
@@ -43,8 +45,9 @@
 	struct mail mail;
 	GRand *rand;
 	msec now;
-	unsigned int placed, refused;
-	bool mixed; /* kinds[] by turns */
+	unsigned int placed, refused, turned_away;
+	msec free_at[SERVERS]; /* has read all that it was given */
+	bool mixed;	       /* kinds[] by turns */
 	unsigned int turn;
 	unsigned int by_kind[KINDS][SERVERS];
 };
@@ -56,6 +59,7 @@
 	{ .route = KINDS,
 	    .gap_target = 1000,
 	    .rank = 1,
+	    .target = 2000,
 	    .prompt = 7,
 	    .shared = 13300,
 	    .own = 3720 },
@@ -83,22 +87,34 @@
 	return (unsigned int)(v->name[2] - '0');
 }
 
+/* How long its server needs to read it, after what it was given before. */
+static msec
+request_reads(struct world *w, const struct place_request *r, unsigned int i)
+{
+	msec *free_at = &w->free_at[i];
+
+	*free_at = MAX(*free_at, w->now + ANSWER_MS) +
+		   (msec)r->wish.own / TOKENS_PER_MS;
+	return *free_at - w->now;
+}
+
 static void
 op_decided(struct place *p, struct place_request *r, struct server *v, msec now)
 {
 	struct request *q = r->arg;
 	struct world *w = ((struct node *)p->arg)->world;
 
-	if (v == NULL) {
+	if (v == NULL || place_queue_is_long(&r->queue)) {
 		w->refused++;
+		w->turned_away += v != NULL;
 		q->ends = now;
 		return;
 	}
 	w->placed++;
 	w->by_kind[r->wish.route % KINDS][server_index(v)]++;
 	g_array_append_val(w->arrivals[server_index(v)], now);
-	q->answers = now + 2;
-	q->ends = now + 40;
+	q->answers = now + request_reads(w, r, server_index(v));
+	q->ends = q->answers + 40;
 }
 
 static void
@@ -462,6 +478,62 @@
 	}
 }
 
+/* The node that places for the others. */
+static unsigned int
+coordinator_of(const struct world *w)
+{
+	unsigned int i, best = 0;
+
+	for (i = 1; i < w->n; i++) {
+		if (w->nodes[i].place.counters.coordinated >
+		    w->nodes[best].place.counters.coordinated)
+			best = i;
+	}
+	return best;
+}
+
+/* Half of the nodes hold the coordinator for gone: there are two. */
+static void
+nodes_push_two(struct world *w)
+{
+	struct place_node list[NODES_MAX];
+	unsigned int i, n = 0, gone = coordinator_of(w);
+
+	for (i = 0; i < w->n; i++) {
+		if (i != gone)
+			list[n++] = (struct place_node){ w->nodes[i].place.self,
+				true, -1, false };
+	}
+	for (i = 0; i < w->n; i++) {
+		if (i != gone && i % 2 == 0)
+			place_set_nodes(&w->nodes[i].place, w->now, list, n);
+	}
+}
+
+/* Guards against two that count the same server, each for itself. */
+static void
+test_two_coordinators(void)
+{
+	struct world w;
+	uint32_t seed;
+	msec from;
+
+	for (seed = 1; seed <= 5; seed++) {
+		world_init(&w, 6, seed);
+		w.rates[0] = 1;
+		w.rates[1] = 20;
+		world_run(&w, STABLE_MS, 400);
+		from = w.now;
+		nodes_push_two(&w);
+		world_run(&w, WINDOW_MS, 400);
+		nodes_push(&w);
+		world_run(&w, WINDOW_MS, 400);
+		check_bound(&w, 0, 1, from);
+		check_bound(&w, 1, 20, from);
+		world_finish(&w);
+	}
+}
+
 /* Guards against nodes that all decide for themselves. */
 static void
 test_alone(void)
@@ -578,6 +650,30 @@
 	world_finish(&w);
 }
 
+/*
+ * Guards against a server that is given all that the others do not take: its
+ * queue is not seen beside theirs, which are empty.
+ */
+static void
+test_last_server(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w, 6, 9);
+	w.mixed = true;
+	for (i = 1; i < SERVERS; i++)
+		w.rates[i] = 1;
+	world_run(&w, 10000, 60);
+	w.turned_away = w.placed = 0;
+	world_run(&w, 10000, 60);
+	g_test_message("placed %u, turned away %u", w.placed, w.turned_away);
+	/* Long prompts are half of 600, and it reads 16 a second. */
+	g_assert_cmpuint(w.turned_away, >, 60);
+	g_assert_cmpint(w.free_at[0] - w.now, <, 5000);
+	world_finish(&w);
+}
+
 /* Guards against an answer that another has overtaken, and a new process. */
 static void
 test_newest(void)
@@ -608,9 +704,11 @@
 	g_test_add_func("/place-rate/all-in-need", test_all_in_need);
 	g_test_add_func("/place-rate/changes", test_changes);
 	g_test_add_func("/place-rate/coordinators", test_coordinators);
+	g_test_add_func("/place-rate/two-coordinators", test_two_coordinators);
 	g_test_add_func("/place-rate/alone", test_alone);
 	g_test_add_func("/place-rate/ends", test_ends);
 	g_test_add_func("/place-rate/homes", test_homes);
 	g_test_add_func("/place-rate/tiers", test_tiers);
+	g_test_add_func("/place-rate/last-server", test_last_server);
 	return g_test_run();
 }
