The view of a choice is filled in a way that the formatter leaves readable

It took two comparisons in an initialiser for a template. No change of what is done; test-place, test-place-rate and test-place-changes pass.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -228,13 +228,16 @@
 	struct server_view view = { .all = all,
 		.domain = all ? "" : p->domain,
 		.hold_ms = m->hold_ms,
-		.young =
-		    now - p->coordinates_since<PLACE_YOUNG_MS, .groups = groups,
-			      .group = group, .nodes = MAX(p->fleet, 1),
-			      .now = now, .urgent = w->navoid> 0 ||
-		    !mix_has_more_urgent(m, w->rank),
-		.began = now - p->coordinates_since < PLACE_BEGAN_MS };
-
+		.groups = groups,
+		.group = group,
+		.nodes = MAX(p->fleet, 1),
+		.now = now };
+	msec coordinates = now - p->coordinates_since;
+
+	view.young = coordinates < PLACE_YOUNG_MS;
+	view.began = coordinates < PLACE_BEGAN_MS;
+	/* One that was sent before goes first as well. */
+	view.urgent = w->navoid > 0 || !mix_has_more_urgent(m, w->rank);
 	if (w->own + w->shared > 0) {
 		view.light = mix_is_light(m, w->route);
 		view.quiet =
