The tool and the lines of a held request say why it was not run

proc-tool /tool/send failed now and then with 'status 503, outcome not-run', and neither the tool nor a line of the daemon told which of some ten reasons it was. The tool now prints the code of the error body or of the stream's last event; the daemon says when a request is held for its organisation's limit and for how long it was.

--- a/cmd-send.c
+++ b/cmd-send.c
@@ -105,6 +105,18 @@
 		g_strlcpy(s->outcome, outcome, sizeof s->outcome);
 }
 
+static void
+stream_code(struct send_stream *s, const json_t *o)
+{
+	const json_t *where = json_object_get(o, "error");
+	const char *code = json_string_value(json_object_get(o, "code"));
+
+	if (code == NULL)
+		code = json_string_value(json_object_get(where, "code"));
+	if (code != NULL)
+		g_strlcpy(s->code, code, sizeof s->code);
+}
+
 /* One JSON object: an event of a stream or the whole answer. */
 static void
 stream_object(struct send_stream *s, const char *text, size_t n)
@@ -119,6 +131,7 @@
 		content = json_string_value(json_object_get(choice, "text"));
 	stream_error(s, o);
 	stream_outcome(s, o);
+	stream_code(s, o);
 	if (content != NULL)
 		s->token(s->arg, content);
 	json_decref(o);
@@ -317,8 +330,9 @@
 		retval = CMD_UNREACHABLE;
 	if (s.error != NULL || error != NULL)
 		cmd_say("%s", s.error != NULL ? s.error : error->message);
-	cmd_say("status %ld, outcome %s", status,
-	    *s.outcome != '\0' ? s.outcome : "not told");
+	cmd_say("status %ld, outcome %s%s%s", status,
+	    *s.outcome != '\0' ? s.outcome : "not told",
+	    *s.code != '\0' ? ", code " : "", s.code);
 	headers_finish(&headers);
 	send_stream_finish(&s);
 	return retval;
--- a/cmd.h
+++ b/cmd.h
@@ -173,6 +173,7 @@
 	bool done;	/* the whole answer came */
 	char *error;	/* what the router said; NULL */
 	char outcome[16];
+	char code[32]; /* why it was not answered; empty: not told */
 };
 
 void
--- a/daemon-limits.c
+++ b/daemon-limits.c
@@ -6,6 +6,7 @@
 #define LOG_PART "limits"
 #include "daemon.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* What a request is taken to make when its caller does not say. */
@@ -133,6 +134,9 @@
 		return false;
 	}
 	c->held_until = limits_hold(d, now);
+	log_debug_of(LOG_REQUEST, c->id,
+	    "%s is held for its organisation's limit, %" PRId64 " ms at most",
+	    c->id, c->held_until - now);
 	d->nheld++;
 	call_take(c);
 	TAILQ_INSERT_TAIL(&d->held, c, held_entry);
@@ -154,6 +158,9 @@
 			continue;
 		TAILQ_REMOVE(&d->held, c, held_entry);
 		d->nheld--;
+		log_debug_of(LOG_REQUEST, c->id,
+		    "%s is held no more, %" PRId64 " ms after it came", c->id,
+		    now - c->arrived);
 		if (ok)
 			daemon_admit_go(d, c, now);
 		else if (c->open && !time)
--- a/tests/test-cmd.c
+++ b/tests/test-cmd.c
@@ -364,6 +364,33 @@
 	g_assert_cmpint(stream("X: y\r\n", "", 0, 1, ""), ==, CMD_UNKNOWN);
 }
 
+/* A request that was not run, and nothing says why. */
+static void
+test_send_code(void)
+{
+	static const char *const bodies[] = {
+		"{\"error\":{\"code\":\"hopeless\",\"message\":\"no\"}}",
+		"{\"outcome\":\"not-run\",\"code\":\"hopeless\"}",
+	};
+	struct send_stream s;
+	GString *got;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		got = g_string_new(NULL);
+		send_stream_init(&s, token_append, got);
+		s.is_events = i == 1;
+		if (s.is_events)
+			send_stream_body(&s, "data: ", 6);
+		send_stream_body(&s, bodies[i], strlen(bodies[i]));
+		send_stream_body(&s, "\n\n", 2);
+		send_stream_end(&s);
+		g_assert_cmpstr(s.code, ==, "hopeless");
+		send_stream_finish(&s);
+		g_string_free(got, TRUE);
+	}
+}
+
 static void
 test_top(void)
 {
@@ -418,6 +445,7 @@
 	g_test_add_func("/cmd/in-force", test_in_force);
 	g_test_add_func("/cmd/check-kind", test_check_kind);
 	g_test_add_func("/cmd/send", test_send);
+	g_test_add_func("/cmd/send-code", test_send_code);
 	g_test_add_func("/cmd/top", test_top);
 	return g_test_run();
 }
