A request that waited before dispatch is not refused while an engine is free

Cause: until a node has its first share of its organisations' limits, it holds requests (up to 6 s after its start; about 2.9 s here). The time by which a request has to start is counted from its arrival, so for a class with a target of 3 s it was over (2,550 ms after it came) when dispatch first saw the request. With the owner on another node the request was refused by the next turn of the timer, before the answer to its reservation could come: a race between one UDP round trip and the loop, lost under load.

Evidence: 'is held no more, 2479 ms after it came', then 'refused, reason 2, 0 owners said no, start was 2550 ms after it came'; plain runs hold 2,907 to 2,978 ms each time and win the race. The same for a second attempt after a server that failed late: its arrival is that of the first.

Now what has waited before dispatch is given as long again, 500 ms at most (one reservation lost and sent again), before it is called hopeless; owners whose queue is longer still refuse it.

--- a/dispatch-entry.c
+++ b/dispatch-entry.c
@@ -35,6 +35,9 @@
 #define SLACK_SPARE 0.15
 /* The longest time after which a refused caller is told to come back. */
 #define RETRY_MOST (30 * MSEC_SECOND)
+/* Most that is left for waiting when the target is over: a reservation that is
+ * lost and sent again fits in. */
+#define LATE_WITHIN 500
 /* A broken stream should go on within this. */
 #define RESUME_WITHIN (2 * MSEC_SECOND)
 
@@ -185,7 +188,8 @@
  * Until when a grant is of use: what the class's targets and the caller's
  * deadline leave when the usual service time is taken off. A target that
  * cannot be met even without waiting leaves a small part for waiting, so that
- * an idle system still runs the request.
+ * an idle system still runs the request; so does one that is over, as the
+ * request waited for its organisation's limit or ran on a server that failed.
  */
 static msec
 request_start_by(msec now, const struct dispatch_request_state *st)
@@ -194,7 +198,7 @@
 	const struct service *s = st->service;
 	const struct class *c = st->class;
 	double run, slack;
-	msec by = MSEC_NEVER;
+	msec by = MSEC_NEVER, waited = now - r->arrived;
 
 	if (r->resumed)
 		return now + RESUME_WITHIN;
@@ -209,6 +213,7 @@
 		    MAX(c->whole_answer - run, c->whole_answer * SLACK_LEAST);
 		by = MIN(by, r->arrived + (msec)slack);
 	}
+	by = MAX(by, now + MIN(waited, LATE_WITHIN));
 	if (r->deadline != MSEC_NEVER) {
 		slack = r->deadline - now;
 		slack = MAX(slack - run, slack * SLACK_LEAST);
@@ -249,7 +254,9 @@
 	/* Lest all that were refused at once come back at once. */
 	after = MIN(after, RETRY_MOST);
 	after *= g_rand_double_range(d->priv->rand, 0.75, 1.25);
-	log_debug("request %u is refused, reason %d", r->id, why);
+	log_debug("request %u is refused, reason %d, %u owners said no, start "
+		  "was %" PRId64 " ms after it came",
+	    r->id, why, st->refusals, st->start_by - r->arrived);
 	d->ops->refused(d, r, why, after);
 }
 
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -417,6 +417,43 @@
 	dispatch_finish(&f.d);
 }
 
+/*
+ * A request comes to dispatch when its target is over, as it waited for its
+ * organisation's limit or ran on a server that failed: a free engine takes it.
+ */
+static void
+test_late_at_first(void)
+{
+	struct dispatch_request r;
+	struct fixture f;
+
+	fixture_init(&f, OTHER, 4);
+	request_init(&r, 1, 1000);
+	dispatch_submit(&f.d, 4000, &r);
+	dispatch_tick(&f.d, 4000);
+	dispatch_tick(&f.d, 4050);
+	g_assert_cmpuint(f.refused, ==, 0);
+	receive_grant(&f, 4050, r.id);
+	g_assert_cmpuint(f.granted, ==, 1);
+	dispatch_finish(&f.d);
+}
+
+/* What came late is refused all the same when no engine takes it soon. */
+static void
+test_late_and_busy(void)
+{
+	struct dispatch_request r;
+	struct fixture f;
+
+	fixture_init(&f, OTHER, 4);
+	request_init(&r, 1, 1000);
+	dispatch_submit(&f.d, 4000, &r);
+	dispatch_tick(&f.d, 4600);
+	g_assert_cmpuint(f.refused, ==, 1);
+	g_assert_cmpint(f.why, ==, DISPATCH_HOPELESS);
+	dispatch_finish(&f.d);
+}
+
 /* Duties move at once, and what waits in our queue is told so. */
 static void
 test_leave(void)
@@ -451,6 +488,8 @@
 	g_test_add_func("/dispatch/avoid-only", test_avoid_only);
 	g_test_add_func("/dispatch/evict", test_evict);
 	g_test_add_func("/dispatch/plain-bound", test_plain_bound);
+	g_test_add_func("/dispatch/late-at-first", test_late_at_first);
+	g_test_add_func("/dispatch/late-and-busy", test_late_and_busy);
 	g_test_add_func("/dispatch/leave", test_leave);
 	return g_test_run();
 }
