A server where nobody is gets a trial now and then, not every request

What callers saw beside: after a crash, 503 only after two servers that had ended were tried.

The other servers of the service had ended, left, or took one request a second by the rate that they name. A resting server is the last choice, so each request went on to it: 223, 255 and 224 refused connections in the seconds 14 to 16, and from 17 s on, with a new process (i-1-4, which names 1 a second) at that address, 334 requests that it had to turn away with 421.

Ruled out: that a rate heard was dropped. The answers come from another process than the one that was meant, and what it names is not that one's; it is heard as soon as the list names it (lines rate at 23 s).

Now a server that took no connection, or whose address is another's, gets one request in 500 ms of all nodes together, by the coordinator's count, until one is answered or the list has a new process; a node that decides alone one in 500 ms times the number of nodes, 4 s at most. A first answer of any kind lifts it.

/server/down failed before (2,000 of 2,000 requests chosen, at most 4 wanted).

--- a/server-choose.c
+++ b/server-choose.c
@@ -30,6 +30,10 @@
 /* What a failure in the last requests costs, and a rest. */
 #define CHOOSE_FAILURE_MS 400.0
 #define CHOOSE_REST_MS 20000.0
+/* One request in so long goes to a server that is down, of all nodes'. */
+#define CHOOSE_TRY_MS 500
+/* And at least one in so long of each node that decides alone. */
+#define CHOOSE_TRY_MAX_MS (4 * MSEC_SECOND)
 /* What a link to another failure domain costs. */
 #define CHOOSE_DOMAIN_MS 2.0
 /* Quiet servers of one group, at most. */
@@ -303,6 +307,21 @@
 	return server_rate_alone(&v->rate, now, view->nodes, part);
 }
 
+/*
+ * Guards against requests that all go to a server where nobody is, as it still
+ * is listed and the others take no more: another process at its address had to
+ * turn away each of them. A node that decides alone leaves room for the others.
+ */
+static bool
+choose_tries(const struct server *v, msec now, const struct server_view *view)
+{
+	msec pause = CHOOSE_TRY_MS;
+
+	if (!view->all)
+		pause = MIN(pause * MAX(view->nodes, 1), CHOOSE_TRY_MAX_MS);
+	return !v->down || now - v->tried >= pause;
+}
+
 msec
 servers_rate_wait(struct servers *s, name_id service)
 {
@@ -333,7 +352,7 @@
 	RB_FOREACH (v, server_tree, &s->tree) {
 		tie = choose_weight(v, draw);
 		if (!choose_sees(v, w->service, view) ||
-		    wish_avoids(w, v->id) ||
+		    wish_avoids(w, v->id) || !choose_tries(v, now, view) ||
 		    !choose_rate_allows(v, now, view, tie))
 			continue;
 		cost = choose_cost(s, v, now, w, view, home, quiet_rank);
@@ -345,5 +364,7 @@
 		least = cost;
 		best_tie = tie;
 	}
+	if (best != NULL && best->down)
+		best->tried = now;
 	return best;
 }
--- a/server.c
+++ b/server.c
@@ -77,6 +77,7 @@
 {
 	v->failures = 0;
 	v->resting_until = 0;
+	v->down = false;
 	v->first_ms = 0;
 	v->heard = 0;
 	server_rate_reset(&v->rate);
@@ -269,6 +270,8 @@
 {
 	unsigned int n;
 
+	if (how != SERVER_UNKNOWN)
+		v->down = how == SERVER_DOWN;
 	switch (how) {
 	case SERVER_WELL:
 		v->failures = 0;
--- a/server.h
+++ b/server.h
@@ -65,7 +65,9 @@
 	struct server_load all; /* of all nodes', for a coordinator */
 	/* From our own requests. */
 	unsigned int failures; /* in a row */
-	msec resting_until;    /* gets nothing before, after failures */
+	msec resting_until;    /* the last choice before, after failures */
+	bool down;	       /* nobody has answered there since */
+	msec tried;	       /* while it is down: last chosen */
 	/*
 	 * By rank: when the newest request was sent that the server has begun
 	 * to answer. An older one without an answer was passed over.
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -226,6 +226,55 @@
 	return server_choose(s, now, &w, v, 1);
 }
 
+/* How often one of many requests goes to it, a request a ms for so long. */
+static unsigned int
+chosen(struct servers *s, const struct server *v, msec from, msec until,
+    const struct server_view *view)
+{
+	unsigned int n = 0;
+	msec now;
+
+	for (now = from; now < until; now++)
+		n += choose(s, now, 0, view) == v;
+	return n;
+}
+
+/*
+ * A server ended and is still listed, while the others take no more by the
+ * rates that they name: it is tried now and then, not by every request.
+ */
+static void
+test_down(void)
+{
+	struct server_view view = {
+		.domain = "", .groups = 1, .all = true, .nodes = 10
+	};
+	struct server *down, *limited;
+	struct servers s;
+
+	servers_init(&s, &ops);
+	list(&s, 0, "a", false, 5);
+	list(&s, 0, "b", false, 5);
+	down = servers_find(&s, name_hash("a"));
+	limited = servers_find(&s, name_hash("b"));
+	server_rate_hear(&limited->rate, 1000, 1000, SERVER_RATE_LEAST);
+	server_learn(down, 1000, SERVER_DOWN);
+	g_assert_cmpuint(chosen(&s, down, 1000, 3000, &view), <=, 4);
+	g_assert_cmpuint(chosen(&s, down, 3000, 5000, &view), >=, 3);
+	/* A node that decides alone leaves it to the others as well. */
+	view.all = false;
+	g_assert_cmpuint(chosen(&s, down, 5000, 9000, &view), <=, 1);
+	view.all = true;
+	server_learn(down, 9000, SERVER_FULL);
+	g_assert_cmpuint(chosen(&s, down, 9000, 9100, &view), ==, 100);
+	/* Without another, too, and as a new process at once. */
+	server_learn(down, 10000, SERVER_DOWN);
+	g_assert_cmpuint(chosen(&s, down, 10000, 10100, &view), <=, 1);
+	list(&s, 10100, "a", false, 6);
+	g_assert_cmpuint(chosen(&s, down, 10100, 10200, &view), ==, 100);
+	servers_finish(&s);
+}
+
 /* Two nodes that never spoke send a prompt to the same server. */
 static void
 test_home(void)
@@ -590,6 +639,7 @@
 	g_test_add_func("/server/doubt-ends", test_doubt_ends);
 	g_test_add_func("/server/mark-of-held", test_mark_of_held);
 	g_test_add_func("/server/anew", test_anew);
+	g_test_add_func("/server/down", test_down);
 	g_test_add_func("/server/home", test_home);
 	g_test_add_func("/server/second-choice", test_second_choice);
 	g_test_add_func("/server/parted", test_parted);
