Nodes that all leave do not each give a server's whole rate

Cause: a node that is told to stop coordinates no more. When all are, nobody does, and place_coordinator() names each node itself; by the view of a coordinator each then fills a bucket with the whole rate.

Ruled out: a rate that was not heard (all four have the line rate 20.000 at 24.1 s, before the stops).

Now a node that is its own coordinator only since nobody coordinates keeps to its part of half the rate by chance, as any node that decides alone; the same for trials of servers that are down.

/place-rate/all-leave failed before (24 in a window of 4 s, allowed 11).

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -219,6 +219,22 @@
 	return PLACE_SLOTS;
 }
 
+/*
+ * Guards against a server that gets the whole of its rate from each node: where
+ * all are about to end, none coordinates, and each is asked by itself only.
+ */
+static bool
+place_is_asked(const struct place *p)
+{
+	unsigned int i;
+
+	for (i = 0; i < p->nnodes; i++) {
+		if (p->nodes[i].coordinates)
+			return true;
+	}
+	return p->nnodes <= 1;
+}
+
 /* `all`: as coordinator, by all nodes' requests; else by our own. */
 static struct server_view
 place_view(struct place *p, msec now, const struct server_wish *w, bool all,
@@ -234,6 +250,7 @@
 		.now = now };
 	msec coordinates = now - p->coordinates_since;
 
+	view.sole = all && place_is_asked(p);
 	view.young = coordinates < PLACE_YOUNG_MS;
 	view.began = coordinates < PLACE_BEGAN_MS;
 	/* One that was sent before goes first as well. */
--- a/server-choose.c
+++ b/server-choose.c
@@ -301,7 +301,7 @@
 {
 	double part = (double)draw / (double)UINT64_MAX;
 
-	if (view->all)
+	if (view->sole)
 		return server_rate_allows(
 		    &v->rate, now, view->began, view->urgent, part);
 	return server_rate_alone(&v->rate, now, view->nodes, part);
@@ -317,7 +317,7 @@
 {
 	msec pause = CHOOSE_TRY_MS;
 
-	if (!view->all)
+	if (!view->sole)
 		pause = MIN(pause * MAX(view->nodes, 1), CHOOSE_TRY_MAX_MS);
 	return !v->down || now - v->tried >= pause;
 }
--- a/server.h
+++ b/server.h
@@ -225,6 +225,7 @@
 	msec now;
 	bool urgent; /* no other kind of the service is more urgent */
 	bool began;  /* as coordinator: another may not know yet */
+	bool sole;   /* as coordinator: all nodes ask us */
 };
 
 /* How many servers of a service, in the view's group, take work. */
--- a/tests/test-place-rate.c
+++ b/tests/test-place-rate.c
@@ -534,6 +534,42 @@
 	}
 }
 
+/* All nodes are told to end, and each knows that of all others. */
+static void
+nodes_push_leaving(struct world *w)
+{
+	struct place_node list[NODES_MAX];
+	unsigned int i;
+
+	for (i = 0; i < w->n; i++)
+		list[i] = (struct place_node){ w->nodes[i].place.self, false,
+			-1, false };
+	for (i = 0; i < w->n; i++)
+		place_set_nodes(&w->nodes[i].place, w->now, list, w->n);
+}
+
+/* Guards against nodes that all leave and each give the whole rate. */
+static void
+test_all_leave(void)
+{
+	struct world w;
+	uint32_t seed;
+	msec from;
+
+	for (seed = 1; seed <= 5; seed++) {
+		world_init(&w, 6, seed);
+		w.rates[0] = 1;
+		w.rates[1] = 20;
+		world_run(&w, STABLE_MS, 400);
+		from = w.now;
+		nodes_push_leaving(&w);
+		world_run(&w, 2 * WINDOW_MS, 400);
+		check_bound(&w, 0, 1, from);
+		check_bound(&w, 1, 20, from);
+		world_finish(&w);
+	}
+}
+
 /* Guards against nodes that all decide for themselves. */
 static void
 test_alone(void)
@@ -705,6 +741,7 @@
 	g_test_add_func("/place-rate/changes", test_changes);
 	g_test_add_func("/place-rate/coordinators", test_coordinators);
 	g_test_add_func("/place-rate/two-coordinators", test_two_coordinators);
+	g_test_add_func("/place-rate/all-leave", test_all_leave);
 	g_test_add_func("/place-rate/alone", test_alone);
 	g_test_add_func("/place-rate/ends", test_ends);
 	g_test_add_func("/place-rate/homes", test_homes);
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -246,9 +246,11 @@
 static void
 test_down(void)
 {
-	struct server_view view = {
-		.domain = "", .groups = 1, .all = true, .nodes = 10
-	};
+	struct server_view view = { .domain = "",
+		.groups = 1,
+		.all = true,
+		.sole = true,
+		.nodes = 10 };
 	struct server *down, *limited;
 	struct servers s;
 
@@ -262,9 +264,9 @@
 	g_assert_cmpuint(chosen(&s, down, 1000, 3000, &view), <=, 4);
 	g_assert_cmpuint(chosen(&s, down, 3000, 5000, &view), >=, 3);
 	/* A node that decides alone leaves it to the others as well. */
-	view.all = false;
+	view.sole = false;
 	g_assert_cmpuint(chosen(&s, down, 5000, 9000, &view), <=, 1);
-	view.all = true;
+	view.sole = true;
 	server_learn(down, 9000, SERVER_FULL);
 	g_assert_cmpuint(chosen(&s, down, 9000, 9100, &view), ==, 100);
 	/* Without another, too, and as a new process at once. */
