A node that starts with nobody to ask waits before it lets keys through

Now an era that is met at the start is taken to have begun then: nothing is proven before what was lost had time to be written again (rewrite_ms). Late answers count. A copy cannot say so of an era that came after it.

--- a/entry-era.c
+++ b/entry-era.c
@@ -85,6 +85,39 @@
 	       e->table->version >= newest;
 }
 
+void
+entry_era_vouched(struct entry *e, uint64_t number, msec now)
+{
+	if (number != e->era.number || entry_era_settled(e, now) != 0)
+		return;
+	era_told(&e->era, now, number, (uint32_t)e->settings->rewrite);
+	/* What was read before does not prove it. */
+	e->source->ops->read(e->source, RELAY_TABLE);
+}
+
+uint64_t
+entry_era_settled(const struct entry *e, msec now)
+{
+	return era_settled(&e->era, now, e->settings->rewrite) ? e->era.number
+							       : 0;
+}
+
+/*
+ * Guards against a fleet that serves no keys after all its processes were
+ * killed together: none of them would know how old the era is.
+ */
+void
+entry_era_tick(struct entry *e, msec now)
+{
+	uint64_t settled = entry_era_settled(e, now);
+
+	if (e->phase != ENTRY_SERVING || settled == e->era_written)
+		return;
+	e->era_written = settled;
+	if (settled != 0)
+		e->source->ops->announce(e->source);
+}
+
 uint64_t
 entry_era_mark(const struct entry *e, uint64_t mark)
 {
@@ -129,7 +162,7 @@
 	g_string_append_printf(s,
 	    "store era %" PRIu64 " age-ms %" PRId64 " settled %s changes "
 	    "%" PRIu64 " newest-heard %" PRIu64 "\n",
-	    e->era.number, e->era.seen ? now - e->era.since : -1,
+	    e->era.number, now - e->era.since,
 	    era_settled(&e->era, now, e->settings->rewrite) ? "yes" : "no",
 	    e->era.counters.changes,
 	    MAX(members_newest_version(&e->members), e->start.version));
--- a/entry-era.h
+++ b/entry-era.h
@@ -21,6 +21,15 @@
  * no newer one?
  */
 bool entry_era_proves(const struct entry *, msec asked);
+/*
+ * From the source: its store holds a record that says that this era had
+ * settled.
+ */
+void entry_era_vouched(struct entry *, uint64_t number, msec);
+/* The era, if it is known to have settled; for such a record. Else 0. */
+uint64_t entry_era_settled(const struct entry *, msec);
+/* Once an era has settled, the source writes that down. */
+void entry_era_tick(struct entry *, msec);
 /* A mark of this era, to be compared with other nodes'. */
 uint64_t entry_era_mark(const struct entry *, uint64_t mark);
 void entry_era_metrics(const struct entry *, GString *, msec);
--- a/entry-start.c
+++ b/entry-start.c
@@ -28,6 +28,9 @@
 	s->asking = false;
 	s->table = NULL;
 	log_debug("%u nodes told what they know", s->know);
+	/* Without an answer nobody would be served for a while. */
+	if (s->know == 0 && !e->settings->keys_fail_closed)
+		entry_era_vouched(e, e->era.number, now);
 	if (t == NULL)
 		return;
 	entry_take_table(e, t, now);
@@ -188,14 +191,17 @@
 	net_send(&e->net, address, port, &msg);
 }
 
-/* An answer may come after the configuration was taken, or twice. */
+/*
+ * An answer may come twice, or after the configuration was taken: then a newer
+ * version that it names still keeps the one in force from being proven.
+ */
 static void
 start_told(struct entry *e, name_id from, const sp_start_tell *t, msec now)
 {
 	struct entry_start *s = &e->start;
 	bool first;
 
-	if (!s->asking || t->seq != s->seq) {
+	if (t->seq != s->seq) {
 		log_debug("an answer to nothing that was asked is dropped");
 		return;
 	}
@@ -203,7 +209,7 @@
 	s->know += first && t->newest_version > 0;
 	s->version = MAX(s->version, t->newest_version);
 	era_told(&e->era, now, t->era, t->era_age_ms);
-	if (start_is_enough(s))
+	if (s->asking && start_is_enough(s))
 		start_end(e, now);
 }
 
--- a/entry-start.h
+++ b/entry-start.h
@@ -2,7 +2,8 @@
  * A node that starts while the store shows an older copy of itself. It would
  * take an older configuration for the newest, which its fellows know better:
  * it asks some of them before it goes by what it has read. Nobody answers when
- * all were killed together; then the store's word is all there is.
+ * all were killed together; then the store's word is all there is, and proves
+ * nothing before what it may have lost had time to be written again.
  */
 
 #ifndef ENTRY_START_H
--- a/entry-state.c
+++ b/entry-state.c
@@ -246,6 +246,7 @@
 	if (e->phase == ENTRY_STARTING) {
 		e->phase = ENTRY_SERVING;
 		e->source->ops->read(e->source, RELAY_SERVERS);
+		e->era_written = entry_era_settled(e, now);
 		e->source->ops->announce(e->source);
 	}
 }
@@ -356,6 +357,7 @@
 entry_state_tick(struct entry *e, msec now)
 {
 	servers_tick(&e->servers, now);
+	entry_era_tick(e, now);
 	members_set_self(&e->members, e->table != NULL ? e->table->version : 0,
 	    entry_is_ready(e, now) ? 0 : STATE_LOAD_FULL);
 	/* Others hear of us once we can serve. */
--- a/era.c
+++ b/era.c
@@ -44,7 +44,6 @@
 		return ERA_OLD;
 	}
 	era_begin(a, now, number);
-	a->seen = true;
 	a->counters.changes++;
 	return ERA_ROSE;
 }
@@ -54,14 +53,13 @@
 {
 	if (!a->heard || number != a->number || age_ms == ERA_AGE_UNKNOWN)
 		return;
-	a->since = a->seen ? MIN(a->since, now - age_ms) : now - age_ms;
-	a->seen = true;
+	a->since = MIN(a->since, now - age_ms);
 }
 
 uint32_t
 era_age(const struct era *a, msec now)
 {
-	if (!a->seen)
+	if (a->number == 0)
 		return ERA_AGE_UNKNOWN;
 	return (uint32_t)CLAMP(now - a->since, 0, (msec)ERA_AGE_UNKNOWN - 1);
 }
@@ -69,7 +67,7 @@
 bool
 era_settled(const struct era *a, msec then, msec rewrite)
 {
-	return !a->seen || then >= a->since + rewrite;
+	return a->number == 0 || then >= a->since + rewrite;
 }
 
 uint64_t
--- a/era.h
+++ b/era.h
@@ -27,7 +27,7 @@
 
 /* A token must stay under 2^53, so that it passes through any JSON. */
 #define ERA_MAX ((uint64_t)(1 << 21) - 1)
-/* The age of an era whose beginning nobody has seen. */
+/* The age of an era of which nothing has been heard. */
 #define ERA_AGE_UNKNOWN UINT32_MAX
 
 /* What an answer is worth. */
@@ -48,8 +48,7 @@
 struct era {
 	uint64_t number; /* the newest; 0: none was ever named */
 	bool heard;	 /* an answer has come */
-	bool seen;	 /* its beginning was seen, here or by another node */
-	msec since;	 /* then, or when we first heard of it */
+	msec since;	 /* it has lasted since then at least */
 	struct era_counters counters;
 };
 
@@ -57,13 +56,14 @@
 void era_init(struct era *);
 /* An answer of the store names this era; 0: it names none that can be read. */
 enum era_verdict era_heard(struct era *, msec now, uint64_t number);
-/* Another node says that the era began so many ms ago. */
+/* Another node, or the store, shows that the era has lasted so many ms. */
 void era_told(struct era *, msec now, uint64_t number, uint32_t age_ms);
-/* Age of the era in ms, for other nodes; ERA_AGE_UNKNOWN. */
+/* For other nodes: how long it has lasted at least, or ERA_AGE_UNKNOWN. */
 uint32_t era_age(const struct era *, msec now);
 /*
  * What a read that was sent then has found is the newest, given that what was
- * lost is written again within so many ms of the store's return.
+ * lost is written again within so many ms of the store's return. An era that is
+ * met at the start may have begun just before.
  */
 bool era_settled(const struct era *, msec then, msec rewrite);
 /*
--- a/tests/test-era.c
+++ b/tests/test-era.c
@@ -22,7 +22,7 @@
 	g_assert_cmpuint(era_token(0, 41), ==, 42);
 }
 
-/* The first era that is heard of is no change: it may be old. */
+/* The first era that is heard of is no change; it may have just begun. */
 static void
 test_first(void)
 {
@@ -31,7 +31,9 @@
 	era_init(&a);
 	g_assert_cmpint(era_heard(&a, 10, 7), ==, ERA_SAME);
 	g_assert_cmpuint(a.number, ==, 7);
-	g_assert_true(era_settled(&a, 10, REWRITE));
+	g_assert_false(era_settled(&a, 10, REWRITE));
+	g_assert_false(era_settled(&a, 10 + REWRITE - 1, REWRITE));
+	g_assert_true(era_settled(&a, 10 + REWRITE, REWRITE));
 	g_assert_cmpuint(a.counters.changes, ==, 0);
 }
 
@@ -103,7 +105,7 @@
 	era_heard(&a, 9000, 8);
 	era_told(&a, 9000, 7, 100);
 	era_told(&a, 9000, 8, ERA_AGE_UNKNOWN);
-	g_assert_true(era_settled(&a, 9000, REWRITE));
+	g_assert_false(era_settled(&a, 9000, REWRITE));
 	era_told(&a, 9000, 8, 1500);
 	g_assert_cmpuint(era_age(&a, 9000), ==, 1500);
 	g_assert_false(era_settled(&a, 9000, REWRITE));
