A slow reader's stream loses no event where its engine is held back

What a caller would see: a stream that is read slowly lacks an event in its middle and ends as whole.

Cause: one delivery of libcurl is passed on in two parts when an event began in the delivery before (sse_feed()). Each part went through answer_put(), which took nothing once the answer was full (256 KiB), although only the first look, before the delivery, can hold the engine back. Where the end of that event filled the answer, the rest of the delivery was dropped.

Now answer_room() asks, and what has come of a delivery that had room is taken whole: 256 KiB and one delivery at the most.

/answer/two-parts failed before ("200 bytes: paused, nothing taken").

--- a/Makefile
+++ b/Makefile
@@ -115,6 +115,7 @@
 	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
 # The daemon's parts are no part of the library; these test them.
 $(B)/test-entry-log: $(call obj,entry-log.c)
+$(B)/test-answer: $(call obj,daemon-answer.c)
 # The same of the tool's commands.
 $(B)/test-explain: $(call obj,entry-log.c)
 $(B)/test-cmd $(B)/test-explain $(B)/test-man $(B)/test-pages: $(call obj,$(filter-out savorypier.c,$(TOOL_SRCS)))
--- a/daemon-answer.c
+++ b/daemon-answer.c
@@ -74,19 +74,38 @@
  * that the core has given up on would otherwise mix with its successor's.
  * Only the attempt that the core allowed last may write.
  */
+static bool
+answer_takes(const struct answer *a, unsigned int attempt)
+{
+	return attempt == a->attempt && !a->ended && (!a->gone || a->keep);
+}
+
 enum answer_put
-answer_put(struct answer *a, unsigned int attempt, const char *p, size_t n,
-    bool head_now)
+answer_room(struct answer *a, unsigned int attempt)
 {
 	enum answer_put put = ANSWER_TAKEN;
 
 	pthread_mutex_lock(&a->lock);
-	if (attempt != a->attempt || a->ended || (a->gone && !a->keep))
+	if (!answer_takes(a, attempt))
 		put = ANSWER_DROP;
 	else if (a->len - a->at >= ANSWER_HIGH && a->head && !a->gone) {
 		a->paused = true;
 		put = ANSWER_PAUSE;
-	} else {
+	}
+	pthread_mutex_unlock(&a->lock);
+	return put;
+}
+
+enum answer_put
+answer_put(struct answer *a, unsigned int attempt, const char *p, size_t n,
+    bool head_now)
+{
+	enum answer_put put = ANSWER_TAKEN;
+
+	pthread_mutex_lock(&a->lock);
+	if (!answer_takes(a, attempt))
+		put = ANSWER_DROP;
+	else {
 		answer_append(a, p, n);
 		if (head_now || a->len - a->at >= ANSWER_HIGH)
 			a->head = true;
@@ -97,6 +116,17 @@
 	return put;
 }
 
+size_t
+answer_held(struct answer *a)
+{
+	size_t held;
+
+	pthread_mutex_lock(&a->lock);
+	held = a->keep ? a->len : a->len - a->at;
+	pthread_mutex_unlock(&a->lock);
+	return held;
+}
+
 /* Set the head; it goes out now for a stream, else with the whole body. */
 bool
 answer_head(struct answer *a, unsigned int attempt, unsigned int status,
@@ -105,7 +135,7 @@
 	bool live;
 
 	pthread_mutex_lock(&a->lock);
-	live = attempt == a->attempt && !a->ended && (!a->gone || a->keep);
+	live = answer_takes(a, attempt);
 	if (live && !a->head) {
 		a->status = status;
 		g_strlcpy(
--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -224,8 +224,7 @@
 		return 0;
 	if (attempt_is_engine(a) && a->status >= 500)
 		return n;
-	/* Asks whether there is room; takes nothing. */
-	put = answer_put(&a->call->answer, a->number, p, 0, false);
+	put = answer_room(&a->call->answer, a->number);
 	if (put == ANSWER_PAUSE) {
 		a->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
--- a/daemon.h
+++ b/daemon.h
@@ -83,7 +83,7 @@
 
 enum answer_put {
 	ANSWER_TAKEN,
-	ANSWER_PAUSE, /* full: nothing taken; the reader will say go on */
+	ANSWER_PAUSE, /* full: the reader will say go on */
 	ANSWER_DROP   /* this attempt has been given up on */
 };
 
@@ -114,9 +114,16 @@
 void answer_finish(struct answer *);
 /* The core lets an attempt write; earlier ones no longer can. */
 void answer_allow(struct answer *, unsigned int attempt);
-/* Engine threads. `head_now`: the head goes out with these bytes. */
+/*
+ * Engine threads. Whether the next delivery has room: ANSWER_PAUSE: it comes
+ * again when the reader says so. What has come of one that had is taken whole.
+ */
+enum answer_put answer_room(struct answer *, unsigned int attempt);
+/* `head_now`: the head goes out with these bytes. */
 enum answer_put answer_put(
     struct answer *, unsigned int attempt, const char *, size_t, bool head_now);
+/* Bytes that wait for the caller or are kept for it. */
+size_t answer_held(struct answer *);
 bool answer_head(struct answer *, unsigned int attempt, unsigned int status,
     const char *content_type);
 /* Part of it is out, and it is not a stream of events. */
--- /dev/null
+++ b/tests/test-answer.c
@@ -0,0 +1,97 @@
+/*
+ * The answer between an engine's thread and the caller's connection: what is
+ * let in, and when the engine is held back.
+ */
+
+#include "daemon.h"
+
+#include <string.h>
+
+#define ATTEMPT 1
+/* One delivery of libcurl. */
+#define DELIVERY (16 * 1024)
+
+static unsigned int unpaused;
+
+void
+engine_unpause(struct engine_thread *t, struct call *c, unsigned int attempt)
+{
+	unpaused++;
+}
+
+static void
+setup(struct answer *a)
+{
+	answer_init(a, NULL);
+	answer_allow(a, ATTEMPT);
+	answer_head(a, ATTEMPT, 200, "text/event-stream");
+}
+
+static void
+put(struct answer *a, size_t n)
+{
+	g_autofree char *bytes = g_malloc0(n);
+
+	g_assert_cmpint(
+	    answer_put(a, ATTEMPT, bytes, n, true), ==, ANSWER_TAKEN);
+}
+
+/*
+ * One delivery is passed on in two parts where an event began in the delivery
+ * before; the second was dropped when the first made the answer full.
+ */
+static void
+test_two_parts(void)
+{
+	struct answer a;
+
+	setup(&a);
+	put(&a, ANSWER_HIGH - 10);
+	g_assert_cmpint(answer_room(&a, ATTEMPT), ==, ANSWER_TAKEN);
+	put(&a, 100);
+	put(&a, 200);
+	g_assert_cmpuint(a.len - a.at, ==, ANSWER_HIGH + 290);
+	answer_finish(&a);
+}
+
+/* An engine that is not held back fills the memory for a slow reader. */
+static void
+test_held_back(void)
+{
+	struct answer a;
+	unsigned int i;
+
+	setup(&a);
+	for (i = 0; answer_room(&a, ATTEMPT) == ANSWER_TAKEN; i++) {
+		g_assert_cmpuint(i, <, 2 * ANSWER_HIGH / DELIVERY);
+		put(&a, DELIVERY);
+	}
+	g_assert_cmpint(answer_room(&a, ATTEMPT), ==, ANSWER_PAUSE);
+	g_assert_true(a.paused);
+	g_assert_cmpuint(answer_held(&a), <=, ANSWER_HIGH + DELIVERY);
+	answer_finish(&a);
+}
+
+/* Bytes of an attempt that was given up mix with those of the next. */
+static void
+test_old_attempt(void)
+{
+	struct answer a;
+
+	setup(&a);
+	answer_allow(&a, ATTEMPT + 1);
+	g_assert_cmpint(answer_room(&a, ATTEMPT), ==, ANSWER_DROP);
+	g_assert_cmpint(answer_put(&a, ATTEMPT, "x", 1, true), ==, ANSWER_DROP);
+	g_assert_cmpuint(answer_held(&a), ==, 0);
+	answer_finish(&a);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/answer/two-parts", test_two_parts);
+	g_test_add_func("/answer/held-back", test_held_back);
+	g_test_add_func("/answer/old-attempt", test_old_attempt);
+	return g_test_run();
+}
