The fault "one slow stream takes its engine's only slot" is shown by a test

/answers/slow-reader-late-first provokes it: eight requests teach the owner what a first token takes, the engine stands still for 3 s with one request on it, and goes on.

--- a/tests/proc-answers.c
+++ b/tests/proc-answers.c
@@ -22,6 +22,8 @@
 #define HELD_FULL (256 * 1024)
 #define HELD_MOST (HELD_FULL + 16 * 1024)
 #define HELD_MS 3000
+/* Well beyond the time that a first token usually takes. */
+#define LATE_FIRST_MS 3000
 #define HELD_TIMEOUT (60 * MSEC_SECOND)
 #define HELD_LOOK_MS 50
 
@@ -921,6 +923,40 @@
 	nodes_finish(&s);
 }
 
+/*
+ * An engine stands still until the only request on it is late for its first
+ * token, and is taken to have one slot, which that request's slow reader holds:
+ * others are refused.
+ */
+static void
+test_slow_reader_late_first(void)
+{
+	const struct nodes_config config = {
+		.nodes = 1, .engines = 1, .token_ms = "2"
+	};
+	struct nodes s;
+	struct caller slow;
+	char id[32];
+	unsigned int i;
+
+	nodes_up(&s, &config);
+	for (i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof id, "before-%u", i);
+		assert_serves(&s, id);
+	}
+	proc_pause(&s.engines[0].proc);
+	caller_ask(&slow, entry_port(&s, 0), "slow", 2000000);
+	slow.read_pause = 200;
+	caller_start(&slow);
+	g_usleep(LATE_FIRST_MS * 1000);
+	proc_resume(&s.engines[0].proc);
+	caller_wait_bytes(&slow, EVENT_BYTES);
+	assert_serves(&s, "beside-slow");
+	caller_leave(&slow);
+	caller_finish(&slow);
+	nodes_finish(&s);
+}
+
 /* ---- entry VMs ---- */
 
 static void
@@ -1039,6 +1075,8 @@
 	g_test_add_func(
 	    "/answers/caller-vanishes-queued", test_caller_vanishes_queued);
 	g_test_add_func("/answers/slow-reader", test_slow_reader);
+	g_test_add_func(
+	    "/answers/slow-reader-late-first", test_slow_reader_late_first);
 	g_test_add_func("/answers/entry-killed", test_entry_killed);
 	g_test_add_func(
 	    "/answers/log-and-engine-down", test_log_and_engine_down);
