A node serves once it has the VM list, and is not offered before

What callers saw: 503 no_backend from a node that said that it serves, for as long as the VM list did not answer it after its start; other nodes sent callers there (one in sixteen in its first 6 s, half of them later, of two nodes).

Cause: "serving" was said when the documents were read. daemon.h had a field for the list, vm_list_read, that nothing set or asked.

Now a node joins until both were read, says that it is full meanwhile, and the directory offers no full member as best while another is not; as alternates they stay.

--- a/daemon-docs.c
+++ b/daemon-docs.c
@@ -321,7 +321,9 @@
 	d->import_due = now + MSEC_SECOND;
 	if (!d->documents_read)
 		docs_import(d);
-	if (d->documents_read && d->state == DAEMON_JOINING) {
+	/* Without the list it knows no backend server, and turns all away. */
+	if (d->documents_read && d->vm_list_read &&
+	    d->state == DAEMON_JOINING) {
 		log_info("serving");
 		g_atomic_int_set((gint *)&d->state, DAEMON_SERVING);
 	}
--- a/daemon-peers.c
+++ b/daemon-peers.c
@@ -258,6 +258,7 @@
 			log_warn("line %zu of the VM list is malformed", i);
 	}
 	if (members_set_list(&d->members, now, vms, n)) {
+		d->vm_list_read = true;
 		backends_replace(d, vms, n);
 		daemon_engines_push(d, now);
 	}
@@ -281,16 +282,16 @@
 }
 
 /*
- * What the directory goes by. A node that has just started says that it is
- * full: it has no share of its organisations' limits yet, and callers fare
- * better elsewhere.
+ * What the directory goes by. A node that joins, or has just started, says
+ * that it is full: it knows too little, or has no share of its organisations'
+ * limits yet, and callers fare better elsewhere.
  */
 void
 daemon_self_push(struct daemon *d, msec now)
 {
 	unsigned int load = d->ncalls * 1000 / d->settings.max_connections;
 
-	if (now - d->started < DAEMON_YOUNG_MS)
+	if (d->state == DAEMON_JOINING || now - d->started < DAEMON_YOUNG_MS)
 		load = 1000;
 	members_set_self(&d->members, doc_fold_sum(&d->fold), MIN(load, 1000));
 }
--- a/daemon.h
+++ b/daemon.h
@@ -306,7 +306,7 @@
 /* ---- the daemon ---- */
 
 enum daemon_state {
-	DAEMON_JOINING, /* has not caught up with the documents */
+	DAEMON_JOINING, /* has not read documents and the VM list */
 	DAEMON_SERVING,
 	DAEMON_LEAVING
 };
--- a/directory.c
+++ b/directory.c
@@ -22,6 +22,8 @@
 #define DIRECTORY_DOMAIN_PERMILLE 200
 /* Taken for a member that has not reported yet. */
 #define DIRECTORY_UNKNOWN_PERMILLE 500
+/* A member that says so takes no more, or does not know enough yet to serve. */
+#define DIRECTORY_FULL_PERMILLE 1000
 
 struct choice {
 	GPtrArray *candidates; /* struct member, not chosen yet */
@@ -30,29 +32,35 @@
 	GRand *rand;
 };
 
-static void directory_collect(struct members *, enum member_state, GPtrArray *);
-static bool directory_takes_work(const struct member *, enum member_state);
+static void
+directory_collect(struct members *, enum member_state, bool, GPtrArray *);
+static bool
+directory_takes_work(const struct member *, enum member_state, bool);
 static unsigned int
 directory_weight(const struct choice *, const struct member *);
 static struct member *directory_pick(const struct choice *, const char *);
 static struct member *directory_draw(struct choice *);
 
 static bool
-directory_takes_work(const struct member *m, enum member_state state)
+directory_takes_work(
+    const struct member *m, enum member_state state, bool full_too)
 {
-	return m->state == state && !m->leaving && m->caller_port != 0;
+	if (m->state != state || m->leaving || m->caller_port == 0)
+		return false;
+	return full_too || m->load_at == MSEC_NEVER ||
+	       m->load_permille < DIRECTORY_FULL_PERMILLE;
 }
 
 static void
-directory_collect(
-    struct members *ms, enum member_state state, GPtrArray *candidates)
+directory_collect(struct members *ms, enum member_state state, bool full_too,
+    GPtrArray *candidates)
 {
 	struct member *m;
 
-	if (directory_takes_work(&ms->self, state))
+	if (directory_takes_work(&ms->self, state, full_too))
 		g_ptr_array_add(candidates, &ms->self);
 	RB_FOREACH (m, member_tree, &ms->tree) {
-		if (directory_takes_work(m, state))
+		if (directory_takes_work(m, state, full_too))
 			g_ptr_array_add(candidates, m);
 	}
 }
@@ -127,15 +135,23 @@
 	memset(answer, 0, sizeof *answer);
 	answer->lifetime =
 	    DIRECTORY_LIFE + g_rand_int_range(rand, 0, (gint32)DIRECTORY_LIFE);
-	directory_collect(ms, MEMBER_ALIVE, candidates);
+	directory_collect(ms, MEMBER_ALIVE, false, candidates);
+	if (candidates->len == 0)
+		directory_collect(ms, MEMBER_ALIVE, true, candidates);
 	/* A suspect is more likely lagging than dead. */
 	if (candidates->len == 0)
-		directory_collect(ms, MEMBER_SUSPECT, candidates);
+		directory_collect(ms, MEMBER_SUSPECT, true, candidates);
 	if ((answer->best = directory_draw(&c)) == NULL) {
 		log_debug("nobody takes work");
 		return;
 	}
 	((struct member *)answer->best)->offered++;
+	if (candidates->len < DIRECTORY_ALTERNATES) {
+		g_ptr_array_set_size(candidates, 0);
+		directory_collect(ms, answer->best->state, true, candidates);
+		g_ptr_array_remove_fast(
+		    candidates, (struct member *)answer->best);
+	}
 	/* Alternates serve when the best fails, perhaps with its domain. */
 	c.prefer = "";
 	c.avoid = answer->best->domain;
--- a/tests/test-directory.c
+++ b/tests/test-directory.c
@@ -127,6 +127,30 @@
 	town_finish(&t);
 }
 
+/* A member that has just started, and says that it is full, was offered. */
+static void
+test_not_full(void)
+{
+	struct directory_answer a;
+	struct town t;
+	unsigned int i;
+
+	town_init(&t, 1);
+	t.now++;
+	for (i = 1; i < NODES - 1; i++)
+		town_hear(&t, i, SP_ALIVE, 1000);
+	members_set_self(&t.members, 0, 1000);
+	for (i = 0; i < 500; i++) {
+		directory_choose(&t.members, i % 2 ? "hall-1" : "", t.rand, &a);
+		g_assert_cmpuint(town_index(a.best), ==, NODES - 1);
+	}
+	/* One that is full is better than none. */
+	town_hear(&t, NODES - 1, SP_LEAVING, 0);
+	directory_choose(&t.members, "", t.rand, &a);
+	g_assert_nonnull(a.best);
+	town_finish(&t);
+}
+
 /*
  * We are leaving and cut off: everybody else is silent. A suspect is a better
  * address than none, but once they are dead there is none.
@@ -257,6 +281,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/directory/only-working", test_only_working);
+	g_test_add_func("/directory/not-full", test_not_full);
 	g_test_add_func("/directory/nobody", test_nobody);
 	g_test_add_func("/directory/domain", test_domain);
 	g_test_add_func("/directory/no-herd", test_no_herd);
