A node that joins calls nothing unknown

What callers saw: 404 "No service has this model", 404 for a plain service and 401 for a ticket, from a node that had not read the documents yet (its process new, the log slow or away and no peer to ask). Callers take these as final.

Cause: what is not known was called unknown whatever the node had read.

Now such answers are 503, code joining, Retry-After 1 s, while it joins.

/start/documents-late failed before (404, wanted 503).

--- a/daemon-route.c
+++ b/daemon-route.c
@@ -15,6 +15,7 @@
 #define ROUTE_PREFIX_BYTES 256
 /* A rough guess, where no tokenizer is at hand. */
 #define ROUTE_BYTES_PER_TOKEN 4
+#define ROUTE_JOINING_RETRY_MS 1000
 
 struct route {
 	const char *method; /* NULL is any */
@@ -67,6 +68,21 @@
 	return false;
 }
 
+/*
+ * Guards against a node that has not read the documents yet and calls what it
+ * does not know unknown: a caller takes 404 and 401 as final.
+ */
+static bool
+route_unknown(
+    struct call *c, unsigned int status, const char *code, const char *message)
+{
+	if (g_atomic_int_get((gint *)&c->daemon->state) != DAEMON_JOINING)
+		return route_error(c, status, code, message);
+	c->answer.retry_after = ROUTE_JOINING_RETRY_MS;
+	return route_error(c, 503, "joining",
+	    "This node has just started and does not know the services yet.");
+}
+
 static const char *
 route_header(struct MHD_Connection *connection, const char *name)
 {
@@ -181,12 +197,12 @@
 	c->doc = r;
 	org = key != NULL ? document_org_by_key(&r->doc, key) : NULL;
 	if (org == NULL)
-		return route_error(c, 401, "invalid_key",
+		return route_unknown(c, 401, "invalid_key",
 		    "The key is not one of this service's organisations.");
 	class =
 	    route_class(&r->doc, route_header(connection, "Savorypier-Class"));
 	if (class < 0)
-		return route_error(
+		return route_unknown(
 		    c, 400, "unknown_class", "The service has no such class.");
 	c->kind = CALL_REQUEST;
 	c->class_index = (unsigned int)class;
@@ -240,7 +256,7 @@
 		c->organisation = name_hash(org->name);
 	doc_set_drop(set);
 	if (org == NULL)
-		return route_error(c, 401, "invalid_key",
+		return route_unknown(c, 401, "invalid_key",
 		    "The key is not one of an organisation's.");
 	c->kind = CALL_QUERY;
 	c->query = query_ticket;
@@ -283,7 +299,7 @@
 		doc_ref_take(r);
 	doc_set_drop(set);
 	if (r == NULL)
-		return route_error(
+		return route_unknown(
 		    c, 404, "unknown_model", "No service has this model.");
 	if (!route_request(c, connection, r))
 		return false;
@@ -390,7 +406,7 @@
 	if (r == NULL || r->doc.kind != SERVICE_PLAIN) {
 		if (r != NULL)
 			doc_ref_drop(r);
-		return route_error(
+		return route_unknown(
 		    c, 404, "unknown_service", "There is no such service.");
 	}
 	c->plain = true;
