--- a/entry-era.c
+++ b/entry-era.c
@@ -73,6 +73,17 @@
 	return verdict;
 }
 
+/*
+ * Where keys need not fail closed, a node that starts and hears nothing of the
+ * era serves them at once.
+ */
+static bool
+entry_era_is_believed(const struct entry *e)
+{
+	return e->start.unanswered && !e->settings->keys_fail_closed &&
+	       e->era.counters.changes == 0;
+}
+
 bool
 entry_era_proves(const struct entry *e, msec asked)
 {
@@ -81,7 +92,8 @@
 
 	if (e->era.number == 0)
 		return true;
-	return era_settled(&e->era, asked, e->settings->rewrite) &&
+	return (era_settled(&e->era, asked, e->settings->rewrite) ||
+		   entry_era_is_believed(e)) &&
 	       e->table->version >= newest;
 }
 
--- a/entry-start.c
+++ b/entry-start.c
@@ -28,9 +28,7 @@
 	s->asking = false;
 	s->table = NULL;
 	log_debug("%u nodes told what they know", s->know);
-	/* Without an answer nobody would be served for a while. */
-	if (s->know == 0 && !e->settings->keys_fail_closed)
-		entry_era_vouched(e, e->era.number, now);
+	s->unanswered = s->know == 0;
 	if (t == NULL)
 		return;
 	entry_take_table(e, t, now);
--- a/entry-start.h
+++ b/entry-start.h
@@ -29,6 +29,7 @@
 	guint next;	   /* of them */
 	GHashTable *told;  /* name_id: who has answered */
 	unsigned int know; /* of these, who were no beginners themselves */
+	bool unanswered;   /* nobody knew anything */
 	struct route_table *table; /* read meanwhile; NULL: none */
 	msec asked; /* the read that found none newer; MSEC_NEVER: none */
 };
--- a/entry.h
+++ b/entry.h
@@ -371,9 +371,8 @@
 	uint64_t incarnation;
 	struct route_table *table; /* NULL: none yet */
 	struct fresh fresh;
-	struct era era; /* of the source's store */
-	uint64_t
-	    era_written; /* that has settled, as the source wrote; 0: none */
+	struct era era;	      /* of the source's store */
+	uint64_t era_written; /* known to the source as settled; 0: none */
 	struct entry_start start;
 	struct entry_table handed; /* by another node */
 	struct servers servers;
--- a/wire.h
+++ b/wire.h
@@ -121,8 +121,7 @@
 /* Where state comes from. It calls the entry_take_*() of entry.h. */
 struct source_ops {
 	bool (*start)(struct source *);
-	/* Once the node knows its state, or more of it: others are to find it.
-	 */
+	/* Once the node knows its state, or more of it, for others to find. */
 	void (*announce)(struct source *);
 	/* Others are not to find it any more. */
 	void (*retract)(struct source *);
