--- a/dispatch-entry.c
+++ b/dispatch-entry.c
@@ -247,6 +247,9 @@
 {
 	struct dispatch_request *r = st->request;
 
+	log_debug("request %u is refused, reason %d, %u owners said no, start "
+		  "was %" PRId64 " ms after it came",
+	    r->id, why, st->refusals, st->start_by - r->arrived);
 	average_add(&st->class->refused_part, 1);
 	legs_cancel(d, st, NULL);
 	request_free(d, st);
@@ -254,9 +257,6 @@
 	/* Lest all that were refused at once come back at once. */
 	after = MIN(after, RETRY_MOST);
 	after *= g_rand_double_range(d->priv->rand, 0.75, 1.25);
-	log_debug("request %u is refused, reason %d, %u owners said no, start "
-		  "was %" PRId64 " ms after it came",
-	    r->id, why, st->refusals, st->start_by - r->arrived);
 	d->ops->refused(d, r, why, after);
 }
 
--- a/tests/test-answer.c
+++ b/tests/test-answer.c
@@ -30,8 +30,9 @@
 static void
 put(struct answer *a, size_t n)
 {
-	g_autofree char *bytes = g_malloc0(n);
+	static const char bytes[ANSWER_HIGH];
 
+	g_assert_cmpuint(n, <=, sizeof bytes);
 	g_assert_cmpint(
 	    answer_put(a, ATTEMPT, bytes, n, true), ==, ANSWER_TAKEN);
 }
