The path to the backend servers is watched: evidence, probes, a line, metrics

What was missing: failures of all requests summed up, and a connection that no caller's request pays for. reach.c keeps which servers failed since the last new connection; a first failure starts three probes at servers that have not failed, at most one round a second, and only when all of them fail as well the path counts as cut. Nothing is routed by it yet.

Checks of ended servers and links open their sockets in one place; outgoing_address sets where connections come from.

--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -141,7 +141,7 @@
     const char *id, const char *node)
 {
 	static const char *const node_events[] = { "configuration",
-		"configuration-unreadable", "era", "platform-lost",
+		"configuration-unreadable", "era", "platform-lost", "path",
 		"platform-back", "started", "stopping", "stopped",
 		"log-dropped" };
 	size_t i;
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -270,6 +270,7 @@
 	}
 	if (job_send(j, now, v))
 		return;
+	entry_reach_failed(j->owner, v, REACH_FAILED_REFUSED, now);
 	poison_run_end(&j->owner->poison.core, now, &j->run, false);
 	place_end(p, now, r, SERVER_DOWN);
 	j->last = JOB_UNREACHABLE;
@@ -367,6 +368,7 @@
 attempt_may_send(struct link *k, msec now)
 {
 	servers_reached(&k->owner->servers, now);
+	entry_reach_connected(k->owner, k->server, now);
 	return job_recheck_admission(k->job, now);
 }
 
@@ -541,6 +543,20 @@
 	return !j->answer_began && !servers_in_reach(&j->owner->servers, now);
 }
 
+/* What the end of an attempt shows about the path to all servers. */
+static void
+attempt_report_path(struct link *k, enum link_end how, msec now)
+{
+	static const enum reach_failure_kind kinds[] = {
+		[LINK_UNSENT] = REACH_FAILED_REFUSED,
+		[LINK_CONNECT_TIMED_OUT] = REACH_FAILED_TIMEOUT,
+		[LINK_BROKEN] = REACH_FAILED_BROKEN,
+	};
+
+	if (how != LINK_SERVER_LEAVING)
+		entry_reach_failed(k->owner, k->server, kinds[how], now);
+}
+
 static void
 attempt_failed(struct link *k, enum link_end how, msec now)
 {
@@ -550,6 +566,7 @@
 	j->refused_by_server = false;
 	poison_run_end(
 	    &j->owner->poison.core, now, &j->run, how == LINK_BROKEN);
+	attempt_report_path(k, how, now);
 	job_release_server(j, now, attempt_server_result(k, how, now));
 	if (k->connect_refused)
 		entry_poison_connection_refused(k->owner, k->server, now);
--- a/entry-link.c
+++ b/entry-link.c
@@ -121,26 +121,55 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
 }
 
-static struct link *
-link_connect(struct entry *e, struct server *v, msec now)
+static bool
+link_bind_outgoing(const struct entry *e, int fd)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET };
-	struct link *k;
-	int fd;
+	int on = 1;
+
+	if (e->settings->outgoing_address == 0)
+		return true;
+	sin.sin_addr.s_addr = htonl(e->settings->outgoing_address);
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+	return bind(fd, (struct sockaddr *)&sin, sizeof sin) == 0;
+}
+
+int
+link_open_socket(struct entry *e, uint32_t address, uint16_t port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd, error;
 
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd == -1) {
-		log_warn("cannot create a socket: %s", g_strerror(errno));
-		return NULL;
+	if (fd == -1 || !link_bind_outgoing(e, fd)) {
+		error = errno;
+		log_warn("cannot create a socket: %s", g_strerror(error));
+		if (fd != -1)
+			close(fd);
+		errno = error;
+		return -1;
 	}
 	link_set_options(fd);
-	sin.sin_addr.s_addr = htonl(v->address);
-	sin.sin_port = htons(v->port);
-	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == -1 &&
-	    errno != EINPROGRESS) {
+	sin.sin_addr.s_addr = htonl(address);
+	sin.sin_port = htons(port);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == 0 ||
+	    errno == EINPROGRESS)
+		return fd;
+	error = errno;
+	close(fd);
+	errno = error;
+	return -1;
+}
+
+static struct link *
+link_connect(struct entry *e, struct server *v, msec now)
+{
+	struct link *k;
+	int fd = link_open_socket(e, v->address, v->port);
+
+	if (fd == -1) {
 		if (errno == ECONNREFUSED)
 			entry_poison_connection_refused(e, v, now);
-		close(fd);
 		return NULL;
 	}
 	k = g_new0(struct link, 1);
--- a/entry-log.c
+++ b/entry-log.c
@@ -56,6 +56,10 @@
 	    "domain." },
 	[LOG_EVENT_ORDER_FAILED] = { "order-failed",
 	    "An order of backend servers was not taken." },
+	[LOG_EVENT_PATH] = { "path",
+	    "No backend server accepts connections of this node any more, or "
+	    "servers accept them again; count: servers that failed, ms: since "
+	    "the last that connected." },
 	[LOG_EVENT_PLATFORM_BACK] = { "platform-back",
 	    "The platform answers again." },
 	[LOG_EVENT_PLATFORM_LOST] = { "platform-lost",
@@ -96,7 +100,8 @@
 	    "what servers had to read before it, as urgent or more" },
 	[LOG_KEY_CAME] = { "came", "number of the event that came" },
 	[LOG_KEY_CONFIGURATION] = { "configuration", "version in force" },
-	[LOG_KEY_COUNT] = { "count", "servers ordered, in all" },
+	[LOG_KEY_COUNT] = { "count",
+	    "servers ordered, in all; servers that failed" },
 	[LOG_KEY_DOMAIN] = { "domain",
 	    "failure domain of this node, or of the servers ordered" },
 	[LOG_KEY_ENDS] = { "ends", "servers that ended under such a request" },
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -321,6 +321,7 @@
 	e->source->ops->metrics(e->source, s);
 	entry_era_metrics(e, s, now);
 	entry_poison_metrics(e, s);
+	entry_reach_metrics(e, s);
 	entry_duty_metrics(e, s);
 }
 
@@ -425,6 +426,7 @@
 	dump_jobs(s, e, now);
 	entry_duty_dump(e, s, now);
 	entry_poison_dump(e, s, now);
+	entry_reach_dump(e, s, now);
 	g_string_append(s, members);
 }
 
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -8,12 +8,9 @@
 
 #include <sys/socket.h>
 
-#include <netinet/in.h>
-
 #include <errno.h>
 #include <inttypes.h>
 #include <string.h>
-#include <unistd.h>
 
 #include <xxhash.h>
 
@@ -241,24 +238,12 @@
 static enum check_state
 check_connect(struct server_check *c)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	int fd;
+	int fd = link_open_socket(c->owner, c->address, c->port);
 
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd == -1) {
-		log_warn("cannot create a socket to check a server: %s",
-		    g_strerror(errno));
-		return CHECK_SILENT;
-	}
 	c->owner->counters.connects++;
 	c->owner->poison.servers_checked++;
-	sin.sin_addr.s_addr = htonl(c->address);
-	sin.sin_port = htons(c->port);
-	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == -1 &&
-	    errno != EINPROGRESS) {
-		close(fd);
+	if (fd == -1)
 		return errno == ECONNREFUSED ? CHECK_ENDED : CHECK_SILENT;
-	}
 	c->io = (struct loop_io){ check_connected, fd, 0 };
 	return loop_watch(&c->owner->loop, &c->io, EPOLLOUT) ? CHECK_CONNECTING
 							     : CHECK_SILENT;
--- a/entry-state.c
+++ b/entry-state.c
@@ -344,6 +344,7 @@
 	e->place.arg = e;
 	place_set_policy(&e->place, s->policy);
 	entry_poison_init(e);
+	entry_reach_init(e);
 	loop_timer_init(&e->place_timer, state_place_timer, e);
 	loop_timer_set(&e->loop, &e->place_timer, now);
 	e->live_nodes = 1;
@@ -383,6 +384,7 @@
 	}
 	entry_duty_finish(e);
 	entry_poison_finish(e);
+	entry_reach_finish(e);
 	place_finish(&e->place);
 	entry_relay_finish(e);
 	entry_start_finish(e);
--- a/entry.h
+++ b/entry.h
@@ -21,6 +21,7 @@
  *                    the protocol without I/O
  *   entry-table.c    transfer of the configuration between nodes
  *   entry-rate.c     rate limits that servers report
+ *   entry-reach.c    whether the network path to the servers works
  *   entry-query.c    readiness and directory listeners
  *   entry-stop.c     planned stop
  *   entry.c          process start, tick and shutdown
@@ -35,6 +36,7 @@
 #include "entry-era.h"
 #include "entry-log.h"
 #include "entry-poison.h"
+#include "entry-reach.h"
 #include "entry-start.h"
 #include "entry-table.h"
 #include "fresh.h"
@@ -207,6 +209,11 @@
  */
 void link_close_stale(struct entry *, struct server *);
 void link_pool_free(struct server *);
+/*
+ * A socket that connects to an address and port (host byte order) without
+ * blocking, from the configured local address; -1 with errno on failure.
+ */
+int link_open_socket(struct entry *, uint32_t, uint16_t);
 
 /* ---- requests: entry-job.c, entry-attempt.c, entry-reply.c ---- */
 
@@ -410,6 +417,7 @@
 	struct servers servers;
 	struct place place;
 	struct entry_poison poison;
+	struct entry_reach reach;
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
--- /dev/null
+++ b/reach.c
@@ -0,0 +1,209 @@
+/*
+ * The network path to the backend servers; see reach.h.
+ */
+
+#define LOG_PART "reach"
+#include "reach.h"
+
+#include <string.h>
+
+void
+reach_init(struct reach *r, const struct reach_ops *ops)
+{
+	*r = (struct reach){ .ops = ops, .connected_at = MSEC_NEVER };
+}
+
+static void
+reach_set_cut(struct reach *r, msec now, bool cut)
+{
+	r->cut = cut;
+	r->since = now;
+	r->back = 0;
+	r->nback = 0;
+	if (cut) {
+		r->counters.cuts++;
+		r->wanted = 1;
+		r->next_probe = now + REACH_CUT_PROBE_MS;
+	} else {
+		r->wanted = 0;
+		r->next_probe = now + REACH_ROUND_MS;
+	}
+	r->ops->changed(r, now);
+}
+
+/* ---- evidence ---- */
+
+static bool
+failure_counts(const struct reach_failure *f, msec now)
+{
+	return now - f->at < REACH_EVIDENCE_MS;
+}
+
+bool
+reach_has_failed(const struct reach *r, msec now, name_id server)
+{
+	unsigned int i;
+
+	for (i = 0; i < r->nfailed; i++) {
+		if (r->failed[i].server == server)
+			return failure_counts(&r->failed[i], now);
+	}
+	return false;
+}
+
+unsigned int
+reach_count_failed(const struct reach *r, msec now)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < r->nfailed; i++)
+		n += failure_counts(&r->failed[i], now);
+	return n;
+}
+
+/* Replaces the server's earlier failure, or the oldest one of all. */
+static void
+reach_add_failure(struct reach *r, msec now, name_id server)
+{
+	struct reach_failure *oldest = &r->failed[0];
+	unsigned int i;
+
+	for (i = 0; i < r->nfailed; i++) {
+		if (r->failed[i].server == server) {
+			r->failed[i].at = now;
+			return;
+		}
+		if (r->failed[i].at < oldest->at)
+			oldest = &r->failed[i];
+	}
+	if (r->nfailed < REACH_FAILED_MAX)
+		oldest = &r->failed[r->nfailed++];
+	*oldest = (struct reach_failure){ server, now };
+}
+
+/*
+ * Requests alone do not decide: those of a short time may all have gone to
+ * servers that crashed together. So all probes of a round must have failed.
+ */
+static void
+reach_decide(struct reach *r, msec now, unsigned int nservers)
+{
+	if (r->cut || r->probing > 0 || r->wanted > 0 || nservers == 0)
+		return;
+	if (reach_count_failed(r, now) >= MIN(REACH_SERVERS, nservers))
+		reach_set_cut(r, now, true);
+}
+
+static void
+reach_clear_failures(struct reach *r, msec now)
+{
+	r->nfailed = 0;
+	r->connected_at = now;
+}
+
+void
+reach_connected(struct reach *r, msec now, name_id server)
+{
+	/* Only probes end a cut; see reach_probe_ended(). */
+	if (r->cut)
+		return;
+	reach_clear_failures(r, now);
+	r->wanted = 0;
+}
+
+void
+reach_failed(struct reach *r, msec now, name_id server, unsigned int nservers)
+{
+	r->counters.failures++;
+	reach_add_failure(r, now, server);
+	if (r->cut || r->probing > 0 || r->wanted > 0 || now < r->next_probe)
+		return;
+	r->wanted = MIN(REACH_PROBES, nservers);
+	r->next_probe = now;
+	reach_decide(r, now, nservers);
+}
+
+/* ---- probes ---- */
+
+unsigned int
+reach_probes_due(struct reach *r, msec now)
+{
+	return now >= r->next_probe ? r->wanted : 0;
+}
+
+void
+reach_probe_started(struct reach *r)
+{
+	r->counters.probes++;
+	r->probing++;
+	r->wanted--;
+}
+
+void
+reach_probe_none(struct reach *r)
+{
+	r->wanted = 0;
+}
+
+/* While cut: one probe after the other. */
+static void
+reach_cut_probe_ended(
+    struct reach *r, msec now, name_id server, bool connected, unsigned int n)
+{
+	r->wanted = 1;
+	r->next_probe = now + REACH_CUT_PROBE_MS;
+	if (!connected) {
+		reach_add_failure(r, now, server);
+		r->nback = 0;
+		r->back = 0;
+		return;
+	}
+	if (r->back != server)
+		r->nback++;
+	r->back = server;
+	if (r->nback >= MIN(REACH_BACK_SERVERS, n)) {
+		reach_clear_failures(r, now);
+		reach_set_cut(r, now, false);
+	}
+}
+
+void
+reach_probe_ended(struct reach *r, msec now, name_id server, bool connected,
+    unsigned int nservers)
+{
+	r->probing--;
+	r->counters.probes_failed += !connected;
+	if (r->cut) {
+		reach_cut_probe_ended(r, now, server, connected, nservers);
+		return;
+	}
+	if (connected) {
+		reach_clear_failures(r, now);
+		r->wanted = 0;
+	} else {
+		reach_add_failure(r, now, server);
+	}
+	if (r->probing == 0)
+		r->next_probe = now + REACH_ROUND_MS;
+	reach_decide(r, now, nservers);
+}
+
+/* ---- state ---- */
+
+bool
+reach_is_cut(const struct reach *r)
+{
+	return r->cut;
+}
+
+bool
+reach_in_doubt(const struct reach *r)
+{
+	return !r->cut && r->nfailed > 0 && r->probing + r->wanted > 0;
+}
+
+msec
+reach_next(const struct reach *r)
+{
+	return r->wanted > 0 ? r->next_probe : MSEC_NEVER;
+}
--- /dev/null
+++ b/reach.h
@@ -0,0 +1,114 @@
+/*
+ * Whether this node's network path to the backend servers works. A node can be
+ * partitioned from all servers while callers, the platform and the other nodes
+ * still reach it. Its own requests show that only one server at a time, so the
+ * failures at all servers are collected here, and a first failure starts a
+ * round of probes: new connections to servers that have not failed lately.
+ *
+ * The path is cut when several servers have failed and none accepted a
+ * connection in between, including all probes of a round. While it is cut,
+ * single probes show when it works again; requests are not used for that.
+ *
+ * The module does no I/O.
+ */
+
+#ifndef REACH_H
+#define REACH_H
+
+#include "savory.h"
+
+/* Number of servers that must fail before the path is cut; all if fewer. */
+#define REACH_SERVERS 3
+/* Probes of a round. */
+#define REACH_PROBES 3
+/* A probe that has not connected after this time has failed. */
+#define REACH_PROBE_TIMEOUT_MS 400
+/* Minimum interval between rounds, and between probes while the path is cut. */
+#define REACH_ROUND_MS 1000
+#define REACH_CUT_PROBE_MS 250
+/* A failure counts for this time. */
+#define REACH_EVIDENCE_MS (4 * MSEC_SECOND)
+/* Number of servers that must connect in a row before the path works again. */
+#define REACH_BACK_SERVERS 2
+/* Number of servers whose failures are kept. */
+#define REACH_FAILED_MAX 8
+
+/* The newest failure of a server. */
+struct reach_failure {
+	name_id server;
+	msec at;
+};
+
+/* Monotonic counters. */
+struct reach_counters {
+	uint64_t failures; /* connections that failed or broke, of requests */
+	uint64_t probes, probes_failed;
+	uint64_t cuts;
+};
+
+struct reach;
+
+/* Callback; required. */
+struct reach_ops {
+	/* reach_is_cut() has changed. May call functions of this module. */
+	void (*changed)(struct reach *, msec);
+};
+
+/* State of one node; owned by the caller. */
+struct reach {
+	const struct reach_ops *ops;
+	bool cut;
+	msec since; /* last change of `cut` */
+	/* Failures since the last connection, one entry per server. */
+	struct reach_failure failed[REACH_FAILED_MAX];
+	unsigned int nfailed;
+	msec connected_at;    /* last new connection; MSEC_NEVER: none yet */
+	unsigned int probing; /* probes in progress */
+	unsigned int wanted;  /* probes to start */
+	msec next_probe;      /* no probes before */
+	name_id back;	      /* while cut: last server that connected; 0 */
+	unsigned int nback;   /* servers that connected in a row */
+	struct reach_counters counters;
+	void *arg; /* for the caller */
+};
+
+/* Initialises the state of a path that works; the ops stay the caller's. */
+void reach_init(struct reach *, const struct reach_ops *);
+/* A request's new connection to a server was established. */
+void reach_connected(struct reach *, msec, name_id server);
+/*
+ * A request's connection to a server was refused, timed out or broke.
+ * `nservers`: number of servers that may be used.
+ */
+void reach_failed(struct reach *, msec, name_id server, unsigned int nservers);
+/*
+ * Number of probes to start now. The caller starts each with
+ * reach_probe_started(), at servers for which reach_has_failed() is false if
+ * there are any.
+ */
+unsigned int reach_probes_due(struct reach *, msec);
+/* One of the probes that are due is in progress. */
+void reach_probe_started(struct reach *);
+/* No server can be probed: gives up what is due. */
+void reach_probe_none(struct reach *);
+/*
+ * A probe has connected, or failed or timed out; `nservers` as in
+ * reach_failed().
+ */
+void reach_probe_ended(struct reach *, msec, name_id server, bool connected,
+    unsigned int nservers);
+/* The server has failed since the last connection. */
+bool reach_has_failed(const struct reach *, msec, name_id server);
+/* The path to all servers is cut. */
+bool reach_is_cut(const struct reach *);
+/*
+ * The probes of a round are in progress and none has connected yet: it is not
+ * known whether a failure is the server's or the path's.
+ */
+bool reach_in_doubt(const struct reach *);
+/* Number of servers that have failed since the last connection. */
+unsigned int reach_count_failed(const struct reach *, msec);
+/* Time of the next probes; MSEC_NEVER: none are due. */
+msec reach_next(const struct reach *);
+
+#endif /* REACH_H */
--- a/settings.c
+++ b/settings.c
@@ -41,6 +41,7 @@
 static void parse_stop_s(struct walk *, const yaml_node_t *, void *);
 static void parse_retry_window_s(struct walk *, const yaml_node_t *, void *);
 static void parse_retry_ratio(struct walk *, const yaml_node_t *, void *);
+static void parse_outgoing(struct walk *, const yaml_node_t *, void *);
 static void check_platform(struct walk *, yaml_node_t *, void *);
 static void check_settings(struct walk *, yaml_node_t *, void *);
 
@@ -151,6 +152,7 @@
 	    { "duties", WALK_MAP, .schema = &duties_schema },
 	    { "peer_key", WALK_STRING, .offset = AT(s.peer_key) },
 	    { "peer_key_file", WALK_STRING, .offset = AT(peer_key_file) },
+	    { "outgoing_address", WALK_CUSTOM, .parse = parse_outgoing },
 	    { "log", WALK_MAP, .schema = &log_schema },
 	    { "policy", WALK_CHOICE_NAME, .offset = AT(s.policy),
 		.choices = policy_names },
@@ -241,6 +243,21 @@
 	parse_endpoint(w, node, &((struct settings_walk *)arg)->s.metrics);
 }
 
+static void
+parse_outgoing(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	struct settings *s = &((struct settings_walk *)arg)->s;
+	struct in_addr in;
+
+	if (inet_pton(AF_INET, walk_text(node), &in) == 1 &&
+	    in.s_addr != INADDR_ANY)
+		s->outgoing_address = ntohl(in.s_addr);
+	else
+		walk_add_finding(w, node,
+		    "expected an IPv4 number like 192.0.2.1, got \"%s\"",
+		    walk_text(node));
+}
+
 static void
 parse_store(struct walk *w, const yaml_node_t *node, void *arg)
 {
--- a/settings.h
+++ b/settings.h
@@ -26,6 +26,11 @@
 	struct endpoint directory; /* HTTP, node selection; only with a store */
 	struct endpoint metrics;   /* HTTP, metrics and dump; port 0: none */
 	struct endpoint store;	   /* the platform's store; port 0: a log */
+	/*
+	 * With a store: local address of connections to backend servers and
+	 * other nodes; 0: the system chooses.
+	 */
+	uint32_t outgoing_address;
 	/* Peer addresses of nodes to try first; they may be out of date. */
 	struct endpoint seeds[SETTINGS_SEEDS_MAX];
 	unsigned int nseeds;
--- /dev/null
+++ b/tests/test-reach.c
@@ -0,0 +1,290 @@
+/*
+ * Whether a node finds in time that its path to all servers is cut, and not
+ * when only some servers have failed. In virtual time: probes connect, are
+ * refused, or time out as the world says.
+ */
+
+#include "reach.h"
+
+#include <string.h>
+
+#define SERVERS 16
+/* From this time on a node is judged by what it serves during a cut. */
+#define STABLE_MS 3000
+
+/* How a server takes new connections. */
+enum taking {
+	TAKES,
+	REFUSES,
+	SILENT
+};
+
+struct probe {
+	name_id server;
+	msec ends;
+	bool connects;
+};
+
+struct world {
+	struct reach reach; /* first, see world_changed() */
+	enum taking servers[SERVERS];
+	struct probe probes[8];
+	unsigned int nprobes, next, changes, started;
+	msec now;
+};
+
+static void
+world_changed(struct reach *r, msec now)
+{
+	((struct world *)r)->changes++;
+}
+
+static const struct reach_ops world_ops = { world_changed };
+
+static void
+world_init(struct world *w)
+{
+	memset(w, 0, sizeof *w);
+	reach_init(&w->reach, &world_ops);
+	w->now = 10000;
+}
+
+static void
+world_set(struct world *w, unsigned int from, unsigned int to, enum taking how)
+{
+	for (; from < to; from++)
+		w->servers[from] = how;
+}
+
+static void
+world_probe(struct world *w)
+{
+	unsigned int i, tries;
+
+	for (tries = 0; tries < 2 * SERVERS; tries++) {
+		i = w->next++ % SERVERS;
+		if (tries >= SERVERS ||
+		    !reach_has_failed(&w->reach, w->now, i + 1))
+			break;
+	}
+	w->started++;
+	reach_probe_started(&w->reach);
+	w->probes[w->nprobes++] = (struct probe){ i + 1,
+		w->now + (w->servers[i] == SILENT ? REACH_PROBE_TIMEOUT_MS : 2),
+		w->servers[i] == TAKES };
+}
+
+/* One millisecond. */
+static void
+world_step(struct world *w)
+{
+	struct probe p;
+	unsigned int i, due;
+
+	w->now++;
+	for (i = 0; i < w->nprobes;) {
+		p = w->probes[i];
+		if (p.ends > w->now) {
+			i++;
+			continue;
+		}
+		w->probes[i] = w->probes[--w->nprobes];
+		reach_probe_ended(
+		    &w->reach, w->now, p.server, p.connects, SERVERS);
+	}
+	for (due = reach_probes_due(&w->reach, w->now); due > 0; due--)
+		world_probe(w);
+}
+
+static void
+world_run(struct world *w, msec span)
+{
+	msec end = w->now + span;
+
+	while (w->now < end)
+		world_step(w);
+}
+
+/* A request's connection to one server fails now. */
+static void
+world_fail(struct world *w, unsigned int server)
+{
+	reach_failed(&w->reach, w->now, server + 1, SERVERS);
+}
+
+/* Guards against a node that asks each server in turn during a partition. */
+static void
+test_all_silent(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, SILENT);
+	world_fail(&w, 0);
+	world_run(&w, REACH_PROBE_TIMEOUT_MS + 10);
+	g_assert_true(reach_is_cut(&w.reach));
+	g_assert_cmpuint(w.started, <=, REACH_PROBES);
+}
+
+/* Guards against resets that never count as a lost path. */
+static void
+test_all_refuse(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, REFUSES);
+	world_fail(&w, 0);
+	world_run(&w, 10);
+	g_assert_true(reach_is_cut(&w.reach));
+	g_assert_cmpuint(w.reach.counters.cuts, ==, 1);
+}
+
+/* Guards against crashed servers that are taken for a lost path. */
+static void
+test_some_crash(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	world_set(&w, 0, 8, REFUSES);
+	w.next = 8;
+	for (i = 0; i < 40; i++) {
+		world_fail(&w, i % 8);
+		world_run(&w, 50);
+		g_assert_false(reach_is_cut(&w.reach));
+	}
+	/* A round a second at most. */
+	g_assert_cmpuint(w.started, <=, 2 * REACH_PROBES + REACH_PROBES);
+}
+
+/* Guards against one service that is down as a whole. */
+static void
+test_one_service_down(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	world_set(&w, 0, 4, REFUSES);
+	for (i = 0; i < 200; i++) {
+		world_fail(&w, i % 4);
+		world_run(&w, 20);
+	}
+	g_assert_false(reach_is_cut(&w.reach));
+}
+
+/* Guards against new connections that fail while kept ones still answer. */
+static void
+test_doubt(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, SILENT);
+	g_assert_false(reach_in_doubt(&w.reach));
+	world_fail(&w, 3);
+	g_assert_true(reach_in_doubt(&w.reach));
+	world_run(&w, REACH_PROBE_TIMEOUT_MS + 10);
+	g_assert_false(reach_in_doubt(&w.reach));
+	g_assert_true(reach_is_cut(&w.reach));
+	/* A connection that was begun before does not end the cut. */
+	reach_connected(&w.reach, w.now, 5);
+	g_assert_true(reach_is_cut(&w.reach));
+}
+
+/* Guards against a cut that outlasts the partition, or ends by one server. */
+static void
+test_back(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, SILENT);
+	world_fail(&w, 0);
+	world_run(&w, 12000);
+	g_assert_true(reach_is_cut(&w.reach));
+	/* Probes are bounded while it lasts. */
+	g_assert_cmpuint(w.started, <=, REACH_PROBES + 12000 / 250);
+	world_set(&w, 2, 3, TAKES);
+	world_run(&w, 4000);
+	g_assert_true(reach_is_cut(&w.reach));
+	world_set(&w, 0, SERVERS, TAKES);
+	world_run(&w, 1500);
+	g_assert_false(reach_is_cut(&w.reach));
+	g_assert_cmpuint(w.changes, ==, 2);
+}
+
+/* Guards against a second cut that is found later than the first. */
+static void
+test_series(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	for (i = 0; i < 5; i++) {
+		world_set(&w, 0, SERVERS, i % 2 ? REFUSES : SILENT);
+		world_fail(&w, i);
+		world_run(&w, 500);
+		world_fail(&w, i + 5);
+		world_run(&w, STABLE_MS / 2);
+		g_assert_true(reach_is_cut(&w.reach));
+		world_set(&w, 0, SERVERS, TAKES);
+		world_run(&w, 1500);
+		g_assert_false(reach_is_cut(&w.reach));
+	}
+}
+
+/* Guards against a deployment with fewer servers than a round has probes. */
+static void
+test_one_server(void)
+{
+	struct world w;
+	struct reach *r = &w.reach;
+
+	world_init(&w);
+	reach_failed(r, 100, 1, 1);
+	g_assert_cmpuint(reach_probes_due(r, 100), ==, 1);
+	reach_probe_started(r);
+	reach_probe_ended(r, 102, 1, false, 1);
+	g_assert_true(reach_is_cut(r));
+	g_assert_cmpuint(reach_probes_due(r, 102), ==, 0);
+	g_assert_cmpuint(reach_probes_due(r, 102 + REACH_CUT_PROBE_MS), ==, 1);
+	reach_probe_started(r);
+	reach_probe_ended(r, 500, 1, true, 1);
+	g_assert_false(reach_is_cut(r));
+	g_assert_cmpint(reach_next(r), ==, MSEC_NEVER);
+}
+
+/* Guards against old failures that are added up over a quiet time. */
+static void
+test_evidence_expires(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_fail(&w, 0);
+	world_run(&w, 100);
+	world_fail(&w, 1);
+	world_run(&w, REACH_EVIDENCE_MS);
+	g_assert_cmpuint(reach_count_failed(&w.reach, w.now), ==, 0);
+	g_assert_false(reach_has_failed(&w.reach, w.now, 2));
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/reach/all-silent", test_all_silent);
+	g_test_add_func("/reach/all-refuse", test_all_refuse);
+	g_test_add_func("/reach/some-crash", test_some_crash);
+	g_test_add_func("/reach/one-service-down", test_one_service_down);
+	g_test_add_func("/reach/doubt", test_doubt);
+	g_test_add_func("/reach/back", test_back);
+	g_test_add_func("/reach/series", test_series);
+	g_test_add_func("/reach/one-server", test_one_server);
+	g_test_add_func("/reach/evidence-expires", test_evidence_expires);
+	return g_test_run();
+}
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -186,6 +186,9 @@
 	    "settings\n");
 	check(VALID_SETTINGS "peer_key: 0123456789abcdef\npeer_key_file: k\n",
 	    "8:16 expected only one of peer_key and peer_key_file\n");
+	check(VALID_SETTINGS "peer_key: 0123456789abcdef\n"
+			     "outgoing_address: 0.0.0.0\n",
+	    "8:19 expected an IPv4 number like 192.0.2.1, got \"0.0.0.0\"\n");
 	check(VALID_SETTINGS "peer_key_file: no/such/file\n",
 	    "7:16 peer_key_file: Failed to open file “./no/such/file”: No "
 	    "such file or directory\n");
