--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -20,6 +20,10 @@
 #define JOB_READING_SLOWDOWN_MAX 4
 /* Longest prompt of a service that does not configure its servers' memory. */
 #define JOB_PROMPT_TOKENS_MAX 1000000
+/* Servers are a few milliseconds away; a later connection is not expected. */
+#define JOB_CONNECT_TIMEOUT_MS 600
+/* While the path is cut, a server that is silent for this time is given up. */
+#define JOB_CUT_SILENCE_MS 500
 /* A pause in a stream of more than this many times its target is a failure. */
 #define JOB_GAP_TIMEOUT_FACTOR 4
 #define JOB_GAP_TIMEOUT_MIN_MS 1200
@@ -32,7 +36,8 @@
 static void job_retry_or_fail(struct job *, msec, enum job_code);
 
 static const struct link_ops job_link_ops = { attempt_may_send, attempt_head,
-	attempt_body, attempt_complete, attempt_failed };
+	attempt_body, attempt_complete, attempt_failed,
+	JOB_CONNECT_TIMEOUT_MS };
 
 /*
  * Bound for the prompt length that a caller states. A request that states 4
@@ -77,33 +82,22 @@
 		    r->prompt_tokens - shared, most - w->shared);
 }
 
-/* Write the request as it is sent to a server. */
-static void
-job_write_request(
-    struct job *j, msec now, const struct server *v, struct buffer *out)
+void
+job_write_head(const struct job *j, const struct wire_terms *terms,
+    bool keep_key, struct buffer *out)
 {
 	const struct http_head *h = j->head;
-	struct wire_terms terms = { .deadline = j->deadline - now,
-		.server = v->name,
-		.ranked = j->route->has_prompt_parts,
-		.priority = route_rank(j->table, j->route, j->organisation) };
 	enum wire_field use;
 	unsigned int i;
 
-	if (j->deadline == MSEC_NEVER)
-		terms.deadline = 0;
-	if (j->organisation != NULL)
-		terms.organisation = j->organisation->name;
-	if (j->events > 0) {
-		terms.resumed = true;
-		terms.after = j->last_event;
-	}
 	buffer_printf(out, "%s %s HTTP/1.1\r\n", h->method, h->target);
 	for (i = 0; i < h->nfields; i++) {
 		use = j->owner->wire->field(h->fields[i].name);
 		if (use == WIRE_FIELD_REMOVE ||
-		    (use == WIRE_FIELD_API_KEY && j->table->keyed) ||
-		    (use == WIRE_FIELD_RESUME && terms.resumed) ||
+		    (use == WIRE_FIELD_API_KEY && !keep_key &&
+			j->table->keyed) ||
+		    (use == WIRE_FIELD_RESUME && terms->resumed) ||
+		    g_ascii_strcasecmp(h->fields[i].name, HANDOFF_FIELD) == 0 ||
 		    http_field_is_hop_by_hop(h, h->fields[i].name))
 			continue;
 		buffer_add_text(out, h->fields[i].name);
@@ -111,14 +105,52 @@
 		buffer_add_text(out, h->fields[i].value);
 		buffer_add(out, "\r\n", 2);
 	}
-	j->owner->wire->terms(out, &terms);
+	j->owner->wire->terms(out, terms);
+}
+
+void
+job_write_body(const struct job *j, struct buffer *out)
+{
+	const struct http_head *h = j->head;
+	const struct buffer *body = &j->caller->body;
+
 	if (h->has_body || h->has_length)
-		buffer_printf(out, "Content-Length: %zu\r\n",
-		    buffer_length(&j->caller->body));
+		buffer_printf(
+		    out, "Content-Length: %zu\r\n", buffer_length(body));
 	buffer_add(out, "\r\n", 2);
-	if (buffer_length(&j->caller->body) > 0)
-		buffer_add(out, buffer_bytes(&j->caller->body),
-		    buffer_length(&j->caller->body));
+	if (buffer_length(body) > 0)
+		buffer_add(out, buffer_bytes(body), buffer_length(body));
+}
+
+/* Time that a server, or another node, is given for the request, in ms. */
+static msec
+job_time_left(const struct job *j, msec now)
+{
+	return j->deadline != MSEC_NEVER ? MAX(j->deadline - now, 1) : 0;
+}
+
+void
+job_set_resume_terms(const struct job *j, struct wire_terms *terms)
+{
+	terms->resumed = j->events > 0;
+	terms->after = j->last_event;
+}
+
+/* Write the request as it is sent to a server. */
+static void
+job_write_request(
+    struct job *j, msec now, const struct server *v, struct buffer *out)
+{
+	struct wire_terms terms = { .deadline = job_time_left(j, now),
+		.server = v->name,
+		.ranked = j->route->has_prompt_parts,
+		.priority = route_rank(j->table, j->route, j->organisation) };
+
+	if (j->organisation != NULL)
+		terms.organisation = j->organisation->name;
+	job_set_resume_terms(j, &terms);
+	job_write_head(j, &terms, false, out);
+	job_write_body(j, out);
 }
 
 /* How long the current server may be silent before it is checked, in ms. */
@@ -183,12 +215,7 @@
 	return true;
 }
 
-/*
- * Check the request against the configuration in force at this attempt: a key
- * or route may have been removed while the request waited, or while the process
- * was paused. False when the request has ended.
- */
-static bool
+bool
 job_recheck_admission(struct job *j, msec now)
 {
 	enum job_code code = job_admit(j, now);
@@ -206,13 +233,33 @@
 	return code == JOB_SERVED;
 }
 
+/* Count the request for the retry budget, at one node only. */
+static void
+job_count_request(struct job *j, msec now)
+{
+	struct entry *e = j->owner;
+
+	if (!j->counted)
+		retry_budget_request(
+		    entry_budget(e, j->service), &e->budget, now);
+	j->counted = true;
+}
+
 void
 job_attempt(struct job *j, msec now)
 {
 	struct entry *e = j->owner;
 
-	if (j->ntried > 0 && !job_recheck_admission(j, now))
+	if ((j->ntried > 0 || j->handoffs > 0) &&
+	    !job_recheck_admission(j, now))
+		return;
+	if (entry_handoff_wanted(j) && entry_handoff_start(j, now))
+		return;
+	if (reach_is_cut(&e->reach.core)) {
+		job_fail(j, now, JOB_NO_PATH);
 		return;
+	}
+	job_count_request(j, now);
 	if (!entry_poison_admit(j, now))
 		return;
 	if (!route_has_service(j->route, j->service))
@@ -247,6 +294,17 @@
 		   : JOB_NO_SERVER;
 }
 
+/*
+ * No server is left, and some could not be reached from here: another node may
+ * reach them.
+ */
+static bool
+job_ask_other_node(struct job *j, msec now)
+{
+	return j->unreachable > 0 && entry_handoff_possible(j) &&
+	       entry_handoff_start(j, now);
+}
+
 void
 job_placed(struct place *p, struct place_request *r, struct server *v, msec now)
 {
@@ -254,8 +312,15 @@
 
 	if (!job_recheck_admission(j, now))
 		return;
+	if (reach_is_cut(&j->owner->reach.core)) {
+		/* The path was cut while the request waited. */
+		place_end(p, now, r, SERVER_NO_RESULT);
+		job_attempt(j, now);
+		return;
+	}
 	if (v == NULL) {
-		job_fail(j, now, job_no_server_code(j));
+		if (!job_ask_other_node(j, now))
+			job_fail(j, now, job_no_server_code(j));
 		return;
 	}
 	if (!route_has_service(j->route, j->service)) {
@@ -274,12 +339,22 @@
 	poison_run_end(&j->owner->poison.core, now, &j->run, false);
 	place_end(p, now, r, SERVER_DOWN);
 	j->last = JOB_UNREACHABLE;
+	j->unreachable++;
 	if (j->ntried == SERVER_AVOID_MAX)
 		job_fail(j, now, j->last);
 	else
 		job_attempt(j, now);
 }
 
+/* Servers that the request may be sent to from here. */
+static unsigned int
+job_attempts_most(const struct job *j)
+{
+	if (j->attempts_most > 0)
+		return MIN(j->attempts_most, j->route->attempts);
+	return j->route->attempts;
+}
+
 /* Is another attempt possible, apart from the retry budget? */
 static bool
 job_can_retry(struct job *j, msec now)
@@ -290,8 +365,8 @@
 		return false;
 	if (j->ntried == SERVER_AVOID_MAX)
 		return false;
-	if (j->runs >= j->route->attempts ||
-	    j->sends >= j->route->attempts + JOB_EXTRA_ATTEMPTS)
+	if (j->runs >= job_attempts_most(j) ||
+	    j->sends >= job_attempts_most(j) + JOB_EXTRA_ATTEMPTS)
 		return false;
 	return j->deadline - now >= JOB_ATTEMPT_MIN_MS;
 }
@@ -517,6 +592,9 @@
 static enum server_result
 attempt_server_result(struct link *k, enum link_end how, msec now)
 {
+	/* Its cause is the path. */
+	if (reach_is_cut(&k->owner->reach.core))
+		return SERVER_NO_RESULT;
 	switch (how) {
 	case LINK_SERVER_LEAVING:
 		return SERVER_NO_RESULT;
@@ -579,14 +657,46 @@
 	}
 	/* No byte was sent, so the attempt does not count. */
 	j->sends--;
-	if (how == LINK_CONNECT_TIMED_OUT && job_network_is_saturated(j, now)) {
+	j->unreachable += how != LINK_SERVER_LEAVING;
+	if (how == LINK_CONNECT_TIMED_OUT && job_network_is_saturated(j, now) &&
+	    !entry_handoff_wanted(j)) {
 		j->last = JOB_UNREACHABLE;
-		job_fail(j, now, JOB_UNREACHABLE);
+		if (!job_ask_other_node(j, now))
+			job_fail(j, now, JOB_UNREACHABLE);
 		return;
 	}
 	job_retry_or_fail(j, now, JOB_UNREACHABLE);
 }
 
+void
+job_leave_server(struct job *j, msec now)
+{
+	j->sends--;
+	j->unreachable++;
+	job_cancel(j, now, SERVER_NO_RESULT);
+	job_retry_or_fail(j, now, JOB_UNREACHABLE);
+}
+
+void
+job_handoff_failed(struct job *j, msec now, enum job_code why)
+{
+	j->last = why;
+	/* Neither servers nor other nodes are reached: the link is saturated.
+	 */
+	if (why == JOB_UNREACHABLE && job_network_is_saturated(j, now) &&
+	    !reach_is_cut(&j->owner->reach.core)) {
+		job_fail(j, now, why);
+		return;
+	}
+	if (!job_take_retry(j, now, why)) {
+		job_fail(j, now, why);
+		return;
+	}
+	if (!j->server_error)
+		reply_discard(j);
+	job_attempt(j, now);
+}
+
 void
 job_server_checked(struct job *j, msec now)
 {
@@ -628,8 +738,11 @@
 static bool
 job_may_abandon_server(struct job *j, msec now)
 {
-	if (j->no_retry || j->runs + 1 >= j->route->attempts)
+	if (j->no_retry || j->runs + 1 >= job_attempts_most(j))
 		return false;
+	if (reach_is_cut(&j->owner->reach.core))
+		return now - MAX(j->server->received, j->sent_at) >=
+		       JOB_CUT_SILENCE_MS;
 	if (!servers_in_reach(&j->owner->servers, now))
 		return false;
 	if (!j->answer_began &&
--- a/entry-caller.c
+++ b/entry-caller.c
@@ -32,6 +32,8 @@
 #define CALLER_HEAD_MAX 16384
 #define CALLER_BODY_MAX (4 * 1024 * 1024)
 #define CALLER_TIMEOUT_MS 10000
+/* Most that another node adds to the head of a request. */
+#define CALLER_HANDOFF_HEAD 1024
 
 static void caller_ready(struct loop_io *, uint32_t);
 static void caller_parse(struct caller *, msec);
@@ -103,11 +105,15 @@
 caller_limits(const struct caller *c)
 {
 	const struct route_table *t = c->owner->table;
+	struct route_limits limits = { CALLER_HEAD_MAX, CALLER_BODY_MAX,
+		CALLER_TIMEOUT_MS, CALLER_TIMEOUT_MS };
 
 	if (t != NULL)
-		return t->limits;
-	return (struct route_limits){ CALLER_HEAD_MAX, CALLER_BODY_MAX,
-		CALLER_TIMEOUT_MS, CALLER_TIMEOUT_MS };
+		limits = t->limits;
+	/* The node that hands a request off adds fields to it. */
+	if (c->ops == &handoff_caller_ops)
+		limits.head_bytes += CALLER_HANDOFF_HEAD;
+	return limits;
 }
 
 static void
--- /dev/null
+++ b/entry-handoff.c
@@ -0,0 +1,554 @@
+/*
+ * Handing requests off to other nodes, and carrying theirs; see
+ * entry-handoff.h.
+ *
+ * An attempt on a carrier is an attempt like one on a server, with these
+ * differences: the carrier's own answers name their outcome, so that it is
+ * known whether the request may have run, and the result says nothing about any
+ * server.
+ */
+
+#define LOG_PART "handoff"
+#include "entry.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Nodes that one request is handed off to, one after the other. */
+#define HANDOFF_CARRIERS_MAX 3
+/* Connections of a request that fail before it goes to another node. */
+#define HANDOFF_UNREACHABLE 2
+/* A node that could not carry a request is left alone for this time. */
+#define HANDOFF_AVOID_MS 1000
+/* Other nodes are a few milliseconds away. */
+#define HANDOFF_CONNECT_TIMEOUT_MS 200
+/* The carrier's answer is to arrive before the deadline passes here. */
+#define HANDOFF_DEADLINE_MARGIN_MS 20
+/* Nodes without a path to the servers report at least this load. */
+#define HANDOFF_NO_PATH_PERMILLE ENTRY_LOAD_NO_PATH
+/* Longest Retry-After of a carrier that is passed on, in seconds. */
+#define HANDOFF_RETRY_AFTER_MAX_S 60.0
+
+static bool carrier_may_send(struct link *, msec);
+static bool carrier_head(struct link *, const struct http_head *, msec);
+static void carrier_body(struct link *, const char *, size_t, msec);
+static void carrier_complete(struct link *, msec);
+static void carrier_failed(struct link *, enum link_end, msec);
+
+static const struct link_ops carrier_link_ops = { carrier_may_send,
+	carrier_head, carrier_body, carrier_complete, carrier_failed,
+	HANDOFF_CONNECT_TIMEOUT_MS };
+
+/* ---- carriers ---- */
+
+static struct entry_carrier *
+carrier_get(struct entry *e, const struct member *m)
+{
+	struct entry_carrier *c;
+
+	TAILQ_FOREACH (c, &e->handoff.carriers, entry) {
+		if (c->server.id == m->id)
+			break;
+	}
+	if (c == NULL) {
+		c = g_new0(struct entry_carrier, 1);
+		c->server.id = m->id;
+		g_strlcpy(c->server.name, m->name, sizeof c->server.name);
+		c->server.state = SERVER_READY;
+		TAILQ_INSERT_TAIL(&e->handoff.carriers, c, entry);
+	}
+	/* Connections to an earlier process are not used any more. */
+	if (c->incarnation != m->incarnation) {
+		c->incarnation = m->incarnation;
+		c->server.starts++;
+		link_close_idle(e, &c->server);
+	}
+	c->server.address = m->address;
+	c->server.port = m->peer_port;
+	return c;
+}
+
+static void
+carrier_avoid(struct entry_carrier *c, msec now)
+{
+	c->avoided_until = now + HANDOFF_AVOID_MS;
+}
+
+static bool
+member_may_carry(const struct member *m)
+{
+	return m->state == MEMBER_ALIVE && !m->leaving && m->peer_port != 0 &&
+	       (m->load_at == MSEC_NEVER ||
+		   m->load_permille < ENTRY_LOAD_NOT_READY);
+}
+
+static struct entry_carrier *
+carrier_choose(struct entry *e, msec now)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, FALSE, sizeof(struct handoff_candidate));
+	struct handoff_candidate candidate;
+	struct entry_carrier *c;
+	struct member *m;
+	int i;
+
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (!member_may_carry(m))
+			continue;
+		c = carrier_get(e, m);
+		candidate = (struct handoff_candidate){ m->id, c->requests,
+			now < c->avoided_until,
+			m->load_at != MSEC_NEVER &&
+			    m->load_permille >= HANDOFF_NO_PATH_PERMILLE };
+		g_array_append_val(list, candidate);
+	}
+	i = handoff_choose(
+	    (struct handoff_candidate *)list->data, list->len, e->rand);
+	if (i == -1)
+		return NULL;
+	m = members_find(
+	    &e->members, g_array_index(list, struct handoff_candidate, i).id);
+	return carrier_get(e, m);
+}
+
+/* ---- sending ---- */
+
+/* Attempts on servers that the route still allows. */
+static unsigned int
+job_attempts_left(const struct job *j)
+{
+	return j->runs < j->route->attempts ? j->route->attempts - j->runs : 0;
+}
+
+bool
+entry_handoff_possible(const struct job *j)
+{
+	return !j->carried && j->handoffs < HANDOFF_CARRIERS_MAX &&
+	       job_attempts_left(j) > 0;
+}
+
+bool
+entry_handoff_wanted(const struct job *j)
+{
+	if (!entry_handoff_possible(j))
+		return false;
+	return reach_is_cut(&j->owner->reach.core) ||
+	       j->unreachable >= HANDOFF_UNREACHABLE;
+}
+
+static void
+handoff_write_request(struct job *j, msec now, struct buffer *out)
+{
+	struct wire_terms terms = { 0 };
+	struct handoff_terms ht = { .configuration = j->table->version,
+		.attempts = j->handoff_attempts,
+		.counted = j->counted };
+	struct handoff_request r = { j->head->method, j->head->target,
+		buffer_bytes(&j->caller->body),
+		buffer_length(&j->caller->body) };
+	char text[HANDOFF_TEXT_SIZE];
+
+	if (j->deadline != MSEC_NEVER)
+		terms.deadline =
+		    MAX(j->deadline - now - HANDOFF_DEADLINE_MARGIN_MS, 1);
+	g_strlcpy(ht.node, j->owner->settings->node, sizeof ht.node);
+	caller_address(j->caller, ht.caller);
+	handoff_encode(&ht, j->owner->settings->peer_key, &r, text);
+	job_set_resume_terms(j, &terms);
+	job_write_head(j, &terms, true, out);
+	buffer_printf(out, HANDOFF_FIELD ": %s\r\n", text);
+	job_write_body(j, out);
+}
+
+/* Send to one carrier; false when it cannot be reached. */
+static bool
+handoff_send(struct job *j, msec now, struct entry_carrier *c)
+{
+	struct entry *e = j->owner;
+	struct buffer request = { 0 };
+
+	j->handoff_attempts = handoff_attempts(job_attempts_left(j));
+	handoff_write_request(j, now, &request);
+	j->link = link_send(e, &c->server, j, &carrier_link_ops, &request,
+	    strcmp(j->head->method, "HEAD") == 0, !j->repeatable, now);
+	buffer_finish(&request);
+	if (j->link == NULL) {
+		carrier_avoid(c, now);
+		return false;
+	}
+	poison_run_end(&e->poison.core, now, &j->run, false);
+	j->carrier = c;
+	j->sent_at = now;
+	j->has_outcome = false;
+	g_strlcpy(j->carrier_name, c->server.name, sizeof j->carrier_name);
+	c->requests++;
+	e->handoff.counters.handed_off++;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_HANDED_OFF,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_CARRIER, c->server.name),
+	    LOG_TEXT(LOG_KEY_REASON,
+		reach_is_cut(&e->reach.core) ? "path cut" : "unreachable"),
+	    LOG_NUMBER(LOG_KEY_RUNS, j->runs));
+	return true;
+}
+
+bool
+entry_handoff_start(struct job *j, msec now)
+{
+	struct entry_carrier *c;
+
+	while (j->handoffs < HANDOFF_CARRIERS_MAX &&
+	       (c = carrier_choose(j->owner, now)) != NULL) {
+		j->handoffs++;
+		if (handoff_send(j, now, c))
+			return true;
+	}
+	j->owner->handoff.counters.without_carrier++;
+	return false;
+}
+
+void
+entry_handoff_release(struct job *j)
+{
+	if (j->carrier != NULL)
+		j->carrier->requests--;
+	j->carrier = NULL;
+}
+
+/* ---- the carrier's answer ---- */
+
+/* The carrier, or servers that it sent the request to, may have run it. */
+static void
+handoff_count_runs(struct job *j)
+{
+	j->may_have_run = true;
+	j->counted = true;
+	j->runs += j->handoff_attempts;
+	j->arrivals++;
+}
+
+static void
+handoff_fail(struct job *j, msec now, enum job_code why)
+{
+	struct entry *e = j->owner;
+	struct entry_carrier *c = j->carrier;
+
+	e->handoff.counters.failed++;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_CARRIER_FAILED,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_CARRIER, c->server.name),
+	    LOG_TEXT(LOG_KEY_REASON, job_code_name(why)),
+	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
+	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
+	carrier_avoid(c, now);
+	entry_handoff_release(j);
+	job_handoff_failed(j, now, why);
+}
+
+static bool
+carrier_may_send(struct link *k, msec now)
+{
+	return job_recheck_admission(k->job, now);
+}
+
+/*
+ * An answer that the carrier made itself: "CODE yes" or "CODE no", whether the
+ * request may have run.
+ */
+static bool
+carrier_read_outcome(struct job *j, const struct http_head *h)
+{
+	const char *s = http_head_get(h, HANDOFF_OUTCOME_FIELD);
+	const char *after = http_head_get(h, "Retry-After");
+	g_auto(GStrv) words = NULL;
+
+	if (s == NULL)
+		return false;
+	words = g_strsplit(s, " ", 2);
+	j->has_outcome = true;
+	j->outcome = job_code_parse(words[0]);
+	/* Without a clear "no" the request may have run. */
+	j->outcome_may_have_run = g_strcmp0(words[1], "no") != 0;
+	j->retry_after = 0;
+	if (after != NULL)
+		j->retry_after = (msec)(CLAMP(g_ascii_strtod(after, NULL), 0,
+					    HANDOFF_RETRY_AFTER_MAX_S) *
+					MSEC_SECOND);
+	return true;
+}
+
+static void
+carrier_answer_broken(struct job *j, msec now)
+{
+	struct link *k = j->link;
+
+	handoff_count_runs(j);
+	j->link = NULL;
+	link_cancel(k);
+	handoff_fail(j, now, JOB_BROKEN);
+}
+
+static bool
+carrier_head(struct link *k, const struct http_head *h, msec now)
+{
+	struct job *j = k->job;
+
+	if (carrier_read_outcome(j, h))
+		return true;
+	switch (reply_classify(j, h)) {
+	case REPLY_OTHER_REQUEST:
+		return false;
+	case REPLY_REJECTED:
+	case REPLY_INVALID:
+		carrier_answer_broken(j, now);
+		return true;
+	case REPLY_FORWARD:
+	case REPLY_SERVER_ERROR:
+		break;
+	}
+	if (!j->answer_began)
+		reply_store_head(j, h);
+	else if (h->status >= 300)
+		carrier_answer_broken(j, now);
+	return true;
+}
+
+static void
+carrier_body(struct link *k, const char *bytes, size_t n, msec now)
+{
+	struct job *j = k->job;
+
+	if (!j->has_outcome && !reply_body(j, bytes, n, now))
+		carrier_answer_broken(j, now);
+}
+
+/* Could another node carry a request that this one refused? */
+static bool
+outcome_is_of_carrier(enum job_code code)
+{
+	return code == JOB_NO_PATH || code == JOB_CARRIER_FULL ||
+	       code == JOB_STARTING || code == JOB_NOT_FRESH ||
+	       code == JOB_LEAVING;
+}
+
+static void
+carrier_end_with_outcome(struct job *j, msec now)
+{
+	if (j->outcome_may_have_run) {
+		handoff_count_runs(j);
+	} else if (outcome_is_of_carrier(j->outcome)) {
+		handoff_fail(j, now, j->outcome);
+		return;
+	}
+	entry_handoff_release(j);
+	job_fail(j, now, j->outcome);
+}
+
+static void
+carrier_complete(struct link *k, msec now)
+{
+	struct job *j = k->job;
+
+	j->link = NULL;
+	if (j->has_outcome) {
+		carrier_end_with_outcome(j, now);
+		return;
+	}
+	handoff_count_runs(j);
+	reply_finish(j, now);
+	entry_handoff_release(j);
+	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
+}
+
+static void
+carrier_failed(struct link *k, enum link_end how, msec now)
+{
+	struct job *j = k->job;
+
+	j->link = NULL;
+	if (how == LINK_BROKEN)
+		handoff_count_runs(j);
+	handoff_fail(j, now, how == LINK_BROKEN ? JOB_BROKEN : JOB_UNREACHABLE);
+}
+
+/* ---- changes of the path and of carriers ---- */
+
+/*
+ * Requests whose connection to a server is being established: nothing was sent,
+ * and it will not be established.
+ */
+static bool
+job_is_connecting(const struct job *j)
+{
+	return j->link != NULL && j->carrier == NULL && j->link->connecting;
+}
+
+static void
+handoff_timer(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+	struct job *j, *next;
+
+	if (!reach_is_cut(&e->reach.core))
+		return;
+	TAILQ_FOREACH_SAFE (j, &e->jobs, entry, next) {
+		if (job_is_connecting(j) && entry_handoff_wanted(j))
+			job_leave_server(j, now);
+	}
+}
+
+void
+entry_handoff_path_cut(struct entry *e, msec now)
+{
+	/* Not at once: a callback of one of these links may be running. */
+	loop_timer_set(&e->loop, &e->handoff.timer, now);
+}
+
+/* A carrier that has died or is silent, though its connection is open. */
+static bool
+carrier_is_lost(struct entry *e, const struct job *j)
+{
+	const struct member *m =
+	    members_find(&e->members, j->carrier->server.id);
+
+	if (m == NULL || m->state == MEMBER_DEAD ||
+	    m->incarnation != j->carrier->incarnation)
+		return true;
+	return m->state == MEMBER_SUSPECT && j->repeatable && !j->answer_began;
+}
+
+void
+entry_handoff_tick(struct entry *e, msec now)
+{
+	struct entry_carrier *c, *next;
+	struct job *j, *other;
+
+	TAILQ_FOREACH_SAFE (j, &e->jobs, entry, other) {
+		if (j->carrier != NULL && j->link != NULL &&
+		    carrier_is_lost(e, j))
+			carrier_answer_broken(j, now);
+	}
+	TAILQ_FOREACH_SAFE (c, &e->handoff.carriers, entry, next) {
+		if (c->requests > 0 || c->server.links > 0 ||
+		    members_find(&e->members, c->server.id) != NULL)
+			continue;
+		TAILQ_REMOVE(&e->handoff.carriers, c, entry);
+		link_pool_free(&c->server);
+		g_free(c);
+	}
+}
+
+void
+entry_handoff_init(struct entry *e)
+{
+	e->handoff = (struct entry_handoff){ 0 };
+	TAILQ_INIT(&e->handoff.carriers);
+	loop_timer_init(&e->handoff.timer, handoff_timer, e);
+}
+
+void
+entry_handoff_finish(struct entry *e)
+{
+	struct entry_carrier *c;
+
+	loop_timer_stop(&e->loop, &e->handoff.timer);
+	while ((c = TAILQ_FIRST(&e->handoff.carriers)) != NULL) {
+		TAILQ_REMOVE(&e->handoff.carriers, c, entry);
+		link_close_idle(e, &c->server);
+		link_pool_free(&c->server);
+		g_free(c);
+	}
+}
+
+/* ---- carrying ---- */
+
+static void handoff_request(struct caller *, msec);
+
+const struct caller_ops handoff_caller_ops = { handoff_request, job_caller_gone,
+	job_caller_drained };
+
+static void
+handoff_request(struct caller *c, msec now)
+{
+	struct entry *e = c->owner;
+	const struct http_head *h = c->reader.head;
+	const char *text = http_head_get(h, HANDOFF_FIELD);
+	struct handoff_request r = { h->method, h->target,
+		buffer_bytes(&c->body), buffer_length(&c->body) };
+	struct handoff_terms terms;
+
+	if (text == NULL || http_head_count(h, HANDOFF_FIELD) != 1 ||
+	    !handoff_decode(&terms, e->settings->peer_key, &r, text)) {
+		entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
+		    LOG_TEXT(LOG_KEY_REASON,
+			"not handed off by a node of this deployment"));
+		caller_answer(c, now, 403, "", "text/plain", "", false);
+		return;
+	}
+	job_begin(c, now, &terms);
+}
+
+enum job_code
+entry_handoff_admit(struct job *j, const struct handoff_terms *terms)
+{
+	struct entry *e = j->owner;
+	struct entry_handoff_counters *n = &e->handoff.counters;
+	enum job_code code = JOB_SERVED;
+
+	entry_reach_suspect(e, e->loop.now);
+	if (reach_is_cut(&e->reach.core))
+		code = JOB_NO_PATH;
+	else if (j->table->version < terms->configuration)
+		code = JOB_STARTING;
+	else if (!handoff_admits(n->carried,
+		     route_rank(j->table, j->route, j->organisation)))
+		code = JOB_CARRIER_FULL;
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_ROUTINE, LOG_EVENT_CARRIED,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_NAME, terms->node),
+	    LOG_TEXT(LOG_KEY_OUTCOME,
+		code == JOB_SERVED ? "accepted" : job_code_name(code)));
+	if (code != JOB_SERVED) {
+		n->refused++;
+		return code;
+	}
+	n->taken++;
+	n->carried++;
+	j->counted_as_carried = true;
+	return JOB_SERVED;
+}
+
+/* ---- metrics ---- */
+
+void
+entry_handoff_metrics(const struct entry *e, GString *s)
+{
+	const struct entry_handoff_counters *n = &e->handoff.counters;
+
+	g_string_append_printf(s,
+	    "# HELP savory_entry_handed_off_total Requests sent to other "
+	    "nodes.\n"
+	    "# TYPE savory_entry_handed_off_total counter\n"
+	    "savory_entry_handed_off_total %" PRIu64 "\n"
+	    "# HELP savory_entry_handoffs_failed_total Those that the node "
+	    "refused or broke off.\n"
+	    "# TYPE savory_entry_handoffs_failed_total counter\n"
+	    "savory_entry_handoffs_failed_total %" PRIu64 "\n"
+	    "# HELP savory_entry_handoffs_without_carrier_total No node could "
+	    "be reached.\n"
+	    "# TYPE savory_entry_handoffs_without_carrier_total counter\n"
+	    "savory_entry_handoffs_without_carrier_total %" PRIu64 "\n"
+	    "# HELP savory_entry_carried Requests of other nodes in flight.\n"
+	    "# TYPE savory_entry_carried gauge\n"
+	    "savory_entry_carried %u\n"
+	    "# HELP savory_entry_carried_total Accepted from other nodes.\n"
+	    "# TYPE savory_entry_carried_total counter\n"
+	    "savory_entry_carried_total %" PRIu64 "\n"
+	    "# HELP savory_entry_carried_refused_total Refused to other "
+	    "nodes.\n"
+	    "# TYPE savory_entry_carried_refused_total counter\n"
+	    "savory_entry_carried_refused_total %" PRIu64 "\n",
+	    n->handed_off, n->failed, n->without_carrier, n->carried, n->taken,
+	    n->refused);
+}
--- a/entry-job.c
+++ b/entry-job.c
@@ -31,8 +31,6 @@
 
 static void job_deadline_passed(struct loop_timer *, msec);
 static void job_request(struct caller *, msec);
-static void job_caller_gone(struct caller *, msec);
-static void job_caller_drained(struct caller *, msec);
 
 const struct caller_ops job_caller_ops = { job_request, job_caller_gone,
 	job_caller_drained };
@@ -44,11 +42,23 @@
 		"bad-request", "no-route", "no-key", "not-fresh", "starting",
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
 		"broken", "timeout", "stopped", "leaving", "limited", "poison",
-		"caller-gone" };
+		"no-path", "carrier-full", "caller-gone" };
 
 	return names[c];
 }
 
+enum job_code
+job_code_parse(const char *name)
+{
+	unsigned int i;
+
+	for (i = 0; i < JOB_CODES; i++) {
+		if (strcmp(job_code_name(i), name) == 0)
+			return i;
+	}
+	return JOB_NO_SERVER;
+}
+
 /* ---- end of a request ---- */
 
 /* A time span for the log, in ms; -1: none. */
@@ -79,6 +89,7 @@
 	const char *last =
 	    j->last != JOB_SERVED ? job_code_name(j->last) : NULL;
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
+	const char *carrier = *j->carrier_name != '\0' ? j->carrier_name : NULL;
 	char fingerprint[POISON_ID_SIZE];
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
 	msec left = j->deadline != MSEC_NEVER ? j->deadline - now : MSEC_NEVER;
@@ -93,6 +104,7 @@
 	    LOG_TEXT(LOG_KEY_ORGANISATION, organisation),
 	    LOG_TEXT(LOG_KEY_SAME, job_fingerprint_text(j, fingerprint)),
 	    LOG_TEXT(LOG_KEY_SERVER, server),
+	    LOG_TEXT(LOG_KEY_CARRIER, carrier),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_RUNS, j->runs),
 	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
@@ -124,10 +136,11 @@
 
 	j->link = NULL;
 	j->check = NULL;
-	if (k != NULL && k->sent)
+	if (k != NULL && k->sent && j->carrier == NULL)
 		entry_poison_request_abandoned(j, k->server, now);
 	if (k != NULL)
 		link_cancel(k);
+	entry_handoff_release(j);
 	job_release_server(j, now, how);
 }
 
@@ -159,6 +172,8 @@
 	buffer_finish(&j->unsent_body);
 	TAILQ_REMOVE(&e->jobs, j, entry);
 	e->njobs--;
+	if (j->counted_as_carried)
+		e->handoff.counters.carried--;
 	if (j->caller != NULL)
 		j->caller->job = NULL;
 	g_free(j);
@@ -187,6 +202,8 @@
 {
 	msec after = JOB_RETRY_AFTER_MS;
 
+	if (j->has_outcome && j->retry_after > 0)
+		return j->retry_after;
 	if (code == JOB_LIMITED)
 		after = MAX(servers_rate_wait(&j->owner->servers, j->service),
 		    JOB_RETRY_AFTER_MS);
@@ -214,6 +231,7 @@
 	bool broken =
 	    j->answer_began && code != JOB_TIMEOUT && code != JOB_STOPPED;
 
+	j->ended_as = code;
 	job_cancel(j, now,
 	    code == JOB_TIMEOUT && j->may_have_run && !j->answer_began
 		? SERVER_FAILED
@@ -273,7 +291,7 @@
 
 /* Set the poison id; a caller without a key is identified by its address. */
 static void
-job_set_fingerprint(struct job *j)
+job_set_fingerprint(struct job *j, const struct handoff_terms *terms)
 {
 	struct caller *c = j->caller;
 	char address[INET_ADDRSTRLEN] = "";
@@ -286,6 +304,8 @@
 
 	if (j->organisation != NULL)
 		r.caller = j->organisation->name;
+	else if (terms != NULL)
+		r.caller = terms->caller;
 	else
 		caller_address(c, address);
 	j->fingerprint = poison_id_make(j->owner->settings->peer_key, &r);
@@ -293,6 +313,23 @@
 
 static void
 job_request(struct caller *c, msec now)
+{
+	job_begin(c, now, NULL);
+}
+
+/* Take over what the node that handed the request off has decided. */
+static void
+job_take_terms(struct job *j, const struct handoff_terms *terms)
+{
+	if (terms == NULL)
+		return;
+	j->carried = true;
+	j->counted = terms->counted;
+	j->attempts_most = terms->attempts;
+}
+
+void
+job_begin(struct caller *c, msec now, const struct handoff_terms *terms)
 {
 	struct entry *e = c->owner;
 	struct job *j = g_new0(struct job, 1);
@@ -307,6 +344,7 @@
 	j->arrived = now;
 	j->arrived_during_stop = e->phase == ENTRY_LEAVING;
 	j->deadline = MSEC_NEVER;
+	job_take_terms(j, terms);
 	loop_timer_init(&j->timer, job_deadline_passed, j);
 	loop_timer_init(&j->silence_timer, job_check_silence, j);
 	TAILQ_INSERT_TAIL(&e->jobs, j, entry);
@@ -322,11 +360,14 @@
 	/* The log line needs the id after the head has been freed. */
 	j->request.id = j->id = g_strdup(j->request.id);
 	j->last_event = j->request.after;
-	if ((code = job_admit(j, now)) != JOB_SERVED) {
+	code = job_admit(j, now);
+	if (code == JOB_SERVED && terms != NULL)
+		code = entry_handoff_admit(j, terms);
+	if (code != JOB_SERVED) {
 		job_fail(j, now, code);
 		return;
 	}
-	job_set_fingerprint(j);
+	job_set_fingerprint(j, terms);
 	j->repeatable = route_is_repeatable(j->route);
 	j->service = route_service_draw(j->route, g_rand_int(e->rand));
 	job_set_deadline(j, now);
@@ -334,7 +375,6 @@
 		job_fail(j, now, JOB_LEAVING);
 		return;
 	}
-	retry_budget_request(entry_budget(e, j->service), &e->budget, now);
 	job_attempt(j, now);
 }
 
@@ -352,7 +392,7 @@
 	job_fail(j, now, JOB_TIMEOUT);
 }
 
-static void
+void
 job_caller_gone(struct caller *c, msec now)
 {
 	struct job *j = c->job;
@@ -361,7 +401,7 @@
 		job_free(j, now, JOB_CALLER_GONE);
 }
 
-static void
+void
 job_caller_drained(struct caller *c, msec now)
 {
 	if (c->job != NULL && c->job->link != NULL)
--- a/entry-link.c
+++ b/entry-link.c
@@ -20,8 +20,6 @@
 #define LINK_READ 65536
 #define LINK_HEAD_MAX 65536
 #define LINK_BODY_MAX ((uint64_t)1 << 40)
-/* Servers are a few milliseconds away; a later answer is not expected. */
-#define LINK_CONNECT_TIMEOUT_MS 600
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
 /* Idle time of kept connections, if the server announces no timeout. */
@@ -161,6 +159,13 @@
 	return -1;
 }
 
+/* A backend server, not another node. */
+static bool
+link_leads_to_server(struct entry *e, const struct server *v)
+{
+	return servers_find(&e->servers, v->id) == v;
+}
+
 static struct link *
 link_connect(struct entry *e, struct server *v, msec now)
 {
@@ -168,7 +173,7 @@
 	int fd = link_open_socket(e, v->address, v->port);
 
 	if (fd == -1) {
-		if (errno == ECONNREFUSED)
+		if (errno == ECONNREFUSED && link_leads_to_server(e, v))
 			entry_poison_connection_refused(e, v, now);
 		return NULL;
 	}
@@ -184,7 +189,6 @@
 	http_reader_init(&k->reader, false, LINK_HEAD_MAX, LINK_BODY_MAX,
 	    link_answer_body, k);
 	loop_timer_init(&k->timer, link_timer, k);
-	loop_timer_set(&e->loop, &k->timer, now + LINK_CONNECT_TIMEOUT_MS);
 	if (!loop_watch(&e->loop, &k->io, EPOLLOUT)) {
 		link_free(k);
 		return NULL;
@@ -283,6 +287,8 @@
 	 * A failure here is returned as NULL: the job cannot handle a callback
 	 * before this function returns.
 	 */
+	if (k->connecting)
+		loop_timer_set(&e->loop, &k->timer, now + ops->connect_timeout);
 	if (!k->connecting) {
 		loop_timer_stop(&e->loop, &k->timer);
 		if (!link_flush(k)) {
--- a/entry-log.c
+++ b/entry-log.c
@@ -23,6 +23,12 @@
 	[LOG_EVENT_ATTEMPT_FAILED] = { "attempt-failed",
 	    "An attempt on a backend server failed; the request goes on or "
 	    "ends." },
+	[LOG_EVENT_CARRIED] = { "carried",
+	    "Another node handed a request off to this one; outcome: accepted, "
+	    "or why it was refused." },
+	[LOG_EVENT_CARRIER_FAILED] = { "carrier-failed",
+	    "The node that a request was handed off to refused it, or broke "
+	    "off." },
 	[LOG_EVENT_CONDEMNED] = { "condemned",
 	    "Servers ended under a request, one after the other: it is sent to "
 	    "none for a long time." },
@@ -39,6 +45,8 @@
 	    "an answer of it is not believed." },
 	[LOG_EVENT_EVENT_OUT_OF_ORDER] = { "event-out-of-order",
 	    "A stream did not go on at the event that was due." },
+	[LOG_EVENT_HANDED_OFF] = { "handed-off",
+	    "A request was sent to another node, which sends it to a server." },
 	[LOG_EVENT_HOPELESS] = { "hopeless",
 	    "A stream that has not begun would not end in time: its server is "
 	    "left." },
@@ -99,6 +107,8 @@
 	[LOG_KEY_AHEAD_MS] = { "ahead_ms",
 	    "what servers had to read before it, as urgent or more" },
 	[LOG_KEY_CAME] = { "came", "number of the event that came" },
+	[LOG_KEY_CARRIER] = { "carrier",
+	    "node that the request was handed off to" },
 	[LOG_KEY_CONFIGURATION] = { "configuration", "version in force" },
 	[LOG_KEY_COUNT] = { "count",
 	    "servers ordered, in all; servers that failed" },
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -25,6 +25,8 @@
 #define CHECK_REQUEST_WAIT_MS 60
 /* Timeout of the connection; the server counts as silent after it. */
 #define CHECK_CONNECT_TIMEOUT_MS 300
+/* Interval at which a refused check looks for the result of the probes. */
+#define CHECK_PATH_INTERVAL_MS 10
 /* The platform reports the end of a process within this time. */
 #define CHECK_PLATFORM_WAIT_MS (10 * MSEC_SECOND)
 /*
@@ -41,6 +43,7 @@
 enum check_state {
 	CHECK_DELAYED,	  /* waits for the delay of the next connection */
 	CHECK_CONNECTING, /* the connection is being established */
+	CHECK_REFUSED,	  /* refused; waits for the probes of the path */
 	CHECK_SILENT,	  /* no answer; the platform's list decides */
 	CHECK_ENDED	  /* the process has ended */
 };
@@ -192,6 +195,27 @@
 	check_resume_requests(c, now);
 }
 
+/*
+ * The connection was refused. That shows the end of the process only if this
+ * node reaches other servers; if its path is cut, all of them seem to end.
+ */
+static void
+check_refused(struct server_check *c, msec now)
+{
+	const struct reach *r = &c->owner->reach.core;
+
+	loop_close(&c->owner->loop, &c->io);
+	if (reach_is_cut(r)) {
+		check_server_silent(c, now);
+	} else if (reach_in_doubt(r)) {
+		c->state = CHECK_REFUSED;
+		loop_timer_set(
+		    &c->owner->loop, &c->timer, now + CHECK_PATH_INTERVAL_MS);
+	} else {
+		check_process_ended(c, now);
+	}
+}
+
 static void
 check_state_timer(struct loop_timer *t, msec now)
 {
@@ -199,6 +223,8 @@
 
 	if (c->state == CHECK_DELAYED)
 		check_start_connection(c, now);
+	else if (c->state == CHECK_REFUSED)
+		check_refused(c, now);
 	else if (c->state == CHECK_CONNECTING)
 		check_server_silent(c, now);
 	else
@@ -223,7 +249,7 @@
 	    error == 0 || error == ECONNRESET)
 		check_server_accepts(c, now);
 	else if (error == ECONNREFUSED)
-		check_process_ended(c, now);
+		check_refused(c, now);
 	else
 		check_server_silent(c, now);
 }
@@ -243,7 +269,7 @@
 	c->owner->counters.connects++;
 	c->owner->poison.servers_checked++;
 	if (fd == -1)
-		return errno == ECONNREFUSED ? CHECK_ENDED : CHECK_SILENT;
+		return errno == ECONNREFUSED ? CHECK_REFUSED : CHECK_SILENT;
 	c->io = (struct loop_io){ check_connected, fd, 0 };
 	return loop_watch(&c->owner->loop, &c->io, EPOLLOUT) ? CHECK_CONNECTING
 							     : CHECK_SILENT;
@@ -288,8 +314,8 @@
 	enum check_state state = check_connect(c);
 
 	c->connections++;
-	if (state == CHECK_ENDED) {
-		check_process_ended(c, now);
+	if (state == CHECK_REFUSED) {
+		check_refused(c, now);
 	} else if (state == CHECK_SILENT) {
 		check_server_silent(c, now);
 	} else {
@@ -351,8 +377,8 @@
 		return;
 	if ((c = check_find(e, server_process_id(v))) == NULL)
 		c = check_new(e, v, now);
-	if (c->state != CHECK_ENDED)
-		check_process_ended(c, now);
+	if (c->state != CHECK_ENDED && c->state != CHECK_REFUSED)
+		check_refused(c, now);
 }
 
 /*
--- a/entry-query.c
+++ b/entry-query.c
@@ -60,6 +60,34 @@
 	}
 }
 
+static bool
+node_has_path(struct entry *e, const struct member *m)
+{
+	if (m == &e->members.self)
+		return !reach_is_cut(&e->reach.core);
+	return m->load_at == MSEC_NEVER ||
+	       m->load_permille < ENTRY_LOAD_NO_PATH;
+}
+
+/*
+ * Leave out nodes without a path to the servers, as the others serve requests
+ * directly. They are kept if too few others would be left for all callers.
+ */
+static void
+query_drop_without_path(struct entry *e, GPtrArray *nodes)
+{
+	guint i, with_path = 0;
+
+	for (i = 0; i < nodes->len; i++)
+		with_path += node_has_path(e, nodes->pdata[i]);
+	if (with_path < QUERY_DOMAIN_NODES_MIN || with_path * 2 < nodes->len)
+		return;
+	for (i = nodes->len; i-- > 0;) {
+		if (!node_has_path(e, nodes->pdata[i]))
+			g_ptr_array_remove_index_fast(nodes, i);
+	}
+}
+
 /* Keep a random subset, drawn anew for each answer. */
 static void
 query_sample(struct entry *e, GPtrArray *nodes)
@@ -122,6 +150,7 @@
 		g_ptr_array_set_size(nodes, 0);
 		query_collect(e, NULL, nodes, now);
 	}
+	query_drop_without_path(e, nodes);
 	if (nodes->len == 0)
 		query_collect_live(e, nodes);
 	if (nodes->len == 0)
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -151,6 +151,13 @@
 	reach_arm_timer(e);
 }
 
+void
+entry_reach_suspect(struct entry *e, msec now)
+{
+	reach_suspect(&e->reach.core, now, reach_count_servers(e));
+	reach_arm_timer(e);
+}
+
 /* ---- state ---- */
 
 static void
@@ -165,7 +172,19 @@
 	    LOG_NUMBER(LOG_KEY_MS, age));
 }
 
-static const struct reach_ops entry_reach_ops = { reach_log_changed };
+/* The failures so far were of the path, not of the servers. */
+static void
+reach_changed(struct reach *r, msec now)
+{
+	struct entry *e = r->arg;
+
+	reach_log_changed(r, now);
+	servers_forget_failures(&e->servers);
+	if (r->cut)
+		entry_handoff_path_cut(e, now);
+}
+
+static const struct reach_ops entry_reach_ops = { reach_changed };
 
 void
 entry_reach_init(struct entry *e)
--- a/entry-reach.h
+++ b/entry-reach.h
@@ -38,6 +38,8 @@
 /* A request's connection to a server failed. */
 void entry_reach_failed(
     struct entry *, const struct server *, enum reach_failure_kind, msec);
+/* Another node has lost its path to the servers. */
+void entry_reach_suspect(struct entry *, msec);
 void entry_reach_metrics(const struct entry *, GString *);
 void entry_reach_dump(const struct entry *, GString *, msec);
 
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -56,7 +56,10 @@
 		      type != NULL &&
 		      g_str_has_prefix(type, "text/event-stream");
 	for (i = 0; i < h->nfields; i++) {
-		if (http_field_is_hop_by_hop(h, h->fields[i].name))
+		/* Only a carrier's own answers may have the outcome. */
+		if (http_field_is_hop_by_hop(h, h->fields[i].name) ||
+		    g_ascii_strcasecmp(
+			h->fields[i].name, HANDOFF_OUTCOME_FIELD) == 0)
 			continue;
 		buffer_add_text(&j->fields, h->fields[i].name);
 		buffer_add(&j->fields, ": ", 2);
@@ -256,6 +259,9 @@
 	if (retry_after > 0)
 		buffer_printf(&fields, "Retry-After: %.3f\r\n",
 		    (double)retry_after / MSEC_SECOND);
+	if (j->carried)
+		buffer_printf(&fields, HANDOFF_OUTCOME_FIELD ": %s %s\r\n",
+		    job_code_name(j->ended_as), j->may_have_run ? "yes" : "no");
 	buffer_add(&fields, "", 1);
 	caller_answer(j->caller, now, status, buffer_bytes(&fields),
 	    "application/json", "{}", keep && reply_keeps_connection(j));
--- a/entry-state.c
+++ b/entry-state.c
@@ -22,8 +22,6 @@
  * during the outage register again within two seconds.
  */
 #define STATE_SERVERS_HOLD_MS 2300
-/* Load in permille that a node announces while it is not ready. */
-#define STATE_LOAD_NOT_READY 1000
 
 struct retry_budget *
 entry_budget(struct entry *e, name_id service)
@@ -264,7 +262,7 @@
 
 	RB_FOREACH (m, member_tree, (struct member_tree *)&e->members.tree) {
 		if (m->state == MEMBER_ALIVE && !m->leaving &&
-		    m->load_permille < STATE_LOAD_NOT_READY)
+		    m->load_permille < ENTRY_LOAD_NOT_READY)
 			return true;
 	}
 	return false;
@@ -345,6 +343,7 @@
 	place_set_policy(&e->place, s->policy);
 	entry_poison_init(e);
 	entry_reach_init(e);
+	entry_handoff_init(e);
 	loop_timer_init(&e->place_timer, state_place_timer, e);
 	loop_timer_set(&e->loop, &e->place_timer, now);
 	e->live_nodes = 1;
@@ -359,13 +358,23 @@
 	return loop_watch(&e->loop, &e->net_io, EPOLLIN);
 }
 
+/* The load that this node reports. */
+static unsigned int
+state_load(const struct entry *e, msec now)
+{
+	if (!entry_is_ready(e, now))
+		return ENTRY_LOAD_NOT_READY;
+	return reach_is_cut(&e->reach.core) ? ENTRY_LOAD_NO_PATH : 0;
+}
+
 void
 entry_state_tick(struct entry *e, msec now)
 {
 	servers_tick(&e->servers, now);
 	entry_era_tick(e, now);
 	members_set_self(&e->members, e->table != NULL ? e->table->version : 0,
-	    entry_is_ready(e, now) ? 0 : STATE_LOAD_NOT_READY);
+	    state_load(e, now));
+	entry_handoff_tick(e, now);
 	/* Other nodes learn of this node once it can serve. */
 	if (e->phase != ENTRY_STARTING)
 		members_tick(&e->members, now);
@@ -385,6 +394,7 @@
 	entry_duty_finish(e);
 	entry_poison_finish(e);
 	entry_reach_finish(e);
+	entry_handoff_finish(e);
 	place_finish(&e->place);
 	entry_relay_finish(e);
 	entry_start_finish(e);
--- a/entry.c
+++ b/entry.c
@@ -83,6 +83,9 @@
 	    !caller_listen(
 		e, &e->metrics_io, &s->metrics, &metrics_caller_ops, false))
 		return false;
+	if (!caller_listen(
+		e, &e->peers_io, &s->peer, &handoff_caller_ops, true))
+		return false;
 	return caller_listen(
 		   e, &e->ready_io, &s->ready, &query_caller_ops, false) &&
 	       caller_listen(e, &e->directory_io, &s->directory,
--- a/entry.h
+++ b/entry.h
@@ -10,6 +10,8 @@
  *   entry-link.c     connections to servers: transfers one attempt's bytes
  *   entry-reply.c    forwards a server's answer to the caller
  *   entry-poison.c   holds back requests that crash the servers that run them
+ *   entry-handoff.c  requests that other nodes carry for this one, and its own
+ *                    for them
  *
  * Other files:
  *
@@ -35,6 +37,7 @@
 #include "entry-duty.h"
 #include "entry-era.h"
 #include "entry-log.h"
+#include "handoff.h"
 #include "entry-poison.h"
 #include "entry-reach.h"
 #include "entry-start.h"
@@ -56,6 +59,7 @@
 #include "wire.h"
 
 struct caller;
+struct entry_carrier;
 struct job;
 struct link;
 TAILQ_HEAD(caller_list, caller);
@@ -159,6 +163,7 @@
 	void (*complete)(struct link *, msec);
 	/* The attempt failed; the link no longer belongs to the job. */
 	void (*failed)(struct link *, enum link_end, msec);
+	msec connect_timeout; /* of a new connection, in ms */
 };
 
 struct link {
@@ -223,24 +228,28 @@
 	JOB_SERVER_ERROR, /* a server's complete answer with status 5xx */
 	JOB_BAD_REQUEST,
 	JOB_NO_ROUTE,
-	JOB_NO_KEY,	 /* the key is missing or unknown */
-	JOB_NOT_FRESH,	 /* no recent proof that the keys are current */
-	JOB_STARTING,	 /* no configuration yet */
-	JOB_NO_SERVER,	 /* no server exists, or all were tried */
-	JOB_FULL,	 /* servers rejected it without running it */
-	JOB_OVERLOADED,	 /* the queue of prompts before it is too long */
-	JOB_UNREACHABLE, /* connecting to the server failed */
-	JOB_NO_BUDGET,	 /* the retry budget is used up */
-	JOB_BROKEN,	 /* a server's answer failed; it may have run */
-	JOB_TIMEOUT,	 /* of the route, or the caller's deadline */
-	JOB_STOPPED,	 /* this node's stop ended it */
-	JOB_LEAVING,	 /* this node stops before it could end */
-	JOB_LIMITED,	 /* the servers' rate limits allow none now */
-	JOB_POISON,	 /* it crashes the servers that run it */
-	JOB_CALLER_GONE, /* the caller disconnected */
+	JOB_NO_KEY,	  /* the key is missing or unknown */
+	JOB_NOT_FRESH,	  /* no recent proof that the keys are current */
+	JOB_STARTING,	  /* no configuration yet */
+	JOB_NO_SERVER,	  /* no server exists, or all were tried */
+	JOB_FULL,	  /* servers rejected it without running it */
+	JOB_OVERLOADED,	  /* the queue of prompts before it is too long */
+	JOB_UNREACHABLE,  /* connecting to the server failed */
+	JOB_NO_BUDGET,	  /* the retry budget is used up */
+	JOB_BROKEN,	  /* a server's answer failed; it may have run */
+	JOB_TIMEOUT,	  /* of the route, or the caller's deadline */
+	JOB_STOPPED,	  /* this node's stop ended it */
+	JOB_LEAVING,	  /* this node stops before it could end */
+	JOB_LIMITED,	  /* the servers' rate limits allow none now */
+	JOB_POISON,	  /* it crashes the servers that run it */
+	JOB_NO_PATH,	  /* no server accepts connections of this node */
+	JOB_CARRIER_FULL, /* the node carries too many for other nodes */
+	JOB_CALLER_GONE,  /* the caller disconnected */
 	JOB_CODES
 };
 const char *job_code_name(enum job_code);
+/* The code with a name; JOB_NO_SERVER if there is none. */
+enum job_code job_code_parse(const char *);
 
 struct job {
 	TAILQ_ENTRY(job) entry;
@@ -265,7 +274,27 @@
 	/* Name of the last attempt's server; "": none. */
 	char server_name[SERVER_NAME_SIZE];
 	struct place_request place;
-	unsigned int sends;    /* attempts started */
+	/*
+	 * Attempts on other nodes (entry-handoff.c): the current carrier or
+	 * NULL, the last one's name, carriers tried, attempts on servers that
+	 * the current one may use.
+	 */
+	struct entry_carrier *carrier;
+	char carrier_name[NAME_SIZE];
+	unsigned int handoffs;
+	unsigned int handoff_attempts;
+	/* The carrier's own answer, if it is one. */
+	bool has_outcome, outcome_may_have_run;
+	enum job_code outcome;
+	msec retry_after; /* that it names, in ms; 0: none */
+	/* This node is the carrier. */
+	bool carried;
+	bool counted_as_carried;    /* in the number of carried requests */
+	unsigned int attempts_most; /* allowed to this node; 0: as the route */
+	bool counted;		    /* in the retry budget */
+	unsigned int unreachable;   /* connections that failed, unsent */
+	enum job_code ended_as;	    /* for an answer of this node */
+	unsigned int sends;	    /* attempts started */
 	unsigned int arrivals; /* attempts that may have reached a server */
 	unsigned int runs;     /* attempts that may have run */
 	bool may_have_run;
@@ -297,6 +326,14 @@
 };
 
 extern const struct caller_ops job_caller_ops;
+/*
+ * Begin a caller's request; `terms`: of another node that handed it off, or
+ * NULL.
+ */
+void job_begin(struct caller *, msec, const struct handoff_terms *);
+/* Callbacks of callers and of nodes that hand requests off. */
+void job_caller_gone(struct caller *, msec);
+void job_caller_drained(struct caller *, msec);
 /* Called by placement with the server for a request, or NULL. */
 void job_placed(struct place *, struct place_request *, struct server *, msec);
 /* The poison id as text for logs, or NULL if it is not set yet. */
@@ -308,8 +345,28 @@
 enum job_code job_admit(struct job *, msec);
 /* Least time until the deadline for which an attempt is started. */
 #define JOB_ATTEMPT_MIN_MS 20
-/* Start the first or another attempt; job_placed() follows. */
+/* Start the first or another attempt; job_placed() may follow. */
 void job_attempt(struct job *, msec);
+/*
+ * Check the request against the configuration in force at this attempt: a key
+ * or route may have been removed while the request waited, or while the process
+ * was paused. False when the request has ended.
+ */
+bool job_recheck_admission(struct job *, msec);
+/*
+ * Write the request's head without its last empty line: `keep_key` false
+ * removes the API key if the configuration has keys.
+ */
+void job_write_head(const struct job *, const struct wire_terms *,
+    bool keep_key, struct buffer *);
+/* Set where an interrupted stream resumes. */
+void job_set_resume_terms(const struct job *, struct wire_terms *);
+/* Write the body's length, the empty line and the body. */
+void job_write_body(const struct job *, struct buffer *);
+/* The attempt on a carrier failed: start another attempt, or fail. */
+void job_handoff_failed(struct job *, msec, enum job_code);
+/* Leave a server to which nothing was sent, and start another attempt. */
+void job_leave_server(struct job *, msec);
 /* The check of a server whose connection broke has ended (entry-poison.c). */
 void job_server_checked(struct job *, msec);
 /* Timer callback: the server of the current attempt is silent. */
@@ -349,6 +406,12 @@
 void reply_write_local(
     struct job *, msec, unsigned int status, msec retry_after, bool keep);
 
+/* ---- requests of other nodes: entry-handoff.c ---- */
+
+#include "entry-handoff.h"
+
+extern const struct caller_ops handoff_caller_ops;
+
 /* ---- rate limits that servers report: entry-rate.c ---- */
 
 /* Read the rate limit from the head of an answer on a link. */
@@ -362,6 +425,13 @@
 
 /* ---- the state in force: entry-state.c ---- */
 
+/*
+ * Loads in permille that a node reports while it is not ready, and while it has
+ * no path to the servers.
+ */
+#define ENTRY_LOAD_NOT_READY 1000
+#define ENTRY_LOAD_NO_PATH 900
+
 enum entry_phase {
 	ENTRY_STARTING, /* no configuration yet */
 	ENTRY_SERVING,
@@ -418,6 +488,7 @@
 	struct place place;
 	struct entry_poison poison;
 	struct entry_reach reach;
+	struct entry_handoff handoff;
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
@@ -428,6 +499,7 @@
 	struct loop_io signal_io;
 	struct loop_timer tick;
 	struct listener_io callers_io, ready_io, directory_io, metrics_io;
+	struct listener_io peers_io; /* requests of other nodes */
 	struct caller_list callers;
 	unsigned int ncallers;
 	struct job_list jobs;
--- /dev/null
+++ b/handoff.h
@@ -0,0 +1,79 @@
+/*
+ * Handing requests off to other nodes. A node without a path to the backend
+ * servers sends its callers' requests to another node, the carrier, which
+ * handles them as requests of its own callers: it checks keys, places and
+ * retries them. The node that received a request answers for the caller's
+ * connection, the deadline and what happens if the carrier fails.
+ *
+ * A request is handed off as the HTTP request of the caller with one more
+ * field, HANDOFF_FIELD, whose code proves that it comes from a node of this
+ * deployment. A carrier never hands a request off again.
+ *
+ * The module does no I/O.
+ */
+
+#ifndef HANDOFF_H
+#define HANDOFF_H
+
+#include "savory.h"
+
+/* Field of a request that was handed off, and its longest value. */
+#define HANDOFF_FIELD "Savory-Handoff"
+#define HANDOFF_TEXT_SIZE 256
+/* Field of a carrier's own answers, which no server has given. */
+#define HANDOFF_OUTCOME_FIELD "Savory-Outcome"
+/* Longest text of a caller's address. */
+#define HANDOFF_CALLER_SIZE 48
+
+/* Terms under which a carrier handles a request. */
+struct handoff_terms {
+	char node[NAME_SIZE];		  /* that received it */
+	char caller[HANDOFF_CALLER_SIZE]; /* address of the caller */
+	uint64_t configuration; /* in force there; not handled by an older */
+	unsigned int attempts;	/* servers that it may be sent to */
+	bool counted;		/* counted for the retry budget already */
+};
+
+/* The request that the terms belong to. */
+struct handoff_request {
+	const char *method, *target;
+	const void *body;
+	size_t length;
+};
+
+/* Writes the value of HANDOFF_FIELD into HANDOFF_TEXT_SIZE bytes. */
+void handoff_encode(const struct handoff_terms *, const char *key,
+    const struct handoff_request *, char *);
+/* Returns false if the value is malformed or not of this key and request. */
+bool handoff_decode(struct handoff_terms *, const char *key,
+    const struct handoff_request *, const char *);
+
+/* A node that may be a carrier. */
+struct handoff_candidate {
+	name_id id;
+	unsigned int requests; /* handed off to it and not ended */
+	bool avoided;	       /* it could not carry one a moment ago */
+	bool without_path;     /* it reports that its own path is cut */
+};
+
+/*
+ * Returns the index of the carrier for a request, the one of two random
+ * candidates with fewer requests, or -1 if there is none. Nodes without a path
+ * are tried only if there are no others: their reports may be old.
+ */
+int handoff_choose(const struct handoff_candidate *, unsigned int, GRand *);
+
+/*
+ * Number of servers that a carrier may send a request to, of `left` attempts.
+ * One is kept for the case that the carrier fails and does not tell how many
+ * it has used.
+ */
+unsigned int handoff_attempts(unsigned int left);
+
+/*
+ * Returns true if a carrier that carries so many requests takes another one of
+ * this rank (0 is most urgent). Less urgent requests leave room for others.
+ */
+bool handoff_admits(unsigned int carried, unsigned int rank);
+
+#endif /* HANDOFF_H */
--- a/reach.c
+++ b/reach.c
@@ -111,16 +111,30 @@
 	r->wanted = 0;
 }
 
-void
-reach_failed(struct reach *r, msec now, name_id server, unsigned int nservers)
+/* At most one round at a time, and one in REACH_ROUND_MS. */
+static void
+reach_start_round(struct reach *r, msec now, unsigned int nservers)
 {
-	r->counters.failures++;
-	reach_add_failure(r, now, server);
 	if (r->cut || r->probing > 0 || r->wanted > 0 || now < r->next_probe)
 		return;
 	r->wanted = MIN(REACH_PROBES, nservers);
 	r->next_probe = now;
-	reach_decide(r, now, nservers);
+}
+
+void
+reach_failed(struct reach *r, msec now, name_id server, unsigned int nservers)
+{
+	r->counters.failures++;
+	reach_add_failure(r, now, server);
+	reach_start_round(r, now, nservers);
+}
+
+void
+reach_suspect(struct reach *r, msec now, unsigned int nservers)
+{
+	if (r->connected_at == MSEC_NEVER ||
+	    now - r->connected_at >= REACH_ROUND_MS)
+		reach_start_round(r, now, nservers);
 }
 
 /* ---- probes ---- */
--- a/reach.h
+++ b/reach.h
@@ -81,6 +81,11 @@
  * `nservers`: number of servers that may be used.
  */
 void reach_failed(struct reach *, msec, name_id server, unsigned int nservers);
+/*
+ * Another node has lost its path: starts a round of probes if no connection was
+ * established lately.
+ */
+void reach_suspect(struct reach *, msec, unsigned int nservers);
 /*
  * Number of probes to start now. The caller starts each with
  * reach_probe_started(), at servers for which reach_has_failed() is false if
--- a/server.c
+++ b/server.c
@@ -302,6 +302,18 @@
 	}
 }
 
+void
+servers_forget_failures(struct servers *s)
+{
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		v->failures = 0;
+		v->resting_until = 0;
+		v->down = false;
+	}
+}
+
 void
 server_response_received(
     struct server *v, msec now, unsigned int rank, msec sent)
--- a/server.h
+++ b/server.h
@@ -176,6 +176,8 @@
 	SERVER_NO_RESULT /* nothing learned, such as when the caller left */
 };
 void server_record_result(struct server *, msec, enum server_result);
+/* Discards the failures of all servers: their cause was elsewhere. */
+void servers_forget_failures(struct servers *);
 /*
  * The server sent a byte of the response to a request of this rank; `sent`:
  * when the request was sent.
--- a/settings.h
+++ b/settings.h
@@ -21,7 +21,7 @@
 	char domain[NAME_SIZE];	   /* failure domain */
 	struct endpoint caller;	   /* HTTP for callers */
 	struct endpoint control;   /* HTTP for the tool and peers */
-	struct endpoint peer;	   /* UDP between nodes */
+	struct endpoint peer;	   /* UDP between nodes; with a store TCP too */
 	struct endpoint ready;	   /* HTTP, readiness; only with a store */
 	struct endpoint directory; /* HTTP, node selection; only with a store */
 	struct endpoint metrics;   /* HTTP, metrics and dump; port 0: none */
--- /dev/null
+++ b/tests/test-handoff.c
@@ -0,0 +1,144 @@
+/*
+ * Requests that are handed off: the field that proves where they come from, the
+ * choice of a carrier, and what a carrier takes.
+ */
+
+#include "handoff.h"
+
+#include <string.h>
+
+#define KEY "a-key-of-sixteen-bytes"
+#define CANDIDATES 10
+
+static const struct handoff_request request = { "POST", "/a/b", "body", 4 };
+static const struct handoff_terms terms = { "n-1", "192.0.2.7", 17, 2, true };
+
+static void
+test_field(void)
+{
+	struct handoff_terms got;
+	char text[HANDOFF_TEXT_SIZE];
+
+	handoff_encode(&terms, KEY, &request, text);
+	g_assert_true(handoff_decode(&got, KEY, &request, text));
+	g_assert_cmpstr(got.node, ==, "n-1");
+	g_assert_cmpstr(got.caller, ==, "192.0.2.7");
+	g_assert_cmpuint(got.configuration, ==, 17);
+	g_assert_cmpuint(got.attempts, ==, 2);
+	g_assert_true(got.counted);
+}
+
+/* Guards against a caller that writes the field itself, or copies one. */
+static void
+test_forged(void)
+{
+	const struct handoff_request others[] = { { "GET", "/a/b", "body", 4 },
+		{ "POST", "/a/c", "body", 4 }, { "POST", "/a/b", "bodY", 4 },
+		{ "POST", "/a/b", "body", 3 } };
+	struct handoff_terms got;
+	char text[HANDOFF_TEXT_SIZE];
+	size_t i, n;
+
+	handoff_encode(&terms, KEY, &request, text);
+	n = strlen(text);
+	for (i = 0; i < G_N_ELEMENTS(others); i++)
+		g_assert_false(handoff_decode(&got, KEY, &others[i], text));
+	g_assert_false(
+	    handoff_decode(&got, "another-key-of-16", &request, text));
+	for (i = 0; i < n; i++) {
+		text[i] ^= 1;
+		g_assert_false(handoff_decode(&got, KEY, &request, text));
+		text[i] ^= 1;
+	}
+	for (i = 0; i < n; i++) {
+		g_autofree char *part = g_strndup(text, i);
+
+		g_assert_false(handoff_decode(&got, KEY, &request, part));
+	}
+	g_assert_true(handoff_decode(&got, KEY, &request, text));
+}
+
+/* Guards against one carrier that gets all requests. */
+static void
+test_spread(void)
+{
+	struct handoff_candidate c[CANDIDATES] = { 0 };
+	GRand *rand = g_rand_new_with_seed(7);
+	unsigned int i;
+
+	for (i = 0; i < 1000; i++)
+		c[handoff_choose(c, CANDIDATES, rand)].requests++;
+	for (i = 0; i < CANDIDATES; i++) {
+		g_assert_cmpuint(c[i].requests, >, 80);
+		g_assert_cmpuint(c[i].requests, <, 120);
+	}
+	g_rand_free(rand);
+}
+
+/* Guards against requests that go to nodes without a path in turn. */
+static void
+test_only_one_left(void)
+{
+	struct handoff_candidate c[CANDIDATES] = { 0 };
+	GRand *rand = g_rand_new_with_seed(7);
+	unsigned int i;
+
+	for (i = 0; i < CANDIDATES; i++)
+		c[i].without_path = i != 4;
+	c[4].requests = 300;
+	for (i = 0; i < 100; i++)
+		g_assert_cmpint(handoff_choose(c, CANDIDATES, rand), ==, 4);
+	c[4].avoided = true;
+	g_assert_cmpint(handoff_choose(c, CANDIDATES, rand), !=, 4);
+	for (i = 0; i < CANDIDATES; i++)
+		c[i].avoided = true;
+	g_assert_cmpint(handoff_choose(c, CANDIDATES, rand), ==, -1);
+	g_assert_cmpint(handoff_choose(c, 0, rand), ==, -1);
+	g_rand_free(rand);
+}
+
+/* Guards against more attempts than the route allows after a carrier's end. */
+static void
+test_attempts(void)
+{
+	unsigned int all, left, used;
+
+	for (all = 2; all < 6; all++) {
+		for (left = all, used = 0; left > 0; left -= MIN(left, used)) {
+			used = handoff_attempts(left);
+			g_assert_cmpuint(used, >, 0);
+			g_assert_cmpuint(used, <=, left);
+		}
+	}
+	g_assert_cmpuint(handoff_attempts(1), ==, 1);
+	g_assert_cmpuint(handoff_attempts(3), ==, 2);
+}
+
+/* Guards against urgent requests that find a carrier full of others. */
+static void
+test_urgent_first(void)
+{
+	unsigned int carried = 0, rank;
+
+	for (rank = 9; rank > 0; rank--) {
+		while (handoff_admits(carried, rank))
+			carried++;
+		g_assert_true(handoff_admits(carried, 0));
+	}
+	while (handoff_admits(carried, 0))
+		carried++;
+	g_assert_cmpuint(carried, ==, 512);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/handoff/field", test_field);
+	g_test_add_func("/handoff/forged", test_forged);
+	g_test_add_func("/handoff/spread", test_spread);
+	g_test_add_func("/handoff/only-one-left", test_only_one_left);
+	g_test_add_func("/handoff/attempts", test_attempts);
+	g_test_add_func("/handoff/urgent-first", test_urgent_first);
+	return g_test_run();
+}
--- a/tests/test-pages.c
+++ b/tests/test-pages.c
@@ -85,8 +85,8 @@
 entry_has_metric(const char *name)
 {
 	static const char *const files[] = { "entry-metrics.c", "entry-duty.c",
-		"entry-era.c", "entry-poison.c", "entry-reach.c",
-		"platform/store.c" };
+		"entry-era.c", "entry-handoff.c", "entry-poison.c",
+		"entry-reach.c", "platform/store.c" };
 	const char *bare = g_str_has_prefix(name, "entry_") ? name + 6 : name;
 	g_autofree char *quoted = g_strdup_printf("\"%s\"", bare);
 	g_autofree char *printed = g_strdup_printf("savory_%s ", name);
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -258,6 +258,25 @@
 	g_assert_cmpint(reach_next(r), ==, MSEC_NEVER);
 }
 
+/* Guards against idle nodes that take requests and find out one by one. */
+static void
+test_suspect(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, SILENT);
+	reach_suspect(&w.reach, w.now, SERVERS);
+	world_run(&w, REACH_PROBE_TIMEOUT_MS + 10);
+	g_assert_true(reach_is_cut(&w.reach));
+	/* One that has just connected does not probe. */
+	world_init(&w);
+	reach_connected(&w.reach, w.now, 1);
+	reach_suspect(&w.reach, w.now + 10, SERVERS);
+	world_run(&w, 100);
+	g_assert_cmpuint(w.started, ==, 0);
+}
+
 /* Guards against old failures that are added up over a quiet time. */
 static void
 test_evidence_expires(void)
@@ -285,6 +304,7 @@
 	g_test_add_func("/reach/back", test_back);
 	g_test_add_func("/reach/series", test_series);
 	g_test_add_func("/reach/one-server", test_one_server);
+	g_test_add_func("/reach/suspect", test_suspect);
 	g_test_add_func("/reach/evidence-expires", test_evidence_expires);
 	return g_test_run();
 }
--- a/tests/util-proc.c
+++ b/tests/util-proc.c
@@ -373,6 +373,23 @@
 	return port_free(SOCK_DGRAM);
 }
 
+unsigned int
+port_free_peer(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	bool ok;
+	int fd;
+
+	do {
+		sin.sin_port = htons((uint16_t)port_free_udp());
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		ok = bind(fd, (struct sockaddr *)&sin, sizeof sin) == 0;
+		close(fd);
+	} while (!ok);
+	return ntohs(sin.sin_port);
+}
+
 char *
 dir_temporary(void)
 {
--- a/tests/util-proc.h
+++ b/tests/util-proc.h
@@ -76,6 +76,8 @@
 /* A port that was free a moment ago. */
 unsigned int port_free_tcp(void);
 unsigned int port_free_udp(void);
+/* The same, free for UDP and TCP. */
+unsigned int port_free_peer(void);
 
 char *dir_temporary(void);
 /* Remove it with its files, and free the name. */
--- a/wire.h
+++ b/wire.h
@@ -42,15 +42,18 @@
 	struct wire_part parts[WIRE_PARTS_MAX];
 };
 
-/* What this node adds to a caller's request for the backend server. */
+/*
+ * What this node adds to a caller's request for the backend server, or for
+ * another node that handles it.
+ */
 struct wire_terms {
 	msec deadline;		  /* ms that this node waits; 0: no limit */
 	const char *organisation; /* NULL: none */
-	const char *server;	  /* the only one that may execute it */
-	bool ranked;		  /* `priority` applies */
-	unsigned int priority;	  /* 0 is first */
-	bool resumed;		  /* this node resumes an interrupted stream */
-	uint64_t after;		  /* if resumed: after this event */
+	const char *server;    /* the only one that may execute it; NULL: any */
+	bool ranked;	       /* `priority` applies */
+	unsigned int priority; /* 0 is first */
+	bool resumed;	       /* this node resumes an interrupted stream */
+	uint64_t after;	       /* if resumed: after this event */
 };
 
 /* Whether a response states the request rate that its server accepts. */
