Carriers that are a version behind are asked again soon; stopping ones last

Its log: two carriers refused as a configuration was a few ms on its way (25.893 s), and from then to 26.9 s every request ended no-path without a carrier, as each refusal left its node alone for 1 s. The same at 17.1 to 19.6 s, while all nodes were told to stop: stopping nodes were never asked.

Now a carrier that is behind is asked again after 30 ms, one that is full after 0.2 s; a request waits up to four times 60 ms for a configuration to arrive.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -24,6 +24,8 @@
 #define JOB_CONNECT_TIMEOUT_MS 600
 /* A request without a path to the servers waits for so long. */
 #define JOB_PATH_WAIT_MS 60
+/* Waits of one that other nodes carry once they have the configuration. */
+#define JOB_PATH_WAITS_MOST 4
 /* A pause in a stream of more than this many times its target is a failure. */
 #define JOB_GAP_TIMEOUT_FACTOR 4
 #define JOB_GAP_TIMEOUT_MIN_MS 1200
@@ -252,11 +254,14 @@
 static void
 job_wait_for_path(struct job *j, msec now)
 {
-	if (j->waited_for_path || j->carried) {
+	unsigned int most = j->last == JOB_STARTING ? JOB_PATH_WAITS_MOST : 1;
+
+	if (j->path_waits >= most || j->carried) {
 		job_fail(j, now, JOB_NO_PATH);
 		return;
 	}
-	j->waits_for_path = j->waited_for_path = true;
+	j->waits_for_path = true;
+	j->path_waits++;
 	entry_reach_hurry(j->owner, now);
 	loop_timer_set(
 	    &j->owner->loop, &j->silence_timer, now + JOB_PATH_WAIT_MS);
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -21,6 +21,10 @@
 #define HANDOFF_UNREACHABLE 2
 /* A node that could not carry a request is left alone for this time. */
 #define HANDOFF_AVOID_MS 1000
+/* The same for one that is about to have the newest configuration. */
+#define HANDOFF_AVOID_BEHIND_MS 30
+/* The same for one that carries as many as it takes. */
+#define HANDOFF_AVOID_FULL_MS 200
 /* Other nodes are a few milliseconds away. */
 #define HANDOFF_CONNECT_TIMEOUT_MS 200
 /* The carrier's answer is to arrive before the deadline passes here. */
@@ -70,15 +74,23 @@
 }
 
 static void
-carrier_avoid(struct entry_carrier *c, msec now)
+carrier_avoid(struct entry_carrier *c, msec now, enum job_code why)
 {
-	c->avoided_until = now + HANDOFF_AVOID_MS;
+	msec span = HANDOFF_AVOID_MS;
+
+	if (why == JOB_STARTING)
+		span = HANDOFF_AVOID_BEHIND_MS;
+	else if (why == JOB_CARRIER_FULL)
+		span = HANDOFF_AVOID_FULL_MS;
+	c->avoided_until = now + span;
 }
 
 static bool
 member_may_carry(const struct member *m)
 {
-	return m->state == MEMBER_ALIVE && !m->leaving && m->peer_port != 0 &&
+	if (m->state == MEMBER_LEAVING)
+		return m->peer_port != 0;
+	return m->state == MEMBER_ALIVE && m->peer_port != 0 &&
 	       (m->load_at == MSEC_NEVER ||
 		   m->load_permille < ENTRY_LOAD_NOT_READY);
 }
@@ -99,8 +111,9 @@
 		c = carrier_get(e, m);
 		candidate = (struct handoff_candidate){ m->id, c->requests,
 			now < c->avoided_until,
-			m->load_at != MSEC_NEVER &&
-			    m->load_permille >= HANDOFF_NO_PATH_PERMILLE };
+			m->leaving ||
+			    (m->load_at != MSEC_NEVER &&
+				m->load_permille >= HANDOFF_NO_PATH_PERMILLE) };
 		g_array_append_val(list, candidate);
 	}
 	i = handoff_choose(
@@ -181,7 +194,7 @@
 	    strcmp(j->head->method, "HEAD") == 0, !j->repeatable, now);
 	buffer_finish(&request);
 	if (j->link == NULL) {
-		carrier_avoid(c, now);
+		carrier_avoid(c, now, JOB_UNREACHABLE);
 		return false;
 	}
 	poison_run_end(&e->poison.core, now, &j->run, false);
@@ -248,7 +261,10 @@
 	    LOG_TEXT(LOG_KEY_REASON, job_code_name(why)),
 	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
-	carrier_avoid(c, now);
+	carrier_avoid(c, now, why);
+	/* It is asked again; nothing was tried. */
+	if (why == JOB_STARTING)
+		j->handoffs--;
 	entry_handoff_release(j);
 	job_handoff_failed(j, now, why);
 }
--- a/entry.h
+++ b/entry.h
@@ -291,14 +291,14 @@
 	bool carried;
 	bool counted_as_carried;    /* in the number of carried requests */
 	unsigned int attempts_most; /* allowed to this node; 0: as the route */
-	/* It waits for the path to the servers; it has waited once. */
-	bool waits_for_path, waited_for_path;
-	bool counted;		  /* in the retry budget */
-	unsigned int unreachable; /* connections that failed, unsent */
-	enum job_code ended_as;	  /* for an answer of this node */
-	unsigned int sends;	  /* attempts started */
-	unsigned int arrivals;	  /* attempts that may have reached a server */
-	unsigned int runs;	  /* attempts that may have run */
+	bool waits_for_path;	    /* to the servers, or for a carrier */
+	unsigned int path_waits;    /* times that it has waited */
+	bool counted;		    /* in the retry budget */
+	unsigned int unreachable;   /* connections that failed, unsent */
+	enum job_code ended_as;	    /* for an answer of this node */
+	unsigned int sends;	    /* attempts started */
+	unsigned int arrivals; /* attempts that may have reached a server */
+	unsigned int runs;     /* attempts that may have run */
 	bool may_have_run;
 	bool arrived_during_stop; /* it arrived during this node's stop */
 	/* Time allowed for it during this node's stop, in ms; else 0. */
--- a/handoff.c
+++ b/handoff.c
@@ -107,7 +107,7 @@
 
 static int
 choose_among(const struct handoff_candidate *c, unsigned int n, GRand *rand,
-    bool without_path)
+    bool last_resort)
 {
 	int first = -1, second = -1;
 	gint32 seen = 0;
@@ -115,7 +115,7 @@
 
 	/* Two at random, of those that qualify. */
 	for (i = 0; i < n; i++) {
-		if (c[i].avoided || c[i].without_path != without_path)
+		if (c[i].avoided || c[i].last_resort != last_resort)
 			continue;
 		seen++;
 		if (first == -1)
--- a/handoff.h
+++ b/handoff.h
@@ -53,13 +53,14 @@
 	name_id id;
 	unsigned int requests; /* handed off to it and not ended */
 	bool avoided;	       /* it could not carry one a moment ago */
-	bool without_path;     /* it reports that its own path is cut */
+	bool last_resort; /* it is stopping, or reports that its path is cut */
 };
 
 /*
  * Returns the index of the carrier for a request, the one of two random
- * candidates with fewer requests, or -1 if there is none. Nodes without a path
- * are tried only if there are no others: their reports may be old.
+ * candidates with fewer requests, or -1 if there is none. Those of last
+ * resort are tried only if there are no others: reports may be old, and a
+ * stopping node may have time for the request.
  */
 int handoff_choose(const struct handoff_candidate *, unsigned int, GRand *);
 
--- a/tests/test-handoff.c
+++ b/tests/test-handoff.c
@@ -84,7 +84,7 @@
 	unsigned int i;
 
 	for (i = 0; i < CANDIDATES; i++)
-		c[i].without_path = i != 4;
+		c[i].last_resort = i != 4;
 	c[4].requests = 300;
 	for (i = 0; i < 100; i++)
 		g_assert_cmpint(handoff_choose(c, CANDIDATES, rand), ==, 4);
