Brittle servers are sent no more than they have slots for

Cause: what a server says of itself in an answer was dropped (Server-Brittle had no place in the program). Class: a bound meant for all nodes together, which none can keep by itself.

server-room.c: while a server says so, and 3 s after, its coordinator gives it no more requests than slots, so that none waits there; nodes tell the coordinator with a step of the request (SP_PLACE_BRITTLE), and of rejections (SP_PLACE_FULL), which lower the room. A node that decides alone uses its share of the slots; where the coordinator has no room left nobody decides alone. A request looks again each 15 ms for an eighth of its target, then no-room, 503. Nodes of the version before take the two new steps for a plain end.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -24,6 +24,10 @@
 #define JOB_CONNECT_TIMEOUT_MS 600
 /* A request without a path to the servers waits for so long. */
 #define JOB_PATH_WAIT_MS 60
+/* Interval at which a request looks for room on brittle servers. */
+#define JOB_ROOM_WAIT_MS 15
+/* A refusal within this part of the target is early. */
+#define JOB_EARLY_PART 8
 /* Waits of one that other nodes carry once they have the configuration. */
 #define JOB_PATH_WAITS_MOST 4
 /* A pause in a stream of more than this many times its target is a failure. */
@@ -260,7 +264,7 @@
 		job_fail(j, now, JOB_NO_PATH);
 		return;
 	}
-	j->waits_for_path = true;
+	j->waits = true;
 	j->path_waits++;
 	entry_reach_hurry(j->owner, now);
 	loop_timer_set(
@@ -311,11 +315,33 @@
 {
 	if (j->sends > 0)
 		return j->last;
+	if (servers_have_brittle(
+		&j->owner->servers, j->service, j->owner->loop.now))
+		return JOB_NO_ROOM;
 	return servers_rate_wait(&j->owner->servers, j->service) > 0
 		   ? JOB_LIMITED
 		   : JOB_NO_SERVER;
 }
 
+/*
+ * Brittle servers have no room: wait for some, in steps, as long as a refusal
+ * is still early.
+ */
+static bool
+job_wait_for_room(struct job *j, msec now)
+{
+	msec most = j->route->target / JOB_EARLY_PART;
+
+	if (!servers_have_brittle(&j->owner->servers, j->service, now) ||
+	    now - j->arrived + JOB_ROOM_WAIT_MS > most)
+		return false;
+	place_end(&j->owner->place, now, &j->place, SERVER_NO_RESULT);
+	j->waits = true;
+	loop_timer_set(
+	    &j->owner->loop, &j->silence_timer, now + JOB_ROOM_WAIT_MS);
+	return true;
+}
+
 /*
  * No server is left, and some could not be reached from here: another node may
  * reach them.
@@ -341,6 +367,8 @@
 		return;
 	}
 	if (v == NULL) {
+		if (job_wait_for_room(j, now))
+			return;
 		if (!job_ask_other_node(j, now))
 			job_fail(j, now, job_no_server_code(j));
 		return;
@@ -488,6 +516,7 @@
 
 	servers_reached(&j->owner->servers, now);
 	entry_rate_read(k, h, now);
+	entry_room_read(k, h, now);
 	switch (reply_classify(j, h)) {
 	case REPLY_OTHER_REQUEST:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
@@ -821,8 +850,8 @@
 {
 	struct job *j = t->arg;
 
-	if (j->waits_for_path) {
-		j->waits_for_path = false;
+	if (j->waits) {
+		j->waits = false;
 		job_attempt(j, now);
 		return;
 	}
--- a/entry-job.c
+++ b/entry-job.c
@@ -41,8 +41,8 @@
 	static const char *const names[JOB_CODES] = { "served", "server-error",
 		"bad-request", "no-route", "no-key", "not-fresh", "starting",
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
-		"broken", "timeout", "stopped", "leaving", "limited", "poison",
-		"no-path", "carrier-full", "caller-gone" };
+		"broken", "timeout", "stopped", "leaving", "limited", "no-room",
+		"poison", "no-path", "carrier-full", "caller-gone" };
 
 	return names[c];
 }
--- a/entry-log.c
+++ b/entry-log.c
@@ -23,6 +23,9 @@
 	[LOG_EVENT_ATTEMPT_FAILED] = { "attempt-failed",
 	    "An attempt on a backend server failed; the request goes on or "
 	    "ends." },
+	[LOG_EVENT_BRITTLE] = { "brittle",
+	    "A backend server says that it is brittle: it is sent no more "
+	    "than it has slots." },
 	[LOG_EVENT_CARRIED] = { "carried",
 	    "Another node handed a request off to this one; outcome: accepted, "
 	    "or why it was refused." },
--- a/entry-log.h
+++ b/entry-log.h
@@ -34,6 +34,7 @@
 /* Events; entry_log_events[] has their names in the log. */
 enum entry_log_event {
 	LOG_EVENT_ATTEMPT_FAILED,
+	LOG_EVENT_BRITTLE,
 	LOG_EVENT_CARRIED,
 	LOG_EVENT_CARRIER_FAILED,
 	LOG_EVENT_CONDEMNED,
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -159,13 +159,14 @@
 static void
 text_servers(GString *s, struct entry *e)
 {
-	unsigned int n[3] = { 0 }, resting = 0, rated = 0;
+	unsigned int n[3] = { 0 }, resting = 0, rated = 0, brittle = 0;
 	struct server *v;
 
 	RB_FOREACH (v, server_tree, &e->servers.tree) {
 		n[v->state]++;
 		resting += v->resting_until > e->loop.now;
 		rated += v->rate.per_s > 0;
+		brittle += server_is_brittle(&v->room, e->loop.now);
 	}
 	text_head(s, "servers", "gauge", "Backend servers by state.");
 	g_string_append_printf(s,
@@ -175,6 +176,8 @@
 	    n[SERVER_READY], n[SERVER_DRAINING], n[SERVER_GONE]);
 	text_value(s, "servers_rated", "gauge",
 	    "Backend servers that name the rate of requests they take.", rated);
+	text_value(s, "servers_brittle", "gauge",
+	    "Backend servers that say that they are brittle.", brittle);
 	text_value(s, "servers_resting", "gauge",
 	    "Backend servers that get less after failures.", resting);
 }
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -1,12 +1,15 @@
 /*
- * Rate limits that backend servers report in the headers of their answers, as
- * received by this node; server-rate.h applies them.
+ * Rate limits that backend servers report in the headers of their answers, and
+ * whether they are brittle, as received by this node; server-rate.h and
+ * server-room.h apply them.
  */
 
 #define LOG_PART "rate"
 #include "entry.h"
 
 #define RATE_TEXT_SIZE 24
+/* Interval of reports of a brittle server to its coordinator. */
+#define ROOM_REPORT_MS 500
 
 static void
 rate_log(struct entry *e, const struct server *v, const char *rate,
@@ -64,6 +67,28 @@
 	place_rate_received(&e->place, now, v);
 }
 
+void
+entry_room_read(struct link *k, const struct http_head *h, msec now)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+	struct wire_answer a;
+
+	e->wire->answer(h, k->job->request.id, &a);
+	if (!a.brittle || h->status == 421 || k->starts != v->starts ||
+	    a.other || (!a.is_signed && !a.not_executed))
+		return;
+	if (!server_is_brittle(&v->room, now))
+		entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_BRITTLE,
+		    LOG_TEXT(LOG_KEY_SERVER, v->name),
+		    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
+	server_room_update(&v->room, now);
+	if (now - v->room.reported < ROOM_REPORT_MS)
+		return;
+	v->room.reported = now;
+	place_mark_brittle(&e->place, now, &k->job->place);
+}
+
 void
 entry_rate_log_received(struct place *p, struct server *v, msec now)
 {
--- a/entry.h
+++ b/entry.h
@@ -241,6 +241,7 @@
 	JOB_STOPPED,	  /* this node's stop ended it */
 	JOB_LEAVING,	  /* this node stops before it could end */
 	JOB_LIMITED,	  /* the servers' rate limits allow none now */
+	JOB_NO_ROOM,	  /* brittle servers have no room for it */
 	JOB_POISON,	  /* it crashes the servers that run it */
 	JOB_NO_PATH,	  /* no server accepts connections of this node */
 	JOB_CARRIER_FULL, /* the node carries too many for other nodes */
@@ -291,14 +292,14 @@
 	bool carried;
 	bool counted_as_carried;    /* in the number of carried requests */
 	unsigned int attempts_most; /* allowed to this node; 0: as the route */
-	bool waits_for_path;	    /* to the servers, or for a carrier */
-	unsigned int path_waits;    /* times that it has waited */
-	bool counted;		    /* in the retry budget */
-	unsigned int unreachable;   /* connections that failed, unsent */
-	enum job_code ended_as;	    /* for an answer of this node */
-	unsigned int sends;	    /* attempts started */
-	unsigned int arrivals; /* attempts that may have reached a server */
-	unsigned int runs;     /* attempts that may have run */
+	bool waits; /* for the path, a carrier or room; see job_attempt() */
+	unsigned int path_waits;  /* times that it has waited */
+	bool counted;		  /* in the retry budget */
+	unsigned int unreachable; /* connections that failed, unsent */
+	enum job_code ended_as;	  /* for an answer of this node */
+	unsigned int sends;	  /* attempts started */
+	unsigned int arrivals;	  /* attempts that may have reached a server */
+	unsigned int runs;	  /* attempts that may have run */
 	bool may_have_run;
 	bool arrived_during_stop; /* it arrived during this node's stop */
 	/* Time allowed for it during this node's stop, in ms; else 0. */
@@ -419,6 +420,8 @@
 
 /* Read the rate limit from the head of an answer on a link. */
 void entry_rate_read(struct link *, const struct http_head *, msec);
+/* The same: whether its server is brittle (server-room.h). */
+void entry_room_read(struct link *, const struct http_head *, msec);
 /* Placement received a server's rate limit from another node: log it. */
 void entry_rate_log_received(struct place *, struct server *, msec);
 
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -463,6 +463,7 @@
 	{ SERVER_ANSWERED, SP_PLACE_WELL },
 	{ SERVER_FAILED, SP_PLACE_FAILED },
 	{ SERVER_DOWN, SP_PLACE_DOWN },
+	{ SERVER_FULL, SP_PLACE_FULL },
 };
 
 static enum server_result
@@ -503,6 +504,14 @@
 	    h->near_limit);
 }
 
+static void
+place_record_result(struct server *v, msec now, enum server_result result)
+{
+	server_record_result(v, now, result);
+	if (result == SERVER_FULL)
+		server_room_rejected(&v->room, now, v->slots);
+}
+
 void
 place_step(struct place *p, msec now, name_id node, uint32_t id,
     enum sp_place_what what)
@@ -512,6 +521,12 @@
 
 	if (h == NULL)
 		return;
+	v = servers_find(p->servers, h->server);
+	if (what == SP_PLACE_BRITTLE) {
+		if (v != NULL)
+			server_room_update(&v->room, now);
+		return;
+	}
 	if (what == SP_PLACE_READ) {
 		place_record_prompt_read(p, h);
 		return;
@@ -526,9 +541,8 @@
 		    place_traffic(&p->all, h->service), now - h->since);
 	}
 	/* place_end() has recorded the results of this node's requests. */
-	v = servers_find(p->servers, h->server);
 	if (v != NULL && node != p->self)
-		server_record_result(v, now, place_result_decode(what));
+		place_record_result(v, now, place_result_decode(what));
 	place_record_end(p, now, h);
 }
 
--- a/place.c
+++ b/place.c
@@ -267,7 +267,9 @@
 		v = place_coordinate_request(
 		    p, now, p->self, r->id, &r->wish, &r->queue);
 		place_note_reply(p, now, r);
-		if (v == NULL)
+		/* Brittle servers without room get none, whoever chooses. */
+		if (v == NULL &&
+		    !servers_have_brittle(p->servers, r->wish.service, now))
 			v = place_choose_server(p, now, &r->wish, false, 1, 0);
 		place_decide(p, now, r, v);
 	} else if (now < p->alone_until) {
@@ -300,6 +302,13 @@
 	place_send_step(p, now, r, SP_PLACE_LATE);
 }
 
+void
+place_mark_brittle(struct place *p, msec now, struct place_request *r)
+{
+	if (r->local)
+		place_send_step(p, now, r, SP_PLACE_BRITTLE);
+}
+
 void
 place_end(struct place *p, msec now, struct place_request *r,
     enum server_result result)
@@ -318,6 +327,8 @@
 		if (v != NULL) {
 			place_load_end(&v->own);
 			server_record_result(v, now, result);
+			if (result == SERVER_FULL)
+				server_room_rejected(&v->room, now, v->slots);
 		}
 		mix_ended(place_traffic(&p->own, r->wish.service), now,
 		    r->wish.route);
@@ -358,8 +369,12 @@
 		place_rate_received(p, now, v);
 		v = NULL;
 	}
+	/* Brittle servers have no room left. */
+	if (t->server == 0 &&
+	    servers_have_brittle(p->servers, r->wish.service, now))
+		place_decide(p, now, r, NULL);
 	/* A server that this node knows to be draining is not used. */
-	if (v == NULL || v->state != SERVER_READY)
+	else if (v == NULL || v->state != SERVER_READY)
 		place_decide_alone(p, now, r);
 	else
 		place_decide(p, now, r, v);
--- a/place.h
+++ b/place.h
@@ -168,6 +168,8 @@
  * a stream, or it timed out.
  */
 void place_mark_late(struct place *, msec, struct place_request *);
+/* An answer to the request says that its server is brittle. */
+void place_mark_brittle(struct place *, msec, struct place_request *);
 /*
  * The request was cancelled or has left its server. The result is recorded for
  * the server here and by the coordinator.
--- a/proto.h
+++ b/proto.h
@@ -258,6 +258,8 @@
 	SP_PLACE_FAILED = 3,
 	SP_PLACE_DOWN = 4,
 	SP_PLACE_LATE = 5,
+	SP_PLACE_FULL = 6,
+	SP_PLACE_BRITTLE = 7,
 };
 typedef enum sp_place_what sp_place_what;
 
--- a/proto.x
+++ b/proto.x
@@ -250,7 +250,9 @@
 	SP_PLACE_WELL = 2,		/* the same, with a response */
 	SP_PLACE_FAILED = 3,		/* the same, and the server failed */
 	SP_PLACE_DOWN = 4,		/* the same, and it is unreachable */
-	SP_PLACE_LATE = 5		/* it still runs, but is late */
+	SP_PLACE_LATE = 5,		/* it still runs, but is late */
+	SP_PLACE_FULL = 6,		/* it was rejected for want of room */
+	SP_PLACE_BRITTLE = 7		/* its server says that it is brittle */
 };
 
 struct sp_place_step {
--- a/server-choose.c
+++ b/server-choose.c
@@ -313,6 +313,30 @@
 	return server_rate_allows_alone(&v->rate, now, view->nodes, part);
 }
 
+/* Returns true if the server has room, in case that it is brittle. */
+static bool
+choose_room_allows(struct server *v, msec now, const struct server_view *view)
+{
+	const struct server_load *l = view->sole ? &v->all : &v->own;
+
+	return server_room_allows(&v->room, now, v->slots, l->running,
+	    view->sole ? 1 : view->nodes, view->urgent);
+}
+
+bool
+servers_have_brittle(struct servers *s, name_id service, msec now)
+{
+	const struct server_view whole = { .groups = 1 };
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (choose_in_view(v, service, &whole) &&
+		    server_is_brittle(&v->room, now))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Limits attempts on a server that is down. Guards against sending all requests
  * to a crashed server that is still listed while the others are full: each was
@@ -360,7 +384,8 @@
 		tie = choose_weight(v, draw);
 		if (!choose_in_view(v, w->service, view) ||
 		    wish_excludes(w, v->id) || !choose_may_try(v, now, view) ||
-		    !choose_rate_allows(v, now, view, tie))
+		    !choose_rate_allows(v, now, view, tie) ||
+		    !choose_room_allows(v, now, view))
 			continue;
 		cost = choose_cost(s, v, now, w, view, home, quiet_rank);
 		if (best != NULL && cost > least)
--- a/server.c
+++ b/server.c
@@ -85,6 +85,7 @@
 	v->first_ms = 0;
 	v->received = 0;
 	server_rate_reset(&v->rate);
+	v->room = (struct server_room){ 0 };
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
--- a/server.h
+++ b/server.h
@@ -10,6 +10,7 @@
 #include "savory.h"
 #include "server-memory.h"
 #include "server-rate.h"
+#include "server-room.h"
 
 /* Size limit of names, which platforms choose; longer names are ignored. */
 #define SERVER_NAME_SIZE 128
@@ -77,6 +78,7 @@
 	double first_ms;	 /* smoothed time to a response; 0: none yet */
 	unsigned int links;	 /* connections of this node, busy and idle */
 	struct server_rate rate; /* rate limit reported by the server */
+	struct server_room room; /* while it says that it is brittle */
 	/* When added after servers_set_complete(), or restarted; 0: neither. */
 	msec new_at;
 	uint64_t sent_mark; /* server_mark() when last sent to other nodes */
@@ -249,6 +251,8 @@
     struct servers *, name_id service, const struct server_view *);
 /* Returns true if a ready server has no rate limit and is not excluded. */
 bool servers_have_alternative(struct servers *, const struct server_wish *);
+/* Returns true if a ready server of the service says that it is brittle. */
+bool servers_have_brittle(struct servers *, name_id service, msec);
 /* Returns the best server for a request, or NULL if none is available. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
--- /dev/null
+++ b/tests/test-server-room.c
@@ -0,0 +1,88 @@
+/*
+ * Room of brittle servers: how many requests one gets, from coordinators and
+ * from nodes that decide alone, and after rejections.
+ */
+
+#include "server-room.h"
+
+#define SLOTS 16
+
+static unsigned int
+room_of(struct server_room *r, msec now, unsigned int nodes, bool urgent)
+{
+	unsigned int n = 0;
+
+	while (n < 1000 && server_room_allows(r, now, SLOTS, n, nodes, urgent))
+		n++;
+	return n;
+}
+
+/* Guards against requests that wait at a server that lets none wait. */
+static void
+test_slots(void)
+{
+	struct server_room r = { 0 };
+
+	g_assert_cmpuint(room_of(&r, 0, 1, true), ==, 1000);
+	server_room_update(&r, 0);
+	g_assert_cmpuint(room_of(&r, 0, 1, true), ==, SLOTS);
+	/* Urgent requests find room among others. */
+	g_assert_cmpuint(room_of(&r, 0, 1, false), ==, 14);
+	/* Nodes that decide alone share it. */
+	g_assert_cmpuint(room_of(&r, 0, 4, true), ==, 4);
+	g_assert_cmpuint(room_of(&r, 0, 100, true), ==, 1);
+	g_assert_true(server_room_allows(&r, 0, 0, 31, 1, true));
+	g_assert_false(server_room_allows(&r, 0, 0, 32, 1, true));
+}
+
+/* Guards against a server that is spared long after it has recovered. */
+static void
+test_ends(void)
+{
+	struct server_room r = { 0 };
+
+	server_room_update(&r, 0);
+	server_room_rejected(&r, 1000, SLOTS);
+	g_assert_true(server_is_brittle(&r, SERVER_BRITTLE_MS - 1));
+	g_assert_false(server_is_brittle(&r, SERVER_BRITTLE_MS));
+	server_room_update(&r, 10000);
+	g_assert_cmpuint(room_of(&r, 10000, 1, true), ==, SLOTS);
+}
+
+/* Guards against rejections that go on at the same pace. */
+static void
+test_rejections(void)
+{
+	struct server_room r = { 0 };
+	unsigned int before = SLOTS, room, i;
+
+	server_room_rejected(&r, 0, SLOTS);
+	g_assert_cmpuint(room_of(&r, 0, 1, true), ==, 1000);
+	for (i = 0; i < 40; i++) {
+		server_room_update(&r, i * 200);
+		server_room_rejected(&r, i * 200, SLOTS);
+		/* Those that were sent together count once. */
+		server_room_rejected(&r, i * 200 + 1, SLOTS);
+		room = room_of(&r, i * 200 + 1, 1, true);
+		g_assert_cmpuint(room, >=, 1);
+		g_assert_cmpuint(room, <=, before);
+		g_assert_cmpuint(before - room, <=, 2);
+		before = room;
+	}
+	g_assert_cmpuint(before, ==, 1);
+	for (i = 0; i < 40; i++) {
+		server_room_update(&r, 8000 + i * 1000);
+		room_of(&r, 8000 + i * 1000, 1, true);
+	}
+	g_assert_cmpuint(room_of(&r, 48000, 1, true), ==, SLOTS);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/server-room/slots", test_slots);
+	g_test_add_func("/server-room/ends", test_ends);
+	g_test_add_func("/server-room/rejections", test_rejections);
+	return g_test_run();
+}
