A server whose answers say that it leaves is sent nothing more

Cause: the field was not read; only the store's list said who leaves. Class: what a server says in an answer is dropped.

The first such answer of a process holds for its life at the node that heard it, also against a list that says ready; kept connections are closed, and what waits for one goes elsewhere. server_takes_work() is now the one place that says whether a server takes work; the choice, links, the coordinator's answers and the checks of ended servers ask it.

Nodes do not tell each other.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -517,6 +517,7 @@
 	servers_reached(&j->owner->servers, now);
 	entry_rate_read(k, h, now);
 	entry_room_read(k, h, now);
+	entry_leaving_read(k, h, now);
 	switch (reply_classify(j, h)) {
 	case REPLY_OTHER_REQUEST:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
--- a/entry-link.c
+++ b/entry-link.c
@@ -348,7 +348,7 @@
 static bool
 link_is_current(const struct link *k)
 {
-	return k->server->state == SERVER_READY &&
+	return server_takes_work(k->server, k->owner->loop.now) &&
 	       k->starts == k->server->starts;
 }
 
--- a/entry-log.c
+++ b/entry-log.c
@@ -88,6 +88,9 @@
 	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
 	    "A backend server's process ended while it had requests of ours; "
 	    "these are suspect." },
+	[LOG_EVENT_SERVER_LEAVING] = { "server-leaving",
+	    "An answer of a backend server says that it leaves: its process "
+	    "is sent nothing more, whatever is listed." },
 	[LOG_EVENT_SERVER_SILENT] = { "server-silent",
 	    "A backend server was given up, as it did not answer." },
 	[LOG_EVENT_SERVER_UNREADABLE] = { "server-unreadable",
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -259,6 +259,9 @@
 
 	text_value(s, "attempts_total", "counter", "Sent to servers.",
 	    (int64_t)c->attempts);
+	text_value(s, "servers_leaving_total", "counter",
+	    "Servers whose answers said that they leave.",
+	    (int64_t)c->servers_leaving);
 	text_value(s, "retries_total", "counter", "Beyond the first.",
 	    (int64_t)c->retries);
 	text_value(s, "connects_total", "counter", "New connections.",
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -333,7 +333,7 @@
 	struct server_check *c;
 
 	/* A server that is not ready ends as planned. */
-	if (v->state != SERVER_READY || poison_id_is_none(j->fingerprint))
+	if (!server_takes_work(v, now) || poison_id_is_none(j->fingerprint))
 		return false;
 	c = check_find(e, server_process_id(v));
 	if (c != NULL && c->state == CHECK_ENDED) {
@@ -360,7 +360,7 @@
 {
 	struct entry_poison *x = &j->owner->poison;
 
-	if (v->state != SERVER_READY || poison_id_is_none(j->fingerprint))
+	if (!server_takes_work(v, now) || poison_id_is_none(j->fingerprint))
 		return;
 	x->abandoned[x->next_abandoned] =
 	    (struct poison_abandoned){ j->fingerprint, server_process_id(v),
@@ -373,7 +373,7 @@
 {
 	struct server_check *c;
 
-	if (v->state != SERVER_READY)
+	if (!server_takes_work(v, now))
 		return;
 	if ((c = check_find(e, server_process_id(v))) == NULL)
 		c = check_new(e, v, now);
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -67,6 +67,25 @@
 	place_rate_received(&e->place, now, v);
 }
 
+void
+entry_leaving_read(struct link *k, const struct http_head *h, msec now)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+	struct wire_answer a;
+
+	e->wire->answer(h, k->job->request.id, &a);
+	if (!a.leaving || h->status == 421 || k->starts != v->starts ||
+	    a.other || v->says_leaving)
+		return;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SERVER_LEAVING,
+	    LOG_TEXT(LOG_KEY_SERVER, v->name),
+	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
+	e->counters.servers_leaving++;
+	v->says_leaving = true;
+	link_close_stale(e, v);
+}
+
 void
 entry_room_read(struct link *k, const struct http_head *h, msec now)
 {
--- a/entry.h
+++ b/entry.h
@@ -420,6 +420,8 @@
 
 /* Read the rate limit from the head of an answer on a link. */
 void entry_rate_read(struct link *, const struct http_head *, msec);
+/* The same: whether its server's process leaves. */
+void entry_leaving_read(struct link *, const struct http_head *, msec);
 /* The same: whether its server is brittle (server-room.h). */
 void entry_room_read(struct link *, const struct http_head *, msec);
 /* Placement received a server's rate limit from another node: log it. */
@@ -467,6 +469,7 @@
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays;
 	uint64_t tables;		  /* configurations put in force */
+	uint64_t servers_leaving;	  /* by their answers */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
 };
 
--- a/place.c
+++ b/place.c
@@ -374,7 +374,7 @@
 	    servers_have_brittle(p->servers, r->wish.service, now))
 		place_decide(p, now, r, NULL);
 	/* A server that this node knows to be draining is not used. */
-	else if (v == NULL || v->state != SERVER_READY)
+	else if (v == NULL || !server_takes_work(v, now))
 		place_decide_alone(p, now, r);
 	else
 		place_decide(p, now, r, v);
--- a/server-choose.c
+++ b/server-choose.c
@@ -100,7 +100,7 @@
 choose_in_view(
     const struct server *v, name_id service, const struct server_view *view)
 {
-	return v->service == service && v->state == SERVER_READY &&
+	return v->service == service && server_takes_work(v, view->now) &&
 	       (view->groups <= 1 ||
 		   server_group(v, view->groups) == view->group);
 }
--- a/server.c
+++ b/server.c
@@ -86,6 +86,7 @@
 	v->received = 0;
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
+	v->says_leaving = false;
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
@@ -409,5 +410,5 @@
 bool
 server_takes_work(const struct server *v, msec now)
 {
-	return v->state == SERVER_READY;
+	return v->state == SERVER_READY && !v->says_leaving;
 }
--- a/server.h
+++ b/server.h
@@ -58,6 +58,8 @@
 	bool reclaimable;
 	int64_t born;
 	unsigned int starts; /* restarts of the process under this name */
+	/* An answer of this process says that it leaves, whatever is listed. */
+	bool says_leaving;
 	bool missing; /* unlisted; SERVER_GONE after servers_keep_unlisted() */
 	msec missing_since;
 	msec gone_since;
