A server that asks for rest gets no requests meanwhile

Cause: the field was not read. Class: what a server says in an answer is dropped.

After it two requests at a time until one is answered. Where all servers of a service rest the request is refused at once, resting, with the time until the first takes work.

Per node; nodes do not tell each other.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -313,6 +313,9 @@
 static enum job_code
 job_no_server_code(const struct job *j)
 {
+	if (!j->may_have_run && servers_rest_wait(&j->owner->servers,
+				    j->service, j->owner->loop.now) > 0)
+		return JOB_RESTING;
 	if (j->sends > 0)
 		return j->last;
 	if (servers_have_brittle(
@@ -518,6 +521,7 @@
 	entry_rate_read(k, h, now);
 	entry_room_read(k, h, now);
 	entry_leaving_read(k, h, now);
+	entry_rest_read(k, h, now);
 	switch (reply_classify(j, h)) {
 	case REPLY_OTHER_REQUEST:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
--- a/entry-job.c
+++ b/entry-job.c
@@ -41,8 +41,8 @@
 	static const char *const names[JOB_CODES] = { "served", "server-error",
 		"bad-request", "no-route", "no-key", "not-fresh", "starting",
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
-		"broken", "timeout", "stopped", "leaving", "limited", "no-room",
-		"poison", "no-path", "carrier-full", "caller-gone" };
+		"broken", "timeout", "stopped", "leaving", "limited", "resting",
+		"no-room", "poison", "no-path", "carrier-full", "caller-gone" };
 
 	return names[c];
 }
@@ -207,6 +207,10 @@
 	if (code == JOB_LIMITED)
 		after = MAX(servers_rate_wait(&j->owner->servers, j->service),
 		    JOB_RETRY_AFTER_MS);
+	else if (code == JOB_RESTING)
+		after = MAX(servers_rest_wait(&j->owner->servers, j->service,
+				j->owner->loop.now),
+		    JOB_RETRY_AFTER_MS);
 	else if (code == JOB_POISON)
 		after = MAX(poison_trial_delay(&j->owner->poison.core,
 				j->owner->loop.now, j->fingerprint),
--- a/entry-log.c
+++ b/entry-log.c
@@ -83,6 +83,9 @@
 	[LOG_EVENT_RELOAD] = { "reload", "The settings were read again: taken "
 					 "up, or what is wrong with them." },
 	[LOG_EVENT_REQUEST] = { "request", "A request has ended." },
+	[LOG_EVENT_REST] = { "rest",
+	    "A backend server refused a request and asks for none for so "
+	    "long." },
 	[LOG_EVENT_SERVER] = { "server",
 	    "A backend server changed its state." },
 	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -259,6 +259,8 @@
 
 	text_value(s, "attempts_total", "counter", "Sent to servers.",
 	    (int64_t)c->attempts);
+	text_value(s, "rests_total", "counter",
+	    "Times that a server asked for no requests.", (int64_t)c->rests);
 	text_value(s, "servers_leaving_total", "counter",
 	    "Servers whose answers said that they leave.",
 	    (int64_t)c->servers_leaving);
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -67,6 +67,29 @@
 	place_rate_received(&e->place, now, v);
 }
 
+void
+entry_rest_read(struct link *k, const struct http_head *h, msec now)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+	struct wire_answer a;
+
+	e->wire->answer(h, k->job->request.id, &a);
+	if (h->status != 503 || !a.not_executed || a.retry_after == 0 ||
+	    k->starts != v->starts || a.other)
+		return;
+	/* Refusals of one moment come in a row. */
+	if (now >= v->rest_until) {
+		e->counters.rests++;
+		entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REST,
+		    LOG_TEXT(LOG_KEY_SERVER, v->name),
+		    LOG_NUMBER(LOG_KEY_MS, a.retry_after),
+		    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
+	}
+	v->rest_until = MAX(v->rest_until, now + a.retry_after);
+	link_close_stale(e, v);
+}
+
 void
 entry_leaving_read(struct link *k, const struct http_head *h, msec now)
 {
--- a/entry.h
+++ b/entry.h
@@ -241,6 +241,7 @@
 	JOB_STOPPED,	  /* this node's stop ended it */
 	JOB_LEAVING,	  /* this node stops before it could end */
 	JOB_LIMITED,	  /* the servers' rate limits allow none now */
+	JOB_RESTING,	  /* all servers have asked for rest */
 	JOB_NO_ROOM,	  /* brittle servers have no room for it */
 	JOB_POISON,	  /* it crashes the servers that run it */
 	JOB_NO_PATH,	  /* no server accepts connections of this node */
@@ -420,6 +421,8 @@
 
 /* Read the rate limit from the head of an answer on a link. */
 void entry_rate_read(struct link *, const struct http_head *, msec);
+/* The same: whether its server asks for rest. */
+void entry_rest_read(struct link *, const struct http_head *, msec);
 /* The same: whether its server's process leaves. */
 void entry_leaving_read(struct link *, const struct http_head *, msec);
 /* The same: whether its server is brittle (server-room.h). */
@@ -469,6 +472,7 @@
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays;
 	uint64_t tables;		  /* configurations put in force */
+	uint64_t rests;			  /* that servers asked for */
 	uint64_t servers_leaving;	  /* by their answers */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
 };
--- a/server-choose.c
+++ b/server-choose.c
@@ -35,6 +35,8 @@
 #define CHOOSE_TRY_MS 500
 /* Maximum interval for each node that decides without a coordinator. */
 #define CHOOSE_TRY_MAX_MS (4 * MSEC_SECOND)
+/* Requests of this node on a server after its rest, until it answers one. */
+#define CHOOSE_RESTED_REQUESTS 2
 /* Cost of a server in another failure domain. */
 #define CHOOSE_DOMAIN_MS 2.0
 /* Maximum number of quiet servers in a group. */
@@ -323,6 +325,31 @@
 	    view->sole ? 1 : view->nodes, view->urgent);
 }
 
+/* Guards against all requests at once at the end of a server's rest. */
+static bool
+choose_rest_allows(const struct server *v)
+{
+	return v->rest_until == 0 || v->own.running < CHOOSE_RESTED_REQUESTS;
+}
+
+msec
+servers_rest_wait(struct servers *s, name_id service, msec now)
+{
+	struct server *v;
+	msec least = 0;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (v->service != service || v->state != SERVER_READY ||
+		    v->says_leaving)
+			continue;
+		if (now >= v->rest_until)
+			return 0;
+		least = least == 0 ? v->rest_until - now
+				   : MIN(least, v->rest_until - now);
+	}
+	return least;
+}
+
 bool
 servers_have_brittle(struct servers *s, name_id service, msec now)
 {
@@ -385,7 +412,7 @@
 		if (!choose_in_view(v, w->service, view) ||
 		    wish_excludes(w, v->id) || !choose_may_try(v, now, view) ||
 		    !choose_rate_allows(v, now, view, tie) ||
-		    !choose_room_allows(v, now, view))
+		    !choose_room_allows(v, now, view) || !choose_rest_allows(v))
 			continue;
 		cost = choose_cost(s, v, now, w, view, home, quiet_rank);
 		if (best != NULL && cost > least)
--- a/server.c
+++ b/server.c
@@ -87,6 +87,7 @@
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
 	v->says_leaving = false;
+	v->rest_until = 0;
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
@@ -281,6 +282,8 @@
 	case SERVER_ANSWERED:
 		v->failures = 0;
 		v->resting_until = 0;
+		if (now >= v->rest_until)
+			v->rest_until = 0;
 		break;
 	case SERVER_FAILED:
 		n = ++v->failures;
@@ -410,5 +413,6 @@
 bool
 server_takes_work(const struct server *v, msec now)
 {
-	return v->state == SERVER_READY && !v->says_leaving;
+	return v->state == SERVER_READY && !v->says_leaving &&
+	       now >= v->rest_until;
 }
--- a/server.h
+++ b/server.h
@@ -60,6 +60,11 @@
 	unsigned int starts; /* restarts of the process under this name */
 	/* An answer of this process says that it leaves, whatever is listed. */
 	bool says_leaving;
+	/*
+	 * It asked this node for no requests until then; after that it gets
+	 * few until it answers one. 0: none.
+	 */
+	msec rest_until;
 	bool missing; /* unlisted; SERVER_GONE after servers_keep_unlisted() */
 	msec missing_since;
 	msec gone_since;
@@ -255,6 +260,11 @@
 bool servers_have_alternative(struct servers *, const struct server_wish *);
 /* Returns true if a ready server of the service says that it is brittle. */
 bool servers_have_brittle(struct servers *, name_id service, msec);
+/*
+ * If all ready servers of a service have asked for rest: the shortest time
+ * until one of them takes requests again, in ms; else 0.
+ */
+msec servers_rest_wait(struct servers *, name_id service, msec);
 /* Returns the best server for a request, or NULL if none is available. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
--- a/wire.h
+++ b/wire.h
@@ -71,8 +71,9 @@
 	bool not_executed; /* the request was not and will not be executed */
 	bool encoded;	   /* has a Content-Encoding */
 	msec keep_alive_timeout; /* ms the connection may idle; 0: not given */
-	bool leaving;		 /* the server says that it leaves */
-	bool brittle; /* the server may fall over if it rejects too many */
+	msec retry_after; /* ms without requests that it asks for; 0: none */
+	bool leaving;	  /* the server says that it leaves */
+	bool brittle;	  /* the server may fall over if it rejects too many */
 	enum wire_rate rate;
 	double per_s; /* requests per second with WIRE_RATE_GIVEN, else 0 */
 };
