--- a/tests/test-handoff.c
+++ b/tests/test-handoff.c
@@ -104,7 +104,7 @@
 	unsigned int all, left, used;
 
 	for (all = 2; all < 6; all++) {
-		for (left = all, used = 0; left > 0; left -= MIN(left, used)) {
+		for (left = all; left > 0; left -= used) {
 			used = handoff_attempts(left);
 			g_assert_cmpuint(used, >, 0);
 			g_assert_cmpuint(used, <=, left);
