--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -407,18 +407,28 @@
 	return j->link != NULL && j->carrier == NULL && j->link->connecting;
 }
 
+static struct job *
+handoff_find_connecting(struct entry *e)
+{
+	struct job *j;
+
+	TAILQ_FOREACH (j, &e->jobs, entry) {
+		if (job_is_connecting(j) && entry_handoff_wanted(j))
+			return j;
+	}
+	return NULL;
+}
+
 static void
 handoff_timer(struct loop_timer *t, msec now)
 {
 	struct entry *e = t->arg;
-	struct job *j, *next;
+	struct job *j;
 
-	if (!reach_is_cut(&e->reach.core))
-		return;
-	TAILQ_FOREACH_SAFE (j, &e->jobs, entry, next) {
-		if (job_is_connecting(j) && entry_handoff_wanted(j))
-			job_leave_server(j, now);
-	}
+	/* Start over each time: the end of one job may end others. */
+	while (reach_is_cut(&e->reach.core) &&
+	       (j = handoff_find_connecting(e)) != NULL)
+		job_leave_server(j, now);
 }
 
 void
@@ -441,17 +451,27 @@
 	return m->state == MEMBER_SUSPECT && j->repeatable && !j->answer_began;
 }
 
-void
-entry_handoff_tick(struct entry *e, msec now)
+static struct job *
+handoff_find_lost(struct entry *e)
 {
-	struct entry_carrier *c, *next;
-	struct job *j, *other;
+	struct job *j;
 
-	TAILQ_FOREACH_SAFE (j, &e->jobs, entry, other) {
+	TAILQ_FOREACH (j, &e->jobs, entry) {
 		if (j->carrier != NULL && j->link != NULL &&
 		    carrier_is_lost(e, j))
-			carrier_answer_broken(j, now);
+			return j;
 	}
+	return NULL;
+}
+
+void
+entry_handoff_tick(struct entry *e, msec now)
+{
+	struct entry_carrier *c, *next;
+	struct job *j;
+
+	while ((j = handoff_find_lost(e)) != NULL)
+		carrier_answer_broken(j, now);
 	TAILQ_FOREACH_SAFE (c, &e->handoff.carriers, entry, next) {
 		if (c->requests > 0 || c->server.links > 0 ||
 		    members_find(&e->members, c->server.id) != NULL)
