Brittle servers: many nodes without a coordinator use no slot each

Cause by their logs and the code: nodes that decide alone took one slot each however few there were (4 nodes, 2 slots), and a new coordinator used all slots while the one before still placed.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -244,6 +244,7 @@
 {
 	struct mix *m = place_traffic(all ? &p->all : &p->own, w->service);
 	struct server_view view = { .all = all,
+		.self = p->self,
 		.domain = all ? "" : p->domain,
 		.hold_ms = m->hold_ms,
 		.groups = groups,
--- a/server-choose.c
+++ b/server-choose.c
@@ -320,9 +320,14 @@
 choose_room_allows(struct server *v, msec now, const struct server_view *view)
 {
 	const struct server_load *l = view->sole ? &v->all : &v->own;
-
-	return server_room_allows(&v->room, now, v->slots, l->running,
-	    view->sole ? 1 : view->nodes, view->urgent);
+	unsigned int nodes = view->sole ? 1 : view->nodes;
+
+	/* The previous coordinator may still place requests. */
+	if (view->sole && view->takeover)
+		nodes = 2;
+	return server_room_allows(&v->room, now, v->slots, l->running, nodes,
+	    (double)choose_weight(v, view->self) / (double)UINT64_MAX,
+	    view->urgent);
 }
 
 /* Guards against all requests at once at the end of a server's rest. */
--- a/server-room.c
+++ b/server-room.c
@@ -49,7 +49,7 @@
 
 bool
 server_room_allows(struct server_room *r, msec now, unsigned int slots,
-    unsigned int running, unsigned int nodes, bool urgent)
+    unsigned int running, unsigned int nodes, double draw, bool urgent)
 {
 	unsigned int room;
 
@@ -60,6 +60,8 @@
 	room = slots - MIN(r->less, slots - 1);
 	if (!urgent)
 		room -= room / SERVER_URGENT_ONE_IN;
-	/* A node with a share of less than one uses one: it may be alone. */
-	return running < MAX(room / MAX(nodes, 1), 1);
+	nodes = MAX(nodes, 1);
+	if (room >= nodes)
+		return running < room / nodes;
+	return running == 0 && draw * nodes < room;
 }
--- a/server-room.h
+++ b/server-room.h
@@ -35,13 +35,14 @@
 void server_room_rejected(struct server_room *, msec, unsigned int slots);
 bool server_is_brittle(const struct server_room *, msec);
 /*
- * May the server get a request, if so many run there? `nodes`: 1 for a
- * coordinator, else the number of nodes, of which each uses an equal share.
- * Less urgent requests leave a slot of every SERVER_URGENT_ONE_IN to urgent
- * ones.
+ * May the server get a request, if so many run there? `nodes` that decide for
+ * themselves use equal shares; 1 for a coordinator. Where there are more nodes
+ * than slots, a part of them uses one: `draw`, from 0 to 1, is fixed for a node
+ * and a server. Less urgent requests leave a slot of every
+ * SERVER_URGENT_ONE_IN to urgent ones.
  */
 #define SERVER_URGENT_ONE_IN 8
 bool server_room_allows(struct server_room *, msec, unsigned int slots,
-    unsigned int running, unsigned int nodes, bool urgent);
+    unsigned int running, unsigned int nodes, double draw, bool urgent);
 
 #endif /* SERVER_ROOM_H */
--- a/server.h
+++ b/server.h
@@ -238,6 +238,7 @@
 struct server_view {
 	bool all;	    /* as coordinator: use load of all nodes */
 	bool young;	    /* coordinator for less than 15 s */
+	name_id self;	    /* the node */
 	const char *domain; /* the node's failure domain, or "" */
 	bool light;	    /* use the quiet servers, see server-mix.h */
 	unsigned int quiet; /* number of quiet servers */
