A line for each stream that ends: what framed the end, bytes left of an event

Nothing in the logs told how the message of a stream had ended, nor that an event had begun. No decision is changed.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -625,6 +625,7 @@
 		job_retry_or_fail(j, now, JOB_SERVER_ERROR);
 		return;
 	}
+	reply_log_end(j, k->reader.head, now);
 	reply_finish(j, now);
 	job_release_server(j, now, SERVER_ANSWERED);
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -379,6 +379,7 @@
 		return;
 	}
 	handoff_count_runs(j);
+	reply_log_end(j, k->reader.head, now);
 	reply_finish(j, now);
 	entry_handoff_release(j);
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
--- a/entry-log.c
+++ b/entry-log.c
@@ -103,6 +103,9 @@
 	[LOG_EVENT_STOPPING] = { "stopping", "A planned stop has begun." },
 	[LOG_EVENT_STRAY_ANSWER] = { "stray-answer",
 	    "An answer to another request came and was thrown away." },
+	[LOG_EVENT_STREAM_ENDED] = { "stream-ended",
+	    "A server's stream ended without a break; see framing and "
+	    "unfinished." },
 	[LOG_EVENT_SUSPECT] = { "suspect",
 	    "A server ended under the request before: it waits for its turn, "
 	    "goes, or is refused." },
@@ -127,6 +130,9 @@
 	[LOG_KEY_ERA] = { "era", "of the platform's store" },
 	[LOG_KEY_FIRST_MS] = { "first_ms",
 	    "from the request to the first byte of the answer; -1: none" },
+	[LOG_KEY_FRAMING] = { "framing",
+	    "what marked the end of a server's answer: length, chunks, or "
+	    "close of the connection" },
 	[LOG_KEY_GAP_MS] = { "gap_ms",
 	    "longest pause between two parts of the answer" },
 	[LOG_KEY_KIND] = { "kind", "of server: lasting or reclaimable" },
@@ -177,6 +183,8 @@
 	[LOG_KEY_TOKEN] = { "token", "fencing token of the duty; 0: none" },
 	[LOG_KEY_TOKENS_PER_MS] = { "tokens_per_ms",
 	    "prompt tokens to be read in a ms, at the peak" },
+	[LOG_KEY_UNFINISHED] = { "unfinished",
+	    "bytes of an event that had begun at the end of the stream" },
 	[LOG_KEY_VERSION] = { "version",
 	    "of the configuration, or of the program" },
 	[LOG_KEY_WINDOW] = { "window", "number of the window of usage" },
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -8,8 +8,8 @@
 
 #define LOG_PART "reply"
 #include "entry.h"
+#include "event-stream.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 /* Larger answers are forwarded as they arrive. */
@@ -128,41 +128,6 @@
 		    j->link, caller_unsent(j->caller) > CALLER_HIGH_WATER);
 }
 
-/* Parse the number in an event's line "id: N"; false without such a line. */
-static bool
-event_number(const char *event, size_t n, uint64_t *number)
-{
-	const char *line = event, *end = event + n, *lf;
-
-	while (line < end) {
-		lf = memchr(line, '\n', (size_t)(end - line));
-		if (lf == NULL)
-			lf = end;
-		if (lf - line > 3 && strncmp(line, "id:", 3) == 0) {
-			*number = strtoull(line + 3, NULL, 10);
-			return true;
-		}
-		line = lf + 1;
-	}
-	return false;
-}
-
-/* Length of the first whole event with its final empty line; 0: none. */
-static size_t
-event_length(const char *bytes, size_t n)
-{
-	const char *p = bytes, *end = bytes + n, *lf;
-
-	while ((lf = memchr(p, '\n', (size_t)(end - p))) != NULL) {
-		p = lf + 1;
-		if (p < end && *p == '\n')
-			return (size_t)(p + 1 - bytes);
-		if (p + 1 < end && p[0] == '\r' && p[1] == '\n')
-			return (size_t)(p + 2 - bytes);
-	}
-	return 0;
-}
-
 /*
  * Check an event's number: a stream that another server resumes must continue
  * with the event after the last one that the caller was sent, without gaps or
@@ -223,6 +188,43 @@
 	return true;
 }
 
+static const char *
+reply_framing(const struct http_head *h)
+{
+	if (h->until_close)
+		return "close";
+	return h->has_length ? "length" : "chunks";
+}
+
+/* Bytes of an event that has begun and is not complete. */
+static size_t
+reply_unfinished(const struct job *j)
+{
+	const char *bytes = buffer_bytes(&j->unsent_body);
+	size_t left = buffer_length(&j->unsent_body), at = 0, n;
+
+	while ((n = event_length(bytes + at, left - at)) > 0)
+		at += n;
+	return event_is_unfinished(bytes + at, left - at) ? left - at : 0;
+}
+
+void
+reply_log_end(const struct job *j, const struct http_head *h, msec now)
+{
+	size_t unfinished;
+
+	if (!j->streamed)
+		return;
+	unfinished = reply_unfinished(j);
+	entry_log(&j->owner->log, now,
+	    unfinished > 0 ? ENTRY_LOG_NEEDED : ENTRY_LOG_ROUTINE,
+	    LOG_EVENT_STREAM_ENDED, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
+	    LOG_TEXT(LOG_KEY_FRAMING, reply_framing(h)),
+	    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
+	    LOG_NUMBER(LOG_KEY_UNFINISHED, unfinished));
+}
+
 bool
 reply_finish(struct job *j, msec now)
 {
--- a/entry.h
+++ b/entry.h
@@ -403,6 +403,8 @@
  * event is too long.
  */
 bool reply_body(struct job *, const char *, size_t, msec);
+/* Log how a stream ended whose message is complete. */
+void reply_log_end(const struct job *, const struct http_head *, msec);
 /* The server's answer is complete: write the rest of it. Returns true. */
 bool reply_finish(struct job *, msec);
 /* Discard what has not been forwarded, before another attempt. */
--- a/sse.c
+++ b/sse.c
@@ -4,6 +4,7 @@
 
 #define LOG_PART "sse"
 #include "sse.h"
+#include "event-stream.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +12,6 @@
 #define SSE_DATA "data:"
 #define SSE_DONE "[DONE]"
 
-static const char *sse_event_end(const char *, const char *);
 static bool sse_append(struct sse *, const char *, size_t);
 
 void
@@ -27,22 +27,6 @@
 	s->rest = NULL;
 }
 
-/* The byte after the empty line that ends the event at p, or NULL. */
-static const char *
-sse_event_end(const char *p, const char *end)
-{
-	const char *nl;
-
-	while ((nl = memchr(p, '\n', (size_t)(end - p))) != NULL) {
-		p = nl + 1;
-		if (p < end && *p == '\n')
-			return p + 1;
-		if (end - p >= 2 && p[0] == '\r' && p[1] == '\n')
-			return p + 2;
-	}
-	return NULL;
-}
-
 /* Classify a complete event: a token, the end of the stream, or a comment. */
 static void
 sse_classify(struct sse *s, const char *p, size_t n, unsigned int *tokens)
@@ -92,12 +76,14 @@
 sse_emit_events(struct sse *s, const char *p, size_t n,
     void (*event)(void *, const char *, size_t, unsigned int), void *arg)
 {
-	const char *at = p, *end = p + n, *next;
+	const char *at = p, *end = p + n;
 	unsigned int tokens = 0;
+	size_t length;
 
-	while (!s->done && (next = sse_event_end(at, end)) != NULL) {
-		sse_classify(s, at, (size_t)(next - at), &tokens);
-		at = next;
+	while (
+	    !s->done && (length = event_length(at, (size_t)(end - at))) > 0) {
+		sse_classify(s, at, length, &tokens);
+		at += length;
 	}
 	if (at != p)
 		event(arg, p, (size_t)(at - p), tokens);
