A stream that ends inside an event is broken off, whatever framed its end

Cause: whether an answer is whole was decided by its framing alone, while the bytes of an unfinished event were held back; at the end these went out with the last chunk. Class: an end that the transport calls orderly is taken for the end of the matter. reply_end() now decides from framing, unfinished bytes, an event that an earlier attempt had begun, and what the caller already has; servers and carriers ask it in the same place. A stream broken off is resumed where that is allowed, else its connection ends without the last chunk; nothing of the unfinished event is sent. The server's connection is not used again, a request that ends its server counts as suspect as after a reset, and the path to the servers is not blamed.

Ruled out by tests: a reset taken for a close (a break inside a chunk was resumed before), the join of two servers (one server alone does it). Looked at for the same class and sound: records of the store's log (cut records are not counted, the rest is read again), its JSON pages (cut ones do not parse), the product's own interface (whole only with [DONE]).

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -37,7 +37,7 @@
 static bool attempt_may_send(struct link *, msec);
 static bool attempt_head(struct link *, const struct http_head *, msec);
 static void attempt_body(struct link *, const char *, size_t, msec);
-static void attempt_complete(struct link *, msec);
+static bool attempt_complete(struct link *, msec);
 static void attempt_failed(struct link *, enum link_end, msec);
 static void job_retry_or_fail(struct job *, msec, enum job_code);
 
@@ -604,7 +604,19 @@
 	job_retry_or_fail(j, now, JOB_BROKEN);
 }
 
+/* The server broke off what may have run: resume it, or fail the request. */
 static void
+attempt_broke_off(struct link *k, msec now)
+{
+	struct job *j = k->job;
+
+	job_count_run(j);
+	if (!entry_poison_connection_broke(
+		j, k->server, job_can_retry(j, now), now))
+		job_retry_or_fail(j, now, JOB_BROKEN);
+}
+
+static bool
 attempt_complete(struct link *k, msec now)
 {
 	struct job *j = k->job;
@@ -615,7 +627,14 @@
 		j->arrivals++;
 		job_release_server(j, now, j->refusal_result);
 		job_retry_or_fail(j, now, JOB_FULL);
-		return;
+		return true;
+	}
+	reply_log_end(j, k->reader.head, now);
+	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN) {
+		poison_run_end(&j->owner->poison.core, now, &j->run, true);
+		job_release_server(j, now, SERVER_FAILED);
+		attempt_broke_off(k, now);
+		return false;
 	}
 	job_count_run(j);
 	job_began_to_run(j, now);
@@ -623,12 +642,12 @@
 	if (j->server_error && j->repeatable) {
 		job_release_server(j, now, SERVER_ANSWERED);
 		job_retry_or_fail(j, now, JOB_SERVER_ERROR);
-		return;
+		return true;
 	}
-	reply_log_end(j, k->reader.head, now);
 	reply_finish(j, now);
 	job_release_server(j, now, SERVER_ANSWERED);
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
+	return true;
 }
 
 /*
@@ -706,10 +725,7 @@
 	if (k->connect_refused)
 		entry_poison_connection_refused(k->owner, k->server, now);
 	if (how == LINK_BROKEN) {
-		job_count_run(j);
-		if (!entry_poison_connection_broke(
-			j, k->server, job_can_retry(j, now), now))
-			job_retry_or_fail(j, now, JOB_BROKEN);
+		attempt_broke_off(k, now);
 		return;
 	}
 	/* No byte was sent, so the attempt does not count. */
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -37,7 +37,7 @@
 static bool carrier_may_send(struct link *, msec);
 static bool carrier_head(struct link *, const struct http_head *, msec);
 static void carrier_body(struct link *, const char *, size_t, msec);
-static void carrier_complete(struct link *, msec);
+static bool carrier_complete(struct link *, msec);
 static void carrier_failed(struct link *, enum link_end, msec);
 
 static const struct link_ops carrier_link_ops = { carrier_may_send,
@@ -368,7 +368,7 @@
 	job_fail(j, now, j->outcome);
 }
 
-static void
+static bool
 carrier_complete(struct link *k, msec now)
 {
 	struct job *j = k->job;
@@ -376,13 +376,18 @@
 	j->link = NULL;
 	if (j->has_outcome) {
 		carrier_end_with_outcome(j, now);
-		return;
+		return true;
 	}
 	handoff_count_runs(j);
 	reply_log_end(j, k->reader.head, now);
+	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN) {
+		handoff_fail(j, now, JOB_BROKEN);
+		return false;
+	}
 	reply_finish(j, now);
 	entry_handoff_release(j);
 	job_free(j, now, j->server_error ? JOB_SERVER_ERROR : JOB_SERVED);
+	return true;
 }
 
 static void
--- a/entry-link.c
+++ b/entry-link.c
@@ -360,7 +360,7 @@
 		    !k->reader.head->until_close && rest == 0 &&
 		    buffer_length(&k->out) == 0 && link_is_current(k);
 
-	k->ops->complete(k, now);
+	keep = k->ops->complete(k, now) && keep;
 	k->job = NULL;
 	if (keep)
 		link_to_pool(k, now);
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -270,6 +270,9 @@
 	    (int64_t)c->connects);
 	text_value(s, "reused_total", "counter", "Kept connections used.",
 	    (int64_t)c->reused);
+	text_value(s, "streams_broken_off_total", "counter",
+	    "Streams that were complete by their framing alone.",
+	    (int64_t)c->streams_broken);
 	text_value(s, "strays_total", "counter", "Answers to nobody.",
 	    (int64_t)c->strays);
 	text_value(s, "server_rates_total", "counter",
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -68,14 +68,6 @@
 	}
 }
 
-void
-reply_discard(struct job *j)
-{
-	buffer_finish(&j->unsent_body);
-	if (!j->answer_began)
-		buffer_finish(&j->fields);
-}
-
 /* A stopping node closes its connections, so that callers use other nodes. */
 static bool
 reply_keeps_connection(const struct job *j)
@@ -150,6 +142,7 @@
 	}
 	j->last_event = number;
 	j->events++;
+	j->event_due = false;
 	return true;
 }
 
@@ -208,21 +201,59 @@
 	return event_is_unfinished(bytes + at, left - at) ? left - at : 0;
 }
 
+void
+reply_discard(struct job *j)
+{
+	j->event_due = j->streamed && (j->event_due || reply_unfinished(j) > 0);
+	buffer_finish(&j->unsent_body);
+	if (!j->answer_began)
+		buffer_finish(&j->fields);
+}
+
+/*
+ * Nothing came, though an earlier attempt broke off inside the next event, or
+ * though nothing but the close of the connection ends the answer. One that the
+ * caller resumes may have no event left.
+ */
+static bool
+reply_lacks_event(const struct job *j, const struct http_head *h)
+{
+	if (buffer_length(&j->unsent_body) > 0)
+		return false;
+	return j->event_due ||
+	       (h->until_close && !j->answer_began && j->request.after == 0);
+}
+
+enum reply_end
+reply_end(const struct job *j, const struct http_head *h)
+{
+	if (j->streamed && (reply_unfinished(j) > 0 || reply_lacks_event(j, h)))
+		return REPLY_END_BROKEN;
+	return h->until_close ? REPLY_END_UNVERIFIED : REPLY_END_WHOLE;
+}
+
 void
 reply_log_end(const struct job *j, const struct http_head *h, msec now)
 {
-	size_t unfinished;
+	static const char *const names[] = {
+		[REPLY_END_WHOLE] = "whole",
+		[REPLY_END_UNVERIFIED] = "unverified",
+		[REPLY_END_BROKEN] = "broken off",
+	};
+	enum reply_end how = reply_end(j, h);
 
 	if (!j->streamed)
 		return;
-	unfinished = reply_unfinished(j);
+	if (how == REPLY_END_BROKEN)
+		j->owner->counters.streams_broken++;
 	entry_log(&j->owner->log, now,
-	    unfinished > 0 ? ENTRY_LOG_NEEDED : ENTRY_LOG_ROUTINE,
+	    how == REPLY_END_BROKEN ? ENTRY_LOG_NEEDED : ENTRY_LOG_ROUTINE,
 	    LOG_EVENT_STREAM_ENDED, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
+	    LOG_TEXT(LOG_KEY_OUTCOME, names[how]),
 	    LOG_TEXT(LOG_KEY_FRAMING, reply_framing(h)),
 	    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
-	    LOG_NUMBER(LOG_KEY_UNFINISHED, unfinished));
+	    LOG_NUMBER(LOG_KEY_UNFINISHED, reply_unfinished(j)));
 }
 
 bool
--- a/entry.h
+++ b/entry.h
@@ -159,8 +159,12 @@
 	/* The head of an answer. False when it answers another request. */
 	bool (*head)(struct link *, const struct http_head *, msec);
 	void (*body)(struct link *, const char *, size_t, msec);
-	/* The answer is complete; the link no longer belongs to the job. */
-	void (*complete)(struct link *, msec);
+	/*
+	 * The answer is complete by its framing; the link no longer belongs to
+	 * the job. False when the server broke it off nevertheless: the
+	 * connection is not used again.
+	 */
+	bool (*complete)(struct link *, msec);
 	/* The attempt failed; the link no longer belongs to the job. */
 	void (*failed)(struct link *, enum link_end, msec);
 	msec connect_timeout; /* of a new connection, in ms */
@@ -325,8 +329,9 @@
 	msec gap;		/* longest pause between two forwarded parts */
 	struct buffer fields;	/* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
-	uint64_t last_event;	   /* number of the last event forwarded */
-	uint64_t events;	   /* numbered events forwarded */
+	bool event_due;	     /* an attempt broke off inside the next event */
+	uint64_t last_event; /* number of the last event forwarded */
+	uint64_t events;     /* numbered events forwarded */
 };
 
 extern const struct caller_ops job_caller_ops;
@@ -403,7 +408,18 @@
  * event is too long.
  */
 bool reply_body(struct job *, const char *, size_t, msec);
-/* Log how a stream ended whose message is complete. */
+/* What an answer is whose message is complete by its framing. */
+enum reply_end {
+	REPLY_END_WHOLE,
+	/*
+	 * Nothing but the close of its connection ended it. It is forwarded as
+	 * complete, as servers may end their answers in this way.
+	 */
+	REPLY_END_UNVERIFIED,
+	REPLY_END_BROKEN /* a stream that lacks the end of an event, or one */
+};
+enum reply_end reply_end(const struct job *, const struct http_head *);
+/* Log, and count, how a stream ended whose message is complete. */
 void reply_log_end(const struct job *, const struct http_head *, msec);
 /* The server's answer is complete: write the rest of it. Returns true. */
 bool reply_finish(struct job *, msec);
@@ -474,6 +490,7 @@
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays;
 	uint64_t tables;		  /* configurations put in force */
+	uint64_t streams_broken;	  /* though complete by their framing */
 	uint64_t rests;			  /* that servers asked for */
 	uint64_t servers_leaving;	  /* by their answers */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
