Logs tell a server's software version, and the stream that a request takes up

The version of a server's entry was not read, nor the caller's field that names the request which began a stream; no line could tell at which version a stream began or went on. An entry that names another version for a known server means another process. No decision is changed otherwise.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -213,6 +213,7 @@
 		return false;
 	j->server = v;
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
+	g_strlcpy(j->software, v->software, sizeof j->software);
 	j->sends++;
 	v->rate.sent++;
 	j->sent_at = now;
--- a/entry-job.c
+++ b/entry-job.c
@@ -89,6 +89,8 @@
 	const char *last =
 	    j->last != JOB_SERVED ? job_code_name(j->last) : NULL;
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
+	const char *resumes = j->request.resumes ? j->request.began_as : NULL;
+	const char *software = *j->software != '\0' ? j->software : NULL;
 	const char *carrier = *j->carrier_name != '\0' ? j->carrier_name : NULL;
 	char fingerprint[POISON_ID_SIZE];
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
@@ -103,7 +105,9 @@
 	    LOG_TEXT(LOG_KEY_ROUTE, route),
 	    LOG_TEXT(LOG_KEY_ORGANISATION, organisation),
 	    LOG_TEXT(LOG_KEY_SAME, job_fingerprint_text(j, fingerprint)),
+	    LOG_TEXT(LOG_KEY_RESUMES, resumes),
 	    LOG_TEXT(LOG_KEY_SERVER, server),
+	    LOG_TEXT(LOG_KEY_SOFTWARE, software),
 	    LOG_TEXT(LOG_KEY_CARRIER, carrier),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_RUNS, j->runs),
@@ -168,6 +172,7 @@
 	loop_timer_stop(&e->loop, &j->timer);
 	route_table_drop(j->table);
 	g_free(j->id);
+	g_free(j->began_as);
 	buffer_finish(&j->fields);
 	buffer_finish(&j->unsent_body);
 	TAILQ_REMOVE(&e->jobs, j, entry);
@@ -363,6 +368,7 @@
 	}
 	/* The log line needs the id after the head has been freed. */
 	j->request.id = j->id = g_strdup(j->request.id);
+	j->request.began_as = j->began_as = g_strdup(j->request.began_as);
 	j->last_event = j->request.after;
 	code = job_admit(j, now);
 	if (code == JOB_SERVED && terms != NULL)
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -81,7 +81,8 @@
 		.slots = v->slots,
 		.born = (uint64_t)v->born,
 		.state = (sp_server_state)server_listed_as(v),
-		.reclaimable = v->reclaimable };
+		.reclaimable = v->reclaimable,
+		.software = (char *)v->software };
 }
 
 static void
@@ -173,7 +174,8 @@
 		.slots = m->slots,
 		.draining = m->state == SP_SERVER_DRAINING,
 		.born = (int64_t)m->born,
-		.reclaimable = m->reclaimable };
+		.reclaimable = m->reclaimable,
+		.software = m->software };
 
 	if (m->state == SP_SERVER_GONE)
 		servers_unlist(&e->servers, now, m->name);
--- a/entry-state.c
+++ b/entry-state.c
@@ -48,6 +48,7 @@
 	    LOG_TEXT(LOG_KEY_STATE, v->state == SERVER_READY	  ? "ready"
 				    : v->state == SERVER_DRAINING ? "draining"
 								  : "gone"),
+	    LOG_TEXT(LOG_KEY_SOFTWARE, v->software),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
 	entry_poison_server_changed(e, v, e->loop.now);
 	link_close_stale(e, v);
--- a/entry.h
+++ b/entry.h
@@ -263,6 +263,7 @@
 	struct caller *caller;
 	struct wire_request request;
 	char *id;		      /* owned copy of request.id */
+	char *began_as;		      /* and of request.began_as */
 	const struct http_head *head; /* owned by the caller's reader */
 	struct route_table *table;    /* a counted reference */
 	const struct route *route;
@@ -279,6 +280,8 @@
 	struct server *server;		 /* of the current attempt, or NULL */
 	/* Name of the last attempt's server; "": none. */
 	char server_name[SERVER_NAME_SIZE];
+	/* Version of that server's software; "": unknown. */
+	char software[SERVER_SOFTWARE_SIZE];
 	struct place_request place;
 	/*
 	 * Attempts on other nodes (entry-handoff.c): the current carrier or
--- a/proto.h
+++ b/proto.h
@@ -335,6 +335,7 @@
 typedef struct sp_demand sp_demand;
 #define SAVORY_SERVERS_MAX 4
 #define SAVORY_SERVER_NAME_MAX 127
+#define SAVORY_SOFTWARE_MAX 47
 
 enum sp_server_state {
 	SP_SERVER_READY = 0,
@@ -353,6 +354,7 @@
 	u_quad_t born;
 	sp_server_state state;
 	bool_t reclaimable;
+	char *software;
 };
 typedef struct sp_server sp_server;
 
--- a/proto.x
+++ b/proto.x
@@ -327,6 +327,7 @@
 
 const SAVORY_SERVERS_MAX = 4;
 const SAVORY_SERVER_NAME_MAX = 127;
+const SAVORY_SOFTWARE_MAX = 47;
 
 enum sp_server_state {
 	SP_SERVER_READY = 0,
@@ -344,6 +345,7 @@
 	unsigned hyper born;		/* identifies its process */
 	sp_server_state state;
 	bool reclaimable;
+	string software<SAVORY_SOFTWARE_MAX>;	/* its version; "": not known */
 };
 
 /* Changes of servers that a node has read from the platform. */
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -979,6 +979,8 @@
 			return FALSE;
 		if (!xdr_bool(xdrs, &objp->reclaimable))
 			return FALSE;
+		if (!xdr_string(xdrs, &objp->software, SAVORY_SOFTWARE_MAX))
+			return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		if (!xdr_string(xdrs, &objp->name, SAVORY_SERVER_NAME_MAX))
@@ -1007,6 +1009,8 @@
 			return FALSE;
 		if (!xdr_bool(xdrs, &objp->reclaimable))
 			return FALSE;
+		if (!xdr_string(xdrs, &objp->software, SAVORY_SOFTWARE_MAX))
+			return FALSE;
 		return TRUE;
 	}
 
@@ -1028,6 +1032,8 @@
 		return FALSE;
 	if (!xdr_bool(xdrs, &objp->reclaimable))
 		return FALSE;
+	if (!xdr_string(xdrs, &objp->software, SAVORY_SOFTWARE_MAX))
+		return FALSE;
 	return TRUE;
 }
 
--- a/server.c
+++ b/server.c
@@ -91,6 +91,25 @@
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
+static void
+server_set_software(struct server *v, const char *software)
+{
+	g_strlcpy(
+	    v->software, software != NULL ? software : "", sizeof v->software);
+	v->software_id = *v->software != '\0' ? name_hash(v->software) : 0;
+}
+
+/*
+ * A process's software does not change, so another version means another
+ * process. An entry without one tells nothing new.
+ */
+static bool
+server_software_differs(const struct server *v, const char *software)
+{
+	return software != NULL && *software != '\0' && v->software_id != 0 &&
+	       strncmp(software, v->software, sizeof v->software - 1) != 0;
+}
+
 static struct server *
 servers_add(
     struct servers *s, msec now, const struct server_entry *e, name_id id)
@@ -102,6 +121,7 @@
 	server_set_rank(v);
 	server_rate_reset(&v->rate);
 	v->born = e->born;
+	server_set_software(v, e->software);
 	v->new_at = s->complete ? now : 0;
 	v->address = e->address;
 	v->port = e->port;
@@ -127,7 +147,8 @@
 	if (now < s->gone_kept_until && e->born != 0 && e->born < v->born)
 		return;
 	anew = (e->born != 0 && e->born != v->born) ||
-	       e->address != v->address || e->port != v->port;
+	       e->address != v->address || e->port != v->port ||
+	       server_software_differs(v, e->software);
 	v->service = name_hash(e->service);
 	g_strlcpy(v->service_name, e->service, sizeof v->service_name);
 	g_strlcpy(v->domain, e->domain, sizeof v->domain);
@@ -136,6 +157,8 @@
 	v->slots = e->slots;
 	v->reclaimable = e->reclaimable;
 	v->missing = false;
+	if (anew || v->software_id == 0)
+		server_set_software(v, e->software);
 	if (anew) {
 		log_info_of(LOG_NODE, v->name, "%s restarted", v->name);
 		server_reset(v);
@@ -225,9 +248,9 @@
 uint64_t
 server_mark(const struct server *v)
 {
-	uint64_t words[6] = { v->id, v->service,
+	uint64_t words[7] = { v->id, v->service,
 		((uint64_t)v->address << 16) | v->port, server_listed_as(v),
-		(uint64_t)v->born, v->slots };
+		(uint64_t)v->born, v->slots, v->software_id };
 
 	if (server_listed_as(v) == SERVER_GONE)
 		return 0;
--- a/server.h
+++ b/server.h
@@ -15,6 +15,8 @@
 /* Size limit of names, which platforms choose; longer names are ignored. */
 #define SERVER_NAME_SIZE 128
 #define SERVER_RANKS 10
+/* Size limit of software versions; longer ones are cut. */
+#define SERVER_SOFTWARE_SIZE 48
 
 /* State of a server by the platform's list. */
 enum server_state {
@@ -34,6 +36,7 @@
 	bool draining;
 	int64_t born;	  /* start time in any unit; 0: not given */
 	bool reclaimable; /* the platform may take the VM back at any time */
+	const char *software; /* version of its software; NULL: not given */
 };
 
 /* Requests on a server. */
@@ -57,6 +60,10 @@
 	enum server_state state;
 	bool reclaimable;
 	int64_t born;
+	/* Version of the process's software, and its hash; "" and 0: unknown.
+	 */
+	char software[SERVER_SOFTWARE_SIZE];
+	name_id software_id;
 	unsigned int starts; /* restarts of the process under this name */
 	/* An answer of this process says that it leaves, whatever is listed. */
 	bool says_leaving;
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -636,6 +636,45 @@
 	servers_finish(&s);
 }
 
+static void
+list_software(struct servers *s, const char *software)
+{
+	struct server_entry e = { .name = "a",
+		.service = "svc",
+		.domain = "d1",
+		.address = 1,
+		.port = 80,
+		.software = software };
+
+	servers_list(s, 0, &e);
+}
+
+/* Guards against two processes under one name that are taken for one. */
+static void
+test_software(void)
+{
+	const struct server *v;
+	struct servers s;
+	uint64_t mark;
+
+	servers_init(&s, &ops);
+	list_software(&s, NULL);
+	v = servers_find(&s, name_hash("a"));
+	g_assert_cmpuint(v->software_id, ==, 0);
+	mark = servers_mark(&s);
+	list_software(&s, "v1");
+	g_assert_cmpstr(v->software, ==, "v1");
+	g_assert_cmpuint(v->starts, ==, 0);
+	g_assert_cmpuint(servers_mark(&s), !=, mark);
+	list_software(&s, NULL);
+	g_assert_cmpstr(v->software, ==, "v1");
+	g_assert_cmpuint(v->starts, ==, 0);
+	list_software(&s, "v2");
+	g_assert_cmpstr(v->software, ==, "v2");
+	g_assert_cmpuint(v->starts, ==, 1);
+	servers_finish(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -657,5 +696,6 @@
 	g_test_add_func("/server/mix-under-load", test_mix_under_load);
 	g_test_add_func("/server/groups-stay", test_groups_stay);
 	g_test_add_func("/server/out-of-reach", test_out_of_reach);
+	g_test_add_func("/server/software", test_software);
 	return g_test_run();
 }
--- a/wire.h
+++ b/wire.h
@@ -37,6 +37,12 @@
 	char key[WIRE_KEY_SIZE]; /* the caller's API key; "": none */
 	msec deadline;		 /* ms that the caller waits; 0: not given */
 	uint64_t after; /* resume a stream after this event; 0: start */
+	/*
+	 * It resumes a stream that an earlier request of the caller began, with
+	 * this id; "": not given, or not clear.
+	 */
+	bool resumes;
+	const char *began_as;
 	unsigned int prompt_tokens, max_tokens; /* 0: not given */
 	unsigned int nparts;
 	struct wire_part parts[WIRE_PARTS_MAX];
