--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -73,6 +73,7 @@
 		.gap_target = j->route->gap_target,
 		.target = j->route->target,
 		.rank = route_rank(j->table, j->route, j->organisation),
+		.software = j->software_id,
 		.navoid = j->ntried };
 	memcpy(w->avoid, j->tried, sizeof w->avoid);
 	if (!j->route->has_prompt_parts)
@@ -213,6 +214,7 @@
 		return false;
 	j->server = v;
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
+	g_strlcpy(j->software, v->software, sizeof j->software);
 	j->sends++;
 	v->rate.sent++;
 	j->sent_at = now;
@@ -416,6 +418,8 @@
 		return false;
 	if (j->answer_began && (!j->streamed || j->events == 0))
 		return false;
+	if (j->answer_began && !entry_version_is_clear(j))
+		return false;
 	if (j->ntried == SERVER_AVOID_MAX)
 		return false;
 	if (j->runs >= job_attempts_most(j) ||
--- a/entry-job.c
+++ b/entry-job.c
@@ -42,7 +42,8 @@
 		"bad-request", "no-route", "no-key", "not-fresh", "starting",
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
 		"broken", "timeout", "stopped", "leaving", "limited", "resting",
-		"no-room", "poison", "no-path", "carrier-full", "caller-gone" };
+		"no-room", "poison", "no-path", "version", "carrier-full",
+		"caller-gone" };
 
 	return names[c];
 }
@@ -89,6 +90,8 @@
 	const char *last =
 	    j->last != JOB_SERVED ? job_code_name(j->last) : NULL;
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
+	const char *resumes = j->request.resumes ? j->request.began_as : NULL;
+	const char *software = *j->software != '\0' ? j->software : NULL;
 	const char *carrier = *j->carrier_name != '\0' ? j->carrier_name : NULL;
 	char fingerprint[POISON_ID_SIZE];
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
@@ -103,7 +106,9 @@
 	    LOG_TEXT(LOG_KEY_ROUTE, route),
 	    LOG_TEXT(LOG_KEY_ORGANISATION, organisation),
 	    LOG_TEXT(LOG_KEY_SAME, job_fingerprint_text(j, fingerprint)),
+	    LOG_TEXT(LOG_KEY_RESUMES, resumes),
 	    LOG_TEXT(LOG_KEY_SERVER, server),
+	    LOG_TEXT(LOG_KEY_SOFTWARE, software),
 	    LOG_TEXT(LOG_KEY_CARRIER, carrier),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_RUNS, j->runs),
@@ -166,8 +171,10 @@
 	job_log(j, now, code);
 	job_cancel(j, now, SERVER_NO_RESULT);
 	loop_timer_stop(&e->loop, &j->timer);
+	entry_version_release(j);
 	route_table_drop(j->table);
 	g_free(j->id);
+	g_free(j->began_as);
 	buffer_finish(&j->fields);
 	buffer_finish(&j->unsent_body);
 	TAILQ_REMOVE(&e->jobs, j, entry);
@@ -330,6 +337,7 @@
 	j->carried = true;
 	j->counted = terms->counted;
 	j->attempts_most = terms->attempts;
+	j->software_id = terms->software;
 }
 
 void
@@ -363,6 +371,7 @@
 	}
 	/* The log line needs the id after the head has been freed. */
 	j->request.id = j->id = g_strdup(j->request.id);
+	j->request.began_as = j->began_as = g_strdup(j->request.began_as);
 	j->last_event = j->request.after;
 	code = job_admit(j, now);
 	if (code == JOB_SERVED && terms != NULL)
@@ -379,7 +388,8 @@
 		job_fail(j, now, JOB_LEAVING);
 		return;
 	}
-	job_attempt(j, now);
+	if (entry_version_admit(j, now))
+		job_attempt(j, now);
 }
 
 /* ---- deadline and caller events ---- */
--- a/entry-log.c
+++ b/entry-log.c
@@ -106,6 +106,10 @@
 	[LOG_EVENT_STREAM_ENDED] = { "stream-ended",
 	    "A server's stream ended without a break; see framing and "
 	    "unfinished." },
+	[LOG_EVENT_STREAM_VERSION] = { "stream-version",
+	    "A caller takes a stream up where its service has, or may have, "
+	    "several versions of software; outcome: bound to one, free, or "
+	    "unknown." },
 	[LOG_EVENT_SUSPECT] = { "suspect",
 	    "A server ended under the request before: it waits for its turn, "
 	    "goes, or is refused." },
@@ -123,7 +127,8 @@
 	    "node that the request was handed off to" },
 	[LOG_KEY_CONFIGURATION] = { "configuration", "version in force" },
 	[LOG_KEY_COUNT] = { "count",
-	    "servers ordered, in all; servers that failed" },
+	    "servers ordered, in all; servers that failed; nodes that "
+	    "answered" },
 	[LOG_KEY_DOMAIN] = { "domain",
 	    "failure domain of this node, or of the servers ordered" },
 	[LOG_KEY_ENDS] = { "ends", "servers that ended under such a request" },
@@ -162,6 +167,8 @@
 	[LOG_KEY_REASON] = { "reason", "what was wrong" },
 	[LOG_KEY_REQUEST] = { "request", "the caller's name for the request" },
 	[LOG_KEY_REQUESTS] = { "requests", "in flight" },
+	[LOG_KEY_RESUMES] = { "resumes",
+	    "the caller's name for the request that began the stream" },
 	[LOG_KEY_ROUTE] = { "route", "that the request took" },
 	[LOG_KEY_ROUTES] = { "routes", "in the configuration" },
 	[LOG_KEY_RUNNING] = { "running", "requests of ours on the server" },
@@ -175,6 +182,8 @@
 	[LOG_KEY_SERVED] = { "served", "requests served since the start" },
 	[LOG_KEY_SERVER] = { "server", "name of the backend server" },
 	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
+	[LOG_KEY_SOFTWARE] = { "software",
+	    "version of the backend server's software" },
 	[LOG_KEY_STATE] = { "state", "the new one" },
 	[LOG_KEY_STATUS] = { "status", "of the answer" },
 	[LOG_KEY_STOP_MS] = { "stop_ms", "until this node ends" },
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -46,11 +46,7 @@
 static void
 entry_relay_send(struct relay *r, name_id node, const sp_msg *msg)
 {
-	struct entry *e = entry_of_relay(r);
-	struct member *m = members_find(&e->members, node);
-
-	if (m != NULL)
-		net_send(&e->net, m->address, m->peer_port, msg);
+	entry_send(entry_of_relay(r), node, msg);
 }
 
 static void
@@ -81,7 +77,8 @@
 		.slots = v->slots,
 		.born = (uint64_t)v->born,
 		.state = (sp_server_state)server_listed_as(v),
-		.reclaimable = v->reclaimable };
+		.reclaimable = v->reclaimable,
+		.software = (char *)v->software };
 }
 
 static void
@@ -173,7 +170,8 @@
 		.slots = m->slots,
 		.draining = m->state == SP_SERVER_DRAINING,
 		.born = (int64_t)m->born,
-		.reclaimable = m->reclaimable };
+		.reclaimable = m->reclaimable,
+		.software = m->software };
 
 	if (m->state == SP_SERVER_GONE)
 		servers_unlist(&e->servers, now, m->name);
