Test programs hold the ports that they have drawn

While a node is down between two starts another program takes its port. A program now holds each port that it has drawn at an address that nothing else uses.

--- a/tests/util-proc.c
+++ b/tests/util-proc.c
@@ -23,6 +23,8 @@
 #define PORT_FIRST 10000
 #define PORT_COUNT 22000
 #define PORT_STRIDE 997
+/* 127.0.200.1, at which programs hold the ports that they have drawn. */
+#define PORT_HOLD_ADDRESS 0x7f00c801U
 
 #define PROC_POLL_US 2000
 #define PROC_ARGS_MAX 64
@@ -334,30 +336,46 @@
 	return true;
 }
 
+/* A socket bound to the port at an address; -1: it is in use there. */
+static int
+port_bind(int type, uint32_t address, unsigned int port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+		.sin_addr.s_addr = htonl(address) };
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+
+	if (bind(fd, (struct sockaddr *)&sin, sizeof sin) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
 /*
- * Each port is given once a program, and programs that run at the same time
- * begin far from each other, below the ports that the kernel hands out: a
- * port asked of the kernel and let go was given twice when many tests ran.
+ * Each port is given to one program at a time: it holds the port at an address
+ * that nothing else uses until it ends, also while what it started there is
+ * down. All are below the ports that the kernel hands out.
  */
 static unsigned int
 port_free(int type)
 {
 	static unsigned int next;
-	struct sockaddr_in sin = { .sin_family = AF_INET };
 	unsigned int port;
-	bool ok;
-	int fd;
+	int held, fd;
 
 	if (next == 0)
 		next = (unsigned int)getpid() * PORT_STRIDE;
-	do {
+	for (;;) {
 		port = PORT_FIRST + next++ % PORT_COUNT;
-		sin.sin_port = htons((uint16_t)port);
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-		ok = bind(fd, (struct sockaddr *)&sin, sizeof sin) == 0;
-		close(fd);
-	} while (!ok);
+		held = port_bind(SOCK_STREAM, PORT_HOLD_ADDRESS, port);
+		if (held == -1)
+			continue;
+		fd = port_bind(type, INADDR_LOOPBACK, port);
+		if (fd != -1)
+			break;
+		close(held);
+	}
+	close(fd);
 	return port;
 }
 
@@ -376,18 +394,15 @@
 unsigned int
 port_free_peer(void)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	bool ok;
+	unsigned int port;
 	int fd;
 
 	do {
-		sin.sin_port = htons((uint16_t)port_free_udp());
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		ok = bind(fd, (struct sockaddr *)&sin, sizeof sin) == 0;
-		close(fd);
-	} while (!ok);
-	return ntohs(sin.sin_port);
+		port = port_free_udp();
+		fd = port_bind(SOCK_STREAM, INADDR_LOOPBACK, port);
+	} while (fd == -1);
+	close(fd);
+	return port;
 }
 
 char *
