A stream's version is known as long as its caller may come back

Traced: they began at a node that then stood still; their callers came back 5.3 s after the begin, within their deadline of 6 s, and the records had ended with the route's timeout of 4 s. A record now lives for the longer of both; versions of a service count for 20 s at least after their last server. /versions/late failed before (503).

--- a/entry-version.c
+++ b/entry-version.c
@@ -14,7 +14,7 @@
  * which is not less, so that a node with a current list knows it by then.
  */
 #define VERSION_LIST_AGE_MS SERVER_VERSION_HOLD_MS
-/* Longest time to resume a stream whose route sets no timeout. */
+/* Time in which callers may resume a stream, if nothing tells a longer one. */
 #define VERSION_STREAM_MS (20 * MSEC_SECOND)
 /* Streams still begin at a server that has left for this long. */
 #define VERSION_LEFT_MS (4 * MSEC_SECOND)
@@ -163,6 +163,15 @@
 	return false;
 }
 
+/* A caller comes back within its deadline, also after the route's timeout. */
+static msec
+version_stream_span(const struct job *j)
+{
+	msec span = MAX(j->request.deadline, j->route->timeout);
+
+	return span > 0 ? span : VERSION_STREAM_MS;
+}
+
 void
 entry_version_begin(struct job *j, msec now)
 {
@@ -178,8 +187,7 @@
 		return;
 	stream_version_begin(&e->versions.core, now,
 	    stream_id_make(version_organisation(j), j->request.id), j->service,
-	    j->software_id,
-	    j->deadline != MSEC_NEVER ? j->deadline : now + VERSION_STREAM_MS);
+	    j->software_id, j->arrived + version_stream_span(j));
 }
 
 bool
@@ -209,17 +217,16 @@
 entry_versions_take_table(struct entry *e)
 {
 	const struct route *r;
-	msec most = 0;
+	msec most = VERSION_STREAM_MS;
 	unsigned int i;
 
 	for (i = 0; i < e->table->nroutes; i++) {
 		r = &e->table->routes[i];
 		if (r->kind == ROUTE_STREAM && r->resumable)
-			most = MAX(most,
-			    r->timeout > 0 ? r->timeout : VERSION_STREAM_MS);
+			most = MAX(most, r->timeout);
 	}
-	servers_keep_versions(&e->servers,
-	    most > 0 ? most + VERSION_LEFT_MS + VERSION_LIST_AGE_MS : 0);
+	servers_keep_versions(
+	    &e->servers, most + VERSION_LEFT_MS + VERSION_LIST_AGE_MS);
 }
 
 void
