--- a/stream-version.c
+++ b/stream-version.c
@@ -436,11 +436,13 @@
 static void
 records_expire(struct stream_versions_state *s, msec now)
 {
-	struct stream_record *r;
+	struct stream_record *r, *next;
 
-	while ((r = TAILQ_FIRST(&s->ages)) != NULL &&
-	       r->until + STREAM_RECORD_MARGIN_MS <= now)
+	TAILQ_FOREACH_SAFE (r, &s->ages, age, next) {
+		if (r->until + STREAM_RECORD_MARGIN_MS > now)
+			return;
 		record_remove(s, r);
+	}
 }
 
 static struct stream_query *
--- a/tests/test-stream-version.c
+++ b/tests/test-stream-version.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define NODES_MAX 350
+#define SMALL 8
 #define SERVICE 7
 #define DELAY_MS 3
 #define STREAM_MS 8000
@@ -419,12 +420,12 @@
 	struct world w;
 	unsigned int i;
 
-	world_init(&w, 8, 6);
-	for (i = 0; i < w.n; i++)
+	world_init(&w, SMALL, 6);
+	for (i = 0; i < SMALL; i++)
 		w.nodes[i].view = STREAM_VERSIONS_ONE;
 	for (i = 0; i < 100; i++) {
-		stream_begin(&w, &t, i % w.n);
-		stream_take_up(&w, &t, (i + 1) % w.n);
+		stream_begin(&w, &t, i % SMALL);
+		stream_take_up(&w, &t, (i + 1) % SMALL);
 		world_run(&w, 10);
 	}
 	g_assert_cmpuint(w.sent, ==, 0);
