--- a/stream-version.c
+++ b/stream-version.c
@@ -463,7 +463,6 @@
 	struct stream_query *q;
 	msec due;
 
-	records_expire(s, now);
 	records_share(s, now);
 	/* Start over each time: a decision may end other queries. */
 	while ((q = query_find_due(s, now)) != NULL)
@@ -471,5 +470,6 @@
 	due = s->next_share;
 	TAILQ_FOREACH (q, &s->queries, entry)
 		due = MIN(due, q->next);
+	records_expire(s, now);
 	return due;
 }
