A node that stood still does not take its services for versionless

Found while reading the diff: after 26 s without looking at its list a node counted no version of a service, and took that for servers that tell none, so that a take-up went on at any version until its first tick. Versionless is now a service of which no server has ever told a version. test-server-version paused.

--- a/entry-version.c
+++ b/entry-version.c
@@ -50,7 +50,7 @@
 
 	if (server_versions_differ(vs, now, service))
 		return STREAM_VERSIONS_SEVERAL;
-	if (server_versions_untold(vs, now, service) ||
+	if (server_versions_untold(vs, service) ||
 	    version_view_is_current(e, now))
 		return STREAM_VERSIONS_ONE;
 	return STREAM_VERSIONS_UNSURE;
--- a/server-version.c
+++ b/server-version.c
@@ -87,13 +87,15 @@
 }
 
 bool
-server_versions_untold(
-    const struct server_versions *vs, msec now, name_id service)
+server_versions_untold(const struct server_versions *vs, name_id service)
 {
-	const struct server_version *v = version_find(vs, service, 0);
-	unsigned int n = versions_count(vs, now, service);
+	unsigned int i;
 
-	return n == 0 || (n == 1 && v != NULL && version_counts(vs, v, now));
+	for (i = 0; i < vs->n; i++) {
+		if (vs->list[i].service == service && vs->list[i].software != 0)
+			return false;
+	}
+	return true;
 }
 
 bool
--- a/server-version.h
+++ b/server-version.h
@@ -41,9 +41,8 @@
 /* Returns true if the service has had several versions lately. */
 bool
 server_versions_differ(const struct server_versions *, msec, name_id service);
-/* Returns true if the service's only version lately, if any, is not told. */
-bool
-server_versions_untold(const struct server_versions *, msec, name_id service);
+/* Returns true if no server of the service has told a version. */
+bool server_versions_untold(const struct server_versions *, name_id service);
 /* Returns true while a version is not to be used for new streams. */
 bool server_version_is_held(
     const struct server_versions *, msec, name_id service, name_id software);
--- a/tests/test-server-version.c
+++ b/tests/test-server-version.c
@@ -12,11 +12,11 @@
 {
 	struct server_versions vs = { .kept = KEPT_MS };
 
-	g_assert_true(server_versions_untold(&vs, 0, 1));
+	g_assert_true(server_versions_untold(&vs, 1));
 	server_versions_note(&vs, 100, 1, 11, false);
 	server_versions_note(&vs, 100, 2, 12, false);
 	g_assert_false(server_versions_differ(&vs, 100, 1));
-	g_assert_false(server_versions_untold(&vs, 100, 1));
+	g_assert_false(server_versions_untold(&vs, 1));
 	server_versions_note(&vs, 200, 1, 12, true);
 	g_assert_true(server_versions_differ(&vs, 200, 1));
 	g_assert_false(server_versions_differ(&vs, 200, 2));
@@ -51,13 +51,25 @@
 	struct server_versions vs = { .kept = KEPT_MS };
 
 	server_versions_note(&vs, 100, 1, 0, false);
-	g_assert_true(server_versions_untold(&vs, 100, 1));
+	g_assert_true(server_versions_untold(&vs, 1));
 	g_assert_false(server_versions_differ(&vs, 100, 1));
 	server_versions_note(&vs, 100, 1, 11, false);
-	g_assert_false(server_versions_untold(&vs, 100, 1));
+	g_assert_false(server_versions_untold(&vs, 1));
 	g_assert_true(server_versions_differ(&vs, 100, 1));
 }
 
+/* Guards against a node that stood still and knows of no version lately. */
+static void
+test_paused(void)
+{
+	struct server_versions vs = { .kept = KEPT_MS };
+
+	server_versions_note(&vs, 100, 1, 11, false);
+	server_versions_note(&vs, 100, 1, 12, false);
+	g_assert_false(server_versions_differ(&vs, 100 + KEPT_MS, 1));
+	g_assert_false(server_versions_untold(&vs, 1));
+}
+
 /* Guards against more versions than are kept that are taken for one. */
 static void
 test_full(void)
@@ -79,6 +91,7 @@
 	g_test_add_func("/server-version/kept", test_kept);
 	g_test_add_func("/server-version/held", test_held);
 	g_test_add_func("/server-version/untold", test_untold);
+	g_test_add_func("/server-version/paused", test_paused);
 	g_test_add_func("/server-version/full", test_full);
 	return g_test_run();
 }
