--- a/standins/common-cut.c
+++ b/standins/common-cut.c
@@ -19,7 +19,7 @@
 #define IP_SOURCE 12
 
 void
-cut_set(struct cut *c, const char *address, bool on)
+cut_set(struct cut *c, const char *address, enum cut_how how)
 {
 	struct in_addr in;
 	unsigned int i;
@@ -27,11 +27,22 @@
 	if (inet_pton(AF_INET, address, &in) != 1)
 		return;
 	for (i = 0; i < c->n; i++) {
-		if (c->from[i] == ntohl(in.s_addr))
+		if (c->from[i].address == ntohl(in.s_addr))
 			c->from[i--] = c->from[--c->n];
 	}
-	if (on && c->n < CUT_MAX)
-		c->from[c->n++] = ntohl(in.s_addr);
+	if (how != CUT_NONE && c->n < CUT_MAX)
+		c->from[c->n++] = (struct cut_client){ ntohl(in.s_addr), how };
+}
+
+enum cut_how
+cut_parse(const char *word)
+{
+	if (strcmp(word, "hang") == 0 || strcmp(word, "reset") == 0 ||
+	    strcmp(word, "new") == 0)
+		return CUT_LOST;
+	if (strcmp(word, "accept-hang") == 0)
+		return CUT_SILENT;
+	return strcmp(word, "accept-reset") == 0 ? CUT_RESET : CUT_NONE;
 }
 
 void
@@ -39,21 +50,26 @@
 {
 	struct sock_filter code[CUT_MAX + 3];
 	struct sock_fprog program = { 0, code };
+	uint32_t lost[CUT_MAX];
 	unsigned short n = 0;
-	unsigned int i;
+	unsigned int i, nlost = 0;
 	int none = 0;
 
-	if (c->n == 0) {
+	for (i = 0; i < c->n; i++) {
+		if (c->from[i].how == CUT_LOST)
+			lost[nlost++] = c->from[i].address;
+	}
+	if (nlost == 0) {
 		setsockopt(
 		    fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof none);
 		return;
 	}
 	code[n++] = (struct sock_filter)BPF_STMT(
 	    BPF_LD | BPF_W | BPF_ABS, (uint32_t)SKF_NET_OFF + IP_SOURCE);
-	for (i = 0; i < c->n; i++)
+	for (i = 0; i < nlost; i++)
 		code[n++] =
 		    (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
-			c->from[i], (uint8_t)(c->n - i), 0);
+			lost[i], (uint8_t)(nlost - i), 0);
 	code[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, UINT32_MAX);
 	code[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, 0);
 	program.len = n;
@@ -62,18 +78,18 @@
 		log_warn("cannot lose packets: %s", g_strerror(errno));
 }
 
-bool
-cut_has_peer(const struct cut *c, int fd)
+enum cut_how
+cut_find_peer(const struct cut *c, int fd)
 {
 	struct sockaddr_in sin = { 0 };
 	socklen_t len = sizeof sin;
 	unsigned int i;
 
 	if (getpeername(fd, (struct sockaddr *)&sin, &len) == -1)
-		return false;
+		return CUT_NONE;
 	for (i = 0; i < c->n; i++) {
-		if (c->from[i] == ntohl(sin.sin_addr.s_addr))
-			return true;
+		if (c->from[i].address == ntohl(sin.sin_addr.s_addr))
+			return c->from[i].how;
 	}
-	return false;
+	return CUT_NONE;
 }
