The path to the servers is proved by answers, not by connections

Cause: a device between a node and the servers may accept connections in the servers' place and then pass nothing on, or reset them. Each such connection cleared the failures (reach_connected()), and probes that only connected found the path sound. Class: the end of a handshake taken for the other side's answer.

Ruled out: that the failures were not seen (connections_failed{how=broken} rose); that requests had no other way (the same nodes hand off when packets are lost).

Now the first bytes of an answer on a new connection are the proof. A probe is a question that a server answers at once, without a slot. A request that waits 0.5 s while no server sends anything starts a round, as nothing fails where connections just hang. A request on a path that is cut and silent leaves it after 0.5 s, one that was handed off goes back to the node that sent it. A probe without an answer is no sign while any server is heard: servers reset connections beyond their limit (test-reach connection-limit).

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -219,6 +219,7 @@
 	v->rate.sent++;
 	j->sent_at = now;
 	e->counters.attempts++;
+	entry_reach_sent(e, now);
 	job_arm_silence_timer(j, now);
 	return true;
 }
@@ -500,7 +501,6 @@
 attempt_may_send(struct link *k, msec now)
 {
 	servers_reached(&k->owner->servers, now);
-	entry_reach_connected(k->owner, k->server, now);
 	return job_recheck_admission(k->job, now);
 }
 
@@ -522,6 +522,7 @@
 	struct job *j = k->job;
 
 	servers_reached(&j->owner->servers, now);
+	entry_reach_heard(j->owner, !k->used, now);
 	entry_rate_read(k, h, now);
 	entry_room_read(k, h, now);
 	entry_leaving_read(k, h, now);
@@ -595,6 +596,7 @@
 	if (j->refused_by_server)
 		return;
 	job_began_to_run(j, now);
+	entry_reach_heard(j->owner, false, now);
 	place_prompt_read(&j->owner->place, now, &j->place);
 	server_response_received(
 	    j->server, now, j->place.wish.rank, j->sent_at);
@@ -805,6 +807,26 @@
 	return !j->no_retry;
 }
 
+/*
+ * The path is cut: may another node handle the request? The node that handed it
+ * off tries again itself. Kept connections may still work, unless nothing at
+ * all is heard.
+ */
+static bool
+job_may_leave_cut_path(struct job *j, msec now)
+{
+	msec silence = now - MAX(j->server->received, j->sent_at);
+
+	if (silence < (reach_is_silent(&j->owner->reach.core, now)
+			      ? REACH_SILENT_MS
+			      : job_server_dead_ms(j)))
+		return false;
+	if (j->carried)
+		return true;
+	return !j->no_retry && j->runs + 1 < job_attempts_most(j) &&
+	       entry_handoff_has_carrier(j, now);
+}
+
 /*
  * May the current server be given up as silent? Not while this node's own
  * network link is saturated: no server's bytes arrive then, and another server
@@ -815,12 +837,10 @@
 static bool
 job_may_abandon_server(struct job *j, msec now)
 {
+	if (reach_is_cut(&j->owner->reach.core))
+		return job_may_leave_cut_path(j, now);
 	if (j->no_retry || j->runs + 1 >= job_attempts_most(j))
 		return false;
-	if (reach_is_cut(&j->owner->reach.core))
-		return now - MAX(j->server->received, j->sent_at) >=
-			   job_server_dead_ms(j) &&
-		       entry_handoff_has_carrier(j, now);
 	if (!servers_in_reach(&j->owner->servers, now))
 		return false;
 	if (!j->answer_began &&
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -1,8 +1,8 @@
 /*
  * Probes and log of the path to the backend servers; see entry-reach.h.
  *
- * A probe is a connection that is closed as soon as it is established: it takes
- * no slot of the server and carries no request.
+ * A probe is a question that a server answers at once, without a slot, on a
+ * connection that is closed as soon as its answer begins.
  */
 
 #define LOG_PART "reach"
@@ -20,6 +20,7 @@
 	struct entry *owner;
 	name_id server;
 	struct loop_timer timer;
+	bool asked; /* connected, and the question was sent */
 };
 
 static unsigned int
@@ -42,7 +43,7 @@
 /* ---- probes ---- */
 
 static void
-probe_end(struct reach_probe *p, bool connected, msec now)
+probe_end(struct reach_probe *p, enum reach_probe_result result, msec now)
 {
 	struct entry *e = p->owner;
 	name_id server = p->server;
@@ -52,26 +53,57 @@
 	TAILQ_REMOVE(&e->reach.probes, p, entry);
 	g_free(p);
 	reach_probe_ended(
-	    &e->reach.core, now, server, connected, reach_count_servers(e));
+	    &e->reach.core, now, server, result, reach_count_servers(e));
 	reach_arm_timer(e);
 }
 
+/* Its few bytes fit into the socket's buffer. */
+static bool
+probe_ask(struct reach_probe *p)
+{
+	struct buffer out = { 0 };
+	size_t length;
+	ssize_t n;
+
+	p->owner->wire->probe(&out);
+	length = buffer_length(&out);
+	n = send(p->io.fd, buffer_bytes(&out), length, MSG_NOSIGNAL);
+	buffer_finish(&out);
+	p->asked = n == (ssize_t)length;
+	return p->asked && loop_watch(&p->owner->loop, &p->io, EPOLLIN);
+}
+
 static void
 probe_ready(struct loop_io *io, uint32_t events)
 {
 	struct reach_probe *p = (struct reach_probe *)io;
+	msec now = p->owner->loop.now;
 	int error = 0;
 	socklen_t len = sizeof error;
+	char byte;
 
+	if (p->asked) {
+		probe_end(p,
+		    recv(io->fd, &byte, 1, 0) == 1 ? REACH_PROBE_ANSWERED
+						   : REACH_PROBE_UNANSWERED,
+		    now);
+		return;
+	}
 	if (getsockopt(io->fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1)
 		error = errno;
-	probe_end(p, error == 0, p->owner->loop.now);
+	if (error != 0)
+		probe_end(p, REACH_PROBE_FAILED, now);
+	else if (!probe_ask(p))
+		probe_end(p, REACH_PROBE_UNANSWERED, now);
 }
 
 static void
 probe_timed_out(struct loop_timer *t, msec now)
 {
-	probe_end(t->arg, false, now);
+	struct reach_probe *p = t->arg;
+
+	probe_end(
+	    p, p->asked ? REACH_PROBE_UNANSWERED : REACH_PROBE_FAILED, now);
 }
 
 static void
@@ -88,7 +120,7 @@
 	e->counters.connects++;
 	p->io.fd = link_open_socket(e, v->address, v->port);
 	if (p->io.fd == -1 || !loop_watch(&e->loop, &p->io, EPOLLOUT)) {
-		probe_end(p, false, now);
+		probe_end(p, REACH_PROBE_FAILED, now);
 		return;
 	}
 	loop_timer_set(&e->loop, &p->timer, now + REACH_PROBE_TIMEOUT_MS);
@@ -121,6 +153,7 @@
 	struct entry_reach *x = &e->reach;
 	struct server *v;
 
+	reach_check_silence(&x->core, now, reach_count_servers(e));
 	while (reach_probes_due(&x->core, now) > 0) {
 		if ((v = reach_next_server(e, false, now)) == NULL)
 			v = reach_next_server(e, true, now);
@@ -137,9 +170,19 @@
 /* ---- results of requests ---- */
 
 void
-entry_reach_connected(struct entry *e, const struct server *v, msec now)
+entry_reach_sent(struct entry *e, msec now)
+{
+	reach_sent(&e->reach.core, now);
+	reach_arm_timer(e);
+}
+
+void
+entry_reach_heard(struct entry *e, bool first, msec now)
 {
-	reach_connected(&e->reach.core, now, v->id);
+	if (first)
+		reach_answered(&e->reach.core, now);
+	else
+		reach_heard(&e->reach.core, now);
 }
 
 void
@@ -171,7 +214,7 @@
 reach_log_changed(struct reach *r, msec now)
 {
 	struct entry *e = r->arg;
-	msec age = r->connected_at != MSEC_NEVER ? now - r->connected_at : -1;
+	msec age = r->answered_at != MSEC_NEVER ? now - r->answered_at : -1;
 
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_PATH,
 	    LOG_TEXT(LOG_KEY_STATE, r->cut ? "cut" : "works"),
@@ -238,22 +281,27 @@
 		    "\n",
 		    kinds[i], x->failed[i]);
 	g_string_append_printf(s,
-	    "# HELP savory_entry_path_cut No server accepts connections of "
-	    "this node.\n"
+	    "# HELP savory_entry_path_cut No server answers on new "
+	    "connections of this node.\n"
 	    "# TYPE savory_entry_path_cut gauge\n"
 	    "savory_entry_path_cut %d\n"
 	    "# HELP savory_entry_path_cuts_total Times that the path to all "
 	    "servers was cut.\n"
 	    "# TYPE savory_entry_path_cuts_total counter\n"
 	    "savory_entry_path_cuts_total %" PRIu64 "\n"
-	    "# HELP savory_entry_path_probes_total Connections opened to "
+	    "# HELP savory_entry_path_probes_total Questions to servers that "
 	    "check the path.\n"
 	    "# TYPE savory_entry_path_probes_total counter\n"
 	    "savory_entry_path_probes_total %" PRIu64 "\n"
 	    "# HELP savory_entry_path_probes_failed_total Those that failed.\n"
 	    "# TYPE savory_entry_path_probes_failed_total counter\n"
-	    "savory_entry_path_probes_failed_total %" PRIu64 "\n",
-	    reach_is_cut(&x->core), c->cuts, c->probes, c->probes_failed);
+	    "savory_entry_path_probes_failed_total %" PRIu64 "\n"
+	    "# HELP savory_entry_path_silences_total Rounds of probes as no "
+	    "server sent anything.\n"
+	    "# TYPE savory_entry_path_silences_total counter\n"
+	    "savory_entry_path_silences_total %" PRIu64 "\n",
+	    reach_is_cut(&x->core), c->cuts, c->probes, c->probes_failed,
+	    c->silences);
 }
 
 void
@@ -262,7 +310,7 @@
 	const struct reach *r = &e->reach.core;
 
 	g_string_append_printf(s,
-	    "path to servers %s, %u failed since the last connection, probes "
+	    "path to servers %s, %u failed since the last answer, probes "
 	    "%" PRIu64 " failed %" PRIu64 "\n",
 	    reach_is_cut(r) ? "cut" : "works", reach_count_failed(r, now),
 	    r->counters.probes, r->counters.probes_failed);
--- a/entry-reach.h
+++ b/entry-reach.h
@@ -33,8 +33,10 @@
 
 void entry_reach_init(struct entry *);
 void entry_reach_finish(struct entry *);
-/* A request's new connection to a server was established. */
-void entry_reach_connected(struct entry *, const struct server *, msec);
+/* A request was sent to a server. */
+void entry_reach_sent(struct entry *, msec);
+/* A server has sent something; `first`: on a new connection. */
+void entry_reach_heard(struct entry *, bool first, msec);
 /* A request's connection to a server failed. */
 void entry_reach_failed(
     struct entry *, const struct server *, enum reach_failure_kind, msec);
--- a/reach.c
+++ b/reach.c
@@ -10,7 +10,10 @@
 void
 reach_init(struct reach *r, const struct reach_ops *ops)
 {
-	*r = (struct reach){ .ops = ops, .connected_at = MSEC_NEVER };
+	*r = (struct reach){ .ops = ops,
+		.answered_at = MSEC_NEVER,
+		.heard_at = MSEC_NEVER,
+		.silent_since = MSEC_NEVER };
 }
 
 static void
@@ -18,6 +21,7 @@
 {
 	r->cut = cut;
 	r->since = now;
+	r->silent_since = MSEC_NEVER;
 	r->back = 0;
 	r->nback = 0;
 	if (cut) {
@@ -98,12 +102,27 @@
 reach_clear_failures(struct reach *r, msec now)
 {
 	r->nfailed = 0;
-	r->connected_at = now;
+	r->answered_at = now;
 }
 
 void
-reach_connected(struct reach *r, msec now, name_id server)
+reach_sent(struct reach *r, msec now)
 {
+	if (r->silent_since == MSEC_NEVER)
+		r->silent_since = now;
+}
+
+void
+reach_heard(struct reach *r, msec now)
+{
+	r->heard_at = now;
+	r->silent_since = MSEC_NEVER;
+}
+
+void
+reach_answered(struct reach *r, msec now)
+{
+	reach_heard(r, now);
 	/* Only probes end a cut; see reach_probe_ended(). */
 	if (r->cut)
 		return;
@@ -132,11 +151,31 @@
 void
 reach_suspect(struct reach *r, msec now, unsigned int nservers)
 {
-	if (r->connected_at == MSEC_NEVER ||
-	    now - r->connected_at >= REACH_ROUND_MS)
+	if (r->answered_at == MSEC_NEVER ||
+	    now - r->answered_at >= REACH_ROUND_MS)
 		reach_start_round(r, now, nservers);
 }
 
+/* MSEC_NEVER: no request waits, or the path is cut or being probed. */
+static msec
+reach_silence_due(const struct reach *r)
+{
+	if (r->silent_since == MSEC_NEVER || r->cut || r->probing > 0 ||
+	    r->wanted > 0)
+		return MSEC_NEVER;
+	return MAX(r->silent_since + REACH_SILENT_MS, r->next_probe);
+}
+
+void
+reach_check_silence(struct reach *r, msec now, unsigned int nservers)
+{
+	if (now < reach_silence_due(r))
+		return;
+	r->silent_since = now;
+	r->counters.silences++;
+	reach_start_round(r, now, nservers);
+}
+
 /* ---- probes ---- */
 
 unsigned int
@@ -174,9 +213,9 @@
 
 static void
 reach_cut_probe_ended(
-    struct reach *r, msec now, name_id server, bool connected, unsigned int n)
+    struct reach *r, msec now, name_id server, bool works, unsigned int n)
 {
-	if (!connected) {
+	if (!works) {
 		reach_add_failure(r, now, server);
 		r->nback = 0;
 		r->back = 0;
@@ -191,18 +230,31 @@
 	}
 }
 
+static bool
+probe_shows_path(
+    const struct reach *r, msec now, enum reach_probe_result result)
+{
+	if (result == REACH_PROBE_UNANSWERED)
+		return r->heard_at != MSEC_NEVER &&
+		       now - r->heard_at < REACH_HEARD_MS;
+	return result == REACH_PROBE_ANSWERED;
+}
+
 void
-reach_probe_ended(struct reach *r, msec now, name_id server, bool connected,
-    unsigned int nservers)
+reach_probe_ended(struct reach *r, msec now, name_id server,
+    enum reach_probe_result result, unsigned int nservers)
 {
+	bool works = probe_shows_path(r, now, result);
+
 	r->probing--;
-	r->counters.probes_failed += !connected;
+	r->counters.probes_failed += result != REACH_PROBE_ANSWERED;
 	if (r->cut) {
-		reach_cut_probe_ended(r, now, server, connected, nservers);
+		reach_cut_probe_ended(r, now, server, works, nservers);
 		return;
 	}
-	if (connected) {
+	if (works) {
 		reach_clear_failures(r, now);
+		r->silent_since = MSEC_NEVER;
 		r->wanted = 0;
 	} else {
 		reach_add_failure(r, now, server);
@@ -220,6 +272,13 @@
 	return r->cut;
 }
 
+bool
+reach_is_silent(const struct reach *r, msec now)
+{
+	return r->heard_at == MSEC_NEVER ||
+	       now - r->heard_at >= REACH_SILENT_MS;
+}
+
 bool
 reach_in_doubt(const struct reach *r)
 {
@@ -229,5 +288,7 @@
 msec
 reach_next(const struct reach *r)
 {
-	return r->wanted > 0 ? r->next_probe : MSEC_NEVER;
+	msec silence = reach_silence_due(r);
+
+	return r->wanted > 0 ? r->next_probe : silence;
 }
--- a/reach.h
+++ b/reach.h
@@ -2,10 +2,13 @@
  * Whether this node's network path to the backend servers works. A node can be
  * partitioned from all servers while callers, the platform and the other nodes
  * still reach it. Its own requests show that only one server at a time, so the
- * failures at all servers are collected here, and a first failure starts a
- * round of probes: new connections to servers that have not failed lately.
+ * failures at all servers are collected here. A first failure starts a round of
+ * probes, and so does a request while no server sends anything: questions that
+ * a server answers at once, on new connections to servers that have not failed
+ * lately. A connection alone proves nothing, as a device on the path may have
+ * accepted it in the server's place.
  *
- * The path is cut when several servers have failed and none accepted a
+ * The path is cut when several servers have failed and none answered on a new
  * connection in between, including all probes of a round. While it is cut,
  * pairs of probes show when it works again; requests are not used for that.
  *
@@ -21,8 +24,15 @@
 #define REACH_SERVERS 3
 /* Probes of a round. */
 #define REACH_PROBES 3
-/* A probe that has not connected after this time has failed. */
+/* A probe that has no answer after this time has failed. */
 #define REACH_PROBE_TIMEOUT_MS 400
+/* Silence of all servers after a request was sent that starts a round. */
+#define REACH_SILENT_MS 500
+/*
+ * A server with too many connections resets new ones. If any server has sent
+ * something within this time, a probe without an answer shows no lost path.
+ */
+#define REACH_HEARD_MS 300
 /* Minimum interval between rounds. */
 #define REACH_ROUND_MS 1000
 /* While the path is cut: interval between pairs, at least if requests wait. */
@@ -31,7 +41,7 @@
 /* A failure counts for this time. */
 #define REACH_EVIDENCE_MS (4 * MSEC_SECOND)
 /*
- * Number of servers that must connect in a row before the path works again, and
+ * Number of servers that must answer in a row before the path works again, and
  * of probes that are started together.
  */
 #define REACH_BACK_SERVERS 2
@@ -48,11 +58,18 @@
 struct reach_counters {
 	uint64_t failures; /* connections that failed or broke, of requests */
 	uint64_t probes, probes_failed;
+	uint64_t silences; /* rounds started as servers were silent */
 	uint64_t cuts;
 };
 
 struct reach;
 
+enum reach_probe_result {
+	REACH_PROBE_FAILED,	/* not connected in time, or refused */
+	REACH_PROBE_UNANSWERED, /* connected; then silent, closed or reset */
+	REACH_PROBE_ANSWERED,
+};
+
 /* Callback; required. */
 struct reach_ops {
 	/* reach_is_cut() has changed. May call functions of this module. */
@@ -64,32 +81,39 @@
 	const struct reach_ops *ops;
 	bool cut;
 	msec since; /* last change of `cut` */
-	/* Failures since the last connection, one entry per server. */
+	/* Failures since the last answer, one entry per server. */
 	struct reach_failure failed[REACH_FAILED_MAX];
 	unsigned int nfailed;
-	msec connected_at;    /* last new connection; MSEC_NEVER: none yet */
+	msec answered_at; /* last answer on a new connection, or MSEC_NEVER */
+	msec heard_at;	  /* last bytes of any server, or MSEC_NEVER */
+	/* A request was sent, and no server sent anything since; MSEC_NEVER. */
+	msec silent_since;
 	unsigned int probing; /* probes in progress */
 	unsigned int wanted;  /* probes to start */
 	msec next_probe;      /* no probes before */
 	msec last_probe;      /* the last one was started */
-	name_id back;	      /* while cut: last server that connected; 0 */
-	unsigned int nback;   /* servers that connected in a row */
+	name_id back;	      /* while cut: last server that answered; 0 */
+	unsigned int nback;   /* servers that answered in a row */
 	struct reach_counters counters;
 	void *arg; /* for the caller */
 };
 
 /* Initialises the state of a path that works; the ops stay the caller's. */
 void reach_init(struct reach *, const struct reach_ops *);
-/* A request's new connection to a server was established. */
-void reach_connected(struct reach *, msec, name_id server);
+/* A request was sent to a server. */
+void reach_sent(struct reach *, msec);
+/* A server has sent something on a connection of a request. */
+void reach_heard(struct reach *, msec);
+/* A server's first answer on a new connection. */
+void reach_answered(struct reach *, msec);
 /*
  * A request's connection to a server was refused, timed out or broke.
  * `nservers`: number of servers that may be used.
  */
 void reach_failed(struct reach *, msec, name_id server, unsigned int nservers);
 /*
- * Another node has lost its path: starts a round of probes if no connection was
- * established lately.
+ * Another node has lost its path: starts a round of probes if no server
+ * answered on a new connection lately.
  */
 void reach_suspect(struct reach *, msec, unsigned int nservers);
 /*
@@ -104,24 +128,25 @@
 void reach_hurry(struct reach *, msec);
 /* No server can be probed: gives up what is due. */
 void reach_probe_none(struct reach *);
-/*
- * A probe has connected, or failed or timed out; `nservers` as in
- * reach_failed().
- */
-void reach_probe_ended(struct reach *, msec, name_id server, bool connected,
-    unsigned int nservers);
-/* The server has failed since the last connection. */
+/* A probe has ended; `nservers` as in reach_failed(). */
+void reach_probe_ended(struct reach *, msec, name_id server,
+    enum reach_probe_result, unsigned int nservers);
+/* Starts a round of probes if servers have been silent for too long. */
+void reach_check_silence(struct reach *, msec, unsigned int nservers);
+/* The server has failed since the last answer. */
 bool reach_has_failed(const struct reach *, msec, name_id server);
 /* The path to all servers is cut. */
 bool reach_is_cut(const struct reach *);
+/* No server has sent anything lately, on kept connections either. */
+bool reach_is_silent(const struct reach *, msec);
 /*
- * The probes of a round are in progress and none has connected yet: it is not
+ * The probes of a round are in progress and none was answered yet: it is not
  * known whether a failure is the server's or the path's.
  */
 bool reach_in_doubt(const struct reach *);
-/* Number of servers that have failed since the last connection. */
+/* Number of servers that have failed since the last answer. */
 unsigned int reach_count_failed(const struct reach *, msec);
-/* Time of the next probes; MSEC_NEVER: none are due. */
+/* Time of the next probes or check; MSEC_NEVER: none are due. */
 msec reach_next(const struct reach *);
 
 #endif /* REACH_H */
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -1,6 +1,6 @@
 /*
  * Whether a node finds in time that its path to all servers is cut, and not
- * when only some servers have failed. In virtual time: probes connect, are
+ * when only some servers have failed. In virtual time: probes are answered,
  * refused, or time out as the world says.
  */
 
@@ -16,13 +16,15 @@
 enum taking {
 	TAKES,
 	REFUSES,
-	SILENT
+	SILENT,
+	ACCEPTS_SILENT, /* connects, and never answers */
+	ACCEPTS_RESETS	/* connects, and resets what is sent */
 };
 
 struct probe {
 	name_id server;
 	msec ends;
-	bool connects;
+	enum reach_probe_result result;
 };
 
 struct world {
@@ -59,7 +61,15 @@
 static void
 world_probe(struct world *w)
 {
+	static const enum reach_probe_result results[] = {
+		[TAKES] = REACH_PROBE_ANSWERED,
+		[REFUSES] = REACH_PROBE_FAILED,
+		[SILENT] = REACH_PROBE_FAILED,
+		[ACCEPTS_SILENT] = REACH_PROBE_UNANSWERED,
+		[ACCEPTS_RESETS] = REACH_PROBE_UNANSWERED,
+	};
 	unsigned int i, tries;
+	bool times_out;
 
 	for (tries = 0; tries < 2 * SERVERS; tries++) {
 		i = w->next++ % SERVERS;
@@ -69,9 +79,10 @@
 	}
 	w->started++;
 	reach_probe_started(&w->reach, w->now);
+	times_out = w->servers[i] == SILENT || w->servers[i] == ACCEPTS_SILENT;
 	w->probes[w->nprobes++] = (struct probe){ i + 1,
-		w->now + (w->servers[i] == SILENT ? REACH_PROBE_TIMEOUT_MS : 2),
-		w->servers[i] == TAKES };
+		w->now + (times_out ? REACH_PROBE_TIMEOUT_MS : 2),
+		results[w->servers[i]] };
 }
 
 /* One millisecond. */
@@ -82,6 +93,7 @@
 	unsigned int i, due;
 
 	w->now++;
+	reach_check_silence(&w->reach, w->now, SERVERS);
 	for (i = 0; i < w->nprobes;) {
 		p = w->probes[i];
 		if (p.ends > w->now) {
@@ -90,7 +102,7 @@
 		}
 		w->probes[i] = w->probes[--w->nprobes];
 		reach_probe_ended(
-		    &w->reach, w->now, p.server, p.connects, SERVERS);
+		    &w->reach, w->now, p.server, p.result, SERVERS);
 	}
 	for (due = reach_probes_due(&w->reach, w->now); due > 0; due--)
 		world_probe(w);
@@ -175,6 +187,84 @@
 	g_assert_false(reach_is_cut(&w.reach));
 }
 
+/* Guards against a device that accepts connections and resets them. */
+static void
+test_accept_reset(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, ACCEPTS_RESETS);
+	reach_heard(&w.reach, w.now - 100);
+	world_fail(&w, 0);
+	world_run(&w, REACH_ROUND_MS + 10);
+	/* Another server was heard just before; the next round tells. */
+	g_assert_false(reach_is_cut(&w.reach));
+	world_fail(&w, 1);
+	world_run(&w, 100);
+	g_assert_true(reach_is_cut(&w.reach));
+	world_set(&w, 0, SERVERS, TAKES);
+	world_run(&w, 500);
+	g_assert_false(reach_is_cut(&w.reach));
+}
+
+/* Guards against a device that accepts connections and passes nothing on. */
+static void
+test_accept_silent(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, ACCEPTS_SILENT);
+	reach_sent(&w.reach, w.now);
+	world_run(&w, REACH_SILENT_MS + REACH_PROBE_TIMEOUT_MS + 10);
+	g_assert_true(reach_is_cut(&w.reach));
+	/* Connections that are accepted do not end the cut. */
+	world_run(&w, 4000);
+	g_assert_true(reach_is_cut(&w.reach));
+	world_set(&w, 0, SERVERS, TAKES);
+	world_run(&w, 500);
+	g_assert_false(reach_is_cut(&w.reach));
+}
+
+/* Guards against servers full of connections that are taken for a lost path. */
+static void
+test_connection_limit(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, ACCEPTS_RESETS);
+	for (i = 0; i < 100; i++) {
+		world_fail(&w, i % SERVERS);
+		reach_heard(&w.reach, w.now);
+		world_run(&w, 100);
+		g_assert_false(reach_is_cut(&w.reach));
+	}
+}
+
+/* Guards against a round for each answer that takes its time. */
+static void
+test_slow_answers(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	for (i = 0; i < 10; i++) {
+		reach_sent(&w.reach, w.now);
+		world_run(&w, REACH_SILENT_MS - 10);
+		reach_heard(&w.reach, w.now);
+	}
+	g_assert_cmpuint(w.started, ==, 0);
+	/* One round for a request that waits long. */
+	reach_sent(&w.reach, w.now);
+	world_run(&w, 10000);
+	g_assert_cmpuint(w.started, <=, REACH_PROBES);
+	g_assert_false(reach_is_cut(&w.reach));
+}
+
 /* Guards against new connections that fail while kept ones still answer. */
 static void
 test_doubt(void)
@@ -190,7 +280,7 @@
 	g_assert_false(reach_in_doubt(&w.reach));
 	g_assert_true(reach_is_cut(&w.reach));
 	/* A connection that was begun before does not end the cut. */
-	reach_connected(&w.reach, w.now, 5);
+	reach_answered(&w.reach, w.now);
 	g_assert_true(reach_is_cut(&w.reach));
 }
 
@@ -249,12 +339,12 @@
 	reach_failed(r, 100, 1, 1);
 	g_assert_cmpuint(reach_probes_due(r, 100), ==, 1);
 	reach_probe_started(r, 100);
-	reach_probe_ended(r, 102, 1, false, 1);
+	reach_probe_ended(r, 102, 1, REACH_PROBE_FAILED, 1);
 	g_assert_true(reach_is_cut(r));
 	g_assert_cmpuint(reach_probes_due(r, 102), ==, 0);
 	g_assert_cmpuint(reach_probes_due(r, 102 + REACH_CUT_PROBE_MS), >, 0);
 	reach_probe_started(r, 102 + REACH_CUT_PROBE_MS);
-	reach_probe_ended(r, 500, 1, true, 1);
+	reach_probe_ended(r, 500, 1, REACH_PROBE_ANSWERED, 1);
 	g_assert_false(reach_is_cut(r));
 	g_assert_cmpint(reach_next(r), ==, MSEC_NEVER);
 }
@@ -270,9 +360,9 @@
 	reach_suspect(&w.reach, w.now, SERVERS);
 	world_run(&w, REACH_PROBE_TIMEOUT_MS + 10);
 	g_assert_true(reach_is_cut(&w.reach));
-	/* One that has just connected does not probe. */
+	/* One that was just answered does not probe. */
 	world_init(&w);
-	reach_connected(&w.reach, w.now, 1);
+	reach_answered(&w.reach, w.now);
 	reach_suspect(&w.reach, w.now + 10, SERVERS);
 	world_run(&w, 100);
 	g_assert_cmpuint(w.started, ==, 0);
@@ -318,6 +408,10 @@
 	g_test_add_func("/reach/all-refuse", test_all_refuse);
 	g_test_add_func("/reach/some-crash", test_some_crash);
 	g_test_add_func("/reach/one-service-down", test_one_service_down);
+	g_test_add_func("/reach/accept-reset", test_accept_reset);
+	g_test_add_func("/reach/accept-silent", test_accept_silent);
+	g_test_add_func("/reach/connection-limit", test_connection_limit);
+	g_test_add_func("/reach/slow-answers", test_slow_answers);
 	g_test_add_func("/reach/doubt", test_doubt);
 	g_test_add_func("/reach/back", test_back);
 	g_test_add_func("/reach/series", test_series);
--- a/wire.h
+++ b/wire.h
@@ -110,6 +110,11 @@
 	/* Decode a backend server's head as a response to the request `id`. */
 	void (*answer)(
 	    const struct http_head *, const char *id, struct wire_answer *);
+	/*
+	 * Append a request that a backend server answers at once: it neither
+	 * takes a slot nor has any effect.
+	 */
+	void (*probe)(struct buffer *);
 	/* Append the caller's request id to a response made by this node. */
 	void (*own)(struct buffer *, const char *id);
 	/*
