A rejection by a brittle server stops what is sent to it for a moment

Trace of the third fall: three of four nodes had just stopped, n4 was the new coordinator and did not know what ran on i-1-1; its own stream of 0.8 s was not in the coordinator's count either. Its count was 0, the server was full, so each request was let through as soon as the one before had been turned away: six rejections in 84 ms. Rejections within 100 ms cost one slot together, and one slot always remains. The fallen server's proxy (150 requests a second) came after, so it was not the cause.

Now nothing is sent for 250 ms after a rejection, times the nodes where they decide alone (2 s at most), and a coordinator counts at least its own requests. The same test of rejections looks at the room after the pause and asserts the pause itself. test-server-room unknown-requests fails before (100 rejections in 1 s), 4 at most now.

--- a/server-choose.c
+++ b/server-choose.c
@@ -332,13 +332,16 @@
 static bool
 choose_room_allows(struct server *v, msec now, const struct server_view *view)
 {
-	const struct server_load *l = view->sole ? &v->all : &v->own;
 	unsigned int nodes = view->sole ? 1 : view->nodes;
+	unsigned int running = v->own.running;
 
+	/* A new coordinator does not know all that runs. */
+	if (view->sole)
+		running = MAX(running, v->all.running);
 	/* The previous coordinator may still place requests. */
 	if (view->sole && view->takeover)
 		nodes = 2;
-	return server_room_allows(&v->room, now, v->slots, l->running, nodes,
+	return server_room_allows(&v->room, now, v->slots, running, nodes,
 	    (double)choose_weight(v, view->self) / (double)UINT64_MAX,
 	    view->urgent);
 }
--- a/server-room.h
+++ b/server-room.h
@@ -6,7 +6,9 @@
  *
  * The coordinator of the server's group enforces this, as it counts all
  * requests on the server; a node that decides without a coordinator uses its
- * share of the slots. A rejection shows that there is less room than slots.
+ * share of the slots. A rejection shows that there is less room than slots, or
+ * that other requests run there than those that are known, as after a change of
+ * the coordinator: nothing is sent for a moment.
  *
  * The module does no I/O.
  */
@@ -27,6 +29,7 @@
 	msec reported;	   /* last report to the coordinator */
 	unsigned int less; /* slots that are not used after rejections */
 	msec changed;	   /* last change of `less` */
+	msec rejected;	   /* last rejection; 0: none */
 };
 
 /* An answer says that the server is brittle. */
--- a/tests/test-server-room.c
+++ b/tests/test-server-room.c
@@ -75,12 +75,13 @@
 
 	server_room_rejected(&r, 0, SLOTS);
 	g_assert_cmpuint(room_of(&r, 0, 1, true), ==, 1000);
-	for (i = 0; i < 40; i++) {
-		server_room_update(&r, i * 200);
-		server_room_rejected(&r, i * 200, SLOTS);
+	for (i = 1; i <= 40; i++) {
+		server_room_update(&r, i * 300);
+		server_room_rejected(&r, i * 300, SLOTS);
 		/* Those that were sent together count once. */
-		server_room_rejected(&r, i * 200 + 1, SLOTS);
-		room = room_of(&r, i * 200 + 1, 1, true);
+		server_room_rejected(&r, i * 300 + 1, SLOTS);
+		g_assert_cmpuint(room_of(&r, i * 300 + 1, 1, true), ==, 0);
+		room = room_of(&r, i * 300 + 299, 1, true);
 		g_assert_cmpuint(room, >=, 1);
 		g_assert_cmpuint(room, <=, before);
 		g_assert_cmpuint(before - room, <=, 2);
@@ -88,10 +89,41 @@
 	}
 	g_assert_cmpuint(before, ==, 1);
 	for (i = 0; i < 40; i++) {
-		server_room_update(&r, 8000 + i * 1000);
-		room_of(&r, 8000 + i * 1000, 1, true);
+		server_room_update(&r, 13000 + i * 1000);
+		room_of(&r, 13000 + i * 1000, 1, true);
+	}
+	g_assert_cmpuint(room_of(&r, 53000, 1, true), ==, SLOTS);
+}
+
+/*
+ * Guards against a coordinator that does not know what runs on a full server,
+ * and tries one request after the other until it falls over.
+ */
+static void
+test_unknown_requests(void)
+{
+	struct server_room r = { 0 };
+	unsigned int rejected = 0;
+	msec now;
+
+	server_room_update(&r, 1000);
+	for (now = 1000; now < 2000; now += 10) {
+		if (!server_room_allows(&r, now, 2, 0, 1, 0, true))
+			continue;
+		server_room_rejected(&r, now, 2);
+		rejected++;
+	}
+	g_assert_cmpuint(rejected, <=, 4);
+	/* Nodes that decide alone reach no more together. */
+	rejected = 0;
+	server_room_update(&r, 2000);
+	for (now = 2000; now < 3000; now += 10) {
+		if (!server_room_allows(&r, now, 2, 0, 4, 0, true))
+			continue;
+		server_room_rejected(&r, now, 2);
+		rejected++;
 	}
-	g_assert_cmpuint(room_of(&r, 48000, 1, true), ==, SLOTS);
+	g_assert_cmpuint(rejected, <=, 1);
 }
 
 int
@@ -102,5 +134,6 @@
 	g_test_add_func("/server-room/many-nodes", test_many_nodes);
 	g_test_add_func("/server-room/ends", test_ends);
 	g_test_add_func("/server-room/rejections", test_rejections);
+	g_test_add_func("/server-room/unknown-requests", test_unknown_requests);
 	return g_test_run();
 }
