--- a/entry-log.c
+++ b/entry-log.c
@@ -68,9 +68,9 @@
 	[LOG_EVENT_ORDER_FAILED] = { "order-failed",
 	    "An order of backend servers was not taken." },
 	[LOG_EVENT_PATH] = { "path",
-	    "No backend server accepts connections of this node any more, or "
-	    "servers accept them again; count: servers that failed, ms: since "
-	    "the last that connected." },
+	    "No backend server answers on new connections of this node any "
+	    "more, or servers answer again; count: servers that failed, ms: "
+	    "since the last that answered." },
 	[LOG_EVENT_PLATFORM_BACK] = { "platform-back",
 	    "The platform answers again." },
 	[LOG_EVENT_PLATFORM_LOST] = { "platform-lost",
--- a/reach.h
+++ b/reach.h
@@ -64,6 +64,7 @@
 
 struct reach;
 
+/* How a probe ended. */
 enum reach_probe_result {
 	REACH_PROBE_FAILED,	/* not connected in time, or refused */
 	REACH_PROBE_UNANSWERED, /* connected; then silent, closed or reset */
