A caller who reads slowly is not taken for idle

Each second's figures: held stays below 256 KB while the kernel drains, and after 30 s nothing is held and the engine sends nothing (/proc/net/tcp: no byte queued either way). Ruled out: a lost resume of the engine's stream (its connection has no bytes waiting), the class's whole-answer target (60 s runs of the same class go on).

Cause: the kernel takes up to 4 MB of an answer, and lets the next byte be written when a third of that is free. A caller who reads 36 KB/s needs more than 30 s for it, and libmicrohttpd closes a connection on which nothing happened for 30 s: the caller, reading all the time, gets a part without its end. Class: waiting for the other side taken for its silence.

--- a/daemon-answer.c
+++ b/daemon-answer.c
@@ -81,15 +81,15 @@
 }
 
 enum answer_put
-answer_check_room(struct answer *a, unsigned int attempt)
+answer_check_room(struct answer *a, unsigned int attempt, size_t pending)
 {
 	enum answer_put put = ANSWER_ACCEPTED;
 
 	pthread_mutex_lock(&a->lock);
 	if (!answer_accepts(a, attempt))
 		put = ANSWER_DROP;
-	else if (a->len - a->at >= ANSWER_PAUSE_BYTES && a->head_ready &&
-		 !a->caller_left) {
+	else if (a->len - a->at + pending >= ANSWER_PAUSE_BYTES &&
+		 a->head_ready && !a->caller_left) {
 		a->paused = true;
 		put = ANSWER_PAUSE;
 	}
--- a/daemon-caller.c
+++ b/daemon-caller.c
@@ -11,12 +11,20 @@
 #include <sys/socket.h>
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #define CALLER_IDLE_S 30
+/*
+ * Bytes of an answer that the kernel takes before its caller's side has room
+ * for them. With megabytes, a caller who reads slowly lets nothing be written
+ * for longer than CALLER_IDLE_S, and its connection counts as idle.
+ */
+#define CALLER_UNSENT_BYTES (64 * 1024)
 #define CALLER_MEMORY (32 * 1024)
 #define CALLER_BLOCK (16 * 1024)
 #define CALLER_BACKLOG 1024
@@ -213,6 +221,22 @@
 	sin->sin_addr.s_addr = htonl(at->address);
 }
 
+static void
+caller_connection_changed(void *arg, struct MHD_Connection *connection,
+    void **context, enum MHD_ConnectionNotificationCode code)
+{
+	const union MHD_ConnectionInfo *info;
+	int most = CALLER_UNSENT_BYTES;
+
+	if (code != MHD_CONNECTION_NOTIFY_STARTED)
+		return;
+	info = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (info != NULL && setsockopt(info->connect_fd, IPPROTO_TCP,
+				TCP_NOTSENT_LOWAT, &most, sizeof most) == -1)
+		log_debug("no limit of unsent bytes: %s", g_strerror(errno));
+}
+
 static struct MHD_Daemon *
 caller_start(struct listener *l, const struct endpoint *at,
     unsigned int threads, unsigned int connections)
@@ -242,7 +266,9 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CALLER_MEMORY,
 	    MHD_OPTION_LISTEN_BACKLOG_SIZE, CALLER_BACKLOG,
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_NOTIFY_COMPLETED,
-	    caller_completed, NULL, MHD_OPTION_ARRAY, more, MHD_OPTION_END);
+	    caller_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION,
+	    caller_connection_changed, NULL, MHD_OPTION_ARRAY, more,
+	    MHD_OPTION_END);
 }
 
 static bool
--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -230,7 +230,7 @@
 		return 0;
 	if (attempt_is_engine(a) && a->status >= 500)
 		return n;
-	put = answer_check_room(&a->call->answer, a->number);
+	put = answer_check_room(&a->call->answer, a->number, a->sse.rest_len);
 	if (put == ANSWER_PAUSE) {
 		a->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
--- a/daemon.h
+++ b/daemon.h
@@ -115,11 +115,13 @@
 /* Core: let an attempt write; earlier attempts no longer can. */
 void answer_set_attempt(struct answer *, unsigned int attempt);
 /*
- * Engine threads: whether the next bytes may be put. ANSWER_PAUSE: not until
+ * Engine threads: whether the next bytes may be put; `pending` bytes of an
+ * unfinished event will be put before them. ANSWER_PAUSE: not until
  * the reader calls engine_unpause(). After ANSWER_ACCEPTED all bytes at hand
  * may be put, whatever their number.
  */
-enum answer_put answer_check_room(struct answer *, unsigned int attempt);
+enum answer_put
+answer_check_room(struct answer *, unsigned int attempt, size_t pending);
 /* Append bytes; `head_now`: the head is sent with them. */
 enum answer_put answer_put(
     struct answer *, unsigned int attempt, const char *, size_t, bool head_now);
--- a/tests/proc-answers.c
+++ b/tests/proc-answers.c
@@ -22,6 +22,10 @@
 #define HELD_FULL (256 * 1024)
 #define HELD_MOST (HELD_FULL + 16 * 1024)
 #define HELD_MS 3000
+/* A connection on which nothing is written for so long is closed. */
+#define CALLER_IDLE_MS (30 * MSEC_SECOND)
+/* More than the kernel's buffers hold. */
+#define SLOW_TOKENS 100000
 /* Well beyond the time that a first token usually takes. */
 #define LATE_FIRST_MS 3000
 #define HELD_TIMEOUT (60 * MSEC_SECOND)
@@ -923,6 +927,31 @@
 	nodes_finish(&s);
 }
 
+/*
+ * Guards against a caller who is cut off as idle while it reads slowly: the
+ * kernel's buffers let nothing be written for longer than the idle limit.
+ */
+static void
+test_slow_reader_idle(void)
+{
+	const struct nodes_config config = {
+		.nodes = 1, .engines = 1, .token_ms = "0"
+	};
+	struct nodes s;
+	struct caller slow;
+
+	nodes_up(&s, &config);
+	caller_ask(&slow, entry_port(&s, 0), "slow", SLOW_TOKENS);
+	slow.read_pause = 400;
+	slow.slow_until = msec_now() + CALLER_IDLE_MS + 5000;
+	caller_start(&slow);
+	caller_wait(&slow);
+	g_assert_cmpint(slow.curl, ==, CURLE_OK);
+	g_assert_cmpuint(caller_tokens(&slow), ==, SLOW_TOKENS);
+	caller_finish(&slow);
+	nodes_finish(&s);
+}
+
 /*
  * An engine stands still until the only request on it is late for its first
  * token, and is taken to have one slot, which that request's slow reader holds:
@@ -1075,6 +1104,7 @@
 	g_test_add_func(
 	    "/answers/caller-vanishes-queued", test_caller_vanishes_queued);
 	g_test_add_func("/answers/slow-reader", test_slow_reader);
+	g_test_add_func("/answers/slow-reader-idle", test_slow_reader_idle);
 	g_test_add_func(
 	    "/answers/slow-reader-late-first", test_slow_reader_late_first);
 	g_test_add_func("/answers/entry-killed", test_entry_killed);
--- a/tests/test-answer.c
+++ b/tests/test-answer.c
@@ -49,7 +49,7 @@
 
 	start_answer(&a);
 	put_bytes(&a, ANSWER_PAUSE_BYTES - 10);
-	g_assert_cmpint(answer_check_room(&a, ATTEMPT), ==, ANSWER_ACCEPTED);
+	g_assert_cmpint(answer_check_room(&a, ATTEMPT, 0), ==, ANSWER_ACCEPTED);
 	put_bytes(&a, 100);
 	put_bytes(&a, 200);
 	g_assert_cmpuint(a.len - a.at, ==, ANSWER_PAUSE_BYTES + 290);
@@ -64,16 +64,22 @@
 	unsigned int i;
 
 	start_answer(&a);
-	for (i = 0; answer_check_room(&a, ATTEMPT) == ANSWER_ACCEPTED; i++) {
+	for (i = 0; answer_check_room(&a, ATTEMPT, 0) == ANSWER_ACCEPTED; i++) {
 		g_assert_cmpuint(
 		    i, <, 2 * ANSWER_PAUSE_BYTES / CURL_BLOCK_BYTES);
 		put_bytes(&a, CURL_BLOCK_BYTES);
 	}
-	g_assert_cmpint(answer_check_room(&a, ATTEMPT), ==, ANSWER_PAUSE);
+	g_assert_cmpint(answer_check_room(&a, ATTEMPT, 0), ==, ANSWER_PAUSE);
 	g_assert_true(a.paused);
 	g_assert_cmpuint(
 	    answer_buffered(&a), <=, ANSWER_PAUSE_BYTES + CURL_BLOCK_BYTES);
 	answer_finish(&a);
+	/* The event that began in the last block counts. */
+	start_answer(&a);
+	put_bytes(&a, ANSWER_PAUSE_BYTES - 10);
+	g_assert_cmpint(answer_check_room(&a, ATTEMPT, 9), ==, ANSWER_ACCEPTED);
+	g_assert_cmpint(answer_check_room(&a, ATTEMPT, 10), ==, ANSWER_PAUSE);
+	answer_finish(&a);
 }
 
 /* Guards against bytes of an abandoned attempt among those of the next one. */
@@ -84,7 +90,7 @@
 
 	start_answer(&a);
 	answer_set_attempt(&a, ATTEMPT + 1);
-	g_assert_cmpint(answer_check_room(&a, ATTEMPT), ==, ANSWER_DROP);
+	g_assert_cmpint(answer_check_room(&a, ATTEMPT, 0), ==, ANSWER_DROP);
 	g_assert_cmpint(answer_put(&a, ATTEMPT, "x", 1, true), ==, ANSWER_DROP);
 	g_assert_cmpuint(answer_buffered(&a), ==, 0);
 	answer_finish(&a);
--- a/tests/util-nodes.c
+++ b/tests/util-nodes.c
@@ -441,7 +441,8 @@
 	n *= size;
 	g_string_append_len(c->text, data, (gssize)n);
 	g_atomic_int_set(&c->received, (gint)c->text->len);
-	if (c->read_pause > 0)
+	if (c->read_pause > 0 &&
+	    (c->slow_until == 0 || msec_now() < c->slow_until))
 		g_usleep((gulong)c->read_pause * 1000);
 	return g_atomic_int_get(&c->gone) != 0 ? 0 : n;
 }
--- a/tests/util-nodes.h
+++ b/tests/util-nodes.h
@@ -86,6 +86,7 @@
 	char *path, *body, *user;
 	const char *headers[8]; /* before it starts */
 	msec read_pause;	/* a slow reader sleeps so long at each read */
+	msec slow_until;	/* and reads faster from then on; 0: never */
 	gint gone;		/* set: it breaks its connection off */
 	gint received;		/* bytes of the body so far */
 	gint ended;
