--- a/tests/test-stream-version.c
+++ b/tests/test-stream-version.c
@@ -389,6 +389,49 @@
 	world_finish(&w);
 }
 
+/*
+ * Guards against nodes that have all just started and take the only version
+ * that they see for the one that began a stream.
+ */
+static void
+test_all_started(void)
+{
+	struct stream t = { .id = 5, .software = 1 };
+	struct world w;
+	unsigned int k;
+
+	world_init(&w, 8, 5);
+	for (k = 0; k < w.n; k++)
+		w.nodes[k].view = STREAM_VERSIONS_UNSURE;
+	stream_take_up(&w, &t, 0);
+	world_run(&w, 500);
+	g_assert_cmpuint(w.wrong, ==, 0);
+	g_assert_cmpuint(w.verdicts[STREAM_UNKNOWN], ==, 1);
+	world_finish(&w);
+}
+
+/* Guards against a record that is lost with a node that was unsure. */
+static void
+test_begun_unsure(void)
+{
+	struct stream t;
+	struct world w;
+	unsigned int k;
+
+	world_init(&w, 8, 5);
+	for (k = 0; k < w.n; k++)
+		w.nodes[k].view = STREAM_VERSIONS_UNSURE;
+	stream_begin(&w, &t, 1);
+	world_run(&w, 20);
+	node_kill(&w, 1);
+	world_tell_nodes(&w);
+	stream_take_up(&w, &t, 0);
+	world_run(&w, 500);
+	g_assert_cmpuint(w.wrong, ==, 0);
+	g_assert_cmpuint(w.verdicts[STREAM_BOUND], ==, 1);
+	world_finish(&w);
+}
+
 /* Guards against take-ups that are refused where there is one version. */
 static void
 test_one_version(void)
@@ -545,6 +588,8 @@
 	g_test_add_func("/stream-version/lost-messages", test_lost_messages);
 	g_test_add_func("/stream-version/cut", test_cut);
 	g_test_add_func("/stream-version/started", test_started);
+	g_test_add_func("/stream-version/all-started", test_all_started);
+	g_test_add_func("/stream-version/begun-unsure", test_begun_unsure);
 	g_test_add_func("/stream-version/one-version", test_one_version);
 	g_test_add_func("/stream-version/silent", test_silent);
 	g_test_add_func("/stream-version/rollout", test_rollout);
