A stream without a record goes on only if a node is sure of one version

All nodes that were asked had just started or stood still; that most of them were unsure counted as one version. Nodes that were unsure also kept the records of the streams that they began to themselves.

Now a request that names its stream goes on only by a record, or if a node is sure that the service has one version; else 503, not run. While a node is unsure, the keepers get records as if there were several versions. Requests that do not name their stream can have no record and are treated as before.

Ruled out: keeping "most answered" for nodes that have run long and only lack a current list.

Two tests expected the old answer for a stream that nobody knows where all nodes have just started, and change: /stream-version/one-version asks that now with no id, and platform-away takes the place of the case with an id; /versions/one-version takes up streams that began, also after their node was killed (503 before this change, 200 now), and /versions/all-started asks for the refusal (200 before).

--- a/stream-version.c
+++ b/stream-version.c
@@ -198,11 +198,14 @@
 
 	s->counters.recorded++;
 	r->own = true;
-	if (s->ops->view(s, service) == STREAM_VERSIONS_SEVERAL)
+	if (s->ops->view(s, service) != STREAM_VERSIONS_ONE)
 		record_tell(s, now, r);
 }
 
-/* Records of streams that began while their service had one version. */
+/*
+ * Records of streams that began while this node was sure that their service had
+ * one version.
+ */
 static void
 records_share(struct stream_versions_state *s, msec now)
 {
@@ -213,7 +216,7 @@
 	s->next_share = now + STREAM_SHARE_MS;
 	TAILQ_FOREACH (r, &s->ages, age) {
 		if (r->own && !r->sent && r->until > now &&
-		    s->ops->view(s, r->service) == STREAM_VERSIONS_SEVERAL)
+		    s->ops->view(s, r->service) != STREAM_VERSIONS_ONE)
 			record_tell(s, now, r);
 	}
 }
@@ -270,9 +273,11 @@
 }
 
 /*
- * Nobody has a record. A view of one version holds if another node is sure of
- * it, or if no node that could be asked knows better: where most answered and
- * none is sure, the platform tells nobody of servers.
+ * Nobody has a record. A stream's version is then known only if another node is
+ * sure that there is one: nodes that are all unsure may all have missed the
+ * version that began it. A request that does not tell which stream it takes up
+ * can have no record; it goes on if most of the others answered and none has
+ * seen a second version.
  */
 static enum stream_verdict
 query_without_record(
@@ -280,7 +285,9 @@
 {
 	if (q->view == STREAM_VERSIONS_SEVERAL || q->several)
 		return STREAM_UNKNOWN;
-	if (q->sure_of_one || q->nnodes == 0 || 2 * q->nanswered > q->nasked)
+	if (q->sure_of_one)
+		return STREAM_FREE;
+	if (q->id == 0 && (q->nnodes == 0 || 2 * q->nanswered > q->nasked))
 		return STREAM_FREE;
 	return STREAM_UNKNOWN;
 }
--- a/stream-version.h
+++ b/stream-version.h
@@ -11,7 +11,8 @@
  * node, or with messages; a caller is then refused, and nothing is mixed.
  *
  * A node whose view of the servers may be old, or that has just started, cannot
- * know alone that there is only one version; it asks, too.
+ * know alone that there is only one version; it asks, too, and sends records as
+ * if there were several.
  *
  * The module does no I/O; messages go through struct stream_version_ops.
  */
@@ -151,7 +152,7 @@
 /*
  * A stream's first event is about to be forwarded; it came from this version
  * (0: unknown). `until`: it is not resumed later. Keepers are told at once, or
- * as soon as the service has several versions.
+ * as soon as this node is not sure that the service has one version.
  */
 void stream_version_begin(struct stream_versions_state *, msec, stream_id,
     name_id service, name_id software, msec until);
