Rename enum stream_versions to version_view, beside the versions that it is about

Its name was easily taken for struct stream_versions_state, and what a node sees of its servers' versions belongs to server-version.h.

--- a/entry-version.c
+++ b/entry-version.c
@@ -43,20 +43,20 @@
 	       now - e->servers.listed_since >= e->servers.versions.kept;
 }
 
-static enum stream_versions
+static enum version_view
 version_view(const struct entry *e, name_id service, msec now)
 {
 	const struct server_versions *vs = &e->servers.versions;
 
 	if (server_versions_differ(vs, now, service))
-		return STREAM_VERSIONS_SEVERAL;
+		return VERSION_VIEW_SEVERAL;
 	if (server_versions_untold(vs, service) ||
 	    version_view_is_current(e, now))
-		return STREAM_VERSIONS_ONE;
-	return STREAM_VERSIONS_UNSURE;
+		return VERSION_VIEW_ONE;
+	return VERSION_VIEW_UNSURE;
 }
 
-static enum stream_versions
+static enum version_view
 version_view_op(struct stream_versions_state *s, name_id service)
 {
 	const struct entry *e = entry_of_versions(s);
@@ -153,7 +153,7 @@
 	if (*j->request.began_as != '\0')
 		q->id = stream_id_make(
 		    version_organisation(j), j->request.began_as);
-	if (q->view == STREAM_VERSIONS_ONE)
+	if (q->view == VERSION_VIEW_ONE)
 		return true;
 	v = stream_query_ask(&e->versions.core, now, q);
 	if (v != STREAM_WAIT)
@@ -195,7 +195,7 @@
 {
 	return j->software_id != 0 || !version_matters(j) ||
 	       version_view(j->owner, j->service, j->owner->loop.now) !=
-		   STREAM_VERSIONS_SEVERAL;
+		   VERSION_VIEW_SEVERAL;
 }
 
 void
--- a/server-version.h
+++ b/server-version.h
@@ -16,6 +16,13 @@
  */
 #define SERVER_VERSION_HOLD_MS 2000
 
+/* What a node knows about the versions of a service. */
+enum version_view {
+	VERSION_VIEW_ONE,    /* or none that is told */
+	VERSION_VIEW_UNSURE, /* one in its view, which may be old */
+	VERSION_VIEW_SEVERAL
+};
+
 /* A version of a service's software. */
 struct server_version {
 	name_id service;
--- a/stream-version.c
+++ b/stream-version.c
@@ -198,7 +198,7 @@
 
 	s->counters.recorded++;
 	r->own = true;
-	if (s->ops->view(s, service) != STREAM_VERSIONS_ONE)
+	if (s->ops->view(s, service) != VERSION_VIEW_ONE)
 		record_tell(s, now, r);
 }
 
@@ -216,7 +216,7 @@
 	s->next_share = now + STREAM_SHARE_MS;
 	TAILQ_FOREACH (r, &s->ages, age) {
 		if (r->own && !r->sent && r->until > now &&
-		    s->ops->view(s, r->service) != STREAM_VERSIONS_ONE)
+		    s->ops->view(s, r->service) != VERSION_VIEW_ONE)
 			record_tell(s, now, r);
 	}
 }
@@ -283,7 +283,7 @@
 query_without_record(
     const struct stream_versions_state *s, const struct stream_query *q)
 {
-	if (q->view == STREAM_VERSIONS_SEVERAL || q->several)
+	if (q->view == VERSION_VIEW_SEVERAL || q->several)
 		return STREAM_UNKNOWN;
 	if (q->sure_of_one)
 		return STREAM_FREE;
@@ -299,7 +299,7 @@
 	struct stream_record *r;
 
 	q->waiting = false;
-	if (q->view == STREAM_VERSIONS_ONE)
+	if (q->view == VERSION_VIEW_ONE)
 		return STREAM_FREE;
 	if (q->id != 0 && (r = record_find(s, q->id)) != NULL && r->until > now)
 		return verdict_count(s, record_verdict(r, q));
@@ -308,7 +308,7 @@
 	q->sure_of_one = q->several = false;
 	memset(q->answered, 0, sizeof q->answered);
 	if (q->nnodes == 0 || s->nqueries == STREAM_QUERIES_MAX ||
-	    (q->id == 0 && q->view == STREAM_VERSIONS_SEVERAL))
+	    (q->id == 0 && q->view == VERSION_VIEW_SEVERAL))
 		return verdict_count(s, query_without_record(s, q));
 	if (++s->seq == 0)
 		s->seq = 1;
@@ -346,9 +346,9 @@
 	bool all = q->nanswered == q->nasked;
 
 	if (q->rounds == STREAM_ROUNDS ||
-	    (all && (q->nasked == q->nnodes ||
-			(q->view != STREAM_VERSIONS_SEVERAL && q->sure_of_one &&
-			    !q->several))))
+	    (all &&
+		(q->nasked == q->nnodes || (q->view != VERSION_VIEW_SEVERAL &&
+					       q->sure_of_one && !q->several))))
 		query_decide(s, now, q, query_without_record(s, q));
 	else
 		query_round(s, now, q);
@@ -392,9 +392,9 @@
     const sp_stream_ask *ask)
 {
 	static const sp_stream_view views[] = {
-		[STREAM_VERSIONS_ONE] = SP_STREAM_ONE,
-		[STREAM_VERSIONS_UNSURE] = SP_STREAM_UNSURE,
-		[STREAM_VERSIONS_SEVERAL] = SP_STREAM_SEVERAL,
+		[VERSION_VIEW_ONE] = SP_STREAM_ONE,
+		[VERSION_VIEW_UNSURE] = SP_STREAM_UNSURE,
+		[VERSION_VIEW_SEVERAL] = SP_STREAM_SEVERAL,
 	};
 	struct stream_record *r = record_find(s, ask->id);
 	sp_msg msg = { .kind = SP_STREAM_ANSWER };
--- a/stream-version.h
+++ b/stream-version.h
@@ -22,6 +22,7 @@
 
 #include "proto.h"
 #include "savory.h"
+#include "server-version.h"
 
 /* Nodes that keep a record, beside the one at which the stream began. */
 #define STREAM_KEEPERS 2
@@ -36,13 +37,6 @@
 /* A record is kept no longer than this. */
 #define STREAM_RECORD_MAX_MS (2 * 60 * MSEC_SECOND)
 
-/* What a node knows about the versions of a service. */
-enum stream_versions {
-	STREAM_VERSIONS_ONE,	/* or none that is told */
-	STREAM_VERSIONS_UNSURE, /* one in its view, which may be old */
-	STREAM_VERSIONS_SEVERAL
-};
-
 /* Identifies a stream: a hash of its organisation and request id. */
 typedef uint64_t stream_id;
 
@@ -75,10 +69,10 @@
 /* A stream to be resumed at this node. Owned by the caller. */
 struct stream_query {
 	TAILQ_ENTRY(stream_query) entry;
-	stream_id id;	 /* 0: the request does not tell */
-	name_id service; /* with STREAM_BOUND: the one that began it */
-	enum stream_versions view; /* of this node */
-	name_id software;	   /* set with STREAM_BOUND */
+	stream_id id;		/* 0: the request does not tell */
+	name_id service;	/* with STREAM_BOUND: the one that began it */
+	enum version_view view; /* of this node */
+	name_id software;	/* set with STREAM_BOUND */
 	void *arg;
 	/* Private from here. */
 	bool waiting;
@@ -108,7 +102,7 @@
 	void (*decided)(struct stream_versions_state *, struct stream_query *,
 	    enum stream_verdict, msec);
 	/* This node's view of a service. */
-	enum stream_versions (*view)(
+	enum version_view (*view)(
 	    struct stream_versions_state *, name_id service);
 };
 
--- a/tests/test-stream-version.c
+++ b/tests/test-stream-version.c
@@ -27,7 +27,7 @@
 	struct stream_versions_state state;
 	struct world *world;
 	bool live, cut;
-	enum stream_versions view;
+	enum version_view view;
 };
 
 struct mail {
@@ -102,7 +102,7 @@
 	g_free(q);
 }
 
-static enum stream_versions
+static enum version_view
 world_view(struct stream_versions_state *s, name_id service)
 {
 	g_assert_cmpuint(service, ==, SERVICE);
@@ -130,7 +130,7 @@
 }
 
 static void
-node_start(struct world *w, unsigned int i, enum stream_versions view)
+node_start(struct world *w, unsigned int i, enum version_view view)
 {
 	struct node *n = &w->nodes[i];
 
@@ -167,7 +167,7 @@
 	w->rand = g_rand_new_with_seed(seed);
 	w->mail = g_array_new(FALSE, FALSE, sizeof(struct mail));
 	for (i = 0; i < n; i++)
-		node_start(w, i, STREAM_VERSIONS_SEVERAL);
+		node_start(w, i, VERSION_VIEW_SEVERAL);
 	world_tell_nodes(w);
 }
 
@@ -289,7 +289,7 @@
 			node = streams[k % 64].node;
 			node_kill(w, node);
 			world_tell_nodes(w);
-			node_start(w, node, STREAM_VERSIONS_SEVERAL);
+			node_start(w, node, VERSION_VIEW_SEVERAL);
 			world_tell_nodes(w);
 		}
 		i = k < 32 ? k : k - draw(w, 32);
@@ -350,8 +350,8 @@
 static void
 test_cut(void)
 {
-	static const enum stream_versions views[] = { STREAM_VERSIONS_SEVERAL,
-		STREAM_VERSIONS_UNSURE };
+	static const enum version_view views[] = { VERSION_VIEW_SEVERAL,
+		VERSION_VIEW_UNSURE };
 	struct stream t;
 	struct world w;
 	guint i;
@@ -377,7 +377,7 @@
 	struct world w;
 
 	world_init(&w, 8, 4);
-	w.nodes[0].view = STREAM_VERSIONS_UNSURE;
+	w.nodes[0].view = VERSION_VIEW_UNSURE;
 	stream_begin(&w, &t, 1);
 	world_run(&w, 20);
 	stream_take_up(&w, &t, 0);
@@ -402,7 +402,7 @@
 
 	world_init(&w, 8, 5);
 	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = STREAM_VERSIONS_UNSURE;
+		w.nodes[k].view = VERSION_VIEW_UNSURE;
 	stream_take_up(&w, &t, 0);
 	world_run(&w, 500);
 	g_assert_cmpuint(w.wrong, ==, 0);
@@ -420,7 +420,7 @@
 
 	world_init(&w, 8, 5);
 	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = STREAM_VERSIONS_UNSURE;
+		w.nodes[k].view = VERSION_VIEW_UNSURE;
 	stream_begin(&w, &t, 1);
 	world_run(&w, 20);
 	node_kill(&w, 1);
@@ -441,10 +441,10 @@
 test_one_version(void)
 {
 	static const struct {
-		enum stream_versions others;
+		enum version_view others;
 		stream_id id;
-	} cases[] = { { STREAM_VERSIONS_ONE, 5 }, { STREAM_VERSIONS_ONE, 0 },
-		{ STREAM_VERSIONS_UNSURE, 0 } };
+	} cases[] = { { VERSION_VIEW_ONE, 5 }, { VERSION_VIEW_ONE, 0 },
+		{ VERSION_VIEW_UNSURE, 0 } };
 	struct stream t = { 0 };
 	struct world w;
 	unsigned int k;
@@ -454,7 +454,7 @@
 		world_init(&w, 8, 5);
 		for (k = 0; k < w.n; k++)
 			w.nodes[k].view = cases[i].others;
-		w.nodes[0].view = STREAM_VERSIONS_UNSURE;
+		w.nodes[0].view = VERSION_VIEW_UNSURE;
 		t.id = cases[i].id;
 		stream_take_up(&w, &t, 0);
 		world_run(&w, 500);
@@ -476,11 +476,11 @@
 
 	world_init(&w, 8, 11);
 	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = STREAM_VERSIONS_ONE;
+		w.nodes[k].view = VERSION_VIEW_ONE;
 	for (i = 0; i < 100; i++)
 		stream_begin(&w, &streams[i], i % w.n);
 	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = STREAM_VERSIONS_UNSURE;
+		w.nodes[k].view = VERSION_VIEW_UNSURE;
 	world_run(&w, 300);
 	node_kill(&w, 1);
 	world_tell_nodes(&w);
@@ -502,7 +502,7 @@
 
 	world_init(&w, SMALL, 6);
 	for (i = 0; i < SMALL; i++)
-		w.nodes[i].view = STREAM_VERSIONS_ONE;
+		w.nodes[i].view = VERSION_VIEW_ONE;
 	for (i = 0; i < 100; i++) {
 		stream_begin(&w, &t, i % SMALL);
 		stream_take_up(&w, &t, (i + 1) % SMALL);
@@ -522,11 +522,11 @@
 
 	world_init(&w, 8, 7);
 	for (i = 0; i < w.n; i++)
-		w.nodes[i].view = STREAM_VERSIONS_ONE;
+		w.nodes[i].view = VERSION_VIEW_ONE;
 	stream_begin(&w, &t, 0);
 	world_run(&w, 300);
 	for (i = 0; i < w.n; i++)
-		w.nodes[i].view = STREAM_VERSIONS_SEVERAL;
+		w.nodes[i].view = VERSION_VIEW_SEVERAL;
 	world_run(&w, 300);
 	node_kill(&w, 0);
 	world_tell_nodes(&w);
