A node without a list of servers is not sure of their versions

Such a node answered that it was sure of one version, for two reasons: a service of which it had seen no server counted as one whose servers tell no version, and a list that was never read (`listed_since` 0) as one read long ago.

servers_version_view() now says it in one place, without the entry part: sure only with a complete list, and of a service of which servers were seen that tell no version, or of which the list was read as long ago as streams last.

--- a/entry-version.c
+++ b/entry-version.c
@@ -8,12 +8,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-/*
- * The list of servers counts as current if it was confirmed so lately. A new
- * version begins streams SERVER_VERSION_HOLD_MS after a node has learned of it,
- * which is not less, so that a node with a current list knows it by then.
- */
-#define VERSION_LIST_AGE_MS SERVER_VERSION_HOLD_MS
 /* Time in which callers may resume a stream, if nothing tells a longer one. */
 #define VERSION_STREAM_MS (20 * MSEC_SECOND)
 /* Streams still begin at a server that has left for this long. */
@@ -33,27 +27,11 @@
 
 /* ---- this node's view ---- */
 
-static bool
-version_view_is_current(const struct entry *e, msec now)
-{
-	msec confirmed = e->relay.known[RELAY_SERVERS].confirmed;
-
-	return confirmed != MSEC_NEVER &&
-	       now - confirmed <= VERSION_LIST_AGE_MS &&
-	       now - e->servers.listed_since >= e->servers.versions.kept;
-}
-
 static enum version_view
 version_view(const struct entry *e, name_id service, msec now)
 {
-	const struct server_versions *vs = &e->servers.versions;
-
-	if (server_versions_differ(vs, now, service))
-		return VERSION_VIEW_SEVERAL;
-	if (server_versions_untold(vs, service) ||
-	    version_view_is_current(e, now))
-		return VERSION_VIEW_ONE;
-	return VERSION_VIEW_UNSURE;
+	return servers_version_view(
+	    &e->servers, now, service, e->relay.known[RELAY_SERVERS].confirmed);
 }
 
 static enum version_view
@@ -226,7 +204,7 @@
 			most = MAX(most, r->timeout);
 	}
 	servers_keep_versions(
-	    &e->servers, most + VERSION_LEFT_MS + VERSION_LIST_AGE_MS);
+	    &e->servers, most + VERSION_LEFT_MS + SERVER_LIST_AGE_MS);
 }
 
 void
--- a/server-version.c
+++ b/server-version.c
@@ -89,13 +89,17 @@
 bool
 server_versions_untold(const struct server_versions *vs, name_id service)
 {
+	bool seen = false;
 	unsigned int i;
 
 	for (i = 0; i < vs->n; i++) {
-		if (vs->list[i].service == service && vs->list[i].software != 0)
+		if (vs->list[i].service != service)
+			continue;
+		if (vs->list[i].software != 0)
 			return false;
+		seen = true;
 	}
-	return true;
+	return seen;
 }
 
 bool
--- a/server-version.h
+++ b/server-version.h
@@ -48,7 +48,7 @@
 /* Returns true if the service has had several versions lately. */
 bool
 server_versions_differ(const struct server_versions *, msec, name_id service);
-/* Returns true if no server of the service has told a version. */
+/* Returns true if servers of the service were seen and none told a version. */
 bool server_versions_untold(const struct server_versions *, name_id service);
 /* Returns true while a version is not to be used for new streams. */
 bool server_version_is_held(
--- a/server.c
+++ b/server.c
@@ -137,6 +137,26 @@
 	s->versions.kept = span;
 }
 
+static bool
+servers_list_is_current(const struct servers *s, msec now, msec confirmed)
+{
+	return confirmed != MSEC_NEVER &&
+	       now - confirmed <= SERVER_LIST_AGE_MS && s->listed_since != 0 &&
+	       now - s->listed_since >= s->versions.kept;
+}
+
+enum version_view
+servers_version_view(
+    const struct servers *s, msec now, name_id service, msec confirmed)
+{
+	if (server_versions_differ(&s->versions, now, service))
+		return VERSION_VIEW_SEVERAL;
+	if (s->complete && (server_versions_untold(&s->versions, service) ||
+			       servers_list_is_current(s, now, confirmed)))
+		return VERSION_VIEW_ONE;
+	return VERSION_VIEW_UNSURE;
+}
+
 static void
 server_note_version(struct servers *s, const struct server *v, msec now)
 {
--- a/server.h
+++ b/server.h
@@ -224,6 +224,19 @@
 bool servers_in_reach(struct servers *, msec);
 /* Returns true if the server may get new requests. */
 bool server_takes_work(const struct server *, msec);
+/*
+ * The list of servers counts as current for this time after it was confirmed. A
+ * new version begins streams SERVER_VERSION_HOLD_MS after a node has learned of
+ * it, which is not less, so that a node with a current list knows it by then.
+ */
+#define SERVER_LIST_AGE_MS SERVER_VERSION_HOLD_MS
+/*
+ * What the list, last confirmed as the newest at `confirmed` or MSEC_NEVER,
+ * shows of the versions of a service's software. Only a list that was read long
+ * enough ago shows all that began streams.
+ */
+enum version_view servers_version_view(
+    const struct servers *, msec, name_id service, msec confirmed);
 /*
  * For how many ms a version of a service's software counts after its last
  * server has left: as long as streams that it began may be resumed.
