A carrier that is behind does not answer for a configuration it has not read

Cause: a carrier compared its configuration with that of the node that handed the request off only after its own admission, so what it did not know of was its final answer. Class: an answer of one that knows less is taken for an answer of the whole.

Now the versions are compared first; a carrier that is behind refuses with "starting", and the node tries others, or it again. One whose path is cut says so first, as before. What a carrier with the same or a newer configuration does not allow is refused as before.

/reach/behind: 404 before, 503 with "starting no" now, for a route and for a key; 404 for a request of a node that is itself behind.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -553,19 +553,31 @@
 	job_begin(c, now, &terms);
 }
 
+/*
+ * A route or key that is missing here may be in the newer configuration of the
+ * node that received the request.
+ */
+static bool
+carrier_is_behind(const struct job *j, const struct handoff_terms *terms)
+{
+	return j->table == NULL || j->table->version < terms->configuration;
+}
+
 enum job_code
-entry_handoff_admit(struct job *j, const struct handoff_terms *terms)
+entry_handoff_admit(
+    struct job *j, const struct handoff_terms *terms, enum job_code code)
 {
 	struct entry *e = j->owner;
 	struct entry_handoff_counters *n = &e->handoff.counters;
-	enum job_code code = JOB_SERVED;
 
 	entry_reach_suspect(e, e->loop.now);
-	if (reach_is_cut(&e->reach.core))
-		code = JOB_NO_PATH;
-	else if (j->table->version < terms->configuration)
+	if (carrier_is_behind(j, terms))
 		code = JOB_STARTING;
-	else if (!handoff_admits(n->carried,
+	if ((code == JOB_SERVED || code == JOB_STARTING) &&
+	    reach_is_cut(&e->reach.core))
+		code = JOB_NO_PATH;
+	else if (code == JOB_SERVED &&
+		 !handoff_admits(n->carried,
 		     route_rank(j->table, j->route, j->organisation)))
 		code = JOB_CARRIER_FULL;
 	entry_log(&e->log, e->loop.now, ENTRY_LOG_ROUTINE, LOG_EVENT_CARRIED,
--- a/entry-handoff.h
+++ b/entry-handoff.h
@@ -58,9 +58,11 @@
 /* Give up carriers that have died. */
 void entry_handoff_tick(struct entry *, msec);
 /*
- * May this node carry the request? JOB_SERVED, or the reason for the refusal.
+ * May this node carry the request, of which job_admit() said this? JOB_SERVED,
+ * or the reason for the refusal.
  */
-enum job_code entry_handoff_admit(struct job *, const struct handoff_terms *);
+enum job_code
+entry_handoff_admit(struct job *, const struct handoff_terms *, enum job_code);
 void entry_handoff_metrics(const struct entry *, GString *);
 
 #endif /* ENTRY_HANDOFF_H */
--- a/entry-job.c
+++ b/entry-job.c
@@ -374,8 +374,8 @@
 	j->request.began_as = j->began_as = g_strdup(j->request.began_as);
 	j->last_event = j->request.after;
 	code = job_admit(j, now);
-	if (code == JOB_SERVED && terms != NULL)
-		code = entry_handoff_admit(j, terms);
+	if (terms != NULL)
+		code = entry_handoff_admit(j, terms, code);
 	if (code != JOB_SERVED) {
 		job_fail(j, now, code);
 		return;
