A take-up where there is one version is bound to it

Cause: "this service has one version" was a permission to use any server, and held for as long as the request lived. Class: a verdict about a moment is used later. Now the verdict names the version, for all attempts and carriers; if several versions have appeared when the answers of other nodes are in, the version is not known and the request is not run.

Where no version is told, nothing is bound. New streams are not bound before their first event, as before.

--- a/entry-version.c
+++ b/entry-version.c
@@ -71,6 +71,17 @@
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived));
 }
 
+/*
+ * The service has one version: later attempts must not go to another one that
+ * has appeared by then.
+ */
+static void
+version_bind_only(struct job *j, msec now)
+{
+	j->software_id =
+	    server_versions_only(&j->owner->servers.versions, now, j->service);
+}
+
 /* False when the request has failed. */
 static bool
 version_apply(struct job *j, enum stream_verdict v, msec now)
@@ -79,6 +90,11 @@
 
 	if (v == STREAM_BOUND && !route_has_service(j->route, q->service))
 		v = STREAM_UNKNOWN;
+	if (v == STREAM_FREE &&
+	    version_view(j->owner, j->service, now) == VERSION_VIEW_SEVERAL)
+		v = STREAM_UNKNOWN;
+	if (v == STREAM_FREE)
+		version_bind_only(j, now);
 	if (v == STREAM_BOUND) {
 		j->service = q->service;
 		j->software_id = q->software;
@@ -131,8 +147,10 @@
 	if (*j->request.began_as != '\0')
 		q->id = stream_id_make(
 		    version_organisation(j), j->request.began_as);
-	if (q->view == VERSION_VIEW_ONE)
+	if (q->view == VERSION_VIEW_ONE) {
+		version_bind_only(j, now);
 		return true;
+	}
 	v = stream_query_ask(&e->versions.core, now, q);
 	if (v != STREAM_WAIT)
 		return version_apply(j, v, now);
--- a/server-version.c
+++ b/server-version.c
@@ -86,6 +86,23 @@
 	return versions_count(vs, now, service) > 1;
 }
 
+name_id
+server_versions_only(
+    const struct server_versions *vs, msec now, name_id service)
+{
+	name_id only = 0;
+	unsigned int i;
+
+	if (server_versions_differ(vs, now, service))
+		return 0;
+	for (i = 0; i < vs->n; i++) {
+		if (vs->list[i].service == service &&
+		    version_counts(vs, &vs->list[i], now))
+			only = vs->list[i].software;
+	}
+	return only;
+}
+
 bool
 server_versions_untold(const struct server_versions *vs, name_id service)
 {
--- a/server-version.h
+++ b/server-version.h
@@ -50,6 +50,9 @@
 server_versions_differ(const struct server_versions *, msec, name_id service);
 /* Returns true if servers of the service were seen and none told a version. */
 bool server_versions_untold(const struct server_versions *, name_id service);
+/* The only version that counts for a service; 0: none is told, or several. */
+name_id
+server_versions_only(const struct server_versions *, msec, name_id service);
 /* Returns true while a version is not to be used for new streams. */
 bool server_version_is_held(
     const struct server_versions *, msec, name_id service, name_id software);
--- a/tests/test-server-version.c
+++ b/tests/test-server-version.c
@@ -21,7 +21,9 @@
 	g_assert_false(server_versions_differ(&vs, 200, 2));
 	server_versions_note(&vs, KEPT_MS, 1, 12, true);
 	g_assert_true(server_versions_differ(&vs, KEPT_MS + 99, 1));
+	g_assert_cmpuint(server_versions_only(&vs, KEPT_MS + 99, 1), ==, 0);
 	g_assert_false(server_versions_differ(&vs, KEPT_MS + 100, 1));
+	g_assert_cmpuint(server_versions_only(&vs, KEPT_MS + 100, 1), ==, 12);
 }
 
 /* Guards against a new version that is used before other nodes know of it. */
@@ -57,8 +59,10 @@
 	g_assert_false(server_versions_untold(&vs, 1));
 	server_versions_note(&vs, 100, 1, 0, false);
 	g_assert_true(server_versions_untold(&vs, 1));
+	g_assert_cmpuint(server_versions_only(&vs, 100, 1), ==, 0);
 	g_assert_false(server_versions_differ(&vs, 100, 1));
 	server_versions_note(&vs, 100, 1, 11, false);
+	g_assert_cmpuint(server_versions_only(&vs, 100, 1), ==, 0);
 	g_assert_false(server_versions_untold(&vs, 1));
 	g_assert_true(server_versions_differ(&vs, 100, 1));
 }
