--- a/tests/test-stream-version.c
+++ b/tests/test-stream-version.c
@@ -257,6 +257,15 @@
 		world_decided(s, q, v, w->now);
 }
 
+static void
+world_set_views(struct world *w, enum version_view view)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->n; i++)
+		w->nodes[i].view = view;
+}
+
 static void
 world_check(const struct world *w, unsigned int part_percent)
 {
@@ -398,11 +407,9 @@
 {
 	struct stream t = { .id = 5, .software = 1 };
 	struct world w;
-	unsigned int k;
 
 	world_init(&w, 8, 5);
-	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = VERSION_VIEW_UNSURE;
+	world_set_views(&w, VERSION_VIEW_UNSURE);
 	stream_take_up(&w, &t, 0);
 	world_run(&w, 500);
 	g_assert_cmpuint(w.wrong, ==, 0);
@@ -416,11 +423,9 @@
 {
 	struct stream t;
 	struct world w;
-	unsigned int k;
 
 	world_init(&w, 8, 5);
-	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = VERSION_VIEW_UNSURE;
+	world_set_views(&w, VERSION_VIEW_UNSURE);
 	stream_begin(&w, &t, 1);
 	world_run(&w, 20);
 	node_kill(&w, 1);
@@ -447,13 +452,11 @@
 		{ VERSION_VIEW_UNSURE, 0 } };
 	struct stream t = { 0 };
 	struct world w;
-	unsigned int k;
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		world_init(&w, 8, 5);
-		for (k = 0; k < w.n; k++)
-			w.nodes[k].view = cases[i].others;
+		world_set_views(&w, cases[i].others);
 		w.nodes[0].view = VERSION_VIEW_UNSURE;
 		t.id = cases[i].id;
 		stream_take_up(&w, &t, 0);
@@ -472,15 +475,13 @@
 {
 	struct stream streams[100];
 	struct world w;
-	unsigned int i, k;
+	unsigned int i;
 
 	world_init(&w, 8, 11);
-	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = VERSION_VIEW_ONE;
+	world_set_views(&w, VERSION_VIEW_ONE);
 	for (i = 0; i < 100; i++)
 		stream_begin(&w, &streams[i], i % w.n);
-	for (k = 0; k < w.n; k++)
-		w.nodes[k].view = VERSION_VIEW_UNSURE;
+	world_set_views(&w, VERSION_VIEW_UNSURE);
 	world_run(&w, 300);
 	node_kill(&w, 1);
 	world_tell_nodes(&w);
@@ -501,8 +502,7 @@
 	unsigned int i;
 
 	world_init(&w, SMALL, 6);
-	for (i = 0; i < SMALL; i++)
-		w.nodes[i].view = VERSION_VIEW_ONE;
+	world_set_views(&w, VERSION_VIEW_ONE);
 	for (i = 0; i < 100; i++) {
 		stream_begin(&w, &t, i % SMALL);
 		stream_take_up(&w, &t, (i + 1) % SMALL);
@@ -518,15 +518,12 @@
 {
 	struct stream t;
 	struct world w;
-	unsigned int i;
 
 	world_init(&w, 8, 7);
-	for (i = 0; i < w.n; i++)
-		w.nodes[i].view = VERSION_VIEW_ONE;
+	world_set_views(&w, VERSION_VIEW_ONE);
 	stream_begin(&w, &t, 0);
 	world_run(&w, 300);
-	for (i = 0; i < w.n; i++)
-		w.nodes[i].view = VERSION_VIEW_SEVERAL;
+	world_set_views(&w, VERSION_VIEW_SEVERAL);
 	world_run(&w, 300);
 	node_kill(&w, 0);
 	world_tell_nodes(&w);
