A whole answer stays with a caller who reads it slowly

Cause: TCP_USER_TIMEOUT of 4 s, which is there for callers that have died, also counts the time in which a live one with full buffers takes nothing; and the timer after the answer's last byte of the same length. Class: waiting is taken for death.

Once the answer is whole both are 60 s: no server works for it any more, so that a caller that has died costs what is buffered. While a server works for it, the 4 s stay, and they are back with the next request of a kept connection.

Ruled out: 60 s at all times, as streams would run on for callers that died. What remains: a caller that takes nothing for 4 s in the middle of an answer that is larger than the buffers.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -24,6 +24,11 @@
 #define CALLER_PIPELINED_MAX 65536
 /* A peer that acknowledges no sent bytes for so long is taken as gone. */
 #define CALLER_UNACKED_MS 4000
+/*
+ * The same once the answer is whole. The kernel also counts the time in which a
+ * caller that reads slowly takes nothing, and no server works for it any more.
+ */
+#define CALLER_ANSWERED_UNACKED_MS (60 * MSEC_SECOND)
 /* After shutdown of the sending side, the peer has so long to close. */
 #define CALLER_LINGER_MS 500
 /* A new connection is not closed as idle before this age. */
@@ -41,13 +46,19 @@
 
 /* ---- opening and closing ---- */
 
+static void
+caller_set_unacked(int fd, int most)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof most);
+}
+
 static void
 caller_set_options(int fd)
 {
-	int on = 1, silent = CALLER_UNACKED_MS, idle = 2, every = 1, count = 2;
+	int on = 1, idle = 2, every = 1, count = 2;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+	caller_set_unacked(fd, CALLER_UNACKED_MS);
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
@@ -247,6 +258,8 @@
 caller_request_complete(struct caller *c, msec now)
 {
 	c->busy = true;
+	if (c->served > 0)
+		caller_set_unacked(c->io.fd, CALLER_UNACKED_MS);
 	loop_timer_stop(&c->owner->loop, &c->timer);
 	c->ops->request(c, now);
 }
@@ -463,8 +476,10 @@
 		loop_timer_set(
 		    &e->loop, &c->timer, now + caller_limits(c).idle_timeout);
 	} else {
-		loop_timer_set(&e->loop, &c->timer, now + CALLER_UNACKED_MS);
+		loop_timer_set(
+		    &e->loop, &c->timer, now + CALLER_ANSWERED_UNACKED_MS);
 	}
+	caller_set_unacked(c->io.fd, CALLER_ANSWERED_UNACKED_MS);
 	caller_flush(c);
 	/* Handle pipelined requests on the next turn, without recursion. */
 	if (!c->closing && buffer_length(&c->in) > 0)
