--- a/tests/util-nodes.c
+++ b/tests/util-nodes.c
@@ -576,15 +576,16 @@
 unsigned int
 caller_tokens(const struct caller *c)
 {
-	const char *at = c->text->str;
+	const char *at = c->text->str, *end = at + c->text->len;
 	char want[16];
 	unsigned int k;
 
-	for (k = 0; (at = strstr(at, "\"content\"")) != NULL; k++) {
+	for (k = 0; (at = g_strstr_len(at, end - at, "\"content\"")) != NULL;
+	     k++) {
 		at += strlen("\"content\"");
 		at = strchr(at, '"');
 		/* A break may fall within a token. */
-		if (at == NULL || strlen(at) < TOKEN_TEXT)
+		if (at == NULL || end - at < TOKEN_TEXT)
 			break;
 		g_snprintf(want, sizeof want, "%08" PRIx32 " ",
 		    (uint32_t)XXH64(c->user, strlen(c->user), k));
