--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -459,7 +459,7 @@
 {
 	struct server *v =
 	    servers_find(&j->owner->servers, name_hash(j->server_name));
-	char fingerprint[POISON_ID_SIZE];
+	char fingerprint[POISON_ID_SIZE], parts[JOB_PARTS_SIZE];
 
 	j->last = why;
 	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
@@ -467,6 +467,7 @@
 	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
 	    LOG_TEXT(LOG_KEY_REASON, job_code_name(why)),
 	    LOG_TEXT(LOG_KEY_SAME, job_fingerprint_text(j, fingerprint)),
+	    LOG_TEXT(LOG_KEY_PARTS, job_parts_text(j, parts)),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v != NULL ? v->own.running : 0),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
--- a/entry-job.c
+++ b/entry-job.c
@@ -12,6 +12,7 @@
 
 #include <netinet/in.h>
 
+#include <inttypes.h>
 #include <string.h>
 
 /* Least Retry-After of answers with 503, if no other value below applies. */
@@ -78,6 +79,21 @@
 	return text;
 }
 
+/* The last part is not shared with other requests. */
+const char *
+job_parts_text(const struct job *j, char text[JOB_PARTS_SIZE])
+{
+	size_t used = 0;
+	unsigned int i;
+
+	if (j->request.nparts < 2)
+		return NULL;
+	for (i = 0; i + 1 < j->request.nparts; i++)
+		used += (size_t)g_snprintf(text + used, JOB_PARTS_SIZE - used,
+		    "%s%" PRIx64, i > 0 ? "," : "", j->request.parts[i].id);
+	return text;
+}
+
 static void
 job_log(struct job *j, msec now, enum job_code code)
 {
--- a/entry-log.c
+++ b/entry-log.c
@@ -160,6 +160,9 @@
 	[LOG_KEY_ORGANISATION] = { "organisation", "that the key belongs to" },
 	[LOG_KEY_ORGANISATIONS] = { "organisations", "in the configuration" },
 	[LOG_KEY_OUTCOME] = { "outcome", "of the request" },
+	[LOG_KEY_PARTS] = { "parts",
+	    "of its prompt that other prompts may share, as the caller names "
+	    "them" },
 	[LOG_KEY_PROOF_MS] = { "proof_ms",
 	    "age of the proof that the configuration is the newest; -1: none" },
 	[LOG_KEY_RATE] = { "rate", "requests a second from all nodes" },
--- a/entry.h
+++ b/entry.h
@@ -355,6 +355,9 @@
 void job_caller_drained(struct caller *, msec);
 /* Called by placement with the server for a request, or NULL. */
 void job_placed(struct place *, struct place_request *, struct server *, msec);
+/* Names of the prompt parts that others may share, for logs; NULL: none. */
+#define JOB_PARTS_SIZE (WIRE_PARTS_MAX * 17)
+const char *job_parts_text(const struct job *, char[JOB_PARTS_SIZE]);
 /* The poison id as text for logs, or NULL if it is not set yet. */
 const char *job_fingerprint_text(const struct job *, char[POISON_ID_SIZE]);
 /*
