A request's identity holds its model, tokens and parts of the prompt

What callers saw: where requests differ only in the parts of their prompts, sound ones are refused with 503 as copies of one that ends servers. Cause: the identity that the record of ends is kept of is method, host, path, caller and body; model, tokens and parts decide the work as well and were left out. Class: an identity that is narrower than what is done.

--- a/entry-job.c
+++ b/entry-job.c
@@ -322,13 +322,22 @@
 {
 	struct caller *c = j->caller;
 	char address[INET_ADDRSTRLEN] = "";
+	uint64_t parts[WIRE_PARTS_MAX];
 	struct poison_request r = { .method = j->head->method,
 		.host = j->request.host,
 		.path = j->request.path,
 		.caller = address,
 		.body = buffer_bytes(&c->body),
-		.length = buffer_length(&c->body) };
+		.length = buffer_length(&c->body),
+		.model = j->request.model,
+		.prompt_tokens = j->request.prompt_tokens,
+		.max_tokens = j->request.max_tokens,
+		.parts = parts,
+		.nparts = j->request.nparts };
+	unsigned int i;
 
+	for (i = 0; i < j->request.nparts; i++)
+		parts[i] = j->request.parts[i].id;
 	if (j->organisation != NULL)
 		r.caller = j->organisation->name;
 	else if (terms != NULL)
--- a/entry-log.c
+++ b/entry-log.c
@@ -177,7 +177,8 @@
 	[LOG_KEY_RUNNING] = { "running", "requests of ours on the server" },
 	[LOG_KEY_RUNS] = { "runs", "attempts that may have run" },
 	[LOG_KEY_SAME] = { "same",
-	    "names what is asked: path, caller and body" },
+	    "names what is asked: path, caller, body, model, tokens and parts "
+	    "of the prompt" },
 	[LOG_KEY_SEEN] = { "seen", "requests that this was learned from" },
 	[LOG_KEY_SENDS] = { "sends", "attempts begun" },
 	[LOG_KEY_SENT] = { "sent",
--- a/poison.c
+++ b/poison.c
@@ -36,6 +36,8 @@
 poison_id_make(const char *key, const struct poison_request *r)
 {
 	XXH3_state_t *s = XXH3_createState();
+	const char *model = r->model != NULL ? r->model : "";
+	unsigned int tokens[2] = { r->prompt_tokens, r->max_tokens };
 	XXH128_hash_t sum;
 
 	XXH3_128bits_reset_withSeed(s, XXH3_64bits(key, strlen(key)));
@@ -44,6 +46,9 @@
 	hash_add(s, r->path, strlen(r->path));
 	hash_add(s, r->caller, strlen(r->caller));
 	hash_add(s, r->body, r->length);
+	hash_add(s, model, strlen(model));
+	hash_add(s, tokens, sizeof tokens);
+	hash_add(s, r->parts, r->nparts * sizeof *r->parts);
 	sum = XXH3_128bits_digest(s);
 	XXH3_freeState(s);
 	return (struct poison_id){ sum.high64, sum.low64 };
--- a/poison.h
+++ b/poison.h
@@ -41,7 +41,12 @@
 	const char *method, *host, *path; /* with its query */
 	const char *caller;		  /* identity of the caller */
 	const void *body;
-	size_t length; /* bytes of it */
+	size_t length;	   /* bytes of it */
+	const char *model; /* NULL: none */
+	/* Tokens of the prompt, and to generate at most; 0: not given. */
+	unsigned int prompt_tokens, max_tokens;
+	const uint64_t *parts; /* all parts of the prompt, in order */
+	unsigned int nparts;
 };
 
 /* Compute an id; the key is secret, so that callers cannot cause collisions. */
--- a/tests/test-poison.c
+++ b/tests/test-poison.c
@@ -387,6 +387,40 @@
 	g_assert_false(poison_id_is_none(id));
 }
 
+/*
+ * Guards against sound requests that are condemned with a deadly one, as they
+ * have its body and differ in model, tokens or parts of the prompt alone.
+ */
+static void
+test_names_of_prompts(void)
+{
+	static const uint64_t parts[] = { 1, 2, 3 }, others[] = { 1, 4, 3 };
+	const struct poison_request a = { .method = "POST",
+		.host = "h",
+		.path = "/p",
+		.caller = "org",
+		.body = "body",
+		.length = 4,
+		.model = "m",
+		.prompt_tokens = 100,
+		.max_tokens = 10,
+		.parts = parts,
+		.nparts = 3 };
+	struct poison_request b[] = { a, a, a, a, a };
+	struct poison_id id = poison_id_make("key", &a);
+	unsigned int i;
+
+	b[0].model = "n";
+	b[1].prompt_tokens = 101;
+	b[2].max_tokens = 11;
+	b[3].parts = others;
+	b[4].nparts = 2;
+	for (i = 0; i < G_N_ELEMENTS(b); i++)
+		g_assert_false(
+		    poison_id_equal(id, poison_id_make("key", &b[i])));
+	g_assert_true(poison_id_equal(id, poison_id_make("key", &a)));
+}
+
 /*
  * Guards against updates in a large fleet that exceed the bandwidth of its
  * links.
@@ -410,6 +444,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/poison/names", test_names);
+	g_test_add_func("/poison/names-of-prompts", test_names_of_prompts);
 	g_test_add_func("/poison/ends", test_ends);
 	g_test_add_func("/poison/lost-messages", test_lost_messages);
 	g_test_add_func("/poison/restarts", test_restarts);
--- a/wire.h
+++ b/wire.h
@@ -43,6 +43,7 @@
 	 */
 	bool resumes;
 	const char *began_as;
+	const char *model; /* that is to answer; "": not given */
 	unsigned int prompt_tokens, max_tokens; /* 0: not given */
 	unsigned int nparts;
 	struct wire_part parts[WIRE_PARTS_MAX];
