--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -218,6 +218,7 @@
 	j->sends++;
 	v->rate.sent++;
 	j->sent_at = now;
+	j->attempt_began = 0;
 	e->counters.attempts++;
 	entry_reach_sent(e, now);
 	job_arm_silence_timer(j, now);
@@ -392,7 +393,7 @@
 	if (job_send(j, now, v))
 		return;
 	entry_reach_failed(j->owner, v, REACH_FAILED_REFUSED, now);
-	poison_run_end(&j->owner->poison.core, now, &j->run, false);
+	entry_poison_run_end(j, now, false);
 	place_end(p, now, r, SERVER_DOWN);
 	j->last = JOB_UNREACHABLE;
 	j->unreachable++;
@@ -596,6 +597,8 @@
 
 	if (j->refused_by_server)
 		return;
+	if (j->attempt_began == 0)
+		j->attempt_began = now;
 	job_began_to_run(j, now);
 	entry_reach_heard(j->owner, false, now);
 	place_prompt_read(&j->owner->place, now, &j->place);
@@ -638,14 +641,14 @@
 	}
 	reply_log_end(j, k->reader.head, now);
 	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN) {
-		poison_run_end(&j->owner->poison.core, now, &j->run, true);
+		entry_poison_run_end(j, now, true);
 		job_release_server(j, now, SERVER_FAILED);
 		attempt_broke_off(k, now);
 		return false;
 	}
 	job_count_run(j);
 	job_began_to_run(j, now);
-	poison_answered(&j->owner->poison.core, now, j->fingerprint);
+	entry_poison_answered(j, k->server, k->reader.head, now);
 	if (j->server_error && j->repeatable) {
 		job_release_server(j, now, SERVER_ANSWERED);
 		job_retry_or_fail(j, now, JOB_SERVER_ERROR);
@@ -725,8 +728,7 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
-	poison_run_end(
-	    &j->owner->poison.core, now, &j->run, how == LINK_BROKEN);
+	entry_poison_run_end(j, now, how == LINK_BROKEN);
 	attempt_report_path(k, how, now);
 	job_release_server(j, now, attempt_server_result(k, how, now));
 	if (k->connect_refused)
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -198,7 +198,7 @@
 		carrier_avoid(c, now, JOB_UNREACHABLE);
 		return false;
 	}
-	poison_run_end(&e->poison.core, now, &j->run, false);
+	entry_poison_run_end(j, now, false);
 	j->carrier = c;
 	j->sent_at = now;
 	j->has_outcome = false;
--- a/entry-job.c
+++ b/entry-job.c
@@ -147,7 +147,7 @@
 	loop_timer_stop(&j->owner->loop, &j->silence_timer);
 	place_end(&j->owner->place, now, &j->place, how);
 	j->server = NULL;
-	poison_run_end(&j->owner->poison.core, now, &j->run, false);
+	entry_poison_run_end(j, now, false);
 }
 
 void
@@ -235,8 +235,7 @@
 				j->owner->loop.now),
 		    JOB_RETRY_AFTER_MS);
 	else if (code == JOB_POISON)
-		after = MAX(poison_trial_delay(&j->owner->poison.core,
-				j->owner->loop.now, j->fingerprint),
+		after = MAX(entry_poison_retry_after(j, j->owner->loop.now),
 		    JOB_RETRY_UNAVAILABLE_MS);
 	else if (code == JOB_LEAVING || code == JOB_STOPPED)
 		after = entry_others_ready(j->owner) ? JOB_RETRY_OTHER_NODE_MS
@@ -316,7 +315,7 @@
 	loop_timer_set(&j->owner->loop, &j->timer, j->deadline);
 }
 
-/* Set the poison id; a caller without a key is identified by its address. */
+/* Set the poison ids; a caller without a key is identified by its address. */
 static void
 job_set_fingerprint(struct job *j, const struct handoff_terms *terms)
 {
@@ -345,6 +344,9 @@
 	else
 		caller_address(c, address);
 	j->fingerprint = poison_id_make(j->owner->settings->peer_key, &r);
+	/* The last part is the request's own. */
+	for (i = 0; i + 1 < j->request.nparts; i++)
+		j->parts.ids[j->parts.n++] = poison_part_id(parts[i]);
 }
 
 static void
--- a/entry-log.c
+++ b/entry-log.c
@@ -32,9 +32,13 @@
 	[LOG_EVENT_CARRIER_FAILED] = { "carrier-failed",
 	    "The node that a request was handed off to refused it, or broke "
 	    "off." },
+	[LOG_EVENT_CLEARED] = { "cleared",
+	    "A request or part that was condemned was answered completely: it "
+	    "is sent again." },
 	[LOG_EVENT_CONDEMNED] = { "condemned",
-	    "Servers ended under a request, one after the other: it is sent to "
-	    "none for a long time." },
+	    "Servers ended under a request, or under requests with a part of "
+	    "prompts, one after the other: it is sent to none for a long "
+	    "time." },
 	[LOG_EVENT_CONFIGURATION] = { "configuration",
 	    "A newer configuration is in force." },
 	[LOG_EVENT_CONFIGURATION_UNREADABLE] = { "configuration-unreadable",
@@ -111,8 +115,9 @@
 	    "several versions of software; outcome: bound to one, free, or "
 	    "unknown." },
 	[LOG_EVENT_SUSPECT] = { "suspect",
-	    "A server ended under the request before: it waits for its turn, "
-	    "goes, or is refused." },
+	    "A server ended under the request, or a part of its prompt, "
+	    "before: "
+	    "it waits for its turn, goes, or is refused." },
 	[LOG_EVENT_TURNED_AWAY] = { "turned-away",
 	    "Too much was to be read before the request: see ahead_ms." },
 	[LOG_EVENT_USAGE] = { "usage",
@@ -160,6 +165,8 @@
 	[LOG_KEY_ORGANISATION] = { "organisation", "that the key belongs to" },
 	[LOG_KEY_ORGANISATIONS] = { "organisations", "in the configuration" },
 	[LOG_KEY_OUTCOME] = { "outcome", "of the request" },
+	[LOG_KEY_PART] = { "part",
+	    "of prompts, that servers ended under, as callers name it" },
 	[LOG_KEY_PARTS] = { "parts",
 	    "of its prompt that other prompts may share, as the caller names "
 	    "them" },
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -39,6 +39,13 @@
  * caused it.
  */
 #define POISON_ABANDONED_MS 2000
+/* A server that lives for so long after an answer was not ended by it. */
+#define POISON_OUTLIVE_MS 250
+/*
+ * A part ends a server soon after the first byte of its answer; the parts of
+ * requests that were answered for longer are no suspects.
+ */
+#define POISON_PART_BEGUN_MS 1000
 
 enum check_state {
 	CHECK_DELAYED,	  /* waits for the delay of the next connection */
@@ -63,7 +70,7 @@
 	struct loop_timer timer;      /* ends the state */
 	struct loop_timer wait_timer; /* resumes the requests that wait */
 	msec since;
-	GArray *requests; /* struct poison_id: requests it was running */
+	GArray *requests; /* struct poison_aboard: requests it was running */
 };
 
 static void check_connected(struct loop_io *, uint32_t);
@@ -107,6 +114,7 @@
 	while ((j = check_find_waiting_job(c)) != NULL) {
 		j->check = NULL;
 		poison_server_checked(&e->poison.core, now, j->fingerprint);
+		poison_server_checked(&e->poison.core, now, j->part_run.id);
 		job_server_checked(j, now);
 	}
 }
@@ -124,21 +132,29 @@
 	g_free(c);
 }
 
+/* Moves requests of an ended process to those that it was running. */
 static void
-check_add_abandoned(struct server_check *c, msec now)
+check_take_aboard(struct server_check *c, struct poison_aboard *list,
+    unsigned int n, msec since)
 {
-	struct entry_poison *x = &c->owner->poison;
 	unsigned int i;
 
-	for (i = 0; i < POISON_ABANDONED_MAX; i++) {
-		if (x->abandoned[i].process != c->process ||
-		    now - x->abandoned[i].at > POISON_ABANDONED_MS)
+	for (i = 0; i < n; i++) {
+		if (list[i].process != c->process || list[i].at < since)
 			continue;
-		g_array_append_val(c->requests, x->abandoned[i].id);
-		x->abandoned[i].process = 0;
+		g_array_append_val(c->requests, list[i]);
+		list[i].process = 0;
 	}
 }
 
+static void
+suspect_add(
+    struct entry *e, const struct poison_aboard *a, uint64_t process, msec now)
+{
+	poison_server_ended(&e->poison.core, now, a->id, process);
+	poison_parts_ended(&e->poison.core, now, &a->parts, process, a->at);
+}
+
 /* The process has ended: all requests that it was running are suspects. */
 static void
 check_process_ended(struct server_check *c, msec now)
@@ -147,9 +163,11 @@
 	g_autoptr(GArray) requests = NULL;
 	guint i;
 
-	check_add_abandoned(c, now);
+	check_take_aboard(c, e->poison.abandoned, POISON_ABANDONED_MAX,
+	    now - POISON_ABANDONED_MS);
+	check_take_aboard(c, e->poison.answered, POISON_ANSWERED_MAX, 0);
 	requests = c->requests;
-	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_id));
+	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_aboard));
 	c->state = CHECK_ENDED;
 	e->poison.servers_ended++;
 	loop_close(&e->loop, &c->io);
@@ -160,8 +178,9 @@
 		    LOG_NUMBER(LOG_KEY_REQUESTS, requests->len),
 		    LOG_NUMBER(LOG_KEY_MS, now - c->since));
 	for (i = 0; i < requests->len; i++)
-		poison_server_ended(&e->poison.core, now,
-		    g_array_index(requests, struct poison_id, i), c->process);
+		suspect_add(e,
+		    &g_array_index(requests, struct poison_aboard, i),
+		    c->process, now);
 	check_resume_requests(c, now);
 }
 
@@ -301,7 +320,7 @@
 	c->port = v->port;
 	c->since = now;
 	c->state = CHECK_DELAYED;
-	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_id));
+	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_aboard));
 	loop_timer_init(&c->timer, check_state_timer, c);
 	loop_timer_init(&c->wait_timer, check_wait_timer, c);
 	TAILQ_INSERT_TAIL(&e->poison.checks, c, entry);
@@ -325,35 +344,133 @@
 	}
 }
 
+/*
+ * What is recorded of a request if its server's process ends. One whose answer
+ * has gone on for long did not end it by beginning to be answered: its parts
+ * are no suspects.
+ */
+static struct poison_aboard
+aboard_of(const struct job *j, const struct server *v, msec now)
+{
+	struct poison_aboard a = {
+		.id = j->fingerprint, .at = now, .process = server_process_id(v)
+	};
+
+	if (j->attempt_began == 0 ||
+	    now - j->attempt_began < POISON_PART_BEGUN_MS)
+		a.parts = j->parts;
+	return a;
+}
+
+/* The check of a server's process, begun if there is none. */
+static struct server_check *
+check_begin(struct entry *e, const struct server *v, msec now)
+{
+	struct server_check *c = check_find(e, server_process_id(v));
+
+	if (c == NULL) {
+		c = check_new(e, v, now);
+		loop_timer_set(&e->loop, &c->timer, now + CHECK_FIRST_DELAY_MS);
+		loop_timer_set(
+		    &e->loop, &c->wait_timer, now + CHECK_REQUEST_WAIT_MS);
+	}
+	return c;
+}
+
+/* Adds a request to the check; false: the process is known to have ended. */
+static bool
+check_add_request(
+    struct server_check *c, const struct poison_aboard *a, msec now)
+{
+	if (c->state != CHECK_ENDED) {
+		g_array_append_vals(c->requests, a, 1);
+		return true;
+	}
+	suspect_add(c->owner, a, c->process, now);
+	return false;
+}
+
 bool
 entry_poison_connection_broke(
     struct job *j, const struct server *v, bool waits, msec now)
 {
-	struct entry *e = j->owner;
+	struct poison_aboard a = aboard_of(j, v, now);
 	struct server_check *c;
 
 	/* A server that is not ready ends as planned. */
 	if (!server_takes_work(v, now) || poison_id_is_none(j->fingerprint))
 		return false;
-	c = check_find(e, server_process_id(v));
-	if (c != NULL && c->state == CHECK_ENDED) {
-		poison_server_ended(
-		    &e->poison.core, now, j->fingerprint, c->process);
-		return false;
-	}
-	if (c == NULL) {
-		c = check_new(e, v, now);
-		loop_timer_set(&e->loop, &c->timer, now + CHECK_FIRST_DELAY_MS);
-		loop_timer_set(
-		    &e->loop, &c->wait_timer, now + CHECK_REQUEST_WAIT_MS);
-	}
-	g_array_append_val(c->requests, j->fingerprint);
-	if (!waits || !c->wait_timer.set)
+	c = check_begin(j->owner, v, now);
+	if (!check_add_request(c, &a, now) || !waits || !c->wait_timer.set)
 		return false;
 	j->check = c;
 	return true;
 }
 
+/* Its server has outlived the oldest answer. */
+static void
+answered_apply(struct entry *e, msec now)
+{
+	struct entry_poison *x = &e->poison;
+	struct poison_aboard *a = &x->answered[x->first_answered];
+
+	x->first_answered = (x->first_answered + 1) % POISON_ANSWERED_MAX;
+	x->nanswered--;
+	if (a->process == 0)
+		return;
+	a->process = 0;
+	poison_answered(&x->core, now, a->id);
+	poison_parts_answered(&x->core, now, &a->parts, a->at);
+}
+
+static void
+answered_timer(struct loop_timer *t, msec now)
+{
+	struct entry *e = t->arg;
+	struct entry_poison *x = &e->poison;
+
+	while (x->nanswered > 0 &&
+	       now - x->answered[x->first_answered].at >= POISON_OUTLIVE_MS)
+		answered_apply(e, now);
+	if (x->nanswered > 0)
+		loop_timer_set(&e->loop, t,
+		    x->answered[x->first_answered].at + POISON_OUTLIVE_MS);
+}
+
+static void
+answered_add(struct entry *e, const struct poison_aboard *a, msec now)
+{
+	struct entry_poison *x = &e->poison;
+
+	if (x->nanswered == POISON_ANSWERED_MAX)
+		answered_apply(e, now);
+	x->answered[(x->first_answered + x->nanswered++) %
+		    POISON_ANSWERED_MAX] = *a;
+	if (x->nanswered == 1)
+		loop_timer_set(
+		    &e->loop, &x->answered_timer, now + POISON_OUTLIVE_MS);
+}
+
+void
+entry_poison_answered(
+    struct job *j, const struct server *v, const struct http_head *h, msec now)
+{
+	struct entry *e = j->owner;
+	struct poison_aboard a = {
+		.id = j->fingerprint, .at = now, .process = server_process_id(v)
+	};
+
+	if (h->status < 300)
+		a.parts = j->parts;
+	if (!h->until_close)
+		poison_answered(&e->poison.core, now, j->fingerprint);
+	/* A process that ends closes its connections in order as well. */
+	else if (server_takes_work(v, now))
+		check_begin(e, v, now);
+	if (h->until_close || a.parts.n > 0)
+		answered_add(e, &a, now);
+}
+
 void
 entry_poison_request_abandoned(
     const struct job *j, const struct server *v, msec now)
@@ -362,9 +479,7 @@
 
 	if (!server_takes_work(v, now) || poison_id_is_none(j->fingerprint))
 		return;
-	x->abandoned[x->next_abandoned] =
-	    (struct poison_abandoned){ j->fingerprint, server_process_id(v),
-		    now };
+	x->abandoned[x->next_abandoned] = aboard_of(j, v, now);
 	x->next_abandoned = (x->next_abandoned + 1) % POISON_ABANDONED_MAX;
 }
 
@@ -404,22 +519,42 @@
 
 /* ---- requests ---- */
 
+/* Logs a decision on a suspect; `part`: that decided it, or none. */
+static void
+suspect_log(
+    struct job *j, msec now, enum poison_verdict v, struct poison_id part)
+{
+	struct poisons *p = &j->owner->poison.core;
+	bool by_part = !poison_id_is_none(part);
+	char name[POISON_ID_SIZE];
+
+	poison_id_print(part, name);
+	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SUSPECT,
+	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_OUTCOME, poison_verdict_name(v)),
+	    LOG_TEXT(LOG_KEY_PART, by_part ? name : NULL),
+	    LOG_NUMBER(LOG_KEY_ENDS,
+		poison_count_ends(p, by_part ? part : j->fingerprint)));
+}
+
 bool
 entry_poison_admit(struct job *j, msec now)
 {
 	struct entry *e = j->owner;
+	struct poison_id part = { 0 };
 	enum poison_verdict v;
 
+	j->part_run.arg = j->run.arg = j;
 	j->run.id = j->fingerprint;
-	j->run.arg = j;
-	v = poison_ask(&e->poison.core, now, &j->run);
+	v = poison_ask_parts(
+	    &e->poison.core, now, &j->parts, &j->part_run, &part);
+	if (v == POISON_SEND) {
+		part = (struct poison_id){ 0 };
+		v = poison_ask(&e->poison.core, now, &j->run);
+	}
 	if (v == POISON_SEND)
 		return true;
-	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SUSPECT,
-	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
-	    LOG_TEXT(LOG_KEY_OUTCOME, poison_verdict_name(v)),
-	    LOG_NUMBER(LOG_KEY_ENDS,
-		poison_count_ends(&e->poison.core, j->fingerprint)));
+	suspect_log(j, now, v, part);
 	if (v != POISON_WAIT)
 		job_fail(j, now, JOB_POISON);
 	else
@@ -427,11 +562,45 @@
 	return false;
 }
 
+static bool
+job_is_condemned_by_part(const struct job *j, msec now, struct poison_id *part)
+{
+	return !j->part_run.granted &&
+	       poison_judge_parts(&j->owner->poison.core, now, &j->parts,
+		   part) == POISON_CONDEMNED;
+}
+
 bool
-entry_poison_refuses(const struct job *j, msec now)
+entry_poison_refuses(struct job *j, msec now)
+{
+	struct poison_id part = { 0 };
+	bool refused = job_is_condemned_by_part(j, now, &part);
+
+	if (!refused)
+		refused = !j->run.granted &&
+			  poison_is_condemned(
+			      &j->owner->poison.core, now, j->fingerprint);
+	if (refused)
+		suspect_log(j, now, POISON_CONDEMNED, part);
+	return refused;
+}
+
+msec
+entry_poison_retry_after(const struct job *j, msec now)
+{
+	struct poison_id part = j->fingerprint;
+
+	job_is_condemned_by_part(j, now, &part);
+	return poison_trial_delay(&j->owner->poison.core, now, part);
+}
+
+void
+entry_poison_run_end(struct job *j, msec now, bool broke)
 {
-	return !j->run.granted &&
-	       poison_is_condemned(&j->owner->poison.core, now, j->fingerprint);
+	struct poisons *p = &j->owner->poison.core;
+
+	poison_run_end(p, now, &j->part_run, broke);
+	poison_run_end(p, now, &j->run, broke);
 }
 
 static void
@@ -449,55 +618,79 @@
     struct poisons *p, struct poison_run *run, enum poison_verdict v, msec now)
 {
 	struct job *j = run->arg;
+	struct poison_id none = { 0 };
 
-	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SUSPECT,
-	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
-	    LOG_TEXT(LOG_KEY_OUTCOME, poison_verdict_name(v)),
-	    LOG_NUMBER(LOG_KEY_ENDS, poison_count_ends(p, j->fingerprint)));
+	suspect_log(j, now, v, run == &j->part_run ? run->id : none);
 	if (v == POISON_SEND)
 		job_attempt(j, now);
 	else
 		job_fail(j, now, JOB_POISON);
 }
 
-/* Finds a request that was sent to a server but not answered yet. */
+/*
+ * Finds a condemned request that was sent to a server but not answered yet. One
+ * with a condemned part whose ends another part explains goes on.
+ */
 static struct job *
-poison_find_unanswered(struct entry *e, struct poison_id id)
+poison_find_unanswered(struct entry *e, struct poison_id id, msec now)
 {
+	struct poison_id part;
 	struct job *j;
 
 	TAILQ_FOREACH (j, &e->jobs, entry) {
-		if (poison_id_equal(j->fingerprint, id) && j->link != NULL &&
-		    !j->began_to_run)
+		if (j->link == NULL || j->began_to_run)
+			continue;
+		if (poison_id_is_part(id)
+			? job_is_condemned_by_part(j, now, &part)
+			: poison_id_equal(j->fingerprint, id))
 			return j;
 	}
 	return NULL;
 }
 
+/* Logs a verdict on a request or part. */
+static void
+verdict_log(struct poisons *p, enum entry_log_event event, struct poison_id id,
+    msec now)
+{
+	struct entry *e = p->arg;
+	bool is_part = poison_id_is_part(id);
+	char name[POISON_ID_SIZE];
+
+	poison_id_print(id, name);
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, event,
+	    LOG_TEXT(LOG_KEY_SAME, is_part ? NULL : name),
+	    LOG_TEXT(LOG_KEY_PART, is_part ? name : NULL),
+	    LOG_NUMBER(LOG_KEY_ENDS, poison_count_ends(p, id)));
+}
+
 /*
- * Fails the copies of a condemned request that have no answer yet: they may be
- * queued at a server and have not ended it so far. A copy whose answer has
- * begun goes on, because a complete answer clears the request.
+ * Fails the copies of a condemned request, or the requests with a condemned
+ * part, that have no answer yet: they may be queued at a server and have not
+ * ended it so far. One whose answer has begun goes on, because a complete
+ * answer clears it.
  */
 static void
 poison_op_condemned(struct poisons *p, struct poison_id id, msec now)
 {
 	struct entry *e = p->arg;
-	char fingerprint[POISON_ID_SIZE];
 	struct job *j;
 
-	poison_id_print(id, fingerprint);
-	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_CONDEMNED,
-	    LOG_TEXT(LOG_KEY_SAME, fingerprint),
-	    LOG_NUMBER(LOG_KEY_ENDS, poison_count_ends(p, id)));
-	while ((j = poison_find_unanswered(e, id)) != NULL) {
+	verdict_log(p, LOG_EVENT_CONDEMNED, id, now);
+	while ((j = poison_find_unanswered(e, id, now)) != NULL) {
 		j->may_have_run |= j->link->sent;
 		job_fail(j, now, JOB_POISON);
 	}
 }
 
+static void
+poison_op_cleared(struct poisons *p, struct poison_id id, msec now)
+{
+	verdict_log(p, LOG_EVENT_CLEARED, id, now);
+}
+
 static const struct poison_ops entry_poison_ops = { poison_op_send,
-	poison_op_decided, poison_op_condemned };
+	poison_op_decided, poison_op_condemned, poison_op_cleared };
 
 /* ---- live nodes and timer ---- */
 
@@ -546,6 +739,7 @@
 	    &x->core, &entry_poison_ops, name_hash(e->settings->node), e->rand);
 	x->core.arg = e;
 	loop_timer_init(&x->timer, poison_timer, e);
+	loop_timer_init(&x->answered_timer, answered_timer, e);
 }
 
 void
@@ -556,6 +750,7 @@
 	TAILQ_FOREACH_SAFE (c, &e->poison.checks, entry, next)
 		check_free(c);
 	loop_timer_stop(&e->loop, &e->poison.timer);
+	loop_timer_stop(&e->loop, &e->poison.answered_timer);
 	poisons_finish(&e->poison.core);
 }
 
@@ -575,7 +770,17 @@
 	const struct entry_poison *x = &e->poison;
 	const struct poison_counters *c = &x->core.counters;
 
-	metric(s, "poison_records", "gauge", x->core.count);
+	metric(
+	    s, "poison_records", "gauge", x->core.counts[POISON_KIND_REQUEST]);
+	metric(s, "poison_part_records", "gauge",
+	    x->core.counts[POISON_KIND_PART]);
+	metric(s, "poison_parts_condemned_now", "gauge",
+	    poison_count_condemned_parts(&x->core));
+	metric(s, "poison_part_suspicions_total", "counter", c->part_ends);
+	metric(s, "poison_parts_cleared_total", "counter", c->parts_cleared);
+	metric(
+	    s, "poison_parts_condemned_total", "counter", c->parts_condemned);
+	metric(s, "poison_parts_refused_total", "counter", c->parts_refused);
 	metric(
 	    s, "poison_servers_checked_total", "counter", x->servers_checked);
 	metric(s, "poison_servers_ended_total", "counter", x->servers_ended);
--- a/entry-poison.h
+++ b/entry-poison.h
@@ -24,18 +24,30 @@
  */
 #define POISON_ABANDONED_MAX 64
 
-struct poison_abandoned {
+/* A request at a server, and when its attempt ended. */
+struct poison_aboard {
 	struct poison_id id;
-	uint64_t process; /* process of the server; 0: unused */
+	struct poison_parts parts;
 	msec at;
+	uint64_t process; /* process of the server; 0: unused */
 };
 
+/*
+ * Number of answers that wait until their servers have outlived them, see
+ * entry_poison_answered().
+ */
+#define POISON_ANSWERED_MAX 256
+
 struct entry_poison {
 	struct poisons core;
 	struct loop_timer timer;
 	struct server_checks checks;
-	struct poison_abandoned abandoned[POISON_ABANDONED_MAX];
+	struct poison_aboard abandoned[POISON_ABANDONED_MAX];
 	unsigned int next_abandoned;
+	/* A ring; all answers wait for the same time. */
+	struct poison_aboard answered[POISON_ANSWERED_MAX];
+	unsigned int first_answered, nanswered;
+	struct loop_timer answered_timer;
 	/* Connections tried to check servers, processes found ended. */
 	uint64_t servers_checked, servers_ended;
 };
@@ -50,7 +62,17 @@
 /*
  * Returns true if the request is condemned, unless it has been granted a trial.
  */
-bool entry_poison_refuses(const struct job *, msec);
+bool entry_poison_refuses(struct job *, msec);
+/* Time in ms after which a refused request may be sent again. */
+msec entry_poison_retry_after(const struct job *, msec);
+/* The attempt has ended, see poison_run_end(). */
+void entry_poison_run_end(struct job *, msec, bool broke);
+/*
+ * A server's answer is complete. It clears the request's parts once the server
+ * has outlived it: a process that ends may have finished a short answer before.
+ */
+void entry_poison_answered(
+    struct job *, const struct server *, const struct http_head *, msec);
 /*
  * The connection of a request to a server broke: starts a check of the server's
  * process. The request becomes a suspect if the process has ended. `waits`: the
--- a/entry.h
+++ b/entry.h
@@ -272,8 +272,10 @@
 	const struct route *route;
 	const struct route_organisation *organisation;
 	struct poison_id fingerprint; /* equal for repetitions by one caller */
-	struct poison_run run;	      /* permission to send, if it is suspect */
-	struct server_check *check;   /* the check it waits for, or NULL */
+	struct poison_parts parts;    /* of its prompt, that others may share */
+	/* Permission to send, if it is suspect, and if a part of it is. */
+	struct poison_run run, part_run;
+	struct server_check *check; /* the check it waits for, or NULL */
 	name_id service;
 	msec arrived;
 	msec deadline; /* absolute: the caller's, or the route's timeout */
@@ -335,9 +337,10 @@
 	bool refused_by_server; /* the current attempt did not run */
 	enum server_result refusal_result; /* how to count the refusal */
 	msec sent_at, first_at; /* of the attempt; of the answer's head */
-	msec forwarded_at;	/* the newest part was forwarded */
-	msec gap;		/* longest pause between two forwarded parts */
-	struct buffer fields;	/* header lines for the caller */
+	msec attempt_began;   /* first byte of the attempt's answer; 0: none */
+	msec forwarded_at;    /* the newest part was forwarded */
+	msec gap;	      /* longest pause between two forwarded parts */
+	struct buffer fields; /* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
 	bool event_due;	     /* an attempt broke off inside the next event */
 	uint64_t last_event; /* number of the last event forwarded */
--- a/poison-private.h
+++ b/poison-private.h
@@ -1,7 +1,7 @@
 /*
  * Shared by the files for poison requests: poison.c decides which requests may
- * be sent, poison-record.c stores records, and poison-share.c exchanges records
- * between nodes.
+ * be sent, poison-part.c judges parts of prompts, poison-record.c stores
+ * records, and poison-share.c exchanges records between nodes.
  */
 
 #ifndef POISON_PRIVATE_H
@@ -17,8 +17,13 @@
 /* Find or create a record; may evict another one. */
 struct poison_record *record_get(struct poisons *, struct poison_id);
 void records_free(struct poisons *);
-/* Number of server ends in the record. */
+enum poison_kind record_kind(const struct poison_record *);
+/* Number of server ends in the record; of parts those at different moments. */
 unsigned int record_ends(const struct poison_record *);
+/* Are there enough of them to condemn it? */
+bool record_has_enough(const struct poison_record *);
+/* Must it be permitted by the owner? Suspect parts are not held back. */
+bool record_needs_permit(const struct poison_record *);
 /* Add an ended process; false: known already, or older than `served`. */
 bool record_add_end(struct poisons *, struct poison_record *, uint64_t, msec);
 /* Add a complete answer; false: it removes no end. */
@@ -34,6 +39,44 @@
     const struct poison_record *, msec, sp_poison_record *, sp_poison_life *);
 bool record_merge(
     struct poisons *, msec, const sp_poison_record *, struct poison_record **);
+/*
+ * Of a record that was merged: does the sender lack an answer that excuses ends
+ * in the message?
+ */
+bool
+record_corrects(const struct poison_record *, msec, const sp_poison_record *);
+
+/* ---- parts: poison-part.c ---- */
+
+/*
+ * An end counts against a part only if no request with it was answered for so
+ * long before: a part that ends servers is never answered, and one in much
+ * traffic all the time.
+ */
+#define POISON_PART_PROOF_MS (2 * MSEC_SECOND)
+/* Entries of the table of answers. */
+#define POISON_ANSWERS_BITS 11
+#define POISON_ANSWERS (1U << POISON_ANSWERS_BITS)
+/* Ends of two processes within this time are one moment. */
+#define POISON_MOMENT_MS 50
+/* The last complete answer of this node with a part; MSEC_NEVER: none. */
+msec part_answered_at(const struct poisons *, struct poison_id);
+/*
+ * Can the ends in a part's record all be the work of other condemned parts, not
+ * counting those of `except`, which may be NULL?
+ */
+bool part_is_explained(const struct poisons *, const struct poison_record *,
+    const struct poison_parts *except);
+
+/* ---- decisions: poison.c ---- */
+
+void run_count(struct poisons *, struct poison_id, enum poison_verdict);
+/* Ask for permission to send a suspect; see poison_ask(). */
+enum poison_verdict run_request_permit(
+    struct poisons *, msec, struct poison_run *, struct poison_record *);
+/* A record has changed: its request or part may now be condemned or cleared. */
+void record_changed(struct poisons *, msec, struct poison_record *,
+    unsigned int ends_before, bool seen_here);
 
 /* ---- distribution: poison-share.c ---- */
 
@@ -43,6 +86,9 @@
 /* Schedule sending a record that changed here (`seen_here`) or by a message. */
 void poison_share_changed(
     struct poisons *, msec, struct poison_record *, bool seen_here);
+/* Send a record to one node. */
+void
+poison_share_reply(struct poisons *, msec, struct poison_record *, name_id);
 /* A record is about to be freed. */
 void poison_share_cancel(struct poisons *, struct poison_record *);
 void poison_share_tick(struct poisons *, msec);
--- a/poison-record.c
+++ b/poison-record.c
@@ -1,6 +1,6 @@
 /*
- * Records of suspect requests: the server processes that ended while executing
- * the request, and the time of its last complete answer. The result of merging
+ * Records of suspect requests and parts: the server processes that ended while
+ * executing it, and the time of its last complete answer. The result of merging
  * records does not depend on their order.
  */
 
@@ -36,10 +36,17 @@
 	return RB_FIND(poison_records, &p->tree, &find);
 }
 
+enum poison_kind
+record_kind(const struct poison_record *r)
+{
+	return poison_id_is_part(r->id) ? POISON_KIND_PART
+					: POISON_KIND_REQUEST;
+}
+
 static struct poison_ages *
 record_list(struct poisons *p, const struct poison_record *r)
 {
-	return r->listed_high ? &p->high : &p->low;
+	return &p->lists[record_kind(r)][r->level];
 }
 
 static void
@@ -48,7 +55,7 @@
 	poison_share_cancel(p, r);
 	TAILQ_REMOVE(record_list(p, r), r, age);
 	RB_REMOVE(poison_records, &p->tree, r);
-	p->count--;
+	p->counts[record_kind(r)]--;
 	g_free(r);
 }
 
@@ -61,63 +68,154 @@
 		record_free(p, r);
 }
 
-/*
- * Append a record to the list for the number of server processes that its
- * request ended: at most one, or more.
- */
+/* Append a record to the list for the number of its ends. */
 static void
 record_move_to_list(struct poisons *p, struct poison_record *r)
 {
+	unsigned int ends = record_ends(r);
+
 	TAILQ_REMOVE(record_list(p, r), r, age);
-	r->listed_high = record_ends(r) > 1;
+	if (record_has_enough(r))
+		r->level = POISON_ENDED_ENOUGH;
+	else
+		r->level = MIN(ends, POISON_ENDED_MORE);
 	TAILQ_INSERT_TAIL(record_list(p, r), r, age);
 }
 
+/* Free the record of a kind that is missed least. */
+static void
+record_evict(struct poisons *p, enum poison_kind kind)
+{
+	unsigned int level = POISON_ENDED_NONE;
+
+	while (TAILQ_EMPTY(&p->lists[kind][level]))
+		level++;
+	p->counters.dropped++;
+	record_free(p, TAILQ_FIRST(&p->lists[kind][level]));
+}
+
 struct poison_record *
 record_get(struct poisons *p, struct poison_id id)
 {
+	static const unsigned int most[POISON_KINDS] = { POISON_RECORDS_MAX,
+		POISON_PARTS_MAX };
 	struct poison_record *r = record_find(p, id);
+	enum poison_kind kind;
 
 	if (r != NULL)
 		return r;
-	if (p->count == POISON_RECORDS_MAX) {
-		p->counters.dropped++;
-		record_free(p, TAILQ_EMPTY(&p->low) ? TAILQ_FIRST(&p->high)
-						    : TAILQ_FIRST(&p->low));
-	}
 	r = g_new0(struct poison_record, 1);
 	r->id = id;
-	r->served = MSEC_NEVER;
+	kind = record_kind(r);
+	if (p->counts[kind] == most[kind])
+		record_evict(p, kind);
+	r->served =
+	    kind == POISON_KIND_PART ? part_answered_at(p, id) : MSEC_NEVER;
 	r->send_at = MSEC_NEVER;
 	RB_INSERT(poison_records, &p->tree, r);
-	TAILQ_INSERT_TAIL(&p->low, r, age);
-	p->count++;
+	TAILQ_INSERT_TAIL(record_list(p, r), r, age);
+	p->counts[kind]++;
 	return r;
 }
 
+/* ---- ends ---- */
+
+static unsigned int
+record_ends_enough(const struct poison_record *r)
+{
+	return record_kind(r) == POISON_KIND_PART ? POISON_PART_ENDS
+						  : POISON_ENDS;
+}
+
+/*
+ * Does an end count, after the last one that does? Servers that end at the same
+ * moment have a cause in common.
+ */
+static bool
+end_counts(const struct poison_record *r, unsigned int at, msec last)
+{
+	return at == 0 || record_kind(r) != POISON_KIND_PART ||
+	       r->lives[at].ended_at - last >= POISON_MOMENT_MS;
+}
+
+/* The time of the n-th end that counts; MSEC_NEVER: there are fewer. */
+static msec
+record_end_at(const struct poison_record *r, unsigned int n)
+{
+	unsigned int i, counted = 0;
+	msec last = 0;
+
+	for (i = 0; i < r->nlives; i++) {
+		if (!end_counts(r, i, last))
+			continue;
+		last = r->lives[i].ended_at;
+		if (++counted == n)
+			return last;
+	}
+	return MSEC_NEVER;
+}
+
 unsigned int
 record_ends(const struct poison_record *r)
 {
-	return r->nlives;
+	unsigned int n = 0;
+
+	if (record_kind(r) != POISON_KIND_PART)
+		return r->nlives;
+	while (n < r->nlives && record_end_at(r, n + 1) != MSEC_NEVER)
+		n++;
+	return n;
+}
+
+bool
+record_has_enough(const struct poison_record *r)
+{
+	return record_ends(r) >= record_ends_enough(r);
+}
+
+bool
+record_needs_permit(const struct poison_record *r)
+{
+	return record_kind(r) == POISON_KIND_PART ? record_has_enough(r)
+						  : r->nlives > 0;
 }
 
+/* Is an end at `at` excused by an answer at `served`? */
 static bool
-record_was_served_since(const struct poison_record *r, msec at)
+answer_excuses(const struct poison_record *r, msec served, msec at)
 {
-	return r->served != MSEC_NEVER && r->served >= at;
+	msec proof =
+	    record_kind(r) == POISON_KIND_PART ? POISON_PART_PROOF_MS : 0;
+
+	return served != MSEC_NEVER && served + proof >= at;
 }
 
 /*
- * Make room for one more ended process: drops the oldest one after the first
- * POISON_ENDS.
+ * The end to drop for another one: one that does not count, else the oldest
+ * after those that condemn it.
  */
+static unsigned int
+record_end_to_drop(const struct poison_record *r)
+{
+	unsigned int i;
+	msec last = 0;
+
+	for (i = 0; i < r->nlives; i++) {
+		if (!end_counts(r, i, last))
+			return i;
+		last = r->lives[i].ended_at;
+	}
+	return record_ends_enough(r);
+}
+
 static void
 record_make_room(struct poison_record *r)
 {
-	unsigned int at = POISON_ENDS;
+	unsigned int at;
 
 	if (r->nlives < POISON_ENDS_STORED)
 		return;
+	at = record_end_to_drop(r);
 	memmove(&r->lives[at], &r->lives[at + 1],
 	    (POISON_ENDS_STORED - at - 1) * sizeof *r->lives);
 	r->nlives--;
@@ -129,7 +227,7 @@
 {
 	unsigned int i;
 
-	if (record_was_served_since(r, at))
+	if (answer_excuses(r, r->served, at))
 		return false;
 	for (i = 0; i < r->nlives; i++) {
 		if (r->lives[i].life == life)
@@ -149,11 +247,11 @@
 {
 	unsigned int i, kept = 0;
 
-	if (record_was_served_since(r, at))
+	if (r->served != MSEC_NEVER && r->served >= at)
 		return false;
 	r->served = at;
 	for (i = 0; i < r->nlives; i++) {
-		if (r->lives[i].ended_at > at)
+		if (!answer_excuses(r, at, r->lives[i].ended_at))
 			r->lives[kept++] = r->lives[i];
 	}
 	if (kept == r->nlives)
@@ -169,10 +267,10 @@
 	msec wait = POISON_TRIAL_MS, first;
 	unsigned int i;
 
-	if (r->nlives < POISON_ENDS)
+	if (!record_has_enough(r))
 		return 0;
-	first = r->lives[POISON_ENDS - 1].ended_at + POISON_TRIAL_GRACE_MS;
-	for (i = POISON_ENDS; i < r->nlives; i++) {
+	first = record_end_at(r, record_ends_enough(r)) + POISON_TRIAL_GRACE_MS;
+	for (i = 0; i < r->nlives; i++) {
 		if (r->lives[i].ended_at > first)
 			wait *= POISON_TRIAL_FACTOR;
 	}
@@ -182,7 +280,7 @@
 bool
 record_is_condemned(const struct poison_record *r, msec now)
 {
-	return r->nlives >= POISON_ENDS && now < record_trial_at(r);
+	return record_has_enough(r) && now < record_trial_at(r);
 }
 
 /* ---- messages ---- */
@@ -232,3 +330,22 @@
 		    now - m->lives.lives_val[i].age_ms);
 	return changed;
 }
+
+bool
+record_corrects(
+    const struct poison_record *r, msec now, const sp_poison_record *m)
+{
+	msec theirs = MSEC_NEVER;
+	unsigned int i;
+	msec at;
+
+	if (m->served_age_ms != POISON_AGE_NEVER)
+		theirs = now - m->served_age_ms;
+	for (i = 0; i < m->lives.lives_len; i++) {
+		at = now - m->lives.lives_val[i].age_ms;
+		if (answer_excuses(r, r->served, at) &&
+		    !answer_excuses(r, theirs, at))
+			return true;
+	}
+	return false;
+}
--- a/poison-share.c
+++ b/poison-share.c
@@ -59,6 +59,39 @@
 	p->ops->send(p, to, &m->msg);
 }
 
+void
+poison_share_reply(
+    struct poisons *p, msec now, struct poison_record *r, name_id to)
+{
+	struct poison_message m;
+
+	message_init(&m);
+	message_add(&m, r, now);
+	message_send(p, &m, to);
+}
+
+static unsigned int
+records_count(const struct poisons *p)
+{
+	return p->counts[POISON_KIND_REQUEST] + p->counts[POISON_KIND_PART];
+}
+
+/* Whether there may be records that all nodes are to receive. */
+static bool
+poisons_have_for_all(const struct poisons *p)
+{
+	unsigned int kind, level;
+
+	for (kind = 0; kind < POISON_KINDS; kind++) {
+		for (level = POISON_ENDED_MORE; level < POISON_LEVELS;
+		     level++) {
+			if (!TAILQ_EMPTY(&p->lists[kind][level]))
+				return true;
+		}
+	}
+	return false;
+}
+
 /* ---- owners ---- */
 
 static uint64_t
@@ -175,11 +208,11 @@
 	unsigned int left;
 
 	p->next_sync = now + POISON_SYNC_MS;
-	if (TAILQ_EMPTY(&p->high) || p->nnodes < 2)
+	if (p->nnodes < 2 || !poisons_have_for_all(p))
 		return;
 	message_init(&m);
 	r = RB_NFIND(poison_records, &p->tree, &find);
-	for (left = p->count; left > 0; left--) {
+	for (left = records_count(p); left > 0; left--) {
 		if (r == NULL)
 			r = RB_MIN(poison_records, &p->tree);
 		if (record_is_for_all(r) && !message_add(&m, r, now))
@@ -207,30 +240,41 @@
 void
 poison_share_tick(struct poisons *p, msec now)
 {
+	unsigned int kind, level;
+
 	if (now >= p->next_sync)
 		poison_share_sync(p, now);
 	if (p->nunsent == 0 || now < p->next_broadcast)
 		return;
-	if (poison_share_send_due(p, &p->high, now) ||
-	    poison_share_send_due(p, &p->low, now))
-		p->next_broadcast =
-		    now + p->nnodes * POISON_BROADCAST_PER_NODE_MS;
+	for (level = POISON_LEVELS; level-- > 0;) {
+		for (kind = 0; kind < POISON_KINDS; kind++) {
+			if (!poison_share_send_due(
+				p, &p->lists[kind][level], now))
+				continue;
+			p->next_broadcast =
+			    now + p->nnodes * POISON_BROADCAST_PER_NODE_MS;
+			return;
+		}
+	}
 }
 
 msec
 poison_share_next(const struct poisons *p, msec now)
 {
 	const struct poison_record *r;
+	unsigned int kind, level;
 	msec due = p->next_sync;
 
-	if (p->count == 0)
+	if (records_count(p) == 0)
 		return MSEC_NEVER;
 	if (p->nunsent == 0)
 		return due;
-	TAILQ_FOREACH (r, &p->high, age)
-		due = MIN(due, r->send_at);
-	TAILQ_FOREACH (r, &p->low, age)
-		due = MIN(due, r->send_at);
+	for (kind = 0; kind < POISON_KINDS; kind++) {
+		for (level = 0; level < POISON_LEVELS; level++) {
+			TAILQ_FOREACH (r, &p->lists[kind][level], age)
+				due = MIN(due, r->send_at);
+		}
+	}
 	return MAX(due, p->next_broadcast);
 }
 
@@ -284,7 +328,7 @@
 	name_id *added = g_new(name_id, MAX(n, 1));
 	unsigned int i, nadded = 0;
 
-	for (i = 0; i < n && p->count > 0; i++) {
+	for (i = 0; i < n && records_count(p) > 0; i++) {
 		if (list[i].id != p->self && node_is_new(p, &list[i]))
 			added[nadded++] = list[i].id;
 	}
--- a/poison.c
+++ b/poison.c
@@ -69,7 +69,8 @@
 void
 poison_id_print(struct poison_id id, char text[POISON_ID_SIZE])
 {
-	g_snprintf(text, POISON_ID_SIZE, "%016" PRIx64, id.high);
+	g_snprintf(text, POISON_ID_SIZE,
+	    poison_id_is_part(id) ? "%" PRIx64 : "%016" PRIx64, id.high);
 }
 
 const char *
@@ -118,10 +119,13 @@
 	return NULL;
 }
 
-static void
-run_count(struct poisons *p, enum poison_verdict v)
+void
+run_count(struct poisons *p, struct poison_id id, enum poison_verdict v)
 {
-	p->counters.refused += v == POISON_CONDEMNED;
+	if (v == POISON_CONDEMNED && poison_id_is_part(id))
+		p->counters.parts_refused++;
+	else
+		p->counters.refused += v == POISON_CONDEMNED;
 	p->counters.held += v == POISON_HELD;
 }
 
@@ -135,7 +139,7 @@
 	run->granted = granted;
 	if (granted)
 		TAILQ_INSERT_TAIL(&p->granted, run, entry);
-	run_count(p, v);
+	run_count(p, run->id, v);
 	p->ops->decided(p, run, v, now);
 }
 
@@ -176,7 +180,7 @@
 
 	if (!free)
 		return false;
-	if (record_ends(r) >= POISON_ENDS &&
+	if (record_has_enough(r) &&
 	    (r->granted_node != node || r->granted_seq != seq))
 		p->counters.trials++;
 	r->granted_node = node;
@@ -237,23 +241,16 @@
 
 	if (run == NULL || p->closed || run_is_active(p, id))
 		return;
-	if (r == NULL || record_ends(r) == 0)
+	if (r == NULL || !record_needs_permit(r))
 		runs_decide(p, now, id, POISON_SEND);
 	else if (run_ask_owner(p, now, run, r))
 		run_decide(p, now, run, POISON_SEND, true);
 }
 
 enum poison_verdict
-poison_ask(struct poisons *p, msec now, struct poison_run *run)
+run_request_permit(struct poisons *p, msec now, struct poison_run *run,
+    struct poison_record *r)
 {
-	struct poison_record *r = record_find(p, run->id);
-
-	if (run->granted || r == NULL || record_ends(r) == 0)
-		return POISON_SEND;
-	if (record_is_condemned(r, now)) {
-		run_count(p, POISON_CONDEMNED);
-		return POISON_CONDEMNED;
-	}
 	run->owner = 0;
 	run->since = now;
 	if (!run_is_active(p, run->id) && run_ask_owner(p, now, run, r)) {
@@ -266,6 +263,20 @@
 	return POISON_WAIT;
 }
 
+enum poison_verdict
+poison_ask(struct poisons *p, msec now, struct poison_run *run)
+{
+	struct poison_record *r = record_find(p, run->id);
+
+	if (run->granted || r == NULL || !record_needs_permit(r))
+		return POISON_SEND;
+	if (record_is_condemned(r, now)) {
+		run_count(p, run->id, POISON_CONDEMNED);
+		return POISON_CONDEMNED;
+	}
+	return run_request_permit(p, now, run, r);
+}
+
 /* Report to the owner that a run is over. */
 static void
 release_send(
@@ -349,22 +360,47 @@
 
 /* ---- evidence ---- */
 
-/* A record has changed: the request may now be condemned or cleared. */
+/* A condemned part is refused unless other parts explain its ends. */
+static bool
+record_refuses(const struct poisons *p, const struct poison_record *r, msec now)
+{
+	return record_is_condemned(r, now) &&
+	       (record_kind(r) != POISON_KIND_PART ||
+		   !part_is_explained(p, r, NULL));
+}
+
 static void
+record_became_condemned(
+    struct poisons *p, msec now, const struct poison_record *r)
+{
+	if (record_kind(r) == POISON_KIND_PART)
+		p->counters.parts_condemned++;
+	else
+		p->counters.condemned++;
+	p->ops->condemned(p, r->id, now);
+}
+
+void
 record_changed(struct poisons *p, msec now, struct poison_record *r,
     unsigned int ends_before, bool seen_here)
 {
-	unsigned int ends = record_ends(r);
+	unsigned int enough =
+	    record_kind(r) == POISON_KIND_PART ? POISON_PART_ENDS : POISON_ENDS;
+	bool had_enough = ends_before >= enough;
 	struct poison_id id = r->id;
 
 	poison_share_changed(p, now, r, seen_here);
-	if (ends >= POISON_ENDS && ends_before < POISON_ENDS) {
-		p->counters.condemned++;
-		runs_decide(p, now, id, POISON_CONDEMNED);
-		p->ops->condemned(p, id, now);
-	} else if (ends == 0 && ends_before > 0) {
-		runs_decide(p, now, id, POISON_SEND);
+	if (record_has_enough(r)) {
+		if (record_refuses(p, r, now))
+			runs_decide(p, now, id, POISON_CONDEMNED);
+		if (!had_enough)
+			record_became_condemned(p, now, r);
+		return;
 	}
+	if (had_enough)
+		p->ops->cleared(p, id, now);
+	if (!record_needs_permit(r))
+		runs_decide(p, now, id, POISON_SEND);
 }
 
 void
@@ -423,7 +459,8 @@
 /* ---- messages ---- */
 
 static void
-handle_record(struct poisons *p, msec now, const sp_poison_record *m)
+handle_record(
+    struct poisons *p, msec now, name_id from, const sp_poison_record *m)
 {
 	struct poison_id id = { m->high, m->low };
 	unsigned int ends_before = poison_count_ends(p, id);
@@ -431,6 +468,9 @@
 
 	if (record_merge(p, now, m, &r))
 		record_changed(p, now, r, ends_before, false);
+	if (r != NULL && record_kind(r) == POISON_KIND_PART &&
+	    record_corrects(r, now, m))
+		poison_share_reply(p, now, r, from);
 }
 
 static void
@@ -442,13 +482,14 @@
 	sp_poison_life lives[SAVORY_LIVES_MAX];
 	struct poison_record *r;
 
-	handle_record(p, now, &ask->record);
+	handle_record(p, now, from, &ask->record);
 	if ((r = record_find(p, id)) == NULL)
 		return;
 	a->seq = ask->seq;
-	if (record_is_condemned(r, now))
+	if (record_refuses(p, r, now))
 		a->verdict = SP_POISON_NO;
-	else if (record_ends(r) == 0 || owner_grants(p, now, r, from, ask->seq))
+	else if (!record_needs_permit(r) ||
+		 owner_grants(p, now, r, from, ask->seq))
 		a->verdict = SP_POISON_GO;
 	else
 		a->verdict = SP_POISON_WAIT;
@@ -473,7 +514,7 @@
 		run_decide(p, now, run, POISON_SEND, true);
 	else if (a->verdict == SP_POISON_NO)
 		run_decide(p, now, run, POISON_CONDEMNED, false);
-	handle_record(p, now, &a->record);
+	handle_record(p, now, from, &a->record);
 }
 
 void
@@ -486,7 +527,7 @@
 	switch (msg->kind) {
 	case SP_POISON_TELL:
 		for (i = 0; i < t->list.list_len; i++)
-			handle_record(p, now, &t->list.list_val[i]);
+			handle_record(p, now, from, &t->list.list_val[i]);
 		break;
 	case SP_POISON_ASK:
 		handle_ask(p, now, from, &msg->sp_msg_u.poison_ask);
@@ -594,10 +635,15 @@
 poisons_init(
     struct poisons *p, const struct poison_ops *ops, name_id self, GRand *rand)
 {
+	unsigned int kind, level;
+
 	*p = (struct poisons){ .ops = ops, .self = self, .rand = rand };
 	RB_INIT(&p->tree);
-	TAILQ_INIT(&p->low);
-	TAILQ_INIT(&p->high);
+	for (kind = 0; kind < POISON_KINDS; kind++) {
+		for (level = 0; level < POISON_LEVELS; level++)
+			TAILQ_INIT(&p->lists[kind][level]);
+	}
+	p->answers = g_new0(struct poison_part_answer, POISON_ANSWERS);
 	TAILQ_INIT(&p->waiting);
 	TAILQ_INIT(&p->granted);
 	TAILQ_INIT(&p->releases);
@@ -617,26 +663,40 @@
 	TAILQ_FOREACH_SAFE (out, &p->releases, entry, next)
 		g_free(out);
 	records_free(p);
+	g_free(p->answers);
 	g_free(p->nodes);
+	p->answers = NULL;
 	p->nodes = NULL;
 }
 
+static void
+record_dump(const struct poison_record *r, GString *s, msec now)
+{
+	char name[POISON_ID_SIZE];
+
+	poison_id_print(r->id, name);
+	g_string_append_printf(s,
+	    "%s %s ends %u newest-ms %" PRId64 " condemned %s trial-ms %" PRId64
+	    "\n",
+	    record_kind(r) == POISON_KIND_PART ? "poison-part" : "poison", name,
+	    record_ends(r), now - r->lives[r->nlives - 1].ended_at,
+	    record_is_condemned(r, now) ? "yes" : "no",
+	    MAX(record_trial_at(r) - now, 0));
+}
+
 void
 poisons_dump(const struct poisons *p, GString *s, msec now)
 {
-	char name[POISON_ID_SIZE];
 	const struct poison_record *r;
+	unsigned int kind, level;
 
-	TAILQ_FOREACH (r, &p->high, age) {
-		poison_id_print(r->id, name);
-		g_string_append_printf(s,
-		    "poison %s ends %u newest-ms %" PRId64
-		    " condemned %s trial-ms %" PRId64 "\n",
-		    name, record_ends(r),
-		    now - r->lives[r->nlives - 1].ended_at,
-		    record_is_condemned(r, now) ? "yes" : "no",
-		    MAX(record_trial_at(r) - now, 0));
+	for (kind = 0; kind < POISON_KINDS; kind++) {
+		for (level = POISON_LEVELS; level-- > POISON_ENDED_MORE;) {
+			TAILQ_FOREACH (r, &p->lists[kind][level], age)
+				record_dump(r, s, now);
+		}
 	}
-	g_string_append_printf(s, "poison records %u waiting %s\n", p->count,
+	g_string_append_printf(s, "poison records %u parts %u waiting %s\n",
+	    p->counts[POISON_KIND_REQUEST], p->counts[POISON_KIND_PART],
 	    TAILQ_EMPTY(&p->waiting) ? "no" : "yes");
 }
--- a/poison.h
+++ b/poison.h
@@ -19,6 +19,13 @@
  * reordered, repeated or lost messages have no lasting effect. New nodes
  * receive the records, and each node periodically sends some to another one.
  *
+ * Requests that are all different can have a part of their prompts in common
+ * that terminates servers. So the same records are kept of the parts that
+ * prompts share. Many parts are aboard a server that ends, and some are in most
+ * of the traffic, so that ends alone prove little: only ends without an answer
+ * count, see poison-part.c. A suspect part delays nothing. After
+ * POISON_PART_ENDS ends it is condemned, and requests with it are not sent.
+ *
  * This module does no I/O.
  */
 
@@ -53,19 +60,38 @@
 struct poison_id poison_id_make(const char *key, const struct poison_request *);
 bool poison_id_equal(struct poison_id, struct poison_id);
 bool poison_id_is_none(struct poison_id);
-/* Format for logs and dumps: 16 hexadecimal digits and NUL. */
+/*
+ * Format for logs and dumps: 16 hexadecimal digits and NUL; of parts, as
+ * callers name them.
+ */
 #define POISON_ID_SIZE 17
 void poison_id_print(struct poison_id, char[POISON_ID_SIZE]);
 
+/* Most parts of one request that are considered. */
+#define POISON_REQUEST_PARTS 31
+
+/* The parts of a request's prompt that other requests may share, as ids. */
+struct poison_parts {
+	unsigned int n;
+	struct poison_id ids[POISON_REQUEST_PARTS];
+};
+
+/* The id of a part by its name in requests; logs show that name. */
+struct poison_id poison_part_id(uint64_t name);
+bool poison_id_is_part(struct poison_id);
+
 /* Server processes that a request ends before it is condemned. */
 #define POISON_ENDS 3
+/* The same for a part; ends at one moment count as one. */
+#define POISON_PART_ENDS 5
 /* Maximum number of ended processes in a record: the first and the newest. */
 #define POISON_ENDS_STORED 8
 /*
- * Maximum number of records. The oldest record with at most one ended process
- * is evicted first, then the oldest of all.
+ * Maximum number of records of requests, and of parts. The oldest record with
+ * the fewest ended processes is evicted first, condemned ones last.
  */
 #define POISON_RECORDS_MAX 1024
+#define POISON_PARTS_MAX 4096
 
 /* Whether a request may be sent to a server. */
 enum poison_verdict {
@@ -82,7 +108,29 @@
 	msec ended_at;
 };
 
-/* The record of one request. Private to poison*.c. */
+/* What a record is of. */
+enum poison_kind {
+	POISON_KIND_REQUEST,
+	POISON_KIND_PART,
+	POISON_KINDS
+};
+
+/* Lists of records, in the order of eviction. */
+enum poison_level {
+	POISON_ENDED_NONE, /* cleared */
+	POISON_ENDED_ONCE,
+	POISON_ENDED_MORE,
+	POISON_ENDED_ENOUGH, /* to be condemned */
+	POISON_LEVELS
+};
+
+/* The last complete answer of this node with a part. Private. */
+struct poison_part_answer {
+	uint64_t name;
+	msec at; /* 0: unused */
+};
+
+/* The record of one request or part. Private to poison*.c. */
 struct poison_record {
 	RB_ENTRY(poison_record) entry;
 	TAILQ_ENTRY(poison_record) age; /* newest last */
@@ -90,8 +138,8 @@
 	struct poison_process
 	    lives[POISON_ENDS_STORED]; /* since `served`, by time */
 	unsigned int nlives;
-	msec served;	  /* last complete answer; MSEC_NEVER: never */
-	bool listed_high; /* which list of struct poisons it is in */
+	msec served;		 /* last complete answer; MSEC_NEVER: never */
+	enum poison_level level; /* the list of struct poisons it is in */
 	/* Number of times it is still to be sent to others, and when. */
 	unsigned int sends_left;
 	msec send_at;
@@ -141,8 +189,10 @@
 	/* The verdict on a run for which poison_ask() returned POISON_WAIT. */
 	void (*decided)(
 	    struct poisons *, struct poison_run *, enum poison_verdict, msec);
-	/* A request was condemned, here or by another node. */
+	/* A request or part was condemned, here or by another node. */
 	void (*condemned)(struct poisons *, struct poison_id, msec);
+	/* A complete answer cleared a condemned request or part. */
+	void (*cleared)(struct poisons *, struct poison_id, msec);
 };
 
 /* A live node. */
@@ -163,6 +213,8 @@
 	uint64_t trials;	/* permitted as owner */
 	uint64_t dropped;	/* evicted records */
 	uint64_t records_sent;	/* records sent to other nodes */
+	/* The same of parts. */
+	uint64_t part_ends, parts_condemned, parts_cleared, parts_refused;
 };
 
 /* State of the local node; allocated by the caller. */
@@ -171,10 +223,11 @@
 	name_id self;
 	GRand *rand;
 	struct poison_records tree;
-	/* Records with at most one ended process, and more; oldest first. */
-	struct poison_ages low, high;
-	unsigned int count;
-	bool closed;	      /* see poisons_hold_waiting() */
+	struct poison_ages lists[POISON_KINDS]
+				[POISON_LEVELS]; /* oldest first */
+	unsigned int counts[POISON_KINDS];
+	struct poison_part_answer *answers; /* a table by hash of the name */
+	bool closed;			    /* see poisons_hold_waiting() */
 	unsigned int nunsent; /* records still to be sent to other nodes */
 	struct poison_runs waiting, granted;
 	struct poison_releases releases;
@@ -222,6 +275,26 @@
 unsigned int poison_count_ends(struct poisons *, struct poison_id);
 /* Time in ms until a trial of a condemned request is permitted; 0: now. */
 msec poison_trial_delay(struct poisons *, msec, struct poison_id);
+/* ---- parts of prompts ---- */
+
+/*
+ * May a request with these parts be sent? POISON_WAIT: one of them is condemned
+ * and can be tried; see poison_ask_parts(). `which` is the part that decided.
+ */
+enum poison_verdict poison_judge_parts(struct poisons *, msec,
+    const struct poison_parts *, struct poison_id *which);
+/* As poison_ask(), for the parts of a request; the run is for one of them. */
+enum poison_verdict poison_ask_parts(struct poisons *, msec,
+    const struct poison_parts *, struct poison_run *, struct poison_id *which);
+/* A server process ended at `at` while a request with these parts was there. */
+void poison_parts_ended(struct poisons *, msec, const struct poison_parts *,
+    uint64_t life, msec at);
+/* A server answered such a request completely and successfully at `at`. */
+void poison_parts_answered(
+    struct poisons *, msec, const struct poison_parts *, msec at);
+/* Number of parts that are condemned. */
+unsigned int poison_count_condemned_parts(const struct poisons *);
+
 /* Handle an SP_POISON_* message from a node. */
 void poisons_receive(struct poisons *, msec, name_id, const sp_msg *);
 /* Run due work. Returns the time of the next call. */
--- a/tests/test-poison.c
+++ b/tests/test-poison.c
@@ -147,7 +147,8 @@
 		poison_server_ended(p, w.now, any_id(1), i);
 	for (i = 2; i < 10 * POISON_RECORDS_MAX; i++)
 		poison_server_ended(p, w.now, any_id(i), 99);
-	g_assert_cmpuint(p->count, ==, POISON_RECORDS_MAX);
+	g_assert_cmpuint(
+	    p->counts[POISON_KIND_REQUEST], ==, POISON_RECORDS_MAX);
 	g_assert_cmpuint(p->counters.dropped, >, 0);
 	g_assert_true(poison_is_condemned(p, w.now, any_id(1)));
 	poison_world_finish(&w);
--- a/tests/util-poison.c
+++ b/tests/util-poison.c
@@ -138,8 +138,13 @@
 	}
 }
 
+static void
+node_cleared(struct poisons *p, struct poison_id id, msec now)
+{
+}
+
 static const struct poison_ops node_ops = { node_send, node_decided,
-	node_condemned };
+	node_condemned, node_cleared };
 
 struct request *
 poison_request_new(struct world *w, struct node *v, unsigned int poison)
