--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -219,6 +219,7 @@
 	v->rate.sent++;
 	j->sent_at = now;
 	j->attempt_began = 0;
+	j->parts_cleared = false;
 	e->counters.attempts++;
 	entry_reach_sent(e, now);
 	job_arm_silence_timer(j, now);
@@ -597,8 +598,7 @@
 
 	if (j->refused_by_server)
 		return;
-	if (j->attempt_began == 0)
-		j->attempt_began = now;
+	entry_poison_body_received(j, now);
 	job_began_to_run(j, now);
 	entry_reach_heard(j->owner, false, now);
 	place_prompt_read(&j->owner->place, now, &j->place);
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -42,10 +42,10 @@
 /* A server that lives for so long after an answer was not ended by it. */
 #define POISON_OUTLIVE_MS 250
 /*
- * A part ends a server soon after the first byte of its answer; the parts of
- * requests that were answered for longer are no suspects.
+ * A part ends a server soon after the first byte of its answer. An answer that
+ * has gone on for longer clears its request's parts as a complete one does.
  */
-#define POISON_PART_BEGUN_MS 1000
+#define POISON_PART_BEGUN_MS 300
 
 enum check_state {
 	CHECK_DELAYED,	  /* waits for the delay of the next connection */
@@ -344,11 +344,15 @@
 	}
 }
 
-/*
- * What is recorded of a request if its server's process ends. One whose answer
- * has gone on for long did not end it by beginning to be answered: its parts
- * are no suspects.
- */
+/* Has the answer gone on for so long that its beginning did no harm? */
+static bool
+job_has_begun(const struct job *j, msec now)
+{
+	return j->attempt_began != 0 &&
+	       now - j->attempt_began >= POISON_PART_BEGUN_MS;
+}
+
+/* What is recorded of a request if its server's process ends. */
 static struct poison_aboard
 aboard_of(const struct job *j, const struct server *v, msec now)
 {
@@ -356,8 +360,7 @@
 		.id = j->fingerprint, .at = now, .process = server_process_id(v)
 	};
 
-	if (j->attempt_began == 0 ||
-	    now - j->attempt_began < POISON_PART_BEGUN_MS)
+	if (!job_has_begun(j, now))
 		a.parts = j->parts;
 	return a;
 }
@@ -471,6 +474,17 @@
 		answered_add(e, &a, now);
 }
 
+void
+entry_poison_body_received(struct job *j, msec now)
+{
+	if (j->attempt_began == 0)
+		j->attempt_began = now;
+	if (j->parts_cleared || j->parts.n == 0 || !job_has_begun(j, now))
+		return;
+	j->parts_cleared = true;
+	poison_parts_answered(&j->owner->poison.core, now, &j->parts, now);
+}
+
 void
 entry_poison_request_abandoned(
     const struct job *j, const struct server *v, msec now)
--- a/entry-poison.h
+++ b/entry-poison.h
@@ -67,6 +67,8 @@
 msec entry_poison_retry_after(const struct job *, msec);
 /* The attempt has ended, see poison_run_end(). */
 void entry_poison_run_end(struct job *, msec, bool broke);
+/* Bytes of an answer's body came; begins or continues the attempt's answer. */
+void entry_poison_body_received(struct job *, msec);
 /*
  * A server's answer is complete. It clears the request's parts once the server
  * has outlived it: a process that ends may have finished a short answer before.
--- a/entry.h
+++ b/entry.h
@@ -337,6 +337,7 @@
 	bool refused_by_server; /* the current attempt did not run */
 	enum server_result refusal_result; /* how to count the refusal */
 	msec sent_at, first_at; /* of the attempt; of the answer's head */
+	bool parts_cleared;	/* by the attempt\'s answer */
 	msec attempt_began;   /* first byte of the attempt's answer; 0: none */
 	msec forwarded_at;    /* the newest part was forwarded */
 	msec gap;	      /* longest pause between two forwarded parts */
--- a/poison-part.c
+++ b/poison-part.c
@@ -2,16 +2,19 @@
  * Parts of prompts that terminate servers; see poison.h.
  *
  * All parts that are aboard a server at its end are suspects. A part that
- * terminates servers is never answered completely, and a sound one is again and
- * again: an end counts only if no node has answered a request with the part
+ * terminates servers is never answered, and a sound one is again and again: an
+ * end counts only if no node has answered a request with the part
  * since, nor shortly before. Each node remembers when it answered with which
  * part, and replies to a record that an answer of its own excuses; so no
  * message is needed for an answer.
  *
+ * Suspects with some more ends are sent one request at a time, so that each
+ * further end tells of one request, and an answer clears the part first.
+ *
  * Parts that only ever came together look equally guilty. A part whose ends
  * other condemned parts explain is tried as soon as it comes without them, one
  * request at a time: an answer clears it, an end that the others do not explain
- * convicts it.
+ * convicts it, as does a trial under which a server ends.
  */
 
 #define LOG_PART "poison"
@@ -118,7 +121,7 @@
 	unsigned int n = 0;
 
 	TAILQ_FOREACH (r, &p->lists[POISON_KIND_PART][POISON_ENDED_ENOUGH], age)
-		n++;
+		n += record_has_enough(r);
 	return n;
 }
 
@@ -135,23 +138,21 @@
 }
 
 /*
- * Does a part's record have this end? One that has dropped ends had another one
- * at the same moment as each that it dropped.
+ * Does a part's record have this end? A full record has dropped ends that came
+ * after those that condemned the part.
  */
 static bool
 part_has_end(const struct poison_record *r, const struct poison_process *end)
 {
-	bool dropped = r->nlives == POISON_ENDS_STORED;
 	unsigned int i;
-	msec apart;
 
 	for (i = 0; i < r->nlives; i++) {
-		apart = r->lives[i].ended_at - end->ended_at;
-		if (r->lives[i].life == end->life ||
-		    (dropped && ABS(apart) < POISON_MOMENT_MS))
+		if (r->lives[i].life == end->life)
 			return true;
 	}
-	return false;
+	return r->nlives == POISON_ENDS_STORED &&
+	       end->ended_at >= r->lives[POISON_PART_ENDS - 1].ended_at &&
+	       end->ended_at <= r->lives[r->nlives - 1].ended_at;
 }
 
 static bool
@@ -162,7 +163,8 @@
 
 	TAILQ_FOREACH (
 	    other, &p->lists[POISON_KIND_PART][POISON_ENDED_ENOUGH], age) {
-		if (other != r && !parts_contain(except, other->id) &&
+		if (other != r && record_has_enough(other) &&
+		    !parts_contain(except, other->id) &&
 		    part_has_end(other, end))
 			return true;
 	}
@@ -175,6 +177,8 @@
 {
 	unsigned int i;
 
+	if (r->failed_trials > 0)
+		return false;
 	for (i = 0; i < r->nlives; i++) {
 		if (!end_is_explained(p, r, &r->lives[i], except))
 			return false;
@@ -194,7 +198,7 @@
 		return POISON_SEND;
 	for (i = 0; i < parts->n; i++) {
 		r = record_find(p, parts->ids[i]);
-		if (r == NULL || !record_has_enough(r))
+		if (r == NULL || !record_needs_permit(r))
 			continue;
 		if (record_is_condemned(r, now) &&
 		    !part_is_explained(p, r, parts)) {
--- a/poison-private.h
+++ b/poison-private.h
@@ -22,7 +22,7 @@
 unsigned int record_ends(const struct poison_record *);
 /* Are there enough of them to condemn it? */
 bool record_has_enough(const struct poison_record *);
-/* Must it be permitted by the owner? Suspect parts are not held back. */
+/* Must it be permitted by the owner? */
 bool record_needs_permit(const struct poison_record *);
 /* Add an ended process; false: known already, or older than `served`. */
 bool record_add_end(struct poisons *, struct poison_record *, uint64_t, msec);
@@ -54,11 +54,16 @@
  * traffic all the time.
  */
 #define POISON_PART_PROOF_MS (2 * MSEC_SECOND)
+/*
+ * All nodes hear of a part from so many ends on: early enough to reply that
+ * they answered it, and late enough that few sound parts get there.
+ */
+#define POISON_PART_BROADCAST_ENDS (POISON_PART_PERMIT_ENDS - 1)
 /* Entries of the table of answers. */
 #define POISON_ANSWERS_BITS 11
 #define POISON_ANSWERS (1U << POISON_ANSWERS_BITS)
 /* Ends of two processes within this time are one moment. */
-#define POISON_MOMENT_MS 50
+#define POISON_MOMENT_MS 10
 /* The last complete answer of this node with a part; MSEC_NEVER: none. */
 msec part_answered_at(const struct poisons *, struct poison_id);
 /*
--- a/poison-record.c
+++ b/poison-record.c
@@ -75,7 +75,8 @@
 	unsigned int ends = record_ends(r);
 
 	TAILQ_REMOVE(record_list(p, r), r, age);
-	if (record_has_enough(r))
+	if (record_has_enough(r) ||
+	    (record_kind(r) == POISON_KIND_PART && record_needs_permit(r)))
 		r->level = POISON_ENDED_ENOUGH;
 	else
 		r->level = MIN(ends, POISON_ENDED_MORE);
@@ -176,8 +177,9 @@
 bool
 record_needs_permit(const struct poison_record *r)
 {
-	return record_kind(r) == POISON_KIND_PART ? record_has_enough(r)
-						  : r->nlives > 0;
+	if (record_kind(r) == POISON_KIND_PART)
+		return record_ends(r) >= POISON_PART_PERMIT_ENDS;
+	return r->nlives > 0;
 }
 
 /* Is an end at `at` excused by an answer at `served`? */
--- a/poison-share.c
+++ b/poison-share.c
@@ -140,7 +140,10 @@
 static bool
 record_is_for_all(const struct poison_record *r)
 {
-	return r->broadcast || record_ends(r) > 1;
+	unsigned int least =
+	    record_kind(r) == POISON_KIND_PART ? POISON_PART_BROADCAST_ENDS : 2;
+
+	return r->broadcast || record_ends(r) >= least;
 }
 
 /* Set how many times a record is still to be sent, and when. */
--- a/poison.c
+++ b/poison.c
@@ -391,12 +391,14 @@
 
 	poison_share_changed(p, now, r, seen_here);
 	if (record_has_enough(r)) {
+		r->failed_trials += had_enough && r->granted_node != 0;
 		if (record_refuses(p, r, now))
 			runs_decide(p, now, id, POISON_CONDEMNED);
 		if (!had_enough)
 			record_became_condemned(p, now, r);
 		return;
 	}
+	r->failed_trials = 0;
 	if (had_enough)
 		p->ops->cleared(p, id, now);
 	if (!record_needs_permit(r))
--- a/poison.h
+++ b/poison.h
@@ -23,8 +23,9 @@
  * that terminates servers. So the same records are kept of the parts that
  * prompts share. Many parts are aboard a server that ends, and some are in most
  * of the traffic, so that ends alone prove little: only ends without an answer
- * count, see poison-part.c. A suspect part delays nothing. After
- * POISON_PART_ENDS ends it is condemned, and requests with it are not sent.
+ * count, see poison-part.c. A suspect part delays nothing at first; from
+ * POISON_PART_PERMIT_ENDS ends on requests with it are sent one at a time, and
+ * after POISON_PART_ENDS it is condemned, and they are not sent.
  *
  * This module does no I/O.
  */
@@ -82,8 +83,12 @@
 
 /* Server processes that a request ends before it is condemned. */
 #define POISON_ENDS 3
-/* The same for a part; ends at one moment count as one. */
-#define POISON_PART_ENDS 5
+/*
+ * The same for a part, and from how many on requests with it are sent one at a
+ * time over all nodes. Ends at one moment count as one.
+ */
+#define POISON_PART_ENDS 7
+#define POISON_PART_PERMIT_ENDS 5
 /* Maximum number of ended processes in a record: the first and the newest. */
 #define POISON_ENDS_STORED 8
 /*
@@ -120,11 +125,11 @@
 	POISON_ENDED_NONE, /* cleared */
 	POISON_ENDED_ONCE,
 	POISON_ENDED_MORE,
-	POISON_ENDED_ENOUGH, /* to be condemned */
+	POISON_ENDED_ENOUGH, /* to be condemned, or a part to be held back */
 	POISON_LEVELS
 };
 
-/* The last complete answer of this node with a part. Private. */
+/* The last answer of this node with a part. Private. */
 struct poison_part_answer {
 	uint64_t name;
 	msec at; /* 0: unused */
@@ -148,6 +153,7 @@
 	name_id granted_node; /* 0: none */
 	uint32_t granted_seq;
 	msec granted_since;
+	unsigned int failed_trials; /* servers ended during a permission */
 };
 RB_HEAD(poison_records, poison_record);
 TAILQ_HEAD(poison_ages, poison_record);
@@ -278,18 +284,24 @@
 /* ---- parts of prompts ---- */
 
 /*
- * May a request with these parts be sent? POISON_WAIT: one of them is condemned
- * and can be tried; see poison_ask_parts(). `which` is the part that decided.
+ * May a request with these parts be sent? POISON_WAIT: with the owner's
+ * permission; see poison_ask_parts(). `which` is the part that decided.
  */
 enum poison_verdict poison_judge_parts(struct poisons *, msec,
     const struct poison_parts *, struct poison_id *which);
 /* As poison_ask(), for the parts of a request; the run is for one of them. */
 enum poison_verdict poison_ask_parts(struct poisons *, msec,
     const struct poison_parts *, struct poison_run *, struct poison_id *which);
-/* A server process ended at `at` while a request with these parts was there. */
+/*
+ * A server process ended at `at` before it had answered a request with these
+ * parts for some time.
+ */
 void poison_parts_ended(struct poisons *, msec, const struct poison_parts *,
     uint64_t life, msec at);
-/* A server answered such a request completely and successfully at `at`. */
+/*
+ * At `at` a server had answered such a request, completely and successfully, or
+ * for some time.
+ */
 void poison_parts_answered(
     struct poisons *, msec, const struct poison_parts *, msec at);
 /* Number of parts that are condemned. */
--- a/tests/util-mail.c
+++ b/tests/util-mail.c
@@ -48,6 +48,7 @@
 	if (!xdr_sp_msg(&x, (sp_msg *)msg))
 		g_error("a message of kind %d cannot be encoded", msg->kind);
 	p->size = xdr_getpos(&x);
+	m->bytes += p->size;
 	xdr_destroy(&x);
 	g_queue_push_tail(&m->queue, p);
 }
