--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -1,7 +1,8 @@
 /*
  * explain: prints one request's events from the logs of several nodes. Besides
  * the request's own lines it shows related changes: of the backend servers
- * that it used, the platform and the configuration.
+ * that it used, the platform and the configuration. Of a request that was
+ * refused for a part of its prompt it shows the ends that condemned the part.
  */
 
 #define LOG_PART "explain"
@@ -34,6 +35,8 @@
 	const char *request; /* request id; NULL: none */
 	const char *server;  /* NULL: none */
 	const char *same; /* fingerprint of the request's content; NULL: none */
+	const char *part; /* of prompts, that servers ended under; NULL: none */
+	const char *parts; /* of the request's prompt; NULL: none */
 };
 
 static const char *
@@ -66,6 +69,8 @@
 		l.request = line_text(l.json, "request");
 		l.server = line_text(l.json, "server");
 		l.same = line_text(l.json, "same");
+		l.part = line_text(l.json, "part");
+		l.parts = line_text(l.json, "parts");
 		g_array_append_val(lines, l);
 	}
 	if (ninvalid > 0)
@@ -162,6 +167,41 @@
 	return false;
 }
 
+/* The part of its prompt that the request was held back or refused for. */
+static const char *
+explain_part(const GArray *lines, const char *id)
+{
+	const struct log_line *l;
+	guint i;
+
+	for (i = 0; i < lines->len; i++) {
+		l = &g_array_index(lines, struct log_line, i);
+		if (g_strcmp0(l->request, id) == 0 && l->part != NULL)
+			return l->part;
+	}
+	return NULL;
+}
+
+/*
+ * True for the verdicts on a part of prompts, and for the attempts that broke
+ * under requests with it.
+ */
+static bool
+explain_is_about_part(const struct log_line *l, const char *part)
+{
+	g_auto(GStrv) parts = NULL;
+
+	if (part == NULL)
+		return false;
+	if (l->request == NULL)
+		return g_strcmp0(l->part, part) == 0;
+	if (l->parts == NULL || strcmp(l->event, "attempt-failed") != 0 ||
+	    g_strcmp0(line_text(l->json, "reason"), "broken") != 0)
+		return false;
+	parts = g_strsplit(l->parts, ",", -1);
+	return g_strv_contains((const gchar *const *)parts, part);
+}
+
 static void
 explain_print(const struct log_line *l, int64_t begin)
 {
@@ -204,7 +244,7 @@
 {
 	int64_t begin, end = 0;
 	const struct log_line *l;
-	const char *node;
+	const char *node, *part;
 	guint i;
 
 	g_array_sort(lines, line_compare);
@@ -216,10 +256,14 @@
 		return CMD_REFUSED;
 	}
 	node = explain_node(lines, id);
+	part = explain_part(lines, id);
 	for (i = 0; i < lines->len; i++) {
 		l = &g_array_index(lines, struct log_line, i);
+		if (l->time > end)
+			continue;
 		if (g_strcmp0(l->request, id) == 0 ||
-		    (l->time >= begin - EXPLAIN_BEFORE_MS && l->time <= end &&
+		    explain_is_about_part(l, part) ||
+		    (l->time >= begin - EXPLAIN_BEFORE_MS &&
 			explain_is_related(lines, l, id, node)))
 			explain_print(l, begin);
 	}
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -728,6 +728,19 @@
 	g_free(nodes);
 }
 
+void
+entry_poison_set_sound_parts(struct entry *e)
+{
+	const struct settings *s = e->settings;
+	struct poison_parts parts = { 0 };
+
+	while (parts.n < s->nsound_parts) {
+		parts.ids[parts.n] = poison_part_id(s->sound_parts[parts.n]);
+		parts.n++;
+	}
+	poisons_set_sound_parts(&e->poison.core, &parts);
+}
+
 static void
 poison_timer(struct loop_timer *t, msec now)
 {
@@ -752,6 +765,7 @@
 	poisons_init(
 	    &x->core, &entry_poison_ops, name_hash(e->settings->node), e->rand);
 	x->core.arg = e;
+	entry_poison_set_sound_parts(e);
 	loop_timer_init(&x->timer, poison_timer, e);
 	loop_timer_init(&x->answered_timer, answered_timer, e);
 }
--- a/entry-poison.h
+++ b/entry-poison.h
@@ -92,6 +92,8 @@
 void entry_poison_server_changed(struct entry *, struct server *, msec);
 /* Updates the timer after new work for poison.c. */
 void entry_poison_reschedule(struct entry *, msec);
+/* Applies the parts that the settings declare sound. */
+void entry_poison_set_sound_parts(struct entry *);
 /* Passes the live nodes to poisons_set_nodes(). */
 void entry_poison_set_nodes(struct entry *, msec);
 void entry_poison_metrics(const struct entry *, GString *);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -53,6 +53,8 @@
 	to->retry_fixed = from->retry_fixed;
 	to->retry_window = from->retry_window;
 	to->stop_deadline = from->stop_deadline;
+	memcpy(to->sound_parts, from->sound_parts, sizeof to->sound_parts);
+	to->nsound_parts = from->nsound_parts;
 }
 
 static void
@@ -85,6 +87,7 @@
 			? "limits applied; names and addresses need a restart"
 			: "settings applied");
 		settings_copy_limits(e->settings, &s);
+		entry_poison_set_sound_parts(e);
 		entry_state_apply(e);
 		settings_finish(&s);
 	}
--- a/poison-part.c
+++ b/poison-part.c
@@ -35,6 +35,18 @@
 	return id.low == POISON_PART_LOW;
 }
 
+static bool
+parts_contain(const struct poison_parts *parts, struct poison_id id)
+{
+	unsigned int i;
+
+	for (i = 0; parts != NULL && i < parts->n; i++) {
+		if (poison_id_equal(parts->ids[i], id))
+			return true;
+	}
+	return false;
+}
+
 /* ---- answers of this node ---- */
 
 static struct poison_part_answer *
@@ -91,6 +103,8 @@
 	struct poison_record *r;
 	unsigned int before;
 
+	if (parts_contain(&p->sound, id))
+		return;
 	p->counters.part_ends++;
 	/* Parts in much traffic take no record. */
 	if (record_find(p, id) == NULL && answered != MSEC_NEVER &&
@@ -114,6 +128,12 @@
 
 /* ---- verdicts ---- */
 
+void
+poisons_set_sound_parts(struct poisons *p, const struct poison_parts *parts)
+{
+	p->sound = *parts;
+}
+
 unsigned int
 poison_count_condemned_parts(const struct poisons *p)
 {
@@ -125,18 +145,6 @@
 	return n;
 }
 
-static bool
-parts_contain(const struct poison_parts *parts, struct poison_id id)
-{
-	unsigned int i;
-
-	for (i = 0; parts != NULL && i < parts->n; i++) {
-		if (poison_id_equal(parts->ids[i], id))
-			return true;
-	}
-	return false;
-}
-
 /*
  * Does a part's record have this end? A full record has dropped ends that came
  * after those that condemned the part.
@@ -197,6 +205,8 @@
 	if (TAILQ_EMPTY(&p->lists[POISON_KIND_PART][POISON_ENDED_ENOUGH]))
 		return POISON_SEND;
 	for (i = 0; i < parts->n; i++) {
+		if (parts_contain(&p->sound, parts->ids[i]))
+			continue;
 		r = record_find(p, parts->ids[i]);
 		if (r == NULL || !record_needs_permit(r))
 			continue;
--- a/poison.h
+++ b/poison.h
@@ -232,6 +232,7 @@
 	struct poison_ages lists[POISON_KINDS]
 				[POISON_LEVELS]; /* oldest first */
 	unsigned int counts[POISON_KINDS];
+	struct poison_parts sound;	    /* as an operator declared */
 	struct poison_part_answer *answers; /* a table by hash of the name */
 	bool closed;			    /* see poisons_hold_waiting() */
 	unsigned int nunsent; /* records still to be sent to other nodes */
@@ -304,6 +305,11 @@
  */
 void poison_parts_answered(
     struct poisons *, msec, const struct poison_parts *, msec at);
+/*
+ * Parts that are never held back or condemned on this node, as an operator
+ * declared them sound; replaces the last such list.
+ */
+void poisons_set_sound_parts(struct poisons *, const struct poison_parts *);
 /* Number of parts that are condemned. */
 unsigned int poison_count_condemned_parts(const struct poisons *);
 
--- a/settings.c
+++ b/settings.c
@@ -41,6 +41,7 @@
 static void parse_stop_s(struct walk *, const yaml_node_t *, void *);
 static void parse_retry_window_s(struct walk *, const yaml_node_t *, void *);
 static void parse_retry_ratio(struct walk *, const yaml_node_t *, void *);
+static void parse_sound_parts(struct walk *, const yaml_node_t *, void *);
 static void parse_outgoing(struct walk *, const yaml_node_t *, void *);
 static void check_platform(struct walk *, yaml_node_t *, void *);
 static void check_settings(struct walk *, yaml_node_t *, void *);
@@ -153,6 +154,7 @@
 	    { "peer_key", WALK_STRING, .offset = AT(s.peer_key) },
 	    { "peer_key_file", WALK_STRING, .offset = AT(peer_key_file) },
 	    { "outgoing_address", WALK_CUSTOM, .parse = parse_outgoing },
+	    { "sound_parts", WALK_CUSTOM, .parse = parse_sound_parts },
 	    { "log", WALK_MAP, .schema = &log_schema },
 	    { "policy", WALK_CHOICE_NAME, .offset = AT(s.policy),
 		.choices = policy_names },
@@ -290,6 +292,30 @@
 	}
 }
 
+static void
+parse_sound_parts(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	struct settings *s = &((struct settings_walk *)arg)->s;
+	g_auto(GStrv) all = g_strsplit(walk_text(node), ",", -1);
+	unsigned int i;
+
+	for (i = 0; all[i] != NULL; i++) {
+		if (s->nsound_parts == SETTINGS_SOUND_PARTS_MAX) {
+			walk_add_finding(w, node, "more than %d parts",
+			    SETTINGS_SOUND_PARTS_MAX);
+			return;
+		}
+		if (g_ascii_string_to_unsigned(g_strstrip(all[i]), 16, 0,
+			G_MAXUINT64, &s->sound_parts[s->nsound_parts], NULL))
+			s->nsound_parts++;
+		else
+			walk_add_finding(w, node,
+			    "expected hexadecimal names of parts like "
+			    "5c1e07a2,91bd3f06, got \"%s\"",
+			    all[i]);
+	}
+}
+
 static void
 parse_duties_address(struct walk *w, const yaml_node_t *node, void *arg)
 {
--- a/settings.h
+++ b/settings.h
@@ -9,6 +9,7 @@
 #include "savory.h"
 
 #define SETTINGS_SEEDS_MAX 16
+#define SETTINGS_SOUND_PARTS_MAX 31
 
 /* An IPv4 address and port, host byte order. */
 struct endpoint {
@@ -35,8 +36,11 @@
 	struct endpoint seeds[SETTINGS_SEEDS_MAX];
 	unsigned int nseeds;
 	unsigned int seeds_port; /* replaces the seeds' ports; 0: none */
-	char *log_url;		 /* log service, without last / */
-	msec log_retention;	 /* how long the log keeps records */
+	/* Parts of prompts that an operator declares sound; see poison.h. */
+	uint64_t sound_parts[SETTINGS_SOUND_PARTS_MAX];
+	unsigned int nsound_parts;
+	char *log_url;	    /* log service, without last / */
+	msec log_retention; /* how long the log keeps records */
 	char *vm_list_url;
 	char *weight_url;
 	char *peer_key; /* HMAC key, 16 bytes or more */
--- a/tests/test-poison-part.c
+++ b/tests/test-poison-part.c
@@ -290,6 +290,24 @@
 	poison_world_finish(&w);
 }
 
+/* Guards against a verdict that an operator cannot lift. */
+static void
+test_declared_sound(void)
+{
+	struct poison_parts parts = PARTS(7, 9), none = { 0 };
+	struct world w;
+
+	poison_world_init(&w, 2, 4, 1);
+	end_servers(&w, PARTS(7), POISON_PART_ENDS);
+	g_assert_cmpint(judge(&w, 0, parts), ==, POISON_CONDEMNED);
+	poisons_set_sound_parts(&w.nodes[0].core, &parts);
+	g_assert_cmpint(judge(&w, 0, parts), ==, POISON_SEND);
+	g_assert_cmpint(judge(&w, 1, parts), ==, POISON_CONDEMNED);
+	poisons_set_sound_parts(&w.nodes[0].core, &none);
+	g_assert_cmpint(judge(&w, 0, parts), ==, POISON_CONDEMNED);
+	poison_world_finish(&w);
+}
+
 /* Guards against ends that count though the part was answered shortly before.
  */
 static void
@@ -391,6 +409,7 @@
 	g_test_add_func("/poison-part/domain-lost", test_domain_lost);
 	g_test_add_func("/poison-part/company", test_company);
 	g_test_add_func("/poison-part/company-guilty", test_company_guilty);
+	g_test_add_func("/poison-part/declared-sound", test_declared_sound);
 	g_test_add_func("/poison-part/answered-before", test_answered_before);
 	g_test_add_func("/poison-part/one-moment", test_one_moment);
 	g_test_add_func("/poison-part/flood", test_flood);
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -254,6 +254,27 @@
 	    strstr(got, "\n3:2 expected UTF-8, got the byte 0x00"));
 }
 
+/* Parts of prompts that an operator declares sound. */
+static void
+test_sound_parts(void)
+{
+	static const char text[] =
+	    VALID_SETTINGS "sound_parts: 5c1e07a2, 91BD3F06\n";
+	struct findings f;
+	struct settings s;
+
+	findings_init(&f);
+	g_assert_true(settings_parse(&s, text, strlen(text), "s.yaml", &f));
+	g_assert_cmpuint(s.nsound_parts, ==, 2);
+	g_assert_cmphex(s.sound_parts[0], ==, 0x5c1e07a2);
+	g_assert_cmphex(s.sound_parts[1], ==, 0x91bd3f06);
+	findings_finish(&f);
+	settings_finish(&s);
+	check(VALID_SETTINGS "sound_parts: 5c,part\n",
+	    "7:14 expected hexadecimal names of parts like 5c1e07a2,91bd3f06, "
+	    "got \"part\"\n");
+}
+
 static void
 test_alias_bomb(void)
 {
@@ -365,6 +386,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/settings/sound-parts", test_sound_parts);
 	g_test_add_func("/settings/example", test_example);
 	g_test_add_func("/settings/deployments", test_deployments);
 	g_test_add_func("/settings/defaults", test_defaults);
