--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -259,7 +259,8 @@
 test_sound_parts(void)
 {
 	static const char text[] =
-	    VALID_SETTINGS "sound_parts: 5c1e07a2, 91BD3F06\n";
+	    VALID_SETTINGS "peer_key: 0123456789abcdef\n"
+			   "sound_parts: 5c1e07a2, 91BD3F06\n";
 	struct findings f;
 	struct settings s;
 
@@ -270,8 +271,9 @@
 	g_assert_cmphex(s.sound_parts[1], ==, 0x91bd3f06);
 	findings_finish(&f);
 	settings_finish(&s);
-	check(VALID_SETTINGS "sound_parts: 5c,part\n",
-	    "7:14 expected hexadecimal names of parts like 5c1e07a2,91bd3f06, "
+	check(VALID_SETTINGS "peer_key: 0123456789abcdef\n"
+			     "sound_parts: 5c,part\n",
+	    "8:14 expected hexadecimal names of parts like 5c1e07a2,91bd3f06, "
 	    "got \"part\"\n");
 }
 
