Probes of a cut path go round all servers

During a cut they are asked in turn now (reach_avoids()).

test-reach cut-ends-soon fails with the old choice ('reach_is_cut' should be FALSE 0.9 s after the end). Plan 'cut 0 2660 accept-hang', 3 nodes, 9 servers: works 8.57, 8.57, 8.58 s after the start before, 5.66, 5.81, 5.81 now, the cut ending at about 4.7 s.

--- a/entry-reach.c
+++ b/entry-reach.c
@@ -128,7 +128,7 @@
 
 /* The next server by id that may be probed; NULL: none. */
 static struct server *
-reach_next_server(struct entry *e, bool failed_too, msec now)
+reach_next_server(struct entry *e, bool avoided_too, msec now)
 {
 	struct entry_reach *x = &e->reach;
 	struct server find = { .id = x->last_probed + 1 }, *v;
@@ -139,7 +139,7 @@
 		if (v == NULL)
 			v = RB_MIN(server_tree, &e->servers.tree);
 		if (v->state == SERVER_READY &&
-		    (failed_too || !reach_has_failed(&x->core, now, v->id)))
+		    (avoided_too || !reach_avoids(&x->core, now, v->id)))
 			return v;
 		v = RB_NEXT(server_tree, &e->servers.tree, v);
 	}
--- a/reach.c
+++ b/reach.c
@@ -55,6 +55,12 @@
 	return false;
 }
 
+bool
+reach_avoids(const struct reach *r, msec now, name_id server)
+{
+	return !r->cut && reach_has_failed(r, now, server);
+}
+
 unsigned int
 reach_count_failed(const struct reach *r, msec now)
 {
--- a/reach.h
+++ b/reach.h
@@ -136,6 +136,11 @@
 void reach_check_silence(struct reach *, msec, unsigned int nservers);
 /* The server has failed since the last answer. */
 bool reach_has_failed(const struct reach *, msec, name_id server);
+/*
+ * Probes prefer other servers, as this one has failed. Not during a cut:
+ * servers that failed answer again when it ends, and are asked in turn.
+ */
+bool reach_avoids(const struct reach *, msec, name_id server);
 /* The path to all servers is cut. */
 bool reach_is_cut(const struct reach *);
 /* No server has sent anything lately, on kept connections either. */
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -30,6 +30,7 @@
 struct world {
 	struct reach reach; /* first, see world_changed() */
 	enum taking servers[SERVERS];
+	unsigned int nservers; /* of them */
 	struct probe probes[32];
 	unsigned int nprobes, next, changes, started;
 	msec now;
@@ -47,6 +48,7 @@
 world_init(struct world *w)
 {
 	memset(w, 0, sizeof *w);
+	w->nservers = SERVERS;
 	reach_init(&w->reach, &world_ops);
 	w->now = 10000;
 }
@@ -68,13 +70,13 @@
 		[ACCEPTS_SILENT] = REACH_PROBE_UNANSWERED,
 		[ACCEPTS_RESETS] = REACH_PROBE_UNANSWERED,
 	};
-	unsigned int i, tries;
+	unsigned int i = 0, tries;
 	bool times_out;
 
-	for (tries = 0; tries < 2 * SERVERS; tries++) {
-		i = w->next++ % SERVERS;
-		if (tries >= SERVERS ||
-		    !reach_has_failed(&w->reach, w->now, i + 1))
+	for (tries = 0; tries < 2 * w->nservers; tries++) {
+		i = w->next++ % w->nservers;
+		if (tries >= w->nservers ||
+		    !reach_avoids(&w->reach, w->now, i + 1))
 			break;
 	}
 	w->started++;
@@ -93,7 +95,7 @@
 	unsigned int i, due;
 
 	w->now++;
-	reach_check_silence(&w->reach, w->now, SERVERS);
+	reach_check_silence(&w->reach, w->now, w->nservers);
 	for (i = 0; i < w->nprobes;) {
 		p = w->probes[i];
 		if (p.ends > w->now) {
@@ -102,7 +104,7 @@
 		}
 		w->probes[i] = w->probes[--w->nprobes];
 		reach_probe_ended(
-		    &w->reach, w->now, p.server, p.result, SERVERS);
+		    &w->reach, w->now, p.server, p.result, w->nservers);
 	}
 	for (due = reach_probes_due(&w->reach, w->now); due > 0; due--)
 		world_probe(w);
@@ -121,7 +123,7 @@
 static void
 world_fail(struct world *w, unsigned int server)
 {
-	reach_failed(&w->reach, w->now, server + 1, SERVERS);
+	reach_failed(&w->reach, w->now, server + 1, w->nservers);
 }
 
 /* Guards against a node that asks each server in turn during a partition. */
@@ -138,6 +140,26 @@
 	g_assert_cmpuint(w.started, <=, REACH_PROBES);
 }
 
+/*
+ * Guards against a cut whose end is noticed seconds late, as one of the few
+ * servers that have not failed is asked again and again: two must answer.
+ */
+static void
+test_cut_ends_soon(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.nservers = REACH_FAILED_MAX + 1;
+	world_set(&w, 0, SERVERS, ACCEPTS_SILENT);
+	world_fail(&w, 0);
+	world_run(&w, 2660);
+	g_assert_true(reach_is_cut(&w.reach));
+	world_set(&w, 0, SERVERS, TAKES);
+	world_run(&w, REACH_PROBE_TIMEOUT_MS + 2 * REACH_CUT_PROBE_MS);
+	g_assert_false(reach_is_cut(&w.reach));
+}
+
 /* Guards against resets that never count as a lost path. */
 static void
 test_all_refuse(void)
@@ -404,6 +426,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/reach/cut-ends-soon", test_cut_ends_soon);
 	g_test_add_func("/reach/all-silent", test_all_silent);
 	g_test_add_func("/reach/all-refuse", test_all_refuse);
 	g_test_add_func("/reach/some-crash", test_some_crash);
