Parts: answers that end with their connection cost a check only after an end

A complete answer that a server did not outlive by 250 ms made its copy a suspect, which it had cleared before; only an answer that ended with its connection does. An answer that had gone on for 300 ms clears the parts at once, as it does while it lasts.

--- a/entry-poison.c
+++ b/entry-poison.c
@@ -41,6 +41,11 @@
 #define POISON_ABANDONED_MS 2000
 /* A server that lives for so long after an answer was not ended by it. */
 #define POISON_OUTLIVE_MS 250
+/*
+ * For so long after the end of a process, servers are checked after answers
+ * that end with their connections.
+ */
+#define POISON_ALERT_MS (30 * MSEC_SECOND)
 /*
  * A part ends a server soon after the first byte of its answer. An answer that
  * has gone on for longer clears its request's parts as a complete one does.
@@ -170,6 +175,7 @@
 	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_aboard));
 	c->state = CHECK_ENDED;
 	e->poison.servers_ended++;
+	e->poison.ended_at = now;
 	loop_close(&e->loop, &c->io);
 	loop_timer_set(&e->loop, &c->timer, now + CHECK_ENDED_KEEP_MS);
 	if (requests->len > 0)
@@ -454,22 +460,34 @@
 		    &e->loop, &x->answered_timer, now + POISON_OUTLIVE_MS);
 }
 
+/* Has a server's process ended lately, under whatever? */
+static bool
+servers_end_now(const struct entry *e, msec now)
+{
+	return e->poison.servers_ended > 0 &&
+	       now - e->poison.ended_at < POISON_ALERT_MS;
+}
+
 void
 entry_poison_answered(
     struct job *j, const struct server *v, const struct http_head *h, msec now)
 {
 	struct entry *e = j->owner;
-	struct poison_aboard a = {
-		.id = j->fingerprint, .at = now, .process = server_process_id(v)
-	};
+	struct poisons *p = &e->poison.core;
+	struct poison_aboard a = { .at = now, .process = server_process_id(v) };
 
-	if (h->status < 300)
-		a.parts = j->parts;
-	if (!h->until_close)
-		poison_answered(&e->poison.core, now, j->fingerprint);
 	/* A process that ends closes its connections in order as well. */
-	else if (server_takes_work(v, now))
-		check_begin(e, v, now);
+	if (h->until_close) {
+		a.id = j->fingerprint;
+		if (server_takes_work(v, now) && servers_end_now(e, now))
+			check_begin(e, v, now);
+	} else {
+		poison_answered(p, now, j->fingerprint);
+	}
+	if (h->status < 300 && job_has_begun(j, now))
+		poison_parts_answered(p, now, &j->parts, now);
+	else if (h->status < 300)
+		a.parts = j->parts;
 	if (h->until_close || a.parts.n > 0)
 		answered_add(e, &a, now);
 }
--- a/entry-poison.h
+++ b/entry-poison.h
@@ -50,6 +50,7 @@
 	struct loop_timer answered_timer;
 	/* Connections tried to check servers, processes found ended. */
 	uint64_t servers_checked, servers_ended;
+	msec ended_at; /* the last of these */
 };
 
 void entry_poison_init(struct entry *);
