Parts: what a reading of the change found

- handle_record() used a record after callbacks that may evict it (a cleared one goes first where the table is full): the reply comes before them.
- Ends that came after the verdict, of servers that ended before it, counted as a failed trial where a permission was out, and a sound part that was met with the deadly one first was refused until the regular trial (new test company-late-ends, which fails without the change).
- A request with permission for one part was not refused for another.
- An answer that waits for its server was read from its place in the ring after callbacks that may use that place.

--- a/entry-poison.c
+++ b/entry-poison.c
@@ -421,15 +421,15 @@
 answered_apply(struct entry *e, msec now)
 {
 	struct entry_poison *x = &e->poison;
-	struct poison_aboard *a = &x->answered[x->first_answered];
+	/* Its place may be taken meanwhile. */
+	struct poison_aboard a = x->answered[x->first_answered];
 
 	x->first_answered = (x->first_answered + 1) % POISON_ANSWERED_MAX;
 	x->nanswered--;
-	if (a->process == 0)
+	if (a.process == 0)
 		return;
-	a->process = 0;
-	poison_answered(&x->core, now, a->id);
-	poison_parts_answered(&x->core, now, &a->parts, a->at);
+	poison_answered(&x->core, now, a.id);
+	poison_parts_answered(&x->core, now, &a.parts, a.at);
 }
 
 static void
@@ -594,12 +594,19 @@
 	return false;
 }
 
+/* `part` is set to a condemned part for which it has no permission. */
 static bool
 job_is_condemned_by_part(const struct job *j, msec now, struct poison_id *part)
 {
-	return !j->part_run.granted &&
-	       poison_judge_parts(&j->owner->poison.core, now, &j->parts,
-		   part) == POISON_CONDEMNED;
+	struct poison_id which;
+
+	if (poison_judge_parts(&j->owner->poison.core, now, &j->parts,
+		&which) != POISON_CONDEMNED)
+		return false;
+	if (j->part_run.granted && poison_id_equal(which, j->part_run.id))
+		return false;
+	*part = which;
+	return true;
 }
 
 bool
--- a/poison.c
+++ b/poison.c
@@ -369,39 +369,36 @@
 		   !part_is_explained(p, r, NULL));
 }
 
-static void
-record_became_condemned(
-    struct poisons *p, msec now, const struct poison_record *r)
-{
-	if (record_kind(r) == POISON_KIND_PART)
-		p->counters.parts_condemned++;
-	else
-		p->counters.condemned++;
-	p->ops->condemned(p, r->id, now);
-}
-
 void
 record_changed(struct poisons *p, msec now, struct poison_record *r,
     unsigned int ends_before, bool seen_here)
 {
-	unsigned int enough =
-	    record_kind(r) == POISON_KIND_PART ? POISON_PART_ENDS : POISON_ENDS;
+	bool is_part = record_kind(r) == POISON_KIND_PART, needs_permit;
+	unsigned int enough = is_part ? POISON_PART_ENDS : POISON_ENDS;
 	bool had_enough = ends_before >= enough;
 	struct poison_id id = r->id;
 
 	poison_share_changed(p, now, r, seen_here);
 	if (record_has_enough(r)) {
-		r->failed_trials += had_enough && r->granted_node != 0;
+		if (had_enough)
+			r->failed_trials += r->granted_node != 0;
+		else if (is_part)
+			/* Further ends of before are no failed trial. */
+			r->granted_node = 0;
 		if (record_refuses(p, r, now))
 			runs_decide(p, now, id, POISON_CONDEMNED);
-		if (!had_enough)
-			record_became_condemned(p, now, r);
+		if (!had_enough) {
+			p->counters.parts_condemned += is_part;
+			p->counters.condemned += !is_part;
+			p->ops->condemned(p, id, now);
+		}
 		return;
 	}
 	r->failed_trials = 0;
+	needs_permit = record_needs_permit(r);
 	if (had_enough)
 		p->ops->cleared(p, id, now);
-	if (!record_needs_permit(r))
+	if (!needs_permit)
 		runs_decide(p, now, id, POISON_SEND);
 }
 
@@ -467,12 +464,14 @@
 	struct poison_id id = { m->high, m->low };
 	unsigned int ends_before = poison_count_ends(p, id);
 	struct poison_record *r;
+	bool changed = record_merge(p, now, m, &r);
 
-	if (record_merge(p, now, m, &r))
-		record_changed(p, now, r, ends_before, false);
 	if (r != NULL && record_kind(r) == POISON_KIND_PART &&
 	    record_corrects(r, now, m))
 		poison_share_reply(p, now, r, from);
+	/* Last, as it may free the record. */
+	if (changed)
+		record_changed(p, now, r, ends_before, false);
 }
 
 static void
--- a/tests/test-poison-part.c
+++ b/tests/test-poison-part.c
@@ -275,6 +275,32 @@
 	poison_world_finish(&w);
 }
 
+/*
+ * Guards against ends that come after the verdict, of servers that ended
+ * before it, and count as a failed trial of a sound part.
+ */
+static void
+test_company_late_ends(void)
+{
+	struct poison_parts both = PARTS(7, 66), sound = PARTS(7, 8);
+	struct poison_run run = { 0 };
+	struct poison_id which;
+	struct poisons *p;
+	struct world w;
+
+	poison_world_init(&w, 1, 4, 1);
+	p = &w.nodes[0].core;
+	end_servers(&w, both, POISON_PART_PERMIT_ENDS);
+	g_assert_cmpint(
+	    poison_ask_parts(p, w.now, &both, &run, &which), ==, POISON_SEND);
+	g_assert_true(run.granted);
+	end_servers(&w, both, POISON_PART_ENDS - POISON_PART_PERMIT_ENDS + 1);
+	poison_run_end(p, w.now, &run, false);
+	g_assert_cmpint(judge(&w, 0, both), ==, POISON_CONDEMNED);
+	g_assert_cmpint(judge(&w, 0, sound), ==, POISON_WAIT);
+	poison_world_finish(&w);
+}
+
 /* Guards against a deadly part that is tried again and again as explained. */
 static void
 test_company_guilty(void)
@@ -408,6 +434,8 @@
 	g_test_add_func("/poison-part/servers-end", test_servers_end);
 	g_test_add_func("/poison-part/domain-lost", test_domain_lost);
 	g_test_add_func("/poison-part/company", test_company);
+	g_test_add_func(
+	    "/poison-part/company-late-ends", test_company_late_ends);
 	g_test_add_func("/poison-part/company-guilty", test_company_guilty);
 	g_test_add_func("/poison-part/declared-sound", test_declared_sound);
 	g_test_add_func("/poison-part/answered-before", test_answered_before);
