--- a/poison.c
+++ b/poison.c
@@ -466,8 +466,9 @@
 	struct poison_record *r;
 	bool changed = record_merge(p, now, m, &r);
 
-	if (r != NULL && record_kind(r) == POISON_KIND_PART &&
-	    record_corrects(r, now, m))
+	if (r == NULL)
+		return;
+	if (record_kind(r) == POISON_KIND_PART && record_corrects(r, now, m))
 		poison_share_reply(p, now, r, from);
 	/* Last, as it may free the record. */
 	if (changed)
