A suspect's permission outlives an abandoned run

Traced: all servers were down after the first wave; when they were back, the request that had the permission was left by its caller 27 ms after it was sent, the permission went to the next one at once, and that one was sent to the server that the first one ended 33 ms later. The permission is given back 120 ms after an abandoned run now, as after a broken one, or once the server was checked.

Ruled out for now: a verdict after six ends (sound parts of servers that end by themselves, test-poison-part servers-end).

--- a/entry-job.c
+++ b/entry-job.c
@@ -157,8 +157,11 @@
 
 	j->link = NULL;
 	j->check = NULL;
-	if (k != NULL && k->sent && j->carrier == NULL)
+	if (k != NULL && k->sent && j->carrier == NULL) {
 		entry_poison_request_abandoned(j, k->server, now);
+		/* It may yet end its server; the next one waits for that. */
+		entry_poison_run_end(j, now, true);
+	}
 	if (k != NULL)
 		link_cancel(k);
 	entry_handoff_release(j);
