Parts: one at a time from the fourth end, six condemn

All servers were down after the first wave with five ends; when they are back, each send until the seventh end counts, also one that is refused or left and tells nothing. The permit from the fourth end on makes each further end tell of one request, so that two of them are enough.

--- a/poison.h
+++ b/poison.h
@@ -87,8 +87,8 @@
  * The same for a part, and from how many on requests with it are sent one at a
  * time over all nodes. Ends at one moment count as one.
  */
-#define POISON_PART_ENDS 7
-#define POISON_PART_PERMIT_ENDS 5
+#define POISON_PART_ENDS 6
+#define POISON_PART_PERMIT_ENDS 4
 /* Maximum number of ended processes in a record: the first and the newest. */
 #define POISON_ENDS_STORED 8
 /*
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -81,7 +81,7 @@
 	check_example("8738353752e5f463", "leaving", "no-time-left");
 	check_example("5b0e77c1d2f94a36", "era", "state changed");
 	check_example("s7-000358", "poison", "condemned");
-	check_example("s7-001533", "part", "condemned  part");
+	check_example("s7-001483", "part", "condemned  part");
 }
 
 /* An unknown id, a truncated file, and a missing file. */
