Settings: retry_fixed may have a fraction

The platform renders bounds.retry_fixed from the size of the fleet (38.297 on a small copy of a deployment). It was read as a whole number only, so no process started: "expected a whole number".

--- a/settings.c
+++ b/settings.c
@@ -15,6 +15,7 @@
 
 #define SETTINGS_BYTES_MAX (64 * 1024)
 #define PEER_KEY_MIN 16
+#define RETRY_FIXED_MAX 1000000
 #define PEER_KEY_FILE_MAX 4096
 
 /* The struct that the schema fills: the settings and temporary values. */
@@ -41,6 +42,7 @@
 static void parse_stop_s(struct walk *, const yaml_node_t *, void *);
 static void parse_retry_window_s(struct walk *, const yaml_node_t *, void *);
 static void parse_retry_ratio(struct walk *, const yaml_node_t *, void *);
+static void parse_retry_fixed(struct walk *, const yaml_node_t *, void *);
 static void parse_sound_parts(struct walk *, const yaml_node_t *, void *);
 static void parse_outgoing(struct walk *, const yaml_node_t *, void *);
 static void check_platform(struct walk *, yaml_node_t *, void *);
@@ -89,8 +91,7 @@
 	    { "rewrite_ms", WALK_MSEC, .offset = AT(s.rewrite), .min = 0,
 		.max = 3600 * MSEC_SECOND },
 	    { "retry_ratio", WALK_CUSTOM, .parse = parse_retry_ratio },
-	    { "retry_fixed", WALK_UINT, .offset = AT(s.retry_fixed), .min = 0,
-		.max = 1000000 },
+	    { "retry_fixed", WALK_CUSTOM, .parse = parse_retry_fixed },
 	    { "retry_window_s", WALK_CUSTOM, .parse = parse_retry_window_s },
 	    { "stop_s", WALK_CUSTOM, .parse = parse_stop_s }, { NULL } } };
 
@@ -383,6 +384,16 @@
 		    (unsigned int)(x * 1000);
 }
 
+/* A platform may compute the number, with a fraction; no retry is a part. */
+static void
+parse_retry_fixed(struct walk *w, const yaml_node_t *node, void *arg)
+{
+	double x;
+
+	if (parse_fraction(w, node, RETRY_FIXED_MAX, &x))
+		((struct settings_walk *)arg)->s.retry_fixed = (unsigned int)x;
+}
+
 /* A URL without trailing slashes, since the clients append paths to it. */
 static void
 parse_url(struct walk *w, const yaml_node_t *node, char **out)
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -123,6 +123,28 @@
 	findings_finish(&f);
 }
 
+/*
+ * Guards against a number of retries with a fraction, as a platform computes it
+ * from the size of a fleet, that keeps every process from starting.
+ */
+static void
+test_retry_fixed(void)
+{
+	static const char text[] = VALID_SETTINGS
+	    "peer_key: 0123456789abcdef\nbounds: {retry_fixed: 38.297}\n";
+	struct settings s;
+	struct findings f;
+
+	findings_init(&f);
+	g_assert_true(settings_parse(&s, text, strlen(text), "s.yaml", &f));
+	g_assert_cmpuint(s.retry_fixed, ==, 38);
+	settings_finish(&s);
+	findings_finish(&f);
+	check(VALID_SETTINGS
+	    "peer_key: 0123456789abcdef\nbounds: {retry_fixed: -0.5}\n",
+	    "8:23 expected a number from 0 to 1e+06, got \"-0.5\"\n");
+}
+
 static void
 test_all_at_once(void)
 {
@@ -399,6 +421,7 @@
 	g_test_add_func("/settings/bad-bytes", test_bad_bytes);
 	g_test_add_func("/settings/alias-bomb", test_alias_bomb);
 	g_test_add_func("/settings/bounds", test_bounds);
+	g_test_add_func("/settings/retry-fixed", test_retry_fixed);
 	g_test_add_func("/settings/corpus", test_corpus);
 	g_test_add_func("/settings/noise", test_noise);
 	return g_test_run();
