Coordinators name a server to fetch a prompt from

Cause: engines can hand what they have read to each other (13,300 tokens take 32 ms over a link of one deployment, 208 ms to read), and the router used none of it. A prompt could only go where it had been read, or be read again at ten times its weight, so that subjects followed the one server that held them whatever its queue: refused requests saw 320 ms ahead of them while other servers were idle.

Change: coordinators record which servers have read a prompt to its end. A server without it is weighed with the time of a transfer (bytes of a token and speed of links from the service's configuration, transfers of a server one after another), and the reply names the holder that can send it soonest. On only where a service's configuration says that its servers move prompts.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -155,6 +155,9 @@
 
 	if (j->organisation != NULL)
 		terms.organisation = j->organisation->name;
+	if (j->place.source != 0)
+		terms.source =
+		    servers_find(&j->owner->servers, j->place.source);
 	job_set_resume_terms(j, &terms);
 	job_write_head(j, &terms, false, out);
 	job_write_body(j, out);
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -298,6 +298,12 @@
 	text_value(s, "prompt_tokens_kept_total", "counter",
 	    "Of these, thought to be kept by the server.",
 	    (int64_t)p->tokens_kept);
+	text_value(s, "prompt_fetches_total", "counter",
+	    "Requests for which a server was to fetch a cached prompt.",
+	    (int64_t)p->fetches);
+	text_value(s, "prompt_tokens_fetched_total", "counter",
+	    "Prompt tokens that servers were to fetch from others.",
+	    (int64_t)p->tokens_fetched);
 	text_value(s, "relay_asked_total", "counter",
 	    "Other nodes asked what they know.", (int64_t)r->asked);
 	text_value(s, "relay_told_total", "counter",
--- a/entry-state.c
+++ b/entry-state.c
@@ -226,6 +226,16 @@
 
 /* ---- the source ---- */
 
+static void
+state_set_transfers(struct entry *e, const struct route_table *t)
+{
+	unsigned int i;
+
+	for (i = 0; i < t->nservices; i++)
+		place_set_transfer(
+		    &e->place, t->services[i].id, &t->services[i].transfer);
+}
+
 void
 entry_take_table(struct entry *e, struct route_table *t, msec now)
 {
@@ -255,6 +265,7 @@
 	route_table_drop(e->table);
 	e->table = t;
 	entry_duty_take_table(e, t);
+	state_set_transfers(e, t);
 	entry_versions_take_table(e);
 	e->counters.tables++;
 	if (e->phase == ENTRY_STARTING) {
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -35,7 +35,8 @@
 	name_id server;
 	name_id service;
 	name_id route;
-	uint64_t prompt; /* shared prefix new to its server; 0: none */
+	uint64_t prompt;	/* shared prefix new to its server; 0: none */
+	uint64_t shared_prompt; /* shared prefix; 0: none */
 	unsigned int rank;
 	unsigned int tokens; /* unread prompt tokens */
 	bool model;	     /* the request has a prompt */
@@ -108,6 +109,13 @@
 	place_traffic(&p->own, service)->servers_max = most;
 }
 
+void
+place_set_transfer(
+    struct place *p, name_id service, const struct prompt_transfer *t)
+{
+	place_traffic(&p->own, service)->transfer = *t;
+}
+
 static unsigned int
 groups_of(unsigned int servers)
 {
@@ -250,7 +258,8 @@
 		.groups = groups,
 		.group = group,
 		.nodes = MAX(p->max_nodes, 1),
-		.now = now };
+		.now = now,
+		.transfer = &place_traffic(&p->own, w->service)->transfer };
 	msec coordinates = now - p->coordinator_since;
 
 	view.sole = all && place_has_coordinator(p);
@@ -339,9 +348,25 @@
 	g_free(h);
 }
 
+/* The server fetches the shared part of the prompt from the source. */
+static void
+place_count_fetch(struct place *p, msec now, struct server *v,
+    struct server *source, const struct server_wish *w)
+{
+	const struct prompt_transfer *t =
+	    &place_traffic(&p->own, w->service)->transfer;
+	msec end = now + (msec)prompt_fetch_ms(t, now, source->fetches_until,
+			     v->fetches_until, w->shared);
+
+	source->fetches_until = v->fetches_until = end;
+	p->counters.fetches++;
+	p->counters.tokens_fetched += w->shared;
+}
+
 void
 place_record_begin(struct place *p, msec now, name_id node, uint32_t id,
-    struct server *v, const struct server_wish *w, const struct place_queue *q)
+    struct server *v, const struct server_wish *w, const struct place_queue *q,
+    struct server *source)
 {
 	struct mix *m = place_traffic(&p->all, w->service);
 	struct place_record *h;
@@ -359,13 +384,17 @@
 		g_free(h);
 		return;
 	}
+	h->shared_prompt = w->prompt;
 	h->tokens = w->own;
 	h->model = w->own + w->shared > 0;
 	h->near_limit = q != NULL && server_limit_is_near(q->ahead, q->limit);
 	if (!server_memory_has(&p->servers->all_memory, now, v->id, w->prompt,
 		PLACE_RECORD_MS)) {
-		h->tokens += w->shared;
 		h->prompt = w->prompt;
+		if (source != NULL)
+			place_count_fetch(p, now, v, source, w);
+		else
+			h->tokens += w->shared;
 	}
 	if (h->model)
 		mix_add_demand(m, w->route, h->tokens);
@@ -431,14 +460,15 @@
 
 struct server *
 place_coordinate_request(struct place *p, msec now, name_id node, uint32_t id,
-    const struct server_wish *w, struct place_queue *q)
+    const struct server_wish *w, struct place_queue *q, name_id *source)
 {
 	unsigned int groups = place_count_groups(p, w->service);
 	unsigned int group = place_group(p, w, groups);
 	struct server_view view;
-	struct server *v;
+	struct server *v, *from;
 
 	*q = (struct place_queue){ 0 };
+	*source = 0;
 	if (now - p->last_coordinated_at > PLACE_IDLE_MS)
 		p->coordinator_since = now;
 	p->last_coordinated_at = now;
@@ -451,8 +481,13 @@
 	    servers_reading_ms(p->servers, w->service, w->rank, &view));
 	q->limit =
 	    coordinate_limit(place_traffic(&p->all, w->service), w, &view);
-	place_record_begin(p, now, node, id, v, w, q);
+	from = server_fetch_source(p->servers, now, w, &view, v);
+	place_record_begin(p, now, node, id, v, w, q, from);
 	q->wait = server_reading_ms(&v->all, SERVER_RANKS);
+	if (from != NULL) {
+		*source = from->id;
+		q->wait += MAX(v->fetches_until - now, 0);
+	}
 	return v;
 }
 
@@ -529,6 +564,8 @@
 		return;
 	}
 	if (what == SP_PLACE_READ) {
+		server_memory_note_read(
+		    &p->servers->all_memory, h->server, h->shared_prompt);
 		place_record_prompt_read(p, h);
 		return;
 	}
--- a/place-private.h
+++ b/place-private.h
@@ -41,13 +41,15 @@
 
 /* As coordinator: selects a server for a node's request and counts it. */
 struct server *place_coordinate_request(struct place *, msec, name_id, uint32_t,
-    const struct server_wish *, struct place_queue *);
+    const struct server_wish *, struct place_queue *, name_id *source);
 /*
  * As coordinator: counts a request, with the queue found when it was placed;
- * NULL: another node placed it.
+ * NULL: another node placed it. `source`: its server fetches the shared part
+ * of the prompt from that one.
  */
 void place_record_begin(struct place *, msec, name_id node, uint32_t id,
-    struct server *, const struct server_wish *, const struct place_queue *);
+    struct server *, const struct server_wish *, const struct place_queue *,
+    struct server *source);
 /* As coordinator: handles a status message for a counted request. */
 void
 place_step(struct place *, msec, name_id node, uint32_t id, enum sp_place_what);
--- a/place.c
+++ b/place.c
@@ -156,7 +156,7 @@
 	if (!r->unread)
 		w.own = w.shared = 0;
 	if (r->coordinator == p->self) {
-		place_record_begin(p, now, p->self, r->id, v, &w, NULL);
+		place_record_begin(p, now, p->self, r->id, v, &w, NULL, NULL);
 		return;
 	}
 	msg.sp_msg_u.place_took.id = r->id;
@@ -253,7 +253,7 @@
 	struct server *v;
 
 	r->waiting = r->local = r->unread = r->late = false;
-	r->server = 0;
+	r->server = r->source = 0;
 	r->queue = (struct place_queue){ 0 };
 	if (p->policy != NULL) {
 		r->id = 0;
@@ -267,7 +267,7 @@
 	place_count_request(p, now, &r->wish, false);
 	if (r->coordinator == p->self) {
 		v = place_coordinate_request(
-		    p, now, p->self, r->id, &r->wish, &r->queue);
+		    p, now, p->self, r->id, &r->wish, &r->queue, &r->source);
 		place_note_reply(p, now, r);
 		/* Brittle servers without room get none, whoever chooses. */
 		if (v == NULL &&
@@ -341,8 +341,8 @@
 }
 
 static void
-place_receive_reply(
-    struct place *p, msec now, name_id from, const sp_place_tell *t)
+place_receive_reply(struct place *p, msec now, name_id from,
+    const sp_place_tell *t, name_id source)
 {
 	struct place_request *r;
 	struct server *v;
@@ -379,8 +379,10 @@
 	else if (v == NULL || !server_takes_work(v, now) ||
 		 !server_suits(v, &r->wish))
 		place_decide_alone(p, now, r);
-	else
+	else {
+		r->source = source;
 		place_decide(p, now, r, v);
+	}
 }
 
 /* As coordinator: replies to a query. */
@@ -389,14 +391,16 @@
     struct place *p, msec now, name_id from, const sp_place_ask *ask)
 {
 	sp_msg msg = { .kind = SP_PLACE_TELL };
-	sp_place_tell *t = &msg.sp_msg_u.place_tell;
+	sp_place_tell reply = { 0 }, *t = &reply;
 	sp_place_rate rates[SAVORY_RATED_MAX];
+	name_id source;
 	struct place_queue queue;
 	struct server_wish w;
 	struct server *v;
 
 	wish_decode(&w, &ask->wish);
-	v = place_coordinate_request(p, now, from, ask->id, &w, &queue);
+	v = place_coordinate_request(
+	    p, now, from, ask->id, &w, &queue, &source);
 	t->id = ask->id;
 	t->server = v != NULL ? v->id : 0;
 	t->wait_ms = (u_int)queue.wait;
@@ -405,12 +409,18 @@
 	t->rated = v != NULL && v->rate.per_s > 0;
 	t->rates.rates_val = rates;
 	t->rates.rates_len = place_rates_list(p, now, &w, rates);
+	if (source != 0) {
+		msg.kind = SP_PLACE_FETCH;
+		msg.sp_msg_u.place_fetch = (sp_place_fetch){ reply, source };
+	} else
+		msg.sp_msg_u.place_tell = reply;
 	p->ops->send(p, from, &msg);
 }
 
 void
 place_receive(struct place *p, msec now, name_id from, const sp_msg *msg)
 {
+	const sp_place_fetch *fetch = &msg->sp_msg_u.place_fetch;
 	const sp_place_took *took = &msg->sp_msg_u.place_took;
 	const sp_place_step *step = &msg->sp_msg_u.place_step;
 	const sp_place_ask *ask = &msg->sp_msg_u.place_ask;
@@ -422,13 +432,17 @@
 		place_reply_to_query(p, now, from, ask);
 		break;
 	case SP_PLACE_TELL:
-		place_receive_reply(p, now, from, &msg->sp_msg_u.place_tell);
+		place_receive_reply(p, now, from, &msg->sp_msg_u.place_tell, 0);
+		break;
+	case SP_PLACE_FETCH:
+		place_receive_reply(p, now, from, &fetch->tell, fetch->source);
 		break;
 	case SP_PLACE_TOOK:
 		wish_decode(&w, &took->wish);
 		place_count_request(p, now, &w, true);
 		if ((v = servers_find(p->servers, took->server)) != NULL)
-			place_record_begin(p, now, from, took->id, v, &w, NULL);
+			place_record_begin(
+			    p, now, from, took->id, v, &w, NULL, NULL);
 		break;
 	case SP_PLACE_STEP:
 		place_step(p, now, from, step->id, step->what);
--- a/place.h
+++ b/place.h
@@ -54,6 +54,8 @@
 	struct server_wish wish;
 	void *arg;
 	struct place_queue queue; /* set when decided() is called */
+	/* Server to fetch the shared part of the prompt from; 0: none. */
+	name_id source;
 	/* Private from here. */
 	uint32_t id;	     /* 0: not reported to any coordinator */
 	name_id coordinator; /* node that counts the request */
@@ -111,6 +113,8 @@
 	 * had already read.
 	 */
 	uint64_t tokens, tokens_kept;
+	/* Requests whose server was to fetch a prompt, and its tokens. */
+	uint64_t fetches, tokens_fetched;
 };
 
 /* State of the module; one per node. Owned by the caller. */
@@ -159,6 +163,9 @@
 place_set_nodes(struct place *, msec, const struct place_node *, unsigned int);
 /* Sets the configured maximum of a service's servers; 0: not configured. */
 void place_set_max_servers(struct place *, name_id service, unsigned int);
+/* Sets how a service's servers transfer cached prompts to each other. */
+void place_set_transfer(
+    struct place *, name_id service, const struct prompt_transfer *);
 /* Selects a server; decided() is called before this returns, or later. */
 void place_submit(struct place *, msec, struct place_request *);
 /* The server has read the request's prompt: its response has begun. */
--- a/proto.h
+++ b/proto.h
@@ -245,6 +245,12 @@
 };
 typedef struct sp_place_tell sp_place_tell;
 
+struct sp_place_fetch {
+	sp_place_tell tell;
+	u_quad_t source;
+};
+typedef struct sp_place_fetch sp_place_fetch;
+
 struct sp_place_took {
 	u_int id;
 	u_quad_t server;
@@ -515,6 +521,7 @@
 	SP_PLACE_TOOK = 32,
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
+	SP_PLACE_FETCH = 35,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
@@ -558,6 +565,7 @@
 		sp_place_took place_took;
 		sp_place_step place_step;
 		sp_place_rate place_rate;
+		sp_place_fetch place_fetch;
 		sp_relay_ask relay_ask;
 		sp_relay_tell relay_tell;
 		sp_relay_servers relay_servers;
@@ -633,6 +641,7 @@
 extern  bool_t xdr_sp_place_ask (XDR *, sp_place_ask*);
 extern  bool_t xdr_sp_place_rate (XDR *, sp_place_rate*);
 extern  bool_t xdr_sp_place_tell (XDR *, sp_place_tell*);
+extern  bool_t xdr_sp_place_fetch (XDR *, sp_place_fetch*);
 extern  bool_t xdr_sp_place_took (XDR *, sp_place_took*);
 extern  bool_t xdr_sp_place_what (XDR *, sp_place_what*);
 extern  bool_t xdr_sp_place_step (XDR *, sp_place_step*);
@@ -692,6 +701,7 @@
 extern bool_t xdr_sp_place_ask ();
 extern bool_t xdr_sp_place_rate ();
 extern bool_t xdr_sp_place_tell ();
+extern bool_t xdr_sp_place_fetch ();
 extern bool_t xdr_sp_place_took ();
 extern bool_t xdr_sp_place_what ();
 extern bool_t xdr_sp_place_step ();
--- a/proto.x
+++ b/proto.x
@@ -237,6 +237,12 @@
 	sp_place_rate rates<SAVORY_RATED_MAX>;	/* of some servers of its group */
 };
 
+/* The same; the server fetches the shared part of the prompt from another. */
+struct sp_place_fetch {
+	sp_place_tell tell;
+	unsigned hyper source;
+};
+
 /* The entry node chose a server itself, as no response arrived. */
 struct sp_place_took {
 	unsigned int id;
@@ -495,6 +501,7 @@
 	SP_PLACE_TOOK = 32,
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
+	SP_PLACE_FETCH = 35,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
@@ -554,6 +561,8 @@
 	sp_place_step place_step;
 case SP_PLACE_RATE:
 	sp_place_rate place_rate;
+case SP_PLACE_FETCH:
+	sp_place_fetch place_fetch;
 case SP_RELAY_ASK:
 	sp_relay_ask relay_ask;
 case SP_RELAY_TELL:
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -787,6 +787,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_place_fetch(XDR *xdrs, sp_place_fetch *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_sp_place_tell(xdrs, &objp->tell))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->source))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_place_took(XDR *xdrs, sp_place_took *objp)
 {
@@ -1372,6 +1384,10 @@
 		if (!xdr_sp_place_rate(xdrs, &objp->sp_msg_u.place_rate))
 			return FALSE;
 		break;
+	case SP_PLACE_FETCH:
+		if (!xdr_sp_place_fetch(xdrs, &objp->sp_msg_u.place_fetch))
+			return FALSE;
+		break;
 	case SP_RELAY_ASK:
 		if (!xdr_sp_relay_ask(xdrs, &objp->sp_msg_u.relay_ask))
 			return FALSE;
--- a/route.h
+++ b/route.h
@@ -8,6 +8,7 @@
 #define ROUTE_H
 
 #include "capacity.h"
+#include "prompt-fetch.h"
 #include "savory.h"
 
 /* Maximum services that one route may be split over. */
@@ -55,6 +56,7 @@
 	unsigned int slots;	       /* of one server; 0: not set */
 	uint64_t memory_tokens;	       /* of one server; 0: not a model */
 	unsigned int tokens_per_event; /* 0: not set */
+	struct prompt_transfer transfer; /* of prompts between its servers */
 	struct capacity_config *scaling; /* NULL: no scaling */
 };
 
--- a/server-choose.c
+++ b/server-choose.c
@@ -20,6 +20,11 @@
  * it delays all other streams of the server.
  */
 #define CHOOSE_REREAD_FACTOR 10.0
+/*
+ * Weight of fetching a shared prefix: it occupies memory of a further server
+ * and the links of two.
+ */
+#define CHOOSE_FETCH_FACTOR 2.0
 /* How long a server's cache holds a prompt after its last use. */
 #define CHOOSE_CACHED_MS 15000
 /*
@@ -244,6 +249,57 @@
 				CHOOSE_CACHED_MS);
 }
 
+/*
+ * As coordinator: the server that holds the prompt and can send it soonest;
+ * NULL: none, or servers do not transfer prompts.
+ */
+static struct server *
+choose_source(struct servers *s, msec now, const struct server_wish *w,
+    const struct server_view *view)
+{
+	struct server *v, *best = NULL;
+
+	if (!view->all || w->prompt == 0 ||
+	    !prompt_transfer_possible(view->transfer))
+		return NULL;
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (v->service != w->service || v->state == SERVER_GONE ||
+		    v->down || now < v->resting_until ||
+		    !server_memory_has_read(&s->all_memory, now, v->id,
+			w->prompt, CHOOSE_CACHED_MS))
+			continue;
+		if (best == NULL || v->fetches_until < best->fetches_until)
+			best = v;
+	}
+	return best;
+}
+
+static double
+choose_fetch_ms(const struct server *v, const struct server *source,
+    const struct server_wish *w, const struct server_view *view)
+{
+	return prompt_fetch_ms(view->transfer, view->now, source->fetches_until,
+	    v->fetches_until, w->shared);
+}
+
+/* Cost of the shared part of the prompt on a server, in ms. */
+static double
+choose_prompt_cost(struct servers *s, const struct server *v, msec now,
+    const struct server_wish *w, const struct server_view *view,
+    const struct server *home, const struct server *source)
+{
+	double cost;
+
+	if (choose_has_prompt(s, v, now, w, view, home))
+		return 0;
+	cost = w->shared * (v == home ? 1.0 : CHOOSE_REREAD_FACTOR) /
+	       CHOOSE_TOKENS_PER_MS;
+	if (source != NULL && source != v)
+		cost = MIN(cost,
+		    CHOOSE_FETCH_FACTOR * choose_fetch_ms(v, source, w, view));
+	return cost;
+}
+
 /*
  * Estimated wait for a slot, in ms. A server with all slots in use begins the
  * next request when one ends: with twelve slots that are held for 0.6 s, each
@@ -261,14 +317,13 @@
 static double
 choose_cost(struct servers *s, const struct server *v, msec now,
     const struct server_wish *w, const struct server_view *view,
-    const struct server *home, uint64_t quiet_rank)
+    const struct server *home, const struct server *source, uint64_t quiet_rank)
 {
 	const struct server_load *l = view->all ? &v->all : &v->own;
 	double tokens = (double)l->unread + w->own, cost;
 
-	if (!choose_has_prompt(s, v, now, w, view, home))
-		tokens += w->shared * (v == home ? 1.0 : CHOOSE_REREAD_FACTOR);
 	cost = tokens / CHOOSE_TOKENS_PER_MS + l->running * CHOOSE_RUNNING_MS;
+	cost += choose_prompt_cost(s, v, now, w, view, home, source);
 	cost += choose_slot_wait(v, l, view);
 	cost += v->failures * CHOOSE_FAILURE_MS;
 	if (now < v->resting_until)
@@ -424,6 +479,7 @@
 {
 	uint64_t quiet_rank = choose_quiet_rank(s, w->service, view);
 	const struct server *home = choose_home(s, w, view, quiet_rank);
+	const struct server *source = choose_source(s, now, w, view);
 	struct server *v, *best = NULL;
 	uint64_t tie, best_tie = 0;
 	double cost, least = 0;
@@ -436,7 +492,8 @@
 		    !choose_rate_allows(v, now, view, tie) ||
 		    !choose_room_allows(v, now, view) || !choose_rest_allows(v))
 			continue;
-		cost = choose_cost(s, v, now, w, view, home, quiet_rank);
+		cost =
+		    choose_cost(s, v, now, w, view, home, source, quiet_rank);
 		if (best != NULL && cost > least)
 			continue;
 		if (best != NULL && cost >= least && tie < best_tie)
@@ -449,3 +506,18 @@
 		best->tried = now;
 	return best;
 }
+
+struct server *
+server_fetch_source(struct servers *s, msec now, const struct server_wish *w,
+    const struct server_view *view, const struct server *v)
+{
+	struct server *source = choose_source(s, now, w, view);
+
+	if (source == NULL || source == v ||
+	    server_memory_has(
+		&s->all_memory, now, v->id, w->prompt, CHOOSE_CACHED_MS) ||
+	    choose_fetch_ms(v, source, w, view) >=
+		w->shared / CHOOSE_TOKENS_PER_MS)
+		return NULL;
+	return source;
+}
--- a/server-memory.c
+++ b/server-memory.c
@@ -23,10 +23,23 @@
 	uint64_t hash = memory_hash(server, prompt);
 	size_t i = hash % SERVER_MEMORY_PLACES;
 
+	if (m->places[i].key != (uint32_t)(hash >> 32) || m->places[i].at == 0)
+		m->places[i].read = false;
 	m->places[i].key = (uint32_t)(hash >> 32);
 	m->places[i].at = (uint32_t)(now / MEMORY_UNIT_MS) + 1;
 }
 
+void
+server_memory_note_read(
+    struct server_memory *m, name_id server, uint64_t prompt)
+{
+	uint64_t hash = memory_hash(server, prompt);
+	size_t i = hash % SERVER_MEMORY_PLACES;
+
+	if (m->places[i].key == (uint32_t)(hash >> 32))
+		m->places[i].read = true;
+}
+
 void
 server_memory_forget(struct server_memory *m, name_id server, uint64_t prompt)
 {
@@ -49,3 +62,13 @@
 		return false;
 	return now - (msec)(at - 1) * MEMORY_UNIT_MS <= within;
 }
+
+bool
+server_memory_has_read(const struct server_memory *m, msec now, name_id server,
+    uint64_t prompt, msec within)
+{
+	size_t i = memory_hash(server, prompt) % SERVER_MEMORY_PLACES;
+
+	return server_memory_has(m, now, server, prompt, within) &&
+	       m->places[i].read;
+}
--- a/server-memory.h
+++ b/server-memory.h
@@ -21,12 +21,19 @@
 	struct {
 		uint32_t key;
 		uint32_t at; /* in tenths of a second; 0: empty */
+		bool read;   /* completely; other servers can fetch it */
 	} places[SERVER_MEMORY_PLACES];
 };
 
-/* Records that the server has read the prompt, or used its cached copy. */
+/* Records that the server reads the prompt, or uses its cached copy. */
 void server_memory_note(
     struct server_memory *, msec, name_id server, uint64_t prompt);
+/* The server has read a prompt that was noted. */
+void server_memory_note_read(
+    struct server_memory *, name_id server, uint64_t prompt);
+/* Returns true if server_memory_has(), and it has read the whole prompt. */
+bool server_memory_has_read(const struct server_memory *, msec, name_id server,
+    uint64_t prompt, msec within);
 /* Removes the record: the request ended before its prompt was read. */
 void
 server_memory_forget(struct server_memory *, name_id server, uint64_t prompt);
--- a/server-mix.h
+++ b/server-mix.h
@@ -10,6 +10,7 @@
 #ifndef SERVER_MIX_H
 #define SERVER_MIX_H
 
+#include "prompt-fetch.h"
 #include "savory.h"
 #include "server-limit.h"
 
@@ -34,6 +35,7 @@
 	RB_ENTRY(mix) entry;
 	name_id service;
 	unsigned int servers_max; /* configured maximum; 0: none */
+	struct prompt_transfer transfer; /* as configured */
 	unsigned int nroutes;
 	struct mix_route routes[MIX_ROUTES_MAX];
 	double hold_ms; /* smoothed time of a request on a server; 0: none */
--- a/server.h
+++ b/server.h
@@ -7,6 +7,7 @@
 #ifndef SERVER_H
 #define SERVER_H
 
+#include "prompt-fetch.h"
 #include "savory.h"
 #include "server-memory.h"
 #include "server-rate.h"
@@ -79,6 +80,7 @@
 	bool listed_again;	/* while SERVER_GONE; see servers_keep_gone() */
 	struct server_load own; /* requests of this node */
 	struct server_load all; /* of all nodes, as coordinator */
+	msec fetches_until;	/* end of its transfers, as coordinator */
 	/* Measured by the requests of this node. */
 	unsigned int failures; /* consecutive */
 	msec resting_until;    /* chosen last before this, after failures */
@@ -278,6 +280,8 @@
 	bool urgent;   /* no route of the service is more urgent */
 	bool takeover; /* the previous coordinator may still be active */
 	bool sole;     /* as coordinator for all nodes */
+	/* How servers transfer cached prompts; NULL: not at all. */
+	const struct prompt_transfer *transfer;
 };
 
 /* Returns true unless another version of software must serve the request. */
@@ -300,6 +304,13 @@
 /* Returns the best server for a request, or NULL if none is available. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
+/*
+ * As coordinator: the server from which `v` should fetch the shared part of the
+ * prompt, or NULL if `v` holds it or should read it.
+ */
+struct server *
+server_fetch_source(struct servers *, msec, const struct server_wish *,
+    const struct server_view *, const struct server *v);
 /*
  * If all ready servers of a service have a rate limit: the shortest time until
  * one of them takes another request, in ms; else 0.
--- a/wire.h
+++ b/wire.h
@@ -56,7 +56,10 @@
 struct wire_terms {
 	msec deadline;		  /* ms that this node waits; 0: no limit */
 	const char *organisation; /* NULL: none */
-	const char *server;    /* the only one that may execute it; NULL: any */
+	const char *server; /* the only one that may execute it; NULL: any */
+	/* It fetches the shared part of the prompt from this one; NULL: reads
+	 * it. */
+	const struct server *source;
 	bool ranked;	       /* `priority` applies */
 	unsigned int priority; /* 0 is first */
 	bool resumed;	       /* this node resumes an interrupted stream */
