Coordinators learn how fast each server reads

Cause: reading was counted at 60 tokens a millisecond on all servers. On one deployment one server in four reads at less than half the speed of the others, and got as much.

Change: a coordinator measures a server by what it had to read until the answers to its own placements began; queue, limit and choice of a server go by it.

Ruled out: a learned pace for all servers alike (docs/design/SHIFTED.md).

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -37,6 +37,8 @@
 	name_id route;
 	uint64_t prompt;	/* shared prefix new to its server; 0: none */
 	uint64_t shared_prompt; /* shared prefix; 0: none */
+	/* Unread on its server when it was placed, with its own; 0: unknown. */
+	unsigned int backlog;
 	unsigned int rank;
 	unsigned int tokens; /* unread prompt tokens */
 	bool model;	     /* the request has a prompt */
@@ -403,6 +405,8 @@
 	h->since = now;
 	server_rate_take(&v->rate, now);
 	place_load_add(&v->all, h->rank, h->tokens);
+	if (q != NULL && source == NULL)
+		h->backlog = (unsigned int)MIN(v->all.unread, UINT_MAX);
 	if (w->prompt != 0)
 		server_memory_note(
 		    &p->servers->all_memory, now, v->id, w->prompt);
@@ -477,13 +481,13 @@
 	v = server_choose(p->servers, now, w, &view, g_rand_int(p->rand));
 	if (v == NULL)
 		return NULL;
-	q->ahead = MIN(server_reading_ms(&v->all, w->rank),
+	q->ahead = MIN(server_reading_ms(v, &v->all, w->rank),
 	    servers_reading_ms(p->servers, w->service, w->rank, &view));
 	q->limit =
 	    coordinate_limit(place_traffic(&p->all, w->service), w, &view);
 	from = server_fetch_source(p->servers, now, w, &view, v);
 	place_record_begin(p, now, node, id, v, w, q, from);
-	q->wait = server_reading_ms(&v->all, SERVER_RANKS);
+	q->wait = server_reading_ms(v, &v->all, SERVER_RANKS);
 	if (from != NULL) {
 		*source = from->id;
 		q->wait += MAX(v->fetches_until - now, 0);
@@ -548,6 +552,15 @@
 		server_room_rejected(&v->room, now, v->slots);
 }
 
+static void
+place_record_speed(struct place *p, msec now, const struct place_record *h)
+{
+	struct server *v = servers_find(p->servers, h->server);
+
+	if (v != NULL && h->backlog > 0 && h->tokens > 0)
+		server_speed_record(&v->speed, h->backlog, now - h->since);
+}
+
 void
 place_step(struct place *p, msec now, name_id node, uint32_t id,
     enum sp_place_what what)
@@ -564,6 +577,7 @@
 		return;
 	}
 	if (what == SP_PLACE_READ) {
+		place_record_speed(p, now, h);
 		server_memory_note_read(
 		    &p->servers->all_memory, h->server, h->shared_prompt);
 		place_record_prompt_read(p, h);
--- a/server-choose.c
+++ b/server-choose.c
@@ -13,8 +13,6 @@
 
 #include <xxhash.h>
 
-/* Assumed prefill speed of a server in prompt tokens per millisecond. */
-#define CHOOSE_TOKENS_PER_MS 60.0
 /*
  * Weight of reading a shared prefix again: it costs more than its own time, as
  * it delays all other streams of the server.
@@ -293,7 +291,7 @@
 	if (choose_has_prompt(s, v, now, w, view, home))
 		return 0;
 	cost = w->shared * (v == home ? 1.0 : CHOOSE_REREAD_FACTOR) /
-	       CHOOSE_TOKENS_PER_MS;
+	       server_speed_tokens_per_ms(&v->speed);
 	if (source != NULL && source != v)
 		cost = MIN(cost,
 		    CHOOSE_FETCH_FACTOR * choose_fetch_ms(v, source, w, view));
@@ -322,7 +320,8 @@
 	const struct server_load *l = view->all ? &v->all : &v->own;
 	double tokens = (double)l->unread + w->own, cost;
 
-	cost = tokens / CHOOSE_TOKENS_PER_MS + l->running * CHOOSE_RUNNING_MS;
+	cost = tokens / server_speed_tokens_per_ms(&v->speed) +
+	       l->running * CHOOSE_RUNNING_MS;
 	cost += choose_prompt_cost(s, v, now, w, view, home, source);
 	cost += choose_slot_wait(v, l, view);
 	cost += v->failures * CHOOSE_FAILURE_MS;
@@ -341,14 +340,15 @@
 }
 
 msec
-server_reading_ms(const struct server_load *l, unsigned int rank)
+server_reading_ms(
+    const struct server *v, const struct server_load *l, unsigned int rank)
 {
 	uint64_t tokens = 0;
 	unsigned int i;
 
 	for (i = 0; i <= MIN(rank, SERVER_RANKS - 1); i++)
 		tokens += l->unread_by[i];
-	return (msec)((double)tokens / CHOOSE_TOKENS_PER_MS);
+	return (msec)((double)tokens / server_speed_tokens_per_ms(&v->speed));
 }
 
 msec
@@ -364,7 +364,8 @@
 		if (!choose_in_view(v, service, view) ||
 		    (v->rank <= quiet_rank) != view->light || v->rate.per_s > 0)
 			continue;
-		sum += server_reading_ms(view->all ? &v->all : &v->own, rank);
+		sum +=
+		    server_reading_ms(v, view->all ? &v->all : &v->own, rank);
 		n++;
 	}
 	return n > 0 ? sum / n : MSEC_NEVER;
@@ -517,7 +518,7 @@
 	    server_memory_has(
 		&s->all_memory, now, v->id, w->prompt, CHOOSE_CACHED_MS) ||
 	    choose_fetch_ms(v, source, w, view) >=
-		w->shared / CHOOSE_TOKENS_PER_MS)
+		w->shared / server_speed_tokens_per_ms(&v->speed))
 		return NULL;
 	return source;
 }
--- a/server.c
+++ b/server.c
@@ -83,6 +83,7 @@
 	v->resting_until = 0;
 	v->down = false;
 	v->first_ms = 0;
+	v->speed = (struct server_speed){ 0 };
 	v->received = 0;
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
--- a/server.h
+++ b/server.h
@@ -12,6 +12,7 @@
 #include "server-memory.h"
 #include "server-rate.h"
 #include "server-room.h"
+#include "server-speed.h"
 #include "server-version.h"
 
 /* Size limit of names, which platforms choose; longer names are ignored. */
@@ -81,6 +82,7 @@
 	struct server_load own; /* requests of this node */
 	struct server_load all; /* of all nodes, as coordinator */
 	msec fetches_until;	/* end of its transfers, as coordinator */
+	struct server_speed speed; /* as coordinator */
 	/* Measured by the requests of this node. */
 	unsigned int failures; /* consecutive */
 	msec resting_until;    /* chosen last before this, after failures */
@@ -317,7 +319,8 @@
  */
 msec servers_rate_wait(struct servers *, name_id service);
 /* Estimated time to read the unread prompts up to a rank, in ms. */
-msec server_reading_ms(const struct server_load *, unsigned int rank);
+msec server_reading_ms(
+    const struct server *, const struct server_load *, unsigned int rank);
 /* The average over the view's servers, in ms; MSEC_NEVER: it has none. */
 msec servers_reading_ms(struct servers *, name_id service, unsigned int rank,
     const struct server_view *);
