Slow servers are not reserved for light requests

Cause: servers for light requests were drawn by a hash. A slow one takes 58 ms for a step beside a prompt, and five steps make an event: 290 ms where pauses of 250 are allowed.

Change: servers under three quarters of their group's mean speed come last in that order.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -271,6 +271,8 @@
 	view.urgent = w->navoid > 0 || !mix_has_more_urgent(m, w->rank);
 	if (w->own + w->shared > 0) {
 		view.light = mix_is_light(m, w->route);
+		view.typical_speed =
+		    servers_typical_speed(p->servers, w->service, &view);
 		view.quiet = mix_quiet_servers(m, now,
 		    all ? 1 : MAX(p->max_nodes, 1),
 		    servers_count_unthrottled(p->servers, w->service, &view),
--- a/server-choose.c
+++ b/server-choose.c
@@ -42,6 +42,8 @@
 #define CHOOSE_RESTED_REQUESTS 2
 /* Cost of a server in another failure domain. */
 #define CHOOSE_DOMAIN_MS 2.0
+/* A server is slow below this part of the mean speed of its group. */
+#define CHOOSE_SLOW_PART 0.75
 /* Maximum number of quiet servers in a group. */
 #define CHOOSE_QUIET_MAX 64
 /*
@@ -143,6 +145,23 @@
 	return n;
 }
 
+double
+servers_typical_speed(
+    struct servers *s, name_id service, const struct server_view *view)
+{
+	struct server *v;
+	unsigned int n = 0;
+	double sum = 0;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (!choose_in_view(v, service, view))
+			continue;
+		sum += server_speed_tokens_per_ms(&v->speed);
+		n++;
+	}
+	return n > 0 ? sum / n : 0;
+}
+
 unsigned int
 servers_count_ready(
     struct servers *s, name_id service, const struct server_view *view)
@@ -170,6 +189,19 @@
 	return false;
 }
 
+/*
+ * Rank by which quiet servers are selected: slow servers come last, as a light
+ * request on one waits too long for its tokens beside others' prompts.
+ */
+static uint64_t
+choose_rank(const struct server *v, const struct server_view *view)
+{
+	bool slow = server_speed_tokens_per_ms(&v->speed) <
+		    view->typical_speed * CHOOSE_SLOW_PART;
+
+	return v->rank / 2 + (slow ? UINT64_MAX / 2 : 0);
+}
+
 /*
  * The first `quiet` servers by rank are quiet. Returns the highest of their
  * ranks, or 0 if there are none. Computed once per selection, since a service
@@ -179,7 +211,7 @@
 choose_quiet_rank(
     struct servers *s, name_id service, const struct server_view *view)
 {
-	uint64_t ranks[CHOOSE_QUIET_MAX];
+	uint64_t ranks[CHOOSE_QUIET_MAX], rank;
 	unsigned int n = 0, most = MIN(view->quiet, CHOOSE_QUIET_MAX), i;
 	struct server *v;
 
@@ -188,14 +220,15 @@
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (!choose_is_unthrottled(v, service, view))
 			continue;
-		if (n == most && v->rank >= ranks[n - 1])
+		rank = choose_rank(v, view);
+		if (n == most && rank >= ranks[n - 1])
 			continue;
 		for (i = n < most ? n++ : n - 1; i > 0; i--) {
-			if (ranks[i - 1] < v->rank)
+			if (ranks[i - 1] < rank)
 				break;
 			ranks[i] = ranks[i - 1];
 		}
-		ranks[i] = v->rank;
+		ranks[i] = rank;
 	}
 	return n > 0 ? ranks[n - 1] : 0;
 }
@@ -213,7 +246,7 @@
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (!choose_is_unthrottled(v, w->service, view) ||
-		    (v->rank <= quiet_rank) != view->light)
+		    (choose_rank(v, view) <= quiet_rank) != view->light)
 			continue;
 		weight = choose_weight(v, w->prompt);
 		if (best == NULL || weight > most) {
@@ -333,7 +366,8 @@
 		cost += CHOOSE_HELD_VERSION_MS;
 	if (*view->domain != '\0' && strcmp(v->domain, view->domain) != 0)
 		cost += CHOOSE_DOMAIN_MS;
-	if (view->quiet > 0 && (v->rank <= quiet_rank) != view->light)
+	if (view->quiet > 0 &&
+	    (choose_rank(v, view) <= quiet_rank) != view->light)
 		cost += view->light ? CHOOSE_LIGHT_OFF_QUIET_MS
 				    : CHOOSE_LONG_ON_QUIET_MS;
 	return cost;
@@ -362,7 +396,8 @@
 
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (!choose_in_view(v, service, view) ||
-		    (v->rank <= quiet_rank) != view->light || v->rate.per_s > 0)
+		    (choose_rank(v, view) <= quiet_rank) != view->light ||
+		    v->rate.per_s > 0)
 			continue;
 		sum +=
 		    server_reading_ms(v, view->all ? &v->all : &v->own, rank);
--- a/server.h
+++ b/server.h
@@ -279,9 +279,10 @@
 	unsigned int groups, group; /* of the service's servers; see place.h */
 	unsigned int nodes;	    /* number of nodes */
 	msec now;
-	bool urgent;   /* no route of the service is more urgent */
-	bool takeover; /* the previous coordinator may still be active */
-	bool sole;     /* as coordinator for all nodes */
+	bool urgent;	      /* no route of the service is more urgent */
+	bool takeover;	      /* the previous coordinator may still be active */
+	bool sole;	      /* as coordinator for all nodes */
+	double typical_speed; /* of a server, in prompt tokens per ms */
 	/* How servers transfer cached prompts; NULL: not at all. */
 	const struct prompt_transfer *transfer;
 };
@@ -291,6 +292,9 @@
 /* Number of the service's ready servers in the view's group. */
 unsigned int servers_count_ready(
     struct servers *, name_id service, const struct server_view *);
+/* The mean speed of these servers in prompt tokens per ms; 0: no servers. */
+double servers_typical_speed(
+    struct servers *, name_id service, const struct server_view *);
 /* The same without servers that are short of their rate limit. */
 unsigned int servers_count_unthrottled(
     struct servers *, name_id service, const struct server_view *);
