--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -538,8 +538,7 @@
 {
 	struct mix *m = place_traffic(&p->all, h->service);
 
-	if (!h->model || h->late ||
-	    !mix_is_last_tier(place_traffic(&p->all, h->service), h->route))
+	if (!h->model || h->late)
 		return;
 	h->late = late;
 	server_limit_adjust(
