--- a/server-choose.c
+++ b/server-choose.c
@@ -22,7 +22,7 @@
  * Weight of fetching a shared prefix: it occupies memory of a further server
  * and the links of two.
  */
-#define CHOOSE_FETCH_FACTOR 2.0
+#define CHOOSE_FETCH_FACTOR 6.0
 /* How long a server's cache holds a prompt after its last use. */
 #define CHOOSE_CACHED_MS 15000
 /*
