Those who return after a refusal go before new ones

Change: a coordinator remembers for 10 s whom it refused, by the fingerprint of the request, and its successor too; a request that returns may find the whole target ahead of it, as the more urgent tiers may.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -74,6 +74,7 @@
 		.target = j->route->target,
 		.rank = route_rank(j->table, j->route, j->organisation),
 		.software = j->software_id,
+		.repeat = j->fingerprint.high ^ j->fingerprint.low,
 		.navoid = j->ntried };
 	memcpy(w->avoid, j->tried, sizeof w->avoid);
 	if (!j->route->has_prompt_parts)
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -197,15 +197,17 @@
 	return best;
 }
 
-name_id
-place_coordinator(struct place *p, name_id service, unsigned int group)
+/* The best node but `except` for a group, or this one. */
+static name_id
+place_best_coordinator(
+    struct place *p, name_id service, unsigned int group, name_id except)
 {
 	uint64_t weight, most = 0;
 	name_id best = p->self;
 	unsigned int i;
 
 	for (i = 0; i < p->nnodes; i++) {
-		if (!p->nodes[i].coordinates)
+		if (!p->nodes[i].coordinates || p->nodes[i].id == except)
 			continue;
 		weight = place_weight(p->nodes[i].id, service, group);
 		if (weight >= most) {
@@ -216,6 +218,19 @@
 	return best;
 }
 
+name_id
+place_coordinator(struct place *p, name_id service, unsigned int group)
+{
+	return place_best_coordinator(p, service, group, 0);
+}
+
+/* The node that would coordinate the group without this one. */
+static name_id
+place_successor(struct place *p, name_id service, unsigned int group)
+{
+	return place_best_coordinator(p, service, group, p->self);
+}
+
 /* ---- deciding ---- */
 
 static unsigned int
@@ -454,14 +469,31 @@
 
 /* Maximum time to read the prompts before a request, in ms; 0: no limit. */
 static msec
-coordinate_limit(
-    struct mix *m, const struct server_wish *w, const struct server_view *view)
+coordinate_limit(struct mix *m, const struct server_wish *w,
+    const struct server_view *view, bool returns)
 {
 	/* A refused retry would waste the work of the server before. */
 	if (w->target == 0 || w->navoid > 0 || w->own + w->shared == 0)
 		return 0;
 	return server_limit_ms(view->light ? &m->limit_light : &m->limit,
-	    w->target, mix_is_last_tier(m, w->route));
+	    w->target, !returns && mix_is_last_tier(m, w->route));
+}
+
+/*
+ * The request is refused. Its repetition may come to any node, and by then this
+ * one may have stopped, so its successor learns of it too.
+ */
+static void
+coordinate_refused(
+    struct place *p, msec now, const struct server_wish *w, unsigned int group)
+{
+	sp_msg msg = { .kind = SP_PLACE_RETURN };
+	name_id next = place_successor(p, w->service, group);
+
+	returns_note(&p->returns, now, w->repeat);
+	msg.sp_msg_u.place_return.repeat = w->repeat;
+	if (next != p->self && w->repeat != 0)
+		p->ops->send(p, next, &msg);
 }
 
 struct server *
@@ -470,6 +502,7 @@
 {
 	unsigned int groups = place_count_groups(p, w->service);
 	unsigned int group = place_group(p, w, groups);
+	bool returns = returns_expected(&p->returns, now, w->repeat);
 	struct server_view view;
 	struct server *v, *from;
 
@@ -485,8 +518,14 @@
 		return NULL;
 	q->ahead = MIN(server_reading_ms(v, &v->all, w->rank),
 	    servers_reading_ms(p->servers, w->service, w->rank, &view));
-	q->limit =
-	    coordinate_limit(place_traffic(&p->all, w->service), w, &view);
+	q->limit = coordinate_limit(
+	    place_traffic(&p->all, w->service), w, &view, returns);
+	if (place_queue_exceeds_limit(q))
+		coordinate_refused(p, now, w, group);
+	else if (returns) {
+		returns_remove(&p->returns, w->repeat);
+		p->counters.returned++;
+	}
 	from = server_fetch_source(p->servers, now, w, &view, v);
 	place_record_begin(p, now, node, id, v, w, q, from);
 	q->wait = server_reading_ms(v, &v->all, SERVER_RANKS);
--- a/place.c
+++ b/place.c
@@ -78,7 +78,8 @@
 		.gap_ms = (u_int)w->gap_target,
 		.target_ms = (u_int)w->target,
 		.rank = w->rank,
-		.software = w->software };
+		.software = w->software,
+		.repeat = w->repeat };
 	/* XDR encoding only reads the list, but its type is not const. */
 	m->avoid.avoid_len = w->navoid;
 	m->avoid.avoid_val = (u_quad_t *)w->avoid;
@@ -95,7 +96,8 @@
 		.gap_target = m->gap_ms,
 		.target = m->target_ms,
 		.rank = m->rank,
-		.software = m->software };
+		.software = m->software,
+		.repeat = m->repeat };
 	w->navoid = MIN(m->avoid.avoid_len, SERVER_AVOID_MAX);
 	if (w->navoid > 0)
 		memcpy(
@@ -341,8 +343,8 @@
 }
 
 static void
-place_receive_reply(struct place *p, msec now, name_id from,
-    const sp_place_tell *t, name_id source)
+place_receive_reply(
+    struct place *p, msec now, name_id from, const sp_place_tell *t)
 {
 	struct place_request *r;
 	struct server *v;
@@ -380,7 +382,7 @@
 		 !server_suits(v, &r->wish))
 		place_decide_alone(p, now, r);
 	else {
-		r->source = source;
+		r->source = t->source;
 		place_decide(p, now, r, v);
 	}
 }
@@ -391,10 +393,10 @@
     struct place *p, msec now, name_id from, const sp_place_ask *ask)
 {
 	sp_msg msg = { .kind = SP_PLACE_TELL };
-	sp_place_tell reply = { 0 }, *t = &reply;
+	sp_place_tell *t = &msg.sp_msg_u.place_tell;
 	sp_place_rate rates[SAVORY_RATED_MAX];
-	name_id source;
 	struct place_queue queue;
+	name_id source;
 	struct server_wish w;
 	struct server *v;
 
@@ -406,21 +408,17 @@
 	t->wait_ms = (u_int)queue.wait;
 	t->ahead_ms = (u_int)queue.ahead;
 	t->limit_ms = (u_int)queue.limit;
+	t->source = source;
 	t->rated = v != NULL && v->rate.per_s > 0;
 	t->rates.rates_val = rates;
 	t->rates.rates_len = place_rates_list(p, now, &w, rates);
-	if (source != 0) {
-		msg.kind = SP_PLACE_FETCH;
-		msg.sp_msg_u.place_fetch = (sp_place_fetch){ reply, source };
-	} else
-		msg.sp_msg_u.place_tell = reply;
 	p->ops->send(p, from, &msg);
 }
 
 void
 place_receive(struct place *p, msec now, name_id from, const sp_msg *msg)
 {
-	const sp_place_fetch *fetch = &msg->sp_msg_u.place_fetch;
+	const sp_place_return *back = &msg->sp_msg_u.place_return;
 	const sp_place_took *took = &msg->sp_msg_u.place_took;
 	const sp_place_step *step = &msg->sp_msg_u.place_step;
 	const sp_place_ask *ask = &msg->sp_msg_u.place_ask;
@@ -432,10 +430,10 @@
 		place_reply_to_query(p, now, from, ask);
 		break;
 	case SP_PLACE_TELL:
-		place_receive_reply(p, now, from, &msg->sp_msg_u.place_tell, 0);
+		place_receive_reply(p, now, from, &msg->sp_msg_u.place_tell);
 		break;
-	case SP_PLACE_FETCH:
-		place_receive_reply(p, now, from, &fetch->tell, fetch->source);
+	case SP_PLACE_RETURN:
+		returns_note(&p->returns, now, back->repeat);
 		break;
 	case SP_PLACE_TOOK:
 		wish_decode(&w, &took->wish);
--- a/place.h
+++ b/place.h
@@ -20,6 +20,7 @@
 #define PLACE_H
 
 #include "proto.h"
+#include "returns.h"
 #include "savory.h"
 #include "server-mix.h"
 #include "server.h"
@@ -107,6 +108,7 @@
 	 * decisions without a coordinator, requests counted as coordinator.
 	 */
 	uint64_t asked, answered, late, alone, coordinated;
+	uint64_t returned; /* admitted on their return after a refusal */
 	uint64_t alone_refused; /* of `alone`: refused at the last known rate */
 	/*
 	 * As coordinator: prompt tokens, and those of them that the server
@@ -143,6 +145,7 @@
 	/* Traffic of this node, and of all nodes as coordinator. */
 	struct place_mixes own, all;
 	struct place_records records; /* as coordinator */
+	struct returns returns;	      /* requests that it refused */
 	struct place_counters counters;
 	void *arg;			   /* for the caller */
 	const struct place_policy *policy; /* NULL: coordinators decide */
--- a/proto.h
+++ b/proto.h
@@ -209,6 +209,7 @@
 	u_int target_ms;
 	u_int rank;
 	u_quad_t software;
+	u_quad_t repeat;
 	struct {
 		u_int avoid_len;
 		u_quad_t *avoid_val;
@@ -237,6 +238,7 @@
 	u_int wait_ms;
 	u_int ahead_ms;
 	u_int limit_ms;
+	u_quad_t source;
 	bool_t rated;
 	struct {
 		u_int rates_len;
@@ -245,12 +247,6 @@
 };
 typedef struct sp_place_tell sp_place_tell;
 
-struct sp_place_fetch {
-	sp_place_tell tell;
-	u_quad_t source;
-};
-typedef struct sp_place_fetch sp_place_fetch;
-
 struct sp_place_took {
 	u_int id;
 	u_quad_t server;
@@ -270,6 +266,11 @@
 };
 typedef enum sp_place_what sp_place_what;
 
+struct sp_place_return {
+	u_quad_t repeat;
+};
+typedef struct sp_place_return sp_place_return;
+
 struct sp_place_step {
 	u_int id;
 	u_quad_t service;
@@ -516,12 +517,12 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
-	SP_PLACE_ASK = 30,
-	SP_PLACE_TELL = 31,
-	SP_PLACE_TOOK = 32,
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
-	SP_PLACE_FETCH = 35,
+	SP_PLACE_ASK = 35,
+	SP_PLACE_TELL = 36,
+	SP_PLACE_TOOK = 37,
+	SP_PLACE_RETURN = 38,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
@@ -565,7 +566,7 @@
 		sp_place_took place_took;
 		sp_place_step place_step;
 		sp_place_rate place_rate;
-		sp_place_fetch place_fetch;
+		sp_place_return place_return;
 		sp_relay_ask relay_ask;
 		sp_relay_tell relay_tell;
 		sp_relay_servers relay_servers;
@@ -641,9 +642,9 @@
 extern  bool_t xdr_sp_place_ask (XDR *, sp_place_ask*);
 extern  bool_t xdr_sp_place_rate (XDR *, sp_place_rate*);
 extern  bool_t xdr_sp_place_tell (XDR *, sp_place_tell*);
-extern  bool_t xdr_sp_place_fetch (XDR *, sp_place_fetch*);
 extern  bool_t xdr_sp_place_took (XDR *, sp_place_took*);
 extern  bool_t xdr_sp_place_what (XDR *, sp_place_what*);
+extern  bool_t xdr_sp_place_return (XDR *, sp_place_return*);
 extern  bool_t xdr_sp_place_step (XDR *, sp_place_step*);
 extern  bool_t xdr_sp_relay_known (XDR *, sp_relay_known*);
 extern  bool_t xdr_sp_relay_ask (XDR *, sp_relay_ask*);
@@ -701,9 +702,9 @@
 extern bool_t xdr_sp_place_ask ();
 extern bool_t xdr_sp_place_rate ();
 extern bool_t xdr_sp_place_tell ();
-extern bool_t xdr_sp_place_fetch ();
 extern bool_t xdr_sp_place_took ();
 extern bool_t xdr_sp_place_what ();
+extern bool_t xdr_sp_place_return ();
 extern bool_t xdr_sp_place_step ();
 extern bool_t xdr_sp_relay_known ();
 extern bool_t xdr_sp_relay_ask ();
--- a/proto.x
+++ b/proto.x
@@ -207,6 +207,7 @@
 	unsigned int target_ms;		/* to the first event; 0: any */
 	unsigned int rank;		/* 0 is the most urgent */
 	unsigned hyper software;	/* version that must serve it; 0: any */
+	unsigned hyper repeat;		/* the same for a repetition; 0: not known */
 	unsigned hyper avoid<SAVORY_AVOID_MAX>;
 };
 
@@ -233,16 +234,11 @@
 	unsigned int wait_ms;		/* to read the prompts there and this one */
 	unsigned int ahead_ms;		/* of that, before this one: as urgent or more */
 	unsigned int limit_ms;		/* reject if ahead_ms is more; 0: no limit */
+	unsigned hyper source;		/* fetch the shared part from it; 0: read it */
 	bool rated;			/* counted against the server's rate */
 	sp_place_rate rates<SAVORY_RATED_MAX>;	/* of some servers of its group */
 };
 
-/* The same; the server fetches the shared part of the prompt from another. */
-struct sp_place_fetch {
-	sp_place_tell tell;
-	unsigned hyper source;
-};
-
 /* The entry node chose a server itself, as no response arrived. */
 struct sp_place_took {
 	unsigned int id;
@@ -262,6 +258,11 @@
 	SP_PLACE_BRITTLE = 7		/* its server says that it is brittle */
 };
 
+/* A coordinator rejected a request; its successor is to expect it again. */
+struct sp_place_return {
+	unsigned hyper repeat;		/* of its sp_place_wish */
+};
+
 struct sp_place_step {
 	unsigned int id;
 	unsigned hyper service;
@@ -496,12 +497,13 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
-	SP_PLACE_ASK = 30,
-	SP_PLACE_TELL = 31,
-	SP_PLACE_TOOK = 32,
+	/* 30 to 32: earlier forms of SP_PLACE_ASK, SP_PLACE_TELL, SP_PLACE_TOOK */
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
-	SP_PLACE_FETCH = 35,
+	SP_PLACE_ASK = 35,
+	SP_PLACE_TELL = 36,
+	SP_PLACE_TOOK = 37,
+	SP_PLACE_RETURN = 38,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
@@ -561,8 +563,8 @@
 	sp_place_step place_step;
 case SP_PLACE_RATE:
 	sp_place_rate place_rate;
-case SP_PLACE_FETCH:
-	sp_place_fetch place_fetch;
+case SP_PLACE_RETURN:
+	sp_place_return place_return;
 case SP_RELAY_ASK:
 	sp_relay_ask relay_ask;
 case SP_RELAY_TELL:
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -613,6 +613,8 @@
 		}
 		if (!xdr_u_quad_t(xdrs, &objp->software))
 			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->repeat))
+			return FALSE;
 		if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
 			(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
 			sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
@@ -647,6 +649,8 @@
 		}
 		if (!xdr_u_quad_t(xdrs, &objp->software))
 			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->repeat))
+			return FALSE;
 		if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
 			(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
 			sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
@@ -672,6 +676,8 @@
 		return FALSE;
 	if (!xdr_u_quad_t(xdrs, &objp->software))
 		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->repeat))
+		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
 		(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
 		sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
@@ -717,7 +723,7 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->server))
 			return FALSE;
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			if (!xdr_u_int(xdrs, &objp->wait_ms))
 				return FALSE;
@@ -725,15 +731,16 @@
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->limit_ms))
 				return FALSE;
-			if (!xdr_bool(xdrs, &objp->rated))
-				return FALSE;
 
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->wait_ms);
 			IXDR_PUT_U_LONG(buf, objp->ahead_ms);
 			IXDR_PUT_U_LONG(buf, objp->limit_ms);
-			IXDR_PUT_BOOL(buf, objp->rated);
 		}
+		if (!xdr_u_quad_t(xdrs, &objp->source))
+			return FALSE;
+		if (!xdr_bool(xdrs, &objp->rated))
+			return FALSE;
 		if (!xdr_array(xdrs, (char **)&objp->rates.rates_val,
 			(u_int *)&objp->rates.rates_len, SAVORY_RATED_MAX,
 			sizeof(sp_place_rate), (xdrproc_t)xdr_sp_place_rate))
@@ -744,7 +751,7 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->server))
 			return FALSE;
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			if (!xdr_u_int(xdrs, &objp->wait_ms))
 				return FALSE;
@@ -752,15 +759,16 @@
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->limit_ms))
 				return FALSE;
-			if (!xdr_bool(xdrs, &objp->rated))
-				return FALSE;
 
 		} else {
 			objp->wait_ms = IXDR_GET_U_LONG(buf);
 			objp->ahead_ms = IXDR_GET_U_LONG(buf);
 			objp->limit_ms = IXDR_GET_U_LONG(buf);
-			objp->rated = IXDR_GET_BOOL(buf);
 		}
+		if (!xdr_u_quad_t(xdrs, &objp->source))
+			return FALSE;
+		if (!xdr_bool(xdrs, &objp->rated))
+			return FALSE;
 		if (!xdr_array(xdrs, (char **)&objp->rates.rates_val,
 			(u_int *)&objp->rates.rates_len, SAVORY_RATED_MAX,
 			sizeof(sp_place_rate), (xdrproc_t)xdr_sp_place_rate))
@@ -778,6 +786,8 @@
 		return FALSE;
 	if (!xdr_u_int(xdrs, &objp->limit_ms))
 		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->source))
+		return FALSE;
 	if (!xdr_bool(xdrs, &objp->rated))
 		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->rates.rates_val,
@@ -788,37 +798,35 @@
 }
 
 bool_t
-xdr_sp_place_fetch(XDR *xdrs, sp_place_fetch *objp)
+xdr_sp_place_took(XDR *xdrs, sp_place_took *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_sp_place_tell(xdrs, &objp->tell))
+	if (!xdr_u_int(xdrs, &objp->id))
 		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->source))
+	if (!xdr_u_quad_t(xdrs, &objp->server))
+		return FALSE;
+	if (!xdr_sp_place_wish(xdrs, &objp->wish))
 		return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_sp_place_took(XDR *xdrs, sp_place_took *objp)
+xdr_sp_place_what(XDR *xdrs, sp_place_what *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->id))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->server))
-		return FALSE;
-	if (!xdr_sp_place_wish(xdrs, &objp->wish))
+	if (!xdr_enum(xdrs, (enum_t *)objp))
 		return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_sp_place_what(XDR *xdrs, sp_place_what *objp)
+xdr_sp_place_return(XDR *xdrs, sp_place_return *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
+	if (!xdr_u_quad_t(xdrs, &objp->repeat))
 		return FALSE;
 	return TRUE;
 }
@@ -1384,8 +1392,8 @@
 		if (!xdr_sp_place_rate(xdrs, &objp->sp_msg_u.place_rate))
 			return FALSE;
 		break;
-	case SP_PLACE_FETCH:
-		if (!xdr_sp_place_fetch(xdrs, &objp->sp_msg_u.place_fetch))
+	case SP_PLACE_RETURN:
+		if (!xdr_sp_place_return(xdrs, &objp->sp_msg_u.place_return))
 			return FALSE;
 		break;
 	case SP_RELAY_ASK:
--- a/server.h
+++ b/server.h
@@ -263,6 +263,7 @@
 	msec target;	     /* time to the first event, ms; 0: any */
 	unsigned int rank;   /* 0 is most urgent */
 	name_id software;    /* version that must serve it; 0: any */
+	uint64_t repeat;     /* the same for a repetition; 0: not known */
 	unsigned int navoid;
 	name_id avoid[SERVER_AVOID_MAX]; /* servers tried already */
 };
