--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -472,11 +472,17 @@
 coordinate_limit(struct mix *m, const struct server_wish *w,
     const struct server_view *view, bool returns)
 {
+	msec limit;
+
 	/* A refused retry would waste the work of the server before. */
 	if (w->target == 0 || w->navoid > 0 || w->own + w->shared == 0)
 		return 0;
-	return server_limit_ms(view->light ? &m->limit_light : &m->limit,
-	    w->target, !returns && mix_is_last_tier(m, w->route));
+	limit = server_limit_ms(view->light ? &m->limit_light : &m->limit,
+	    w->target, mix_is_last_tier(m, w->route));
+	/* Who returns goes before new ones. */
+	if (returns)
+		limit = MIN(limit * 2, w->target);
+	return limit;
 }
 
 /*
