--- a/server-mix.c
+++ b/server-mix.c
@@ -236,7 +236,7 @@
 		if (!mix_is_light(m, m->routes[i].id))
 			continue;
 		mix_update_busy(&m->routes[i], now);
-		busy += MAX(m->routes[i].busy, m->routes[i].running);
+		busy += m->routes[i].busy;
 	}
 	if (busy <= 0.01 || servers < 2)
 		return 0;
