A copy of a prompt costs its memory, not six times its transfer

What a copy costs callers is the memory of other prompts, which are read again.

Change: the transfer's own time and eight tenths of the time to read the prefix.

--- a/server-choose.c
+++ b/server-choose.c
@@ -19,10 +19,10 @@
  */
 #define CHOOSE_REREAD_FACTOR 10.0
 /*
- * Weight of fetching a shared prefix: it occupies memory of a further server
- * and the links of two.
+ * Cost of a further copy of a prefix, as a part of the time to read it: it
+ * displaces as many tokens of other prompts, which are read again when needed.
  */
-#define CHOOSE_FETCH_FACTOR 6.0
+#define CHOOSE_COPY_FACTOR 0.8
 /* How long a server's cache holds a prompt after its last use. */
 #define CHOOSE_CACHED_MS 15000
 /*
@@ -326,8 +326,9 @@
 	cost = w->shared * (v == home ? 1.0 : CHOOSE_REREAD_FACTOR) /
 	       server_speed_tokens_per_ms(&v->speed);
 	if (source != NULL && source != v)
-		cost = MIN(cost,
-		    CHOOSE_FETCH_FACTOR * choose_fetch_ms(v, source, w, view));
+		cost = MIN(cost, choose_fetch_ms(v, source, w, view) +
+				     CHOOSE_COPY_FACTOR * w->shared /
+					 server_speed_tokens_per_ms(&v->speed));
 	return cost;
 }
 
