Nodes without knowledge name a prompt's home to fetch from

Cause: a new coordinator, and a node that decides alone, don't know who holds a prompt, and had it read again.

Change: they name the home by rendezvous hashing, where it most probably is; a server that finds nothing there reads the prompt as before.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -298,11 +298,17 @@
 
 struct server *
 place_choose_server(struct place *p, msec now, const struct server_wish *w,
-    bool all, unsigned int groups, unsigned int group)
+    unsigned int groups, unsigned int group, name_id *source)
 {
-	struct server_view view = place_view(p, now, w, all, groups, group);
+	struct server_view view = place_view(p, now, w, false, groups, group);
+	struct server *v = server_choose(
+			  p->servers, now, w, &view, g_rand_int(p->rand)),
+		      *from;
 
-	return server_choose(p->servers, now, w, &view, g_rand_int(p->rand));
+	from = v != NULL ? server_guess_source(p->servers, now, w, &view, v)
+			 : NULL;
+	*source = from != NULL ? from->id : 0;
+	return v;
 }
 
 void
@@ -535,10 +541,11 @@
 	from = server_fetch_source(p->servers, now, w, &view, v);
 	place_record_begin(p, now, node, id, v, w, q, from);
 	q->wait = server_reading_ms(v, &v->all, SERVER_RANKS);
-	if (from != NULL) {
-		*source = from->id;
+	if (from != NULL)
 		q->wait += MAX(v->fetches_until - now, 0);
-	}
+	else
+		from = server_guess_source(p->servers, now, w, &view, v);
+	*source = from != NULL ? from->id : 0;
 	return v;
 }
 
--- a/place-private.h
+++ b/place-private.h
@@ -24,10 +24,13 @@
 place_group(struct place *, const struct server_wish *, unsigned int groups);
 /* Returns the node that coordinates a group. */
 name_id place_coordinator(struct place *, name_id service, unsigned int group);
-/* Returns the best server by load; `all`: of all nodes, else of this node. */
+/*
+ * Returns the best server by the load of this node, and the server that it may
+ * fetch the shared part of the prompt from; 0: none.
+ */
 struct server *
-place_choose_server(struct place *, msec, const struct server_wish *, bool all,
-    unsigned int groups, unsigned int group);
+place_choose_server(struct place *, msec, const struct server_wish *,
+    unsigned int groups, unsigned int group, name_id *source);
 
 /*
  * Counts a request with its unread prompt tokens on a server; removes the
--- a/place.c
+++ b/place.c
@@ -220,9 +220,9 @@
 	unsigned int group = place_group(p, &r->wish, groups);
 	struct server *v;
 
-	v = place_choose_server(p, now, &r->wish, false, groups, group);
+	v = place_choose_server(p, now, &r->wish, groups, group, &r->source);
 	if (v == NULL && groups > 1)
-		v = place_choose_server(p, now, &r->wish, false, 1, 0);
+		v = place_choose_server(p, now, &r->wish, 1, 0, &r->source);
 	p->counters.alone++;
 	/* A refused request reaches no server, so no coordinator counts it. */
 	if (v != NULL && place_refuse_alone(p, now, r))
@@ -274,7 +274,8 @@
 		/* Brittle servers without room get none, whoever chooses. */
 		if (v == NULL &&
 		    !servers_have_brittle(p->servers, r->wish.service, now))
-			v = place_choose_server(p, now, &r->wish, false, 1, 0);
+			v = place_choose_server(
+			    p, now, &r->wish, 1, 0, &r->source);
 		place_decide(p, now, r, v);
 	} else if (now < p->alone_until) {
 		place_decide_alone(p, now, r);
--- a/server-choose.c
+++ b/server-choose.c
@@ -558,3 +558,21 @@
 		return NULL;
 	return source;
 }
+
+struct server *
+server_guess_source(struct servers *s, msec now, const struct server_wish *w,
+    const struct server_view *view, const struct server *v)
+{
+	const struct server *home;
+
+	if ((view->all && !view->young) || w->prompt == 0 ||
+	    !prompt_transfer_possible(view->transfer))
+		return NULL;
+	home = choose_home(s, w, view, choose_quiet_rank(s, w->service, view));
+	if (home == NULL || home == v ||
+	    choose_has_prompt(s, v, now, w, view, home) ||
+	    prompt_transfer_ms(view->transfer, w->shared) >=
+		w->shared / server_speed_tokens_per_ms(&v->speed))
+		return NULL;
+	return servers_find(s, home->id);
+}
--- a/server.h
+++ b/server.h
@@ -318,6 +318,14 @@
 struct server *
 server_fetch_source(struct servers *, msec, const struct server_wish *,
     const struct server_view *, const struct server *v);
+/*
+ * For a node that does not know which servers hold the prompt: the one that
+ * most probably does, and from which `v` should fetch what it holds; NULL: the
+ * node knows, or `v` should read the prompt.
+ */
+struct server *server_guess_source(struct servers *, msec,
+    const struct server_wish *, const struct server_view *,
+    const struct server *v);
 /*
  * If all ready servers of a service have a rate limit: the shortest time until
  * one of them takes another request, in ms; else 0.
