A server that starts again under its name holds no prompts

A server may start again under the id that it had and then keeps nothing. The records go by the server's process now. /server/cache-of-restarted fails with records by id.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -33,6 +33,7 @@
 	name_id node;
 	uint32_t id;
 	name_id server;
+	uint64_t cache; /* of the server's process */
 	name_id service;
 	name_id route;
 	uint64_t prompt;	/* shared prefix new to its server; 0: none */
@@ -363,7 +364,7 @@
 	/* The request ended before the server read its prompt. */
 	if (h->tokens > 0 && h->prompt != 0)
 		server_memory_forget(
-		    &p->servers->all_memory, h->server, h->prompt);
+		    &p->servers->all_memory, h->cache, h->prompt);
 	place_record_prompt_read(p, h);
 	if (v != NULL)
 		place_load_end(&v->all);
@@ -404,6 +405,7 @@
 	h->server = v->id;
 	h->service = w->service;
 	h->route = w->route;
+	h->cache = server_cache_id(v);
 	h->rank = w->rank;
 	if (RB_INSERT(place_records, &p->records, h) != NULL) {
 		g_free(h);
@@ -413,8 +415,8 @@
 	h->tokens = w->own;
 	h->model = w->own + w->shared > 0;
 	h->near_limit = q != NULL && server_limit_is_near(q->ahead, q->limit);
-	if (!server_memory_has(&p->servers->all_memory, now, v->id, w->prompt,
-		PLACE_RECORD_MS)) {
+	if (!server_memory_has(&p->servers->all_memory, now, server_cache_id(v),
+		w->prompt, PLACE_RECORD_MS)) {
 		h->prompt = w->prompt;
 		if (source != NULL)
 			place_count_fetch(p, now, v, source, w);
@@ -431,8 +433,8 @@
 	if (q != NULL && source == NULL)
 		h->backlog = (unsigned int)MIN(v->all.unread, UINT_MAX);
 	if (w->prompt != 0)
-		server_memory_note(
-		    &p->servers->all_memory, now, v->id, w->prompt);
+		server_memory_note(&p->servers->all_memory, now,
+		    server_cache_id(v), w->prompt);
 	h->counted = mix_started(m, now, w->route);
 	p->counters.coordinated++;
 }
@@ -633,7 +635,7 @@
 	if (what == SP_PLACE_READ) {
 		place_record_speed(p, now, h);
 		server_memory_note_read(
-		    &p->servers->all_memory, h->server, h->shared_prompt);
+		    &p->servers->all_memory, h->cache, h->shared_prompt);
 		place_record_prompt_read(p, h);
 		return;
 	}
--- a/place.c
+++ b/place.c
@@ -139,8 +139,8 @@
 		mix_started(place_traffic(&p->own, r->wish.service), now,
 		    r->wish.route);
 		if (r->wish.prompt != 0)
-			server_memory_note(
-			    &p->servers->memory, now, v->id, r->wish.prompt);
+			server_memory_note(&p->servers->memory, now,
+			    server_cache_id(v), r->wish.prompt);
 	}
 	p->ops->decided(p, r, v, now);
 }
--- a/server-choose.c
+++ b/server-choose.c
@@ -268,16 +268,17 @@
     const struct server_wish *w, const struct server_view *view,
     const struct server *home)
 {
-	if (view->all && server_memory_has(&s->all_memory, now, v->id,
-			     w->prompt, CHOOSE_CACHED_MS))
+	if (view->all && server_memory_has(&s->all_memory, now,
+			     server_cache_id(v), w->prompt, CHOOSE_CACHED_MS))
 		return true;
 	if (view->all && !view->young)
 		return false;
 	/* A new home server cannot have read the prompt for other nodes. */
 	if (v == home && v->new_at != 0 && now - v->new_at < CHOOSE_CACHED_MS)
 		home = NULL;
-	return v == home || server_memory_has(&s->memory, now, v->id, w->prompt,
-				CHOOSE_CACHED_MS);
+	return v == home ||
+	       server_memory_has(&s->memory, now, server_cache_id(v), w->prompt,
+		   CHOOSE_CACHED_MS);
 }
 
 /*
@@ -296,8 +297,8 @@
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (v->service != w->service || v->state == SERVER_GONE ||
 		    v->down || now < v->resting_until ||
-		    !server_memory_has_read(&s->all_memory, now, v->id,
-			w->prompt, CHOOSE_CACHED_MS))
+		    !server_memory_has_read(&s->all_memory, now,
+			server_cache_id(v), w->prompt, CHOOSE_CACHED_MS))
 			continue;
 		if (best == NULL || v->fetches_until < best->fetches_until)
 			best = v;
@@ -551,8 +552,8 @@
 	struct server *source = choose_source(s, now, w, view);
 
 	if (source == NULL || source == v ||
-	    server_memory_has(
-		&s->all_memory, now, v->id, w->prompt, CHOOSE_CACHED_MS) ||
+	    server_memory_has(&s->all_memory, now, server_cache_id(v),
+		w->prompt, CHOOSE_CACHED_MS) ||
 	    choose_fetch_ms(v, source, w, view) >=
 		w->shared / server_speed_tokens_per_ms(&v->speed))
 		return NULL;
--- a/server-memory.c
+++ b/server-memory.c
@@ -9,18 +9,18 @@
 #define MEMORY_UNIT_MS 100
 
 static uint64_t
-memory_hash(name_id server, uint64_t prompt)
+memory_hash(uint64_t cache, uint64_t prompt)
 {
-	uint64_t words[2] = { server, prompt };
+	uint64_t words[2] = { cache, prompt };
 
 	return XXH64(words, sizeof words, 2);
 }
 
 void
 server_memory_note(
-    struct server_memory *m, msec now, name_id server, uint64_t prompt)
+    struct server_memory *m, msec now, uint64_t cache, uint64_t prompt)
 {
-	uint64_t hash = memory_hash(server, prompt);
+	uint64_t hash = memory_hash(cache, prompt);
 	size_t i = hash % SERVER_MEMORY_PLACES;
 
 	if (m->places[i].key != (uint32_t)(hash >> 32) || m->places[i].at == 0)
@@ -31,9 +31,9 @@
 
 void
 server_memory_note_read(
-    struct server_memory *m, name_id server, uint64_t prompt)
+    struct server_memory *m, uint64_t cache, uint64_t prompt)
 {
-	uint64_t hash = memory_hash(server, prompt);
+	uint64_t hash = memory_hash(cache, prompt);
 	size_t i = hash % SERVER_MEMORY_PLACES;
 
 	if (m->places[i].key == (uint32_t)(hash >> 32))
@@ -41,9 +41,9 @@
 }
 
 void
-server_memory_forget(struct server_memory *m, name_id server, uint64_t prompt)
+server_memory_forget(struct server_memory *m, uint64_t cache, uint64_t prompt)
 {
-	uint64_t hash = memory_hash(server, prompt);
+	uint64_t hash = memory_hash(cache, prompt);
 	size_t i = hash % SERVER_MEMORY_PLACES;
 
 	if (m->places[i].key == (uint32_t)(hash >> 32))
@@ -51,10 +51,10 @@
 }
 
 bool
-server_memory_has(const struct server_memory *m, msec now, name_id server,
+server_memory_has(const struct server_memory *m, msec now, uint64_t cache,
     uint64_t prompt, msec within)
 {
-	uint64_t hash = memory_hash(server, prompt);
+	uint64_t hash = memory_hash(cache, prompt);
 	size_t i = hash % SERVER_MEMORY_PLACES;
 	uint32_t at = m->places[i].at;
 
@@ -64,11 +64,11 @@
 }
 
 bool
-server_memory_has_read(const struct server_memory *m, msec now, name_id server,
+server_memory_has_read(const struct server_memory *m, msec now, uint64_t cache,
     uint64_t prompt, msec within)
 {
-	size_t i = memory_hash(server, prompt) % SERVER_MEMORY_PLACES;
+	size_t i = memory_hash(cache, prompt) % SERVER_MEMORY_PLACES;
 
-	return server_memory_has(m, now, server, prompt, within) &&
+	return server_memory_has(m, now, cache, prompt, within) &&
 	       m->places[i].read;
 }
--- a/server-memory.h
+++ b/server-memory.h
@@ -25,20 +25,23 @@
 	} places[SERVER_MEMORY_PLACES];
 };
 
-/* Records that the server reads the prompt, or uses its cached copy. */
+/*
+ * Records that a server reads the prompt, or uses its cached copy; `cache`: its
+ * server_cache_id(), so that a restarted server holds nothing.
+ */
 void server_memory_note(
-    struct server_memory *, msec, name_id server, uint64_t prompt);
+    struct server_memory *, msec, uint64_t cache, uint64_t prompt);
 /* The server has read a prompt that was noted. */
 void server_memory_note_read(
-    struct server_memory *, name_id server, uint64_t prompt);
+    struct server_memory *, uint64_t cache, uint64_t prompt);
 /* Returns true if server_memory_has(), and it has read the whole prompt. */
-bool server_memory_has_read(const struct server_memory *, msec, name_id server,
+bool server_memory_has_read(const struct server_memory *, msec, uint64_t cache,
     uint64_t prompt, msec within);
 /* Removes the record: the request ended before its prompt was read. */
 void
-server_memory_forget(struct server_memory *, name_id server, uint64_t prompt);
+server_memory_forget(struct server_memory *, uint64_t cache, uint64_t prompt);
 /* Returns true if that was recorded within the last `within` ms. */
-bool server_memory_has(const struct server_memory *, msec, name_id server,
+bool server_memory_has(const struct server_memory *, msec, uint64_t cache,
     uint64_t prompt, msec within);
 
 #endif /* SERVER_MEMORY_H */
--- a/server.c
+++ b/server.c
@@ -34,6 +34,9 @@
  */
 #define REACH_MISSES_MIN 2
 
+/* Distance of the cache ids of a server's processes; odd, so none repeats. */
+#define CACHE_ID_STEP 0x9e3779b97f4a7c15ULL
+
 RB_GENERATE(server_tree, server, entry, server_compare)
 
 int
@@ -93,6 +96,12 @@
 }
 
 static void
+uint64_t
+server_cache_id(const struct server *v)
+{
+	return v->id + v->starts * CACHE_ID_STEP;
+}
+
 server_set_software(struct server *v, const char *software)
 {
 	g_strlcpy(
--- a/server.h
+++ b/server.h
@@ -156,6 +156,8 @@
 /* Returns a server by its id, or NULL. */
 struct server *servers_find(struct servers *, name_id);
 /* Adds a server or updates it by the platform's current entry. */
+/* Identifies the cache of the server's current process. */
+uint64_t server_cache_id(const struct server *);
 void servers_list(struct servers *, msec, const struct server_entry *);
 /* The first list was read completely: servers added from now on are new. */
 void servers_set_complete(struct servers *);
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -280,6 +280,30 @@
 	servers_finish(&s);
 }
 
+/*
+ * Guards against prompts sent to a server that starts again under its name as
+ * if it still held them: all of them would be read again, one after another.
+ */
+static void
+test_cache_of_restarted(void)
+{
+	struct server_view view = { .all = true, .domain = "", .groups = 1 };
+	struct server *v, *home;
+	struct servers s;
+
+	servers_init(&s, &ops);
+	list_server(&s, 0, "a", false, 5);
+	list_server(&s, 0, "b", false, 5);
+	home = choose_server(&s, 0, 7, &view);
+	v = servers_find(
+	    &s, name_hash(strcmp(home->name, "a") == 0 ? "b" : "a"));
+	server_memory_note(&s.all_memory, 0, server_cache_id(v), 7);
+	g_assert_true(choose_server(&s, 1, 7, &view) == v);
+	list_server(&s, 2, v->name, false, 6);
+	g_assert_true(choose_server(&s, 3, 7, &view) == home);
+	servers_finish(&s);
+}
+
 /* Two nodes without messages between them choose the same home server. */
 static void
 test_home(void)
@@ -736,6 +760,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/server/cache-of-restarted", test_cache_of_restarted);
 	g_test_add_func("/server/draining", test_draining);
 	g_test_add_func("/server/hold", test_hold);
 	g_test_add_func("/server/doubt", test_doubt);
