Speeds are measured by prompts read alone, and count relative to the group

And one speed for all servers, whatever it is, only moves the weights of the other costs.

Change: a server is measured by a prompt that it read with no other to read, and its speed counts relative to the mean of its group. Where all are equally fast nothing changes.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -38,8 +38,7 @@
 	name_id route;
 	uint64_t prompt;	/* shared prefix new to its server; 0: none */
 	uint64_t shared_prompt; /* shared prefix; 0: none */
-	/* Unread on its server when it was placed, with its own; 0: unknown. */
-	unsigned int backlog;
+	bool alone;		/* its server had no other prompt to read */
 	unsigned int rank;
 	unsigned int tokens; /* unread prompt tokens */
 	bool model;	     /* the request has a prompt */
@@ -281,14 +280,14 @@
 	msec coordinates = now - p->coordinator_since;
 
 	view.sole = all && place_has_coordinator(p);
+	view.typical_speed =
+	    servers_typical_speed(p->servers, w->service, &view);
 	view.young = coordinates < PLACE_YOUNG_MS;
 	view.takeover = coordinates < PLACE_TAKEOVER_MS;
 	/* A retried request counts as urgent. */
 	view.urgent = w->navoid > 0 || !mix_has_more_urgent(m, w->rank);
 	if (w->own + w->shared > 0) {
 		view.light = mix_is_light(m, w->route);
-		view.typical_speed =
-		    servers_typical_speed(p->servers, w->service, &view);
 		view.quiet = mix_quiet_servers(m, now,
 		    all ? 1 : MAX(p->max_nodes, 1),
 		    servers_count_unthrottled(p->servers, w->service, &view),
@@ -530,7 +529,7 @@
 	v = server_choose(p->servers, now, w, &view, g_rand_int(p->rand));
 	if (v == NULL)
 		return NULL;
-	q->ahead = MIN(server_reading_ms(v, &v->all, w->rank),
+	q->ahead = MIN(server_reading_ms(v, w->rank, &view),
 	    servers_reading_ms(p->servers, w->service, w->rank, &view));
 	q->limit = coordinate_limit(
 	    place_traffic(&p->all, w->service), w, &view, returns);
@@ -542,7 +541,7 @@
 	}
 	from = server_fetch_source(p->servers, now, w, &view, v);
 	place_record_begin(p, now, node, id, v, w, q, from);
-	q->wait = server_reading_ms(v, &v->all, SERVER_RANKS);
+	q->wait = server_reading_ms(v, SERVER_RANKS, &view);
 	if (from != NULL)
 		q->wait += MAX(v->fetches_until - now, 0);
 	else
@@ -613,8 +612,8 @@
 {
 	struct server *v = servers_find(p->servers, h->server);
 
-	if (v != NULL && h->backlog > 0 && h->tokens > 0)
-		server_speed_record(&v->speed, h->backlog, now - h->since);
+	if (v != NULL && h->alone && h->tokens > 0)
+		server_speed_record(&v->speed, h->tokens, now - h->since);
 }
 
 void
--- a/server-choose.c
+++ b/server-choose.c
@@ -189,6 +189,19 @@
 	return false;
 }
 
+/*
+ * Speed of a server relative to the others, in prompt tokens per ms of a server
+ * of mean speed.
+ */
+static double
+choose_tokens_per_ms(const struct server *v, const struct server_view *view)
+{
+	if (view->typical_speed <= 0)
+		return SERVER_SPEED_DEFAULT;
+	return SERVER_SPEED_DEFAULT * server_speed_tokens_per_ms(&v->speed) /
+	       view->typical_speed;
+}
+
 /*
  * Rank by which quiet servers are selected: slow servers come last, as a light
  * request on one waits too long for its tokens beside others' prompts.
@@ -329,7 +342,7 @@
 	if (source != NULL && source != v)
 		cost = MIN(cost, choose_fetch_ms(v, source, w, view) +
 				     CHOOSE_COPY_FACTOR * w->shared /
-					 server_speed_tokens_per_ms(&v->speed));
+					 choose_tokens_per_ms(v, view));
 	return cost;
 }
 
@@ -355,7 +368,7 @@
 	const struct server_load *l = view->all ? &v->all : &v->own;
 	double tokens = (double)l->unread + w->own, cost;
 
-	cost = tokens / server_speed_tokens_per_ms(&v->speed) +
+	cost = tokens / choose_tokens_per_ms(v, view) +
 	       l->running * CHOOSE_RUNNING_MS;
 	cost += choose_prompt_cost(s, v, now, w, view, home, source);
 	cost += choose_slot_wait(v, l, view);
@@ -377,16 +390,17 @@
 
 msec
 server_reading_ms(
-    const struct server *v, const struct server_load *l, unsigned int rank)
+    const struct server *v, unsigned int rank, const struct server_view *view)
 {
 	uint64_t tokens = 0;
 	unsigned int i;
 
 	for (i = 0; i <= MIN(rank, SERVER_RANKS - 1); i++)
 		tokens += l->unread_by[i];
-	return (msec)((double)tokens / server_speed_tokens_per_ms(&v->speed));
+	return (msec)((double)tokens / choose_tokens_per_ms(v, view));
 }
 
+	const struct server_load *l = view->all ? &v->all : &v->own;
 msec
 servers_reading_ms(struct servers *s, name_id service, unsigned int rank,
     const struct server_view *view)
@@ -401,8 +415,7 @@
 		    (choose_rank(v, view) <= quiet_rank) != view->light ||
 		    v->rate.per_s > 0)
 			continue;
-		sum +=
-		    server_reading_ms(v, view->all ? &v->all : &v->own, rank);
+		sum += server_reading_ms(v, rank, view);
 		n++;
 	}
 	return n > 0 ? sum / n : MSEC_NEVER;
@@ -555,7 +568,7 @@
 	    server_memory_has(&s->all_memory, now, server_cache_id(v),
 		w->prompt, CHOOSE_CACHED_MS) ||
 	    choose_fetch_ms(v, source, w, view) >=
-		w->shared / server_speed_tokens_per_ms(&v->speed))
+		w->shared / choose_tokens_per_ms(v, view))
 		return NULL;
 	return source;
 }
@@ -573,7 +586,7 @@
 	if (home == NULL || home == v ||
 	    choose_has_prompt(s, v, now, w, view, home) ||
 	    prompt_transfer_ms(view->transfer, w->shared) >=
-		w->shared / server_speed_tokens_per_ms(&v->speed))
+		w->shared / choose_tokens_per_ms(v, view))
 		return NULL;
 	return servers_find(s, home->id);
 }
--- a/server.h
+++ b/server.h
@@ -335,7 +335,7 @@
 msec servers_rate_wait(struct servers *, name_id service);
 /* Estimated time to read the unread prompts up to a rank, in ms. */
 msec server_reading_ms(
-    const struct server *, const struct server_load *, unsigned int rank);
+    const struct server *, unsigned int rank, const struct server_view *);
 /* The average over the view's servers, in ms; MSEC_NEVER: it has none. */
 msec servers_reading_ms(struct servers *, name_id service, unsigned int rank,
     const struct server_view *);
