--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -41,6 +41,7 @@
 	bool alone;		/* its server had no other prompt to read */
 	unsigned int rank;
 	unsigned int tokens; /* unread prompt tokens */
+	unsigned int own;    /* prompt tokens after the shared prefix */
 	bool model;	     /* the request has a prompt */
 	bool near_limit;     /* it was admitted near the limit */
 	bool late;	     /* recorded as late in the limit */
@@ -279,9 +280,9 @@
 		.transfer = &place_traffic(&p->own, w->service)->transfer };
 	msec coordinates = now - p->coordinator_since;
 
-	view.sole = all && place_has_coordinator(p);
 	view.typical_speed =
 	    servers_typical_speed(p->servers, w->service, &view);
+	view.sole = all && place_has_coordinator(p);
 	view.young = coordinates < PLACE_YOUNG_MS;
 	view.takeover = coordinates < PLACE_TAKEOVER_MS;
 	/* A retried request counts as urgent. */
@@ -365,8 +366,10 @@
 		server_memory_forget(
 		    &p->servers->all_memory, h->cache, h->prompt);
 	place_record_prompt_read(p, h);
-	if (v != NULL)
+	if (v != NULL) {
 		place_load_end(&v->all);
+		v->space.running -= MIN(v->space.running, h->own);
+	}
 	if (h->counted)
 		mix_ended(place_traffic(&p->all, h->service), now, h->route);
 	RB_REMOVE(place_records, &p->records, h);
@@ -402,9 +405,9 @@
 	h->node = node;
 	h->id = id;
 	h->server = v->id;
+	h->cache = server_cache_id(v);
 	h->service = w->service;
 	h->route = w->route;
-	h->cache = server_cache_id(v);
 	h->rank = w->rank;
 	if (RB_INSERT(place_records, &p->records, h) != NULL) {
 		g_free(h);
@@ -429,8 +432,15 @@
 	h->since = now;
 	server_rate_take(&v->rate, now);
 	place_load_add(&v->all, h->rank, h->tokens);
-	if (q != NULL && source == NULL)
-		h->backlog = (unsigned int)MIN(v->all.unread, UINT_MAX);
+	h->alone = q != NULL && source == NULL && v->all.unread == h->tokens &&
+		   (h->prompt != 0 || w->prompt == 0);
+	h->own = w->own;
+	v->space.running += w->own;
+	if (w->prompt != 0)
+		prompt_space_use(&v->space, now,
+		    server_memory_last_use(
+			&p->servers->all_memory, h->cache, w->prompt),
+		    w->shared);
 	if (w->prompt != 0)
 		server_memory_note(&p->servers->all_memory, now,
 		    server_cache_id(v), w->prompt);
--- a/server-choose.c
+++ b/server-choose.c
@@ -327,6 +327,14 @@
 	    v->fetches_until, w->shared);
 }
 
+static bool
+choose_has_space(const struct server *v, const struct server_wish *w,
+    const struct server_view *view)
+{
+	return prompt_space_has_room(
+	    &v->space, view->transfer, view->now, w->shared);
+}
+
 /* Cost of the shared part of the prompt on a server, in ms. */
 static double
 choose_prompt_cost(struct servers *s, const struct server *v, msec now,
@@ -338,8 +346,8 @@
 	if (choose_has_prompt(s, v, now, w, view, home))
 		return 0;
 	cost = w->shared * (v == home ? 1.0 : CHOOSE_REREAD_FACTOR) /
-	       server_speed_tokens_per_ms(&v->speed);
-	if (source != NULL && source != v)
+	       choose_tokens_per_ms(v, view);
+	if (source != NULL && source != v && choose_has_space(v, w, view))
 		cost = MIN(cost, choose_fetch_ms(v, source, w, view) +
 				     CHOOSE_COPY_FACTOR * w->shared /
 					 choose_tokens_per_ms(v, view));
@@ -392,6 +400,7 @@
 server_reading_ms(
     const struct server *v, unsigned int rank, const struct server_view *view)
 {
+	const struct server_load *l = view->all ? &v->all : &v->own;
 	uint64_t tokens = 0;
 	unsigned int i;
 
@@ -400,7 +409,6 @@
 	return (msec)((double)tokens / choose_tokens_per_ms(v, view));
 }
 
-	const struct server_load *l = view->all ? &v->all : &v->own;
 msec
 servers_reading_ms(struct servers *s, name_id service, unsigned int rank,
     const struct server_view *view)
--- a/server-memory.c
+++ b/server-memory.c
@@ -72,3 +72,15 @@
 	return server_memory_has(m, now, cache, prompt, within) &&
 	       m->places[i].read;
 }
+
+msec
+server_memory_last_use(
+    const struct server_memory *m, uint64_t cache, uint64_t prompt)
+{
+	uint64_t hash = memory_hash(cache, prompt);
+	size_t i = hash % SERVER_MEMORY_PLACES;
+
+	if (m->places[i].at == 0 || m->places[i].key != (uint32_t)(hash >> 32))
+		return MSEC_NEVER;
+	return (msec)(m->places[i].at - 1) * MEMORY_UNIT_MS;
+}
--- a/server-memory.h
+++ b/server-memory.h
@@ -37,6 +37,9 @@
 /* Returns true if server_memory_has(), and it has read the whole prompt. */
 bool server_memory_has_read(const struct server_memory *, msec, uint64_t cache,
     uint64_t prompt, msec within);
+/* When the server used the prompt last; MSEC_NEVER: not recorded. */
+msec server_memory_last_use(
+    const struct server_memory *, uint64_t cache, uint64_t prompt);
 /* Removes the record: the request ended before its prompt was read. */
 void
 server_memory_forget(struct server_memory *, uint64_t cache, uint64_t prompt);
--- a/server-mix.h
+++ b/server-mix.h
@@ -34,7 +34,7 @@
 struct mix {
 	RB_ENTRY(mix) entry;
 	name_id service;
-	unsigned int servers_max; /* configured maximum; 0: none */
+	unsigned int servers_max;	 /* configured maximum; 0: none */
 	struct prompt_transfer transfer; /* as configured */
 	unsigned int nroutes;
 	struct mix_route routes[MIX_ROUTES_MAX];
--- a/server.c
+++ b/server.c
@@ -87,6 +87,7 @@
 	v->down = false;
 	v->first_ms = 0;
 	v->speed = (struct server_speed){ 0 };
+	v->space.used = v->space.used_before = 0;
 	v->received = 0;
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
@@ -95,13 +96,13 @@
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
-static void
 uint64_t
 server_cache_id(const struct server *v)
 {
 	return v->id + v->starts * CACHE_ID_STEP;
 }
 
+static void
 server_set_software(struct server *v, const char *software)
 {
 	g_strlcpy(
--- a/server.h
+++ b/server.h
@@ -83,6 +83,7 @@
 	struct server_load all; /* of all nodes, as coordinator */
 	msec fetches_until;	/* end of its transfers, as coordinator */
 	struct server_speed speed; /* as coordinator */
+	struct prompt_space space; /* the same */
 	/* Measured by the requests of this node. */
 	unsigned int failures; /* consecutive */
 	msec resting_until;    /* chosen last before this, after failures */
@@ -155,9 +156,9 @@
 void servers_finish(struct servers *);
 /* Returns a server by its id, or NULL. */
 struct server *servers_find(struct servers *, name_id);
-/* Adds a server or updates it by the platform's current entry. */
 /* Identifies the cache of the server's current process. */
 uint64_t server_cache_id(const struct server *);
+/* Adds a server or updates it by the platform's current entry. */
 void servers_list(struct servers *, msec, const struct server_entry *);
 /* The first list was read completely: servers added from now on are new. */
 void servers_set_complete(struct servers *);
@@ -325,9 +326,9 @@
  * most probably does, and from which `v` should fetch what it holds; NULL: the
  * node knows, or `v` should read the prompt.
  */
-struct server *server_guess_source(struct servers *, msec,
-    const struct server_wish *, const struct server_view *,
-    const struct server *v);
+struct server *
+server_guess_source(struct servers *, msec, const struct server_wish *,
+    const struct server_view *, const struct server *v);
 /*
  * If all ready servers of a service have a rate limit: the shortest time until
  * one of them takes another request, in ms; else 0.
