Speeds are multiples of what a prompt of that route takes elsewhere

Cause: /place-rate/tiers fails since speeds are learned (urgent 170, less urgent 87, bound twice): a server's first answer has a part that does not depend on the prompt's length, so a server with short prompts looked slow and changed its place among the quiet ones.

Change: the time of a prompt that a server reads alone is compared with the mean for that route and length over the service.

Ruled out: a greater minimum length (the part differs between services).

The test: urgent 180, less urgent 78, as with one speed for all.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -280,8 +280,7 @@
 		.transfer = &place_traffic(&p->own, w->service)->transfer };
 	msec coordinates = now - p->coordinator_since;
 
-	view.typical_speed =
-	    servers_typical_speed(p->servers, w->service, &view);
+	view.mean_speed = servers_mean_speed(p->servers, w->service, &view);
 	view.sole = all && place_has_coordinator(p);
 	view.young = coordinates < PLACE_YOUNG_MS;
 	view.takeover = coordinates < PLACE_TAKEOVER_MS;
@@ -617,13 +616,22 @@
 		server_room_rejected(&v->room, now, v->slots);
 }
 
+/*
+ * Only prompts that a server reads alone show its speed: how others share it
+ * depends on their tiers and on what it holds.
+ */
 static void
 place_record_speed(struct place *p, msec now, const struct place_record *h)
 {
+	struct mix *m = place_traffic(&p->all, h->service);
 	struct server *v = servers_find(p->servers, h->server);
+	msec ms = now - h->since;
 
-	if (v != NULL && h->alone && h->tokens > 0)
-		server_speed_record(&v->speed, h->tokens, now - h->since);
+	if (v == NULL || !h->alone || h->tokens == 0)
+		return;
+	server_speed_record(
+	    &v->speed, mix_expected_read_ms(m, h->route, h->tokens), ms);
+	mix_record_read(m, h->route, h->tokens, ms);
 }
 
 void
--- a/server-choose.c
+++ b/server-choose.c
@@ -13,6 +13,8 @@
 
 #include <xxhash.h>
 
+/* Assumed prefill speed of a server in prompt tokens per millisecond. */
+#define CHOOSE_TOKENS_PER_MS 60.0
 /*
  * Weight of reading a shared prefix again: it costs more than its own time, as
  * it delays all other streams of the server.
@@ -146,7 +148,7 @@
 }
 
 double
-servers_typical_speed(
+servers_mean_speed(
     struct servers *s, name_id service, const struct server_view *view)
 {
 	struct server *v;
@@ -156,7 +158,7 @@
 	RB_FOREACH (v, server_tree, &s->tree) {
 		if (!choose_in_view(v, service, view))
 			continue;
-		sum += server_speed_tokens_per_ms(&v->speed);
+		sum += server_speed_factor(&v->speed);
 		n++;
 	}
 	return n > 0 ? sum / n : 0;
@@ -189,17 +191,14 @@
 	return false;
 }
 
-/*
- * Speed of a server relative to the others, in prompt tokens per ms of a server
- * of mean speed.
- */
+/* Prompt tokens that a server reads per ms, by its speed among the others. */
 static double
 choose_tokens_per_ms(const struct server *v, const struct server_view *view)
 {
-	if (view->typical_speed <= 0)
-		return SERVER_SPEED_DEFAULT;
-	return SERVER_SPEED_DEFAULT * server_speed_tokens_per_ms(&v->speed) /
-	       view->typical_speed;
+	if (view->mean_speed <= 0)
+		return CHOOSE_TOKENS_PER_MS;
+	return CHOOSE_TOKENS_PER_MS * server_speed_factor(&v->speed) /
+	       view->mean_speed;
 }
 
 /*
@@ -209,8 +208,8 @@
 static uint64_t
 choose_rank(const struct server *v, const struct server_view *view)
 {
-	bool slow = server_speed_tokens_per_ms(&v->speed) <
-		    view->typical_speed * CHOOSE_SLOW_PART;
+	bool slow = server_speed_factor(&v->speed) <
+		    view->mean_speed * CHOOSE_SLOW_PART;
 
 	return v->rank / 2 + (slow ? UINT64_MAX / 2 : 0);
 }
--- a/server-mix.c
+++ b/server-mix.c
@@ -144,6 +144,28 @@
 	r->running--;
 }
 
+void
+mix_record_read(struct mix *m, name_id route, unsigned int tokens, msec ms)
+{
+	struct mix_route *r = mix_find(m, route);
+	double each;
+
+	if (r == NULL || tokens == 0)
+		return;
+	each = (double)ms / tokens;
+	if (r->read_ms_per_token <= 0)
+		r->read_ms_per_token = each;
+	r->read_ms_per_token += MIX_ALPHA * (each - r->read_ms_per_token);
+}
+
+double
+mix_expected_read_ms(const struct mix *m, name_id route, unsigned int tokens)
+{
+	const struct mix_route *r = mix_find(m, route);
+
+	return r != NULL ? r->read_ms_per_token * tokens : 0;
+}
+
 void
 mix_record_hold_time(struct mix *m, msec held)
 {
--- a/server-mix.h
+++ b/server-mix.h
@@ -28,6 +28,7 @@
 	double busy;	      /* `running` smoothed over time */
 	msec busy_at;
 	struct server_refusals refusals; /* replies of coordinators */
+	double read_ms_per_token; /* of its prompts, smoothed; 0: none yet */
 };
 
 /* Statistics of a service. */
@@ -58,6 +59,11 @@
 void mix_ended(struct mix *, msec, name_id route);
 /* Adds requests of a new route that were running before it was known. */
 void mix_add_running(struct mix *, msec, name_id route, unsigned int running);
+/* A server read so many prompt tokens of a route's request in so many ms. */
+void mix_record_read(struct mix *, name_id route, unsigned int tokens, msec ms);
+/* The time in ms that this takes on the service's servers; 0: not known. */
+double
+mix_expected_read_ms(const struct mix *, name_id route, unsigned int tokens);
 /* Records the time in ms that an answered request was on its server. */
 void mix_record_hold_time(struct mix *, msec);
 /*
--- a/server-speed.c
+++ b/server-speed.c
@@ -6,31 +6,28 @@
 
 #include <glib.h>
 
-/* Shorter work is dominated by the network and the server's other delays. */
-#define SPEED_TOKENS_MIN 3000
-/* Part that earlier measurements keep with each new one. */
+/* Part of their weight that earlier measurements keep with each new one. */
 #define SPEED_KEEP 0.9
-/* Weight of the default, in tokens: about one long prompt. */
-#define SPEED_PRIOR_TOKENS 16000.0
-/* Bounds as multiples of the default. */
-#define SPEED_MIN_FACTOR 0.2
-#define SPEED_MAX_FACTOR 4.0
+/* Weight of the expected speed, in measurements. */
+#define SPEED_PRIOR 5.0
+/* Limit of a single measurement, as a multiple of the expected time. */
+#define SPEED_RATIO_MAX 5.0
 
 void
-server_speed_record(struct server_speed *s, unsigned int tokens, msec ms)
+server_speed_record(struct server_speed *s, double expected, msec ms)
 {
-	if (tokens < SPEED_TOKENS_MIN || ms <= 0)
+	double ratio;
+
+	if (expected <= 0 || ms <= 0)
 		return;
-	s->tokens = s->tokens * SPEED_KEEP + tokens;
-	s->ms = s->ms * SPEED_KEEP + (double)ms;
+	ratio = (double)ms / expected;
+	s->ratios = s->ratios * SPEED_KEEP +
+		    CLAMP(ratio, 1 / SPEED_RATIO_MAX, SPEED_RATIO_MAX);
+	s->weight = s->weight * SPEED_KEEP + 1;
 }
 
 double
-server_speed_tokens_per_ms(const struct server_speed *s)
+server_speed_factor(const struct server_speed *s)
 {
-	double speed = (s->tokens + SPEED_PRIOR_TOKENS) /
-		       (s->ms + SPEED_PRIOR_TOKENS / SERVER_SPEED_DEFAULT);
-
-	return CLAMP(speed, SERVER_SPEED_DEFAULT * SPEED_MIN_FACTOR,
-	    SERVER_SPEED_DEFAULT * SPEED_MAX_FACTOR);
+	return (s->weight + SPEED_PRIOR) / (s->ratios + SPEED_PRIOR);
 }
--- a/server-speed.h
+++ b/server-speed.h
@@ -1,7 +1,8 @@
 /*
- * How fast a backend server reads (prefills) prompts. Servers of one service
- * differ: the same queue of prompts keeps one busy twice as long as another.
- * The coordinator of a server measures it by the requests that it has placed.
+ * How fast a backend server reads (prefills) prompts, compared with the others
+ * of its service. Servers of one service may differ: the same queue of prompts
+ * keeps one busy twice as long as another. The coordinator of a server measures
+ * it by requests that it has placed.
  */
 
 #ifndef SERVER_SPEED_H
@@ -9,20 +10,17 @@
 
 #include "savory.h"
 
-/* Speed assumed until a server is measured, in prompt tokens per ms. */
-#define SERVER_SPEED_DEFAULT 60.0
-
 /* Measurements of a server; all zero bytes are none. */
 struct server_speed {
-	double tokens, ms; /* read, and in which time; older ones count less */
+	double ratios, weight; /* older measurements count less */
 };
 
 /*
- * The server has begun to answer a request `ms` after it was placed; `tokens`:
- * prompt tokens that it had to read until then.
+ * The server read a prompt in `ms`, where the servers of its service take
+ * `expected` ms.
  */
-void server_speed_record(struct server_speed *, unsigned int tokens, msec ms);
-/* The server's speed in prompt tokens per ms. */
-double server_speed_tokens_per_ms(const struct server_speed *);
+void server_speed_record(struct server_speed *, double expected, msec ms);
+/* The server's speed as a multiple of the expected one; 1 if not measured. */
+double server_speed_factor(const struct server_speed *);
 
 #endif /* SERVER_SPEED_H */
--- a/server.h
+++ b/server.h
@@ -283,10 +283,10 @@
 	unsigned int groups, group; /* of the service's servers; see place.h */
 	unsigned int nodes;	    /* number of nodes */
 	msec now;
-	bool urgent;	      /* no route of the service is more urgent */
-	bool takeover;	      /* the previous coordinator may still be active */
-	bool sole;	      /* as coordinator for all nodes */
-	double typical_speed; /* of a server, in prompt tokens per ms */
+	bool urgent;	   /* no route of the service is more urgent */
+	bool takeover;	   /* the previous coordinator may still be active */
+	bool sole;	   /* as coordinator for all nodes */
+	double mean_speed; /* of these servers; see server-speed.h */
 	/* How servers transfer cached prompts; NULL: not at all. */
 	const struct prompt_transfer *transfer;
 };
@@ -296,8 +296,8 @@
 /* Number of the service's ready servers in the view's group. */
 unsigned int servers_count_ready(
     struct servers *, name_id service, const struct server_view *);
-/* The mean speed of these servers in prompt tokens per ms; 0: no servers. */
-double servers_typical_speed(
+/* The mean of these servers' speeds; 0: no servers. See server-speed.h. */
+double servers_mean_speed(
     struct servers *, name_id service, const struct server_view *);
 /* The same without servers that are short of their rate limit. */
 unsigned int servers_count_unthrottled(
