--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -144,6 +144,18 @@
 	terms->after = j->last_event;
 }
 
+/* The server to fetch the shared part of the prompt from, or NULL. */
+static const struct server *
+job_fetch_source(const struct job *j)
+{
+	struct server *v;
+
+	if (j->place.source == 0)
+		return NULL;
+	v = servers_find(&j->owner->servers, j->place.source);
+	return v != NULL && v->state != SERVER_GONE && !v->down ? v : NULL;
+}
+
 /* Write the request as it is sent to a server. */
 static void
 job_write_request(
@@ -156,9 +168,10 @@
 
 	if (j->organisation != NULL)
 		terms.organisation = j->organisation->name;
-	if (j->place.source != 0)
-		terms.source =
-		    servers_find(&j->owner->servers, j->place.source);
+	terms.source = job_fetch_source(j);
+	g_strlcpy(j->source_name,
+	    terms.source != NULL ? terms.source->name : "",
+	    sizeof j->source_name);
 	job_set_resume_terms(j, &terms);
 	job_write_head(j, &terms, false, out);
 	job_write_body(j, out);
--- a/entry-job.c
+++ b/entry-job.c
@@ -108,6 +108,7 @@
 	const char *server = *j->server_name != '\0' ? j->server_name : NULL;
 	const char *resumes = j->request.resumes ? j->request.began_as : NULL;
 	const char *software = *j->software != '\0' ? j->software : NULL;
+	const char *source = *j->source_name != '\0' ? j->source_name : NULL;
 	const char *carrier = *j->carrier_name != '\0' ? j->carrier_name : NULL;
 	char fingerprint[POISON_ID_SIZE];
 	msec first = j->first_at != 0 ? j->first_at - j->arrived : MSEC_NEVER;
@@ -123,7 +124,7 @@
 	    LOG_TEXT(LOG_KEY_ORGANISATION, organisation),
 	    LOG_TEXT(LOG_KEY_SAME, job_fingerprint_text(j, fingerprint)),
 	    LOG_TEXT(LOG_KEY_RESUMES, resumes),
-	    LOG_TEXT(LOG_KEY_SERVER, server),
+	    LOG_TEXT(LOG_KEY_SERVER, server), LOG_TEXT(LOG_KEY_SOURCE, source),
 	    LOG_TEXT(LOG_KEY_SOFTWARE, software),
 	    LOG_TEXT(LOG_KEY_CARRIER, carrier),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -292,6 +292,9 @@
 	    (int64_t)p->alone_refused);
 	text_value(s, "placements_made_total", "counter",
 	    "Placed here as coordinator.", (int64_t)p->coordinated);
+	text_value(s, "placements_returned_total", "counter",
+	    "Admitted here as coordinator after an earlier refusal.",
+	    (int64_t)p->returned);
 	text_value(s, "prompt_tokens_total", "counter",
 	    "Prompt tokens of requests placed here as coordinator.",
 	    (int64_t)p->tokens);
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -678,6 +678,7 @@
 	unsigned int rank, shared, own, subjects;
 	msec target, gap;
 	unsigned int asked, refused, late;
+	unsigned int lost; /* refused, and not repeated any more */
 };
 
 /* A request at a simulated server. */
@@ -688,9 +689,15 @@
 	double unread; /* tokens not yet processed */
 	msec sent, ends;
 	bool active;
+	bool returned;
+	msec returns_at; /* 0: it does not wait to return */
 };
 
 static struct load_request load[LOAD_REQUESTS];
+/* The servers before this number read at half the speed. */
+static unsigned int load_slow_servers;
+/* Callers repeat a refused request once, after this time; 0: never. */
+static msec load_return_ms;
 
 /* Keys of server and prompt in the servers' caches; NULL: no caches. */
 static GHashTable *cached_prompts;
@@ -736,10 +743,18 @@
 	return best;
 }
 
+static double
+load_speed(name_id server)
+{
+	const struct server *v = servers_find(&nodes[0].servers, server);
+
+	return atoi(v->name + 1) < (int)load_slow_servers ? 0.5 : 1;
+}
+
 static void
 load_process_prompts(name_id server, unsigned int n)
 {
-	double can = LOAD_TOKENS_PER_MS;
+	double can = LOAD_TOKENS_PER_MS * load_speed(server);
 	struct load_request *q;
 
 	while (can > 0 && (q = load_next_request(server, n)) != NULL) {
@@ -784,11 +799,25 @@
 		.own = k->own,
 		.gap_target = k->gap,
 		.target = k->target,
-		.rank = k->rank };
+		.rank = k->rank,
+		.repeat = (uint64_t)(q - load) + 1 };
 	k->asked++;
 	place_submit(&q->node->place, clock_now, &q->place);
 }
 
+/* The caller repeats the request once. */
+static void
+load_refused(struct load_request *q)
+{
+	q->kind->refused++;
+	if (load_return_ms == 0 || q->returned) {
+		q->kind->lost++;
+		return;
+	}
+	q->returned = true;
+	q->returns_at = clock_now + load_return_ms;
+}
+
 /* The request starts at its server or is refused. */
 static void
 load_decided(struct place_request *r, struct server *v)
@@ -796,13 +825,14 @@
 	struct load_request *q = r->arg;
 
 	if (place_queue_exceeds_limit(&r->queue)) {
-		q->kind->refused++;
 		place_end(&q->node->place, clock_now, r, SERVER_NO_RESULT);
+		load_refused(q);
 		return;
 	}
 	q->active = true;
 	q->unread = v != NULL ? r->wish.own + r->wish.shared : 1;
-	if (v != NULL && cache_has(v->id, r->wish.prompt))
+	if (v != NULL && (cache_has(v->id, r->wish.prompt) ||
+			     cache_has(r->source, r->wish.prompt)))
 		q->unread = r->wish.own;
 }
 
@@ -817,6 +847,15 @@
 			load_submit(&load[(*n)++], &kinds[i]);
 	}
 	g_assert_cmpuint(*n, <, LOAD_REQUESTS - nkinds);
+	for (i = 0; i < *n; i++) {
+		if (load[i].returns_at != 0 &&
+		    clock_now >= load[i].returns_at) {
+			load[i].returns_at = 0;
+			load[i].node = load_pick_node();
+			place_submit(
+			    &load[i].node->place, clock_now, &load[i].place);
+		}
+	}
 	/* Messages arrive without delay. */
 	delay = 0;
 	fleet_run(1);
@@ -871,6 +910,8 @@
 	fleet_run(5);
 	fleet_stop();
 	g_clear_pointer(&cached_prompts, g_hash_table_unref);
+	load_slow_servers = 0;
+	load_return_ms = 0;
 }
 
 /* Runs a load for 10 s. */
@@ -929,6 +970,140 @@
 	    kinds[0].late * 4, <=, kinds[0].asked - kinds[0].refused);
 }
 
+static void
+load_set_transfer(void)
+{
+	const struct prompt_transfer t = { 18432, 370000, 557164 };
+	unsigned int i;
+
+	for (i = 0; i < nnodes; i++)
+		place_set_transfer(&nodes[i].place, name_hash("svc"), &t);
+}
+
+/* A burst on two subjects, with servers that keep what they have read. */
+static void
+load_run_hot(struct load_kind *k, bool transfers)
+{
+	load_start();
+	cached_prompts =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	if (transfers)
+		load_set_transfer();
+	load_run(k, 1, 8000);
+	load_stop();
+}
+
+/*
+ * Guards against a burst on a few prompts that all waits for the servers which
+ * have read them, while the others are idle.
+ */
+static void
+test_hot_prompts(void)
+{
+	static const struct load_kind hot = { 220, 2, 13300, 3000, 2, 1500,
+		1000, 0, 0, 0, 0 };
+	struct load_kind without = hot, with = hot;
+
+	load_run_hot(&without, false);
+	load_run_hot(&with, true);
+	g_test_message("refused %u, late %u of %u; with transfers %u, %u of %u",
+	    without.refused, without.late, without.asked, with.refused,
+	    with.late, with.asked);
+	g_assert_cmpuint(with.refused * 20, <=, with.asked);
+	g_assert_cmpuint(with.late * 20, <=, with.asked);
+	g_assert_cmpuint(with.refused * 2, <, without.refused);
+}
+
+/*
+ * Guards against a prompt fetched from a server that is still reading it, or
+ * that is down: the other server would wait for nothing.
+ */
+static void
+test_fetch_source(void)
+{
+	struct place_request r[16], *first = &r[0];
+	unsigned int i, fetches = 0;
+
+	fleet_start(1, 6);
+	load_set_transfer();
+	clock_now += 20000;
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		if (i == 4)
+			place_prompt_read(&nodes[0].place, clock_now, first);
+		request_fill(&r[i], 7, 3000);
+		place_submit(&nodes[0].place, clock_now, &r[i]);
+		g_assert_true(r[i].source == 0 || r[i].source == first->server);
+		g_assert_true(r[i].source != r[i].server);
+		/* A new coordinator names the home, which may have it. */
+		fetches += i >= 4 && r[i].source != 0;
+	}
+	g_assert_cmpuint(fetches, >, 0);
+	server_record_result(servers_find(&nodes[0].servers, first->server),
+	    clock_now, SERVER_DOWN);
+	for (i = 1; i < G_N_ELEMENTS(r); i++) {
+		place_end(&nodes[0].place, clock_now, &r[i], SERVER_NO_RESULT);
+		request_fill(&r[i], 7, 3000);
+		place_submit(&nodes[0].place, clock_now, &r[i]);
+		g_assert_true(r[i].source != first->server);
+	}
+	fleet_stop();
+}
+
+/*
+ * Guards against requests that are late at slow servers while others have room:
+ * two of nine read half as fast.
+ */
+static void
+test_slow_servers(void)
+{
+	struct load_kind kinds[] = {
+		{ 45, 2, 6300, 6000, 332, 1200, 600, 0, 0, 0, 0 },
+		{ 20, 1, 568, 1800, 235, 400, 250, 0, 0, 0, 0 },
+	};
+	unsigned int i, slow = 0, all = 0;
+	struct server *v;
+
+	load_start();
+	load_slow_servers = 2;
+	load_run(kinds, G_N_ELEMENTS(kinds), 10000);
+	for (i = 0; i < load_count; i++) {
+		v = servers_find(&nodes[0].servers, load[i].place.server);
+		if (v == NULL || load[i].kind != &kinds[0])
+			continue;
+		all++;
+		slow += load_speed(v->id) < 1;
+	}
+	load_stop();
+	g_test_message("%u of %u at slow servers; late %u, %u", slow, all,
+	    kinds[0].late, kinds[1].late);
+	g_assert_cmpuint(kinds[0].late * 50, <=, kinds[0].asked);
+	g_assert_cmpuint(kinds[1].late * 20, <=, kinds[1].asked);
+}
+
+/*
+ * Guards against callers who return as told after a refusal and are refused
+ * again, which ends their requests, while new ones are let in.
+ */
+static void
+test_returns(void)
+{
+	struct load_kind kinds[] = {
+		{ 150, 2, 6300, 2890, 332, 1200, 600, 0, 0, 0, 0 },
+		{ 22.2, 1, 568, 1800, 235, 400, 250, 0, 0, 0, 0 },
+	};
+
+	load_return_ms = 600;
+	load_run_all(kinds, G_N_ELEMENTS(kinds));
+	g_test_message("asked %u, refused %u, lost %u, late %u", kinds[0].asked,
+	    kinds[0].refused, kinds[0].lost, kinds[0].late);
+	g_assert_cmpuint(kinds[0].refused, >, 100);
+	/* Of those refused at first, less than half are refused again. */
+	g_assert_cmpuint(
+	    kinds[0].lost * 2, <, kinds[0].refused - kinds[0].lost);
+	g_assert_cmpuint(kinds[1].refused, ==, 0);
+	g_assert_cmpuint(kinds[1].late * 20, <=, kinds[1].asked);
+}
+
 /* The coordinator: the node with the highest counts. */
 static struct node *
 load_coordinator(void)
@@ -1260,6 +1435,10 @@
 	    "/place/burst-coordinator-returns", test_burst_coordinator_returns);
 	g_test_add_func("/place/handover-of-streams", test_handover_of_streams);
 	g_test_add_func("/place/never-read", test_never_read);
+	g_test_add_func("/place/hot-prompts", test_hot_prompts);
+	g_test_add_func("/place/fetch-source", test_fetch_source);
+	g_test_add_func("/place/slow-servers", test_slow_servers);
+	g_test_add_func("/place/returns", test_returns);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
 }
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -304,6 +304,40 @@
 	servers_finish(&s);
 }
 
+/* A slow server is chosen last among equals, and is no quiet server. */
+static void
+test_slow(void)
+{
+	struct server_view view = { .all = true,
+		.domain = "",
+		.groups = 1,
+		.quiet = 1,
+		.light = true };
+	struct server_wish w = { .service = name_hash("svc"), .own = 3000 };
+	struct server *quiet, *other;
+	struct servers s;
+	unsigned int i;
+
+	servers_init(&s, &ops);
+	list_server(&s, 0, "a", false, 1);
+	list_server(&s, 0, "b", false, 1);
+	view.mean_speed = servers_mean_speed(&s, w.service, &view);
+	quiet = server_choose(&s, 0, &w, &view, 1);
+	other = servers_find(
+	    &s, name_hash(strcmp(quiet->name, "a") == 0 ? "b" : "a"));
+	for (i = 0; i < 30; i++)
+		server_speed_record(&quiet->speed, 100, 300);
+	view.mean_speed = servers_mean_speed(&s, w.service, &view);
+	g_assert_true(server_choose(&s, 0, &w, &view, 1) == other);
+	view.quiet = 0;
+	quiet->all.unread = 3000;
+	other->all.unread = 4000;
+	g_assert_true(server_choose(&s, 0, &w, &view, 1) == other);
+	other->all.unread = 12000;
+	g_assert_true(server_choose(&s, 0, &w, &view, 1) == quiet);
+	servers_finish(&s);
+}
+
 /* Two nodes without messages between them choose the same home server. */
 static void
 test_home(void)
@@ -761,6 +795,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/server/cache-of-restarted", test_cache_of_restarted);
+	g_test_add_func("/server/slow", test_slow);
 	g_test_add_func("/server/draining", test_draining);
 	g_test_add_func("/server/hold", test_hold);
 	g_test_add_func("/server/doubt", test_doubt);
