--- a/place.h
+++ b/place.h
@@ -108,7 +108,7 @@
 	 * decisions without a coordinator, requests counted as coordinator.
 	 */
 	uint64_t asked, answered, late, alone, coordinated;
-	uint64_t returned; /* admitted on their return after a refusal */
+	uint64_t returned;	/* admitted on their return after a refusal */
 	uint64_t alone_refused; /* of `alone`: refused at the last known rate */
 	/*
 	 * As coordinator: prompt tokens, and those of them that the server
