Mends of the review: homes named by new coordinators, refused requests

Names and comments as the review says, and design notes where they promised more than the code does.

New tests: /place/guessed-source, /place/no-space, /place/returns-to-successor; /place/fetch-source begins with an aged coordinator.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -144,16 +144,19 @@
 	terms->after = j->last_event;
 }
 
-/* The server to fetch the shared part of the prompt from, or NULL. */
+/* The server that `to` is told to fetch the shared prompt from, or NULL. */
 static const struct server *
-job_fetch_source(const struct job *j)
+job_fetch_source(const struct job *j, const struct server *to)
 {
 	struct server *v;
 
 	if (j->place.source == 0)
 		return NULL;
 	v = servers_find(&j->owner->servers, j->place.source);
-	return v != NULL && v->state != SERVER_GONE && !v->down ? v : NULL;
+	if (v == NULL || v == to || v->service != to->service ||
+	    v->state == SERVER_GONE || v->down)
+		return NULL;
+	return v;
 }
 
 /* Write the request as it is sent to a server. */
@@ -168,7 +171,7 @@
 
 	if (j->organisation != NULL)
 		terms.organisation = j->organisation->name;
-	terms.source = job_fetch_source(j);
+	terms.source = job_fetch_source(j, v);
 	g_strlcpy(j->source_name,
 	    terms.source != NULL ? terms.source->name : "",
 	    sizeof j->source_name);
--- a/entry.h
+++ b/entry.h
@@ -285,7 +285,7 @@
 	struct server *server;		 /* of the current attempt, or NULL */
 	/* Name of the last attempt's server; "": none. */
 	char server_name[SERVER_NAME_SIZE];
-	/* Name of the server that it fetched the prompt from; "": none. */
+	/* Name of the server that it was told to fetch from; "": none. */
 	char source_name[SERVER_NAME_SIZE];
 	/* Version of that server's software; "": unknown. */
 	char software[SERVER_SOFTWARE_SIZE];
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -38,7 +38,8 @@
 	name_id route;
 	uint64_t prompt;	/* shared prefix new to its server; 0: none */
 	uint64_t shared_prompt; /* shared prefix; 0: none */
-	bool alone;		/* its server had no other prompt to read */
+	bool alone; /* when placed, its server had no other prompt to read */
+	bool read;  /* its server has read the prompt */
 	unsigned int rank;
 	unsigned int tokens; /* unread prompt tokens */
 	unsigned int own;    /* prompt tokens after the shared prefix */
@@ -280,7 +281,10 @@
 		.transfer = &place_traffic(&p->own, w->service)->transfer };
 	msec coordinates = now - p->coordinator_since;
 
-	view.mean_speed = servers_mean_speed(p->servers, w->service, &view);
+	/* Only coordinators measure speeds. */
+	if (all)
+		view.mean_speed =
+		    servers_mean_speed(p->servers, w->service, &view);
 	view.sole = all && place_has_coordinator(p);
 	view.young = coordinates < PLACE_YOUNG_MS;
 	view.takeover = coordinates < PLACE_TAKEOVER_MS;
@@ -301,10 +305,9 @@
     unsigned int groups, unsigned int group, name_id *source)
 {
 	struct server_view view = place_view(p, now, w, false, groups, group);
-	struct server *v = server_choose(
-			  p->servers, now, w, &view, g_rand_int(p->rand)),
-		      *from;
+	struct server *v, *from;
 
+	v = server_choose(p->servers, now, w, &view, g_rand_int(p->rand));
 	from = v != NULL ? server_guess_source(p->servers, now, w, &view, v)
 			 : NULL;
 	*source = from != NULL ? from->id : 0;
@@ -361,7 +364,7 @@
 	struct server *v = servers_find(p->servers, h->server);
 
 	/* The request ended before the server read its prompt. */
-	if (h->tokens > 0 && h->prompt != 0)
+	if (!h->read && h->prompt != 0)
 		server_memory_forget(
 		    &p->servers->all_memory, h->cache, h->prompt);
 	place_record_prompt_read(p, h);
@@ -375,7 +378,7 @@
 	g_free(h);
 }
 
-/* The server fetches the shared part of the prompt from the source. */
+/* The server is to fetch the shared part of the prompt from the source. */
 static void
 place_count_fetch(struct place *p, msec now, struct server *v,
     struct server *source, const struct server_wish *w)
@@ -416,14 +419,13 @@
 	h->tokens = w->own;
 	h->model = w->own + w->shared > 0;
 	h->near_limit = q != NULL && server_limit_is_near(q->ahead, q->limit);
-	if (!server_memory_has(&p->servers->all_memory, now, server_cache_id(v),
-		w->prompt, PLACE_RECORD_MS)) {
+	if (!server_memory_has(&p->servers->all_memory, now, h->cache,
+		w->prompt, PLACE_RECORD_MS))
 		h->prompt = w->prompt;
-		if (source != NULL)
-			place_count_fetch(p, now, v, source, w);
-		else
-			h->tokens += w->shared;
-	}
+	if (source != NULL)
+		place_count_fetch(p, now, v, source, w);
+	else if (h->prompt != 0)
+		h->tokens += w->shared;
 	if (h->model)
 		mix_add_demand(m, w->route, h->tokens);
 	p->counters.tokens += w->own + w->shared;
@@ -435,14 +437,15 @@
 		   (h->prompt != 0 || w->prompt == 0);
 	h->own = w->own;
 	v->space.running += w->own;
-	if (w->prompt != 0)
+	/* A refused request takes no memory. */
+	if (w->prompt != 0 && (q == NULL || !place_queue_exceeds_limit(q)))
 		prompt_space_use(&v->space, now,
 		    server_memory_last_use(
 			&p->servers->all_memory, h->cache, w->prompt),
 		    w->shared);
 	if (w->prompt != 0)
-		server_memory_note(&p->servers->all_memory, now,
-		    server_cache_id(v), w->prompt);
+		server_memory_note(
+		    &p->servers->all_memory, now, h->cache, w->prompt);
 	h->counted = mix_started(m, now, w->route);
 	p->counters.coordinated++;
 }
@@ -525,8 +528,8 @@
 	unsigned int groups = place_count_groups(p, w->service);
 	unsigned int group = place_group(p, w, groups);
 	bool returns = returns_expected(&p->returns, now, w->repeat);
+	struct server *v, *from = NULL, *guess = NULL;
 	struct server_view view;
-	struct server *v, *from;
 
 	*q = (struct place_queue){ 0 };
 	*source = 0;
@@ -548,13 +551,16 @@
 		returns_remove(&p->returns, w->repeat);
 		p->counters.returned++;
 	}
-	from = server_fetch_source(p->servers, now, w, &view, v);
+	if (!place_queue_exceeds_limit(q))
+		from = server_fetch_source(p->servers, now, w, &view, v);
+	if (from == NULL)
+		guess = server_guess_source(p->servers, now, w, &view, v);
 	place_record_begin(p, now, node, id, v, w, q, from);
 	q->wait = server_reading_ms(v, SERVER_RANKS, &view);
 	if (from != NULL)
 		q->wait += MAX(v->fetches_until - now, 0);
 	else
-		from = server_guess_source(p->servers, now, w, &view, v);
+		from = guess;
 	*source = from != NULL ? from->id : 0;
 	return v;
 }
@@ -617,7 +623,7 @@
 }
 
 /*
- * Only prompts that a server reads alone show its speed: how others share it
+ * Only prompts that begin alone show a server's speed: how others share it
  * depends on their tiers and on what it holds.
  */
 static void
@@ -627,7 +633,8 @@
 	struct server *v = servers_find(p->servers, h->server);
 	msec ms = now - h->since;
 
-	if (v == NULL || !h->alone || h->tokens == 0)
+	if (v == NULL || h->cache != server_cache_id(v) || !h->alone ||
+	    h->read || h->tokens == 0)
 		return;
 	server_speed_record(
 	    &v->speed, mix_expected_read_ms(m, h->route, h->tokens), ms);
@@ -654,6 +661,7 @@
 		server_memory_note_read(
 		    &p->servers->all_memory, h->cache, h->shared_prompt);
 		place_record_prompt_read(p, h);
+		h->read = true;
 		return;
 	}
 	if (what == SP_PLACE_LATE) {
--- a/prompt-fetch.c
+++ b/prompt-fetch.c
@@ -6,8 +6,7 @@
 
 #include <glib.h>
 
-/* Part of the memory that may be in use; outputs and estimates need the rest.
- */
+/* Part of the memory that may be in use; outputs need the rest. */
 #define SPACE_USED_PART 0.75
 /* Time to begin a transfer, whatever its size. */
 #define TRANSFER_SETUP_MS 3.0
--- a/returns.h
+++ b/returns.h
@@ -1,8 +1,7 @@
 /*
  * Requests that a coordinator refused for want of room, and that their callers
- * repeat. Without a record, a repeated request competes with all that arrive
- * for the first time: in a burst of some seconds three of five were refused
- * twice, which ends them. With it, a request that returns goes before new ones.
+ * repeat. Without a record, a repeated request competes with new ones and may
+ * be refused again, which ends it. With it, it goes before new ones.
  *
  * The module does no I/O.
  */
@@ -13,8 +12,8 @@
 #include "savory.h"
 
 /*
- * Number of table entries; requests with the same index overwrite each other,
- * and then count as new.
+ * Number of table entries. Requests with the same index overwrite each other;
+ * the one that is overwritten counts as new.
  */
 #define RETURNS_PLACES 4096
 
--- a/server-choose.c
+++ b/server-choose.c
@@ -25,8 +25,6 @@
  * displaces as many tokens of other prompts, which are read again when needed.
  */
 #define CHOOSE_COPY_FACTOR 0.8
-/* How long a server's cache holds a prompt after its last use. */
-#define CHOOSE_CACHED_MS 15000
 /*
  * Cost of each running request to the others, in milliseconds. Under twice the
  * load, more requests are served in time with 18 than with 6, and fewer with 0
@@ -280,17 +278,27 @@
     const struct server_wish *w, const struct server_view *view,
     const struct server *home)
 {
-	if (view->all && server_memory_has(&s->all_memory, now,
-			     server_cache_id(v), w->prompt, CHOOSE_CACHED_MS))
+	if (view->all &&
+	    server_memory_has(&s->all_memory, now, server_cache_id(v),
+		w->prompt, SERVER_MEMORY_KEPT_MS))
 		return true;
 	if (view->all && !view->young)
 		return false;
 	/* A new home server cannot have read the prompt for other nodes. */
-	if (v == home && v->new_at != 0 && now - v->new_at < CHOOSE_CACHED_MS)
+	if (v == home && v->new_at != 0 &&
+	    now - v->new_at < SERVER_MEMORY_KEPT_MS)
 		home = NULL;
 	return v == home ||
 	       server_memory_has(&s->memory, now, server_cache_id(v), w->prompt,
-		   CHOOSE_CACHED_MS);
+		   SERVER_MEMORY_KEPT_MS);
+}
+
+/* Returns true unless the server is probably unable to send a prompt. */
+static bool
+choose_can_send(const struct server *v, msec now, const struct server_wish *w)
+{
+	return v->state != SERVER_GONE && !v->down && now >= v->resting_until &&
+	       !wish_excludes(w, v->id);
 }
 
 /*
@@ -307,10 +315,9 @@
 	    !prompt_transfer_possible(view->transfer))
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (v->service != w->service || v->state == SERVER_GONE ||
-		    v->down || now < v->resting_until ||
+		if (v->service != w->service || !choose_can_send(v, now, w) ||
 		    !server_memory_has_read(&s->all_memory, now,
-			server_cache_id(v), w->prompt, CHOOSE_CACHED_MS))
+			server_cache_id(v), w->prompt, SERVER_MEMORY_KEPT_MS))
 			continue;
 		if (best == NULL || v->fetches_until < best->fetches_until)
 			best = v;
@@ -573,7 +580,7 @@
 
 	if (source == NULL || source == v ||
 	    server_memory_has(&s->all_memory, now, server_cache_id(v),
-		w->prompt, CHOOSE_CACHED_MS) ||
+		w->prompt, SERVER_MEMORY_KEPT_MS) ||
 	    choose_fetch_ms(v, source, w, view) >=
 		w->shared / choose_tokens_per_ms(v, view))
 		return NULL;
@@ -590,7 +597,7 @@
 	    !prompt_transfer_possible(view->transfer))
 		return NULL;
 	home = choose_home(s, w, view, choose_quiet_rank(s, w->service, view));
-	if (home == NULL || home == v ||
+	if (home == NULL || home == v || !choose_can_send(home, now, w) ||
 	    choose_has_prompt(s, v, now, w, view, home) ||
 	    prompt_transfer_ms(view->transfer, w->shared) >=
 		w->shared / choose_tokens_per_ms(v, view))
--- a/server-memory.c
+++ b/server-memory.c
@@ -23,7 +23,7 @@
 	uint64_t hash = memory_hash(cache, prompt);
 	size_t i = hash % SERVER_MEMORY_PLACES;
 
-	if (m->places[i].key != (uint32_t)(hash >> 32) || m->places[i].at == 0)
+	if (!server_memory_has(m, now, cache, prompt, SERVER_MEMORY_KEPT_MS))
 		m->places[i].read = false;
 	m->places[i].key = (uint32_t)(hash >> 32);
 	m->places[i].at = (uint32_t)(now / MEMORY_UNIT_MS) + 1;
--- a/server-memory.h
+++ b/server-memory.h
@@ -16,6 +16,9 @@
  */
 #define SERVER_MEMORY_PLACES 16384
 
+/* How long a server's cache holds a prompt after its last use. */
+#define SERVER_MEMORY_KEPT_MS (15 * MSEC_SECOND)
+
 /* The table; all zero bytes are an empty one. */
 struct server_memory {
 	struct {
--- a/server-speed.c
+++ b/server-speed.c
@@ -21,13 +21,13 @@
 	if (expected <= 0 || ms <= 0)
 		return;
 	ratio = (double)ms / expected;
-	s->ratios = s->ratios * SPEED_KEEP +
-		    CLAMP(ratio, 1 / SPEED_RATIO_MAX, SPEED_RATIO_MAX);
-	s->weight = s->weight * SPEED_KEEP + 1;
+	s->ratio_sum = s->ratio_sum * SPEED_KEEP +
+		       CLAMP(ratio, 1 / SPEED_RATIO_MAX, SPEED_RATIO_MAX);
+	s->weight_sum = s->weight_sum * SPEED_KEEP + 1;
 }
 
 double
 server_speed_factor(const struct server_speed *s)
 {
-	return (s->weight + SPEED_PRIOR) / (s->ratios + SPEED_PRIOR);
+	return (s->weight_sum + SPEED_PRIOR) / (s->ratio_sum + SPEED_PRIOR);
 }
--- a/server-speed.h
+++ b/server-speed.h
@@ -12,12 +12,12 @@
 
 /* Measurements of a server; all zero bytes are none. */
 struct server_speed {
-	double ratios, weight; /* older measurements count less */
+	double ratio_sum, weight_sum; /* older ones count less */
 };
 
 /*
  * The server read a prompt in `ms`, where the servers of its service take
- * `expected` ms.
+ * `expected` ms; 0: not known, and nothing is recorded.
  */
 void server_speed_record(struct server_speed *, double expected, msec ms);
 /* The server's speed as a multiple of the expected one; 1 if not measured. */
--- a/server.c
+++ b/server.c
@@ -88,6 +88,7 @@
 	v->first_ms = 0;
 	v->speed = (struct server_speed){ 0 };
 	v->space.used = v->space.used_before = 0;
+	v->fetches_until = 0;
 	v->received = 0;
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -1014,6 +1014,28 @@
 	g_assert_cmpuint(with.refused * 2, <, without.refused);
 }
 
+static void
+transfer_submit(struct node *n, struct place_request *r, uint64_t prompt)
+{
+	request_fill(r, prompt, 3000);
+	place_submit(&n->place, clock_now, r);
+	fleet_run(5);
+}
+
+/* Lets the coordinator know for long enough who holds which prompt. */
+static void
+transfer_age_coordinator(struct node *n)
+{
+	struct place_request r;
+	unsigned int i;
+
+	for (i = 0; i < 10; i++) {
+		transfer_submit(n, &r, 1000 + i);
+		place_end(&n->place, clock_now, &r, SERVER_NO_RESULT);
+		fleet_run(2000);
+	}
+}
+
 /*
  * Guards against a prompt fetched from a server that is still reading it, or
  * that is down: the other server would wait for nothing.
@@ -1023,32 +1045,120 @@
 {
 	struct place_request r[16], *first = &r[0];
 	unsigned int i, fetches = 0;
+	struct server *v;
 
 	fleet_start(1, 6);
 	load_set_transfer();
-	clock_now += 20000;
+	transfer_age_coordinator(&nodes[0]);
 	for (i = 0; i < G_N_ELEMENTS(r); i++) {
 		if (i == 4)
 			place_prompt_read(&nodes[0].place, clock_now, first);
-		request_fill(&r[i], 7, 3000);
-		place_submit(&nodes[0].place, clock_now, &r[i]);
+		transfer_submit(&nodes[0], &r[i], 7);
+		g_assert_true(i >= 4 || r[i].source == 0);
 		g_assert_true(r[i].source == 0 || r[i].source == first->server);
 		g_assert_true(r[i].source != r[i].server);
-		/* A new coordinator names the home, which may have it. */
-		fetches += i >= 4 && r[i].source != 0;
+		fetches += r[i].source != 0;
 	}
 	g_assert_cmpuint(fetches, >, 0);
-	server_record_result(servers_find(&nodes[0].servers, first->server),
-	    clock_now, SERVER_DOWN);
+	v = servers_find(&nodes[0].servers, first->server);
+	server_record_result(v, clock_now, SERVER_DOWN);
 	for (i = 1; i < G_N_ELEMENTS(r); i++) {
 		place_end(&nodes[0].place, clock_now, &r[i], SERVER_NO_RESULT);
-		request_fill(&r[i], 7, 3000);
-		place_submit(&nodes[0].place, clock_now, &r[i]);
+		transfer_submit(&nodes[0], &r[i], 7);
 		g_assert_true(r[i].source != first->server);
 	}
 	fleet_stop();
 }
 
+/* Guards against copies that displace other prompts in small memory. */
+static void
+test_no_space(void)
+{
+	const struct prompt_transfer small = { 18432, 370000, 20000 };
+	struct place_request r[16];
+	unsigned int i;
+
+	fleet_start(1, 6);
+	transfer_age_coordinator(&nodes[0]);
+	place_set_transfer(&nodes[0].place, name_hash("svc"), &small);
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		transfer_submit(&nodes[0], &r[i], 7);
+		place_prompt_read(&nodes[0].place, clock_now, &r[i]);
+		/* The cost of a copy is that of reading the prompt again. */
+		g_assert_true(r[i].server == r[0].server);
+	}
+	fleet_stop();
+}
+
+/*
+ * Guards against prompts read again while a coordinator is new, or none
+ * answers: the home has probably read them.
+ */
+static void
+test_guessed_source(void)
+{
+	struct place_request r[64];
+	unsigned int i, k, guesses;
+	name_id home = 0;
+
+	for (k = 0; k < 2; k++) {
+		fleet_start(k == 0 ? 1 : 2, 6);
+		load_set_transfer();
+		if (k == 1) {
+			nodes[0].place.alone_until = clock_now + 1000;
+			nodes[1].isolated = true;
+		}
+		guesses = 0;
+		for (i = 0; i < G_N_ELEMENTS(r); i++) {
+			transfer_submit(&nodes[0], &r[i], 7);
+			home = i == 0 ? r[0].server : home;
+			g_assert_true(r[i].source == 0 || r[i].source == home);
+			g_assert_true(r[i].source != r[i].server);
+			guesses += r[i].source != 0;
+		}
+		g_assert_cmpuint(guesses, >, 0);
+		fleet_stop();
+	}
+}
+
+/* A request of the last tier that meets more than its limit is refused. */
+static void
+load_refuse_one(const struct server_wish *w)
+{
+	static struct place_request r[40];
+	struct place_request again;
+
+	g_assert_cmpuint(submit_forty(r), >, 0);
+	request_fill_last_tier(&again, 0, 6000);
+	again.wish.repeat = w->repeat;
+	place_submit(&nodes[0].place, clock_now, &again);
+	fleet_run(5);
+	g_assert_true(place_queue_exceeds_limit(&again.queue));
+	place_end(&nodes[0].place, clock_now, &again, SERVER_NO_RESULT);
+	end_forty(r);
+}
+
+/*
+ * Guards against a caller that returns after the coordinator which refused its
+ * request has stopped, and counts as new.
+ */
+static void
+test_returns_to_successor(void)
+{
+	const struct server_wish w = { .repeat = 4711 };
+	unsigned int i, know = 0;
+
+	fleet_start(8, 4);
+	train_late(20);
+	load_refuse_one(&w);
+	for (i = 0; i < nnodes; i++)
+		know += returns_expected(
+		    &nodes[i].place.returns, clock_now, w.repeat);
+	/* The coordinator and the one after it. */
+	g_assert_cmpuint(know, ==, 2);
+	fleet_stop();
+}
+
 /*
  * Guards against requests that are late at slow servers while others have room:
  * two of nine read half as fast.
@@ -1437,6 +1547,10 @@
 	g_test_add_func("/place/never-read", test_never_read);
 	g_test_add_func("/place/hot-prompts", test_hot_prompts);
 	g_test_add_func("/place/fetch-source", test_fetch_source);
+	g_test_add_func("/place/no-space", test_no_space);
+	g_test_add_func("/place/guessed-source", test_guessed_source);
+	g_test_add_func(
+	    "/place/returns-to-successor", test_returns_to_successor);
 	g_test_add_func("/place/slow-servers", test_slow_servers);
 	g_test_add_func("/place/returns", test_returns);
 	g_test_add_func("/place/baselines", test_baselines);
