A carrier whose answer broke off is asked last, not avoided

A carrier that had begun an answer and breaks it off was reached and has carried; its server may have ended, or that request's time. It was left alone for 1 s, as one that cannot be reached, and a node without another carrier refused all requests meanwhile.

Change: such a carrier is a last resort for that second, like one that stops or reports a cut path. Where there is another, that one gets the requests as before. One that is not reached, refuses or begins no answer is avoided as before.

Ruled out: that the cut is noticed late (node 1 knew it, and asked n1 until 14.33 s), that the carrier refused (no request reached it for 1.0 s). Not counting such a failure at all was not tried: it would lead requests that may not be repeated to a node whose own path has just been cut.

--- a/handoff.c
+++ b/handoff.c
@@ -123,9 +123,12 @@
 		r->avoided_until = now + HANDOFF_AVOID_FULL_MS;
 		break;
 	case HANDOFF_FAILED:
-	case HANDOFF_CUT_OFF:
 		r->avoided_until = now + HANDOFF_AVOID_MS;
 		break;
+	case HANDOFF_CUT_OFF:
+		/* The server may have ended, or the time of that request. */
+		r->last_resort_until = now + HANDOFF_AVOID_MS;
+		break;
 	}
 }
 
--- a/handoff.h
+++ b/handoff.h
@@ -70,7 +70,8 @@
 	name_id id;
 	unsigned int requests; /* handed off to it and not ended */
 	bool avoided;	       /* it could not carry one a moment ago */
-	bool last_resort; /* it is stopping, or reports that its path is cut */
+	/* It is stopping, broke an answer off, or reports a cut path. */
+	bool last_resort;
 };
 
 /*
