--- a/entry-log.c
+++ b/entry-log.c
@@ -195,8 +195,8 @@
 	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
 	[LOG_KEY_SOFTWARE] = { "software",
 	    "version of the backend server's software" },
-	[LOG_KEY_SOURCE] = { "source",
-	    "backend server that its server was told to fetch the prompt from" },
+	[LOG_KEY_SOURCE] = { "source", "backend server that its server was "
+				       "told to fetch the prompt from" },
 	[LOG_KEY_STATE] = { "state", "the new one" },
 	[LOG_KEY_STATUS] = { "status", "of the answer" },
 	[LOG_KEY_STOP_MS] = { "stop_ms", "until this node ends" },
--- a/handoff.h
+++ b/handoff.h
@@ -63,6 +63,7 @@
 	msec last_resort_until; /* only if there is no other */
 };
 
+/* Sets how much less the node is used after a failure. */
 void handoff_rest_after(struct handoff_rest *, msec, enum handoff_failure);
 
 /* A node that may be a carrier. */
