--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -621,7 +621,9 @@
 	entry_poison_body_received(j, now);
 	job_began_to_run(j, now);
 	entry_reach_heard(j->owner, false, now);
-	place_prompt_read(&j->owner->place, now, &j->place);
+	/* An error does not show that the server has read the prompt. */
+	if (j->status < 300)
+		place_prompt_read(&j->owner->place, now, &j->place);
 	server_response_received(
 	    j->server, now, j->place.wish.rank, j->sent_at);
 	if (reply_body(j, bytes, n, now)) {
--- a/handoff.c
+++ b/handoff.c
@@ -18,7 +18,7 @@
  */
 #define HANDOFF_CARRIED_MAX 512
 #define HANDOFF_RANKS 4
-/* A node that could not carry a request is left alone for this time. */
+/* Time for which a node that failed is avoided, or used as a last resort. */
 #define HANDOFF_AVOID_MS 1000
 /* The same for one that is about to have the newest configuration. */
 #define HANDOFF_AVOID_BEHIND_MS 30
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -12,6 +12,8 @@
 
 #include <xxhash.h>
 
+/* Limit of a request that returns, as a multiple of that of a new one. */
+#define PLACE_RETURN_LIMIT_TIMES 2
 /* A counted request whose end was not reported is dropped after this. */
 #define PLACE_RECORD_MS (30 * MSEC_SECOND)
 /* A coordinator without a request for this long counts as a new one. */
@@ -38,8 +40,9 @@
 	name_id route;
 	uint64_t prompt;	/* shared prefix new to its server; 0: none */
 	uint64_t shared_prompt; /* shared prefix; 0: none */
-	bool alone; /* when placed, its server had no other prompt to read */
-	bool read;  /* its server has read the prompt */
+	/* Its server had no other prompt to read, and reads all of this one. */
+	bool alone;
+	bool read; /* its server has read the prompt */
 	unsigned int rank;
 	unsigned int tokens; /* unread prompt tokens */
 	unsigned int own;    /* prompt tokens after the shared prefix */
@@ -199,7 +202,10 @@
 	return best;
 }
 
-/* The best node but `except` for a group, or this one. */
+/*
+ * Returns the node other than `except` with the highest weight for a group;
+ * this node if there is none.
+ */
 static name_id
 place_best_coordinator(
     struct place *p, name_id service, unsigned int group, name_id except)
@@ -393,11 +399,26 @@
 	p->counters.tokens_fetched += w->shared;
 }
 
-void
+/* The server reads the prompt, or uses its copy, from now on. */
+static void
+place_note_prompt(struct place *p, msec now, struct server *v,
+    const struct place_record *h, const struct server_wish *w)
+{
+	struct server_memory *m = &p->servers->all_memory;
+
+	prompt_space_use(&v->space, now,
+	    server_memory_last_use(m, h->cache, w->prompt), w->shared);
+	server_memory_note(m, now, h->cache, w->prompt);
+	if (h->read)
+		server_memory_note_read(m, h->cache, w->prompt);
+}
+
+struct place_record *
 place_record_begin(struct place *p, msec now, name_id node, uint32_t id,
     struct server *v, const struct server_wish *w, const struct place_queue *q,
     struct server *source)
 {
+	bool refused = q != NULL && place_queue_exceeds_limit(q);
 	struct mix *m = place_traffic(&p->all, w->service);
 	struct place_record *h;
 
@@ -413,14 +434,16 @@
 	h->rank = w->rank;
 	if (RB_INSERT(place_records, &p->records, h) != NULL) {
 		g_free(h);
-		return;
+		return NULL;
 	}
 	h->shared_prompt = w->prompt;
 	h->tokens = w->own;
 	h->model = w->own + w->shared > 0;
+	/* Nodes report a request without tokens once its prompt is read. */
+	h->read = !h->model;
 	h->near_limit = q != NULL && server_limit_is_near(q->ahead, q->limit);
 	if (!server_memory_has(&p->servers->all_memory, now, h->cache,
-		w->prompt, PLACE_RECORD_MS))
+		w->prompt, SERVER_MEMORY_KEPT_MS))
 		h->prompt = w->prompt;
 	if (source != NULL)
 		place_count_fetch(p, now, v, source, w);
@@ -429,7 +452,8 @@
 	if (h->model)
 		mix_add_demand(m, w->route, h->tokens);
 	p->counters.tokens += w->own + w->shared;
-	p->counters.tokens_kept += w->own + w->shared - h->tokens;
+	if (source == NULL)
+		p->counters.tokens_kept += w->own + w->shared - h->tokens;
 	h->since = now;
 	server_rate_take(&v->rate, now);
 	place_load_add(&v->all, h->rank, h->tokens);
@@ -437,17 +461,13 @@
 		   (h->prompt != 0 || w->prompt == 0);
 	h->own = w->own;
 	v->space.running += w->own;
-	/* A refused request takes no memory. */
-	if (w->prompt != 0 && (q == NULL || !place_queue_exceeds_limit(q)))
-		prompt_space_use(&v->space, now,
-		    server_memory_last_use(
-			&p->servers->all_memory, h->cache, w->prompt),
-		    w->shared);
-	if (w->prompt != 0)
-		server_memory_note(
-		    &p->servers->all_memory, now, h->cache, w->prompt);
+	if (refused)
+		h->prompt = 0;
+	else if (w->prompt != 0)
+		place_note_prompt(p, now, v, h, w);
 	h->counted = mix_started(m, now, w->route);
 	p->counters.coordinated++;
+	return h;
 }
 
 /*
@@ -489,7 +509,7 @@
 /* Maximum time to read the prompts before a request, in ms; 0: no limit. */
 static msec
 coordinate_limit(struct mix *m, const struct server_wish *w,
-    const struct server_view *view, bool returns)
+    const struct server_view *view, bool is_return)
 {
 	msec limit;
 
@@ -498,9 +518,9 @@
 		return 0;
 	limit = server_limit_ms(view->light ? &m->limit_light : &m->limit,
 	    w->target, mix_is_last_tier(m, w->route));
-	/* Who returns goes before new ones. */
-	if (returns)
-		limit = MIN(limit * 2, w->target);
+	/* A request that returns may have more ahead of it. */
+	if (is_return)
+		limit = MIN(limit * PLACE_RETURN_LIMIT_TIMES, w->target);
 	return limit;
 }
 
@@ -521,14 +541,22 @@
 		p->ops->send(p, next, &msg);
 }
 
+static void
+coordinate_returned(struct place *p, const struct server_wish *w)
+{
+	returns_remove(&p->returns, w->repeat);
+	p->counters.returned++;
+}
+
 struct server *
 place_coordinate_request(struct place *p, msec now, name_id node, uint32_t id,
     const struct server_wish *w, struct place_queue *q, name_id *source)
 {
 	unsigned int groups = place_count_groups(p, w->service);
 	unsigned int group = place_group(p, w, groups);
-	bool returns = returns_expected(&p->returns, now, w->repeat);
+	bool is_return = returns_expected(&p->returns, now, w->repeat);
 	struct server *v, *from = NULL, *guess = NULL;
+	struct place_record *h;
 	struct server_view view;
 
 	*q = (struct place_queue){ 0 };
@@ -544,22 +572,25 @@
 	q->ahead = MIN(server_reading_ms(v, w->rank, &view),
 	    servers_reading_ms(p->servers, w->service, w->rank, &view));
 	q->limit = coordinate_limit(
-	    place_traffic(&p->all, w->service), w, &view, returns);
+	    place_traffic(&p->all, w->service), w, &view, is_return);
 	if (place_queue_exceeds_limit(q))
 		coordinate_refused(p, now, w, group);
-	else if (returns) {
-		returns_remove(&p->returns, w->repeat);
-		p->counters.returned++;
-	}
-	if (!place_queue_exceeds_limit(q))
+	else {
+		if (is_return)
+			coordinate_returned(p, w);
 		from = server_fetch_source(p->servers, now, w, &view, v);
-	if (from == NULL)
-		guess = server_guess_source(p->servers, now, w, &view, v);
-	place_record_begin(p, now, node, id, v, w, q, from);
+		if (from == NULL)
+			guess =
+			    server_guess_source(p->servers, now, w, &view, v);
+	}
+	h = place_record_begin(p, now, node, id, v, w, q, from);
+	/* It may read less than its tokens. */
+	if (h != NULL && guess != NULL)
+		h->alone = false;
 	q->wait = server_reading_ms(v, SERVER_RANKS, &view);
 	if (from != NULL)
 		q->wait += MAX(v->fetches_until - now, 0);
-	else
+	if (from == NULL)
 		from = guess;
 	*source = from != NULL ? from->id : 0;
 	return v;
@@ -623,8 +654,8 @@
 }
 
 /*
- * Only prompts that begin alone show a server's speed: how others share it
- * depends on their tiers and on what it holds.
+ * Only a prompt that its server begins alone shows the speed; with others the
+ * time depends on their order.
  */
 static void
 place_record_speed(struct place *p, msec now, const struct place_record *h)
--- a/place-private.h
+++ b/place-private.h
@@ -48,11 +48,12 @@
 /*
  * As coordinator: counts a request, with the queue found when it was placed;
  * NULL: another node placed it. `source`: its server fetches the shared part
- * of the prompt from that one.
+ * of the prompt from that one. Returns the record, or
+ * NULL if there is none.
  */
-void place_record_begin(struct place *, msec, name_id node, uint32_t id,
-    struct server *, const struct server_wish *, const struct place_queue *,
-    struct server *source);
+struct place_record *place_record_begin(struct place *, msec, name_id node,
+    uint32_t id, struct server *, const struct server_wish *,
+    const struct place_queue *, struct server *source);
 /* As coordinator: handles a status message for a counted request. */
 void
 place_step(struct place *, msec, name_id node, uint32_t id, enum sp_place_what);
--- a/proto.x
+++ b/proto.x
@@ -497,7 +497,7 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
-	/* 30 to 32: earlier forms of SP_PLACE_ASK, SP_PLACE_TELL, SP_PLACE_TOOK */
+	/* 30 to 32 are reserved. */
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
 	SP_PLACE_ASK = 35,
--- a/returns.h
+++ b/returns.h
@@ -1,7 +1,8 @@
 /*
  * Requests that a coordinator refused for want of room, and that their callers
  * repeat. Without a record, a repeated request competes with new ones and may
- * be refused again, which ends it. With it, it goes before new ones.
+ * be refused again, which ends it. With it, more may be ahead of it than of a
+ * new one.
  *
  * The module does no I/O.
  */
--- a/server-choose.c
+++ b/server-choose.c
@@ -267,6 +267,13 @@
 	return best;
 }
 
+/* A server that is new cannot have read the prompt for other nodes. */
+static bool
+choose_is_new(const struct server *v, msec now)
+{
+	return v->new_at != 0 && now - v->new_at < SERVER_MEMORY_KEPT_MS;
+}
+
 /*
  * Returns true if the server probably holds the prompt in its cache. A
  * coordinator has counted all requests, so its records are complete. Any other
@@ -284,9 +291,7 @@
 		return true;
 	if (view->all && !view->young)
 		return false;
-	/* A new home server cannot have read the prompt for other nodes. */
-	if (v == home && v->new_at != 0 &&
-	    now - v->new_at < SERVER_MEMORY_KEPT_MS)
+	if (v == home && choose_is_new(v, now))
 		home = NULL;
 	return v == home ||
 	       server_memory_has(&s->memory, now, server_cache_id(v), w->prompt,
@@ -597,7 +602,8 @@
 	    !prompt_transfer_possible(view->transfer))
 		return NULL;
 	home = choose_home(s, w, view, choose_quiet_rank(s, w->service, view));
-	if (home == NULL || home == v || !choose_can_send(home, now, w) ||
+	if (home == NULL || home == v || choose_is_new(home, now) ||
+	    !choose_can_send(home, now, w) ||
 	    choose_has_prompt(s, v, now, w, view, home) ||
 	    prompt_transfer_ms(view->transfer, w->shared) >=
 		w->shared / choose_tokens_per_ms(v, view))
--- a/server-speed.h
+++ b/server-speed.h
@@ -20,7 +20,10 @@
  * `expected` ms; 0: not known, and nothing is recorded.
  */
 void server_speed_record(struct server_speed *, double expected, msec ms);
-/* The server's speed as a multiple of the expected one; 1 if not measured. */
+/*
+ * The server's speed as a multiple of the expected one, drawn towards 1 while
+ * there are few measurements.
+ */
 double server_speed_factor(const struct server_speed *);
 
 #endif /* SERVER_SPEED_H */
--- a/server.h
+++ b/server.h
@@ -83,7 +83,7 @@
 	struct server_load all; /* of all nodes, as coordinator */
 	msec fetches_until;	/* end of its transfers, as coordinator */
 	struct server_speed speed; /* as coordinator */
-	struct prompt_space space; /* the same */
+	struct prompt_space space; /* memory in use, as coordinator */
 	/* Measured by the requests of this node. */
 	unsigned int failures; /* consecutive */
 	msec resting_until;    /* chosen last before this, after failures */
@@ -283,10 +283,11 @@
 	unsigned int groups, group; /* of the service's servers; see place.h */
 	unsigned int nodes;	    /* number of nodes */
 	msec now;
-	bool urgent;	   /* no route of the service is more urgent */
-	bool takeover;	   /* the previous coordinator may still be active */
-	bool sole;	   /* as coordinator for all nodes */
-	double mean_speed; /* of these servers; see server-speed.h */
+	bool urgent;   /* no route of the service is more urgent */
+	bool takeover; /* the previous coordinator may still be active */
+	bool sole;     /* as coordinator for all nodes */
+	double
+	    mean_speed; /* of these servers, see server-speed.h; 0: not known */
 	/* How servers transfer cached prompts; NULL: not at all. */
 	const struct prompt_transfer *transfer;
 };
--- a/settings.c
+++ b/settings.c
@@ -15,8 +15,8 @@
 
 #define SETTINGS_BYTES_MAX (64 * 1024)
 #define PEER_KEY_MIN 16
-#define RETRY_FIXED_MAX 1000000
 #define PEER_KEY_FILE_MAX 4096
+#define RETRY_FIXED_MAX 1000000 /* attempts in a window */
 
 /* The struct that the schema fills: the settings and temporary values. */
 struct settings_walk {
@@ -384,7 +384,7 @@
 		    (unsigned int)(x * 1000);
 }
 
-/* A platform may compute the number, with a fraction; no retry is a part. */
+/* Platforms may compute the number; the fraction is cut off. */
 static void
 parse_retry_fixed(struct walk *w, const yaml_node_t *node, void *arg)
 {
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -1084,7 +1084,7 @@
 	for (i = 0; i < G_N_ELEMENTS(r); i++) {
 		transfer_submit(&nodes[0], &r[i], 7);
 		place_prompt_read(&nodes[0].place, clock_now, &r[i]);
-		/* The cost of a copy is that of reading the prompt again. */
+		/* A copy has no room, and reading again costs more. */
 		g_assert_true(r[i].server == r[0].server);
 	}
 	fleet_stop();
@@ -1450,6 +1450,35 @@
 	fleet_stop();
 }
 
+/*
+ * Guards against a new coordinator that forgets which server holds a prompt
+ * when a request that it took over ends.
+ */
+static void
+test_handover_of_prompts(void)
+{
+	struct place_request r;
+	struct node *n;
+
+	fleet_start(8, SERVERS);
+	request_fill(&r, 7, 3000);
+	place_submit(&nodes[0].place, clock_now, &r);
+	fleet_run(5);
+	place_prompt_read(&nodes[0].place, clock_now, &r);
+	fleet_run(5);
+	load_coordinator()->leaving = true;
+	fleet_set_members();
+	fleet_run(5);
+	n = load_coordinator();
+	g_assert_false(n->leaving);
+	place_end(&nodes[0].place, clock_now, &r, SERVER_ANSWERED);
+	fleet_run(5);
+	g_assert_true(server_memory_has_read(&n->servers.all_memory, clock_now,
+	    server_cache_id(servers_find(&n->servers, r.server)), 7,
+	    SERVER_MEMORY_KEPT_MS));
+	fleet_stop();
+}
+
 /*
  * Guards against a prompt that counts as cached though its request was refused
  * or abandoned before the server processed it. A prompt that another request
@@ -1544,6 +1573,7 @@
 	g_test_add_func(
 	    "/place/burst-coordinator-returns", test_burst_coordinator_returns);
 	g_test_add_func("/place/handover-of-streams", test_handover_of_streams);
+	g_test_add_func("/place/handover-of-prompts", test_handover_of_prompts);
 	g_test_add_func("/place/never-read", test_never_read);
 	g_test_add_func("/place/hot-prompts", test_hot_prompts);
 	g_test_add_func("/place/fetch-source", test_fetch_source);
