Streams avoid servers on which they would pause too long

Nobody knew how long streams pause on a server.

Nodes report the longest pause with the steps that they send anyway; the coordinator keeps mean and deviation by server and lets a server cost 300 ms more where a stream would miss its gap target.

--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -301,6 +301,9 @@
 	text_value(s, "prompt_tokens_kept_total", "counter",
 	    "Of these, thought to be kept by the server.",
 	    (int64_t)p->tokens_kept);
+	text_value(s, "placements_gap_missed_total", "counter",
+	    "Streams placed where their pauses will probably be too long.",
+	    (int64_t)p->gaps_missed);
 	text_value(s, "prompt_fetches_total", "counter",
 	    "Requests for which a server was to fetch a cached prompt.",
 	    (int64_t)p->fetches);
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -115,6 +115,7 @@
 		reply_begin(j, now, false);
 	else
 		j->gap = MAX(j->gap, now - j->forwarded_at);
+	j->place.gap = j->gap;
 	j->forwarded_at = now;
 	g_snprintf(size, sizeof size, "%zx\r\n", n);
 	buffer_add_text(out, size);
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -578,6 +578,7 @@
 	else {
 		if (is_return)
 			coordinate_returned(p, w);
+		p->counters.gaps_missed += server_misses_gap(v, now, w);
 		from = server_fetch_source(p->servers, now, w, &view, v);
 		if (from == NULL)
 			guess =
@@ -673,15 +674,17 @@
 }
 
 void
-place_step(struct place *p, msec now, name_id node, uint32_t id,
-    enum sp_place_what what)
+place_step(struct place *p, msec now, name_id node, const sp_place_step *step)
 {
-	struct place_record *h = place_record_find(p, node, id);
+	struct place_record *h = place_record_find(p, node, step->id);
+	enum sp_place_what what = step->what;
 	struct server *v;
 
 	if (h == NULL)
 		return;
 	v = servers_find(p->servers, h->server);
+	if (v != NULL && h->cache == server_cache_id(v))
+		server_pace_record(&v->pace, now, step->gap_ms);
 	if (what == SP_PLACE_BRITTLE) {
 		if (v != NULL)
 			server_room_update(&v->room, now);
--- a/place-private.h
+++ b/place-private.h
@@ -55,8 +55,7 @@
     uint32_t id, struct server *, const struct server_wish *,
     const struct place_queue *, struct server *source);
 /* As coordinator: handles a status message for a counted request. */
-void
-place_step(struct place *, msec, name_id node, uint32_t id, enum sp_place_what);
+void place_step(struct place *, msec, name_id node, const sp_place_step *);
 /* Maps the result of a request to its wire value. */
 enum sp_place_what place_result_encode(enum server_result);
 /* Drops expired requests; drops all. */
--- a/place.c
+++ b/place.c
@@ -109,17 +109,20 @@
     struct place *p, msec now, struct place_request *r, enum sp_place_what what)
 {
 	sp_msg msg = { .kind = SP_PLACE_STEP };
+	sp_place_step *step = &msg.sp_msg_u.place_step;
 
 	if (r->id == 0)
 		return;
-	if (r->coordinator == p->self) {
-		place_step(p, now, p->self, r->id, what);
-		return;
-	}
-	msg.sp_msg_u.place_step.id = r->id;
-	msg.sp_msg_u.place_step.service = r->wish.service;
-	msg.sp_msg_u.place_step.what = what;
-	p->ops->send(p, r->coordinator, &msg);
+	step->id = r->id;
+	step->service = r->wish.service;
+	step->what = what;
+	/* The change of servers counts in the pause of a later attempt. */
+	if (r->wish.navoid == 0)
+		step->gap_ms = (u_int)r->gap;
+	if (r->coordinator == p->self)
+		place_step(p, now, p->self, step);
+	else
+		p->ops->send(p, r->coordinator, &msg);
 }
 
 /* ---- requests of this node ---- */
@@ -256,6 +259,7 @@
 
 	r->waiting = r->local = r->unread = r->late = false;
 	r->server = r->source = 0;
+	r->gap = 0;
 	r->queue = (struct place_queue){ 0 };
 	if (p->policy != NULL) {
 		r->id = 0;
@@ -444,7 +448,7 @@
 			    p, now, from, took->id, v, &w, NULL, NULL);
 		break;
 	case SP_PLACE_STEP:
-		place_step(p, now, from, step->id, step->what);
+		place_step(p, now, from, step);
 		break;
 	case SP_PLACE_RATE:
 		place_rate_receive(p, now, from, &msg->sp_msg_u.place_rate);
--- a/place.h
+++ b/place.h
@@ -57,6 +57,8 @@
 	struct place_queue queue; /* set when decided() is called */
 	/* Server to fetch the shared part of the prompt from; 0: none. */
 	name_id source;
+	/* Longest pause of the stream so far, in ms; set by the caller. */
+	msec gap;
 	/* Private from here. */
 	uint32_t id;	     /* 0: not reported to any coordinator */
 	name_id coordinator; /* node that counts the request */
@@ -115,6 +117,9 @@
 	 * had already read.
 	 */
 	uint64_t tokens, tokens_kept;
+	/* As coordinator: streams placed where they probably miss their gap
+	 * target. */
+	uint64_t gaps_missed;
 	/* Requests whose server was to fetch a prompt, and its tokens. */
 	uint64_t fetches, tokens_fetched;
 };
--- a/proto.h
+++ b/proto.h
@@ -275,6 +275,7 @@
 	u_int id;
 	u_quad_t service;
 	sp_place_what what;
+	u_int gap_ms;
 };
 typedef struct sp_place_step sp_place_step;
 
--- a/proto.x
+++ b/proto.x
@@ -267,6 +267,7 @@
 	unsigned int id;
 	unsigned hyper service;
 	sp_place_what what;
+	unsigned int gap_ms;		/* longest pause of its stream; 0: none */
 };
 
 /* ---- relayed proofs that configuration and servers are current ---- */
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -842,6 +842,8 @@
 		return FALSE;
 	if (!xdr_sp_place_what(xdrs, &objp->what))
 		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->gap_ms))
+		return FALSE;
 	return TRUE;
 }
 
--- a/server-choose.c
+++ b/server-choose.c
@@ -55,6 +55,8 @@
  */
 #define CHOOSE_LIGHT_OFF_QUIET_MS 600.0
 #define CHOOSE_LONG_ON_QUIET_MS 8000.0
+/* Cost of a server on which the stream would miss its gap target. */
+#define CHOOSE_PAUSE_MS 300.0
 /* Cost of a stream on a version that other nodes may not know yet. */
 #define CHOOSE_HELD_VERSION_MS 20000.0
 
@@ -379,6 +381,13 @@
 	return (l->running - v->slots + 1) * view->hold_ms / v->slots;
 }
 
+bool
+server_misses_gap(const struct server *v, msec now, const struct server_wish *w)
+{
+	return w->gap_target > 0 &&
+	       server_pace_expected(&v->pace, now) > (double)w->gap_target;
+}
+
 static double
 choose_cost(struct servers *s, const struct server *v, msec now,
     const struct server_wish *w, const struct server_view *view,
@@ -391,6 +400,8 @@
 	       l->running * CHOOSE_RUNNING_MS;
 	cost += choose_prompt_cost(s, v, now, w, view, home, source);
 	cost += choose_slot_wait(v, l, view);
+	if (view->all && server_misses_gap(v, now, w))
+		cost += CHOOSE_PAUSE_MS;
 	cost += v->failures * CHOOSE_FAILURE_MS;
 	if (now < v->resting_until)
 		cost += CHOOSE_REST_MS;
--- a/server.c
+++ b/server.c
@@ -87,6 +87,7 @@
 	v->down = false;
 	v->first_ms = 0;
 	v->speed = (struct server_speed){ 0 };
+	v->pace = (struct server_pace){ 0 };
 	v->space.used = v->space.used_before = 0;
 	v->fetches_until = 0;
 	v->received = 0;
--- a/server.h
+++ b/server.h
@@ -10,6 +10,7 @@
 #include "prompt-fetch.h"
 #include "savory.h"
 #include "server-memory.h"
+#include "server-pace.h"
 #include "server-rate.h"
 #include "server-room.h"
 #include "server-speed.h"
@@ -83,6 +84,7 @@
 	struct server_load all; /* of all nodes, as coordinator */
 	msec fetches_until;	/* end of its transfers, as coordinator */
 	struct server_speed speed; /* as coordinator */
+	struct server_pace pace;   /* as coordinator */
 	struct prompt_space space; /* memory in use, as coordinator */
 	/* Measured by the requests of this node. */
 	unsigned int failures; /* consecutive */
@@ -315,6 +317,11 @@
 /* Returns the best server for a request, or NULL if none is available. */
 struct server *server_choose(struct servers *, msec, const struct server_wish *,
     const struct server_view *, uint32_t draw);
+/*
+ * As coordinator: returns true if a stream on the server would probably have a
+ * longer pause than its gap target.
+ */
+bool server_misses_gap(const struct server *, msec, const struct server_wish *);
 /*
  * As coordinator: the server from which `v` should fetch the shared part of the
  * prompt, or NULL if `v` holds it or should read it.
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -588,6 +588,52 @@
 	}
 }
 
+/* The highest pause that a node expects of a server. */
+static double
+node_expected_pause(const struct node *n)
+{
+	struct server *v;
+	double most = 0;
+
+	RB_FOREACH (v, server_tree, (struct server_tree *)&n->servers.tree)
+		most = MAX(most, server_pace_expected(&v->pace, clock_now));
+	return most;
+}
+
+/*
+ * Guards against a coordinator that learns no pauses of other nodes' streams,
+ * or counts the change of servers as a pause of the second one.
+ */
+static void
+test_pauses(void)
+{
+	struct place_request r;
+	unsigned int i, know = 0;
+
+	fleet_start(8, 4);
+	request_fill_last_tier(&r, 0, 100);
+	r.wish.navoid = 1;
+	place_submit(&nodes[0].place, clock_now, &r);
+	fleet_run(5);
+	r.gap = 700;
+	place_mark_late(&nodes[0].place, clock_now, &r);
+	place_end(&nodes[0].place, clock_now, &r, SERVER_ANSWERED);
+	fleet_run(5);
+	for (i = 0; i < nnodes; i++)
+		g_assert_cmpfloat(node_expected_pause(&nodes[i]), ==, 0);
+	request_fill_last_tier(&r, 0, 100);
+	place_submit(&nodes[0].place, clock_now, &r);
+	fleet_run(5);
+	r.gap = 300;
+	place_mark_late(&nodes[0].place, clock_now, &r);
+	fleet_run(5);
+	for (i = 0; i < nnodes; i++)
+		know += node_expected_pause(&nodes[i]) > 300;
+	g_assert_cmpuint(know, ==, 1);
+	place_end(&nodes[0].place, clock_now, &r, SERVER_ANSWERED);
+	fleet_stop();
+}
+
 /* Sends 40 prompts of 100 ms to four servers; returns how many are refused. */
 static unsigned int
 submit_forty(struct place_request *r)
@@ -1583,6 +1629,7 @@
 	    "/place/returns-to-successor", test_returns_to_successor);
 	g_test_add_func("/place/slow-servers", test_slow_servers);
 	g_test_add_func("/place/returns", test_returns);
+	g_test_add_func("/place/pauses", test_pauses);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
 }
