Stand-ins: SIGTERM is blocked before the first thread starts

The engine starts its batch thread before http_server_run() blocks SIGTERM; until main waits for the signal, the kernel gives it to that thread, where its default action ends the process.

--- a/standins/common-http.c
+++ b/standins/common-http.c
@@ -59,12 +59,25 @@
 	argp_parse(&argp, argc, argv, 0, NULL, srv);
 }
 
+/* The signals that end the program; blocked in all threads. */
+static void
+http_stop_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+}
+
 void
 http_server_init(
     struct http_server *srv, const struct http_ops *ops, struct fault *faults)
 {
 	pthread_condattr_t attr;
+	sigset_t set;
 
+	/* Before any thread, or SIGTERM may end the process through it. */
+	http_stop_signals(&set);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	memset(srv, 0, sizeof *srv);
 	srv->ops = ops;
 	srv->faults = faults;
@@ -592,10 +605,7 @@
 	int sig;
 
 	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	http_stop_signals(&set);
 	srv->daemon = http_start(srv);
 	if (srv->daemon == NULL) {
 		log_warn("cannot listen on port %u: %s", srv->port,
--- a/tests/proc-standins.c
+++ b/tests/proc-standins.c
@@ -16,6 +16,7 @@
 #define RECORDS "/v1/streams/test.stream/records"
 #define COMPLETIONS "/v1/chat/completions"
 #define LONG_MS 10000
+#define STOPS_AT_ONCE 200
 #define LAG_HUGE "60000" /* longer than any test */
 
 /* One call made by a thread of its own. */
@@ -476,6 +477,19 @@
 	g_assert_true(wait_until(number_reached, &w, LONG_MS));
 }
 
+/* Guards against a stand-in that SIGTERM kills right after it is ready. */
+static void
+test_engine_stop(void)
+{
+	struct proc engine;
+	unsigned int i;
+
+	for (i = 0; i < STOPS_AT_ONCE; i++) {
+		proc_start(&engine, "engine", "--model", "m@1");
+		g_assert_cmpint(proc_stop(&engine), ==, 0);
+	}
+}
+
 static void
 test_engine_cancel(void)
 {
@@ -890,6 +904,7 @@
 	g_test_add_func(
 	    "/engine/crash-and-resume", test_engine_crash_and_resume);
 	g_test_add_func("/engine/read-and-close", test_engine_read_and_close);
+	g_test_add_func("/engine/stop", test_engine_stop);
 	g_test_add_func("/engine/cancel", test_engine_cancel);
 	g_test_add_func(
 	    "/engine/closed-connection", test_engine_closed_connection);
