Count bytes by subject and failure domain

An operator could not tell what crosses between failure domains: net.c had one sum of bytes. Now each datagram is counted by the subject of its messages and by whether its destination is in this node's domain, and the bytes on connections to backend servers likewise. The socket is told the addresses of its domain when membership changes; a lookup by address costs one bsearch for each destination and turn of the loop. A flag in net_send() was ruled out, as membership sends to addresses of nodes that it does not know.

--- a/entry-link.c
+++ b/entry-link.c
@@ -182,6 +182,9 @@
 	k->owner = e;
 	k->server = v;
 	k->starts = v->starts;
+	k->domain = strcmp(v->domain, e->settings->domain) == 0
+			? NET_OWN_DOMAIN
+			: NET_OTHER_DOMAIN;
 	k->connecting = true;
 	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
 	v->links++;
@@ -261,6 +264,7 @@
 		if (n <= 0)
 			return false;
 		k->sent = true;
+		k->owner->counters.request_bytes[k->domain] += (uint64_t)n;
 		buffer_consume(&k->out, (size_t)n);
 	}
 	link_watch(k);
@@ -452,6 +456,7 @@
 		link_end_of_input(k, now);
 		return;
 	}
+	k->owner->counters.answer_bytes[k->domain] += (uint64_t)n;
 	link_parse(k, (const char *)link_input, (size_t)n, now);
 }
 
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -182,6 +182,35 @@
 	    "Backend servers that get less after failures.", resting);
 }
 
+static void
+text_bytes(GString *s, struct entry *e)
+{
+	static const char *domains[NET_DOMAINS] = { "own", "other" };
+	unsigned int i, k;
+
+	text_head(s, "net_bytes_out_total", "counter",
+	    "Bytes to other nodes, by subject and failure domain.");
+	for (i = 0; i < NET_SUBJECTS; i++) {
+		for (k = 0; k < NET_DOMAINS; k++)
+			g_string_append_printf(s,
+			    "savory_entry_net_bytes_out_total{subject=\"%s\","
+			    "domain=\"%s\"} %" PRIu64 "\n",
+			    net_subject_name(i), domains[k],
+			    e->net.counters.bytes_out_by[i][k]);
+	}
+	text_head(s, "server_bytes_total", "counter",
+	    "Bytes of requests and answers on connections to backend servers, "
+	    "by failure domain.");
+	for (k = 0; k < NET_DOMAINS; k++)
+		g_string_append_printf(s,
+		    "savory_entry_server_bytes_total{part=\"requests\","
+		    "domain=\"%s\"} %" PRIu64 "\n"
+		    "savory_entry_server_bytes_total{part=\"answers\","
+		    "domain=\"%s\"} %" PRIu64 "\n",
+		    domains[k], e->counters.request_bytes[k], domains[k],
+		    e->counters.answer_bytes[k]);
+}
+
 /* Returns the name of a service, or "?" if the configuration has none. */
 static const char *
 service_name(const struct entry *e, name_id service)
@@ -338,6 +367,7 @@
 	text_budgets(s, e, now);
 	text_limits(s, e);
 	text_counters(s, e);
+	text_bytes(s, e);
 	e->source->ops->metrics(e->source, s);
 	entry_era_metrics(e, s, now);
 	entry_poison_metrics(e, s);
--- a/entry-state.c
+++ b/entry-state.c
@@ -84,6 +84,7 @@
 		e->incarnation = m->incarnation;
 		net_set_incarnation(&e->net, m->incarnation);
 	}
+	e->own_domain_changed = true;
 	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_NODE,
 	    LOG_TEXT(LOG_KEY_NAME, m->name),
 	    LOG_TEXT(LOG_KEY_STATE, member_state_name(m->state)));
@@ -175,6 +176,28 @@
 	return (g_get_real_time() - (int64_t)incarnation) / 1000;
 }
 
+/* Tells the socket which nodes are in this node's failure domain. */
+static void
+state_push_own_domain(struct entry *e)
+{
+	struct net_address *list;
+	struct member *m;
+	unsigned int n = 0;
+
+	if (!e->own_domain_changed)
+		return;
+	e->own_domain_changed = false;
+	list = g_new(struct net_address, e->live_nodes);
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state != MEMBER_DEAD &&
+		    strcmp(m->domain, e->members.self.domain) == 0)
+			list[n++] =
+			    (struct net_address){ m->address, m->peer_port };
+	}
+	net_set_own_domain(&e->net, list, n);
+	g_free(list);
+}
+
 /*
  * Passes the live nodes to placement, relay and poison detection. Nodes that
  * take work can be coordinators; this node takes work while it is serving.
@@ -203,6 +226,7 @@
 			m->state == MEMBER_ALIVE && !m->leaving,
 			entry_process_age(m->incarnation), false };
 	}
+	state_push_own_domain(e);
 	place_set_nodes(&e->place, now, nodes, n);
 	takers = g_new(name_id, n);
 	for (i = 0; i < n; i++) {
--- a/entry.h
+++ b/entry.h
@@ -178,8 +178,9 @@
 	TAILQ_ENTRY(link) entry; /* in link_pool's `idle` or `connecting` */
 	struct entry *owner;
 	struct server *server;
-	unsigned int starts; /* the server's `starts` at connect() */
-	struct job *job;     /* NULL: idle */
+	unsigned int starts;	/* the server's `starts` at connect() */
+	enum net_domain domain; /* the server's */
+	struct job *job;	/* NULL: idle */
 	struct http_reader reader;
 	struct buffer out;
 	struct loop_timer timer;
@@ -514,6 +515,8 @@
 	uint64_t rests;			  /* that servers asked for */
 	uint64_t servers_leaving;	  /* by their answers */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
+	/* On connections to servers, by the server's failure domain. */
+	uint64_t request_bytes[NET_DOMAINS], answer_bytes[NET_DOMAINS];
 };
 
 struct entry {
@@ -537,6 +540,7 @@
 	struct entry_start start;
 	struct entry_table_transfer table_transfer;
 	struct servers servers;
+	bool own_domain_changed; /* tell the socket; see net_set_own_domain() */
 	struct place place;
 	struct entry_poison poison;
 	struct entry_reach reach;
--- a/net.c
+++ b/net.c
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -26,6 +27,8 @@
 	LIST_ENTRY(net_peer) spare;
 	uint32_t address;
 	uint16_t port;
+	enum net_domain domain;
+	uint64_t bytes[NET_SUBJECTS]; /* of the frame */
 	struct net_frame frame;
 };
 RB_HEAD(net_peer_tree, net_peer);
@@ -34,6 +37,8 @@
 struct net_data {
 	struct net_peer_tree waiting;
 	struct net_peer_list spares;
+	struct net_address *own_domain; /* in order */
+	unsigned int nown_domain;
 	name_id id;
 	uint64_t incarnation;
 	char *key;
@@ -57,6 +62,108 @@
 	return (int)a->port - (int)b->port;
 }
 
+/* ---- counters by subject and failure domain ---- */
+
+static const struct {
+	enum sp_kind first; /* kind of the subject's range */
+	const char *name;
+} net_subjects[] = {
+	[NET_MEMBERSHIP] = { SP_PROBE, "membership" },
+	[NET_DISPATCH] = { SP_RESERVE, "dispatch" },
+	[NET_LIMITS] = { SP_SHARE, "limits" },
+	[NET_PLACEMENT] = { SP_PLACE_STEP, "placement" },
+	[NET_RELAY] = { SP_RELAY_ASK, "relay" },
+	[NET_DUTIES] = { SP_DUTY_BEAT, "duties" },
+	[NET_START] = { SP_START_ASK, "start" },
+	[NET_POISON] = { SP_POISON_TELL, "poison" },
+	[NET_VERSIONS] = { SP_STREAM_TELL, "versions" },
+	[NET_HEADERS] = { 0, "headers" },
+};
+
+enum net_subject
+net_subject_of(enum sp_kind kind)
+{
+	unsigned int i;
+
+	for (i = NET_HEADERS - 1; i > 0; i--) {
+		if (kind >= net_subjects[i].first)
+			break;
+	}
+	return i;
+}
+
+const char *
+net_subject_name(enum net_subject subject)
+{
+	return net_subjects[subject].name;
+}
+
+static int
+net_address_compare(const void *a, const void *b)
+{
+	const struct net_address *x = a, *y = b;
+
+	if (x->address != y->address)
+		return x->address < y->address ? -1 : 1;
+	return (int)x->port - (int)y->port;
+}
+
+void
+net_set_own_domain(
+    struct net *n, const struct net_address *list, unsigned int count)
+{
+	struct net_data *d = n->priv;
+
+	g_free(d->own_domain);
+	d->own_domain = g_memdup2(list, count * sizeof *list);
+	d->nown_domain = count;
+	if (count > 0)
+		qsort(d->own_domain, count, sizeof *list, net_address_compare);
+}
+
+static enum net_domain
+net_domain_of(const struct net_data *d, uint32_t address, uint16_t port)
+{
+	struct net_address find = { address, port };
+
+	if (d->nown_domain > 0 && bsearch(&find, d->own_domain, d->nown_domain,
+				      sizeof find, net_address_compare) != NULL)
+		return NET_OWN_DOMAIN;
+	return NET_OTHER_DOMAIN;
+}
+
+static void
+net_frame_begin(struct net *n, struct net_peer *p)
+{
+	memset(p->bytes, 0, sizeof p->bytes);
+	net_frame_init(&p->frame, n->priv->id, n->priv->incarnation);
+	p->bytes[NET_HEADERS] = p->frame.used;
+}
+
+static bool
+net_peer_add(struct net_peer *p, const sp_msg *msg)
+{
+	size_t before = p->frame.used;
+
+	if (!net_frame_add(&p->frame, msg))
+		return false;
+	p->bytes[net_subject_of(msg->kind)] += p->frame.used - before;
+	return true;
+}
+
+static void
+net_count_frame(struct net *n, const struct net_peer *p, size_t len)
+{
+	unsigned int i;
+
+	n->counters.datagrams_out++;
+	n->counters.bytes_out += len;
+	for (i = 0; i < NET_SUBJECTS; i++)
+		n->counters.bytes_out_by[i][p->domain] += p->bytes[i];
+}
+
+/* ---- the socket ---- */
+
 static struct net_peer *
 net_peer_get(struct net *n, uint32_t address, uint16_t port)
 {
@@ -71,7 +178,8 @@
 		p = g_new0(struct net_peer, 1);
 	p->address = address;
 	p->port = port;
-	net_frame_init(&p->frame, d->id, d->incarnation);
+	p->domain = net_domain_of(d, address, port);
+	net_frame_begin(n, p);
 	RB_INSERT(net_peer_tree, &d->waiting, p);
 	return p;
 }
@@ -145,6 +253,7 @@
 		LIST_REMOVE(p, spare);
 		g_free(p);
 	}
+	g_free(d->own_domain);
 	g_free(d->key);
 	g_free(d);
 	n->priv = NULL;
@@ -178,8 +287,7 @@
 		n->counters.dropped++;
 		return;
 	}
-	n->counters.datagrams_out++;
-	n->counters.bytes_out += len;
+	net_count_frame(n, p, len);
 }
 
 void
@@ -187,12 +295,12 @@
 {
 	struct net_peer *p = net_peer_get(n, address, port);
 
-	if (net_frame_add(&p->frame, msg))
+	if (net_peer_add(p, msg))
 		return;
 	if (p->frame.count > 0) {
 		net_send_frame(n, p);
-		net_frame_init(&p->frame, n->priv->id, n->priv->incarnation);
-		if (net_frame_add(&p->frame, msg))
+		net_frame_begin(n, p);
+		if (net_peer_add(p, msg))
 			return;
 	}
 	log_warn(
--- a/net.h
+++ b/net.h
@@ -52,10 +52,35 @@
 	    const sp_msg *);
 };
 
+/* What messages are about; each has a range of kinds. */
+enum net_subject {
+	NET_MEMBERSHIP,
+	NET_DISPATCH,
+	NET_LIMITS,
+	NET_PLACEMENT,
+	NET_RELAY,
+	NET_DUTIES,
+	NET_START, /* of a node, and configurations from other nodes */
+	NET_POISON,
+	NET_VERSIONS,
+	NET_HEADERS, /* of datagrams; no message has this subject */
+	NET_SUBJECTS
+};
+enum net_subject net_subject_of(enum sp_kind);
+const char *net_subject_name(enum net_subject);
+
+/* Where the destination is; index of net_counters.bytes_out_by. */
+enum net_domain {
+	NET_OWN_DOMAIN,
+	NET_OTHER_DOMAIN, /* or not known */
+	NET_DOMAINS
+};
+
 /* Counters since the start. Bytes are of UDP payload. */
 struct net_counters {
 	uint64_t datagrams_in, datagrams_out;
 	uint64_t bytes_in, bytes_out;
+	uint64_t bytes_out_by[NET_SUBJECTS][NET_DOMAINS];
 	uint64_t rejected; /* failed net_decode() */
 	uint64_t dropped;  /* datagrams that could not be sent */
 	uint64_t oversize; /* messages too large for a datagram */
@@ -76,6 +101,13 @@
 void net_finish(struct net *);
 /* Send messages with this incarnation from now on. */
 void net_set_incarnation(struct net *, uint64_t);
+/* An address in host byte order. */
+struct net_address {
+	uint32_t address;
+	uint16_t port;
+};
+/* Sets the nodes in this node's failure domain, for the counters. */
+void net_set_own_domain(struct net *, const struct net_address *, unsigned int);
 /* The bound port, also after a bind to port 0; 0 on failure. */
 uint16_t net_port(const struct net *);
 /* Queue a message for an address and port; net_flush() sends the batches. */
--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -294,6 +294,69 @@
 	net_finish(&b);
 }
 
+/* Guards against bytes that are counted for the wrong subject or domain. */
+static void
+test_domains(void)
+{
+	static const uint16_t near = 7001, far = 7002;
+	struct net_address own = { LOOPBACK, near };
+	sp_msg place = { .kind = SP_PLACE_RETURN };
+	sp_msg grant = { .kind = SP_GRANT };
+	uint64_t(*by)[NET_DOMAINS], sum = 0;
+	unsigned int i, k;
+	struct net n;
+
+	g_assert_true(net_init(&n, &ops, LOOPBACK, 0, 11, 12, KEY));
+	by = n.counters.bytes_out_by;
+	net_set_own_domain(&n, &own, 1);
+	net_send(&n, LOOPBACK, near, &grant);
+	net_send(&n, LOOPBACK, far, &place);
+	net_send(&n, LOOPBACK, far, &place);
+	net_flush(&n);
+	for (i = 0; i < NET_SUBJECTS; i++) {
+		for (k = 0; k < NET_DOMAINS; k++)
+			sum += by[i][k];
+	}
+	g_assert_cmpuint(sum, ==, n.counters.bytes_out);
+	g_assert_cmpuint(by[NET_DISPATCH][NET_OWN_DOMAIN], >, 0);
+	g_assert_cmpuint(by[NET_DISPATCH][NET_OTHER_DOMAIN], ==, 0);
+	g_assert_cmpuint(by[NET_PLACEMENT][NET_OWN_DOMAIN], ==, 0);
+	g_assert_cmpuint(by[NET_PLACEMENT][NET_OTHER_DOMAIN], >, 0);
+	g_assert_cmpuint(by[NET_HEADERS][NET_OWN_DOMAIN], ==,
+	    by[NET_HEADERS][NET_OTHER_DOMAIN]);
+	/* A node that is no longer in this domain. */
+	net_set_own_domain(&n, NULL, 0);
+	net_send(&n, LOOPBACK, near, &grant);
+	net_flush(&n);
+	g_assert_cmpuint(by[NET_DISPATCH][NET_OTHER_DOMAIN], >, 0);
+	net_finish(&n);
+}
+
+/* Guards against a kind of message that is counted for another subject. */
+static void
+test_subjects(void)
+{
+	static const struct {
+		enum sp_kind kind;
+		enum net_subject subject;
+	} kinds[] = { { SP_PROBE, NET_MEMBERSHIP },
+		{ SP_SYNC_PAGE, NET_MEMBERSHIP }, { SP_RESERVE, NET_DISPATCH },
+		{ SP_QUEUED, NET_DISPATCH }, { SP_SHARE, NET_LIMITS },
+		{ SP_PLACE_STEP, NET_PLACEMENT },
+		{ SP_PLACE_RETURN, NET_PLACEMENT }, { SP_RELAY_ASK, NET_RELAY },
+		{ SP_RELAY_SERVERS, NET_RELAY }, { SP_DUTY_BEAT, NET_DUTIES },
+		{ SP_DEMAND, NET_DUTIES }, { SP_START_ASK, NET_START },
+		{ SP_TABLE_PART, NET_START }, { SP_POISON_TELL, NET_POISON },
+		{ SP_POISON_DONE, NET_POISON },
+		{ SP_STREAM_TELL, NET_VERSIONS },
+		{ SP_STREAM_ANSWER, NET_VERSIONS } };
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
+		g_assert_cmpint(
+		    net_subject_of(kinds[i].kind), ==, kinds[i].subject);
+}
+
 /*
  * The port is flooded with noise, with datagrams that are too long, and with
  * those of an installation with another key. All are counted and dropped.
@@ -340,6 +403,8 @@
 	g_test_add_func("/net/other-version", test_other_version);
 	g_test_add_func("/net/oversize", test_oversize);
 	g_test_add_func("/net/loopback", test_loopback);
+	g_test_add_func("/net/domains", test_domains);
+	g_test_add_func("/net/subjects", test_subjects);
 	g_test_add_func("/net/strangers", test_strangers);
 	return g_test_run();
 }
