Drop a probe when its target has started again

A node probed the previous process of a restarted VM, learned of the new one by its announcement, and at the end of the period suspected the new process for the silence of the old one. All others then held a sound node suspect until its refutation had reached them by gossip.

Just after a start of the fleet none did, as suspicions waited behind the news of the start; so the existing test, /member/return-at-once, could not see it.

--- a/member-private.h
+++ b/member-private.h
@@ -33,7 +33,8 @@
 
 /* The direct probe of the current period. */
 struct member_probe {
-	name_id target; /* 0: none */
+	name_id target;	      /* 0: none */
+	uint64_t incarnation; /* the target's when it was sent */
 	uint32_t seq;
 	msec sent;
 	bool acked;
--- a/member-probe.c
+++ b/member-probe.c
@@ -234,6 +234,7 @@
 	if ((m = probe_next_target(ms)) == NULL)
 		return;
 	p->probe.target = m->id;
+	p->probe.incarnation = m->incarnation;
 	p->probe.seq = ++p->seq;
 	p->probe.sent = now;
 	member_probe_send(ms, now, m, p->probe.seq);
@@ -280,7 +281,9 @@
 	if (probe->target == 0 || probe->acked)
 		return;
 	m = members_find(ms, probe->target);
-	if (m == NULL || m->state == MEMBER_DEAD) {
+	/* A probe of the previous process says nothing about a new one. */
+	if (m == NULL || m->state == MEMBER_DEAD ||
+	    m->incarnation != probe->incarnation) {
 		probe->target = 0;
 		return;
 	}
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -264,6 +264,32 @@
 	}
 }
 
+/*
+ * Guards against a restarted node that is suspected for the silence of its
+ * previous process, once the fleet is calm and a suspicion spreads at once.
+ */
+static void
+test_restart_not_suspected(void)
+{
+	struct fleet f;
+	unsigned int i;
+	msec took;
+
+	fleet_ready(&f, 60, 1);
+	fleet_run(&f, 90 * MSEC_SECOND);
+	for (i = 0; i < 40; i++) {
+		members_leave(&f.nodes[i].members, f.now);
+		fleet_run(&f, 4 * MSEC_SECOND);
+		fleet_crash(&f, i);
+		fleet_run(&f, 600);
+		fleet_start(&f, i);
+		took = fleet_run_until_agreed(&f, 10 * MSEC_SECOND);
+		assert_within("return", took, 500, f.n, 1U);
+		fleet_run(&f, 4 * MSEC_SECOND);
+	}
+	fleet_finish(&f);
+}
+
 /*
  * A leaving node is suspected because of loss, held dead during a pause, and
  * refutes. If the refutation set it back to "alive", it would get new work just
@@ -752,6 +778,8 @@
 	g_test_add_func("/member/leaving", test_leaving);
 	g_test_add_func("/member/leaving-at-once", test_leaving_at_once);
 	g_test_add_func("/member/return-at-once", test_return_at_once);
+	g_test_add_func(
+	    "/member/restart-not-suspected", test_restart_not_suspected);
 	g_test_add_func("/member/leaving-under-loss", test_leaving_under_loss);
 	g_test_add_func("/member/leaving-survives-refutation",
 	    test_leaving_survives_refutation);
