Gossip less of what all nodes were told directly

A starting node announces itself to all, and pulls the whole table. Each node then passed all of it on as news, 4 + 2 log2(n) times each: with 300 nodes every probe was full for more than 40 s after a start (5,798 bytes/s a node, 30 to 40 s after it), and a death waited behind it. Announced news is now sent on 6 times, for announcements that were lost, and what the first sync told once.

--- a/member-news.c
+++ b/member-news.c
@@ -26,12 +26,19 @@
     const sp_news *, enum member_state, bool);
 static void member_record_load(struct member *, msec, uint64_t, unsigned int);
 
-/* Transmissions after which an update has reached all members with high
- * probability. */
+/*
+ * Transmissions after which an update has reached all members with high
+ * probability. Guards against probes that are full of old news for minutes
+ * after the start of a large fleet, behind which new deaths wait: each node
+ * passed on all that its first sync or the others' announcements had told it.
+ */
 static unsigned int
 update_transmissions(const struct members *ms)
 {
-	return 4 + 2 * g_bit_storage(ms->priv->live + 1);
+	unsigned int n = 4 + 2 * g_bit_storage(ms->priv->live + 1);
+	unsigned int most = ms->priv->transmissions_max;
+
+	return most != 0 ? MIN(n, most) : n;
 }
 
 void
--- a/member-private.h
+++ b/member-private.h
@@ -13,6 +13,12 @@
 #define MEMBER_INDIRECT_PENDING_MAX 32
 /* Bytes of updates in one message, as encoded. */
 #define MEMBER_UPDATES_BYTES 800
+/*
+ * Transmissions of an update that the member itself announced to all, enough to
+ * repair lost announcements; and of one from the first sync, which others have.
+ */
+#define MEMBER_ANNOUNCED_TRANSMISSIONS 6
+#define MEMBER_SYNCED_TRANSMISSIONS 1
 /* Loads of other members in one message. */
 #define MEMBER_LOADS_PER_MESSAGE 3
 /* Loads older than this are not sent on. */
@@ -57,7 +63,9 @@
 	msec list_lag;
 	GRand *rand;
 	struct member_queue
-	    update_queue;	      /* updates to send; the newest first */
+	    update_queue; /* updates to send; the newest first */
+	/* Limit of the transmissions of the update being merged; 0: none. */
+	unsigned int transmissions_max;
 	struct member_queue suspects; /* by state_since, the oldest first */
 	unsigned int members;	      /* in the tree, any state */
 	unsigned int live;	      /* of these, not dead */
--- a/member-probe.c
+++ b/member-probe.c
@@ -403,8 +403,11 @@
 	 */
 	member_merge_loads(
 	    ms, now, probe_is_announcement(msg) ? NULL : m, probe);
+	if (probe_is_announcement(msg))
+		ms->priv->transmissions_max = MEMBER_ANNOUNCED_TRANSMISSIONS;
 	for (i = 0; i < probe->news.news_len; i++)
 		member_merge_update(ms, now, &probe->news.news_val[i]);
+	ms->priv->transmissions_max = 0;
 	if (msg->kind == SP_PROBE_ACK)
 		probe_handle_ack(ms, now, from, probe);
 	else
--- a/member-sync.c
+++ b/member-sync.c
@@ -123,8 +123,11 @@
 	struct member_state_data *p = ms->priv;
 	u_int i;
 
+	if (p->joining)
+		p->transmissions_max = MEMBER_SYNCED_TRANSMISSIONS;
 	for (i = 0; i < page->news.news_len; i++)
 		member_merge_update(ms, now, &page->news.news_val[i]);
+	p->transmissions_max = 0;
 	/* The page may also be an answer to member_request_update(). */
 	if (p->sync_peer != from || p->sync_after != page->after)
 		return;
