Probe and sync mostly in the own failure domain

Of the probes of a calm fleet two thirds crossed between three domains, and of the first syncs, 33 KB each with 300 nodes. A node with at least 8 live members in its domain now sends one probe in four across, and all as before while a member of another domain is suspect, so that a lost domain is found no later. The first sync, and every other one, is with the own domain.

Ruled out: a node that has run for long doesn't answer the announcement of one in another domain, which learns of it by its sync: 165 of 300 nodes killed agree after 6 to 30 s where 0.15 s are usual, as the peer may be starting itself.

--- a/member-private.h
+++ b/member-private.h
@@ -77,16 +77,18 @@
 	uint32_t seq;
 	GArray *probe_order; /* name_id, live members, shuffled */
 	unsigned int next_in_order;
-	unsigned int period; /* counts up */
+	unsigned int order_own; /* of probe_order: in the own failure domain */
+	unsigned int period;	/* counts up */
 	msec next_probe;
 	msec next_sweep;
 	msec next_tick;
 	/* Sync. */
 	name_id sync_peer; /* whose page is expected; 0: none */
 	uint64_t sync_after;
-	bool joining;		/* until the first full sync is complete */
-	bool has_unannounced;	/* a member was added that may need an
-				   announcement */
+	bool sync_any;	      /* the next sync is with a member of any domain */
+	bool joining;	      /* until the first full sync is complete */
+	bool has_unannounced; /* a member was added that may need an
+				 announcement */
 	msec next_announcement; /* repeat of the leave announcement, or
 				   MSEC_NEVER */
 	unsigned int update_requests_left;
@@ -129,7 +131,11 @@
 void member_probe_receive(struct members *, msec, struct member *, name_id,
     uint32_t, uint16_t, const sp_msg *);
 struct member *member_random_live(struct members *, name_id);
-void member_order_insert(struct members *, name_id);
+struct member *member_random_near(struct members *);
+bool member_is_near(const struct members *, const struct member *);
+/* Whether the own failure domain has enough members to prefer them. */
+bool member_domain_is_large(const struct members *);
+void member_order_insert(struct members *, const struct member *);
 
 /* member-sync.c */
 void member_sync_start(struct members *, msec);
--- a/member-probe.c
+++ b/member-probe.c
@@ -14,6 +14,10 @@
 
 /* Random draws to find a live member. */
 #define RANDOM_TRIES 16
+/* Of a node's probes one in this many goes to another failure domain. */
+#define PROBE_ACROSS_ONE_IN 4
+/* Live members in its failure domain from which a node prefers them. */
+#define DOMAIN_LARGE 8
 
 static void order_shuffle(struct members *);
 static struct member *probe_next_target(struct members *);
@@ -28,6 +32,18 @@
     struct members *, msec, uint32_t, uint16_t, const sp_probe_request *);
 static void probe_handle_ack(struct members *, msec, name_id, const sp_probe *);
 
+bool
+member_is_near(const struct members *ms, const struct member *m)
+{
+	return strcmp(m->domain, ms->self.domain) == 0;
+}
+
+bool
+member_domain_is_large(const struct members *ms)
+{
+	return ms->priv->order_own >= DOMAIN_LARGE;
+}
+
 /* Starts a new round over the live members, in random order. */
 static void
 order_shuffle(struct members *ms)
@@ -39,9 +55,12 @@
 
 	g_array_set_size(p->probe_order, 0);
 	p->next_in_order = 0;
+	p->order_own = 0;
 	RB_FOREACH (m, member_tree, &ms->tree) {
-		if (member_is_live(m))
-			g_array_append_val(p->probe_order, m->id);
+		if (!member_is_live(m))
+			continue;
+		g_array_append_val(p->probe_order, m->id);
+		p->order_own += member_is_near(ms, m);
 	}
 	a = (name_id *)(void *)p->probe_order->data;
 	for (i = p->probe_order->len; i > 1; i--) {
@@ -54,9 +73,10 @@
 
 /* Inserts into the rest of the round, so that a new member is probed soon. */
 void
-member_order_insert(struct members *ms, name_id id)
+member_order_insert(struct members *ms, const struct member *m)
 {
 	struct member_state_data *p = ms->priv;
+	name_id id = m->id;
 	guint i;
 
 	for (i = 0; i < p->probe_order->len; i++) {
@@ -66,12 +86,47 @@
 	i = (guint)g_rand_int_range(
 	    p->rand, (gint32)p->next_in_order, (gint32)p->probe_order->len + 1);
 	g_array_insert_val(p->probe_order, i, id);
+	p->order_own += member_is_near(ms, m);
+}
+
+/* Whether a member of another failure domain is suspect. */
+static bool
+probe_suspects_across(const struct members *ms)
+{
+	const struct member *m;
+
+	TAILQ_FOREACH (m, &ms->priv->suspects, suspect_entry) {
+		if (!member_is_near(ms, m))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether a member is left out of this round. Each node is watched by the
+ * members of its failure domain; only a part of the probes goes to others,
+ * enough to notice that a whole domain is lost or cut off. When one of their
+ * members is suspect, all are probed, so that the rest of a lost domain is
+ * found at once.
+ */
+static bool
+probe_skips(struct members *ms, const struct member *m, bool all)
+{
+	struct member_state_data *p = ms->priv;
+	unsigned int others = p->probe_order->len - p->order_own;
+	double part;
+
+	if (all || others == 0 || member_is_near(ms, m))
+		return false;
+	part = (double)p->order_own / ((PROBE_ACROSS_ONE_IN - 1.0) * others);
+	return g_rand_double(p->rand) >= part;
 }
 
 static struct member *
 probe_next_target(struct members *ms)
 {
 	struct member_state_data *p = ms->priv;
+	bool all = !member_domain_is_large(ms) || probe_suspects_across(ms);
 	unsigned int rounds = 0;
 	struct member *m;
 	name_id id;
@@ -85,7 +140,7 @@
 		}
 		id = g_array_index(p->probe_order, name_id, p->next_in_order++);
 		m = members_find(ms, id);
-		if (m != NULL && member_is_live(m))
+		if (m != NULL && member_is_live(m) && !probe_skips(ms, m, all))
 			return m;
 	}
 	return NULL;
@@ -112,6 +167,21 @@
 	return NULL;
 }
 
+/* The same, of the own failure domain if that is large. */
+struct member *
+member_random_near(struct members *ms)
+{
+	struct member *m;
+	unsigned int i;
+
+	for (i = 0; i < RANDOM_TRIES && member_domain_is_large(ms); i++) {
+		m = member_random_live(ms, 0);
+		if (m != NULL && member_is_near(ms, m))
+			return m;
+	}
+	return member_random_live(ms, 0);
+}
+
 static void
 probe_fill(struct members *ms, msec now, sp_probe *probe,
     const struct member *to, name_id to_id)
--- a/member-sync.c
+++ b/member-sync.c
@@ -32,24 +32,50 @@
 	ms->ops->send(ms, address, port, &msg);
 }
 
+/* A random member of the VM list, of the own failure domain if wanted. */
+static struct member *
+sync_random_listed(struct members *ms, bool near)
+{
+	struct member *m, *found = NULL;
+	gint32 n = 0;
+
+	RB_FOREACH (m, member_tree, &ms->tree) {
+		if (near && !member_is_near(ms, m))
+			continue;
+		if (g_rand_int_range(ms->priv->rand, 0, ++n) == 0)
+			found = m;
+	}
+	return found;
+}
+
+/*
+ * Every other sync is with a member of the own failure domain, as a whole table
+ * is many pages. The others repair what this domain has missed.
+ */
+static struct member *
+sync_choose_peer(struct members *ms)
+{
+	struct member_state_data *p = ms->priv;
+	bool near = !p->sync_any;
+	struct member *m;
+
+	p->sync_any = near;
+	m = near ? member_random_near(ms) : member_random_live(ms, 0);
+	if (m != NULL || p->live > 0)
+		return m;
+	/* No member is live yet. */
+	if (near && (m = sync_random_listed(ms, true)) != NULL)
+		return m;
+	return sync_random_listed(ms, false);
+}
+
 void
 member_sync_start(struct members *ms, msec now)
 {
 	struct member_state_data *p = ms->priv;
 	struct member *m;
-	unsigned int skip;
-
-	m = member_random_live(ms, 0);
-	if (m == NULL && p->members > 0 && p->live == 0) {
-		/* No member is live yet: use a random one of the VM list. */
-		skip = (unsigned int)g_rand_int_range(
-		    p->rand, 0, (gint32)p->members);
-		RB_FOREACH (m, member_tree, &ms->tree) {
-			if (skip-- == 0)
-				break;
-		}
-	}
-	if (m == NULL)
+
+	if ((m = sync_choose_peer(ms)) == NULL)
 		return;
 	p->sync_peer = m->id;
 	sync_send_request(
--- a/member.c
+++ b/member.c
@@ -193,7 +193,7 @@
 	if (m != &ms->self && member_is_live(m) != was_live) {
 		p->live += was_live ? -1 : 1;
 		if (!was_live)
-			member_order_insert(ms, m->id);
+			member_order_insert(ms, m);
 	}
 	member_queue_update(ms, m);
 	ms->ops->changed(ms, m);
--- a/tests/util-fleet.c
+++ b/tests/util-fleet.c
@@ -74,6 +74,8 @@
 	net_frame_seal(&frame, FLEET_KEY);
 	n->datagrams_out++;
 	n->bytes_out += frame.used + FLEET_HEADERS;
+	if (to % FLEET_DOMAINS != n->index % FLEET_DOMAINS)
+		n->bytes_across += frame.used + FLEET_HEADERS;
 	if (n->region != f->nodes[to].region || !f->nodes[to].up)
 		return;
 	if (g_rand_int_range(f->rand, 0, 1000) < (gint32)f->loss_permille)
@@ -123,7 +125,8 @@
 		memset(vm, 0, sizeof *vm);
 		g_strlcpy(vm->name, f->nodes[i].name, sizeof vm->name);
 		g_strlcpy(vm->kind, "entry", sizeof vm->kind);
-		g_snprintf(vm->domain, sizeof vm->domain, "hall-%u", i % 3);
+		g_snprintf(vm->domain, sizeof vm->domain, "hall-%u",
+		    i % FLEET_DOMAINS);
 		vm->address = fleet_address(i);
 		vm->port = 7000;
 	}
@@ -214,7 +217,7 @@
 	};
 
 	g_assert_false(n->up);
-	g_snprintf(domain, sizeof domain, "hall-%u", i % 3);
+	g_snprintf(domain, sizeof domain, "hall-%u", i % FLEET_DOMAINS);
 	members_init(&n->members, &fleet_ops, &cfg, f->now);
 	n->members.arg = n;
 	memset(n->known_leaving, 0, f->n * sizeof *n->known_leaving);
--- a/tests/util-fleet.h
+++ b/tests/util-fleet.h
@@ -10,6 +10,9 @@
 #include "member.h"
 #include "net.h"
 
+/* Node i is in failure domain i % FLEET_DOMAINS. */
+#define FLEET_DOMAINS 3
+
 struct fleet;
 
 struct fleet_node {
@@ -24,6 +27,7 @@
 	msec due;
 	msec next_list;
 	uint64_t bytes_out, bytes_in, datagrams_out;
+	uint64_t bytes_across; /* of bytes_out, to other failure domains */
 	/* By node: the incarnation we have known as leaving. */
 	uint64_t *known_leaving;
 	unsigned int changes;
