Don't answer the answer to an announcement

A node that starts announces itself to all; each answers, as it does not know the new process; and the started node announced itself again to each of these, as it had not known them either. The answer now names its receiver (on_behalf_of, 0 in announcements until now), which then sends nothing. A node of the version before ignores the field and answers as before.

The new test fails on the code before (3 announcements between two nodes).

--- a/member-private.h
+++ b/member-private.h
@@ -126,7 +126,7 @@
 void member_probe_send(struct members *, msec, struct member *, uint32_t);
 /* Announce the local node's state, alive or leaving: to one member; to all
  * members, or with again == false to those without an announcement yet. */
-void member_announce_to(struct members *, struct member *);
+void member_announce_to(struct members *, struct member *, bool answer);
 void member_announce_all(struct members *, bool again);
 void member_probe_receive(struct members *, msec, struct member *, name_id,
     uint32_t, uint16_t, const sp_msg *);
--- a/member-probe.c
+++ b/member-probe.c
@@ -219,9 +219,11 @@
 /*
  * Sends the local node's state only: 211 bytes on the wire, 63 KB for a fleet
  * of 300. The message is an unsolicited ack, as receivers do not answer acks.
+ * In the answer to an announcement on_behalf_of names the receiver, which then
+ * need not announce itself again.
  */
 void
-member_announce_to(struct members *ms, struct member *m)
+member_announce_to(struct members *ms, struct member *m, bool answer)
 {
 	sp_news self;
 	sp_msg msg;
@@ -234,6 +236,7 @@
 	msg.sp_msg_u.probe_ack.self.load_permille = ms->self.load_permille;
 	msg.sp_msg_u.probe_ack.self.leaving = ms->self.leaving;
 	msg.sp_msg_u.probe_ack.newest_version = ms->priv->newest_version;
+	msg.sp_msg_u.probe_ack.on_behalf_of = answer ? m->id : 0;
 	msg.sp_msg_u.probe_ack.news.news_val = &self;
 	msg.sp_msg_u.probe_ack.news.news_len = 1;
 	m->announced = true;
@@ -257,7 +260,7 @@
 		if (m->announced && !again)
 			continue;
 		if (member_is_live(m) || m->listed)
-			member_announce_to(ms, m);
+			member_announce_to(ms, m, false);
 	}
 }
 
--- a/member.c
+++ b/member.c
@@ -287,8 +287,9 @@
 
 	if (m == NULL || m->incarnation < incarnation)
 		member_request_update(ms, from, address, port);
-	else if (msg->kind == SP_PROBE_ACK && !m->leaving)
-		member_announce_to(ms, m);
+	else if (msg->kind == SP_PROBE_ACK && !m->leaving &&
+		 msg->sp_msg_u.probe_ack.on_behalf_of != ms->self.id)
+		member_announce_to(ms, m, true);
 }
 
 void
--- a/tests/test-member-domain.c
+++ b/tests/test-member-domain.c
@@ -150,6 +150,33 @@
 	fleet_finish(&f);
 }
 
+static unsigned int announcements;
+
+static void
+count_announcement(struct fleet_node *n, name_id from, const sp_msg *msg)
+{
+	announcements +=
+	    msg->kind == SP_PROBE_ACK && msg->sp_msg_u.probe_ack.seq == 0;
+}
+
+/* Guards against a started node that announces itself again to each answer. */
+static void
+test_answers(void)
+{
+	struct fleet f;
+
+	fleet_init(&f, 2, 1);
+	fleet_start(&f, 0);
+	fleet_run(&f, 30);
+	f.message = count_announcement;
+	announcements = 0;
+	fleet_start(&f, 1);
+	fleet_run(&f, 30);
+	g_assert_true(fleet_agrees(&f));
+	g_assert_cmpuint(announcements, ==, 2);
+	fleet_finish(&f);
+}
+
 /*
  * Guards against announcements that are repaired too seldom: more than half of
  * a large fleet is killed and starts again while datagrams are lost.
@@ -186,6 +213,7 @@
 	g_test_add_func("/member-domain/lost", test_lost);
 	g_test_add_func("/member-domain/cut-off", test_cut_off);
 	g_test_add_func("/member-domain/news-of-start", test_news_of_start);
+	g_test_add_func("/member-domain/answers", test_answers);
 	g_test_add_func(
 	    "/member-domain/restart-under-loss", test_restart_under_loss);
 	return g_test_run();
