--- a/member-private.h
+++ b/member-private.h
@@ -13,6 +13,12 @@
 #define MEMBER_INDIRECT_PENDING_MAX 32
 /* Bytes of updates in one message, as encoded. */
 #define MEMBER_UPDATES_BYTES 800
+/*
+ * Transmissions of an update that the member itself announced to all, enough to
+ * repair lost announcements; and of one from the first sync, which others have.
+ */
+#define MEMBER_ANNOUNCED_TRANSMISSIONS 6
+#define MEMBER_SYNCED_TRANSMISSIONS 1
 /* Loads of other members in one message. */
 #define MEMBER_LOADS_PER_MESSAGE 3
 /* Loads older than this are not sent on. */
@@ -33,7 +39,8 @@
 
 /* The direct probe of the current period. */
 struct member_probe {
-	name_id target; /* 0: none */
+	name_id target;	      /* 0: none */
+	uint64_t incarnation; /* the target's when it was sent */
 	uint32_t seq;
 	msec sent;
 	bool acked;
@@ -56,7 +63,9 @@
 	msec list_lag;
 	GRand *rand;
 	struct member_queue
-	    update_queue;	      /* updates to send; the newest first */
+	    update_queue; /* updates to send; the newest first */
+	/* Limit of the transmissions of the update being merged; 0: none. */
+	unsigned int transmissions_max;
 	struct member_queue suspects; /* by state_since, the oldest first */
 	unsigned int members;	      /* in the tree, any state */
 	unsigned int live;	      /* of these, not dead */
@@ -68,16 +77,18 @@
 	uint32_t seq;
 	GArray *probe_order; /* name_id, live members, shuffled */
 	unsigned int next_in_order;
-	unsigned int period; /* counts up */
+	unsigned int order_own; /* of probe_order: in the own failure domain */
+	unsigned int period;	/* counts up */
 	msec next_probe;
 	msec next_sweep;
 	msec next_tick;
 	/* Sync. */
 	name_id sync_peer; /* whose page is expected; 0: none */
 	uint64_t sync_after;
-	bool joining;		/* until the first full sync is complete */
-	bool has_unannounced;	/* a member was added that may need an
-				   announcement */
+	bool sync_any;	      /* the next sync is with a member of any domain */
+	bool joining;	      /* until the first full sync is complete */
+	bool has_unannounced; /* a member was added that may need an
+				 announcement */
 	msec next_announcement; /* repeat of the leave announcement, or
 				   MSEC_NEVER */
 	unsigned int update_requests_left;
@@ -115,12 +126,16 @@
 void member_probe_send(struct members *, msec, struct member *, uint32_t);
 /* Announce the local node's state, alive or leaving: to one member; to all
  * members, or with again == false to those without an announcement yet. */
-void member_announce_to(struct members *, struct member *);
+void member_announce_to(struct members *, struct member *, bool answer);
 void member_announce_all(struct members *, bool again);
 void member_probe_receive(struct members *, msec, struct member *, name_id,
     uint32_t, uint16_t, const sp_msg *);
 struct member *member_random_live(struct members *, name_id);
-void member_order_insert(struct members *, name_id);
+struct member *member_random_near(struct members *);
+bool member_is_near(const struct members *, const struct member *);
+/* Whether the own failure domain has enough members to prefer them. */
+bool member_domain_is_large(const struct members *);
+void member_order_insert(struct members *, const struct member *);
 
 /* member-sync.c */
 void member_sync_start(struct members *, msec);
--- a/member.c
+++ b/member.c
@@ -193,7 +193,7 @@
 	if (m != &ms->self && member_is_live(m) != was_live) {
 		p->live += was_live ? -1 : 1;
 		if (!was_live)
-			member_order_insert(ms, m->id);
+			member_order_insert(ms, m);
 	}
 	member_queue_update(ms, m);
 	ms->ops->changed(ms, m);
@@ -287,8 +287,9 @@
 
 	if (m == NULL || m->incarnation < incarnation)
 		member_request_update(ms, from, address, port);
-	else if (msg->kind == SP_PROBE_ACK && !m->leaving)
-		member_announce_to(ms, m);
+	else if (msg->kind == SP_PROBE_ACK && !m->leaving &&
+		 msg->sp_msg_u.probe_ack.on_behalf_of != ms->self.id)
+		member_announce_to(ms, m, true);
 }
 
 void
