Capacity that leaves at once: losses seen, hit domains avoided, stand-ins

An order that was accepted in the second domain 0.5 s before its loss counted as 39 servers to come for 6.5 s; the order repeated in the first domain was refused and had used up 24 of the changes allowed; lasting servers come only for what 90% of the reading time cannot carry. From 13 to 26 s 34 to 44 servers stood for a need of 60.

Now a domain of which more than half of the reclaimable servers go within 2 s without an order is taken back: orders there count for nothing, it gets no new ones for a boot time, a refused order gives back its changes. With duties.stand_in_percent (0 by default) lasting servers stand in up to that part of the recent need, until enough reclaimable ones have been ready for a boot time. Event taken-back, counters capacity_losses and capacity_servers_taken_back.

Ruled out: demand not counted while refused (it is); requests to draining servers (none is chosen).

The fake platform of test-capacity no longer gives servers for a late order in a domain that has none: with that, a late order hid the gap.

--- a/capacity.c
+++ b/capacity.c
@@ -39,6 +39,16 @@
 #define CAPACITY_REPLACE_PERCENT 25
 /* Time after the boot time before missing servers are ordered again. */
 #define CAPACITY_ORDER_TIMEOUT_MS 2500
+/*
+ * Reclaimable servers of a domain are taken back if, within this time, more
+ * than this part of them leaves that no order of ours may have removed.
+ */
+#define CAPACITY_LOSS_WINDOW_MS 2000
+#define CAPACITY_LOSS_PERCENT 50
+/* Time in which an order may still be carried out. */
+#define CAPACITY_LATE_ORDER_MS 10000
+/* Seconds of demand for which lasting servers stand in. */
+#define CAPACITY_RECENT_S 6
 /* Time without orders after none were available. */
 #define CAPACITY_UNAVAILABLE_MS 2500
 /* Minimum interval between orders of a kind in a domain. */
@@ -54,7 +64,7 @@
 /* Tokens per ms above which a report is implausible. */
 #define CAPACITY_RATE_MAX 1e6
 
-const struct capacity_limits capacity_defaults = { 5, 100, 0 };
+const struct capacity_limits capacity_defaults = { 5, 100, 0, 0 };
 
 struct capacity_report {
 	msec at;
@@ -163,6 +173,8 @@
 		s->first_request_at = s->reported_at = 0;
 		s->found_total = s->found_lasting = s->found_reclaimable = 0;
 		s->previous_needed = 0;
+		s->stand_ins = 0;
+		s->stand_in_until = 0;
 	}
 }
 
@@ -265,6 +277,18 @@
 	return maximum;
 }
 
+/* Peak of the last CAPACITY_RECENT_S seconds; the newest is `second`. */
+static double
+peak_recent(const double *seconds, msec second)
+{
+	double maximum = 0;
+	unsigned int i;
+
+	for (i = 0; i < CAPACITY_RECENT_S; i++)
+		maximum = MAX(maximum, seconds[(second - i) % CAPACITY_PEAK_S]);
+	return maximum;
+}
+
 /* Records the current demand and updates the peaks. */
 static void
 service_record_demand(struct capacity_service *s, msec now)
@@ -305,6 +329,10 @@
 pool_expected(
     const struct capacity_service *s, const struct capacity_pool *p, msec now)
 {
+	if (now < p->avoided_until)
+		return p->ready;
+	if (p->pending)
+		return MAX(p->sent, p->ready);
 	if (p->is_ordered && now >= p->refused_until &&
 	    now - p->ordered_at < s->config.boot + CAPACITY_ORDER_TIMEOUT_MS)
 		return MAX(p->ordered, p->ready);
@@ -322,6 +350,62 @@
 	return n;
 }
 
+/* Ready servers that leave without an order of ours. */
+static unsigned int
+pool_lost(const struct capacity_pool *p, msec now)
+{
+	unsigned int kept = p->watched;
+
+	if (now < p->reduced_until)
+		kept = MIN(kept, p->reduced_to);
+	return kept - MIN(kept, p->ready);
+}
+
+static void
+pool_watch(struct capacity_pool *p, msec now)
+{
+	if (p->ready > p->watched ||
+	    now - p->watched_at >= CAPACITY_LOSS_WINDOW_MS) {
+		p->watched = p->ready;
+		p->watched_at = now;
+	}
+}
+
+/*
+ * Servers that were taken back are not replaced by the platform, even if an
+ * order for them was accepted just before: the order no longer counts.
+ */
+static void
+pool_avoid(struct capacity_pool *p, msec now, msec span)
+{
+	p->is_ordered = false;
+	p->avoided_until = now + span;
+	p->watched = p->ready;
+	p->watched_at = now;
+}
+
+static void
+service_detect_loss(struct capacity *c, struct capacity_service *s, msec now)
+{
+	struct capacity_pool *p;
+	unsigned int i, lost;
+	bool known;
+
+	for (i = 0; i < s->config.ndomains; i++) {
+		p = &s->domains[i].kinds[CAPACITY_RECLAIMABLE];
+		lost = pool_lost(p, now);
+		if (lost * 100 > p->watched * CAPACITY_LOSS_PERCENT) {
+			known = now < p->avoided_until;
+			pool_avoid(p, now, s->config.boot);
+			c->counters.lost += lost;
+			c->counters.losses += !known;
+			if (!known)
+				c->ops->taken_back(c, s, i, lost);
+		}
+		pool_watch(p, now);
+	}
+}
+
 /* Factor on the servers needed that makes up for the loss of one domain. */
 static double
 service_domain_loss_factor(const struct capacity_service *s)
@@ -354,12 +438,14 @@
 	    s->config.minimum * s->config.ndomains);
 }
 
+/* Servers for a demand in tokens per ms and in running requests. */
 static unsigned int
-service_needed(const struct capacity *c, const struct capacity_service *s)
+servers_for_demand(const struct capacity *c, const struct capacity_service *s,
+    double tokens_per_ms, double running)
 {
 	double reading =
-	    servers_for_rate(s->tokens_per_ms, CAPACITY_PREFILL_PERCENT);
-	double streams = s->running / CAPACITY_STREAMS_PER_SERVER;
+	    servers_for_rate(tokens_per_ms, CAPACITY_PREFILL_PERCENT);
+	double streams = running / CAPACITY_STREAMS_PER_SERVER;
 	double n =
 	    MAX(reading, streams) * (100 + c->limits.spare_percent) / 100;
 
@@ -367,6 +453,31 @@
 	    (unsigned int)ceil(n), s->config.minimum * s->config.ndomains);
 }
 
+static unsigned int
+service_needed(const struct capacity *c, const struct capacity_service *s)
+{
+	return servers_for_demand(c, s, s->tokens_per_ms, s->running);
+}
+
+/*
+ * Servers without which requests are refused after a loss: a part of those for
+ * the recent demand with the usual reserve, as the prompts that lost servers
+ * kept are read again. While no demand is known, a part of what was needed.
+ */
+static unsigned int
+service_stand_in_need(
+    const struct capacity *c, const struct capacity_service *s)
+{
+	double rate = peak_recent(s->peaks, s->second);
+	double running = peak_recent(s->busy_peaks, s->second);
+	double n = servers_for_demand(c, s, rate, running) *
+		   service_domain_loss_factor(s);
+
+	if (rate <= 0 || n > s->needed)
+		n = s->needed;
+	return (unsigned int)ceil(n * c->limits.stand_in_percent / 100);
+}
+
 /* Minimum servers for the load, of the expensive kind if necessary. */
 static unsigned int
 service_min_for_load(const struct capacity_service *s)
@@ -377,6 +488,69 @@
 	return MIN(n, s->needed);
 }
 
+static bool
+pool_lacks(const struct capacity_pool *p, msec now)
+{
+	return now < p->avoided_until || now < p->refused_until;
+}
+
+/* True if some domain gets no new reclaimable servers now. */
+static bool
+service_lacks_reclaimable(const struct capacity_service *s, msec now)
+{
+	unsigned int i;
+
+	for (i = 0; i < s->config.ndomains; i++) {
+		if (pool_lacks(&s->domains[i].kinds[CAPACITY_RECLAIMABLE], now))
+			return true;
+	}
+	return false;
+}
+
+/* Servers that are ready, expected or to be ordered now. */
+static unsigned int
+pool_planned(
+    const struct capacity_service *s, const struct capacity_pool *p, msec now)
+{
+	return MAX(pool_expected(s, p, now), p->target);
+}
+
+static unsigned int
+service_reclaimable_planned(const struct capacity_service *s, msec now)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < s->config.ndomains; i++)
+		n += pool_planned(
+		    s, &s->domains[i].kinds[CAPACITY_RECLAIMABLE], now);
+	return n;
+}
+
+/*
+ * Lasting servers that stand in for reclaimable ones that were taken back or
+ * refused. They stay for a boot time after the others have returned, as these
+ * may be taken back again.
+ */
+static unsigned int
+service_stand_ins(
+    const struct capacity *c, struct capacity_service *s, msec now)
+{
+	unsigned int need = service_stand_in_need(c, s);
+	unsigned int others = service_ready(s, CAPACITY_RECLAIMABLE);
+	unsigned int coming = service_reclaimable_planned(s, now);
+	unsigned int have = service_expected(s, now, CAPACITY_LASTING);
+	unsigned int missing = need - MIN(need, others), n = 0;
+
+	if (service_lacks_reclaimable(s, now))
+		n = need - MIN(need, coming);
+	if (n > 0 || (now < s->stand_in_until && missing > 0))
+		s->stand_in_until = now + s->config.boot;
+	s->stand_ins =
+	    now < s->stand_in_until ? MIN(need, MAX(n, s->stand_ins)) : 0;
+	/* Orders may be lost: what is still missing is ordered again. */
+	return MIN(s->stand_ins, MAX(have, missing));
+}
+
 /*
  * Determines the servers present when this node became duty holder: the number
  * that the previous holder recorded, or the servers that this node finds. The
@@ -449,7 +623,7 @@
 		room[i] =
 		    s->config.maximum -
 		    MIN(s->config.maximum, MAX(other->target, other->ready));
-		if (now < p->refused_until)
+		if (pool_lacks(p, now))
 			room[i] = MIN(room[i], p->ready);
 	}
 	while (left > 0 && !full) {
@@ -467,19 +641,32 @@
 	}
 	for (i = 0; i < s->config.ndomains; i++) {
 		p = &s->domains[i].kinds[kind];
-		/* While there are too few, none are removed. */
-		if (service_ready(s, kind) < total)
+		/* While there are too few or just back, none are removed. */
+		if (service_ready(s, kind) < total || now < s->stand_in_until)
 			p->target = MAX(
 			    p->target, MIN(pool_expected(s, p, now), room[i]));
 	}
 }
 
+/* True if the domain's limit leaves a server to order beside those planned. */
+static bool
+domain_has_room(const struct capacity_service *s, msec now, unsigned int domain)
+{
+	const struct capacity_pool *pools = s->domains[domain].kinds;
+
+	return pools[CAPACITY_LASTING].target +
+		   pool_planned(s, &pools[CAPACITY_RECLAIMABLE], now) <
+	       s->config.maximum;
+}
+
 /*
  * The domain in which to add or remove a server: the one with the fewest or
- * most; of equals, the cheapest or most expensive.
+ * most; of equals, the cheapest or most expensive. A server is added only where
+ * there is room, unless it may displace a reclaimable one.
  */
 static struct capacity_pool *
-lasting_choose_domain(struct capacity_service *s, bool more)
+lasting_choose_domain(
+    struct capacity_service *s, msec now, bool more, bool displace)
 {
 	struct capacity_pool *p, *best = NULL;
 	double price = 0, other;
@@ -491,6 +678,8 @@
 		if (more ? p->target >= s->config.maximum
 			 : p->target <= s->config.minimum)
 			continue;
+		if (more && !displace && !domain_has_room(s, now, i))
+			continue;
 		if (best != NULL && p->target != best->target &&
 		    (p->target < best->target) != more)
 			continue;
@@ -503,29 +692,38 @@
 	return best;
 }
 
-/* Distributes lasting servers, starting from those that are ready. */
+/*
+ * Distributes lasting servers, starting from those that are ready. The minimum
+ * of them goes before reclaimable ones.
+ */
 static void
-service_distribute_lasting(struct capacity_service *s, unsigned int total)
+service_distribute_lasting(struct capacity_service *s, msec now,
+    unsigned int total, unsigned int minimum)
 {
 	struct capacity_pool *p;
 	unsigned int i, n = 0;
+	bool more;
 
 	for (i = 0; i < s->config.ndomains; i++) {
 		p = &s->domains[i].kinds[CAPACITY_LASTING];
 		p->target = p->ready;
 		n += p->target;
 	}
-	while (
-	    n != total && (p = lasting_choose_domain(s, n < total)) != NULL) {
-		p->target += n < total ? 1 : -1U;
-		n += n < total ? 1 : -1U;
+	while (n != total) {
+		more = n < total;
+		p = lasting_choose_domain(s, now, more, n < minimum);
+		if (p == NULL)
+			break;
+		p->target += more ? 1 : -1U;
+		n += more ? 1 : -1U;
 	}
 }
 
 /*
  * Number of lasting servers. They are removed once reclaimable ones are ready,
- * gradually under load. New ones are ordered for the most urgent requests, and
- * if the load could not be served otherwise.
+ * gradually under load. New ones are ordered for the most urgent requests, if
+ * the load could not be served otherwise, and in place of reclaimable ones that
+ * were taken back.
  */
 static unsigned int
 service_lasting_target(struct capacity *c, struct capacity_service *s, msec now)
@@ -537,6 +735,7 @@
 	unsigned int have = service_ready(s, CAPACITY_LASTING), n, step;
 
 	n = MAX(minimum, essential - MIN(essential, coming));
+	n = MAX(n, service_stand_ins(c, s, now));
 	n = MAX(n, MIN(have, s->needed - MIN(s->needed, others)));
 	if (n >= have)
 		return n;
@@ -574,6 +773,13 @@
 	if (count != p->target && change == 0)
 		return;
 	c->change_allowance -= change;
+	if (count < p->ready) {
+		p->reduced_to =
+		    now < p->reduced_until ? MIN(p->reduced_to, count) : count;
+		p->reduced_until = now + CAPACITY_LATE_ORDER_MS;
+	}
+	p->sent = count;
+	p->sent_change = change;
 	p->pending = true;
 	p->ordered_at = now;
 	c->counters.orders++;
@@ -595,13 +801,15 @@
 	p->pending = false;
 	switch (how) {
 	case CAPACITY_ACCEPTED:
-		p->is_ordered = true;
+		/* Accepted before the servers it counts were taken back. */
+		p->is_ordered = now >= p->avoided_until || count <= p->ready;
 		p->ordered = count;
 		c->counters.taken++;
 		break;
 	case CAPACITY_UNAVAILABLE:
 		p->is_ordered = false;
 		p->refused_until = now + CAPACITY_UNAVAILABLE_MS;
+		c->change_allowance += p->sent_change;
 		c->counters.refused++;
 		break;
 	case CAPACITY_NO_ANSWER:
@@ -618,11 +826,11 @@
 	unsigned int i, reclaimable, maximum;
 
 	service_record_demand(s, now);
+	service_detect_loss(c, s, now);
 	service_determine_found(s, now);
 	if (s->found_total == 0)
 		return;
 	service_decide_needed(c, s, now);
-	s->lasting = service_lasting_target(c, s, now);
 	reclaimable = (unsigned int)ceil(
 	    (s->needed - MIN(s->needed, service_lasting_min(c, s))) *
 	    service_domain_loss_factor(s));
@@ -630,8 +838,13 @@
 	    (unsigned int)(reclaimable * c->limits.reclaimable_percent / 100);
 	if (s->config.reclaimable_price <= 0)
 		maximum = 0;
-	service_distribute_lasting(s, s->lasting);
-	service_distribute_reclaimable(s, now, MIN(reclaimable, maximum));
+	reclaimable = MIN(reclaimable, maximum);
+	/* Stand-ins fill what this leaves open; it then gets the room left. */
+	service_distribute_reclaimable(s, now, reclaimable);
+	s->lasting = service_lasting_target(c, s, now);
+	service_distribute_lasting(
+	    s, now, s->lasting, service_lasting_min(c, s));
+	service_distribute_reclaimable(s, now, reclaimable);
 	for (i = 0; i < s->config.ndomains; i++) {
 		service_order_pool(c, s, now, i, CAPACITY_LASTING);
 		service_order_pool(c, s, now, i, CAPACITY_RECLAIMABLE);
--- a/capacity.h
+++ b/capacity.h
@@ -14,6 +14,12 @@
  * reports the number of servers is not reduced. An order contains the total
  * number wanted, so that repeated, late or lost orders converge.
  *
+ * Load that it answers: all reclaimable servers of a domain leave at once while
+ * the demand stays. The domain gets no new ones for a boot time. What the other
+ * domains cannot give is ordered as lasting servers, up to stand_in_percent of
+ * the recent need; these stay until enough reclaimable ones have been ready for
+ * a boot time.
+ *
  * Performs no I/O itself: orders go out through struct capacity_ops.
  */
 
@@ -59,6 +65,11 @@
 	/* Percentage of the planned reclaimable servers that is ordered. */
 	unsigned int reclaimable_percent;
 	unsigned int spare_percent; /* added for bursts */
+	/*
+	 * Part of the need up to which lasting servers stand in for reclaimable
+	 * ones that were taken back.
+	 */
+	unsigned int stand_in_percent;
 };
 
 /* A service's servers of one kind in one domain. */
@@ -70,6 +81,13 @@
 	bool pending;	 /* an order awaits its answer */
 	msec ordered_at;
 	msec refused_until; /* no orders before: none were available */
+	unsigned int sent, sent_change; /* in the pending order */
+	/* Reclaimable servers: for detecting that they are taken back. */
+	unsigned int watched; /* ready servers at `watched_at` */
+	msec watched_at;
+	unsigned int reduced_to; /* least number in recent orders to reduce */
+	msec reduced_until;	 /* these may still take effect */
+	msec avoided_until;	 /* taken back: no new ones before */
 };
 
 /* A service in one failure domain. */
@@ -108,6 +126,9 @@
 	unsigned int found_total, found_lasting, found_reclaimable;
 	msec found_at;
 	msec next_down, next_replace;
+	/* Lasting servers that stand in for reclaimable ones, until then. */
+	unsigned int stand_ins;
+	msec stand_in_until;
 };
 
 struct capacity;
@@ -120,12 +141,17 @@
 	 */
 	void (*order)(struct capacity *, const struct capacity_service *,
 	    unsigned int domain, enum capacity_kind, unsigned int);
+	/* This many reclaimable servers of the domain left without an order. */
+	void (*taken_back)(struct capacity *, const struct capacity_service *,
+	    unsigned int domain, unsigned int);
 };
 
 /* Monotonic counters. */
 struct capacity_counters {
 	uint64_t orders, repeats, taken, refused, unanswered;
 	uint64_t dropped; /* reports for unknown services or implausible */
+	uint64_t losses;  /* times that a domain's servers were taken back */
+	uint64_t lost;	  /* servers taken back */
 };
 
 /* Autoscaler state; the caller allocates it. Active only on the duty holder. */
--- a/entry-duty.c
+++ b/entry-duty.c
@@ -452,7 +452,24 @@
 	    LOG_NUMBER(LOG_KEY_TOKEN, x->duty.token));
 }
 
-static const struct capacity_ops entry_capacity_ops = { capacity_op_order };
+static void
+capacity_op_taken_back(struct capacity *c, const struct capacity_service *s,
+    unsigned int domain, unsigned int lost)
+{
+	struct entry *e = c->arg;
+
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_TAKEN_BACK,
+	    LOG_TEXT(LOG_KEY_DOMAIN, s->config.domains[domain].name),
+	    LOG_NUMBER(LOG_KEY_COUNT, lost),
+	    LOG_NUMBER(LOG_KEY_READY,
+		s->domains[domain].kinds[CAPACITY_RECLAIMABLE].ready),
+	    LOG_NUMBER(LOG_KEY_NEEDED, s->needed),
+	    LOG_NUMBER(LOG_KEY_TOKENS_PER_MS, (int64_t)s->tokens_per_ms),
+	    LOG_NUMBER(LOG_KEY_RUNNING, (int64_t)s->running));
+}
+
+static const struct capacity_ops entry_capacity_ops = { capacity_op_order,
+	capacity_op_taken_back };
 
 /* ---- results of calls by the source ---- */
 
@@ -901,6 +918,9 @@
 	metric(s, "server_orders_taken_total", x->orders_taken);
 	metric(s, "server_orders_none_left_total", x->orders_none);
 	metric(s, "server_orders_failed_total", x->orders_failed);
+	metric(s, "capacity_losses_total", x->capacity.counters.losses);
+	metric(
+	    s, "capacity_servers_taken_back_total", x->capacity.counters.lost);
 }
 
 static void
@@ -910,10 +930,10 @@
 	unsigned int i, k;
 
 	g_string_append_printf(s,
-	    "capacity %s needed %u lasting %u tokens-per-ms %.1f running "
-	    "%.0f\n",
-	    v->config.name, v->needed, v->lasting, v->tokens_per_ms,
-	    v->running);
+	    "capacity %s needed %u lasting %u stand-ins %u tokens-per-ms %.1f "
+	    "running %.0f\n",
+	    v->config.name, v->needed, v->lasting, v->stand_ins,
+	    v->tokens_per_ms, v->running);
 	for (i = 0; i < v->config.ndomains; i++) {
 		for (k = 0; k < CAPACITY_KINDS; k++) {
 			p = &v->domains[i].kinds[k];
--- a/entry-log.c
+++ b/entry-log.c
@@ -118,6 +118,9 @@
 	    "A server ended under the request, or a part of its prompt, "
 	    "before: "
 	    "it waits for its turn, goes, or is refused." },
+	[LOG_EVENT_TAKEN_BACK] = { "taken-back",
+	    "Reclaimable servers of a failure domain left at once without an "
+	    "order; count: of them." },
 	[LOG_EVENT_TURNED_AWAY] = { "turned-away",
 	    "Too much was to be read before the request: see ahead_ms." },
 	[LOG_EVENT_USAGE] = { "usage",
--- a/settings.c
+++ b/settings.c
@@ -113,6 +113,9 @@
 		.max = 100 },
 	    { "spare_percent", WALK_UINT,
 		.offset = AT(s.capacity.spare_percent), .min = 0, .max = 1000 },
+	    { "stand_in_percent", WALK_UINT,
+		.offset = AT(s.capacity.stand_in_percent), .min = 0,
+		.max = 100 },
 	    { NULL } } };
 
 static const struct walk_schema log_schema = { "log", 0,
--- a/tests/test-capacity.c
+++ b/tests/test-capacity.c
@@ -17,6 +17,15 @@
 #define BOOT_MS 4000
 #define STEP_MS 100
 #define RECLAIMABLE_PRICE 0.2
+/*
+ * Load under which servers are taken back, the servers for its targets, and the
+ * part of them up to which lasting ones stand in.
+ */
+#define LOSS_TOKENS_PER_MS 1400
+#define LOSS_RUNNING 200
+#define LOSS_NEED 59
+#define LOSS_STAND_IN_PERCENT 75
+#define LOSS_SERVED 45
 
 struct late_order {
 	msec at;
@@ -43,6 +52,7 @@
 	GRand *rand;
 	unsigned int lost_percent, orders;
 	unsigned int servers_changed; /* servers added or removed by orders */
+	unsigned int losses;	      /* domains reported as taken back */
 	bool no_reports;	      /* coordinators report no demand */
 	bool servers_incomplete;      /* not all servers are known yet */
 };
@@ -112,7 +122,19 @@
 	    c, w->now, s->id, domain, kind, count, CAPACITY_ACCEPTED);
 }
 
-static const struct capacity_ops ops = { op_order };
+static void
+op_taken_back(struct capacity *c, const struct capacity_service *s,
+    unsigned int domain, unsigned int lost)
+{
+	struct world *w = c->arg;
+
+	(void)s;
+	g_assert_cmpuint(domain, <, DOMAINS);
+	g_assert_cmpuint(lost, >, 0);
+	w->losses++;
+}
+
+static const struct capacity_ops ops = { op_order, op_taken_back };
 
 static void
 world_set_terms(struct world *w, double price, unsigned int maximum)
@@ -175,6 +197,7 @@
 world_run_platform(struct world *w)
 {
 	struct late_order *late;
+	struct server_pool *p;
 	unsigned int i, j, k;
 
 	for (i = 0; i < DOMAINS; i++) {
@@ -191,7 +214,9 @@
 	if (late == NULL || late->at > w->now)
 		return;
 	g_queue_pop_head(&w->late);
-	pool_set_count(&w->pools[late->domain][late->kind], late->count);
+	p = &w->pools[late->domain][late->kind];
+	if (w->now >= p->unavailable_until || late->count <= p->ready)
+		pool_set_count(p, late->count);
 	g_free(late);
 }
 
@@ -246,6 +271,33 @@
 	return minimum;
 }
 
+/* All reclaimable servers of a domain leave, with those that are booting. */
+static void
+world_take_back(struct world *w, unsigned int domain, msec unavailable)
+{
+	struct server_pool *p = &w->pools[domain][CAPACITY_RECLAIMABLE];
+
+	*p = (struct server_pool){ .unavailable_until = w->now + unavailable };
+}
+
+/* Starts a fleet of 60 servers and loads it for some seconds. */
+static void
+world_start_loaded(struct world *w)
+{
+	world_init(w, 20, RECLAIMABLE_PRICE);
+	w->c.limits.stand_in_percent = LOSS_STAND_IN_PERCENT;
+	world_run(w, 14000, 0, 0);
+	world_run(w, 12000, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(world_count_ready(w, CAPACITY_LASTING), ==, DOMAINS);
+}
+
+static unsigned int
+world_count_all(const struct world *w)
+{
+	return world_count_ready(w, CAPACITY_LASTING) +
+	       world_count_ready(w, CAPACITY_RECLAIMABLE);
+}
+
 /* Guards against a fleet that shrinks while lasting servers are replaced. */
 static void
 test_replace_lasting(void)
@@ -521,6 +573,192 @@
 	world_finish(&w);
 }
 
+/*
+ * Guards against too few servers for many seconds when two domains are taken
+ * back, the second just after servers were ordered there.
+ */
+static void
+test_two_domains_taken_back(void)
+{
+	struct world w;
+
+	world_start_loaded(&w);
+	world_take_back(&w, 1, 10000);
+	world_run(&w, 800, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	world_take_back(&w, 2, 10000);
+	world_run(&w, BOOT_MS + 500, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(w.losses, ==, 2);
+	g_assert_cmpuint(world_run(&w, 40000, LOSS_TOKENS_PER_MS, LOSS_RUNNING),
+	    >=, LOSS_SERVED);
+	g_assert_cmpuint(world_count_ready(&w, CAPACITY_LASTING), ==, DOMAINS);
+	g_assert_cmpuint(world_count_all(&w), >=, LOSS_NEED);
+	world_finish(&w);
+}
+
+/* Guards against more stand-ins than the load needs. */
+static void
+test_stand_ins_as_needed(void)
+{
+	struct world w;
+	unsigned int before, i;
+
+	world_start_loaded(&w);
+	before = w.servers_changed;
+	world_take_back(&w, 1, 10000);
+	world_take_back(&w, 2, 10000);
+	for (i = 0; i < 100; i++) {
+		world_run(&w, STEP_MS, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+		g_assert_cmpuint(
+		    world_count_all(&w), <=, LOSS_SERVED + DOMAINS);
+	}
+	g_assert_cmpuint(w.servers_changed - before, <=, LOSS_SERVED);
+	world_finish(&w);
+}
+
+/*
+ * Guards against stand-ins that are removed at once when reclaimable servers
+ * return, as these may be taken back again.
+ */
+static void
+test_taken_back_again(void)
+{
+	struct world w;
+	msec end;
+
+	world_start_loaded(&w);
+	world_take_back(&w, 1, 9000);
+	world_take_back(&w, 2, 9000);
+	for (end = w.now + 30000;
+	     w.now < end && w.pools[1][CAPACITY_RECLAIMABLE].ready == 0;)
+		world_step(&w, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	world_run(&w, BOOT_MS / 2, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	world_take_back(&w, 1, 10000);
+	world_take_back(&w, 2, 10000);
+	g_assert_cmpuint(world_run(&w, 20000, LOSS_TOKENS_PER_MS, LOSS_RUNNING),
+	    >=, LOSS_SERVED);
+	world_finish(&w);
+}
+
+/*
+ * Guards against stand-ins that never come when their orders get no answer: an
+ * order may be carried out 8 s late, over a newer one, and is then repeated.
+ */
+static void
+test_loss_with_lost_answers(void)
+{
+	struct world w;
+
+	world_start_loaded(&w);
+	w.lost_percent = 60;
+	world_take_back(&w, 1, 40000);
+	world_take_back(&w, 2, 40000);
+	world_run(&w, 10000, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	w.lost_percent = 0;
+	world_run(
+	    &w, 8000 + 2 * BOOT_MS + 2500, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(world_run(&w, 10000, LOSS_TOKENS_PER_MS, LOSS_RUNNING),
+	    >=, LOSS_SERVED);
+	world_finish(&w);
+}
+
+/* Guards against servers that an order counts and that left before its answer.
+ */
+static void
+test_answer_after_loss(void)
+{
+	struct world w;
+	struct capacity_pool *p;
+
+	world_start_loaded(&w);
+	p = &w.c.services[0].domains[1].kinds[CAPACITY_RECLAIMABLE];
+	world_take_back(&w, 1, 10000);
+	world_take_back(&w, 2, 10000);
+	world_step(&w, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	capacity_ordered(&w.c, w.now, name_hash("model"), 1,
+	    CAPACITY_RECLAIMABLE, 39, CAPACITY_ACCEPTED);
+	g_assert_false(p->is_ordered);
+	while (w.now < p->avoided_until - STEP_MS) {
+		world_step(&w, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+		g_assert_cmpuint(p->target, ==, 0);
+	}
+	world_run(&w, 500, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(world_count_all(&w), >=, LOSS_SERVED);
+	world_finish(&w);
+}
+
+/*
+ * Guards against a gap when the holder dies between the loss and its orders:
+ * the next one knows neither the demand nor which domains were taken back.
+ */
+static void
+test_new_holder_after_loss(void)
+{
+	struct world w;
+	unsigned int n;
+
+	world_start_loaded(&w);
+	n = w.c.services[0].needed;
+	world_take_back(&w, 1, 30000);
+	world_take_back(&w, 2, 30000);
+	capacity_set_holder(&w.c, w.now, true);
+	w.c.services[0].previous_needed = n;
+	world_run(&w, BOOT_MS + 500, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(world_count_all(&w), >=, LOSS_SERVED);
+	world_finish(&w);
+}
+
+/* Guards against a loss that is missed while the list is incomplete. */
+static void
+test_loss_unseen(void)
+{
+	struct world w;
+
+	world_start_loaded(&w);
+	w.servers_incomplete = true;
+	world_take_back(&w, 1, 20000);
+	world_take_back(&w, 2, 20000);
+	world_run(&w, 3000, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(w.losses, ==, 0);
+	w.servers_incomplete = false;
+	world_run(&w, BOOT_MS + 500, LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	g_assert_cmpuint(w.losses, ==, 2);
+	g_assert_cmpuint(world_count_all(&w), >=, LOSS_SERVED);
+	world_finish(&w);
+}
+
+/* Guards against stand-ins for a peak that is over. */
+static void
+test_loss_after_peak(void)
+{
+	struct world w;
+
+	world_init(&w, 20, RECLAIMABLE_PRICE);
+	w.c.limits.stand_in_percent = LOSS_STAND_IN_PERCENT;
+	world_run(&w, 14000, 0, 0);
+	world_run(&w, 2000, 2 * LOSS_TOKENS_PER_MS, LOSS_RUNNING);
+	world_run(&w, 10000, LOSS_TOKENS_PER_MS * 0.5, LOSS_RUNNING);
+	world_take_back(&w, 2, 30000);
+	world_run(&w, 10000, LOSS_TOKENS_PER_MS * 0.5, LOSS_RUNNING);
+	g_assert_cmpuint(world_count_ready(&w, CAPACITY_LASTING), <=,
+	    (unsigned int)DOMAINS * 2);
+	g_assert_cmpuint(world_count_all(&w), >=, LOSS_NEED);
+	world_finish(&w);
+}
+
+/* Guards against servers removed by our own orders that count as taken back. */
+static void
+test_own_reduction(void)
+{
+	struct world w;
+
+	world_start_loaded(&w);
+	w.lost_percent = 50;
+	world_run(&w, 120000, 20, 2);
+	g_assert_cmpuint(world_count_ready(&w, CAPACITY_RECLAIMABLE), <, 12);
+	g_assert_cmpuint(w.losses, ==, 0);
+	world_finish(&w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -539,5 +777,18 @@
 	g_test_add_func("/capacity/new-holder", test_new_holder);
 	g_test_add_func("/capacity/lasting-only", test_lasting_only);
 	g_test_add_func("/capacity/wrong-demand", test_wrong_demand);
+	g_test_add_func(
+	    "/capacity/two-domains-taken-back", test_two_domains_taken_back);
+	g_test_add_func(
+	    "/capacity/stand-ins-as-needed", test_stand_ins_as_needed);
+	g_test_add_func("/capacity/taken-back-again", test_taken_back_again);
+	g_test_add_func(
+	    "/capacity/loss-with-lost-answers", test_loss_with_lost_answers);
+	g_test_add_func("/capacity/answer-after-loss", test_answer_after_loss);
+	g_test_add_func(
+	    "/capacity/new-holder-after-loss", test_new_holder_after_loss);
+	g_test_add_func("/capacity/loss-unseen", test_loss_unseen);
+	g_test_add_func("/capacity/loss-after-peak", test_loss_after_peak);
+	g_test_add_func("/capacity/own-reduction", test_own_reduction);
 	return g_test_run();
 }
