When a server that leaves will end

The node knew that a server leaves, not for how long it still serves. Its entry may say so ("leaves_ms" on the platform); else the new setting bounds.server_stay_ms, which the deployment fills from the platform's bound, counts from the moment at which this node learned of it. An entry that is read again does not extend the time.

--- a/entry-settings.c
+++ b/entry-settings.c
@@ -48,6 +48,7 @@
 	to->keys_fail_closed = from->keys_fail_closed;
 	to->keys_bound = from->keys_bound;
 	to->change_bound = from->change_bound;
+	to->server_stay = from->server_stay;
 	to->rewrite = from->rewrite;
 	to->retry_permille = from->retry_permille;
 	to->retry_fixed = from->retry_fixed;
--- a/server.c
+++ b/server.c
@@ -93,6 +93,7 @@
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
 	v->says_leaving = false;
+	v->leaving_since = v->leaves_at = 0;
 	v->rest_until = 0;
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
@@ -222,6 +223,12 @@
 	/* A process never leaves the draining state. */
 	if (v->state == SERVER_DRAINING && !anew)
 		state = SERVER_DRAINING;
+	if (state == SERVER_DRAINING)
+		server_set_leaving(v, now);
+	/* An entry may be read again later, with the same span. */
+	if (e->draining && e->leaves > 0 &&
+	    (v->leaves_at == 0 || now + e->leaves < v->leaves_at))
+		v->leaves_at = now + e->leaves;
 	if (state == v->state && !anew)
 		return;
 	if (state != v->state)
@@ -239,6 +246,7 @@
 	log_info_of(LOG_NODE, v->name, "%s removed", v->name);
 	v->missing = false;
 	v->state = SERVER_GONE;
+	server_set_leaving(v, now);
 	v->gone_since = now;
 	s->ops->changed(s, v);
 }
@@ -323,6 +331,7 @@
 {
 	log_info_of(LOG_NODE, v->name, "%s added again", v->name);
 	v->listed_again = false;
+	v->leaving_since = 0;
 	v->state = SERVER_READY;
 	s->ops->changed(s, v);
 }
@@ -483,6 +492,23 @@
 	       s->reach.misses <= REACH_FACTOR * s->reach.answers;
 }
 
+void
+server_set_leaving(struct server *v, msec now)
+{
+	if (v->leaving_since == 0)
+		v->leaving_since = now;
+}
+
+msec
+server_leaves_at(const struct server *v, msec stay)
+{
+	if (v->leaving_since == 0)
+		return MSEC_NEVER;
+	if (v->leaves_at != 0)
+		return v->leaves_at;
+	return stay > 0 ? v->leaving_since + stay : MSEC_NEVER;
+}
+
 bool
 server_takes_work(const struct server *v, msec now)
 {
--- a/server.h
+++ b/server.h
@@ -37,7 +37,8 @@
 	uint16_t port;
 	unsigned int slots; /* concurrent requests; 0: not given */
 	bool draining;
-	int64_t born;	  /* start time in any unit; 0: not given */
+	msec leaves;  /* if draining: it stays for so many ms; 0: not given */
+	int64_t born; /* start time in any unit; 0: not given */
 	bool reclaimable; /* the platform may take the VM back at any time */
 	const char *software; /* version of its software; NULL: not given */
 };
@@ -70,6 +71,8 @@
 	unsigned int starts; /* restarts of the process under this name */
 	/* An answer of this process says that it leaves, whatever is listed. */
 	bool says_leaving;
+	msec leaving_since; /* this node learned that it leaves; 0: it stays */
+	msec leaves_at;	    /* as its entry says; 0: not given */
 	/*
 	 * It asked this node for no requests until then; after that it gets
 	 * few until it answers one. 0: none.
@@ -229,6 +232,14 @@
  * down.
  */
 bool servers_in_reach(struct servers *, msec);
+/* This node has learned that the server leaves. */
+void server_set_leaving(struct server *, msec);
+/*
+ * When a server that leaves ends at the earliest, if servers stay for at least
+ * `stay` ms after their notice; 0: not known. MSEC_NEVER: not known, or it does
+ * not leave.
+ */
+msec server_leaves_at(const struct server *, msec stay);
 /* Returns true if the server may get new requests. */
 bool server_takes_work(const struct server *, msec);
 /*
--- a/settings.h
+++ b/settings.h
@@ -58,6 +58,9 @@
 	bool keys_fail_closed; /* refuse keys that may be revoked */
 	msec keys_bound;       /* longest time until a revoked key is refused */
 	msec change_bound;     /* longest time until a change is in force */
+	/* Servers stay for so long after the notice that they leave; 0: not
+	 * known. */
+	msec server_stay;
 	msec rewrite; /* longest time until lost entries are rewritten */
 	unsigned int retry_permille; /* retries allowed per 1,000 requests */
 	unsigned int retry_fixed;    /* plus so many for all nodes together */
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -38,6 +38,40 @@
 	servers_list(s, now, &e);
 }
 
+/*
+ * Guards against a time to leave that a stale entry extends, or that outlives
+ * the process.
+ */
+static void
+test_leaves_at(void)
+{
+	struct server_entry e = { .name = "a",
+		.service = "svc",
+		.domain = "d1",
+		.draining = true,
+		.born = 5 };
+	struct servers s;
+	struct server *v;
+
+	servers_init(&s, &ops);
+	list_server(&s, 10, "a", false, 5);
+	v = servers_find(&s, name_hash("a"));
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, MSEC_NEVER);
+	list_server(&s, 100, "a", true, 5);
+	list_server(&s, 200, "a", true, 5);
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, 3100);
+	g_assert_cmpint(server_leaves_at(v, 0), ==, MSEC_NEVER);
+	e.leaves = 1000;
+	servers_list(&s, 300, &e);
+	servers_list(&s, 400, &e);
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, 1300);
+	list_server(&s, 500, "a", false, 6);
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, MSEC_NEVER);
+	servers_unlist(&s, 600, "a");
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, 3600);
+	servers_finish(&s);
+}
+
 static enum server_state
 server_state_of(struct servers *s, const char *name)
 {
@@ -797,6 +831,7 @@
 	g_test_add_func("/server/cache-of-restarted", test_cache_of_restarted);
 	g_test_add_func("/server/slow", test_slow);
 	g_test_add_func("/server/draining", test_draining);
+	g_test_add_func("/server/leaves-at", test_leaves_at);
 	g_test_add_func("/server/hold", test_hold);
 	g_test_add_func("/server/doubt", test_doubt);
 	g_test_add_func("/server/doubt-ends", test_doubt_ends);
