Hand a placed request over to another

A run that moves is placed at its destination before it leaves its source, and goes on in its request's own record afterwards. Its prompt is not read there, and the time until the first event is no reading speed, so the coordinator gets the record anew, without tokens.

--- a/place.c
+++ b/place.c
@@ -298,6 +298,29 @@
 	place_send_step(p, now, r, SP_PLACE_READ);
 }
 
+void
+place_hand_over(struct place *p, msec now, struct place_request *from,
+    struct place_request *to)
+{
+	struct server *v = servers_find(p->servers, from->server);
+	void *arg = to->arg;
+
+	*to = *from;
+	to->arg = arg;
+	from->local = from->unread = false;
+	from->id = 0;
+	if (!to->local)
+		return;
+	TAILQ_REMOVE(&p->running, from, entry);
+	TAILQ_INSERT_TAIL(&p->running, to, entry);
+	if (!to->unread || v == NULL)
+		return;
+	place_load_read(&v->own, to->wish.rank, to->wish.own + to->wish.shared);
+	to->unread = false;
+	/* Not as read: the time would count as the server's reading speed. */
+	place_send_took(p, now, to);
+}
+
 void
 place_mark_late(struct place *p, msec now, struct place_request *r)
 {
--- a/place.h
+++ b/place.h
@@ -171,6 +171,12 @@
     struct place *, name_id service, const struct prompt_transfer *);
 /* Selects a server; decided() is called before this returns, or later. */
 void place_submit(struct place *, msec, struct place_request *);
+/*
+ * The request, placed and counted as `from`, goes on as `to`, which must not be
+ * in use. Its prompt need not be read there. `from` can be used anew.
+ */
+void place_hand_over(
+    struct place *, msec, struct place_request *from, struct place_request *to);
 /* The server has read the request's prompt: its response has begun. */
 void place_prompt_read(struct place *, msec, struct place_request *);
 /*
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -300,6 +300,63 @@
 	fleet_stop();
 }
 
+/* Checks what all nodes together count on a server. */
+static void
+check_load(name_id server, unsigned int running, uint64_t unread)
+{
+	unsigned int i, sum = 0;
+	uint64_t tokens = 0;
+	struct server *v;
+
+	for (i = 0; i < nnodes; i++) {
+		v = servers_find(&nodes[i].servers, server);
+		sum += v->all.running;
+		tokens += v->all.unread;
+	}
+	g_assert_cmpuint(sum, ==, running);
+	g_assert_cmpuint(tokens, ==, unread);
+}
+
+/*
+ * Guards against a run that is counted twice or not at all after its move, and
+ * against a copy that counts as a prompt to be read.
+ */
+static void
+test_hand_over(void)
+{
+	struct place_request r, copy;
+	name_id from, to;
+
+	fleet_start(8, SERVERS);
+	request_fill(&r, 0, 4000);
+	place_submit(&nodes[0].place, clock_now, &r);
+	fleet_run(5);
+	from = r.server;
+	place_prompt_read(&nodes[0].place, clock_now, &r);
+	request_fill(&copy, 0, 4000);
+	copy.wish.navoid = 1;
+	copy.wish.avoid[0] = from;
+	place_submit(&nodes[0].place, clock_now, &copy);
+	fleet_run(5);
+	to = copy.server;
+	g_assert_true(to != from);
+	check_load(from, 1, 0);
+	check_load(to, 1, 4000);
+	place_end(&nodes[0].place, clock_now, &r, SERVER_NO_RESULT);
+	place_hand_over(&nodes[0].place, clock_now, &copy, &r);
+	place_end(&nodes[0].place, clock_now, &copy, SERVER_NO_RESULT);
+	fleet_run(5);
+	g_assert_true(r.server == to);
+	check_load(from, 0, 0);
+	check_load(to, 1, 0);
+	place_end(&nodes[0].place, clock_now, &r, SERVER_ANSWERED);
+	fleet_run(5);
+	check_load(to, 0, 0);
+	g_assert_cmpuint(
+	    servers_find(&nodes[0].servers, to)->own.running, ==, 0);
+	fleet_stop();
+}
+
 /* The index of the coordinator, the only node that decides at once. */
 static unsigned int
 coordinator_index(void)
@@ -1582,6 +1639,7 @@
 	g_test_add_func(
 	    "/place/returns-to-successor", test_returns_to_successor);
 	g_test_add_func("/place/slow-servers", test_slow_servers);
+	g_test_add_func("/place/hand-over", test_hand_over);
 	g_test_add_func("/place/returns", test_returns);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
