Platform: calls that move runs

The call that copies or stops a run, its answer, the one that frees a copy, and the header fields of a request that goes on from a run's memory, with the version of the weights that began it. A handle that does not fit into a header field counts as none.

--- a/wire.h
+++ b/wire.h
@@ -22,6 +22,7 @@
 
 #define WIRE_PARTS_MAX 32
 #define WIRE_KEY_SIZE 256
+#define WIRE_HANDLE_SIZE 64
 
 /* A part of a prompt that other prompts may share, in the prompt's order. */
 struct wire_part {
@@ -49,6 +50,19 @@
 	struct wire_part parts[WIRE_PARTS_MAX];
 };
 
+/* Memory of a run that servers keep, see run-move.h. */
+struct wire_run_memory {
+	uint32_t address; /* of the server where the run was, host byte order */
+	uint16_t port;
+	char handle[WIRE_HANDLE_SIZE]; /* its name of the memory; "": none */
+};
+
+/* The answer to a call that moves a run. */
+struct wire_run_answer {
+	char handle[WIRE_HANDLE_SIZE]; /* "": none */
+	uint64_t events;	       /* made so far; 0: not given */
+};
+
 /*
  * What this node adds to a caller's request for the backend server, or for
  * another node that handles it.
@@ -62,8 +76,11 @@
 	const struct server *source;
 	bool ranked;	       /* `priority` applies */
 	unsigned int priority; /* 0 is first */
-	bool resumed;	       /* this node resumes an interrupted stream */
-	uint64_t after;	       /* if resumed: after this event */
+	/* It goes on from this memory of its run; NULL: none. */
+	const struct wire_run_memory *memory;
+	uint64_t weights; /* version of the weights to run with; 0: any */
+	bool resumed;	  /* this node resumes an interrupted stream */
+	uint64_t after;	  /* if resumed: after this event */
 };
 
 /* Whether a response states the request rate that its server accepts. */
@@ -80,6 +97,7 @@
 	bool is_signed;	   /* signed by a backend server */
 	bool not_executed; /* the request was not and will not be executed */
 	bool encoded;	   /* has a Content-Encoding */
+	uint64_t weights;  /* version of the weights; 0: not given */
 	msec keep_alive_timeout; /* ms the connection may idle; 0: not given */
 	msec retry_after; /* ms without requests that it asks for; 0: none */
 	bool leaving;	  /* the server says that it leaves */
@@ -119,6 +137,17 @@
 	 * takes a slot nor has any effect.
 	 */
 	void (*probe)(struct buffer *);
+	/*
+	 * The call that copies the memory of a run to another server: its
+	 * target and body. With `last` the run is stopped first.
+	 */
+	const char *move_target;
+	void (*move)(
+	    struct buffer *, const char *id, const struct server *, bool last);
+	/* Decode its answer's body. */
+	void (*move_answer)(const char *, size_t, struct wire_run_answer *);
+	/* Append the target of the call (DELETE) that frees such a copy. */
+	void (*move_drop)(struct buffer *, const char *handle);
 	/* Append the caller's request id to a response made by this node. */
 	void (*own)(struct buffer *, const char *id);
 	/*
