Runs move off servers that leave

The node copies the run of a stream whose server leaves to another server, stops it, and sends the request there with the run's memory and the last event that the caller has; else it goes on at the source.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -90,6 +90,18 @@
 		    r->prompt_tokens - shared, most - w->shared);
 }
 
+void
+job_fill_move_wish(const struct job *j, struct server_wish *w)
+{
+	job_fill_wish(j, w);
+	/* The copy takes memory for the whole prompt. */
+	w->own += w->shared;
+	w->shared = 0;
+	w->prompt = 0;
+	if (j->server->software_id != 0)
+		w->software = j->server->software_id;
+}
+
 void
 job_write_head(const struct job *j, const struct wire_terms *terms,
     bool keep_key, struct buffer *out)
@@ -150,7 +162,7 @@
 {
 	struct server *v;
 
-	if (j->place.source == 0)
+	if (j->place.source == 0 || entry_move_memory(j) != NULL)
 		return NULL;
 	v = servers_find(&j->owner->servers, j->place.source);
 	if (v == NULL || v == to || v->service != to->service ||
@@ -175,6 +187,8 @@
 	g_strlcpy(j->source_name,
 	    terms.source != NULL ? terms.source->name : "",
 	    sizeof j->source_name);
+	if ((terms.memory = entry_move_memory(j)) != NULL)
+		terms.weights = j->weights;
 	job_set_resume_terms(j, &terms);
 	job_write_head(j, &terms, false, out);
 	job_write_body(j, out);
@@ -386,7 +400,7 @@
 {
 	struct job *j = r->arg;
 
-	if (!job_recheck_admission(j, now))
+	if (entry_move_placed(r, v, now) || !job_recheck_admission(j, now))
 		return;
 	if (reach_is_cut(&j->owner->reach.core)) {
 		/* The path was cut while the request waited. */
@@ -424,8 +438,7 @@
 		job_attempt(j, now);
 }
 
-/* Servers that the request may be sent to from here. */
-static unsigned int
+unsigned int
 job_attempts_most(const struct job *j)
 {
 	if (j->attempts_most > 0)
@@ -506,8 +519,6 @@
 	job_attempt(j, now);
 }
 
-/* ---- callbacks of the link ---- */
-
 static void
 job_count_run(struct job *j)
 {
@@ -516,6 +527,34 @@
 	j->arrivals++;
 }
 
+void
+job_resume_run(struct job *j, msec now, struct server *v)
+{
+	if (j->link != NULL)
+		link_cancel(j->link);
+	j->link = NULL;
+	if (!j->move_counted)
+		job_count_run(j);
+	j->move_counted = true;
+	loop_timer_stop(&j->owner->loop, &j->silence_timer);
+	reply_discard(j);
+	if (!job_recheck_admission(j, now))
+		return;
+	if (v != NULL && job_send(j, now, v))
+		return;
+	if (!entry_move_refused(j, now))
+		job_run_lost(j, now);
+}
+
+void
+job_run_lost(struct job *j, msec now)
+{
+	job_release_server(j, now, SERVER_NO_RESULT);
+	job_retry_or_fail(j, now, JOB_BROKEN);
+}
+
+/* ---- callbacks of the link ---- */
+
 /*
  * Check again whether the request may be sent: the process may have been paused
  * while connecting.
@@ -619,6 +658,7 @@
 	if (j->refused_by_server)
 		return;
 	entry_poison_body_received(j, now);
+	entry_move_heard(j, now);
 	job_began_to_run(j, now);
 	entry_reach_heard(j->owner, false, now);
 	/* An error does not show that the server has read the prompt. */
@@ -629,6 +669,7 @@
 	if (reply_body(j, bytes, n, now)) {
 		job_report_late(j, now, first);
 		job_arm_silence_timer(j, now);
+		entry_move_consider(j, now);
 		return;
 	}
 	job_count_run(j);
@@ -658,9 +699,13 @@
 		j->refused_by_server = false;
 		j->arrivals++;
 		job_release_server(j, now, j->refusal_result);
-		job_retry_or_fail(j, now, JOB_FULL);
+		if (!entry_move_refused(j, now))
+			job_retry_or_fail(j, now, JOB_FULL);
 		return true;
 	}
+	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN &&
+	    entry_move_broke(j, now))
+		return false;
 	reply_log_end(j, k->reader.head, now);
 	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN) {
 		entry_poison_run_end(j, now, true);
@@ -669,6 +714,7 @@
 		return false;
 	}
 	job_count_run(j);
+	entry_move_heard(j, now);
 	job_began_to_run(j, now);
 	entry_poison_answered(j, k->server, k->reader.head, now);
 	if (j->server_error && j->repeatable) {
@@ -750,6 +796,8 @@
 
 	j->link = NULL;
 	j->refused_by_server = false;
+	if (how == LINK_BROKEN && entry_move_broke(j, now))
+		return;
 	entry_poison_run_end(j, now, how == LINK_BROKEN);
 	attempt_report_path(k, how, now);
 	job_release_server(j, now, attempt_server_result(k, how, now));
@@ -762,6 +810,8 @@
 	/* No byte was sent, so the attempt does not count. */
 	j->sends--;
 	j->unreachable += how != LINK_SERVER_LEAVING;
+	if (entry_move_refused(j, now))
+		return;
 	if (how == LINK_CONNECT_TIMED_OUT && job_network_is_saturated(j, now) &&
 	    !entry_handoff_wanted(j)) {
 		j->last = JOB_UNREACHABLE;
@@ -928,6 +978,10 @@
 	}
 	if (j->server == NULL || j->link == NULL)
 		return;
+	if (entry_move_is_stopping(j)) {
+		job_recheck_silence_later(j, now);
+		return;
+	}
 	if (job_is_hopeless(j, now)) {
 		job_cancel_hopeless(j, now);
 		return;
--- a/entry-job.c
+++ b/entry-job.c
@@ -156,6 +156,7 @@
 {
 	struct link *k = j->link;
 
+	entry_move_cancel(j, now);
 	j->link = NULL;
 	j->check = NULL;
 	if (k != NULL && k->sent && j->carrier == NULL) {
--- a/entry-log.c
+++ b/entry-log.c
@@ -90,6 +90,13 @@
 	[LOG_EVENT_REST] = { "rest",
 	    "A backend server refused a request and asks for none for so "
 	    "long." },
+	[LOG_EVENT_RUN_MOVE_BEGUN] = { "run-move-begun",
+	    "The run of a stream is to go on at another backend server, as its "
+	    "own leaves." },
+	[LOG_EVENT_RUN_MOVE_FAILED] = { "run-move-failed",
+	    "Such a run was not moved; see reason." },
+	[LOG_EVENT_RUN_MOVED] = { "run-moved",
+	    "Such a run goes on at the server named, or again at its own." },
 	[LOG_EVENT_SERVER] = { "server",
 	    "A backend server changed its state." },
 	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -106,7 +106,9 @@
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
 	e->counters.servers_leaving++;
 	v->says_leaving = true;
+	server_set_leaving(v, now);
 	link_close_stale(e, v);
+	entry_move_server_changed(e, v, now);
 }
 
 void
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -26,7 +26,9 @@
 	j->owner->wire->answer(h, j->request.id, &a);
 	if (a.other)
 		return REPLY_OTHER_REQUEST;
-	if (a.not_executed)
+	/* A server that lacks the memory of the run answers 503. */
+	if (a.not_executed ||
+	    (h->status == 503 && entry_move_memory(j) != NULL))
 		return REPLY_REJECTED;
 	/*
 	 * To the caller these statuses mean that nothing ran, which this answer
@@ -47,8 +49,11 @@
 reply_store_head(struct job *j, const struct http_head *h)
 {
 	const char *type = http_head_get(h, "Content-Type");
+	struct wire_answer a;
 	unsigned int i;
 
+	j->owner->wire->answer(h, j->request.id, &a);
+	j->weights = a.weights;
 	buffer_finish(&j->fields);
 	buffer_finish(&j->unsent_body);
 	j->status = h->status;
--- a/entry-state.c
+++ b/entry-state.c
@@ -52,6 +52,7 @@
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
 	entry_poison_server_changed(e, v, e->loop.now);
 	link_close_stale(e, v);
+	entry_move_server_changed(e, v, e->loop.now);
 }
 
 static void
@@ -366,6 +367,7 @@
 	entry_reach_init(e);
 	entry_handoff_init(e);
 	entry_versions_init(e);
+	entry_moves_init(e);
 	loop_timer_init(&e->place_timer, state_place_timer, e);
 	loop_timer_set(&e->loop, &e->place_timer, now);
 	e->live_nodes = 1;
@@ -415,6 +417,7 @@
 	}
 	entry_duty_finish(e);
 	entry_poison_finish(e);
+	entry_moves_finish(e);
 	entry_reach_finish(e);
 	entry_handoff_finish(e);
 	entry_versions_finish(e);
--- a/entry-version.c
+++ b/entry-version.c
@@ -194,6 +194,13 @@
 		   VERSION_VIEW_SEVERAL;
 }
 
+bool
+entry_version_is_single(const struct job *j)
+{
+	return version_view(j->owner, j->service, j->owner->loop.now) ==
+	       VERSION_VIEW_ONE;
+}
+
 void
 entry_version_release(struct job *j)
 {
--- a/entry-version.h
+++ b/entry-version.h
@@ -38,6 +38,8 @@
 void entry_version_begin(struct job *, msec);
 /* Could another server resume the stream that has begun? */
 bool entry_version_is_clear(const struct job *);
+/* Has the service one version of software, or one that is not told? */
+bool entry_version_is_single(const struct job *);
 /* The request ends. */
 void entry_version_release(struct job *);
 void entry_versions_metrics(const struct entry *, GString *);
--- a/entry.h
+++ b/entry.h
@@ -10,6 +10,7 @@
  *   entry-link.c     connections to servers: transfers one attempt's bytes
  *   entry-reply.c    forwards a server's answer to the caller
  *   entry-poison.c   holds back requests that crash the servers that run them
+ *   entry-move.c     moves running streams off servers that leave
  *   entry-handoff.c  requests that other nodes carry for this one, and its own
  *                    for them
  *
@@ -38,6 +39,7 @@
 #include "entry-duty.h"
 #include "entry-era.h"
 #include "entry-log.h"
+#include "entry-move.h"
 #include "handoff.h"
 #include "entry-poison.h"
 #include "entry-reach.h"
@@ -275,6 +277,9 @@
 	struct poison_parts parts;    /* of its prompt, that others may share */
 	/* Permission to send, if it is suspect, and if a part of it is. */
 	struct poison_run run, part_run;
+	struct entry_move *move;    /* of its run, or NULL */
+	name_id move_tried;	    /* the last server that it was moved from */
+	bool move_counted;	    /* the run that moves is in `runs` */
 	struct server_check *check; /* the check it waits for, or NULL */
 	name_id service;
 	msec arrived;
@@ -346,6 +351,7 @@
 	msec gap;	      /* longest pause between two forwarded parts */
 	struct buffer fields; /* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
+	uint64_t weights;    /* version that began the answer; 0: not told */
 	bool event_due;	     /* an attempt broke off inside the next event */
 	uint64_t last_event; /* number of the last event forwarded */
 	uint64_t events;     /* numbered events forwarded */
@@ -396,6 +402,19 @@
 void job_handoff_failed(struct job *, msec, enum job_code);
 /* Leave a server to which nothing was sent, and start another attempt. */
 void job_leave_server(struct job *, msec);
+/* Servers that the request may be sent to from here. */
+unsigned int job_attempts_most(const struct job *);
+/* What a server must have to which the request's run is moved. */
+void job_fill_move_wish(const struct job *, struct server_wish *);
+/*
+ * Close what is left of the current attempt, whose run has stopped, and send
+ * the request to a server that has the run's memory; NULL: it is not known any
+ * more. entry_move_refused() follows if that is not possible. The request may
+ * have ended afterwards.
+ */
+void job_resume_run(struct job *, msec, struct server *);
+/* The run was to be moved and runs nowhere: start another attempt, or fail. */
+void job_run_lost(struct job *, msec);
 /* The check of a server whose connection broke has ended (entry-poison.c). */
 void job_server_checked(struct job *, msec);
 /* Timer callback: the server of the current attempt is silent, or the wait for
@@ -542,6 +561,7 @@
 	struct entry_reach reach;
 	struct entry_handoff handoff;
 	struct entry_versions versions;
+	struct entry_moves moves;
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
