Return a run only to a server that still takes requests

A stop can be confirmed later than the time for which a server takes requests after its notice; the request that returns the run to it would then reach it too late. Its run counts as lost then, and what is left of the old attempt is closed.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -527,8 +527,9 @@
 	j->arrivals++;
 }
 
-void
-job_resume_run(struct job *j, msec now, struct server *v)
+/* Close what is left of an attempt whose run has stopped. */
+static void
+job_close_stopped_run(struct job *j)
 {
 	if (j->link != NULL)
 		link_cancel(j->link);
@@ -538,6 +539,12 @@
 	j->move_counted = true;
 	loop_timer_stop(&j->owner->loop, &j->silence_timer);
 	reply_discard(j);
+}
+
+void
+job_resume_run(struct job *j, msec now, struct server *v)
+{
+	job_close_stopped_run(j);
 	if (!job_recheck_admission(j, now))
 		return;
 	if (v != NULL && job_send(j, now, v))
@@ -549,6 +556,7 @@
 void
 job_run_lost(struct job *j, msec now)
 {
+	job_close_stopped_run(j);
 	job_release_server(j, now, SERVER_NO_RESULT);
 	job_retry_or_fail(j, now, JOB_BROKEN);
 }
--- a/entry-move.c
+++ b/entry-move.c
@@ -15,6 +15,8 @@
 
 /* A call that frees a copy ends within this time. */
 #define MOVE_DROP_TIMEOUT_MS 1000
+/* Others may have learned of a server's notice so much earlier. */
+#define MOVE_NOTICE_LAG_MS 500
 /* A copy between failure domains takes so many times the time within one. */
 #define MOVE_DOMAIN_FACTOR 2
 
@@ -47,6 +49,7 @@
 	m->owner = e;
 	m->job = j;
 	j->move = m;
+	j->move_counted = false;
 	m->source = j->server->id;
 	m->memory.address = j->server->address;
 	m->memory.port = j->server->port;
@@ -96,7 +99,6 @@
 
 	m->job = NULL;
 	j->move = NULL;
-	j->move_counted = false;
 	loop_timer_stop(&m->owner->loop, &m->timer);
 	place_end(&m->owner->place, now, &m->place, SERVER_NO_RESULT);
 	move_drop(m, now);
@@ -342,6 +344,17 @@
 	return j->server->software_id != 0 || entry_version_is_single(j);
 }
 
+/* Servers take requests for the time that they stay after their notice. */
+static msec
+move_sends_until(const struct job *j)
+{
+	msec stay = j->owner->settings->server_stay;
+
+	if (stay == 0)
+		return 0;
+	return j->server->leaving_since + stay - MOVE_NOTICE_LAG_MS;
+}
+
 static struct run_move_view
 move_view(const struct job *j, msec now)
 {
@@ -349,6 +362,7 @@
 		.leaving = true,
 		.leaves_at = server_leaves_at(
 		    j->server, j->owner->settings->server_stay),
+		.sends_until = move_sends_until(j),
 		.rest = move_rest_ms(j, now),
 		.copy = move_copy_ms(j, move_transfer(j)),
 		.deadline = j->deadline,
@@ -488,7 +502,7 @@
 
 	if (m == NULL || !run_move_is_resuming(&m->core))
 		return false;
-	step = run_move_refused(&m->core,
+	step = run_move_refused(&m->core, now,
 	    m->core.state == RUN_MOVE_RESUMING && move_take_budget(m, now));
 	if (step == RUN_MOVE_LOST) {
 		move_failed(m, m->core.reason, now);
--- a/run-move.c
+++ b/run-move.c
@@ -67,7 +67,9 @@
 void
 run_move_begin(struct run_move *m, msec now, const struct run_move_view *v)
 {
-	*m = (struct run_move){ .leaves_at = v->leaves_at, .copy = v->copy };
+	*m = (struct run_move){ .leaves_at = v->leaves_at,
+		.sends_until = v->sends_until,
+		.copy = v->copy };
 	move_wait(m, RUN_MOVE_PLACING, now + RUN_MOVE_PLACE_TIMEOUT_MS);
 }
 
@@ -89,9 +91,12 @@
 	return RUN_MOVE_RESUME;
 }
 
+/* The source keeps the memory of a run that it has stopped. */
 static enum run_move_step
-move_return(struct run_move *m)
+move_return(struct run_move *m, msec now)
 {
+	if (now >= m->sends_until)
+		return move_end(m, RUN_MOVE_REASON_REFUSED, RUN_MOVE_LOST);
 	move_wait(m, RUN_MOVE_RETURNING, MSEC_NEVER);
 	return RUN_MOVE_RETURN;
 }
@@ -132,7 +137,7 @@
 		return move_resume(m);
 	case RUN_MOVE_NO_ROOM:
 		m->stopped = true;
-		return move_return(m);
+		return move_return(m, now);
 	case RUN_MOVE_NO_RUN:
 	case RUN_MOVE_BUSY:
 		/* Its last bytes, or those that follow, are on their way. */
@@ -180,10 +185,10 @@
 }
 
 enum run_move_step
-run_move_refused(struct run_move *m, bool budget)
+run_move_refused(struct run_move *m, msec now, bool budget)
 {
 	if (m->state == RUN_MOVE_RESUMING && m->stopped && budget)
-		return move_return(m);
+		return move_return(m, now);
 	return move_end(m, RUN_MOVE_REASON_REFUSED, RUN_MOVE_LOST);
 }
 
--- a/run-move.h
+++ b/run-move.h
@@ -31,11 +31,12 @@
 
 /* What a node knows of a running stream; spans in ms, MSEC_NEVER: not known. */
 struct run_move_view {
-	bool leaving;	/* its server takes no more work and will end */
-	msec leaves_at; /* when the server ends at the earliest */
-	msec rest;	/* expected time until the stream ends */
-	msec copy;	/* expected time to copy the run's memory */
-	msec deadline;	/* when the caller stops waiting */
+	bool leaving;	  /* its server takes no more work and will end */
+	msec leaves_at;	  /* when the server ends at the earliest */
+	msec sends_until; /* requests may be sent to it; 0: none */
+	msec rest;	  /* expected time until the stream ends */
+	msec copy;	  /* expected time to copy the run's memory */
+	msec deadline;	  /* when the caller stops waiting */
 };
 
 /* Result of run_move_choose(). */
@@ -105,6 +106,7 @@
 	enum run_move_reason reason; /* of RUN_MOVE_GIVE_UP or RUN_MOVE_LOST */
 	msec due; /* call run_move_tick() then; MSEC_NEVER: not needed */
 	msec leaves_at;
+	msec sends_until;
 	msec copy;
 	bool broke;   /* the old stream has ended without its end */
 	bool stopped; /* the source confirmed the stop */
@@ -128,7 +130,7 @@
  */
 enum run_move_step run_move_broke(struct run_move *);
 /* The server that was to resume the run did not execute the request. */
-enum run_move_step run_move_refused(struct run_move *, bool budget);
+enum run_move_step run_move_refused(struct run_move *, msec, bool budget);
 /* `due` has come. */
 enum run_move_step run_move_tick(struct run_move *, msec);
 /* Returns true from the request to stop until the run is resumed. */
--- a/tests/test-run-move.c
+++ b/tests/test-run-move.c
@@ -34,7 +34,7 @@
 static struct run_move_view
 run_view(const struct run *r, msec now)
 {
-	return (struct run_move_view){ true, STAY_MS,
+	return (struct run_move_view){ true, STAY_MS, STAY_MS,
 		r->known ? r->ends - now : MSEC_NEVER, COPY_MS, FAR };
 }
 
@@ -119,7 +119,8 @@
 static enum run_move_choice
 choose(bool leaving, msec leaves_at, msec rest, msec copy, msec deadline)
 {
-	struct run_move_view v = { leaving, leaves_at, rest, copy, deadline };
+	struct run_move_view v = { leaving, leaves_at, leaves_at, rest, copy,
+		deadline };
 	msec again;
 
 	return run_move_choose(&v, 0, &again);
@@ -149,7 +150,8 @@
 static struct run_move
 move_copying(void)
 {
-	struct run_move_view v = { true, STAY_MS, MSEC_NEVER, COPY_MS, FAR };
+	struct run_move_view v = { true, STAY_MS, STAY_MS, MSEC_NEVER, COPY_MS,
+		FAR };
 	struct run_move m;
 
 	run_move_begin(&m, 0, &v);
@@ -201,7 +203,8 @@
 static void
 test_no_destination(void)
 {
-	struct run_move_view v = { true, STAY_MS, MSEC_NEVER, COPY_MS, FAR };
+	struct run_move_view v = { true, STAY_MS, STAY_MS, MSEC_NEVER, COPY_MS,
+		FAR };
 	struct run_move m;
 
 	run_move_begin(&m, 0, &v);
@@ -267,18 +270,26 @@
 	g_assert_cmpint(run_move_answered(&m, 60, RUN_MOVE_NO_ROOM, true, true),
 	    ==, RUN_MOVE_RETURN);
 	g_assert_true(run_move_is_resuming(&m));
-	g_assert_cmpint(run_move_refused(&m, true), ==, RUN_MOVE_LOST);
+	g_assert_cmpint(run_move_refused(&m, 70, true), ==, RUN_MOVE_LOST);
 	m = move_stopping();
 	run_move_answered(&m, 60, RUN_MOVE_COPIED, true, true);
-	g_assert_cmpint(run_move_refused(&m, true), ==, RUN_MOVE_RETURN);
+	g_assert_cmpint(run_move_refused(&m, 70, true), ==, RUN_MOVE_RETURN);
 	m = move_stopping();
 	run_move_answered(&m, 60, RUN_MOVE_COPIED, true, true);
-	g_assert_cmpint(run_move_refused(&m, false), ==, RUN_MOVE_LOST);
+	g_assert_cmpint(run_move_refused(&m, 70, false), ==, RUN_MOVE_LOST);
+	/* The source takes no requests any more. */
+	m = move_stopping();
+	run_move_answered(&m, 60, RUN_MOVE_COPIED, true, true);
+	g_assert_cmpint(run_move_refused(&m, STAY_MS, true), ==, RUN_MOVE_LOST);
+	m = move_stopping();
+	g_assert_cmpint(
+	    run_move_answered(&m, STAY_MS, RUN_MOVE_NO_ROOM, true, true), ==,
+	    RUN_MOVE_LOST);
 	/* Nobody said that the source keeps the memory. */
 	m = move_stopping();
 	run_move_answered(&m, 60, RUN_MOVE_NO_ANSWER, false, false);
 	run_move_broke(&m);
-	g_assert_cmpint(run_move_refused(&m, true), ==, RUN_MOVE_LOST);
+	g_assert_cmpint(run_move_refused(&m, 70, true), ==, RUN_MOVE_LOST);
 }
 
 int
