Don't resume a run at a server that leaves as well

The destination may be announced as leaving while the copy is made; the request would reach it late. The request goes back to the source then, and the place at the destination is given up. Connections for moves count among the new ones.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -549,6 +549,7 @@
 		return;
 	if (v != NULL && job_send(j, now, v))
 		return;
+	job_release_server(j, now, SERVER_NO_RESULT);
 	if (!entry_move_refused(j, now))
 		job_run_lost(j, now);
 }
--- a/entry-move.c
+++ b/entry-move.c
@@ -179,6 +179,8 @@
 		    now);
 		return;
 	}
+	if (m->call.io.fd == -1)
+		m->owner->counters.connects++;
 	wire->move(&body, m->job->request.id, to, last);
 	exchange_call_fields(&m->call, "POST", wire->move_target,
 	    "Content-Type: application/json\r\n", buffer_bytes(&body),
@@ -190,13 +192,17 @@
 move_resume(struct entry_move *m, name_id at, msec now)
 {
 	struct entry *e = m->owner;
+	struct server *v = servers_find(&e->servers, at);
 	struct job *j = m->job;
 
 	if (at == m->destination) {
 		place_end(&e->place, now, &j->place, SERVER_NO_RESULT);
 		place_hand_over(&e->place, now, &m->place, &j->place);
+		/* It may leave as well by now. */
+		if (v != NULL && !server_takes_work(v, now))
+			v = NULL;
 	}
-	job_resume_run(j, now, servers_find(&e->servers, at));
+	job_resume_run(j, now, v);
 }
 
 static void
