--- a/returns.c
+++ b/returns.c
@@ -4,6 +4,8 @@
 
 #include "returns.h"
 
+/* Callers are told to wait for longer than this. */
+#define RETURNS_WAIT_MS 200
 /* Callers that have not returned by then have given up. */
 #define RETURNS_KEPT_MS (10 * MSEC_SECOND)
 
@@ -27,6 +29,13 @@
 	       now - r->places[i].at <= RETURNS_KEPT_MS;
 }
 
+bool
+returns_too_soon(const struct returns *r, msec now, uint64_t repeat)
+{
+	return returns_expected(r, now, repeat) &&
+	       now - r->places[repeat % RETURNS_PLACES].at < RETURNS_WAIT_MS;
+}
+
 void
 returns_remove(struct returns *r, uint64_t repeat)
 {
--- a/returns.h
+++ b/returns.h
@@ -30,6 +30,11 @@
 void returns_note(struct returns *, msec, uint64_t repeat);
 /* Returns true if the request was refused a short time ago. */
 bool returns_expected(const struct returns *, msec, uint64_t repeat);
+/*
+ * Returns true if an expected request comes back sooner than its caller was
+ * told to.
+ */
+bool returns_too_soon(const struct returns *, msec, uint64_t repeat);
 /* The request was admitted: its next repetition counts as new. */
 void returns_remove(struct returns *, uint64_t repeat);
 
--- a/tests/test-returns.c
+++ b/tests/test-returns.c
@@ -44,6 +44,18 @@
 	g_assert_true(returns_expected(&table, 1000, 5 + RETURNS_PLACES));
 }
 
+/* Guards against callers that gain by coming back at once, again and again. */
+static void
+test_too_soon(void)
+{
+	returns_note(&table, 1000, 9);
+	g_assert_true(returns_too_soon(&table, 1001, 9));
+	returns_note(&table, 1150, 9);
+	g_assert_true(returns_too_soon(&table, 1300, 9));
+	g_assert_false(returns_too_soon(&table, 1350, 9));
+	g_assert_false(returns_too_soon(&table, 1300, 10));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -52,5 +64,6 @@
 	g_test_add_func("/returns/old", test_old);
 	g_test_add_func("/returns/unknown", test_unknown);
 	g_test_add_func("/returns/collision", test_collision);
+	g_test_add_func("/returns/too-soon", test_too_soon);
 	return g_test_run();
 }
