Coordinators divide room that is short between organisations

Cause: /place-fair/hot, ten organisations, one with ten times its load, room for 0.54 of all. Without shares the other nine are served 0.530 of what they ask for, the large one 0.545.

Change: with the setting fair_shares (off by default) the coordinator multiplies the limit of a request by its organisation's factor, while room is short and only in the least urgent rank. The wish of a request names its organisation, the reply says whether only its share decided; both stand in the line turned-away, and two counters. Messages of placement have new numbers. These must lie below SP_RELAY_ASK: nodes hand messages to modules by ranges of numbers.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -75,6 +75,9 @@
 		.rank = route_rank(j->table, j->route, j->organisation),
 		.software = j->software_id,
 		.repeat = j->fingerprint.high ^ j->fingerprint.low,
+		.organisation = j->organisation != NULL
+				    ? name_hash(j->organisation->name)
+				    : 0,
 		.navoid = j->ntried };
 	memcpy(w->avoid, j->tried, sizeof w->avoid);
 	if (!j->route->has_prompt_parts)
@@ -329,7 +332,10 @@
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_NUMBER(LOG_KEY_AHEAD_MS, j->place.queue.ahead),
 	    LOG_NUMBER(LOG_KEY_LIMIT_MS, j->place.queue.limit),
-	    LOG_NUMBER(LOG_KEY_TARGET_MS, j->route->target));
+	    LOG_NUMBER(LOG_KEY_TARGET_MS, j->route->target),
+	    LOG_TEXT(LOG_KEY_ORGANISATION,
+		j->organisation != NULL ? j->organisation->name : NULL),
+	    LOG_NUMBER(LOG_KEY_BY_SHARE, j->place.queue.by_share));
 	place_end(&e->place, now, &j->place, SERVER_NO_RESULT);
 	job_fail(j, now, JOB_OVERLOADED);
 }
--- a/entry-log.c
+++ b/entry-log.c
@@ -127,6 +127,8 @@
 const struct entry_log_description entry_log_keys[LOG_KEYS] = {
 	[LOG_KEY_AHEAD_MS] = { "ahead_ms",
 	    "what servers had to read before it, as urgent or more" },
+	[LOG_KEY_BY_SHARE] = { "by_share",
+	    "1: only its organisation's share of the room was used up" },
 	[LOG_KEY_CAME] = { "came", "number of the event that came" },
 	[LOG_KEY_CARRIER] = { "carrier",
 	    "node that the request was handed off to" },
--- a/entry-log.h
+++ b/entry-log.h
@@ -80,6 +80,7 @@
 /* Fields of events; entry_log_keys[] has their names in the log. */
 enum entry_log_key {
 	LOG_KEY_AHEAD_MS,
+	LOG_KEY_BY_SHARE,
 	LOG_KEY_CAME,
 	LOG_KEY_CARRIER,
 	LOG_KEY_CONFIGURATION,
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -295,6 +295,12 @@
 	text_value(s, "placements_returned_total", "counter",
 	    "Admitted here as coordinator after an earlier refusal.",
 	    (int64_t)p->returned);
+	text_value(s, "placements_share_refused_total", "counter",
+	    "Refused here as coordinator by their organisations' shares only.",
+	    (int64_t)p->share_refused);
+	text_value(s, "placements_share_admitted_total", "counter",
+	    "Admitted here as coordinator by their organisations' shares only.",
+	    (int64_t)p->share_admitted);
 	text_value(s, "prompt_tokens_total", "counter",
 	    "Prompt tokens of requests placed here as coordinator.",
 	    (int64_t)p->tokens);
--- a/entry-state.c
+++ b/entry-state.c
@@ -362,6 +362,7 @@
 	    s->domain, e->rand);
 	e->place.arg = e;
 	place_set_policy(&e->place, s->policy);
+	place_set_fair_shares(&e->place, s->fair_shares);
 	entry_poison_init(e);
 	entry_reach_init(e);
 	entry_handoff_init(e);
--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -93,6 +93,7 @@
 
 	while ((m = RB_MIN(place_mixes, all)) != NULL) {
 		RB_REMOVE(place_mixes, all, m);
+		g_free(m->share);
 		g_free(m);
 	}
 }
@@ -123,6 +124,12 @@
 	place_traffic(&p->own, service)->transfer = *t;
 }
 
+void
+place_set_fair_shares(struct place *p, bool fair_shares)
+{
+	p->fair_shares = fair_shares;
+}
+
 static unsigned int
 groups_of(unsigned int servers)
 {
@@ -413,6 +420,40 @@
 		server_memory_note_read(m, h->cache, w->prompt);
 }
 
+/*
+ * The shares that a request competes for; NULL: none. More urgent ranks have
+ * none: a lower limit could refuse them while less urgent ones are admitted.
+ */
+static struct fair_share *
+place_share(struct place *p, const struct server_wish *w)
+{
+	struct mix *m = place_traffic(&p->all, w->service);
+	unsigned int i;
+
+	if (!p->fair_shares || w->own + w->shared == 0)
+		return NULL;
+	for (i = 0; i < m->nroutes; i++) {
+		if (m->routes[i].rank > w->rank)
+			return NULL;
+	}
+	if (m->share == NULL)
+		m->share = g_new0(struct fair_share, 1);
+	return m->share;
+}
+
+/* Another node placed the request, so it was asked for and admitted. */
+static void
+place_count_share(struct place *p, msec now, const struct server_wish *w)
+{
+	struct fair_share *s = place_share(p, w);
+	unsigned int tokens = w->own + w->shared;
+
+	if (s == NULL)
+		return;
+	fair_share_ask(s, now, w->organisation, tokens);
+	fair_share_admit(s, now, w->organisation, tokens);
+}
+
 struct place_record *
 place_record_begin(struct place *p, msec now, name_id node, uint32_t id,
     struct server *v, const struct server_wish *w, const struct place_queue *q,
@@ -424,6 +465,8 @@
 
 	if ((h = place_record_find(p, node, id)) != NULL)
 		place_record_end(p, now, h);
+	else if (q == NULL)
+		place_count_share(p, now, w);
 	h = g_new0(struct place_record, 1);
 	h->node = node;
 	h->id = id;
@@ -508,20 +551,76 @@
 
 /* Maximum time to read the prompts before a request, in ms; 0: no limit. */
 static msec
-coordinate_limit(struct mix *m, const struct server_wish *w,
-    const struct server_view *view, bool is_return)
+coordinate_limit(
+    struct mix *m, const struct server_wish *w, const struct server_view *view)
 {
-	msec limit;
-
 	/* A refused retry would waste the work of the server before. */
 	if (w->target == 0 || w->navoid > 0 || w->own + w->shared == 0)
 		return 0;
-	limit = server_limit_ms(view->light ? &m->limit_light : &m->limit,
+	return server_limit_ms(view->light ? &m->limit_light : &m->limit,
 	    w->target, mix_is_last_tier(m, w->route));
+}
+
+/*
+ * The limit by the share of the request's organisation; `limit` and `limit_new`
+ * are without shares, as it is and for a new request. A request that returns
+ * keeps its advantage over new ones of its organisation, unless its caller did
+ * not wait as told: else an organisation gains room by repeating at once.
+ */
+static msec
+coordinate_share_limit(struct place *p, msec now, const struct server_wish *w,
+    msec limit, msec limit_new, bool is_return)
+{
+	struct fair_share *s = limit > 0 ? place_share(p, w) : NULL;
+	bool soon = returns_too_soon(&p->returns, now, w->repeat);
+	double by_share;
+
+	if (s == NULL)
+		return limit;
+	if (!is_return)
+		fair_share_ask(s, now, w->organisation, w->own + w->shared);
+	if (!fair_share_applies(s, now))
+		return limit;
+	by_share = (double)(soon ? limit_new : limit) *
+		   fair_share_factor(s, now, w->organisation);
+	return CLAMP((msec)by_share, 1, w->target);
+}
+
+/* Counts the decision; `limit`: without shares. */
+static void
+coordinate_count_share(struct place *p, msec now, const struct server_wish *w,
+    struct place_queue *q, msec limit)
+{
+	struct fair_share *s = limit > 0 ? place_share(p, w) : NULL;
+
+	if (s == NULL)
+		return;
+	if (q->ahead > limit || place_queue_exceeds_limit(q))
+		fair_share_set_short(s, now);
+	if (!place_queue_exceeds_limit(q)) {
+		fair_share_admit(s, now, w->organisation, w->own + w->shared);
+		p->counters.share_admitted += q->ahead > limit;
+		return;
+	}
+	q->by_share = q->ahead <= limit;
+	p->counters.share_refused += q->by_share;
+}
+
+/* Sets the request's limit. */
+static void
+coordinate_set_limit(struct place *p, msec now, const struct server_wish *w,
+    const struct server_view *view, bool is_return, struct place_queue *q)
+{
+	msec limit_new =
+	    coordinate_limit(place_traffic(&p->all, w->service), w, view);
+	msec limit = limit_new;
+
 	/* A request that returns may have more ahead of it. */
 	if (is_return)
 		limit = MIN(limit * PLACE_RETURN_LIMIT_TIMES, w->target);
-	return limit;
+	q->limit =
+	    coordinate_share_limit(p, now, w, limit, limit_new, is_return);
+	coordinate_count_share(p, now, w, q, limit);
 }
 
 /*
@@ -571,8 +670,7 @@
 		return NULL;
 	q->ahead = MIN(server_reading_ms(v, w->rank, &view),
 	    servers_reading_ms(p->servers, w->service, w->rank, &view));
-	q->limit = coordinate_limit(
-	    place_traffic(&p->all, w->service), w, &view, is_return);
+	coordinate_set_limit(p, now, w, &view, is_return, q);
 	if (place_queue_exceeds_limit(q))
 		coordinate_refused(p, now, w, group);
 	else {
--- a/place.c
+++ b/place.c
@@ -79,7 +79,8 @@
 		.target_ms = (u_int)w->target,
 		.rank = w->rank,
 		.software = w->software,
-		.repeat = w->repeat };
+		.repeat = w->repeat,
+		.organisation = w->organisation };
 	/* XDR encoding only reads the list, but its type is not const. */
 	m->avoid.avoid_len = w->navoid;
 	m->avoid.avoid_val = (u_quad_t *)w->avoid;
@@ -97,7 +98,8 @@
 		.target = m->target_ms,
 		.rank = m->rank,
 		.software = m->software,
-		.repeat = m->repeat };
+		.repeat = m->repeat,
+		.organisation = m->organisation };
 	w->navoid = MIN(m->avoid.avoid_len, SERVER_AVOID_MAX);
 	if (w->navoid > 0)
 		memcpy(
@@ -204,7 +206,7 @@
 	if (r->wish.navoid > 0 || t == NULL ||
 	    !server_refusals_apply(t, now, g_rand_double(p->rand)))
 		return false;
-	r->queue = (struct place_queue){ t->wait, t->ahead, t->limit };
+	r->queue = (struct place_queue){ t->wait, t->ahead, t->limit, false };
 	p->counters.alone_refused++;
 	return true;
 }
@@ -363,7 +365,8 @@
 	r->waiting = false;
 	p->missed = 0;
 	p->counters.answered++;
-	r->queue = (struct place_queue){ t->wait_ms, t->ahead_ms, t->limit_ms };
+	r->queue = (struct place_queue){ t->wait_ms, t->ahead_ms, t->limit_ms,
+		t->by_share };
 	place_note_reply(p, now, r);
 	p->round_trip += 0.1 * ((double)(now - r->asked) - p->round_trip);
 	v = t->server != 0 ? servers_find(p->servers, t->server) : NULL;
@@ -409,6 +412,7 @@
 	t->wait_ms = (u_int)queue.wait;
 	t->ahead_ms = (u_int)queue.ahead;
 	t->limit_ms = (u_int)queue.limit;
+	t->by_share = queue.by_share;
 	t->source = source;
 	t->rated = v != NULL && v->rate.per_s > 0;
 	t->rates.rates_val = rates;
--- a/place.h
+++ b/place.h
@@ -41,6 +41,8 @@
 		       server, or the average of the servers that it
 		       may use, if that is less */
 	msec limit; /* maximum for `ahead`; 0: no limit */
+	/* Only its organisation's share makes `ahead` exceed `limit`. */
+	bool by_share;
 };
 
 /*
@@ -110,6 +112,9 @@
 	uint64_t asked, answered, late, alone, coordinated;
 	uint64_t returned;	/* admitted on their return after a refusal */
 	uint64_t alone_refused; /* of `alone`: refused at the last known rate */
+	/* As coordinator: only their organisations' shares refused these, or
+	   admitted them. */
+	uint64_t share_refused, share_admitted;
 	/*
 	 * As coordinator: prompt tokens, and those of them that the server
 	 * had already read.
@@ -149,6 +154,7 @@
 	struct place_counters counters;
 	void *arg;			   /* for the caller */
 	const struct place_policy *policy; /* NULL: coordinators decide */
+	bool fair_shares;		   /* between organisations */
 	unsigned int next_pick;		   /* for round-robin */
 };
 
@@ -160,6 +166,11 @@
  * without coordinators: "random", "round-robin", "least-load", "two-choices".
  */
 void place_set_policy(struct place *, const char *);
+/*
+ * Sets whether coordinators divide room that is short between organisations;
+ * see fair-share.h. The default is not to.
+ */
+void place_set_fair_shares(struct place *, bool);
 void place_finish(struct place *);
 /* Sets the list of all nodes, including the local one. */
 void
--- a/proto.h
+++ b/proto.h
@@ -210,6 +210,7 @@
 	u_int rank;
 	u_quad_t software;
 	u_quad_t repeat;
+	u_quad_t organisation;
 	struct {
 		u_int avoid_len;
 		u_quad_t *avoid_val;
@@ -238,6 +239,7 @@
 	u_int wait_ms;
 	u_int ahead_ms;
 	u_int limit_ms;
+	bool_t by_share;
 	u_quad_t source;
 	bool_t rated;
 	struct {
@@ -517,11 +519,11 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
+	SP_PLACE_ASK = 27,
+	SP_PLACE_TELL = 28,
+	SP_PLACE_TOOK = 29,
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
-	SP_PLACE_ASK = 35,
-	SP_PLACE_TELL = 36,
-	SP_PLACE_TOOK = 37,
 	SP_PLACE_RETURN = 38,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
--- a/proto.x
+++ b/proto.x
@@ -208,6 +208,7 @@
 	unsigned int rank;		/* 0 is the most urgent */
 	unsigned hyper software;	/* version that must serve it; 0: any */
 	unsigned hyper repeat;		/* the same for a repetition; 0: not known */
+	unsigned hyper organisation;	/* 0: none */
 	unsigned hyper avoid<SAVORY_AVOID_MAX>;
 };
 
@@ -234,6 +235,7 @@
 	unsigned int wait_ms;		/* to read the prompts there and this one */
 	unsigned int ahead_ms;		/* of that, before this one: as urgent or more */
 	unsigned int limit_ms;		/* reject if ahead_ms is more; 0: no limit */
+	bool by_share;			/* rejected by its organisation's share only */
 	unsigned hyper source;		/* fetch the shared part from it; 0: read it */
 	bool rated;			/* counted against the server's rate */
 	sp_place_rate rates<SAVORY_RATED_MAX>;	/* of some servers of its group */
@@ -497,12 +499,12 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
-	/* 30 to 32 are reserved. */
+	/* To 39: placement. 30 to 32 and 35 to 37 are reserved. */
+	SP_PLACE_ASK = 27,
+	SP_PLACE_TELL = 28,
+	SP_PLACE_TOOK = 29,
 	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
-	SP_PLACE_ASK = 35,
-	SP_PLACE_TELL = 36,
-	SP_PLACE_TOOK = 37,
 	SP_PLACE_RETURN = 38,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -615,6 +615,8 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->repeat))
 			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->organisation))
+			return FALSE;
 		if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
 			(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
 			sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
@@ -651,6 +653,8 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->repeat))
 			return FALSE;
+		if (!xdr_u_quad_t(xdrs, &objp->organisation))
+			return FALSE;
 		if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
 			(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
 			sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
@@ -678,6 +682,8 @@
 		return FALSE;
 	if (!xdr_u_quad_t(xdrs, &objp->repeat))
 		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->organisation))
+		return FALSE;
 	if (!xdr_array(xdrs, (char **)&objp->avoid.avoid_val,
 		(u_int *)&objp->avoid.avoid_len, SAVORY_AVOID_MAX,
 		sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
@@ -723,7 +729,7 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->server))
 			return FALSE;
-		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			if (!xdr_u_int(xdrs, &objp->wait_ms))
 				return FALSE;
@@ -731,11 +737,14 @@
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->limit_ms))
 				return FALSE;
+			if (!xdr_bool(xdrs, &objp->by_share))
+				return FALSE;
 
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->wait_ms);
 			IXDR_PUT_U_LONG(buf, objp->ahead_ms);
 			IXDR_PUT_U_LONG(buf, objp->limit_ms);
+			IXDR_PUT_BOOL(buf, objp->by_share);
 		}
 		if (!xdr_u_quad_t(xdrs, &objp->source))
 			return FALSE;
@@ -751,7 +760,7 @@
 			return FALSE;
 		if (!xdr_u_quad_t(xdrs, &objp->server))
 			return FALSE;
-		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			if (!xdr_u_int(xdrs, &objp->wait_ms))
 				return FALSE;
@@ -759,11 +768,14 @@
 				return FALSE;
 			if (!xdr_u_int(xdrs, &objp->limit_ms))
 				return FALSE;
+			if (!xdr_bool(xdrs, &objp->by_share))
+				return FALSE;
 
 		} else {
 			objp->wait_ms = IXDR_GET_U_LONG(buf);
 			objp->ahead_ms = IXDR_GET_U_LONG(buf);
 			objp->limit_ms = IXDR_GET_U_LONG(buf);
+			objp->by_share = IXDR_GET_BOOL(buf);
 		}
 		if (!xdr_u_quad_t(xdrs, &objp->source))
 			return FALSE;
@@ -786,6 +798,8 @@
 		return FALSE;
 	if (!xdr_u_int(xdrs, &objp->limit_ms))
 		return FALSE;
+	if (!xdr_bool(xdrs, &objp->by_share))
+		return FALSE;
 	if (!xdr_u_quad_t(xdrs, &objp->source))
 		return FALSE;
 	if (!xdr_bool(xdrs, &objp->rated))
--- a/server-mix.h
+++ b/server-mix.h
@@ -10,6 +10,7 @@
 #ifndef SERVER_MIX_H
 #define SERVER_MIX_H
 
+#include "fair-share.h"
 #include "prompt-fetch.h"
 #include "savory.h"
 #include "server-limit.h"
@@ -45,6 +46,8 @@
 	uint64_t tokens, urgent_tokens;
 	/* Admission limits of the quiet servers and of the others. */
 	struct server_limit limit_light, limit;
+	/* Of requests of the least urgent rank; NULL: none yet. */
+	struct fair_share *share;
 };
 
 /* Records a request; returns true if it is the first of its route. */
--- a/server.h
+++ b/server.h
@@ -269,6 +269,8 @@
 	uint64_t repeat;     /* the same for a repetition; 0: not known */
 	unsigned int navoid;
 	name_id avoid[SERVER_AVOID_MAX]; /* servers tried already */
+	/* That the request is sent for; 0: none. */
+	name_id organisation;
 };
 
 /* State of the selecting node. */
--- a/settings.h
+++ b/settings.h
@@ -68,6 +68,7 @@
 	msec usage_window; /* 0: usage is not reported */
 	msec usage_lateness;
 	bool order_servers;
+	bool fair_shares; /* of organisations, while room is short */
 	struct capacity_limits capacity;
 	char *tls_certificate; /* files; NULL: plain HTTP */
 	char *tls_key;
