A coordinator places requests without a shared prompt in its own group

The new test (45 servers, three groups) saw up to three coordinators count one server's load before, and sees one now. Ruled out: the group in the message, which a node with another number of groups would name wrongly.

--- a/place-coordinate.c
+++ b/place-coordinate.c
@@ -239,6 +239,24 @@
 	return place_best_coordinator(p, service, group, 0);
 }
 
+/*
+ * As coordinator: the group of a request. One without a prompt may be of any;
+ * of another's group this node does not know the load.
+ */
+static unsigned int
+place_coordinated_group(
+    struct place *p, const struct server_wish *w, unsigned int groups)
+{
+	unsigned int group = place_group(p, w, groups), i, other;
+
+	for (i = 0; w->prompt == 0 && i < groups; i++) {
+		other = (group + i) % groups;
+		if (place_coordinator(p, w->service, other) == p->self)
+			return other;
+	}
+	return group;
+}
+
 /* The node that would coordinate the group without this one. */
 static name_id
 place_successor(struct place *p, name_id service, unsigned int group)
@@ -652,7 +670,7 @@
     const struct server_wish *w, struct place_queue *q, name_id *source)
 {
 	unsigned int groups = place_count_groups(p, w->service);
-	unsigned int group = place_group(p, w, groups);
+	unsigned int group = place_coordinated_group(p, w, groups);
 	bool is_return = returns_expected(&p->returns, now, w->repeat);
 	struct server *v, *from = NULL, *guess = NULL;
 	struct place_record *h;
--- a/proto.x
+++ b/proto.x
@@ -59,7 +59,8 @@
 
 struct sp_probe {
 	unsigned int seq;
-	unsigned hyper on_behalf_of;	/* 0, or the node that sent SP_PROBE_REQUEST */
+	/* 0, the sender of SP_PROBE_REQUEST, or who an answer to news is for */
+	unsigned hyper on_behalf_of;
 	sp_self self;
 	unsigned hyper newest_version;	/* newest that the sender has received */
 	sp_load loads<SAVORY_LOADS_MAX>;
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -645,6 +645,36 @@
 	}
 }
 
+/*
+ * Guards against a coordinator that places requests without a shared prompt on
+ * servers of another group, whose load it does not know.
+ */
+static void
+test_no_prompt_groups(void)
+{
+	struct place_request r[90];
+	unsigned int i, know;
+	struct server *v;
+
+	fleet_start(8, 45);
+	for (i = 0; i < G_N_ELEMENTS(r); i++) {
+		request_fill_last_tier(&r[i], 0, 100);
+		r[i].wish.prompt = r[i].wish.shared = 0;
+		place_submit(&nodes[i % 8].place, clock_now, &r[i]);
+		fleet_run(5);
+	}
+	RB_FOREACH (v, server_tree, &nodes[0].servers.tree) {
+		for (i = know = 0; i < nnodes; i++)
+			know += servers_find(&nodes[i].servers, v->id)
+				    ->all.running > 0;
+		g_assert_cmpuint(know, <=, 1);
+	}
+	for (i = 0; i < G_N_ELEMENTS(r); i++)
+		place_end(
+		    &nodes[i % 8].place, clock_now, &r[i], SERVER_ANSWERED);
+	fleet_stop();
+}
+
 /* The highest pause that a node expects of a server. */
 static double
 node_expected_pause(const struct node *n)
@@ -1688,6 +1718,7 @@
 	g_test_add_func("/place/hand-over", test_hand_over);
 	g_test_add_func("/place/returns", test_returns);
 	g_test_add_func("/place/pauses", test_pauses);
+	g_test_add_func("/place/no-prompt-groups", test_no_prompt_groups);
 	g_test_add_func("/place/baselines", test_baselines);
 	return g_test_run();
 }
