--- a/entry-move.c
+++ b/entry-move.c
@@ -361,16 +361,31 @@
 	return j->server->leaving_since + stay - MOVE_NOTICE_LAG_MS;
 }
 
+/*
+ * A VM that is taken back may end sooner than others. Where its entry, or the
+ * node that passed it on, does not say when, the last moment for a move is now.
+ */
+static msec
+move_leaves_at(const struct job *j, msec copy, msec now)
+{
+	const struct server *v = j->server;
+
+	if (v->reclaimable && v->leaves_at == 0)
+		return now + run_move_window(copy);
+	return server_leaves_at(v, j->owner->settings->server_stay);
+}
+
 static struct run_move_view
 move_view(const struct job *j, msec now)
 {
+	msec copy = move_copy_ms(j, move_transfer(j));
+
 	return (struct run_move_view){
 		.leaving = true,
-		.leaves_at = server_leaves_at(
-		    j->server, j->owner->settings->server_stay),
+		.leaves_at = move_leaves_at(j, copy, now),
 		.sends_until = move_sends_until(j),
 		.rest = move_rest_ms(j, now),
-		.copy = move_copy_ms(j, move_transfer(j)),
+		.copy = copy,
 		.deadline = j->deadline,
 	};
 }
--- a/run-move.c
+++ b/run-move.c
@@ -27,6 +27,12 @@
 	return copy + RUN_MOVE_STOP_MS;
 }
 
+msec
+run_move_window(msec copy)
+{
+	return RUN_MOVE_QUEUE_FACTOR * move_span(copy);
+}
+
 enum run_move_choice
 run_move_choose(const struct run_move_view *v, msec now, msec *again)
 {
@@ -40,7 +46,7 @@
 		return RUN_MOVE_STAY;
 	if (v->rest != MSEC_NEVER && v->rest > stays)
 		return RUN_MOVE_NOW;
-	last = v->leaves_at - RUN_MOVE_QUEUE_FACTOR * move_span(v->copy);
+	last = v->leaves_at - run_move_window(v->copy);
 	if (now < last) {
 		*again = last;
 		return RUN_MOVE_LATER;
--- a/run-move.h
+++ b/run-move.h
@@ -46,6 +46,11 @@
 	RUN_MOVE_NOW
 };
 
+/*
+ * Time before the server's end at which a move must have begun, for a copy that
+ * takes so many ms.
+ */
+msec run_move_window(msec copy);
 /*
  * Whether the run is to be moved. `*again` is set with RUN_MOVE_LATER: the last
  * moment at which a move that begins is sure to end in time.
--- a/tests/test-run-move.c
+++ b/tests/test-run-move.c
@@ -143,6 +143,8 @@
 	g_assert_cmpint(
 	    choose(true, 1000, MSEC_NEVER, 30, FAR), ==, RUN_MOVE_NOW);
 	g_assert_cmpint(choose(true, 1000, 900, 30, FAR), ==, RUN_MOVE_STAY);
+	g_assert_cmpint(choose(true, run_move_window(30), MSEC_NEVER, 30, FAR),
+	    ==, RUN_MOVE_NOW);
 }
 
 /* ---- one run ---- */
