A server that has not answered the rest of a stream is no source of a move

Cause: move_is_possible() read the head of the current attempt's answer. After a stream broke and was sent to another server, there is none until that answers.

--- a/entry-move.c
+++ b/entry-move.c
@@ -336,7 +336,10 @@
 	    j->link == NULL || j->move != NULL || j->carrier != NULL ||
 	    j->carried)
 		return false;
-	if (!j->streamed || j->events == 0 || *j->request.id == '\0' ||
+	if (!j->streamed || j->events == 0 || *j->request.id == '\0')
+		return false;
+	/* A server that was to resume the stream may not have answered yet. */
+	if (j->attempt_began == 0 || j->link->reader.head == NULL ||
 	    j->link->reader.head->until_close)
 		return false;
 	if (j->move_tried == j->server->id ||
