Moves of runs: mends of the review

Each found by one who had not written the part. A source that says 409 after its stream broke still has the run: it goes on nowhere else (/run-move/busy-after-break). A run goes back to its source only in the first half of the time that servers stay, not up to half a second before it ends. The configuration is checked before the run is stopped, not after. A refusal of a moved run (421 for other weights) no longer marks the destination as down. The state of a job without a link is not read (its server may be freed; read from the code).

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -613,7 +613,9 @@
 		return false;
 	case REPLY_REJECTED:
 		j->refused_by_server = true;
-		j->refusal_result = job_refusal_result(h);
+		j->refusal_result = entry_move_memory(j) != NULL
+					? SERVER_NO_RESULT
+					: job_refusal_result(h);
 		return true;
 	case REPLY_INVALID:
 		job_count_run(j);
--- a/entry-move.c
+++ b/entry-move.c
@@ -15,8 +15,11 @@
 
 /* A call that frees a copy ends within this time. */
 #define MOVE_DROP_TIMEOUT_MS 1000
-/* Others may have learned of a server's notice so much earlier. */
-#define MOVE_NOTICE_LAG_MS 500
+/*
+ * The part of the time that servers stay in which one is sent a request: this
+ * node may have learned late that it leaves, and connecting takes time.
+ */
+#define MOVE_SEND_PART 2
 /* A copy between failure domains takes so many times the time within one. */
 #define MOVE_DOMAIN_FACTOR 2
 
@@ -279,7 +282,8 @@
 		return;
 	}
 	if (m->core.state == RUN_MOVE_COPYING && a == RUN_MOVE_COPIED && handle)
-		budget = move_take_budget(m, now);
+		budget = job_admit(m->job, now) == JOB_SERVED &&
+			 move_take_budget(m, now);
 	move_do(m, run_move_answered(&m->core, now, a, handle, budget), now);
 }
 
@@ -332,10 +336,11 @@
 {
 	const struct entry *e = j->owner;
 
-	if (j->server == NULL || j->server->leaving_since == 0 ||
-	    j->link == NULL || j->move != NULL || j->carrier != NULL ||
+	if (j->move != NULL || j->link == NULL || j->carrier != NULL ||
 	    j->carried)
 		return false;
+	if (j->server == NULL || j->server->leaving_since == 0)
+		return false;
 	if (!j->streamed || j->events == 0 || *j->request.id == '\0')
 		return false;
 	/* A server that was to resume the stream may not have answered yet. */
@@ -353,7 +358,7 @@
 	return j->server->software_id != 0 || entry_version_is_single(j);
 }
 
-/* Servers take requests for the time that they stay after their notice. */
+/* A server that leaves is sent no requests after this; 0: not known. */
 static msec
 move_sends_until(const struct job *j)
 {
@@ -361,7 +366,7 @@
 
 	if (stay == 0)
 		return 0;
-	return j->server->leaving_since + stay - MOVE_NOTICE_LAG_MS;
+	return j->server->leaving_since + stay / MOVE_SEND_PART;
 }
 
 /*
--- a/run-move.c
+++ b/run-move.c
@@ -144,9 +144,12 @@
 	case RUN_MOVE_NO_ROOM:
 		m->stopped = true;
 		return move_return(m, now);
-	case RUN_MOVE_NO_RUN:
 	case RUN_MOVE_BUSY:
-		/* Its last bytes, or those that follow, are on their way. */
+		/* The run is still there: it must go on nowhere else. */
+		return move_end(m, RUN_MOVE_REASON_BUSY,
+		    m->broke ? RUN_MOVE_LOST : RUN_MOVE_GIVE_UP);
+	case RUN_MOVE_NO_RUN:
+		/* Its last bytes are on their way. */
 		if (!m->broke)
 			return move_end(m, move_reason(a), RUN_MOVE_GIVE_UP);
 		return move_resume(m);
--- a/server.c
+++ b/server.c
@@ -179,6 +179,15 @@
 		    &s->versions, now, v->service, v->software_id, s->complete);
 }
 
+/* Its entry is back: it had only expired, unless the process says otherwise. */
+static void
+server_set_staying(struct server *v)
+{
+	v->leaves_at = 0;
+	if (!v->says_leaving)
+		v->leaving_since = 0;
+}
+
 void
 servers_list(struct servers *s, msec now, const struct server_entry *e)
 {
@@ -226,6 +235,8 @@
 		state = SERVER_DRAINING;
 	if (state == SERVER_DRAINING)
 		server_set_leaving(v, now);
+	else
+		server_set_staying(v);
 	/* An entry may be read again later, with the same span. */
 	if (e->draining && e->leaves > 0 &&
 	    (v->leaves_at == 0 || now + e->leaves < v->leaves_at))
@@ -332,7 +343,7 @@
 {
 	log_info_of(LOG_NODE, v->name, "%s added again", v->name);
 	v->listed_again = false;
-	v->leaving_since = 0;
+	server_set_staying(v);
 	v->state = SERVER_READY;
 	s->ops->changed(s, v);
 }
--- a/tests/test-run-move.c
+++ b/tests/test-run-move.c
@@ -172,6 +172,17 @@
 	return m;
 }
 
+/* Guards against a run in two places, where the source says that it has it. */
+static void
+test_busy_after_break(void)
+{
+	struct run_move m = move_stopping();
+
+	g_assert_cmpint(run_move_broke(&m), ==, RUN_MOVE_WAIT);
+	g_assert_cmpint(run_move_answered(&m, 60, RUN_MOVE_BUSY, true, true),
+	    ==, RUN_MOVE_LOST);
+}
+
 /* Guards against a run that is stopped though it can't go on elsewhere. */
 static void
 test_harmless(void)
@@ -305,5 +316,6 @@
 	g_test_add_func("/run-move/confirmation-lost", test_confirmation_lost);
 	g_test_add_func("/run-move/ended-meanwhile", test_ended_meanwhile);
 	g_test_add_func("/run-move/refused", test_refused);
+	g_test_add_func("/run-move/busy-after-break", test_busy_after_break);
 	return g_test_run();
 }
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -72,6 +72,28 @@
 	servers_finish(&s);
 }
 
+/* Guards against runs that move off a server whose entry had only expired. */
+static void
+test_listed_again(void)
+{
+	struct servers s;
+	struct server *v;
+
+	servers_init(&s, &ops);
+	servers_set_retention(&s, 20000);
+	list_server(&s, 10, "a", false, 5);
+	v = servers_find(&s, name_hash("a"));
+	servers_unlist(&s, 5000, "a");
+	servers_tick(&s, 5001);
+	g_assert_cmpint(server_leaves_at(v, 3000), !=, MSEC_NEVER);
+	list_server(&s, 6000, "a", false, 5);
+	g_assert_cmpint(v->state, ==, SERVER_READY);
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, MSEC_NEVER);
+	list_server(&s, 60000, "a", true, 5);
+	g_assert_cmpint(server_leaves_at(v, 3000), ==, 63000);
+	servers_finish(&s);
+}
+
 static enum server_state
 server_state_of(struct servers *s, const char *name)
 {
@@ -832,6 +854,7 @@
 	g_test_add_func("/server/slow", test_slow);
 	g_test_add_func("/server/draining", test_draining);
 	g_test_add_func("/server/leaves-at", test_leaves_at);
+	g_test_add_func("/server/listed-again", test_listed_again);
 	g_test_add_func("/server/hold", test_hold);
 	g_test_add_func("/server/doubt", test_doubt);
 	g_test_add_func("/server/doubt-ends", test_doubt_ends);
