--- a/capacity.c
+++ b/capacity.c
@@ -40,14 +40,15 @@
 /* Time after the boot time before missing servers are ordered again. */
 #define CAPACITY_ORDER_TIMEOUT_MS 2500
 /*
- * Reclaimable servers of a domain are taken back if, within this time, more
- * than this part of them leaves that no order of ours may have removed.
+ * The reclaimable servers of a domain count as taken back if more than this
+ * part of them stops being ready within this time, less those that recent
+ * orders of ours may have removed.
  */
 #define CAPACITY_LOSS_WINDOW_MS 2000
 #define CAPACITY_LOSS_PERCENT 50
 /* Time in which an order may still be carried out. */
 #define CAPACITY_LATE_ORDER_MS 10000
-/* Seconds of demand for which lasting servers stand in. */
+/* Stand-ins are sized by the peak demand of the last so many seconds. */
 #define CAPACITY_RECENT_S 6
 /* Time without orders after none were available. */
 #define CAPACITY_UNAVAILABLE_MS 2500
@@ -285,7 +286,8 @@
 	unsigned int i;
 
 	for (i = 0; i < CAPACITY_RECENT_S; i++)
-		maximum = MAX(maximum, seconds[(second - i) % CAPACITY_PEAK_S]);
+		maximum = MAX(maximum,
+		    seconds[(second + CAPACITY_PEAK_S - i) % CAPACITY_PEAK_S]);
 	return maximum;
 }
 
@@ -350,7 +352,10 @@
 	return n;
 }
 
-/* Ready servers that leave without an order of ours. */
+/*
+ * Servers that were ready at `watched_at` and are not now, less those that
+ * recent orders may have removed.
+ */
 static unsigned int
 pool_lost(const struct capacity_pool *p, msec now)
 {
@@ -801,7 +806,8 @@
 	p->pending = false;
 	switch (how) {
 	case CAPACITY_ACCEPTED:
-		/* Accepted before the servers it counts were taken back. */
+		/* One sent before its domain was taken back no longer counts,
+		 * unless it reduces. */
 		p->is_ordered = now >= p->avoided_until || count <= p->ready;
 		p->ordered = count;
 		c->counters.taken++;
@@ -839,7 +845,11 @@
 	if (s->config.reclaimable_price <= 0)
 		maximum = 0;
 	reclaimable = MIN(reclaimable, maximum);
-	/* Stand-ins fill what this leaves open; it then gets the room left. */
+	/*
+	 * Stand-ins make up for what reclaimable servers cannot give, so those
+	 * are distributed first; and again after, as lasting ones use up a
+	 * domain's limit.
+	 */
 	service_distribute_reclaimable(s, now, reclaimable);
 	s->lasting = service_lasting_target(c, s, now);
 	service_distribute_lasting(
--- a/entry-log.c
+++ b/entry-log.c
@@ -94,9 +94,11 @@
 	    "The run of a stream is to go on at another backend server, as its "
 	    "own leaves." },
 	[LOG_EVENT_RUN_MOVE_FAILED] = { "run-move-failed",
-	    "Such a run was not moved; see reason." },
+	    "A run was not moved off a backend server that leaves; see "
+	    "reason." },
 	[LOG_EVENT_RUN_MOVED] = { "run-moved",
-	    "Such a run goes on at the server named, or again at its own." },
+	    "A run that was to move off a backend server that leaves goes on "
+	    "at the server named, which may be its own." },
 	[LOG_EVENT_SERVER] = { "server",
 	    "A backend server changed its state." },
 	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
--- a/entry-move.c
+++ b/entry-move.c
@@ -16,10 +16,10 @@
 /* A call that frees a copy ends within this time. */
 #define MOVE_DROP_TIMEOUT_MS 1000
 /*
- * The part of the time that servers stay in which one is sent a request: this
- * node may have learned late that it leaves, and connecting takes time.
+ * A server that leaves is sent requests for its stay divided by this: this node
+ * may have learned late that it leaves, and connecting takes time.
  */
-#define MOVE_SEND_PART 2
+#define MOVE_SEND_DIVISOR 2
 /* A copy between failure domains takes so many times the time within one. */
 #define MOVE_DOMAIN_FACTOR 2
 
@@ -366,7 +366,7 @@
 
 	if (stay == 0)
 		return 0;
-	return j->server->leaving_since + stay / MOVE_SEND_PART;
+	return j->server->leaving_since + stay / MOVE_SEND_DIVISOR;
 }
 
 /*
--- a/entry-move.h
+++ b/entry-move.h
@@ -34,7 +34,10 @@
 void entry_move_consider(struct job *, msec);
 /* A byte of a server's answer has arrived. */
 void entry_move_heard(struct job *, msec);
-/* The answer broke off. True if it goes on elsewhere, or may. */
+/*
+ * The answer broke off. Returns true if the move handles it; false: handle it
+ * as any broken answer.
+ */
 bool entry_move_broke(struct job *, msec);
 /*
  * A server did not execute the request that was to resume the run. True if
--- a/entry.h
+++ b/entry.h
@@ -278,9 +278,9 @@
 	struct poison_parts parts;    /* of its prompt, that others may share */
 	/* Permission to send, if it is suspect, and if a part of it is. */
 	struct poison_run run, part_run;
-	struct entry_move *move;    /* of its run, or NULL */
-	name_id move_tried;	    /* the last server that it was moved from */
-	bool move_counted;	    /* the run that moves is in `runs` */
+	struct entry_move *move; /* of its run, or NULL */
+	name_id move_tried; /* the last server that a move was begun from */
+	bool move_counted;  /* `runs` has the run that is being moved */
 	struct server_check *check; /* the check it waits for, or NULL */
 	name_id service;
 	msec arrived;
--- a/fair-share.h
+++ b/fair-share.h
@@ -19,8 +19,8 @@
 #include "savory.h"
 
 /*
- * Number of table entries. An organisation that finds no free one takes that
- * of another which asked for less.
+ * Number of table entries. An organisation that finds no free one takes, of the
+ * few that it may use, the one whose organisation asked for least.
  */
 #define FAIR_SHARE_PLACES 1024
 
@@ -49,7 +49,7 @@
 void fair_share_admit(
     struct fair_share *, msec, name_id organisation, unsigned int tokens);
 /*
- * Without shares a request would be refused now: room is short, and remains so
+ * A request is refused now, or would be without shares: room counts as short
  * for some time.
  */
 void fair_share_set_short(struct fair_share *, msec);
--- a/member-news.c
+++ b/member-news.c
@@ -28,9 +28,9 @@
 
 /*
  * Transmissions after which an update has reached all members with high
- * probability. Guards against probes that are full of old news for minutes
- * after the start of a large fleet, behind which new deaths wait: each node
- * passed on all that its first sync or the others' announcements had told it.
+ * probability. Guards against probes full of old news after the start of a
+ * large fleet, behind which new deaths wait: news from announcements and the
+ * first sync, which others have already, is sent fewer times.
  */
 static unsigned int
 update_transmissions(const struct members *ms)
--- a/member-private.h
+++ b/member-private.h
@@ -124,14 +124,19 @@
 void member_probe_check(struct members *, msec);
 msec member_probe_due(const struct members *);
 void member_probe_send(struct members *, msec, struct member *, uint32_t);
-/* Announce the local node's state, alive or leaving: to one member; to all
- * members, or with again == false to those without an announcement yet. */
+/*
+ * Announce the local node's state, alive or leaving: to one member; to all
+ * members, or with again == false to those without an announcement yet.
+ * `answer`: to its own announcement; it does not answer back.
+ */
 void member_announce_to(struct members *, struct member *, bool answer);
 void member_announce_all(struct members *, bool again);
 void member_probe_receive(struct members *, msec, struct member *, name_id,
     uint32_t, uint16_t, const sp_msg *);
 struct member *member_random_live(struct members *, name_id);
+/* A random live member, a near one if the own domain is large; NULL: none. */
 struct member *member_random_near(struct members *);
+/* Whether the member is in the own failure domain ("near"). */
 bool member_is_near(const struct members *, const struct member *);
 /* Whether the own failure domain has enough members to prefer them. */
 bool member_domain_is_large(const struct members *);
--- a/net.c
+++ b/net.c
@@ -71,7 +71,7 @@
 	[NET_MEMBERSHIP] = { SP_PROBE, "membership" },
 	[NET_DISPATCH] = { SP_RESERVE, "dispatch" },
 	[NET_LIMITS] = { SP_SHARE, "limits" },
-	[NET_PLACEMENT] = { SP_PLACE_STEP, "placement" },
+	[NET_PLACEMENT] = { SP_PLACE_ASK, "placement" },
 	[NET_RELAY] = { SP_RELAY_ASK, "relay" },
 	[NET_DUTIES] = { SP_DUTY_BEAT, "duties" },
 	[NET_START] = { SP_START_ASK, "start" },
--- a/net.h
+++ b/net.h
@@ -62,8 +62,8 @@
 	NET_DUTIES,
 	NET_START, /* of a node, and configurations from other nodes */
 	NET_POISON,
-	NET_VERSIONS,
-	NET_HEADERS, /* of datagrams; no message has this subject */
+	NET_VERSIONS, /* of backend servers' software, by stream */
+	NET_HEADERS,  /* of datagrams; no message has this subject */
 	NET_SUBJECTS
 };
 enum net_subject net_subject_of(enum sp_kind);
--- a/proto.x
+++ b/proto.x
@@ -501,13 +501,13 @@
 	SP_PREEMPT = 16,
 	SP_QUEUED = 17,
 	SP_SHARE = 20,
-	/* To 39: placement. 30 to 32 and 35 to 37 are reserved. */
+	/* 27 to 39: placement; of these 30 to 33 and 35 to 37 are reserved. */
 	SP_PLACE_ASK = 27,
 	SP_PLACE_TELL = 28,
 	SP_PLACE_TOOK = 29,
-	SP_PLACE_STEP = 33,
 	SP_PLACE_RATE = 34,
 	SP_PLACE_RETURN = 38,
+	SP_PLACE_STEP = 39,
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
--- a/run-move.c
+++ b/run-move.c
@@ -111,6 +111,7 @@
 move_reason(enum run_move_answer a)
 {
 	static const enum run_move_reason reasons[] = {
+		/* Without a handle. */
 		[RUN_MOVE_COPIED] = RUN_MOVE_REASON_NO_ANSWER,
 		[RUN_MOVE_NO_RUN] = RUN_MOVE_REASON_NO_RUN,
 		[RUN_MOVE_BUSY] = RUN_MOVE_REASON_BUSY,
@@ -145,7 +146,10 @@
 		m->stopped = true;
 		return move_return(m, now);
 	case RUN_MOVE_BUSY:
-		/* The run is still there: it must go on nowhere else. */
+		/*
+		 * The source still has the run: nothing resumes from the copy.
+		 * If the stream broke, the route's rules for that hold.
+		 */
 		return move_end(m, RUN_MOVE_REASON_BUSY,
 		    m->broke ? RUN_MOVE_LOST : RUN_MOVE_GIVE_UP);
 	case RUN_MOVE_NO_RUN:
--- a/run-move.h
+++ b/run-move.h
@@ -24,19 +24,23 @@
 #define RUN_MOVE_STOP_MS 300
 /* The source confirms a stop within this time, beside the copy's own time. */
 #define RUN_MOVE_STOP_TIMEOUT_MS 1000
-/* A stream whose stop was not confirmed is closed by then if it did stop. */
+/*
+ * After a stop that was not confirmed: the old stream ends within this time if
+ * the run did stop.
+ */
 #define RUN_MOVE_CLOSE_MS 400
 /* A destination is found by then. */
 #define RUN_MOVE_PLACE_TIMEOUT_MS 500
 
 /* What a node knows of a running stream; spans in ms, MSEC_NEVER: not known. */
 struct run_move_view {
-	bool leaving;	  /* its server takes no more work and will end */
-	msec leaves_at;	  /* when the server ends at the earliest */
-	msec sends_until; /* requests may be sent to it; 0: none */
-	msec rest;	  /* expected time until the stream ends */
-	msec copy;	  /* expected time to copy the run's memory */
-	msec deadline;	  /* when the caller stops waiting */
+	bool leaving;	/* its server takes no more work and will end */
+	msec leaves_at; /* when the server ends at the earliest */
+	msec
+	    sends_until; /* time until which it may be sent requests; 0: none */
+	msec rest;	 /* expected time until the stream ends */
+	msec copy;	 /* expected time to copy the run's memory */
+	msec deadline;	 /* when the caller stops waiting */
 };
 
 /* Result of run_move_choose(). */
@@ -99,7 +103,8 @@
 	RUN_MOVE_REASON_NO_ROOM,
 	RUN_MOVE_REASON_NO_ANSWER,
 	RUN_MOVE_REASON_REFUSED, /* both servers refused to resume it */
-	RUN_MOVE_REASON_ENDED,	 /* the request ended or was cancelled */
+	RUN_MOVE_REASON_ENDED, /* the attempt ended, broke off or was cancelled
+				*/
 	RUN_MOVE_REASONS
 };
 /* Name of a reason for logs and metrics. */
@@ -122,7 +127,7 @@
 /* A destination was found, or none. */
 enum run_move_step run_move_placed(struct run_move *, msec, bool found);
 /*
- * An answer of the source; `handle`: it names the copy, or an earlier one did.
+ * An answer of the source. `handle`: this or an earlier answer named the copy.
  * `budget`: the request may be sent once more.
  */
 enum run_move_step run_move_answered(
@@ -130,8 +135,8 @@
 /* An event of the old stream has arrived. */
 enum run_move_step run_move_heard(struct run_move *);
 /*
- * The old stream ended without its end. RUN_MOVE_LOST: not because of the move,
- * which is over.
+ * The old stream broke off. RUN_MOVE_LOST: the source had not been told to stop
+ * it, so it broke for another reason; the move is over.
  */
 enum run_move_step run_move_broke(struct run_move *);
 /* The server that was to resume the run did not execute the request. */
--- a/server.h
+++ b/server.h
@@ -237,9 +237,9 @@
 /* This node has learned that the server leaves. */
 void server_set_leaving(struct server *, msec);
 /*
- * When a server that leaves ends at the earliest, if servers stay for at least
- * `stay` ms after their notice; 0: not known. MSEC_NEVER: not known, or it does
- * not leave.
+ * Time at which a server that leaves ends at the earliest: as its entry says,
+ * else `stay` ms after this node learned of it (0: not known). MSEC_NEVER: it
+ * stays, or that is not known.
  */
 msec server_leaves_at(const struct server *, msec stay);
 /* Returns true if the server may get new requests. */
@@ -282,7 +282,7 @@
 	uint64_t repeat;     /* the same for a repetition; 0: not known */
 	unsigned int navoid;
 	name_id avoid[SERVER_AVOID_MAX]; /* servers tried already */
-	/* That the request is sent for; 0: none. */
+	/* Hash of the name of the organisation that it is sent for; 0: none. */
 	name_id organisation;
 };
 
--- a/tests/proc-standins.c
+++ b/tests/proc-standins.c
@@ -16,7 +16,7 @@
 #define RECORDS "/v1/streams/test.stream/records"
 #define COMPLETIONS "/v1/chat/completions"
 #define LONG_MS 10000
-#define STOPS_AT_ONCE 200
+#define ENGINE_STOPS 200 /* tries; the fault is a race */
 #define LAG_HUGE "60000" /* longer than any test */
 
 /* One call made by a thread of its own. */
@@ -484,7 +484,7 @@
 	struct proc engine;
 	unsigned int i;
 
-	for (i = 0; i < STOPS_AT_ONCE; i++) {
+	for (i = 0; i < ENGINE_STOPS; i++) {
 		proc_start(&engine, "engine", "--model", "m@1");
 		g_assert_cmpint(proc_stop(&engine), ==, 0);
 	}
--- a/tests/test-fair-share.c
+++ b/tests/test-fair-share.c
@@ -66,7 +66,10 @@
 	g_assert_false(fair_share_applies(&shares, NOW));
 }
 
-/* All that was asked for was admitted: no organisation is above its share. */
+/*
+ * Guards against an organisation that is cut down though all that was asked for
+ * was admitted.
+ */
 static void
 test_all_admitted(void)
 {
--- a/tests/test-run-move.c
+++ b/tests/test-run-move.c
@@ -126,6 +126,10 @@
 	return run_move_choose(&v, 0, &again);
 }
 
+/*
+ * Guards against moves of runs that would end in time or could not be moved
+ * before the server ends, and against others that stay.
+ */
 static void
 test_choose(void)
 {
