Fetch: a server that failed is no source until it has answered

Traced (a trial that notes each source and result at the coordinator): the coordinator was told of 5 and of 3 broken streams when the server's process ended, let it rest for 0.5 to 2 s, and named it again when the rest was over, with failures 5 and 3 and no answer since. No request is placed there meanwhile, as others are better, so nothing new is learned. Where a host has died, the other server waits for nothing.

Now a server is a source only if its last result was no failure.

/place/fetch-failed-source fails on the code before.

--- a/server-choose.c
+++ b/server-choose.c
@@ -300,11 +300,15 @@
 		   SERVER_MEMORY_KEPT_MS);
 }
 
-/* Returns true unless the server is probably unable to send a prompt. */
+/*
+ * Returns true unless the server is probably unable to send a prompt. After a
+ * failure it has to answer first: the end of its rest does not show that it
+ * runs.
+ */
 static bool
-choose_can_send(const struct server *v, msec now, const struct server_wish *w)
+choose_can_send(const struct server *v, const struct server_wish *w)
 {
-	return v->state != SERVER_GONE && !v->down && now >= v->resting_until &&
+	return v->state != SERVER_GONE && v->failures == 0 &&
 	       !wish_excludes(w, v->id);
 }
 
@@ -322,7 +326,7 @@
 	    !prompt_transfer_possible(view->transfer))
 		return NULL;
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (v->service != w->service || !choose_can_send(v, now, w) ||
+		if (v->service != w->service || !choose_can_send(v, w) ||
 		    !server_memory_has_read(&s->all_memory, now,
 			server_cache_id(v), w->prompt, SERVER_MEMORY_KEPT_MS))
 			continue;
@@ -614,7 +618,7 @@
 		return NULL;
 	home = choose_home(s, w, view, choose_quiet_rank(s, w->service, view));
 	if (home == NULL || home == v || choose_is_new(home, now) ||
-	    !choose_can_send(home, now, w) ||
+	    !choose_can_send(home, w) ||
 	    choose_has_prompt(s, v, now, w, view, home) ||
 	    prompt_transfer_ms(view->transfer, w->shared) >=
 		w->shared / choose_tokens_per_ms(v, view))
--- a/tests/test-place-fetch.c
+++ b/tests/test-place-fetch.c
@@ -97,6 +97,41 @@
 	places_stop(&ps);
 }
 
+/*
+ * Guards against a prompt fetched from a server that has failed and has not
+ * answered since, also after its rest: its process may have ended.
+ */
+static void
+test_fetch_failed_source(void)
+{
+	struct place_request holder, r;
+	unsigned int failures, i, fetches = 0;
+	struct server *v;
+
+	for (failures = 1; failures <= 4; failures++) {
+		places_start(&ps, 1, 6);
+		places_set_transfer(&ps);
+		transfer_age_coordinator(&ps.nodes[0]);
+		transfer_submit(&ps.nodes[0], &holder, 7);
+		place_prompt_read(&ps.nodes[0].place, ps.now, &holder);
+		v = servers_find(&ps.nodes[0].servers, holder.server);
+		for (i = 0; i < failures; i++)
+			server_record_result(v, ps.now, SERVER_FAILED);
+		places_run(&ps, 2500);
+		for (i = 0; i < 8; i++) {
+			transfer_submit(&ps.nodes[0], &r, 7);
+			g_assert_true(r.source != holder.server);
+		}
+		server_record_result(v, ps.now, SERVER_ANSWERED);
+		for (i = 0; i < 8; i++) {
+			transfer_submit(&ps.nodes[0], &r, 7);
+			fetches += r.source == holder.server;
+		}
+		places_stop(&ps);
+	}
+	g_assert_cmpuint(fetches, >, 0);
+}
+
 /* Guards against copies that displace other prompts in small memory. */
 static void
 test_no_space(void)
@@ -154,6 +189,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/place/hot-prompts", test_hot_prompts);
 	g_test_add_func("/place/fetch-source", test_fetch_source);
+	g_test_add_func("/place/fetch-failed-source", test_fetch_failed_source);
 	g_test_add_func("/place/no-space", test_no_space);
 	g_test_add_func("/place/guessed-source", test_guessed_source);
 	return g_test_run();
