tests: util-dispatch.c split by subject

Cause: one file of 1,137 lines held the events, nodes, callers, engines, faults and figures of the simulated world, with a page of forward declarations.

Now: util-dispatch.c (events, beginning and end, 224 lines), -node, -request, -engine, -faults and -stats beside it, the largest 289 lines, over util-dispatch-private.h. The forward declarations are gone but one, which the tree macros need. The interface for tests, util-dispatch.h, is unchanged.

--- a/tests/test-dispatch-faults.c
+++ b/tests/test-dispatch-faults.c
@@ -1,6 +1,6 @@
 /*
  * Tests dispatch cores under load and faults, in virtual time: several nodes,
- * fake engines and lost messages. util-dispatch.c itself asserts that no
+ * fake engines and lost messages. util-dispatch-request.c asserts that no
  * request is granted twice at a time or after its end, and that no protected
  * request is refused. Single messages are tested in test-dispatch.c.
  */
