--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -11,7 +11,6 @@
 
 #include <curl/curl.h>
 
-#define EVENT_BYTES 100
 /* Enough that the node knows how long a class's answers take. */
 #define WARM 10
 #define WARM_ROUNDS 3
@@ -127,7 +126,7 @@
 	begin = msec_now();
 	ask(&s, &early, 1, longs, "early", LONG_TOKENS);
 	caller_start(&early);
-	caller_wait_bytes(&early, EVENT_BYTES);
+	caller_wait_bytes(&early, NODES_EVENT_BYTES);
 	wait_since(begin, LATE_MS);
 	ask(&s, &late, 1, longs, "late", LONG_TOKENS);
 	asked = msec_now();
@@ -381,7 +380,7 @@
 	nodes_up(&s, &brief);
 	caller_ask(&c, s.entries[1].caller, "resumed", MIDDLE_TOKENS);
 	caller_start(&c);
-	caller_wait_bytes(&c, EVENT_BYTES);
+	caller_wait_bytes(&c, NODES_EVENT_BYTES);
 	proc_signal(&s.entries[1].proc, SIGTERM);
 	g_usleep(200 * 1000);
 	proxy_cut_all(s.engines[0].proxy);
@@ -575,7 +574,7 @@
 		caller_start(&c[i]);
 	}
 	for (i = 0; i < CUT_STREAMS; i++)
-		caller_wait_bytes(&c[i], EVENT_BYTES);
+		caller_wait_bytes(&c[i], NODES_EVENT_BYTES);
 	proc_signal(&s.entries[1].proc, SIGTERM);
 	for (i = 0; i < CUT_STREAMS; i++) {
 		caller_wait(&c[i]);
@@ -606,7 +605,7 @@
 	nodes_up(&s, &config);
 	caller_ask(&c, s.entries[1].caller, "short-deadline", 5000);
 	caller_start(&c);
-	caller_wait_bytes(&c, 2 * EVENT_BYTES);
+	caller_wait_bytes(&c, 2 * NODES_EVENT_BYTES);
 	begin = msec_now();
 	proc_signal(&s.entries[1].proc, SIGTERM);
 	caller_wait(&c);
--- a/tests/proc-stops.c
+++ b/tests/proc-stops.c
@@ -12,7 +12,6 @@
 
 #include <curl/curl.h>
 
-#define EVENT_BYTES 100
 #define STREAMS 6
 #define GRACE "leave_grace_ms: 500\n"
 /* From the first notice to the last new work. */
@@ -61,7 +60,7 @@
 		caller_start(&c[i]);
 	}
 	for (i = 0; i < STREAMS; i++)
-		caller_wait_bytes(&c[i], EVENT_BYTES);
+		caller_wait_bytes(&c[i], NODES_EVENT_BYTES);
 }
 
 static void
@@ -169,7 +168,7 @@
 	caller_ask(&c, s.entries[0].caller, "slow", 20000);
 	c.read_pause = 10;
 	caller_start(&c);
-	caller_wait_bytes(&c, EVENT_BYTES);
+	caller_wait_bytes(&c, NODES_EVENT_BYTES);
 	stop_begin(&s, 0, STOP_SIGNAL);
 	caller_wait(&c);
 	caller_assert_whole(&c, 20000);
@@ -195,7 +194,7 @@
 	nodes_up(&s, &config);
 	caller_ask(&c, s.entries[0].caller, "deadline", 5000);
 	caller_start(&c);
-	caller_wait_bytes(&c, EVENT_BYTES);
+	caller_wait_bytes(&c, NODES_EVENT_BYTES);
 	began = msec_now();
 	stop_begin(&s, 0, STOP_SIGNAL);
 	caller_wait(&c);
--- a/tests/proc-tickets.c
+++ b/tests/proc-tickets.c
@@ -18,12 +18,6 @@
 };
 static const struct nodes_config two_two = { .nodes = 2, .engines = 2 };
 
-static unsigned int
-entry_port(const struct nodes *s, unsigned int i)
-{
-	return s->entries[i].caller;
-}
-
 static char *
 ticket_get(struct nodes *s, unsigned int i)
 {
@@ -32,7 +26,8 @@
 	struct http_reply r;
 	char *line;
 
-	http_call(&r, "POST", entry_port(s, i), "/v1/tickets", "", headers);
+	http_call(
+	    &r, "POST", nodes_entry_port(s, i), "/v1/tickets", "", headers);
 	g_assert_cmpint(r.status, ==, 200);
 	line = g_strdup_printf("Savorypier-Ticket: %s",
 	    json_string_value(json_object_get(r.json, "ticket")));
@@ -44,7 +39,7 @@
 ticket_registry(struct nodes *s, unsigned int i, const char *ticket,
     const char *body, struct caller *c)
 {
-	caller_book(c, entry_port(s, i), "by-ticket");
+	caller_book(c, nodes_entry_port(s, i), "by-ticket");
 	caller_add_header(c, ticket);
 	if (body != NULL) {
 		g_free(c->body);
@@ -83,7 +78,7 @@
 		g_assert_cmpstr(c.outcome, !=, "ran");
 		caller_finish(&c);
 	}
-	caller_book(&c, entry_port(&s, 0), "by-ticket");
+	caller_book(&c, nodes_entry_port(&s, 0), "by-ticket");
 	c.headers[0] = "Authorization: Bearer key-grandi-septic";
 	caller_add_header(&c, ticket);
 	caller_run(&c);
@@ -110,7 +105,7 @@
 	http_fault(s.plain.proc.port, "{\"delay_ms\": 500}");
 	ticket = ticket_get(&s, 0);
 	for (i = 0; i < 3; i++) {
-		caller_book(&c[i], entry_port(&s, i == 2), "joined");
+		caller_book(&c[i], nodes_entry_port(&s, i == 2), "joined");
 		caller_add_header(&c[i], ticket);
 		caller_start(&c[i]);
 	}
@@ -259,7 +254,7 @@
 	ticket_registry(&s, 0, ticket, NULL, &c);
 	g_assert_cmpstr(c.outcome, ==, "ran");
 	caller_finish(&c);
-	caller_ask(&hold, entry_port(&s, 0), "hold", 400);
+	caller_ask(&hold, nodes_entry_port(&s, 0), "hold", 400);
 	caller_start(&hold);
 	caller_wait_bytes(&hold, EVENT_BYTES);
 	proc_signal(&s.entries[0].proc, SIGTERM);
@@ -288,17 +283,17 @@
 	struct caller c, again;
 
 	nodes_up(&s, &one_one);
-	caller_ask(&c, entry_port(&s, 0), "keyed", 100);
+	caller_ask(&c, nodes_entry_port(&s, 0), "keyed", 100);
 	caller_add_header(&c, "Idempotency-Key: k-1");
 	caller_start(&c);
 	caller_wait_bytes(&c, 3 * EVENT_BYTES);
 	caller_leave(&c);
-	caller_ask(&again, entry_port(&s, 0), "keyed", 100);
+	caller_ask(&again, nodes_entry_port(&s, 0), "keyed", 100);
 	caller_add_header(&again, "Idempotency-Key: k-1");
 	caller_run(&again);
 	caller_assert_whole(&again, 100);
 	caller_finish(&again);
-	caller_ask(&again, entry_port(&s, 0), "keyed", 101);
+	caller_ask(&again, nodes_entry_port(&s, 0), "keyed", 101);
 	caller_add_header(&again, "Idempotency-Key: k-1");
 	caller_run(&again);
 	g_assert_cmpint(again.status, >=, 400);
--- a/tests/util-nodes.c
+++ b/tests/util-nodes.c
@@ -367,6 +367,18 @@
 	return n;
 }
 
+bool
+nodes_are_idle(void *arg)
+{
+	return nodes_engine_sum(arg, "running") == 0;
+}
+
+unsigned int
+nodes_entry_port(const struct nodes *s, unsigned int i)
+{
+	return s->entries[i].caller;
+}
+
 /* ---- callers ---- */
 
 void
@@ -614,6 +626,26 @@
 	g_assert_true(c->curl != CURLE_OK || c->status >= 400);
 }
 
+void
+nodes_assert_serves(struct nodes *s, const char *user)
+{
+	struct caller c;
+	unsigned int tries;
+
+	for (tries = 0; tries < 20; tries++) {
+		caller_ask(&c, nodes_entry_port(s, 0), user, 5);
+		caller_run(&c);
+		if (strcmp(c.outcome, "not-run") != 0)
+			break;
+		g_test_message("%ld: %s", c.status, c.text->str);
+		caller_finish(&c);
+		g_usleep(G_USEC_PER_SEC / 2);
+	}
+	g_assert_cmpuint(tries, <, 20);
+	caller_assert_whole(&c, 5);
+	caller_finish(&c);
+}
+
 /* ---- raw connections ---- */
 
 int
--- a/tests/util-nodes.h
+++ b/tests/util-nodes.h
@@ -16,6 +16,8 @@
 #define NODES_TIMEOUT (20 * MSEC_SECOND)
 /* Of an organisation without limits: a starting node has no share of any. */
 #define NODES_KEY "key-seyra-office"
+/* One event of an engine's stream takes more than this many bytes. */
+#define NODES_EVENT_BYTES 100
 
 struct nodes_config {
 	unsigned int nodes, engines;
@@ -78,6 +80,16 @@
 int64_t nodes_plain_executions(struct nodes *, const char *id);
 /* The sum of a counter over all engines. */
 int64_t nodes_engine_sum(struct nodes *, const char *);
+/* For wait_until(): no engine of these nodes runs a request. */
+bool nodes_are_idle(void *);
+/* Where callers find an entry VM. */
+unsigned int nodes_entry_port(const struct nodes *, unsigned int);
+/*
+ * A question to the first entry VM is answered whole: the system still serves.
+ * On a busy machine it may be told to come back, which is no fault; it then
+ * does so, as callers would.
+ */
+void nodes_assert_serves(struct nodes *, const char *user);
 
 /* One request of a caller. */
 struct caller {
