share: the loans between nodes get a file of their own

Cause: share.c had 948 lines and two subjects: the parts of limits that nodes have, with admission against them, and the loans between nodes. They meet in five functions, now in share-private.h.

share.c (522 lines) keeps shares and admission, share-loan.c (317) asks for, gives and takes loans. 25 forward declarations are gone; the look-up of an organisation, which stood three times, is share_org_find().

Ruled out: share_expire_loans() in share-loan.c. clang's analyser then follows it from its caller and takes a loan that was removed from its list to be still on it; it also serves every allowance, so it stays with these.

--- a/share.c
+++ b/share.c
@@ -10,144 +10,15 @@
  */
 
 #define LOG_PART "share"
-#include "share.h"
+#include "share-private.h"
 
 #include <inttypes.h>
 #include <string.h>
 
-#define SHARE_UNIT 1000
-#define SHARE_WINDOW ((msec)250)
-/*
- * The share is the minimum of the targets over this many periods: the current
- * one, and the ones before it that add up to SHARE_RAISE_DELAY.
- */
-#define SHARE_PERIODS 4
-#define SHARE_PERIOD (SHARE_RAISE_DELAY / (SHARE_PERIODS - 1))
-/*
- * Loan requests per window. For one limit: the number of nodes divided by
- * SHARE_NODES_PER_ASK, as more nodes have smaller shares, but at least
- * SHARE_ASKS_MIN. For all limits together: SHARE_ASKS_MAX.
- */
-#define SHARE_NODES_PER_ASK 16
-#define SHARE_ASKS_MIN 2
-#define SHARE_ASKS_MAX 8
-/* Random choices of a lender before all nodes are scanned. */
-#define SHARE_RANDOM_TRIES 8
-/* The wait between requests without a loan doubles up to 2^this windows. */
-#define SHARE_BACKOFF_MAX 3
 /* Organisations idle for this long are removed from memory. */
 #define SHARE_IDLE (60 * MSEC_SECOND)
 
-/* A part of the local share that is lent to another node. */
-struct share_loan {
-	TAILQ_ENTRY(share_loan) entry;
-	name_id node;
-	int64_t amount;
-	msec until;
-	bool renewable; /* false: the remainder of a loan that was reduced */
-};
-TAILQ_HEAD(share_loan_list, share_loan);
-
-/* A loan from another node, or a request for one. */
-struct share_borrowing {
-	TAILQ_ENTRY(share_borrowing) entry;
-	name_id node;
-	int64_t amount;
-	msec until;
-	uint32_t seq; /* of the last request */
-	msec asked;   /* time of the last request */
-};
-TAILQ_HEAD(share_borrowing_list, share_borrowing);
-
-/* One limit of one organisation. */
-struct share_part {
-	int64_t limit;	/* 0: none */
-	int64_t target; /* this node's part of the limit */
-	/* Minimum target in each period; [0] is the current one. */
-	int64_t min_targets[SHARE_PERIODS];
-	uint64_t max_owner_rank;     /* nodes up to this rank have a share */
-	unsigned int failed_windows; /* with requests, since the last loan */
-	unsigned int backoff;	     /* windows until the next request */
-	bool asked;		     /* a loan was requested in this window */
-	struct share_loan_list loans;
-	struct share_borrowing_list borrowings;
-	int64_t lent, borrowed;
-	/* For rates. */
-	int64_t level;		/* of the token bucket */
-	int64_t level_fraction; /* fraction of `level`, in 1/1000 of its unit */
-	msec filled;		/* time of the last fill */
-	int64_t demand; /* demand in this window; in flight: refused only */
-	int64_t rate;	/* smoothed demand per second */
-	/* For work in flight. */
-	int64_t used;
-	int64_t peak;	   /* maximum of `used` in this window */
-	int64_t last_peak; /* and in the window before */
-};
-
-struct share_org {
-	RB_ENTRY(share_org) entry;
-	name_id service;
-	name_id organisation;
-	struct share_part parts[SHARE_KINDS];
-	msec last_use;
-};
-RB_HEAD(share_org_tree, share_org);
-
-struct share_data {
-	struct share_org_tree orgs;
-	unsigned int norgs;
-	name_id self;
-	GRand *rand;
-	GArray *nodes; /* name_id, sorted */
-	bool takes_work;
-	/* Maximum number of nodes in each period; [0] is the current one. */
-	unsigned int max_nodes[SHARE_PERIODS];
-	/* Remaining periods in which earlier ones count as 0 after start-up. */
-	unsigned int startup_periods;
-	msec next_period;
-	msec next_window;
-	uint32_t seq;
-	unsigned int asks_left; /* in this window, for all limits */
-};
-
 static int share_org_compare(struct share_org *, struct share_org *);
-static gint share_id_compare(gconstpointer, gconstpointer);
-static uint64_t share_rank(const struct share_org *, name_id);
-static void share_set_owner_rank(
-    const struct share_data *, const struct share_org *, struct share_part *);
-static void
-share_update_target(struct share_data *, struct share_org *, unsigned int);
-static int64_t share_base(const struct share_part *);
-static int64_t share_allowance(struct share_part *, msec);
-static bool share_expires_within(const struct share_borrowing *, msec, msec);
-static msec share_renewal_time(enum share_kind);
-static int64_t share_lasting_allowance(struct share_part *, msec);
-static void share_expire_loans(struct share_part *, msec);
-static void share_fill_bucket(struct share_part *, enum share_kind, msec);
-static struct share_org *share_org_get(struct shares *, msec, name_id, name_id);
-static void share_org_free(struct share_data *, struct share_org *);
-static void
-share_init_targets(struct share_data *, struct share_org *, unsigned int);
-static void share_set_limits(
-    struct share_data *, struct share_org *, msec, const struct doc_limits *);
-static bool share_is_idle(const struct share_org *, msec);
-static bool share_has_room(struct share_part *, enum share_kind, msec);
-static void share_begin_period(struct share_data *);
-static void share_begin_window(struct shares *, msec, struct share_org *);
-static int64_t share_shortage(struct share_part *, enum share_kind, msec, bool);
-static bool share_is_lender(const struct share_data *, const struct share_org *,
-    const struct share_part *, name_id);
-static name_id share_random_lender(
-    struct share_data *, const struct share_org *, const struct share_part *);
-static name_id share_pick_lender(
-    struct share_data *, const struct share_org *, unsigned int, msec);
-static void share_request_loan(
-    struct shares *, msec, struct share_org *, enum share_kind, name_id);
-static void
-share_request_loans(struct shares *, msec, struct share_org *, enum share_kind);
-static void share_lend(struct shares *, msec, name_id, const sp_share *);
-static void
-share_receive_loan(struct shares *, msec, name_id, const sp_share *);
 
 RB_PROTOTYPE(share_org_tree, share_org, entry, share_org_compare)
 RB_GENERATE(share_org_tree, share_org, entry, share_org_compare)
@@ -196,6 +67,45 @@
 	d->seq = g_rand_int(d->rand);
 }
 
+void
+share_expire_loans(struct share_part *part, msec now)
+{
+	struct share_loan *loan, *loan_next;
+	struct share_borrowing *borrowing, *borrowing_next;
+
+	TAILQ_FOREACH_SAFE (loan, &part->loans, entry, loan_next) {
+		if (now < loan->until)
+			continue;
+		part->lent -= loan->amount;
+		TAILQ_REMOVE(&part->loans, loan, entry);
+		g_free(loan);
+	}
+	TAILQ_FOREACH_SAFE (
+	    borrowing, &part->borrowings, entry, borrowing_next) {
+		if (now >= borrowing->until) {
+			part->borrowed -= borrowing->amount;
+			borrowing->amount = 0;
+		}
+		if (now < borrowing->until ||
+		    now < borrowing->asked + SHARE_LOAN_TERM)
+			continue;
+		TAILQ_REMOVE(&part->borrowings, borrowing, entry);
+		g_free(borrowing);
+	}
+}
+
+static void
+share_org_free(struct share_data *d, struct share_org *o)
+{
+	unsigned int i;
+
+	for (i = 0; i < SHARE_KINDS; i++)
+		share_expire_loans(&o->parts[i], MSEC_NEVER);
+	RB_REMOVE(share_org_tree, &d->orgs, o);
+	d->norgs--;
+	g_free(o);
+}
+
 void
 shares_finish(struct shares *sh)
 {
@@ -216,8 +126,7 @@
 	return sh->priv->norgs;
 }
 
-/* Hash that orders nodes for one organisation; any mixing function will do. */
-static uint64_t
+uint64_t
 share_rank(const struct share_org *o, name_id node)
 {
 	uint64_t h = node ^ o->organisation ^ (o->service << 1);
@@ -278,7 +187,7 @@
  * limit. The minimum target of the last SHARE_RAISE_DELAY keeps the smaller
  * share until the nodes agree and loans made from a larger share have expired.
  */
-static int64_t
+int64_t
 share_base(const struct share_part *part)
 {
 	int64_t base = part->min_targets[0];
@@ -289,54 +198,13 @@
 	return base;
 }
 
-static void
-share_expire_loans(struct share_part *part, msec now)
-{
-	struct share_loan *loan, *loan_next;
-	struct share_borrowing *borrowing, *borrowing_next;
-
-	TAILQ_FOREACH_SAFE (loan, &part->loans, entry, loan_next) {
-		if (now < loan->until)
-			continue;
-		part->lent -= loan->amount;
-		TAILQ_REMOVE(&part->loans, loan, entry);
-		g_free(loan);
-	}
-	TAILQ_FOREACH_SAFE (
-	    borrowing, &part->borrowings, entry, borrowing_next) {
-		if (now >= borrowing->until) {
-			part->borrowed -= borrowing->amount;
-			borrowing->amount = 0;
-		}
-		if (now < borrowing->until ||
-		    now < borrowing->asked + SHARE_LOAN_TERM)
-			continue;
-		TAILQ_REMOVE(&part->borrowings, borrowing, entry);
-		g_free(borrowing);
-	}
-}
-
-static int64_t
+int64_t
 share_allowance(struct share_part *part, msec now)
 {
 	share_expire_loans(part, now);
 	return MAX(0, share_base(part) - part->lent + part->borrowed);
 }
 
-static bool
-share_expires_within(
-    const struct share_borrowing *borrowing, msec now, msec span)
-{
-	return borrowing->amount > 0 && now >= borrowing->until - span;
-}
-
-/* Time before expiry at which loans are renewed; in flight allows retries. */
-static msec
-share_renewal_time(enum share_kind kind)
-{
-	return kind == SHARE_IN_FLIGHT ? 5 * SHARE_WINDOW : 2 * SHARE_WINDOW;
-}
-
 /*
  * The allowance without loans that expire soon. Work may outlast the loan it
  * was admitted with; the lender would then admit other work while it still
@@ -357,8 +225,7 @@
 	return lasting;
 }
 
-/* Fill the token bucket for the time since the last fill. */
-static void
+void
 share_fill_bucket(struct share_part *part, enum share_kind kind, msec now)
 {
 	int64_t rate = share_allowance(part, now), depth;
@@ -376,18 +243,6 @@
 	part->filled = now;
 }
 
-static void
-share_org_free(struct share_data *d, struct share_org *o)
-{
-	unsigned int i;
-
-	for (i = 0; i < SHARE_KINDS; i++)
-		share_expire_loans(&o->parts[i], MSEC_NEVER);
-	RB_REMOVE(share_org_tree, &d->orgs, o);
-	d->norgs--;
-	g_free(o);
-}
-
 /*
  * Initialise the targets of past periods for a new or changed limit, as if it
  * had been divided among the highest recent number of nodes.
@@ -434,21 +289,27 @@
 	}
 }
 
-/* Find or create an organisation, with its current limits; NULL: no limits. */
-static struct share_org *
+struct share_org *
+share_org_find(struct share_data *d, name_id service, name_id organisation)
+{
+	struct share_org find = { .service = service,
+		.organisation = organisation };
+
+	return RB_FIND(share_org_tree, &d->orgs, &find);
+}
+
+struct share_org *
 share_org_get(
     struct shares *sh, msec now, name_id service, name_id organisation)
 {
 	struct share_data *d = sh->priv;
-	struct share_org *o, find;
+	struct share_org *o;
 	struct doc_limits limits;
 	unsigned int i;
 
 	if (!sh->ops->limits(sh, service, organisation, &limits))
 		return NULL;
-	find.service = service;
-	find.organisation = organisation;
-	if ((o = RB_FIND(share_org_tree, &d->orgs, &find)) != NULL) {
+	if ((o = share_org_find(d, service, organisation)) != NULL) {
 		share_set_limits(d, o, now, &limits);
 		return o;
 	}
@@ -561,11 +422,9 @@
 shares_request_ended(struct shares *sh, msec now, name_id service,
     name_id organisation, unsigned int taken, unsigned int tokens)
 {
-	struct share_org *o, find;
+	struct share_org *o;
 
-	find.service = service;
-	find.organisation = organisation;
-	if ((o = RB_FIND(share_org_tree, &sh->priv->orgs, &find)) == NULL)
+	if ((o = share_org_find(sh->priv, service, organisation)) == NULL)
 		return;
 	o->last_use = now;
 	o->parts[SHARE_TOKENS].level +=
@@ -607,187 +466,6 @@
 	}
 }
 
-/*
- * The amount that this node lacks (positive) or can spare (negative). The
- * demand for rates includes a reserve of a quarter. With `lending` a further
- * reserve is kept.
- */
-static int64_t
-share_shortage(
-    struct share_part *part, enum share_kind kind, msec now, bool lending)
-{
-	int64_t have = share_allowance(part, now), need;
-
-	if (kind == SHARE_IN_FLIGHT)
-		need = MAX(part->peak, part->last_peak) + part->demand;
-	else
-		need = MAX(part->rate, part->demand) * 5 / 4;
-	/* Keep a reserve, so that the next local caller is not refused. */
-	if (lending && kind != SHARE_IN_FLIGHT)
-		need = MAX(need, share_base(part) / 8);
-	return need - have;
-}
-
-/*
- * Whether a node can be asked for a loan: it has a share, and this node has
- * neither a loan from it nor a pending request to it.
- */
-static bool
-share_is_lender(const struct share_data *d, const struct share_org *o,
-    const struct share_part *part, name_id id)
-{
-	const struct share_borrowing *borrowing;
-
-	if (id == d->self || share_rank(o, id) > part->max_owner_rank)
-		return false;
-	TAILQ_FOREACH (borrowing, &part->borrowings, entry) {
-		if (borrowing->node == id)
-			return false;
-	}
-	return true;
-}
-
-static name_id
-share_random_lender(struct share_data *d, const struct share_org *o,
-    const struct share_part *part)
-{
-	name_id id, found = 0;
-	gint32 n = 0;
-	guint i;
-
-	for (i = 0; i < SHARE_RANDOM_TRIES && d->nodes->len > 0; i++) {
-		id = g_array_index(d->nodes, name_id,
-		    g_rand_int_range(d->rand, 0, (gint32)d->nodes->len));
-		if (share_is_lender(d, o, part, id))
-			return id;
-	}
-	/* Few nodes have a share of a small limit, or most have lent it. */
-	for (i = 0; i < d->nodes->len; i++) {
-		id = g_array_index(d->nodes, name_id, i);
-		if (!share_is_lender(d, o, part, id))
-			continue;
-		if (g_rand_int_range(d->rand, 0, ++n) == 0)
-			found = id;
-	}
-	return found;
-}
-
-/* Choose a lender: to renew a loan that expires soon, else at random; or 0. */
-static name_id
-share_pick_lender(struct share_data *d, const struct share_org *o,
-    unsigned int kind, msec now)
-{
-	const struct share_part *part = &o->parts[kind];
-	const struct share_borrowing *borrowing, *next = NULL;
-	msec soon = share_renewal_time(kind);
-
-	/* Renew the loan that expires first. */
-	TAILQ_FOREACH (borrowing, &part->borrowings, entry) {
-		if (share_expires_within(borrowing, now, soon) &&
-		    borrowing->asked != now &&
-		    (next == NULL || borrowing->until < next->until))
-			next = borrowing;
-	}
-	if (next != NULL)
-		return next->node;
-	return share_random_lender(d, o, part);
-}
-
-static void
-share_request_loan(struct shares *sh, msec now, struct share_org *o,
-    enum share_kind kind, name_id node)
-{
-	struct share_part *part = &o->parts[kind];
-	struct share_borrowing *borrowing;
-	int64_t ask;
-	sp_msg msg;
-
-	ask = share_shortage(part, kind, now, false);
-	TAILQ_FOREACH (borrowing, &part->borrowings, entry) {
-		if (borrowing->node == node)
-			break;
-	}
-	if (borrowing == NULL) {
-		borrowing = g_new0(struct share_borrowing, 1);
-		borrowing->node = node;
-		TAILQ_INSERT_TAIL(&part->borrowings, borrowing, entry);
-	}
-	/* Request the total amount, as the answer replaces the old loan. */
-	ask = MIN(ask + borrowing->amount, part->limit);
-	if (ask <= 0)
-		return;
-	if (kind != SHARE_TOKENS)
-		ask = MAX(ask, SHARE_UNIT);
-	borrowing->seq = ++sh->priv->seq;
-	borrowing->asked = now;
-	memset(&msg, 0, sizeof msg);
-	msg.kind = SP_SHARE;
-	msg.sp_msg_u.share.service = o->service;
-	msg.sp_msg_u.share.organisation = o->organisation;
-	msg.sp_msg_u.share.kind = kind;
-	msg.sp_msg_u.share.seq = borrowing->seq;
-	msg.sp_msg_u.share.ask = (u_int)MIN(ask, UINT32_MAX);
-	sh->counters.asked++;
-	sh->priv->asks_left--;
-	sh->ops->send(sh, node, &msg);
-}
-
-/* Request loans, with exponential backoff while no node lends. */
-static void
-share_request_loans(
-    struct shares *sh, msec now, struct share_org *o, enum share_kind kind)
-{
-	struct share_data *d = sh->priv;
-	struct share_part *part = &o->parts[kind];
-	unsigned int turn, asks;
-	name_id node;
-
-	asks = MAX(SHARE_ASKS_MIN, d->nodes->len / SHARE_NODES_PER_ASK);
-	part->asked = true;
-	for (turn = 0; turn < asks && d->asks_left > 0; turn++) {
-		node = share_pick_lender(d, o, kind, now);
-		if (node != 0)
-			share_request_loan(sh, now, o, kind, node);
-	}
-	part->backoff =
-	    (1U << MIN(part->failed_windows, SHARE_BACKOFF_MAX)) - 1;
-	part->failed_windows++;
-}
-
-/* Borrow what this node lacked, and renew loans that are still needed. */
-static void
-share_begin_window(struct shares *sh, msec now, struct share_org *o)
-{
-	struct share_borrowing *borrowing;
-	struct share_part *part;
-	unsigned int i;
-	int64_t renew;
-
-	for (i = 0; i < SHARE_KINDS; i++) {
-		part = &o->parts[i];
-		if (part->limit == 0)
-			continue;
-		part->rate =
-		    (part->rate * 3 + part->demand * 1000 / SHARE_WINDOW) / 4;
-		share_expire_loans(part, now);
-		renew = 0;
-		TAILQ_FOREACH (borrowing, &part->borrowings, entry) {
-			if (share_expires_within(
-				borrowing, now, share_renewal_time(i)))
-				renew += borrowing->amount;
-		}
-		if (part->backoff > 0 && renew == 0)
-			part->backoff--;
-		else if ((!part->asked || renew > 0) &&
-			 share_shortage(part, i, now, false) + renew > 0)
-			share_request_loans(sh, now, o, i);
-		part->asked = false;
-		part->demand = 0;
-		part->last_peak = part->peak;
-		part->peak = part->used;
-	}
-}
-
 /* An organisation with loans is not idle; they are kept until they expire. */
 static bool
 share_is_idle(const struct share_org *o, msec now)
@@ -830,110 +508,6 @@
 	return MIN(d->next_window, d->next_period);
 }
 
-static void
-share_lend(struct shares *sh, msec now, name_id from, const sp_share *ask)
-{
-	struct share_org *o;
-	struct share_part *part;
-	struct share_loan *loan;
-	int64_t spare, old, give;
-	sp_msg msg;
-
-	o = share_org_get(sh, now, ask->service, ask->organisation);
-	if (o == NULL)
-		return;
-	part = &o->parts[ask->kind];
-	share_fill_bucket(part, ask->kind, now);
-	/* Negative if this node itself lacks some and wants part of a loan
-	 * back. */
-	spare = -share_shortage(part, ask->kind, now, true);
-	TAILQ_FOREACH (loan, &part->loans, entry) {
-		if (loan->node == from && loan->renewable)
-			break;
-	}
-	old = loan != NULL ? loan->amount : 0;
-	give = MIN((int64_t)ask->ask, spare + old);
-	/*
-	 * Borrowed amounts must not be lent on, and a loan from before this
-	 * node's share was lowered must not be renewed in full.
-	 */
-	give = MIN(give, share_base(part) - (part->lent - old));
-	if (ask->kind != SHARE_TOKENS)
-		give -= give % SHARE_UNIT;
-	if (give <= 0)
-		return;
-	/*
-	 * This answer may be lost, so the borrower may use the old loan until
-	 * it expires; keep the part of it that the new loan does not cover.
-	 */
-	if (loan != NULL && give < old) {
-		loan->amount = old - give;
-		loan->renewable = false;
-		part->lent -= give;
-		loan = NULL;
-	}
-	if (loan == NULL) {
-		loan = g_new0(struct share_loan, 1);
-		loan->node = from;
-		loan->renewable = true;
-		TAILQ_INSERT_TAIL(&part->loans, loan, entry);
-	}
-	part->lent += give - loan->amount;
-	loan->amount = give;
-	loan->until = now + SHARE_LOAN_TERM;
-	memset(&msg, 0, sizeof msg);
-	msg.kind = SP_SHARE;
-	msg.sp_msg_u.share = *ask;
-	msg.sp_msg_u.share.ask = 0;
-	msg.sp_msg_u.share.give = (u_int)give;
-	if (ask->kind != SHARE_IN_FLIGHT && give > old && part->level > 0) {
-		msg.sp_msg_u.share.credit = (u_int)MIN(give - old, part->level);
-		part->level -= msg.sp_msg_u.share.credit;
-	}
-	sh->counters.lent++;
-	sh->ops->send(sh, from, &msg);
-}
-
-/*
- * The term of a loan runs from when this node sent its request, not from when
- * the answer arrived. The lender counts from a time between the two, so the
- * loan expires here first without a shared clock. An answer to an earlier
- * request than the last is ignored, as its start is not known any more.
- */
-static void
-share_receive_loan(
-    struct shares *sh, msec now, name_id from, const sp_share *give)
-{
-	struct share_org *o, find;
-	struct share_borrowing *borrowing;
-	struct share_part *part;
-
-	find.service = give->service;
-	find.organisation = give->organisation;
-	if ((o = RB_FIND(share_org_tree, &sh->priv->orgs, &find)) == NULL)
-		return;
-	part = &o->parts[give->kind];
-	if (give->give > part->limit || give->credit > give->give)
-		return;
-	share_fill_bucket(part, give->kind, now);
-	TAILQ_FOREACH (borrowing, &part->borrowings, entry) {
-		if (borrowing->node == from && borrowing->seq == give->seq)
-			break;
-	}
-	/* A duplicate of the answer would add the credit twice. */
-	if (borrowing == NULL ||
-	    borrowing->until == borrowing->asked + SHARE_LOAN_TERM)
-		return;
-	if (now >= borrowing->asked + SHARE_LOAN_TERM)
-		return;
-	part->borrowed += (int64_t)give->give - borrowing->amount;
-	part->failed_windows = part->backoff = 0;
-	borrowing->amount = give->give;
-	borrowing->until = borrowing->asked + SHARE_LOAN_TERM;
-	part->level += give->credit;
-	sh->counters.borrowed++;
-}
-
 void
 shares_receive(struct shares *sh, msec now, name_id from, const sp_msg *msg)
 {
