Log events order, order-failed and taken-back name the service

Cause: they named the failure domain and the counts only, so an operator with several services could not tell which of them had lost servers or got new ones.

Ruled out: `name`, which the table gives to other nodes.

Test: /duties/taken-back reads the logs of its nodes.

--- a/entry-duty.c
+++ b/entry-duty.c
@@ -441,6 +441,7 @@
 		return;
 	}
 	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_ORDER,
+	    LOG_TEXT(LOG_KEY_SERVICE, order.service),
 	    LOG_TEXT(LOG_KEY_DOMAIN, order.domain),
 	    LOG_TEXT(LOG_KEY_KIND,
 		kind == CAPACITY_LASTING ? "lasting" : "reclaimable"),
@@ -459,6 +460,7 @@
 	struct entry *e = c->arg;
 
 	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_TAKEN_BACK,
+	    LOG_TEXT(LOG_KEY_SERVICE, s->config.name),
 	    LOG_TEXT(LOG_KEY_DOMAIN, s->config.domains[domain].name),
 	    LOG_NUMBER(LOG_KEY_COUNT, lost),
 	    LOG_NUMBER(LOG_KEY_READY,
@@ -557,7 +559,9 @@
 	x->orders_failed += how == DUTY_CALL_FAILED;
 	if (how != DUTY_CALL_DONE)
 		entry_log(&e->log, now, ENTRY_LOG_NEEDED,
-		    LOG_EVENT_ORDER_FAILED, LOG_TEXT(LOG_KEY_DOMAIN, o->domain),
+		    LOG_EVENT_ORDER_FAILED,
+		    LOG_TEXT(LOG_KEY_SERVICE, o->service),
+		    LOG_TEXT(LOG_KEY_DOMAIN, o->domain),
 		    LOG_TEXT(LOG_KEY_REASON,
 			how == DUTY_CALL_NONE_LEFT ? "none left"
 			: how == DUTY_CALL_FENCED  ? "fenced"
--- a/entry-log.c
+++ b/entry-log.c
@@ -206,6 +206,7 @@
 	    "requests of this node since it named the last one" },
 	[LOG_KEY_SERVED] = { "served", "requests served since the start" },
 	[LOG_KEY_SERVER] = { "server", "name of the backend server" },
+	[LOG_KEY_SERVICE] = { "service", "that the backend servers are of" },
 	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
 	[LOG_KEY_SOFTWARE] = { "software",
 	    "version of the backend server's software" },
