wire: no count of events in the answer to a move

Cause: wire_run_answer.events was decoded and only a test read it. The node can't do better with it: it resumes a run after the last event that it has passed on itself, whatever the source says it had made, and a stream that goes on with any other number than the next is broken off (event-out-of-order in entry-reply.c). A count beyond that number is what the run makes again from its memory; one below it contradicts the node's own and is settled by that check.

Ruled out: giving up a move whose answer counts fewer events than have reached the caller. A run that was stopped would be lost for it, and a stream that goes on wrongly is broken off anyway.

--- a/wire.h
+++ b/wire.h
@@ -60,7 +60,6 @@
 /* The answer to a call that moves a run. */
 struct wire_run_answer {
 	char handle[WIRE_HANDLE_SIZE]; /* "": none */
-	uint64_t events;	       /* made so far; 0: not given */
 };
 
 /*
