entry: the duty's windows and notes get a file of their own

What the holder keeps (usage windows with final counts, and the notes for the next holder) needs nothing of how calls, messages and timers go, and meets the rest in nine functions, which entry-duty-private.h now names.

Only names changed: those that both files use begin with duty_.

Ruled out: moving metrics and dump as well; they read most fields of the struct and would widen what is shared for 90 lines.

--- a/entry-duty.c
+++ b/entry-duty.c
@@ -3,10 +3,9 @@
  */
 
 #define LOG_PART "duty"
-#include "entry.h"
+#include "entry-duty-private.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 #include <string.h>
 
 #define DUTY_TIMER_MS 100
@@ -30,263 +29,12 @@
 /* Longest time a leaving node waits for its pending calls. */
 #define DUTY_LEAVE_MAX_MS 1000
 
-/* A usage window with final counts. */
-struct duty_window {
-	bool used;
-	uint64_t number;
-	json_t *counts;
-	bool saved; /* in the log: all holders report these counts */
-	bool done;  /* reported, or past the deadline for reports */
-	bool in_pending_append;
-};
-
-struct entry_duty {
-	struct duty duty;
-	struct usage usage;
-	struct capacity capacity;
-	struct loop_timer timer;
-	bool notes_loaded; /* the previous holder's notes have been read */
-	/* Servers needed by service, kept while reclaiming in a new era. */
-	json_t *needed_before_rewind;
-	bool lookup_pending;
-	bool core_waits_for_lookup;  /* duty.c requested it */
-	struct duty_window *windows; /* usage.nwindows of them */
-	bool report_pending;
-	uint64_t report_window; /* window of the pending report */
-	msec next_report, next_demand, next_node_update;
-	/* Renewals of the duty without notes before the next one with notes. */
-	unsigned int renewals_until_notes;
-	unsigned int orders_pending;
-	msec leaving_since;
-	struct usage_process *processes;
-	unsigned int nprocesses;
-	uint64_t reports, repeated, missed, fenced;
-	uint64_t skipped; /* windows that a lost record may have reported */
-	uint64_t orders_taken, orders_none, orders_failed;
-};
-
 static struct entry *
 entry_of(const struct duty *d)
 {
 	return d->arg;
 }
 
-/* ---- windows with final counts ---- */
-
-static struct duty_window *
-window_slot(struct entry_duty *x, uint64_t number)
-{
-	return &x->windows[number % x->usage.nwindows];
-}
-
-static void
-window_clear(struct duty_window *w)
-{
-	if (w->counts != NULL)
-		json_decref(w->counts);
-	*w = (struct duty_window){ 0 };
-}
-
-static void
-window_set(struct entry_duty *x, uint64_t number, json_t *counts, bool saved,
-    bool done)
-{
-	struct duty_window *w = window_slot(x, number);
-
-	window_clear(w);
-	*w = (struct duty_window){ true, number, counts, saved, done, false };
-	usage_decided(&x->usage, number);
-}
-
-static void
-windows_clear(struct entry_duty *x)
-{
-	unsigned int i;
-
-	for (i = 0; i < x->usage.nwindows; i++)
-		window_clear(&x->windows[i]);
-}
-
-/* Returns the time left until the deadline for reports of the window, in ms. */
-static msec
-window_time_left(const struct entry *e, uint64_t number, msec now)
-{
-	const struct entry_duty *x = e->duty;
-
-	return (msec)(number + 1) * x->usage.window +
-	       e->settings->usage_lateness - usage_true(&x->usage, now);
-}
-
-/*
- * Converts counts by name hash to counts by name. Counts of organisations that
- * the configuration no longer contains are dropped.
- */
-static json_t *
-counts_by_name(struct entry *e, GHashTable *sum)
-{
-	const struct route_table *t = e->table;
-	json_t *counts = json_object();
-	unsigned int i, n;
-	name_id id;
-
-	for (i = 0; t != NULL && i < t->norganisations; i++) {
-		id = name_hash(t->organisations[i].name);
-		n = GPOINTER_TO_UINT(g_hash_table_lookup(sum, &id));
-		if (n > 0)
-			json_object_set_new(
-			    counts, t->organisations[i].name, json_integer(n));
-	}
-	return counts;
-}
-
-static json_t *
-window_counts(struct entry *e, uint64_t number)
-{
-	GHashTable *sum = usage_sum(&e->duty->usage, number);
-	json_t *counts = counts_by_name(e, sum);
-
-	g_hash_table_unref(sum);
-	return counts;
-}
-
-/* ---- notes: state that the holder saves in the log for the next one ---- */
-
-static json_t *
-notes_windows(struct entry *e, msec now)
-{
-	struct entry_duty *x = e->duty;
-	uint64_t current =
-	    (uint64_t)(usage_true(&x->usage, now) / x->usage.window);
-	json_t *list = json_array(), *counts;
-	struct duty_window *w;
-	uint64_t n;
-
-	for (n = current - x->usage.nwindows + 2; n <= current; n++) {
-		w = window_slot(x, n);
-		if (w->used && w->number == n) {
-			w->in_pending_append = true;
-			json_array_append_new(
-			    list, json_pack("{s:I,s:b,s:b,s:O}", "window",
-				      (json_int_t)n, "decided", 1, "done",
-				      w->done, "counts", w->counts));
-			continue;
-		}
-		counts = window_counts(e, n);
-		json_array_append_new(
-		    list, json_pack("{s:I,s:b,s:o}", "window", (json_int_t)n,
-			      "decided", 0, "counts", counts));
-	}
-	return list;
-}
-
-static json_t *
-notes_capacity(const struct capacity *c)
-{
-	json_t *needed = json_object();
-	unsigned int i;
-
-	for (i = 0; i < c->nservices; i++)
-		json_object_set_new(needed, c->services[i].config.name,
-		    json_integer(c->services[i].needed));
-	return needed;
-}
-
-static char *
-notes_write(struct entry *e, msec now)
-{
-	struct entry_duty *x = e->duty;
-	json_t *top;
-	char *text;
-
-	top = json_pack("{s:I,s:I,s:o,s:o}", "era", (json_int_t)e->era.number,
-	    "at", (json_int_t)usage_true(&x->usage, now), "windows",
-	    x->usage.window > 0 ? notes_windows(e, now) : json_array(),
-	    "servers", notes_capacity(&x->capacity));
-	text = json_dumps(top, JSON_COMPACT);
-	json_decref(top);
-	return text;
-}
-
-static void
-notes_read_window(struct entry *e, const json_t *o, msec at)
-{
-	struct entry_duty *x = e->duty;
-	json_t *counts = json_object_get(o, "counts"), *count;
-	uint64_t number =
-	    (uint64_t)json_integer_value(json_object_get(o, "window"));
-	const char *name;
-
-	if (!json_is_object(counts) || number == 0 || x->usage.window == 0)
-		return;
-	if (json_is_true(json_object_get(o, "decided"))) {
-		window_set(x, number, json_incref(counts), true,
-		    json_is_true(json_object_get(o, "done")));
-		return;
-	}
-	json_object_foreach (counts, name, count)
-		usage_set_previous_count(&x->usage, number, at, name_hash(name),
-		    (unsigned int)CLAMP(
-			json_integer_value(count), 0, G_MAXINT32));
-}
-
-static void
-notes_read_capacity(struct capacity *c, const json_t *needed)
-{
-	struct capacity_service *s;
-	json_int_t count;
-	unsigned int i;
-
-	for (i = 0; i < c->nservices; i++) {
-		s = &c->services[i];
-		count =
-		    json_integer_value(json_object_get(needed, s->config.name));
-		s->previous_needed = (unsigned int)CLAMP(count, 0, 1000000);
-	}
-}
-
-/*
- * Guards against reporting a window twice with different counts. If the log was
- * restored from an older copy, the record of a report may have been lost with
- * the old era. Windows that ended before this era began and have no record are
- * marked as done; the notes pass this on to later holders.
- */
-static void
-windows_skip_unrecorded(struct entry *e, msec now)
-{
-	struct entry_duty *x = e->duty;
-	msec wall = usage_true(&x->usage, now);
-	uint64_t current = (uint64_t)(wall / x->usage.window), n;
-	uint64_t begun =
-	    (uint64_t)((wall - (now - e->era.since)) / x->usage.window);
-	const struct duty_window *w;
-
-	for (n = current - x->usage.nwindows + 2; n < begun; n++) {
-		w = window_slot(x, n);
-		if (w->used && w->number == n)
-			continue;
-		window_set(x, n, json_object(), false, true);
-		x->skipped++;
-	}
-}
-
-static void
-notes_read(struct entry *e, const char *notes, msec now)
-{
-	struct entry_duty *x = e->duty;
-	json_t *top = json_loads(notes, 0, NULL), *o;
-	msec at = json_integer_value(json_object_get(top, "at"));
-	uint64_t era =
-	    (uint64_t)json_integer_value(json_object_get(top, "era"));
-	size_t n;
-
-	json_array_foreach (json_object_get(top, "windows"), n, o)
-		notes_read_window(e, o, at);
-	notes_read_capacity(&x->capacity, json_object_get(top, "servers"));
-	if (era != e->era.number && x->usage.window > 0)
-		windows_skip_unrecorded(e, now);
-	json_decref(top);
-}
-
 /* ---- operations of duty.c, usage.c and capacity.c ---- */
 
 static void
@@ -298,7 +46,7 @@
 	size_t every;
 
 	if (!claim && x->notes_loaded && x->renewals_until_notes-- == 0) {
-		notes = notes_write(e, msec_now());
+		notes = duty_notes_write(e, msec_now());
 		every = strlen(notes) / DUTY_NOTES_BYTES_PER_RENEWAL;
 		x->renewals_until_notes = (unsigned int)every;
 	}
@@ -349,7 +97,7 @@
 duty_discard_state(struct entry_duty *x, msec now)
 {
 	g_clear_pointer(&x->needed_before_rewind, json_decref);
-	windows_clear(x);
+	duty_windows_clear(x);
 	capacity_set_holder(&x->capacity, now, false);
 }
 
@@ -365,7 +113,7 @@
 	unsigned int i;
 
 	g_clear_pointer(&x->needed_before_rewind, json_decref);
-	x->needed_before_rewind = notes_capacity(&x->capacity);
+	x->needed_before_rewind = duty_notes_capacity(&x->capacity);
 	capacity_set_holder(&x->capacity, now, false);
 	/* The records of these windows may be lost with the old era. */
 	for (i = 0; i < x->usage.nwindows; i++)
@@ -380,7 +128,7 @@
 
 	x->notes_loaded = true;
 	capacity_set_holder(&x->capacity, now, e->settings->order_servers);
-	notes_read_capacity(&x->capacity, x->needed_before_rewind);
+	duty_notes_read_capacity(&x->capacity, x->needed_before_rewind);
 	g_clear_pointer(&x->needed_before_rewind, json_decref);
 	duty_renew_now(&x->duty, now);
 }
@@ -506,14 +254,14 @@
 		return;
 	x->notes_loaded = true;
 	capacity_set_holder(&x->capacity, now, e->settings->order_servers);
-	notes_read(e, notes, now);
+	duty_notes_read(e, notes, now);
 }
 
 void
 entry_duty_usage_reported(struct entry *e, enum duty_call_result how, msec now)
 {
 	struct entry_duty *x = e->duty;
-	struct duty_window *w = window_slot(x, x->report_window);
+	struct duty_window *w = duty_window_slot(x, x->report_window);
 
 	x->report_pending = false;
 	x->next_report =
@@ -523,8 +271,8 @@
 	    LOG_TEXT(LOG_KEY_OUTCOME, how == DUTY_CALL_DONE	? "taken"
 				      : how == DUTY_CALL_FENCED ? "fenced"
 								: "no answer"),
-	    LOG_NUMBER(
-		LOG_KEY_LEFT_MS, window_time_left(e, x->report_window, now)),
+	    LOG_NUMBER(LOG_KEY_LEFT_MS,
+		duty_window_time_left(e, x->report_window, now)),
 	    LOG_NUMBER(LOG_KEY_TOKEN, x->duty.token));
 	if (how == DUTY_CALL_FENCED) {
 		x->fenced++;
@@ -741,12 +489,12 @@
 	if (ago < DUTY_FINALIZE_MIN_MS ||
 	    (!complete && ago < DUTY_FINALIZE_MAX_MS))
 		return;
-	if (window_time_left(e, number, now) <= 0) {
+	if (duty_window_time_left(e, number, now) <= 0) {
 		x->missed++;
 		usage_decided(&x->usage, number);
 		return;
 	}
-	window_set(x, number, window_counts(e, number), false, false);
+	duty_window_set(x, number, duty_window_counts(e, number), false, false);
 	x->renewals_until_notes = 0;
 	duty_renew_now(&x->duty, now);
 }
@@ -762,7 +510,7 @@
 		w = &x->windows[i];
 		if (!w->used || w->done)
 			continue;
-		if (window_time_left(e, w->number, now) <= 0) {
+		if (duty_window_time_left(e, w->number, now) <= 0) {
 			w->done = true;
 			x->missed++;
 			continue;
@@ -876,7 +624,7 @@
 		return;
 	loop_timer_stop(&e->loop, &x->timer);
 	g_clear_pointer(&x->needed_before_rewind, json_decref);
-	windows_clear(x);
+	duty_windows_clear(x);
 	duty_finish(&x->duty);
 	usage_finish(&x->usage);
 	g_free(x->windows);
