platform: standin-platform.c split by subject

Cause: 1,000 lines with 18 variables of the file held connections, the store, a backend server with its modes, and moves of runs.

Now: common-conn.c (connections, answers, partitions; 224 lines), common-store.c (287), common-server.c (399), common-move.c (122) over standin.h, and a main of 43 lines. The loop, the listener, connections and the partition are in a struct that main owns; a stand-in is a small vtable that takes a request, or a part of one. Only what one subject needs is a variable of its file. The Makefile links platform/common-*.c into standin-platform by a pattern, with the library last, and keeps them out of the daemon.

Not done: standin-soak.c still has its own connections, some 130 lines of which common-conn.c could serve; its partitions, records of runs and writing when a socket is full differ.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 #                              tests/bench-*.c measurements;
 #                              tests/util-*.c shared by them
 #   platform/soak-*.c          the fault soak of the daemon on a platform
+#   platform/common-*.c        parts of platform/standin-platform.c
 #   tests/fuzz-main.c          one fuzzer for each folder of tests/corpus/
 # SAN=address or SAN=thread builds an instrumented tree beside the plain one.
 
@@ -34,8 +35,8 @@
 LDLIBS	= $(SANFLAGS_$(SAN)) $(LDFLAGS) $(PKGLIBS) -lm -pthread
 
 GEN_SRCS := proto_xdr.c
-# platform/test-*.c and platform/standin-*.c speak the platform's names too.
-ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c platform/util-%.c platform/soak-%.c,$(wildcard platform/*.c))
+# platform/test-*.c, standin-*.c and common-*.c speak the platform's names too.
+ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c platform/util-%.c platform/soak-%.c platform/common-%.c,$(wildcard platform/*.c))
 ENTRY_SRCS := $(wildcard entry*.c) $(ADAPTER_SRCS)
 DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c) $(ENTRY_SRCS)
 TOOL_SRCS := savorypier.c $(wildcard cmd-*.c)
@@ -105,7 +106,8 @@
 PLATFORM_STANDINS = $(filter $(B)/standin-%,$(STANDINS))
 PLATFORM_TESTS = $(call prog,$(wildcard platform/test-*.c platform/proc-*.c))
 $(PLATFORM_STANDINS): $(B)/%: $(B)/obj/platform/%.o $(B)/obj/standins/common-cut.o $(LIB)
-	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
+	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
+$(B)/standin-platform: $(call obj,$(wildcard platform/common-*.c))
 $(PLATFORM_TESTS): $(B)/%: $(B)/obj/platform/%.o $(call obj,$(ENTRY_SRCS) $(TEST_COMMON) $(wildcard platform/util-*.c)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LIB) $(LDLIBS)
 $(SOAK): $(call obj,$(wildcard platform/soak-*.c) tests/util-proc.c tests/util-proxy.c) $(LIB)
