A request that finds no server waits while the list is being read

Cause: a node that starts serves as soon as it has a configuration, but reads the list of servers in parts after it. A request that found no server of its service was refused at once, even where the next part came some 10 ms later.

Now it looks again every 15 ms as long as a refusal is still early (an eighth of its target), as it did before for brittle servers only. The decision and its two constants move to the core (servers_wait()), which the test drives in virtual time: 300 nodes that start within a second with empty tables; without the change it fails. Once a list has been read whole, nothing waits for it, so that running nodes behave as before.

Ruled out: waiting before there is a configuration, as the route and so the target are not known; a longer wait, as a request that is refused late is held in vain.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -24,10 +24,6 @@
 #define JOB_CONNECT_TIMEOUT_MS 600
 /* A request without a path to the servers waits for so long. */
 #define JOB_PATH_WAIT_MS 60
-/* Interval at which a request looks for room on brittle servers. */
-#define JOB_ROOM_WAIT_MS 15
-/* A refusal within this part of the target is early. */
-#define JOB_EARLY_PART 8
 /* Waits of one that other nodes carry once they have the configuration. */
 #define JOB_PATH_WAITS_MOST 4
 /* A pause in a stream of more than this many times its target is a failure. */
@@ -371,22 +367,18 @@
 		   : JOB_NO_SERVER;
 }
 
-/*
- * Brittle servers have no room: wait for some, in steps, as long as a refusal
- * is still early.
- */
+/* Waits in steps for a server that may be usable soon. */
 static bool
-job_wait_for_room(struct job *j, msec now)
+job_wait_for_server(struct job *j, msec now)
 {
-	msec most = j->route->target / JOB_EARLY_PART;
+	msec wait = servers_wait(&j->owner->servers, j->service, now,
+	    now - j->arrived, j->route->target);
 
-	if (!servers_have_brittle(&j->owner->servers, j->service, now) ||
-	    now - j->arrived + JOB_ROOM_WAIT_MS > most)
+	if (wait == 0)
 		return false;
 	place_end(&j->owner->place, now, &j->place, SERVER_NO_RESULT);
 	j->waits = true;
-	loop_timer_set(
-	    &j->owner->loop, &j->silence_timer, now + JOB_ROOM_WAIT_MS);
+	loop_timer_set(&j->owner->loop, &j->silence_timer, now + wait);
 	return true;
 }
 
@@ -415,7 +407,7 @@
 		return;
 	}
 	if (v == NULL) {
-		if (job_wait_for_room(j, now))
+		if (job_wait_for_server(j, now))
 			return;
 		if (!job_ask_other_node(j, now))
 			job_fail(j, now, job_no_server_code(j));
--- a/server-choose.c
+++ b/server-choose.c
@@ -59,6 +59,10 @@
 #define CHOOSE_PAUSE_MS 300.0
 /* Cost of a stream on a version that other nodes may not know yet. */
 #define CHOOSE_HELD_VERSION_MS 20000.0
+/* Interval at which a request without a server looks for one. */
+#define CHOOSE_WAIT_STEP_MS 15
+/* A refusal within this part of the target is early. */
+#define CHOOSE_EARLY_PART 8
 
 static bool
 wish_excludes(const struct server_wish *w, name_id id)
@@ -521,6 +525,22 @@
 	return false;
 }
 
+/*
+ * A node that starts reads the list in parts, and the servers of a service may
+ * be in the last one. Guards against refusals by all nodes of a fleet that
+ * starts at once, whose lists arrive late.
+ */
+msec
+servers_wait(
+    struct servers *s, name_id service, msec now, msec waited, msec target)
+{
+	if (s->complete && !servers_have_brittle(s, service, now))
+		return 0;
+	return waited + CHOOSE_WAIT_STEP_MS > target / CHOOSE_EARLY_PART
+		   ? 0
+		   : CHOOSE_WAIT_STEP_MS;
+}
+
 /*
  * Limits attempts on a server that is down. Guards against sending all requests
  * to a crashed server that is still listed while the others are full: each was
--- a/server.h
+++ b/server.h
@@ -322,6 +322,13 @@
 bool servers_have_alternative(struct servers *, const struct server_wish *);
 /* Returns true if a ready server of the service says that it is brittle. */
 bool servers_have_brittle(struct servers *, name_id service, msec);
+/*
+ * A request found no server, has waited this long and has this target, in ms:
+ * the time until it may look again, because one may be read or have room soon;
+ * 0: it is refused, while that is still early.
+ */
+msec servers_wait(
+    struct servers *, name_id service, msec now, msec waited, msec target);
 /*
  * If all ready servers of a service have asked for rest: the shortest time
  * until one of them takes requests again, in ms; else 0.
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -846,6 +846,58 @@
 	servers_finish(&s);
 }
 
+/* Time until a node that reads its list at `listed` refuses; -1: it does not.
+ */
+static msec
+start_refused_after(msec arrived, msec listed, msec target)
+{
+	struct servers s;
+	msec now, wait = 0;
+
+	servers_init(&s, &ops);
+	for (now = arrived; now < listed; now += wait) {
+		wait = servers_wait(
+		    &s, name_hash("svc"), now, now - arrived, target);
+		if (wait == 0)
+			break;
+	}
+	/* Nothing is held in vain once the list is known. */
+	servers_set_complete(&s);
+	g_assert_cmpint(
+	    servers_wait(&s, name_hash("svc"), now, 0, target), ==, 0);
+	servers_finish(&s);
+	return now < listed ? now - arrived : -1;
+}
+
+/*
+ * Guards against refusals by all nodes of a fleet that starts at once: 300
+ * nodes start within a second with empty tables and read their lists after 10
+ * to 390 ms. What cannot be held is refused within an eighth of its target.
+ */
+static void
+test_all_start(void)
+{
+	const msec target = 1600, early = target / 8, step = 30;
+	unsigned int i, refused = 0, asks = 0;
+	msec started, listed, now, after;
+
+	for (i = 0; i < 300; i++) {
+		started = 1000 + (msec)i * MSEC_SECOND / 300;
+		listed = started + 10 + (msec)(i % 20) * 20;
+		for (now = started; now < listed; now += 50, asks++) {
+			after = start_refused_after(now, listed, target);
+			if (after < 0)
+				continue;
+			refused++;
+			g_assert_cmpint(listed - now, >, early - step);
+			g_assert_cmpint(after, <=, early);
+			g_assert_cmpint(after, >, early - step);
+		}
+	}
+	g_assert_cmpuint(refused, >, 0);
+	g_assert_cmpuint(refused, <, asks / 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -874,5 +926,6 @@
 	g_test_add_func("/server/software", test_software);
 	g_test_add_func("/server/version-view", test_version_view);
 	g_test_add_func("/server/version-view-empty", test_version_view_empty);
+	g_test_add_func("/server/all-start", test_all_start);
 	return g_test_run();
 }
