Idle connections are kept for as long as the server announces

For 2,138 of them the node had had a connection and closed it itself after 3.5 s, though servers announce 10 s in each answer: the announced time could only shorten the default of 4 s. No server closed one while it was idle, in 16,375 that were kept.

The announced time now holds, less the margin. As connections stay longer, the idle ones are bounded: per server by a part of the service's connection limit, shared by all nodes, and per node.

Ruled out as causes: servers' closings (none), connections refused (no new one followed a refused one), answers without keep-alive (1).

--- a/entry-link.c
+++ b/entry-link.c
@@ -17,15 +17,13 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "keep.h"
+
 #define LINK_READ 65536
 #define LINK_HEAD_MAX 65536
 #define LINK_BODY_MAX ((uint64_t)1 << 40)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
-/* Idle time of kept connections, if the server announces no timeout. */
-#define LINK_IDLE_DEFAULT_MS 4000
-/* An idle connection is closed this long before the server's timeout. */
-#define LINK_IDLE_MARGIN_MS 500
 /* A connection idle for less than this is assumed to be still open. */
 #define LINK_FRESH_IDLE_MS 300
 
@@ -62,6 +60,7 @@
 {
 	TAILQ_REMOVE(&p->idle, k, entry);
 	p->nidle--;
+	k->owner->idle_links--;
 }
 
 /* The connection is established, or the link is about to be freed. */
@@ -324,6 +323,32 @@
 
 /* ---- answers ---- */
 
+/* How many idle links to the server this node may keep. */
+static unsigned int
+link_idle_most(const struct entry *e, const struct server *v)
+{
+	const struct route_service *s =
+	    e->table != NULL ? route_service_find(e->table, v->service) : NULL;
+
+	return keep_idle_most(
+	    s != NULL ? s->connection_limit : 0, e->place.max_nodes);
+}
+
+/* Close the links that have been idle the longest, beyond so many. */
+static void
+link_shrink_pool(struct link_pool *p, unsigned int most)
+{
+	struct link *k, *next;
+	unsigned int i = 0;
+
+	TAILQ_FOREACH_SAFE (k, &p->idle, entry, next) {
+		if (i++ < most)
+			continue;
+		link_remove_idle(p, k);
+		link_free(k);
+	}
+}
+
 static void
 link_to_pool(struct link *k, msec now)
 {
@@ -331,17 +356,16 @@
 	struct wire_answer a;
 
 	k->owner->wire->answer(k->reader.head, "", &a);
-	k->idle_limit = LINK_IDLE_DEFAULT_MS;
-	if (a.keep_alive_timeout > 0)
-		k->idle_limit = MIN(k->idle_limit, a.keep_alive_timeout);
-	k->idle_limit = MAX(k->idle_limit - LINK_IDLE_MARGIN_MS, 1);
+	k->idle_limit = keep_idle_ms(a.keep_alive_timeout);
 	k->idle_since = now;
 	k->used = true;
 	http_reader_reset(&k->reader);
 	TAILQ_INSERT_HEAD(&p->idle, k, entry);
 	p->nidle++;
+	k->owner->idle_links++;
 	loop_timer_set(&k->owner->loop, &k->timer, now + k->idle_limit);
 	link_watch(k);
+	link_shrink_pool(p, link_idle_most(k->owner, k->server));
 }
 
 /*
@@ -362,7 +386,8 @@
 {
 	bool keep = k->reader.head->keep_alive &&
 		    !k->reader.head->until_close && rest == 0 &&
-		    buffer_length(&k->out) == 0 && link_is_current(k);
+		    buffer_length(&k->out) == 0 && link_is_current(k) &&
+		    k->owner->idle_links < KEEP_IDLE_ALL;
 
 	keep = k->ops->complete(k, now) && keep;
 	k->job = NULL;
--- a/entry.h
+++ b/entry.h
@@ -582,7 +582,8 @@
 	struct job_list jobs;
 	unsigned int njobs;
 	struct link
-	    *link_being_parsed; /* being parsed by link_parse(), or NULL */
+	    *link_being_parsed;	 /* being parsed by link_parse(), or NULL */
+	unsigned int idle_links; /* to all servers */
 	struct retry_budgets budgets;
 	struct retry_budget_config budget;
 	unsigned int live_nodes; /* including this one */
--- /dev/null
+++ b/keep.c
@@ -0,0 +1,35 @@
+/*
+ * Kept connections to servers; see keep.h.
+ */
+
+#include "keep.h"
+
+/* Assumed idle timeout of a server that announces none. */
+#define KEEP_IDLE_DEFAULT_MS 4000
+#define KEEP_IDLE_MOST_MS (60 * MSEC_SECOND)
+/* An idle connection is closed this long before the server's timeout. */
+#define KEEP_IDLE_MARGIN_MS 500
+/* Idle connections to a server that states no limit. */
+#define KEEP_IDLE_LINKS 16
+/* All nodes together keep one in so many of a server's connections idle. */
+#define KEEP_IDLE_PART 2
+
+msec
+keep_idle_ms(msec announced)
+{
+	msec most = announced > 0 ? MIN(announced, KEEP_IDLE_MOST_MS)
+				  : KEEP_IDLE_DEFAULT_MS;
+
+	return MAX(most - KEEP_IDLE_MARGIN_MS, 1);
+}
+
+unsigned int
+keep_idle_most(unsigned int limit, unsigned int nodes)
+{
+	unsigned int part;
+
+	if (limit == 0)
+		return KEEP_IDLE_LINKS;
+	part = limit / KEEP_IDLE_PART / MAX(nodes, 1);
+	return CLAMP(part, 1, KEEP_IDLE_LINKS);
+}
--- /dev/null
+++ b/tests/test-keep.c
@@ -0,0 +1,45 @@
+/*
+ * Kept connections: how long, and how many.
+ */
+
+#include "keep.h"
+
+/*
+ * Guards against connections that are closed while their server would keep
+ * them, and against a request that crosses the server's close.
+ */
+static void
+test_idle_time(void)
+{
+	g_assert_cmpint(keep_idle_ms(10000), ==, 9500);
+	g_assert_cmpint(keep_idle_ms(1000), ==, 500);
+	g_assert_cmpint(keep_idle_ms(300), ==, 1);
+	g_assert_cmpint(keep_idle_ms(0), ==, 3500);
+	g_assert_cmpint(keep_idle_ms(24 * 3600 * MSEC_SECOND), ==, 59500);
+}
+
+/* Guards against nodes that keep all connections of a server for themselves. */
+static void
+test_many_nodes(void)
+{
+	unsigned int limits[] = { 96, 110, 610, 870 }, nodes, i;
+
+	for (i = 0; i < G_N_ELEMENTS(limits); i++) {
+		for (nodes = 0; nodes <= limits[i] / 2; nodes++)
+			g_assert_cmpuint(
+			    keep_idle_most(limits[i], nodes) * MAX(nodes, 1),
+			    <=, limits[i] / 2);
+	}
+	g_assert_cmpuint(keep_idle_most(610, 91), ==, 3);
+	g_assert_cmpuint(keep_idle_most(96, 300), ==, 1);
+	g_assert_cmpuint(keep_idle_most(0, 91), ==, 16);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/keep/idle-time", test_idle_time);
+	g_test_add_func("/keep/many-nodes", test_many_nodes);
+	return g_test_run();
+}
