A kept connection is proved before a request that may run once

The head without its last byte is sent first, which no server can run, and the rest when the server's host has confirmed it. If the connection ends, something comes on it, or nothing is confirmed, the request goes to the same server on a new connection, from its first byte: nothing of it can have run.

Ruled out: a longer idle time without proof (a server that goes dark loses the requests that are sent on connections to it); a withheld last byte of the body (servers may act before they have read a body); Expect: 100-continue (servers need not answer).

Tests: test-keep (proof, pauses); proc-servers silent-while-kept gets no 200 with the proof taken out.

--- a/entry-link.c
+++ b/entry-link.c
@@ -8,11 +8,14 @@
 #define LOG_PART "link"
 #include "entry.h"
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <linux/sockios.h>
+
 #include <errno.h>
 #include <string.h>
 #include <unistd.h>
@@ -24,8 +27,6 @@
 #define LINK_BODY_MAX ((uint64_t)1 << 40)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
-/* A connection idle for less than this is assumed to be still open. */
-#define LINK_FRESH_IDLE_MS 300
 
 static unsigned char link_input[LINK_READ];
 
@@ -216,14 +217,12 @@
 
 /* Take the idle link that was used last; NULL: none can be used. */
 static struct link *
-link_take_idle(struct entry *e, struct server *v, bool fresh, msec now)
+link_take_idle(struct entry *e, struct server *v, msec now)
 {
 	struct link_pool *p = link_pool_of(v);
 	struct link *k, *next;
 
 	TAILQ_FOREACH_SAFE (k, &p->idle, entry, next) {
-		if (fresh && now - k->idle_since >= LINK_FRESH_IDLE_MS)
-			return NULL;
 		link_remove_idle(p, k);
 		if (now - k->idle_since >= k->idle_limit || !link_is_open(k)) {
 			link_free(k);
@@ -242,7 +241,7 @@
 
 	if (!k->paused)
 		events |= EPOLLIN | EPOLLRDHUP;
-	if (k->connecting || buffer_length(&k->out) > 0)
+	if (k->connecting || (buffer_length(&k->out) > 0 && k->held == 0))
 		events |= EPOLLOUT;
 	loop_watch(&k->owner->loop, &k->io, events | EPOLLERR);
 }
@@ -270,12 +269,139 @@
 	return true;
 }
 
+/* ---- proving a kept connection ---- */
+
+/*
+ * Does the link lead to the server's current process, which accepts work? Other
+ * connections are neither kept nor waited for: the request would go to a
+ * stopping process, or to the next user of its address.
+ */
+static bool
+link_is_current(const struct link *k)
+{
+	return server_takes_work(k->server, k->owner->loop.now) &&
+	       k->starts == k->server->starts;
+}
+
+/* Length of the request's head without its last byte. */
+static size_t
+link_head_part(const struct buffer *out)
+{
+	const char *bytes = buffer_bytes(out);
+	const char *end = memmem(bytes, buffer_length(out), "\r\n\r\n", 4);
+
+	return end != NULL ? (size_t)(end - bytes) + 3 : 0;
+}
+
+/* Has the server's host received all that was sent? */
+static bool
+link_is_confirmed(const struct link *k)
+{
+	int unconfirmed = 0;
+
+	return link_is_open(k) &&
+	       ioctl(k->io.fd, SIOCOUTQ, &unconfirmed) == 0 && unconfirmed == 0;
+}
+
+/* Mean round trip to the server's host, in ms; 0: not known. */
+static msec
+link_round_trip(const struct link *k)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof info;
+
+	if (getsockopt(k->io.fd, IPPROTO_TCP, TCP_INFO, &info, &len) == -1)
+		return 0;
+	return info.tcpi_rtt / 1000;
+}
+
+/*
+ * Send the head without its last byte: a server cannot run it, so the request
+ * may go elsewhere if the connection turns out to be dead. False when nothing
+ * can be sent.
+ */
+static bool
+link_hold(struct link *k, msec now)
+{
+	size_t part = link_head_part(&k->out);
+	ssize_t n = -1;
+
+	if (part > 0)
+		n = send(k->io.fd, buffer_bytes(&k->out), part, MSG_NOSIGNAL);
+	if (n <= 0)
+		return false;
+	k->held = (size_t)n;
+	k->held_since = now;
+	link_watch(k);
+	loop_timer_set(&k->owner->loop, &k->timer,
+	    now + keep_proof_pause(0, link_round_trip(k)));
+	return true;
+}
+
+/*
+ * The connection is dead, and no server can have run what was sent on it:
+ * connect again. False when that is not possible.
+ */
+static bool
+link_reopen(struct link *k, msec now)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+
+	e->counters.proofs_failed++;
+	k->held = 0;
+	k->used = false;
+	loop_timer_stop(&e->loop, &k->timer);
+	loop_close(&e->loop, &k->io);
+	k->io.fd = link_open_socket(e, v->address, v->port);
+	if (k->io.fd == -1) {
+		k->connect_refused = errno == ECONNREFUSED;
+		return false;
+	}
+	k->starts = v->starts;
+	k->connecting = true;
+	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
+	e->counters.connects++;
+	loop_timer_set(&e->loop, &k->timer, now + k->ops->connect_timeout);
+	return loop_watch(&e->loop, &k->io, EPOLLOUT);
+}
+
+static void
+link_reconnect(struct link *k, msec now)
+{
+	if (!link_reopen(k, now))
+		link_fail(k, now);
+}
+
+static void
+link_check_proof(struct link *k, msec now)
+{
+	struct entry *e = k->owner;
+	msec pause = keep_proof_pause(now - k->held_since, link_round_trip(k));
+
+	if (!link_is_current(k)) {
+		link_end(k, LINK_SERVER_LEAVING, now);
+	} else if (link_is_confirmed(k)) {
+		buffer_consume(&k->out, k->held);
+		e->counters.request_bytes[k->domain] += k->held;
+		k->held = 0;
+		if (k->ops->sending(k, now) && !link_flush(k))
+			link_fail(k, now);
+	} else if (pause == 0 || !link_is_open(k)) {
+		link_reconnect(k, now);
+	} else {
+		loop_timer_set(&e->loop, &k->timer, now + pause);
+	}
+}
+
 struct link *
 link_send(struct entry *e, struct server *v, struct job *j,
     const struct link_ops *ops, struct buffer *request, bool for_head_request,
-    bool fresh, msec now)
+    bool once, msec now)
 {
-	struct link *k = link_take_idle(e, v, fresh, now);
+	struct link *k = link_take_idle(e, v, now);
+	msec idle = k != NULL ? now - k->idle_since : 0;
+	bool sent;
 
 	if (k == NULL && (k = link_connect(e, v, now)) == NULL)
 		return NULL;
@@ -294,7 +420,10 @@
 		loop_timer_set(&e->loop, &k->timer, now + ops->connect_timeout);
 	if (!k->connecting) {
 		loop_timer_stop(&e->loop, &k->timer);
-		if (!link_flush(k)) {
+		sent = keep_needs_proof(once, idle)
+			   ? link_hold(k, now) || link_reopen(k, now)
+			   : link_flush(k);
+		if (!sent) {
 			k->job = NULL;
 			link_free(k);
 			return NULL;
@@ -368,18 +497,6 @@
 	link_shrink_pool(p, link_idle_most(k->owner, k->server));
 }
 
-/*
- * Does the link lead to the server's current process, which accepts work? Other
- * connections are neither kept nor waited for: the request would go to a
- * stopping process, or to the next user of its address.
- */
-static bool
-link_is_current(const struct link *k)
-{
-	return server_takes_work(k->server, k->owner->loop.now) &&
-	       k->starts == k->server->starts;
-}
-
 /* The answer is complete; `rest` unexpected bytes follow it. */
 static void
 link_answer_complete(struct link *k, size_t rest, msec now)
@@ -503,6 +620,10 @@
 			link_fail(k, now);
 		return;
 	}
+	if (k->held > 0) {
+		link_reconnect(k, now);
+		return;
+	}
 	/* Read first even on an error: a reset may follow a complete answer. */
 	if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
 		link_read(k, now);
@@ -522,6 +643,8 @@
 		link_free(k);
 	} else if (k->connecting) {
 		link_end(k, LINK_CONNECT_TIMED_OUT, now);
+	} else if (k->held > 0) {
+		link_check_proof(k, now);
 	}
 }
 
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -299,6 +299,9 @@
 	    (int64_t)c->connects);
 	text_value(s, "reused_total", "counter", "Kept connections used.",
 	    (int64_t)c->reused);
+	text_value(s, "kept_dead_total", "counter",
+	    "Kept connections that did not confirm a request's first bytes.",
+	    (int64_t)c->proofs_failed);
 	text_value(s, "streams_broken_off_total", "counter",
 	    "Streams that were complete by their framing alone.",
 	    (int64_t)c->streams_broken);
--- a/entry.h
+++ b/entry.h
@@ -194,6 +194,12 @@
 	bool connect_refused; /* the server refused the connection */
 	msec idle_limit;      /* longest idle time before it is closed */
 	msec idle_since;
+	/*
+	 * Bytes of a request that were sent and must be confirmed before the
+	 * rest is; they stay in `out`. 0: the request is not held.
+	 */
+	size_t held;
+	msec held_since;
 };
 
 /* A server's links that are idle or connecting; in server->arg. */
@@ -204,9 +210,9 @@
 
 /*
  * Send a request to a server, on an idle connection or a new one. NULL when
- * that fails. `for_head_request`: the request's method is HEAD. `fresh`: use an
- * idle connection only if it was in use a moment ago, so that the server cannot
- * have closed it. Takes over the buffer's contents.
+ * that fails. `for_head_request`: the request's method is HEAD. `once`: it may
+ * run only once, so a connection that was idle for a while has to prove first
+ * that it leads to the server. Takes over the buffer's contents.
  */
 struct link *link_send(struct entry *, struct server *, struct job *,
     const struct link_ops *, struct buffer *request, bool for_head_request,
@@ -528,7 +534,7 @@
 
 struct entry_counters {
 	uint64_t codes[JOB_CODES];
-	uint64_t attempts, retries, connects, reused, strays;
+	uint64_t attempts, retries, connects, reused, strays, proofs_failed;
 	uint64_t tables;		  /* configurations put in force */
 	uint64_t streams_broken;	  /* though complete by their framing */
 	uint64_t rests;			  /* that servers asked for */
--- a/keep.c
+++ b/keep.c
@@ -13,6 +13,7 @@
 #define KEEP_IDLE_LINKS 16
 /* All nodes together keep one in so many of a server's connections idle. */
 #define KEEP_IDLE_PART 2
+#define KEEP_PROOF_FIRST_MS 1
 
 msec
 keep_idle_ms(msec announced)
@@ -33,3 +34,18 @@
 	part = limit / KEEP_IDLE_PART / MAX(nodes, 1);
 	return CLAMP(part, 1, KEEP_IDLE_LINKS);
 }
+
+bool
+keep_needs_proof(bool once, msec idle)
+{
+	return once && idle >= KEEP_FRESH_MS;
+}
+
+msec
+keep_proof_pause(msec waited, msec round_trip)
+{
+	msec most = MAX(KEEP_PROOF_MS, KEEP_PROOF_ROUND_TRIPS * round_trip);
+	msec step = waited + MAX(round_trip, KEEP_PROOF_FIRST_MS);
+
+	return waited < most ? MIN(step, most - waited) : 0;
+}
