Runs move off servers that have turned slow

Cause: a run moved only off a server that leaves. Streams that had begun on a server that then turned slow ran to their deadline there and were lost.

A node measures how fast the events of its streams come (run-pace.c) and compares a stream with those on other servers of the service at the same time. One whose caller's time would end first, and would not elsewhere, is moved by the calls that exist. At most one in eight requests of a node at a time, none twice, with the retry budget and a spare attempt as before.

Ruled out: comparing with what the server's own pace was (an overload then looks like a slow server); moving streams that end in time where they are.

--- a/entry-log.c
+++ b/entry-log.c
@@ -92,13 +92,12 @@
 	    "long." },
 	[LOG_EVENT_RUN_MOVE_BEGUN] = { "run-move-begun",
 	    "The run of a stream is to go on at another backend server, as its "
-	    "own leaves." },
+	    "own leaves or is slow; see reason." },
 	[LOG_EVENT_RUN_MOVE_FAILED] = { "run-move-failed",
-	    "A run was not moved off a backend server that leaves; see "
-	    "reason." },
+	    "A run was not moved off its backend server; see reason." },
 	[LOG_EVENT_RUN_MOVED] = { "run-moved",
-	    "A run that was to move off a backend server that leaves goes on "
-	    "at the server named, which may be its own." },
+	    "A run that was to move off its backend server goes on at the "
+	    "server named, which may be its own." },
 	[LOG_EVENT_SERVER] = { "server",
 	    "A backend server changed its state." },
 	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
--- a/entry-move.c
+++ b/entry-move.c
@@ -35,6 +35,7 @@
 	struct wire_run_memory memory;
 	msec since;
 	bool dropping; /* the copy is being freed, or needs not be */
+	bool slow;     /* the source is slow and stays */
 };
 
 static void move_timer(struct loop_timer *, msec);
@@ -102,6 +103,7 @@
 
 	m->job = NULL;
 	j->move = NULL;
+	m->owner->moves.slow -= m->slow;
 	loop_timer_stop(&m->owner->loop, &m->timer);
 	place_end(&m->owner->place, now, &m->place, SERVER_NO_RESULT);
 	move_drop(m, now);
@@ -201,10 +203,14 @@
 	if (at == m->destination) {
 		place_end(&e->place, now, &j->place, SERVER_NO_RESULT);
 		place_hand_over(&e->place, now, &m->place, &j->place);
-		/* It may leave as well by now. */
-		if (v != NULL && !server_takes_work(v, now))
-			v = NULL;
 	}
+	/*
+	 * It may leave by now. Until when a source that leaves is sent requests
+	 * is decided in run-move.c.
+	 */
+	if (v != NULL && (at == m->destination || m->slow) &&
+	    !server_takes_work(v, now))
+		v = NULL;
 	job_resume_run(j, now, v);
 }
 
@@ -223,6 +229,7 @@
 		move_call(m, false, now);
 		break;
 	case RUN_MOVE_STOP:
+		j->move_tried = m->source;
 		move_call(m, true, now);
 		break;
 	case RUN_MOVE_RESUME:
@@ -339,9 +346,8 @@
 	if (j->move != NULL || j->link == NULL || j->carrier != NULL ||
 	    j->carried)
 		return false;
-	if (j->server == NULL || j->server->leaving_since == 0)
-		return false;
-	if (!j->streamed || j->events == 0 || *j->request.id == '\0')
+	if (j->server == NULL || !j->streamed || j->events == 0 ||
+	    *j->request.id == '\0')
 		return false;
 	/* A server that was to resume the stream may not have answered yet. */
 	if (j->attempt_began == 0 || j->link->reader.head == NULL ||
@@ -404,11 +410,19 @@
 	struct entry *e = j->owner;
 	struct entry_move *m = move_new(j, now);
 
-	e->moves.begun++;
-	j->move_tried = j->server->id;
+	m->slow = !view->leaving;
+	if (m->slow) {
+		j->move_slow_tried = true;
+		e->moves.slow++;
+		e->moves.begun_slow++;
+	} else {
+		e->moves.begun++;
+		j->move_tried = j->server->id;
+	}
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_RUN_MOVE_BEGUN,
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
+	    LOG_TEXT(LOG_KEY_REASON, m->slow ? "slow" : "leaves"),
 	    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS,
 		j->deadline != MSEC_NEVER ? j->deadline - now : -1));
@@ -418,16 +432,13 @@
 	place_submit(&e->place, now, &m->place);
 }
 
-void
-entry_move_consider(struct job *j, msec now)
+static void
+move_consider_leaving(struct job *j, msec now)
 {
 	struct entry *e = j->owner;
-	struct run_move_view view;
+	struct run_move_view view = move_view(j, now);
 	msec again;
 
-	if (!move_is_possible(j))
-		return;
-	view = move_view(j, now);
 	switch (run_move_choose(&view, now, &again)) {
 	case RUN_MOVE_STAY:
 		break;
@@ -441,6 +452,78 @@
 	}
 }
 
+/* Of tokens, rounded up; 0: not known. */
+static uint64_t
+move_events(const struct job *j, unsigned int tokens)
+{
+	const struct route_service *v =
+	    route_service_find(j->table, j->service);
+
+	if (v == NULL || v->tokens_per_event == 0)
+		return 0;
+	return (tokens + v->tokens_per_event - 1) / v->tokens_per_event;
+}
+
+/* Returns true if the stream's pace was measured. */
+static bool
+move_measure_pace(struct job *j, msec now)
+{
+	/* The events of a caller that reads slowly wait for it. */
+	if (j->link->paused) {
+		run_pace_restart(&j->pace);
+		return false;
+	}
+	if (!run_pace_record(&j->pace, j->server->id, now, j->events))
+		return false;
+	run_paces_add(&j->owner->moves.paces, j->service, j->server->id, now,
+	    j->pace.newest);
+	return true;
+}
+
+static void
+move_consider_slow(struct job *j, msec now)
+{
+	struct entry *e = j->owner;
+	const struct entry_route_stats *k =
+	    entry_route_stats_find(e, j->route->name);
+	struct run_move_view view;
+	struct run_move_pace pace = {
+		.pace = run_pace_kept(&j->pace),
+		.usual = run_paces_usual(
+		    &e->moves.paces, j->service, j->server->id, now),
+		.made = j->last_event,
+		.expected = move_events(j, j->request.expected_tokens),
+		.most = move_events(j, j->request.max_tokens),
+		.mean = k != NULL ? duration_mean(&k->stream_time, MSEC_NEVER)
+				  : MSEC_NEVER,
+		.copy = move_copy_ms(j, move_transfer(j)),
+		.deadline = j->deadline,
+		.running = e->njobs,
+		.moving = e->moves.slow,
+	};
+
+	if (!run_move_is_behind(&pace, now))
+		return;
+	view = run_move_slow_view(&pace, now);
+	move_begin(j, &view, now);
+}
+
+void
+entry_move_consider(struct job *j, msec now)
+{
+	bool measured = j->server != NULL && j->link != NULL && j->streamed &&
+			j->events > 0 && move_measure_pace(j, now);
+
+	if (j->server == NULL)
+		return;
+	if (j->server->leaving_since != 0) {
+		if (move_is_possible(j))
+			move_consider_leaving(j, now);
+	} else if (measured && !j->move_slow_tried && move_is_possible(j)) {
+		move_consider_slow(j, now);
+	}
+}
+
 static void
 moves_consider_all(struct entry *e, const struct server *only, msec now)
 {
@@ -589,10 +672,11 @@
 	unsigned int i;
 
 	g_string_append_printf(s,
-	    "# HELP savory_entry_run_moves_total Moves of runs off servers "
-	    "that leave, begun.\n"
+	    "# HELP savory_entry_run_moves_total Moves of runs off servers, "
+	    "begun, by why.\n"
 	    "# TYPE savory_entry_run_moves_total counter\n"
-	    "savory_entry_run_moves_total %" PRIu64 "\n"
+	    "savory_entry_run_moves_total{reason=\"leaves\"} %" PRIu64 "\n"
+	    "savory_entry_run_moves_total{reason=\"slow\"} %" PRIu64 "\n"
 	    "# HELP savory_entry_runs_moved_total Runs that went on after a "
 	    "move, by where.\n"
 	    "# TYPE savory_entry_runs_moved_total counter\n"
@@ -601,7 +685,7 @@
 	    "# HELP savory_entry_run_moves_failed_total Moves that ended "
 	    "otherwise, by reason.\n"
 	    "# TYPE savory_entry_run_moves_failed_total counter\n",
-	    x->begun, x->moved, x->returned);
+	    x->begun, x->begun_slow, x->moved, x->returned);
 	for (i = RUN_MOVE_REASON_NONE + 1; i < RUN_MOVE_REASONS; i++)
 		g_string_append_printf(s,
 		    "savory_entry_run_moves_failed_total{reason=\"%s\"} "
--- a/entry-move.h
+++ b/entry-move.h
@@ -1,7 +1,7 @@
 /*
- * Moves running streams off backend servers that leave; see run-move.h for the
- * decisions. This part finds the destination, calls the source and resumes the
- * request.
+ * Moves running streams off backend servers that leave or have turned slow; see
+ * run-move.h and run-pace.h for the decisions. This part finds the destination,
+ * calls the source and resumes the request.
  */
 
 #ifndef ENTRY_MOVE_H
@@ -9,6 +9,7 @@
 
 #include "loop.h"
 #include "run-move.h"
+#include "run-pace.h"
 #include "savory.h"
 
 struct entry;
@@ -21,8 +22,10 @@
 
 struct entry_moves {
 	struct entry_move_list list;
-	struct loop_timer timer;	 /* the next run is to be considered */
-	uint64_t begun, moved, returned; /* counters */
+	struct loop_timer timer; /* the next run is to be considered */
+	struct run_paces paces;
+	unsigned int slow; /* moves off slow servers in progress */
+	uint64_t begun, begun_slow, moved, returned; /* counters */
 	uint64_t failed[RUN_MOVE_REASONS];
 };
 
--- a/entry.h
+++ b/entry.h
@@ -279,8 +279,11 @@
 	/* Permission to send, if it is suspect, and if a part of it is. */
 	struct poison_run run, part_run;
 	struct entry_move *move; /* of its run, or NULL */
-	name_id move_tried; /* the last server that a move was begun from */
-	bool move_counted;  /* `runs` has the run that is being moved */
+	/* The last server that left, or was to stop the run, in a move. */
+	name_id move_tried;
+	bool move_slow_tried;	    /* a move off a slow server was begun */
+	struct run_pace pace;	    /* of its events */
+	bool move_counted;	    /* `runs` has the run that is being moved */
 	struct server_check *check; /* the check it waits for, or NULL */
 	name_id service;
 	msec arrived;
--- a/run-move.c
+++ b/run-move.c
@@ -9,6 +9,14 @@
  * moment for one is so many times its own time before the server ends.
  */
 #define RUN_MOVE_QUEUE_FACTOR 4
+/* A server whose pace is this much of the usual one is slow. */
+#define RUN_MOVE_SLOW_TIMES 1.5
+/* A move off a slow server takes so many times what it takes at least. */
+#define RUN_MOVE_SLOW_SPANS 2
+/* Of the streams that a node holds, one in so many moves at a time. */
+#define RUN_MOVE_SLOW_SHARE 8
+/* A stream longer than its kind makes as many events again, divided by this. */
+#define RUN_MOVE_REST_DIVISOR 2
 
 const char *
 run_move_reason_name(enum run_move_reason reason)
@@ -54,6 +62,53 @@
 	return v->rest == MSEC_NEVER ? RUN_MOVE_NOW : RUN_MOVE_STAY;
 }
 
+/* Events that are expected of the run. */
+static double
+move_rest_events(const struct run_move_pace *v)
+{
+	double made = (double)v->made, rest;
+	double mean = v->mean != MSEC_NEVER ? (double)v->mean / v->usual : 0;
+
+	if (v->expected > v->made)
+		rest = (double)(v->expected - v->made);
+	else
+		rest = MAX(mean - made, made / RUN_MOVE_REST_DIVISOR);
+	if (v->most > 0)
+		rest = MIN(rest, (double)v->most - made);
+	return rest;
+}
+
+bool
+run_move_is_behind(const struct run_move_pace *v, msec now)
+{
+	double rest, left = (double)(v->deadline - now);
+
+	if (v->deadline == MSEC_NEVER || v->copy == MSEC_NEVER)
+		return false;
+	if (v->usual <= 0 || v->pace < RUN_MOVE_SLOW_TIMES * v->usual)
+		return false;
+	if (v->moving >= MAX(v->running / RUN_MOVE_SLOW_SHARE, 1))
+		return false;
+	rest = move_rest_events(v);
+	if (rest * v->pace <= left)
+		return false;
+	return (double)(RUN_MOVE_SLOW_SPANS * move_span(v->copy)) +
+		   rest * v->usual <=
+	       left;
+}
+
+struct run_move_view
+run_move_slow_view(const struct run_move_pace *v, msec now)
+{
+	return (struct run_move_view){
+		.leaves_at = MIN(v->deadline, now + run_move_window(v->copy)),
+		.sends_until = v->deadline,
+		.rest = MSEC_NEVER,
+		.copy = v->copy,
+		.deadline = v->deadline,
+	};
+}
+
 static void
 move_wait(struct run_move *m, enum run_move_state state, msec due)
 {
--- a/run-move.h
+++ b/run-move.h
@@ -1,11 +1,13 @@
 /*
- * Moves the run of a stream from a backend server that leaves to another one.
- * The servers copy the run's memory between them, so it goes on as the same run
- * and needs no reading of the prompt.
+ * Moves the run of a stream from a backend server that leaves, or has turned
+ * slow, to another one. The servers copy the run's memory between them, so it
+ * goes on as the same run and needs no reading of the prompt.
  *
  * Load that it answers: a server leaves with many streams, some of which end
- * while it stays and some of which do not. Only the latter are moved; each move
- * costs a pause and takes memory and a slot at its destination.
+ * while it stays and some of which do not; a server of many turns several times
+ * slower, and some of its streams will miss their deadlines. Only these are
+ * moved; each move costs a pause and takes memory and a slot at its
+ * destination.
  *
  * The state machine of one run, at the node that holds its caller. Until the
  * run is told to stop, giving up costs nothing: it goes on where it is. After
@@ -62,6 +64,30 @@
 enum run_move_choice
 run_move_choose(const struct run_move_view *, msec now, msec *again);
 
+/*
+ * What a node knows of a stream that may be too slow. Paces in ms an event, 0:
+ * not known.
+ */
+struct run_move_pace {
+	double pace;	   /* of the stream (run_pace_kept()) */
+	double usual;	   /* of others (run_paces_usual()) */
+	uint64_t made;	   /* events so far */
+	uint64_t expected; /* events in all, an estimate; 0: not told */
+	uint64_t most;	   /* limit of events in all; 0: not told */
+	msec mean;	   /* of streams of its kind; MSEC_NEVER: not known */
+	msec copy;	   /* expected time to copy the run's memory */
+	msec deadline;	   /* when the caller stops waiting */
+	unsigned int running; /* streams that the node holds */
+	unsigned int moving;  /* of them, moved for this cause now */
+};
+/*
+ * Whether the run is to be moved as its server is slow: its caller's time would
+ * end first, and would not at another server.
+ */
+bool run_move_is_behind(const struct run_move_pace *, msec now);
+/* For run_move_begin(), of a run whose server is slow but stays. */
+struct run_move_view run_move_slow_view(const struct run_move_pace *, msec now);
+
 /* Where a move stands. */
 enum run_move_state {
 	RUN_MOVE_IDLE,
--- a/wire.h
+++ b/wire.h
@@ -46,6 +46,7 @@
 	const char *began_as;
 	const char *model; /* that is to answer; "": not given */
 	unsigned int prompt_tokens, max_tokens; /* 0: not given */
+	unsigned int expected_tokens; /* of output, an estimate; 0: not given */
 	unsigned int nparts;
 	struct wire_part parts[WIRE_PARTS_MAX];
 };
