Runs on slow servers: short measurements of others, slow servers are no destinations

And some runs were moved to servers that the node had measured as slow.

One short measurement a server is kept; those taken while the stream was last measured count. Servers hardly faster than the source are avoided.

--- a/entry-move.c
+++ b/entry-move.c
@@ -404,6 +404,17 @@
 	};
 }
 
+/* Servers that are hardly faster than the source are no destinations. */
+static void
+move_avoid_slow(const struct job *j, struct server_wish *w)
+{
+	msec since;
+	double pace = run_pace_kept(&j->pace, &since) / RUN_MOVE_SLOW_TIMES;
+
+	w->navoid += run_paces_slow(&j->owner->moves.paces, j->service, pace,
+	    since, w->avoid + w->navoid, SERVER_AVOID_MAX - w->navoid);
+}
+
 static void
 move_begin(struct job *j, const struct run_move_view *view, msec now)
 {
@@ -429,6 +440,8 @@
 	run_move_begin(&m->core, now, view);
 	loop_timer_set(&e->loop, &m->timer, m->core.due);
 	job_fill_move_wish(j, &m->place.wish);
+	if (m->slow)
+		move_avoid_slow(j, &m->place.wish);
 	place_submit(&e->place, now, &m->place);
 }
 
@@ -487,10 +500,9 @@
 	const struct entry_route_stats *k =
 	    entry_route_stats_find(e, j->route->name);
 	struct run_move_view view;
+	msec since;
 	struct run_move_pace pace = {
-		.pace = run_pace_kept(&j->pace),
-		.usual = run_paces_usual(
-		    &e->moves.paces, j->service, j->server->id, now),
+		.pace = run_pace_kept(&j->pace, &since),
 		.made = j->last_event,
 		.expected = move_events(j, j->request.expected_tokens),
 		.most = move_events(j, j->request.max_tokens),
@@ -502,6 +514,8 @@
 		.moving = e->moves.slow,
 	};
 
+	pace.usual =
+	    run_paces_usual(&e->moves.paces, j->service, j->server->id, since);
 	if (!run_move_is_behind(&pace, now))
 		return;
 	view = run_move_slow_view(&pace, now);
--- a/run-move.c
+++ b/run-move.c
@@ -9,8 +9,6 @@
  * moment for one is so many times its own time before the server ends.
  */
 #define RUN_MOVE_QUEUE_FACTOR 4
-/* A server whose pace is this much of the usual one is slow. */
-#define RUN_MOVE_SLOW_TIMES 1.5
 /* A move off a slow server takes so many times what it takes at least. */
 #define RUN_MOVE_SLOW_SPANS 2
 /* Of the streams that a node holds, one in so many moves at a time. */
--- a/run-move.h
+++ b/run-move.h
@@ -31,6 +31,8 @@
  * the run did stop.
  */
 #define RUN_MOVE_CLOSE_MS 400
+/* A server whose pace is this much of the usual one is slow. */
+#define RUN_MOVE_SLOW_TIMES 1.5
 /* A destination is found by then. */
 #define RUN_MOVE_PLACE_TIMEOUT_MS 500
 
--- a/run-pace.c
+++ b/run-pace.c
@@ -16,55 +16,98 @@
 }
 
 static void
-pace_begin(struct run_pace *p, msec now, uint64_t events)
+span_begin(struct run_pace_span *s, msec now, uint64_t events)
 {
-	p->begun = true;
-	p->since = p->last = now;
-	p->longest = 0;
-	p->first = p->events = events;
+	*s = (struct run_pace_span){ .since = now, .first = events };
+}
+
+/*
+ * An event has come. Returns the pace if the measurement is complete, else 0.
+ * The longest pause is left out: one alone is not the server's pace.
+ */
+static double
+span_record(
+    struct run_pace_span *s, msec now, const struct run_pace *p, msec at_least)
+{
+	msec span = now - s->since;
+	uint64_t events = p->events - s->first;
+
+	s->longest = MAX(s->longest, now - p->last);
+	if (span < at_least || events < RUN_PACE_EVENTS)
+		return 0;
+	return MAX((double)(span - s->longest), 1) / (double)(events - 1);
+}
+
+static void
+pace_record_long(struct run_pace *p, msec now)
+{
+	double pace = span_record(&p->long_span, now, p, RUN_PACE_LONG_MS);
+
+	if (pace == 0)
+		return;
+	p->pace_before = p->pace;
+	p->pace = pace;
+	p->since = p->long_span.since;
+	span_begin(&p->long_span, now, p->events);
 }
 
 bool
 run_pace_record(struct run_pace *p, name_id server, msec now, uint64_t events)
 {
-	msec span;
+	double pace;
 
-	if (p->server != server) {
+	if (p->server != server)
 		*p = (struct run_pace){ .server = server };
-	}
+	if (p->begun && events == p->events)
+		return false;
+	p->events = events;
 	if (!p->begun) {
-		pace_begin(p, now, events);
+		p->begun = true;
+		p->last = now;
+		span_begin(&p->short_span, now, events);
+		span_begin(&p->long_span, now, events);
 		return false;
 	}
-	if (events == p->events)
-		return false;
-	p->longest = MAX(p->longest, now - p->last);
+	pace_record_long(p, now);
+	pace = span_record(&p->short_span, now, p, RUN_PACE_SHORT_MS);
 	p->last = now;
-	p->events = events;
-	span = now - p->since;
-	if (span < RUN_PACE_SPAN_MS || events - p->first < RUN_PACE_EVENTS)
+	if (pace == 0)
 		return false;
-	p->before = p->newest;
-	/* Without the longest pause: one alone is not the server's pace. */
-	p->newest = MAX((double)(span - p->longest), 1) /
-		    (double)(events - p->first - 1);
-	pace_begin(p, now, events);
+	p->newest = pace;
+	span_begin(&p->short_span, now, events);
 	return true;
 }
 
 double
-run_pace_kept(const struct run_pace *p)
+run_pace_kept(const struct run_pace *p, msec *since)
 {
-	return MIN(p->newest, p->before);
+	*since = p->since;
+	return MIN(p->pace, p->pace_before);
+}
+
+/* Of the same server, else the oldest. */
+static struct run_pace_sample *
+paces_slot(struct run_paces *s, name_id service, name_id server)
+{
+	struct run_pace_sample *x, *oldest = &s->samples[0];
+	unsigned int i;
+
+	for (i = 0; i < RUN_PACES; i++) {
+		x = &s->samples[i];
+		if (x->service == service && x->server == server)
+			return x;
+		if (x->at < oldest->at)
+			oldest = x;
+	}
+	return oldest;
 }
 
 void
 run_paces_add(
     struct run_paces *s, name_id service, name_id server, msec now, double pace)
 {
-	s->samples[s->next] =
+	*paces_slot(s, service, server) =
 	    (struct run_pace_sample){ service, server, pace, now };
-	s->next = (s->next + 1) % RUN_PACES;
 }
 
 static int
@@ -77,29 +120,35 @@
 
 double
 run_paces_usual(
-    const struct run_paces *s, name_id service, name_id except, msec now)
+    const struct run_paces *s, name_id service, name_id except, msec since)
 {
 	const struct run_pace_sample *x;
-	name_id servers[RUN_PACES];
 	double paces[RUN_PACES];
-	unsigned int i, k, n = 0;
-
-	/* From the newest: one for each server. */
-	for (i = 1; i <= RUN_PACES; i++) {
-		x = &s->samples[(s->next + RUN_PACES - i) % RUN_PACES];
-		if (x->server == 0 || now - x->at > RUN_PACE_KEEP_MS)
-			break;
-		if (x->service != service || x->server == except)
-			continue;
-		for (k = 0; k < n && servers[k] != x->server; k++)
-			;
-		if (k < n)
-			continue;
-		servers[n] = x->server;
-		paces[n++] = x->pace;
+	unsigned int i, n = 0;
+
+	for (i = 0; i < RUN_PACES; i++) {
+		x = &s->samples[i];
+		if (x->at > since && x->service == service &&
+		    x->server != except)
+			paces[n++] = x->pace;
 	}
 	if (n < PACE_SERVERS_MIN)
 		return 0;
 	qsort(paces, n, sizeof *paces, pace_compare);
 	return paces[n / 2];
 }
+
+unsigned int
+run_paces_slow(const struct run_paces *s, name_id service, double pace,
+    msec since, name_id *servers, unsigned int most)
+{
+	const struct run_pace_sample *x;
+	unsigned int i, n = 0;
+
+	for (i = 0; i < RUN_PACES && n < most; i++) {
+		x = &s->samples[i];
+		if (x->at > since && x->service == service && x->pace >= pace)
+			servers[n++] = x->server;
+	}
+	return n;
+}
--- a/run-pace.h
+++ b/run-pace.h
@@ -15,35 +15,44 @@
 
 #include "savory.h"
 
-/* A measurement covers at least this time and so many events. */
-#define RUN_PACE_SPAN_MS 500
-#define RUN_PACE_EVENTS 3
-/* Measurements of other streams are compared for this time. */
-#define RUN_PACE_KEEP_MS 1000
-/* Newest measurements that a node keeps. */
+/* Events of a measurement, at least. */
+#define RUN_PACE_EVENTS 2
+/* A measurement that other streams are compared with takes at least this. */
+#define RUN_PACE_SHORT_MS 150
+/* One that shows a stream to be slow. */
+#define RUN_PACE_LONG_MS 500
+/* Servers whose newest measurement a node keeps. */
 #define RUN_PACES 32
 
+/* A measurement in progress. */
+struct run_pace_span {
+	msec since;
+	msec longest;	/* pause in it */
+	uint64_t first; /* number of events before it */
+};
+
 /* Of one stream; all zero bytes: nothing is known. Paces in ms an event. */
 struct run_pace {
 	name_id server;
 	bool begun;
-	msec since, last; /* of the measurement: its begin, its last event */
-	msec longest;	  /* pause in it */
-	uint64_t first;	  /* number of events before it */
-	uint64_t events;  /* number of events seen */
-	double newest, before; /* the two last measurements; 0: none */
+	msec last;	 /* event */
+	uint64_t events; /* number of events seen */
+	struct run_pace_span short_span, long_span;
+	double newest; /* the last short measurement; 0: none */
+	/* The last long measurement and the one before it; 0: none. */
+	double pace, pace_before;
+	msec since; /* begin of the last one */
 };
 
 struct run_pace_sample {
-	name_id service, server; /* 0: none */
+	name_id service, server;
 	double pace;
 	msec at;
 };
 
-/* Of the streams of a node; all zero bytes: none. */
+/* Of the streams of a node, one a server; all zero bytes: none. */
 struct run_paces {
 	struct run_pace_sample samples[RUN_PACES];
-	unsigned int next;
 };
 
 /* Measure anew: what comes next says nothing of the server's pace. */
@@ -55,18 +64,25 @@
 bool
 run_pace_record(struct run_pace *, name_id server, msec now, uint64_t events);
 /*
- * The pace that the stream has kept for two measurements, the faster of them;
- * 0: not known.
+ * The pace that the stream has kept for two long measurements, the faster of
+ * them, 0: not known; and the begin of the last one. The one before may have
+ * begun while its server was as fast as others.
  */
-double run_pace_kept(const struct run_pace *);
+double run_pace_kept(const struct run_pace *, msec *since);
 
 void run_paces_add(
     struct run_paces *, name_id service, name_id server, msec now, double pace);
 /*
  * The median, of two the slower, of the newest paces on other servers of the
- * service; 0: too few of them are known.
+ * service that were measured after `since`; 0: too few of them are known.
  */
 double run_paces_usual(
-    const struct run_paces *, name_id service, name_id except, msec now);
+    const struct run_paces *, name_id service, name_id except, msec since);
+/*
+ * Servers of the service with a pace of `pace` or slower, measured after
+ * `since`: at most `most`. Returns their number.
+ */
+unsigned int run_paces_slow(const struct run_paces *, name_id service,
+    double pace, msec since, name_id *servers, unsigned int most);
 
 #endif /* RUN_PACE_H */
--- a/tests/test-run-pace.c
+++ b/tests/test-run-pace.c
@@ -68,12 +68,13 @@
 		.deadline = END_MS,
 		.running = STREAMS,
 		.moving = w->moving };
+	msec since;
 
 	if (!run_pace_record(&s->pace, s->server + 1, now, s->made))
 		return;
 	run_paces_add(&w->paces, SERVICE, s->server + 1, now, s->pace.newest);
-	v.pace = run_pace_kept(&s->pace);
-	v.usual = run_paces_usual(&w->paces, SERVICE, s->server + 1, now);
+	v.pace = run_pace_kept(&s->pace, &since);
+	v.usual = run_paces_usual(&w->paces, SERVICE, s->server + 1, since);
 	if (s->moves > 0 || !run_move_is_behind(&v, now))
 		return;
 	s->moves++;
@@ -252,17 +253,35 @@
 
 	for (i = 1; i <= 3; i++)
 		run_paces_add(&s, SERVICE, i, 100, 10.0 * i);
-	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 9, 100), ==, 20);
-	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 3, 100), ==, 20);
-	g_assert_cmpfloat(run_paces_usual(&s, SERVICE + 1, 9, 100), ==, 0);
-	g_assert_cmpfloat(
-	    run_paces_usual(&s, SERVICE, 9, 101 + RUN_PACE_KEEP_MS), ==, 0);
+	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 9, 0), ==, 20);
+	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 3, 0), ==, 20);
+	g_assert_cmpfloat(run_paces_usual(&s, SERVICE + 1, 9, 0), ==, 0);
+	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 9, 100), ==, 0);
 	/* One other server may be the one that differs. */
 	run_paces_add(&s, SERVICE + 2, 1, 100, 10);
-	g_assert_cmpfloat(run_paces_usual(&s, SERVICE + 2, 9, 100), ==, 0);
+	g_assert_cmpfloat(run_paces_usual(&s, SERVICE + 2, 9, 0), ==, 0);
 	/* The newest of a server counts. */
 	run_paces_add(&s, SERVICE, 1, 110, 50);
-	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 9, 110), ==, 30);
+	g_assert_cmpfloat(run_paces_usual(&s, SERVICE, 9, 0), ==, 30);
+}
+
+/* Guards against moves from a slow server to another slow one. */
+static void
+test_slow_servers(void)
+{
+	struct run_paces s = { 0 };
+	name_id servers[2] = { 0 };
+	unsigned int i;
+
+	for (i = 1; i <= 3; i++)
+		run_paces_add(&s, SERVICE, i, 100, 10.0 * i);
+	g_assert_cmpuint(run_paces_slow(&s, SERVICE, 20, 0, servers, 2), ==, 2);
+	g_assert_cmpuint(servers[0] + servers[1], ==, 2 + 3);
+	g_assert_cmpuint(run_paces_slow(&s, SERVICE, 20, 0, servers, 1), ==, 1);
+	g_assert_cmpuint(
+	    run_paces_slow(&s, SERVICE, 20, 100, servers, 2), ==, 0);
+	g_assert_cmpuint(
+	    run_paces_slow(&s, SERVICE + 1, 20, 0, servers, 2), ==, 0);
 }
 
 int
@@ -276,5 +295,6 @@
 	g_test_add_func("/run-pace/many-runs", test_many_runs);
 	g_test_add_func("/run-pace/behind", test_behind);
 	g_test_add_func("/run-pace/usual", test_usual);
+	g_test_add_func("/run-pace/slow-servers", test_slow_servers);
 	return g_test_run();
 }
