--- a/entry-move.c
+++ b/entry-move.c
@@ -533,7 +533,8 @@
 	if (j->server->leaving_since != 0) {
 		if (move_is_possible(j))
 			move_consider_leaving(j, now);
-	} else if (measured && !j->move_slow_tried && move_is_possible(j)) {
+	} else if (measured && j->route->moves_when_slow &&
+		   !j->move_slow_tried && move_is_possible(j)) {
 		move_consider_slow(j, now);
 	}
 }
--- a/route.h
+++ b/route.h
@@ -42,6 +42,7 @@
 	unsigned int priority; /* 0 is highest */
 	bool anonymous;	       /* needs no key */
 	bool resumable;	       /* streams: another server can continue one */
+	bool moves_when_slow;  /* streams: off servers that have turned slow */
 	bool
 	    has_prompt_parts; /* its requests list the parts of their prompts */
 	unsigned int nsplits;
--- a/run-pace.h
+++ b/run-pace.h
@@ -44,6 +44,7 @@
 	msec since; /* begin of the last one */
 };
 
+/* The newest pace of a stream of a service on one server. */
 struct run_pace_sample {
 	name_id service, server;
 	double pace;
@@ -70,6 +71,7 @@
  */
 double run_pace_kept(const struct run_pace *, msec *since);
 
+/* A stream on the server had this pace, in ms an event. */
 void run_paces_add(
     struct run_paces *, name_id service, name_id server, msec now, double pace);
 /*
