--- /dev/null
+++ b/run-pace.c
@@ -0,0 +1,154 @@
+/*
+ * Paces of running streams; see run-pace.h.
+ */
+
+#include "run-pace.h"
+
+#include <stdlib.h>
+
+/* Servers that a stream's own is compared with, at least. */
+#define PACE_SERVERS_MIN 2
+
+void
+run_pace_restart(struct run_pace *p)
+{
+	*p = (struct run_pace){ .server = p->server };
+}
+
+static void
+span_begin(struct run_pace_span *s, msec now, uint64_t events)
+{
+	*s = (struct run_pace_span){ .since = now, .first = events };
+}
+
+/*
+ * An event has come. Returns the pace if the measurement is complete, else 0.
+ * The longest pause is left out: one alone is not the server's pace.
+ */
+static double
+span_record(
+    struct run_pace_span *s, msec now, const struct run_pace *p, msec at_least)
+{
+	msec span = now - s->since;
+	uint64_t events = p->events - s->first;
+
+	s->longest = MAX(s->longest, now - p->last);
+	if (span < at_least || events < RUN_PACE_EVENTS)
+		return 0;
+	return MAX((double)(span - s->longest), 1) / (double)(events - 1);
+}
+
+static void
+pace_record_long(struct run_pace *p, msec now)
+{
+	double pace = span_record(&p->long_span, now, p, RUN_PACE_LONG_MS);
+
+	if (pace == 0)
+		return;
+	p->pace_before = p->pace;
+	p->pace = pace;
+	p->since = p->long_span.since;
+	span_begin(&p->long_span, now, p->events);
+}
+
+bool
+run_pace_record(struct run_pace *p, name_id server, msec now, uint64_t events)
+{
+	double pace;
+
+	if (p->server != server)
+		*p = (struct run_pace){ .server = server };
+	if (p->begun && events == p->events)
+		return false;
+	p->events = events;
+	if (!p->begun) {
+		p->begun = true;
+		p->last = now;
+		span_begin(&p->short_span, now, events);
+		span_begin(&p->long_span, now, events);
+		return false;
+	}
+	pace_record_long(p, now);
+	pace = span_record(&p->short_span, now, p, RUN_PACE_SHORT_MS);
+	p->last = now;
+	if (pace == 0)
+		return false;
+	p->newest = pace;
+	span_begin(&p->short_span, now, events);
+	return true;
+}
+
+double
+run_pace_kept(const struct run_pace *p, msec *since)
+{
+	*since = p->since;
+	return MIN(p->pace, p->pace_before);
+}
+
+/* Of the same server, else the oldest. */
+static struct run_pace_sample *
+paces_slot(struct run_paces *s, name_id service, name_id server)
+{
+	struct run_pace_sample *x, *oldest = &s->samples[0];
+	unsigned int i;
+
+	for (i = 0; i < RUN_PACES; i++) {
+		x = &s->samples[i];
+		if (x->service == service && x->server == server)
+			return x;
+		if (x->at < oldest->at)
+			oldest = x;
+	}
+	return oldest;
+}
+
+void
+run_paces_add(
+    struct run_paces *s, name_id service, name_id server, msec now, double pace)
+{
+	*paces_slot(s, service, server) =
+	    (struct run_pace_sample){ service, server, pace, now };
+}
+
+static int
+pace_compare(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+double
+run_paces_usual(
+    const struct run_paces *s, name_id service, name_id except, msec since)
+{
+	const struct run_pace_sample *x;
+	double paces[RUN_PACES];
+	unsigned int i, n = 0;
+
+	for (i = 0; i < RUN_PACES; i++) {
+		x = &s->samples[i];
+		if (x->at > since && x->service == service &&
+		    x->server != except)
+			paces[n++] = x->pace;
+	}
+	if (n < PACE_SERVERS_MIN)
+		return 0;
+	qsort(paces, n, sizeof *paces, pace_compare);
+	return paces[n / 2];
+}
+
+unsigned int
+run_paces_slow(const struct run_paces *s, name_id service, double pace,
+    msec since, name_id *servers, unsigned int most)
+{
+	const struct run_pace_sample *x;
+	unsigned int i, n = 0;
+
+	for (i = 0; i < RUN_PACES && n < most; i++) {
+		x = &s->samples[i];
+		if (x->at > since && x->service == service && x->pace >= pace)
+			servers[n++] = x->server;
+	}
+	return n;
+}
