Links: a proof takes a round trip, and ends as it should

The bound is 100 ms, above the delay. - A connection that ended while it was proved was opened anew although its server had begun to leave. Both ends of a proof now ask first. - A node that loses its path swept requests that connect, not those that prove. - Refusals of the second connection were not told to the checks of servers. link_begin_connect() opens both. - With more nodes than half of a server's limit each kept one connection for as long as announced. It keeps it for 3.5 s now, as before. - The pause between looks rounds the round trip up.

Left open: after one failed proof the other idle links of the server are still tried one by one; no test bounds the time of a proof.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -419,13 +419,14 @@
 /* ---- changes of the path and of carriers ---- */
 
 /*
- * Requests whose connection to a server is being established: nothing was sent,
- * and it will not be established.
+ * Requests whose connection to a server is being established or proved: nothing
+ * that a server can run was sent, and neither will succeed.
  */
 static bool
 job_is_connecting(const struct job *j)
 {
-	return j->link != NULL && j->carrier == NULL && j->link->connecting;
+	return j->link != NULL && j->carrier == NULL &&
+	       (j->link->connecting || j->link->proof_bytes > 0);
 }
 
 static struct job *
--- a/entry-link.c
+++ b/entry-link.c
@@ -166,34 +166,54 @@
 	return servers_find(&e->servers, v->id) == v;
 }
 
-static struct link *
-link_connect(struct entry *e, struct server *v, msec now)
+/* Opens a socket to the link's server and waits for the connection. */
+static bool
+link_begin_connect(struct link *k)
 {
-	struct link *k;
+	struct entry *e = k->owner;
+	struct server *v = k->server;
 	int fd = link_open_socket(e, v->address, v->port);
 
+	k->io = (struct loop_io){ link_ready, fd, 0 };
 	if (fd == -1) {
-		if (errno == ECONNREFUSED && link_leads_to_server(e, v))
-			entry_poison_connection_refused(e, v, now);
-		return NULL;
+		k->connect_refused = errno == ECONNREFUSED;
+		return false;
 	}
-	k = g_new0(struct link, 1);
-	k->io = (struct loop_io){ link_ready, fd, 0 };
+	k->starts = v->starts;
+	k->connecting = true;
+	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
+	e->counters.connects++;
+	return loop_watch(&e->loop, &k->io, EPOLLOUT);
+}
+
+/* No connection can be begun, and the attempt has no link yet: free it. */
+static void
+link_discard(struct link *k, msec now)
+{
+	struct server *v = k->server;
+
+	if (k->connect_refused && link_leads_to_server(k->owner, v))
+		entry_poison_connection_refused(k->owner, v, now);
+	k->job = NULL;
+	link_free(k);
+}
+
+static struct link *
+link_connect(struct entry *e, struct server *v, msec now)
+{
+	struct link *k = g_new0(struct link, 1);
+
 	k->owner = e;
 	k->server = v;
-	k->starts = v->starts;
 	k->domain = strcmp(v->domain, e->settings->domain) == 0
 			? NET_OWN_DOMAIN
 			: NET_OTHER_DOMAIN;
-	k->connecting = true;
-	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
 	v->links++;
-	e->counters.connects++;
 	http_reader_init(&k->reader, false, LINK_HEAD_MAX, LINK_BODY_MAX,
 	    link_answer_body, k);
 	loop_timer_init(&k->timer, link_timer, k);
-	if (!loop_watch(&e->loop, &k->io, EPOLLOUT)) {
-		link_free(k);
+	if (!link_begin_connect(k)) {
+		link_discard(k, now);
 		return NULL;
 	}
 	return k;
@@ -241,7 +261,8 @@
 
 	if (!k->paused)
 		events |= EPOLLIN | EPOLLRDHUP;
-	if (k->connecting || (buffer_length(&k->out) > 0 && k->held == 0))
+	if (k->connecting ||
+	    (buffer_length(&k->out) > 0 && k->proof_bytes == 0))
 		events |= EPOLLOUT;
 	loop_watch(&k->owner->loop, &k->io, events | EPOLLERR);
 }
@@ -312,26 +333,27 @@
 
 	if (getsockopt(k->io.fd, IPPROTO_TCP, TCP_INFO, &info, &len) == -1)
 		return 0;
-	return info.tcpi_rtt / 1000;
+	return (info.tcpi_rtt + 999) / 1000;
 }
 
 /*
  * Send the head without its last byte: a server cannot run it, so the request
- * may go elsewhere if the connection turns out to be dead. False when nothing
- * can be sent.
+ * may go elsewhere if the connection turns out to be dead. The last byte sent
+ * is a segment of its own, as hosts delay the acknowledgement of a single one
+ * for 40 ms. False when nothing can be sent.
  */
 static bool
-link_hold(struct link *k, msec now)
+link_begin_proof(struct link *k, msec now)
 {
+	const char *head = buffer_bytes(&k->out);
 	size_t part = link_head_part(&k->out);
-	ssize_t n = -1;
+	ssize_t n, more;
 
-	if (part > 0)
-		n = send(k->io.fd, buffer_bytes(&k->out), part, MSG_NOSIGNAL);
-	if (n <= 0)
+	if (part < 2 || (n = send(k->io.fd, head, part - 1, MSG_NOSIGNAL)) <= 0)
 		return false;
-	k->held = (size_t)n;
-	k->held_since = now;
+	more = send(k->io.fd, head + n, 1, MSG_NOSIGNAL);
+	k->proof_bytes = (size_t)(n + MAX(more, 0));
+	k->proof_since = now;
 	link_watch(k);
 	loop_timer_set(&k->owner->loop, &k->timer,
 	    now + keep_proof_pause(0, link_round_trip(k)));
@@ -346,30 +368,24 @@
 link_reopen(struct link *k, msec now)
 {
 	struct entry *e = k->owner;
-	struct server *v = k->server;
 
 	e->counters.proofs_failed++;
-	k->held = 0;
+	k->proof_bytes = 0;
 	k->used = false;
 	loop_timer_stop(&e->loop, &k->timer);
 	loop_close(&e->loop, &k->io);
-	k->io.fd = link_open_socket(e, v->address, v->port);
-	if (k->io.fd == -1) {
-		k->connect_refused = errno == ECONNREFUSED;
+	if (!link_begin_connect(k))
 		return false;
-	}
-	k->starts = v->starts;
-	k->connecting = true;
-	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
-	e->counters.connects++;
 	loop_timer_set(&e->loop, &k->timer, now + k->ops->connect_timeout);
-	return loop_watch(&e->loop, &k->io, EPOLLOUT);
+	return true;
 }
 
 static void
-link_reconnect(struct link *k, msec now)
+link_proof_failed(struct link *k, msec now)
 {
-	if (!link_reopen(k, now))
+	if (!link_is_current(k))
+		link_end(k, LINK_SERVER_LEAVING, now);
+	else if (!link_reopen(k, now))
 		link_fail(k, now);
 }
 
@@ -377,18 +393,18 @@
 link_check_proof(struct link *k, msec now)
 {
 	struct entry *e = k->owner;
-	msec pause = keep_proof_pause(now - k->held_since, link_round_trip(k));
+	msec pause = keep_proof_pause(now - k->proof_since, link_round_trip(k));
 
 	if (!link_is_current(k)) {
 		link_end(k, LINK_SERVER_LEAVING, now);
 	} else if (link_is_confirmed(k)) {
-		buffer_consume(&k->out, k->held);
-		e->counters.request_bytes[k->domain] += k->held;
-		k->held = 0;
-		if (k->ops->sending(k, now) && !link_flush(k))
+		buffer_consume(&k->out, k->proof_bytes);
+		e->counters.request_bytes[k->domain] += k->proof_bytes;
+		k->proof_bytes = 0;
+		if (k->ops->may_send(k, now) && !link_flush(k))
 			link_fail(k, now);
 	} else if (pause == 0 || !link_is_open(k)) {
-		link_reconnect(k, now);
+		link_proof_failed(k, now);
 	} else {
 		loop_timer_set(&e->loop, &k->timer, now + pause);
 	}
@@ -421,11 +437,10 @@
 	if (!k->connecting) {
 		loop_timer_stop(&e->loop, &k->timer);
 		sent = keep_needs_proof(once, idle)
-			   ? link_hold(k, now) || link_reopen(k, now)
+			   ? link_begin_proof(k, now) || link_reopen(k, now)
 			   : link_flush(k);
 		if (!sent) {
-			k->job = NULL;
-			link_free(k);
+			link_discard(k, now);
 			return NULL;
 		}
 	}
@@ -485,7 +500,8 @@
 	struct wire_answer a;
 
 	k->owner->wire->answer(k->reader.head, "", &a);
-	k->idle_limit = keep_idle_ms(a.keep_alive_timeout);
+	k->idle_limit = keep_idle_ms(
+	    a.keep_alive_timeout, link_idle_most(k->owner, k->server) == 0);
 	k->idle_since = now;
 	k->used = true;
 	http_reader_reset(&k->reader);
@@ -494,7 +510,7 @@
 	k->owner->idle_links++;
 	loop_timer_set(&k->owner->loop, &k->timer, now + k->idle_limit);
 	link_watch(k);
-	link_shrink_pool(p, link_idle_most(k->owner, k->server));
+	link_shrink_pool(p, MAX(link_idle_most(k->owner, k->server), 1));
 }
 
 /* The answer is complete; `rest` unexpected bytes follow it. */
@@ -616,12 +632,13 @@
 	}
 	if (k->connecting) {
 		if (!link_connected(k) ||
-		    (k->ops->sending(k, now) && !link_flush(k)))
+		    (k->ops->may_send(k, now) && !link_flush(k)))
 			link_fail(k, now);
 		return;
 	}
-	if (k->held > 0) {
-		link_reconnect(k, now);
+	/* No server answers a part of a head: the connection has ended. */
+	if (k->proof_bytes > 0) {
+		link_proof_failed(k, now);
 		return;
 	}
 	/* Read first even on an error: a reset may follow a complete answer. */
@@ -643,7 +660,7 @@
 		link_free(k);
 	} else if (k->connecting) {
 		link_end(k, LINK_CONNECT_TIMED_OUT, now);
-	} else if (k->held > 0) {
+	} else if (k->proof_bytes > 0) {
 		link_check_proof(k, now);
 	}
 }
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -299,7 +299,7 @@
 	    (int64_t)c->connects);
 	text_value(s, "reused_total", "counter", "Kept connections used.",
 	    (int64_t)c->reused);
-	text_value(s, "kept_dead_total", "counter",
+	text_value(s, "kept_unproved_total", "counter",
 	    "Kept connections that did not confirm a request's first bytes.",
 	    (int64_t)c->proofs_failed);
 	text_value(s, "streams_broken_off_total", "counter",
--- a/entry-move.h
+++ b/entry-move.h
@@ -24,8 +24,8 @@
 	struct entry_move_list list;
 	struct loop_timer timer; /* the next run is to be considered */
 	struct run_paces paces;
-	unsigned int slow; /* moves off slow servers in progress */
-	uint64_t begun, begun_slow, moved, returned; /* counters */
+	unsigned int moving_slow; /* moves off slow servers in progress */
+	uint64_t begun_leaving, begun_slow, moved, returned; /* counters */
 	uint64_t failed[RUN_MOVE_REASONS];
 };
 
--- a/entry.h
+++ b/entry.h
@@ -156,10 +156,11 @@
 /* Callbacks for the attempt on a link. */
 struct link_ops {
 	/*
-	 * A new connection is established and the request is about to be sent.
-	 * False when it must not be sent any more; the link is freed then.
+	 * The connection is new or was proved, and what is left of the request
+	 * is about to be sent. False when it must not be; the link is freed
+	 * then.
 	 */
-	bool (*sending)(struct link *, msec);
+	bool (*may_send)(struct link *, msec);
 	/* The head of an answer. False when it answers another request. */
 	bool (*head)(struct link *, const struct http_head *, msec);
 	void (*body)(struct link *, const char *, size_t, msec);
@@ -195,11 +196,12 @@
 	msec idle_limit;      /* longest idle time before it is closed */
 	msec idle_since;
 	/*
-	 * Bytes of a request that were sent and must be confirmed before the
-	 * rest is; they stay in `out`. 0: the request is not held.
+	 * Bytes of a request that were sent as a proof of the connection and
+	 * must be confirmed before the rest is sent; they stay in `out`. 0:
+	 * none.
 	 */
-	size_t held;
-	msec held_since;
+	size_t proof_bytes;
+	msec proof_since;
 };
 
 /* A server's links that are idle or connecting; in server->arg. */
@@ -216,7 +218,7 @@
  */
 struct link *link_send(struct entry *, struct server *, struct job *,
     const struct link_ops *, struct buffer *request, bool for_head_request,
-    bool fresh, msec);
+    bool once, msec);
 /* Cancel the attempt: closes the connection, so that the server stops work. */
 void link_cancel(struct link *);
 /* Stop or continue reading from the server. */
@@ -285,7 +287,7 @@
 	/* Permission to send, if it is suspect, and if a part of it is. */
 	struct poison_run run, part_run;
 	struct entry_move *move; /* of its run, or NULL */
-	/* The last server that left, or was to stop the run, in a move. */
+	/* Server of the last move off a leaving one, or of the last stop. */
 	name_id move_tried;
 	bool move_slow_tried;	    /* a move off a slow server was begun */
 	struct run_pace pace;	    /* of its events */
--- a/keep.c
+++ b/keep.c
@@ -16,11 +16,13 @@
 #define KEEP_PROOF_FIRST_MS 1
 
 msec
-keep_idle_ms(msec announced)
+keep_idle_ms(msec announced, bool crowded)
 {
 	msec most = announced > 0 ? MIN(announced, KEEP_IDLE_MOST_MS)
 				  : KEEP_IDLE_DEFAULT_MS;
 
+	if (crowded)
+		most = MIN(most, KEEP_IDLE_DEFAULT_MS);
 	return MAX(most - KEEP_IDLE_MARGIN_MS, 1);
 }
 
@@ -32,7 +34,7 @@
 	if (limit == 0)
 		return KEEP_IDLE_LINKS;
 	part = limit / KEEP_IDLE_PART / MAX(nodes, 1);
-	return CLAMP(part, 1, KEEP_IDLE_LINKS);
+	return MIN(part, KEEP_IDLE_LINKS);
 }
 
 bool
--- a/keep.h
+++ b/keep.h
@@ -11,31 +11,31 @@
 
 /* Idle connections that a node keeps to all servers, beside its callers'. */
 #define KEEP_IDLE_ALL 1024
-/* How long an idle connection may be silent and is still taken as open. */
+/* A connection that was idle for less than this needs no proof. */
 #define KEEP_FRESH_MS 300
 /* How long the first bytes may be unconfirmed; more on paths that are long. */
-#define KEEP_PROOF_MS 60
+#define KEEP_PROOF_MS 100
 #define KEEP_PROOF_ROUND_TRIPS 4
 
 /*
  * How long a connection may stay idle, in ms; `announced`: the idle timeout
- * that the server states, 0: none.
+ * that the server states, 0: none; `crowded`: keep_idle_most() is 0.
  */
-msec keep_idle_ms(msec announced);
+msec keep_idle_ms(msec announced, bool crowded);
 /*
  * How many idle connections a node may keep to one server. `limit`: connections
- * that the server accepts from all nodes, 0: not given.
+ * that the server accepts from all nodes, 0: not given. 0: there are more nodes
+ * than connections; one may be kept for a short time.
  */
 unsigned int keep_idle_most(unsigned int limit, unsigned int nodes);
 /*
- * Returns true if the request, `once`: may run only once, must not be sent
- * whole on a connection that was idle for so many ms before the server has
- * confirmed a part of it.
+ * Whether a request must wait for a proof of the connection: it may run only
+ * once, and the connection was idle for `idle` ms.
  */
 bool keep_needs_proof(bool once, msec idle);
 /*
- * Time until the next look at whether it has, in ms; 0: it is given up.
- * `round_trip`: of the path, in ms, 0: not known.
+ * Time until the next check of a proof that has lasted `waited` ms; 0: it has
+ * failed. `round_trip`: of the path, in ms, 0: not known.
  */
 msec keep_proof_pause(msec waited, msec round_trip);
 
