Moves off slow servers: a burst is no fast server

Cause, found by the review in virtual time: after a stall of the node of 0.1 to 1 s with no server slow, 4 to 10 streams moved. The events of a burst were measured without the pause before them, at 1 ms an event, which made all others slow.

A short measurement ends only with an event after which time has passed, and counts its pauses. /run-pace/node-stalls: 0 moves at all stalls; the eight tests before pass. Paces are measured only while some route has the setting. run_move_choose_slow() is the decision's name; entry_move's counters say which moves they count.

--- a/entry-move.c
+++ b/entry-move.c
@@ -103,7 +103,7 @@
 
 	m->job = NULL;
 	j->move = NULL;
-	m->owner->moves.slow -= m->slow;
+	m->owner->moves.moving_slow -= m->slow;
 	loop_timer_stop(&m->owner->loop, &m->timer);
 	place_end(&m->owner->place, now, &m->place, SERVER_NO_RESULT);
 	move_drop(m, now);
@@ -205,8 +205,8 @@
 		place_hand_over(&e->place, now, &m->place, &j->place);
 	}
 	/*
-	 * It may leave by now. Until when a source that leaves is sent requests
-	 * is decided in run-move.c.
+	 * The server that the run goes on at may have begun to leave. Until
+	 * when a source that leaves is sent requests is decided in run-move.c.
 	 */
 	if (v != NULL && (at == m->destination || m->slow) &&
 	    !server_takes_work(v, now))
@@ -424,10 +424,10 @@
 	m->slow = !view->leaving;
 	if (m->slow) {
 		j->move_slow_tried = true;
-		e->moves.slow++;
+		e->moves.moving_slow++;
 		e->moves.begun_slow++;
 	} else {
-		e->moves.begun++;
+		e->moves.begun_leaving++;
 		j->move_tried = j->server->id;
 	}
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_RUN_MOVE_BEGUN,
@@ -474,13 +474,18 @@
 
 	if (v == NULL || v->tokens_per_event == 0)
 		return 0;
-	return (tokens + v->tokens_per_event - 1) / v->tokens_per_event;
+	return ((uint64_t)tokens + v->tokens_per_event - 1) /
+	       v->tokens_per_event;
 }
 
-/* Returns true if the stream's pace was measured. */
+/* Returns true if a measurement of the stream's pace is complete. */
 static bool
-move_measure_pace(struct job *j, msec now)
+move_record_pace(struct job *j, msec now)
 {
+	/* All streams are measured, as others are compared with them. */
+	if (!j->table->moves_when_slow || j->link == NULL || !j->streamed ||
+	    j->events == 0)
+		return false;
 	/* The events of a caller that reads slowly wait for it. */
 	if (j->link->paused) {
 		run_pace_restart(&j->pace);
@@ -511,12 +516,12 @@
 		.copy = move_copy_ms(j, move_transfer(j)),
 		.deadline = j->deadline,
 		.running = e->njobs,
-		.moving = e->moves.slow,
+		.moving = e->moves.moving_slow,
 	};
 
 	pace.usual =
 	    run_paces_usual(&e->moves.paces, j->service, j->server->id, since);
-	if (!run_move_is_behind(&pace, now))
+	if (!run_move_choose_slow(&pace, now))
 		return;
 	view = run_move_slow_view(&pace, now);
 	move_begin(j, &view, now);
@@ -525,11 +530,11 @@
 void
 entry_move_consider(struct job *j, msec now)
 {
-	bool measured = j->server != NULL && j->link != NULL && j->streamed &&
-			j->events > 0 && move_measure_pace(j, now);
+	bool measured;
 
 	if (j->server == NULL)
 		return;
+	measured = move_record_pace(j, now);
 	if (j->server->leaving_since != 0) {
 		if (move_is_possible(j))
 			move_consider_leaving(j, now);
@@ -700,7 +705,7 @@
 	    "# HELP savory_entry_run_moves_failed_total Moves that ended "
 	    "otherwise, by reason.\n"
 	    "# TYPE savory_entry_run_moves_failed_total counter\n",
-	    x->begun, x->begun_slow, x->moved, x->returned);
+	    x->begun_leaving, x->begun_slow, x->moved, x->returned);
 	for (i = RUN_MOVE_REASON_NONE + 1; i < RUN_MOVE_REASONS; i++)
 		g_string_append_printf(s,
 		    "savory_entry_run_moves_failed_total{reason=\"%s\"} "
--- a/route.h
+++ b/route.h
@@ -87,9 +87,10 @@
 	struct route_organisation *organisations;
 	unsigned int nranks[2]; /* private: see route_rank() */
 	unsigned int ranks[2][ROUTE_RANKS];
-	bool keyed;	  /* requests need a key */
-	GHashTable *keys; /* key to index of the organisation plus 1 */
-	GBytes *text;	  /* source text; NULL: not kept */
+	bool moves_when_slow; /* a route has it */
+	bool keyed;	      /* requests need a key */
+	GHashTable *keys;     /* key to index of the organisation plus 1 */
+	GBytes *text;	      /* source text; NULL: not kept */
 };
 
 /*
--- a/run-move.c
+++ b/run-move.c
@@ -9,11 +9,11 @@
  * moment for one is so many times its own time before the server ends.
  */
 #define RUN_MOVE_QUEUE_FACTOR 4
-/* A move off a slow server takes so many times what it takes at least. */
+/* Time allowed for a move off a slow server, in times of move_span(). */
 #define RUN_MOVE_SLOW_SPANS 2
-/* Of the streams that a node holds, one in so many moves at a time. */
+/* Of the open requests of a node, one in so many moves at a time. */
 #define RUN_MOVE_SLOW_SHARE 8
-/* A stream longer than its kind makes as many events again, divided by this. */
+/* A stream is expected to make its events so far, divided by this, again. */
 #define RUN_MOVE_REST_DIVISOR 2
 
 const char *
@@ -77,7 +77,7 @@
 }
 
 bool
-run_move_is_behind(const struct run_move_pace *v, msec now)
+run_move_choose_slow(const struct run_move_pace *v, msec now)
 {
 	double rest, left = (double)(v->deadline - now);
 
--- a/run-move.h
+++ b/run-move.h
@@ -31,7 +31,8 @@
  * the run did stop.
  */
 #define RUN_MOVE_CLOSE_MS 400
-/* A server whose pace is this much of the usual one is slow. */
+/* A server is slow if its ms an event are at least this many times the usual.
+ */
 #define RUN_MOVE_SLOW_TIMES 1.5
 /* A destination is found by then. */
 #define RUN_MOVE_PLACE_TIMEOUT_MS 500
@@ -79,14 +80,14 @@
 	msec mean;	   /* of streams of its kind; MSEC_NEVER: not known */
 	msec copy;	   /* expected time to copy the run's memory */
 	msec deadline;	   /* when the caller stops waiting */
-	unsigned int running; /* streams that the node holds */
+	unsigned int running; /* open requests of the node, of all kinds */
 	unsigned int moving;  /* of them, moved for this cause now */
 };
 /*
  * Whether the run is to be moved as its server is slow: its caller's time would
  * end first, and would not at another server.
  */
-bool run_move_is_behind(const struct run_move_pace *, msec now);
+bool run_move_choose_slow(const struct run_move_pace *, msec now);
 /* For run_move_begin(), of a run whose server is slow but stays. */
 struct run_move_view run_move_slow_view(const struct run_move_pace *, msec now);
 
--- a/run-pace.c
+++ b/run-pace.c
@@ -6,7 +6,7 @@
 
 #include <stdlib.h>
 
-/* Servers that a stream's own is compared with, at least. */
+/* A pace is compared with those of at least this many other servers. */
 #define PACE_SERVERS_MIN 2
 
 void
@@ -51,31 +51,47 @@
 	span_begin(&p->long_span, now, p->events);
 }
 
+/*
+ * Ends the short measurement with the event before this one, once a later one
+ * shows that no more came with it: the events of a burst belong to the pause
+ * before it.
+ */
+static bool
+pace_end_short(struct run_pace *p, msec now)
+{
+	msec span = p->last - p->short_span.since;
+	uint64_t made = p->events - p->short_span.first;
+
+	if (now == p->last || span < RUN_PACE_SHORT_MS ||
+	    made < RUN_PACE_EVENTS)
+		return false;
+	p->newest = (double)span / (double)made;
+	span_begin(&p->short_span, p->last, p->events);
+	return true;
+}
+
 bool
 run_pace_record(struct run_pace *p, name_id server, msec now, uint64_t events)
 {
-	double pace;
+	bool done;
 
 	if (p->server != server)
 		*p = (struct run_pace){ .server = server };
 	if (p->begun && events == p->events)
 		return false;
-	p->events = events;
 	if (!p->begun) {
 		p->begun = true;
 		p->last = now;
+		p->events = events;
 		span_begin(&p->short_span, now, events);
 		span_begin(&p->long_span, now, events);
 		return false;
 	}
+	done = pace_end_short(p, now);
+	p->events = events;
 	pace_record_long(p, now);
-	pace = span_record(&p->short_span, now, p, RUN_PACE_SHORT_MS);
 	p->last = now;
-	if (pace == 0)
-		return false;
-	p->newest = pace;
-	span_begin(&p->short_span, now, events);
-	return true;
+	return done;
 }
 
 double
--- a/run-pace.h
+++ b/run-pace.h
@@ -28,7 +28,7 @@
 struct run_pace_span {
 	msec since;
 	msec longest;	/* pause in it */
-	uint64_t first; /* number of events before it */
+	uint64_t first; /* number of events when it began */
 };
 
 /* Of one stream; all zero bytes: nothing is known. Paces in ms an event. */
--- a/tests/test-run-pace.c
+++ b/tests/test-run-pace.c
@@ -24,6 +24,7 @@
 	uint64_t made, of;
 	msec next, moving_until, ended;
 	unsigned int moves;
+	unsigned int held; /* events that the node has not read yet */
 };
 
 struct world {
@@ -32,6 +33,7 @@
 	unsigned int slow; /* servers, from the first */
 	msec slow_until;
 	msec pause_at, pause; /* of all servers */
+	msec stall; /* the node reads nothing for so long from SLOW_AT on */
 	unsigned int moving, moving_most;
 };
 
@@ -60,9 +62,9 @@
 }
 
 static void
-stream_consider(struct world *w, struct stream *s, msec now)
+stream_consider(struct world *w, struct stream *s, msec now, uint64_t made)
 {
-	struct run_move_pace v = { .made = s->made,
+	struct run_move_pace v = { .made = made,
 		.mean = MEAN_MS,
 		.copy = COPY_MS,
 		.deadline = END_MS,
@@ -70,12 +72,12 @@
 		.moving = w->moving };
 	msec since;
 
-	if (!run_pace_record(&s->pace, s->server + 1, now, s->made))
+	if (!run_pace_record(&s->pace, s->server + 1, now, made))
 		return;
 	run_paces_add(&w->paces, SERVICE, s->server + 1, now, s->pace.newest);
 	v.pace = run_pace_kept(&s->pace, &since);
 	v.usual = run_paces_usual(&w->paces, SERVICE, s->server + 1, since);
-	if (s->moves > 0 || !run_move_is_behind(&v, now))
+	if (s->moves > 0 || !run_move_choose_slow(&v, now))
 		return;
 	s->moves++;
 	s->moving_until = now + MOVE_MS;
@@ -83,6 +85,22 @@
 	w->moving_most = MAX(w->moving_most, w->moving);
 }
 
+/* An event has come; while the node stalls it is read later, with others. */
+static void
+stream_hear(struct world *w, struct stream *s, msec now)
+{
+	if (now >= SLOW_AT && now < SLOW_AT + w->stall) {
+		s->held++;
+		return;
+	}
+	for (; s->held > 0; s->held--) {
+		if (s->moving_until == 0)
+			stream_consider(w, s, now, s->made - s->held);
+	}
+	if (s->moving_until == 0)
+		stream_consider(w, s, now, s->made);
+}
+
 static void
 stream_step(struct world *w, struct stream *s, msec now)
 {
@@ -101,7 +119,7 @@
 	}
 	s->next = now + world_event_ms(w, s, now);
 	if (s->moving_until == 0)
-		stream_consider(w, s, now);
+		stream_hear(w, s, now);
 }
 
 /* Returns how many runs moved. */
@@ -120,6 +138,20 @@
 	return moves;
 }
 
+/* Guards against moves after a stall of the node, whose events come at once. */
+static void
+test_node_stalls(void)
+{
+	struct world w;
+	msec stall;
+
+	for (stall = 100; stall <= 1000; stall += 100) {
+		world_begin(&w, 0);
+		w.stall = stall;
+		g_assert_cmpuint(world_run(&w), ==, 0);
+	}
+}
+
 /*
  * Guards against streams that miss their deadlines on a server that turned
  * slow, and against moves of others.
@@ -220,28 +252,28 @@
 {
 	struct run_move_pace v = slow_run();
 
-	g_assert_true(run_move_is_behind(&v, 0));
+	g_assert_true(run_move_choose_slow(&v, 0));
 	/* The other server would be too late as well. */
-	g_assert_false(run_move_is_behind(&v, 2000));
+	g_assert_false(run_move_choose_slow(&v, 2000));
 	v.usual = 0;
-	g_assert_false(run_move_is_behind(&v, 0));
+	g_assert_false(run_move_choose_slow(&v, 0));
 	v = slow_run();
 	v.copy = MSEC_NEVER;
-	g_assert_false(run_move_is_behind(&v, 0));
+	g_assert_false(run_move_choose_slow(&v, 0));
 	v = slow_run();
 	v.deadline = MSEC_NEVER;
-	g_assert_false(run_move_is_behind(&v, 0));
+	g_assert_false(run_move_choose_slow(&v, 0));
 	v = slow_run();
 	v.moving = 1;
-	g_assert_false(run_move_is_behind(&v, 0));
+	g_assert_false(run_move_choose_slow(&v, 0));
 	/* Its caller expects few more events. */
 	v = slow_run();
 	v.expected = 15;
-	g_assert_false(run_move_is_behind(&v, 0));
+	g_assert_false(run_move_choose_slow(&v, 0));
 	/* It is longer than others of its kind. */
 	v = slow_run();
 	v.made = 80;
-	g_assert_true(run_move_is_behind(&v, 0));
+	g_assert_true(run_move_choose_slow(&v, 0));
 }
 
 /* Guards against measurements of another service, server or time. */
@@ -294,6 +326,7 @@
 	g_test_add_func("/run-pace/near-end", test_near_end);
 	g_test_add_func("/run-pace/many-runs", test_many_runs);
 	g_test_add_func("/run-pace/behind", test_behind);
+	g_test_add_func("/run-pace/node-stalls", test_node_stalls);
 	g_test_add_func("/run-pace/usual", test_usual);
 	g_test_add_func("/run-pace/slow-servers", test_slow_servers);
 	return g_test_run();
