--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -165,7 +165,7 @@
 		return NULL;
 	v = servers_find(&j->owner->servers, j->place.source);
 	if (v == NULL || v == to || v->service != to->service ||
-	    v->state == SERVER_GONE || v->down)
+	    v->state == SERVER_GONE || v->failures > 0)
 		return NULL;
 	return v;
 }
@@ -371,7 +371,7 @@
 static bool
 job_wait_for_server(struct job *j, msec now)
 {
-	msec wait = servers_wait(&j->owner->servers, j->service, now,
+	msec wait = servers_retry_ms(&j->owner->servers, j->service, now,
 	    now - j->arrived, j->route->target);
 
 	if (wait == 0)
--- a/server-choose.c
+++ b/server-choose.c
@@ -306,8 +306,8 @@
 
 /*
  * Returns true unless the server is probably unable to send a prompt. After a
- * failure it has to answer first: the end of its rest does not show that it
- * runs.
+ * failure it has to answer first, or prove to be another process: the end of
+ * its rest does not show that it runs.
  */
 static bool
 choose_can_send(const struct server *v, const struct server_wish *w)
@@ -535,7 +535,7 @@
  * starts at once, whose lists arrive late.
  */
 msec
-servers_wait(
+servers_retry_ms(
     struct servers *s, name_id service, msec now, msec waited, msec target)
 {
 	if (s->complete && !servers_have_brittle(s, service, now))
--- a/server.h
+++ b/server.h
@@ -323,11 +323,11 @@
 /* Returns true if a ready server of the service says that it is brittle. */
 bool servers_have_brittle(struct servers *, name_id service, msec);
 /*
- * A request found no server, has waited this long and has this target, in ms:
- * the time until it may look again, because one may be read or have room soon;
- * 0: it is refused, while that is still early.
+ * Time in ms until a request that found no server looks again, because one may
+ * be listed or have room soon; 0: refuse it now, while that is still early.
+ * `waited`: so far; `target`: of its first byte.
  */
-msec servers_wait(
+msec servers_retry_ms(
     struct servers *, name_id service, msec now, msec waited, msec target);
 /*
  * If all ready servers of a service have asked for rest: the shortest time
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -846,8 +846,7 @@
 	servers_finish(&s);
 }
 
-/* Time until a node that reads its list at `listed` refuses; -1: it does not.
- */
+/* When a node that reads its list at `listed` refuses; -1: never. */
 static msec
 start_refused_after(msec arrived, msec listed, msec target)
 {
@@ -856,7 +855,7 @@
 
 	servers_init(&s, &ops);
 	for (now = arrived; now < listed; now += wait) {
-		wait = servers_wait(
+		wait = servers_retry_ms(
 		    &s, name_hash("svc"), now, now - arrived, target);
 		if (wait == 0)
 			break;
@@ -864,7 +863,7 @@
 	/* Nothing is held in vain once the list is known. */
 	servers_set_complete(&s);
 	g_assert_cmpint(
-	    servers_wait(&s, name_hash("svc"), now, 0, target), ==, 0);
+	    servers_retry_ms(&s, name_hash("svc"), now, 0, target), ==, 0);
 	servers_finish(&s);
 	return now < listed ? now - arrived : -1;
 }
@@ -877,7 +876,9 @@
 static void
 test_all_start(void)
 {
-	const msec target = 1600, early = target / 8, step = 30;
+	/* Two of the intervals at which a request looks again. */
+	const msec step = 30;
+	const msec target = 1600, early = target / 8;
 	unsigned int i, refused = 0, asks = 0;
 	msec started, listed, now, after;
 
