Callers: lines for connections that end idle, and for bytes thrown away

idle-closed names how long the connection was idle, the limit and the configuration in force, and bytes that lay unread; bytes-discarded what came after the last answer. Two counters, callers_idle_closed and callers_discarded. No change of behaviour.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -8,6 +8,7 @@
 #define LOG_PART "caller"
 #include "entry.h"
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
@@ -65,11 +66,27 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
 }
 
+/* What came after the last answer: no request was made of it. */
+static void
+caller_log_discarded(const struct caller *c)
+{
+	struct entry *e = c->owner;
+
+	if (c->discarded == 0)
+		return;
+	e->counters.discarded++;
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED,
+	    LOG_EVENT_BYTES_DISCARDED, LOG_NUMBER(LOG_KEY_UNREAD, c->discarded),
+	    LOG_NUMBER(LOG_KEY_SERVED, c->served),
+	    LOG_NUMBER(LOG_KEY_MS, e->loop.now - c->idle_since));
+}
+
 static void
 caller_free(struct caller *c)
 {
 	struct entry *e = c->owner;
 
+	caller_log_discarded(c);
 	loop_timer_stop(&e->loop, &c->timer);
 	loop_close(&e->loop, &c->io);
 	http_reader_finish(&c->reader);
@@ -146,7 +163,7 @@
 	c->ops = li->ops;
 	c->owner = e;
 	c->delays_stop = li->delays_stop;
-	c->accepted = e->loop.now;
+	c->accepted = c->idle_since = e->loop.now;
 	limits = caller_limits(c);
 	http_reader_init(&c->reader, true, limits.head_bytes, limits.body_bytes,
 	    caller_body, c);
@@ -326,8 +343,10 @@
 		    CALLER_READ_SIZE, 0);
 		if (n > 0) {
 			buffer_commit(&c->in, (size_t)n);
-			if (c->closing)
+			if (c->closing) {
+				c->discarded += (uint64_t)n;
 				buffer_finish(&c->in);
+			}
 			if (n < CALLER_READ_SIZE)
 				return true;
 			continue;
@@ -376,6 +395,29 @@
 	caller_watch(c);
 }
 
+/* Close a connection that has been idle for too long. */
+static void
+caller_idle_ended(struct caller *c, msec now)
+{
+	struct entry *e = c->owner;
+	int unread = 0;
+
+	ioctl(c->io.fd, FIONREAD, &unread);
+	e->counters.idle_closed += c->delays_stop;
+	if (c->delays_stop || unread > 0)
+		entry_log(&e->log, now,
+		    unread > 0 ? ENTRY_LOG_NEEDED : ENTRY_LOG_ROUTINE,
+		    LOG_EVENT_IDLE_CLOSED,
+		    LOG_NUMBER(LOG_KEY_MS, now - c->idle_since),
+		    LOG_NUMBER(
+			LOG_KEY_IDLE_LIMIT_MS, caller_limits(c).idle_timeout),
+		    LOG_NUMBER(LOG_KEY_CONFIGURATION,
+			e->table != NULL ? e->table->version : 0),
+		    LOG_NUMBER(LOG_KEY_SERVED, c->served),
+		    LOG_NUMBER(LOG_KEY_UNREAD, unread));
+	caller_abort(c, now);
+}
+
 static void
 caller_timer(struct loop_timer *t, msec now)
 {
@@ -390,7 +432,10 @@
 		caller_reject(c, now, 408);
 		return;
 	}
-	caller_abort(c, now);
+	if (c->closing)
+		caller_abort(c, now);
+	else
+		caller_idle_ended(c, now);
 }
 
 /* ---- writing ---- */
@@ -467,6 +512,7 @@
 
 	c->busy = false;
 	c->served++;
+	c->idle_since = now;
 	buffer_finish(&c->body);
 	if (!keep || c->reader.stage != HTTP_STAGE_COMPLETE ||
 	    !c->reader.head->keep_alive)
--- a/entry-log.c
+++ b/entry-log.c
@@ -26,6 +26,9 @@
 	[LOG_EVENT_BRITTLE] = { "brittle",
 	    "A backend server says that it is brittle: it is sent no more "
 	    "than it has slots." },
+	[LOG_EVENT_BYTES_DISCARDED] = { "bytes-discarded",
+	    "Bytes came on a caller's connection that was being closed; they "
+	    "get no answer." },
 	[LOG_EVENT_CARRIED] = { "carried",
 	    "Another node handed a request off to this one; outcome: accepted, "
 	    "or why it was refused." },
@@ -57,6 +60,8 @@
 	[LOG_EVENT_HOPELESS] = { "hopeless",
 	    "A stream that has not begun would not end in time: its server is "
 	    "left." },
+	[LOG_EVENT_IDLE_CLOSED] = { "idle-closed",
+	    "A caller's connection was closed as it had been idle for ms." },
 	[LOG_EVENT_LOG_DROPPED] = { "log-dropped",
 	    "Lines were left out, to bound the volume or as nobody read." },
 	[LOG_EVENT_NO_RETRY_BUDGET] = { "no-retry-budget",
@@ -158,6 +163,8 @@
 	    "close of the connection" },
 	[LOG_KEY_GAP_MS] = { "gap_ms",
 	    "longest pause between two parts of the answer" },
+	[LOG_KEY_IDLE_LIMIT_MS] = { "idle_limit_ms",
+	    "how long callers may leave a connection idle" },
 	[LOG_KEY_KIND] = { "kind", "of server: lasting or reclaimable" },
 	[LOG_KEY_LAST] = { "last", "why an attempt before the end failed, or "
 				   "number of the last event" },
@@ -203,7 +210,8 @@
 	[LOG_KEY_SENDS] = { "sends", "attempts begun" },
 	[LOG_KEY_SENT] = { "sent",
 	    "requests of this node since it named the last one" },
-	[LOG_KEY_SERVED] = { "served", "requests served since the start" },
+	[LOG_KEY_SERVED] = { "served",
+	    "requests served since the start, or on the connection" },
 	[LOG_KEY_SERVER] = { "server", "name of the backend server" },
 	[LOG_KEY_SERVICE] = { "service", "that the backend servers are of" },
 	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
@@ -221,6 +229,7 @@
 	    "prompt tokens to be read in a ms, at the peak" },
 	[LOG_KEY_UNFINISHED] = { "unfinished",
 	    "bytes of an event that had begun at the end of the stream" },
+	[LOG_KEY_UNREAD] = { "unread", "bytes of a caller that get no answer" },
 	[LOG_KEY_VERSION] = { "version",
 	    "of the configuration, or of the program" },
 	[LOG_KEY_WINDOW] = { "window", "number of the window of usage" },
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -315,6 +315,12 @@
 	    (int64_t)c->rates_unreadable);
 	text_value(s, "configurations_total", "counter", "Taken up.",
 	    (int64_t)c->tables);
+	text_value(s, "callers_idle_closed_total", "counter",
+	    "Connections of callers that were idle for too long.",
+	    (int64_t)c->idle_closed);
+	text_value(s, "callers_discarded_total", "counter",
+	    "Connections of callers closed with bytes that got no answer.",
+	    (int64_t)c->discarded);
 	text_value(s, "placements_asked_total", "counter",
 	    "Coordinators asked.", (int64_t)p->asked);
 	text_value(s, "placements_alone_total", "counter",
--- a/entry.h
+++ b/entry.h
@@ -99,14 +99,16 @@
 	struct buffer body;
 	struct buffer out;
 	struct loop_timer timer;
-	struct job *job;   /* the current request, or NULL */
-	bool busy;	   /* a request waits for its answer */
-	bool closing;	   /* closes when all is written */
-	bool write_closed; /* the sending side is closed; waits for the peer */
-	bool eof;	   /* the peer has closed its sending side */
-	bool delays_stop;  /* from the listener */
-	msec accepted;	   /* time of accept() */
-	uint64_t served;   /* answers completed */
+	struct job *job;    /* the current request, or NULL */
+	bool busy;	    /* a request waits for its answer */
+	bool closing;	    /* closes when all is written */
+	bool write_closed;  /* the sending side is closed; waits for the peer */
+	bool eof;	    /* the peer has closed its sending side */
+	bool delays_stop;   /* from the listener */
+	msec accepted;	    /* time of accept() */
+	msec idle_since;    /* the last answer, or accept() */
+	uint64_t served;    /* answers completed */
+	uint64_t discarded; /* bytes read after the last answer */
 };
 
 bool caller_listen(struct entry *, struct listener_io *,
@@ -541,6 +543,8 @@
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays, proofs_failed;
 	uint64_t tables;		  /* configurations put in force */
+	uint64_t idle_closed;		  /* connections of callers */
+	uint64_t discarded;		  /* the same, with bytes discarded */
 	uint64_t streams_broken;	  /* though complete by their framing */
 	uint64_t rests;			  /* that servers asked for */
 	uint64_t servers_leaving;	  /* by their answers */
