Callers: an idle connection ends by each limit that its caller may go by

What callers saw: a connection that had been idle for less than the limit in force ended, and the request that they sent on it got neither an answer nor a refusal; beside a change of the configuration, as reported.

Cause: the timer of an idle connection was set from the limits of the moment at which it became idle, and no change touched it. Class: a timer set under a configuration that is no longer, or not yet, in force. Three cases: the limit is raised while a connection is idle; it is raised, and this node learns so after the old one has passed; it is lowered, and callers do not know that yet.

idle-limit.c keeps the limits that callers may go by: the one in force, and after a lowering the longest before it until change_bound_ms and a second more have passed. A connection ends change_bound_ms after the longest of them, as a raised one is known here by then; at the end of the time it is asked again.

Weighed: timers of all connections set anew at each change (the same for the first case, nothing for the other two); a Keep-Alive field with the time that is kept whatever the configuration becomes (whole seconds only, and limits may be below one); closing on the caller's next request instead (no bound).

Idle connections stay change_bound_ms longer (2 s in the tests); /idle/ends bounds that.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -37,7 +37,6 @@
 /* Limits of a request while this node has no configuration. */
 #define CALLER_HEAD_MAX 16384
 #define CALLER_BODY_MAX (4 * 1024 * 1024)
-#define CALLER_TIMEOUT_MS 10000
 /* Most that another node adds to the head of a request. */
 #define CALLER_HANDOFF_HEAD 1024
 
@@ -144,6 +143,13 @@
 	return limits;
 }
 
+/* When the caller's connection, idle now, may be closed. */
+static msec
+caller_idle_end(const struct caller *c, msec now)
+{
+	return idle_limit_end(&c->owner->idle, now, c->idle_since);
+}
+
 static void
 caller_body(struct http_reader *r, const char *bytes, size_t n)
 {
@@ -172,7 +178,7 @@
 	if (c->delays_stop)
 		e->ncallers++;
 	caller_set_options(fd);
-	loop_timer_set(&e->loop, &c->timer, e->loop.now + limits.idle_timeout);
+	loop_timer_set(&e->loop, &c->timer, caller_idle_end(c, e->loop.now));
 	if (!loop_watch(&e->loop, &c->io, EPOLLIN | EPOLLRDHUP))
 		caller_free(c);
 }
@@ -400,8 +406,14 @@
 caller_idle_ended(struct caller *c, msec now)
 {
 	struct entry *e = c->owner;
+	msec end = caller_idle_end(c, now);
 	int unread = 0;
 
+	/* Longer limits have come into force since the timer was set. */
+	if (now < end) {
+		loop_timer_set(&e->loop, &c->timer, end);
+		return;
+	}
 	ioctl(c->io.fd, FIONREAD, &unread);
 	e->counters.idle_closed += c->delays_stop;
 	if (c->delays_stop || unread > 0)
@@ -519,8 +531,7 @@
 		c->closing = true;
 	if (!c->closing) {
 		http_reader_reset(&c->reader);
-		loop_timer_set(
-		    &e->loop, &c->timer, now + caller_limits(c).idle_timeout);
+		loop_timer_set(&e->loop, &c->timer, caller_idle_end(c, now));
 	} else {
 		loop_timer_set(
 		    &e->loop, &c->timer, now + CALLER_ANSWERED_UNACKED_MS);
--- a/entry-state.c
+++ b/entry-state.c
@@ -289,6 +289,7 @@
 	    LOG_NUMBER(LOG_KEY_ORGANISATIONS, t->norganisations));
 	route_table_drop(e->table);
 	e->table = t;
+	idle_limit_set(&e->idle, now, t->limits.idle_timeout);
 	entry_duty_take_table(e, t);
 	state_set_transfers(e, t);
 	entry_versions_take_table(e);
@@ -356,6 +357,7 @@
 	e->fresh.bound = s->keys_fail_closed
 			     ? MAX(s->keys_bound - STATE_PROOF_MARGIN_MS, 1)
 			     : 0;
+	e->idle.change_bound = s->change_bound;
 	e->budget = (struct retry_budget_config){ s->retry_window,
 		s->retry_permille, s->retry_fixed };
 	entry_relay_apply_settings(e);
@@ -377,6 +379,7 @@
 	RB_INIT(&e->budgets);
 	fresh_init(&e->fresh, 0);
 	era_init(&e->era);
+	idle_limit_init(&e->idle, CALLER_TIMEOUT_MS, s->change_bound);
 	entry_start_init(e);
 	entry_table_init(e);
 	entry_relay_init(e, now);
--- a/entry.h
+++ b/entry.h
@@ -48,6 +48,7 @@
 #include "entry-version.h"
 #include "fresh.h"
 #include "http-message.h"
+#include "idle-limit.h"
 #include "loop.h"
 #include "member.h"
 #include "metrics.h"
@@ -111,6 +112,9 @@
 	uint64_t discarded; /* bytes read after the last answer */
 };
 
+/* Idle time and limits of a caller while there is no configuration, in ms. */
+#define CALLER_TIMEOUT_MS 10000
+
 bool caller_listen(struct entry *, struct listener_io *,
     const struct endpoint *, const struct caller_ops *, bool delays_stop);
 /* Append bytes of an answer; call caller_finish_answer() after the last. */
@@ -568,6 +572,7 @@
 	msec last_request;
 	uint64_t incarnation;
 	struct route_table *table; /* NULL: none yet */
+	struct idle_limit idle;	   /* of callers' connections */
 	struct fresh fresh;
 	struct era era;	       /* of the platform's store */
 	uint64_t era_recorded; /* settled era recorded in the store; 0: none */
