Loop: timers fire after the events that were ready before them

What callers saw: a request that had arrived at a node was reset, as the idle time of its connection ended first.

Cause: the loop took 64 events from the kernel, handled them and fired the timers that were due. With more descriptors ready, after a pause of the VM or while a configuration was decoded, timers of the others fired although what they wait for had arrived: idle connections were closed, and in the same way servers given up as silent and connections as not established. Class: a timer decides on what has been read, not on what has arrived.

Now a turn goes on until the kernel has no more, or returns a descriptor that this turn has handled: it goes round the ready ones, so all others have been handled then, and descriptors that are always ready hold no timer up. A connection at the end of its idle time whose next request has just arrived is read first.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -409,24 +409,25 @@
 	msec end = caller_idle_end(c, now);
 	int unread = 0;
 
-	/* Longer limits have come into force since the timer was set. */
-	if (now < end) {
-		loop_timer_set(&e->loop, &c->timer, end);
+	ioctl(c->io.fd, FIONREAD, &unread);
+	/*
+	 * Longer limits have come into force since the timer was set, or a
+	 * request has just arrived.
+	 */
+	if (now < end || unread > 0) {
+		loop_timer_set(&e->loop, &c->timer, MAX(end, now + 1));
 		return;
 	}
-	ioctl(c->io.fd, FIONREAD, &unread);
 	e->counters.idle_closed += c->delays_stop;
-	if (c->delays_stop || unread > 0)
-		entry_log(&e->log, now,
-		    unread > 0 ? ENTRY_LOG_NEEDED : ENTRY_LOG_ROUTINE,
+	if (c->delays_stop)
+		entry_log(&e->log, now, ENTRY_LOG_ROUTINE,
 		    LOG_EVENT_IDLE_CLOSED,
 		    LOG_NUMBER(LOG_KEY_MS, now - c->idle_since),
 		    LOG_NUMBER(
 			LOG_KEY_IDLE_LIMIT_MS, caller_limits(c).idle_timeout),
 		    LOG_NUMBER(LOG_KEY_CONFIGURATION,
 			e->table != NULL ? e->table->version : 0),
-		    LOG_NUMBER(LOG_KEY_SERVED, c->served),
-		    LOG_NUMBER(LOG_KEY_UNREAD, unread));
+		    LOG_NUMBER(LOG_KEY_SERVED, c->served));
 	caller_abort(c, now);
 }
 
--- a/loop.c
+++ b/loop.c
@@ -19,7 +19,7 @@
 RB_GENERATE(loop_timers, loop_timer, entry, loop_timer_compare)
 
 /* Events of the current iteration, so that loop_close() can discard some. */
-static __thread struct epoll_event *batch;
+static __thread struct epoll_event batch[LOOP_BATCH];
 static __thread int batch_len;
 
 static int
@@ -131,33 +131,61 @@
 	}
 }
 
+/* Fetch the events that are ready; the first batch of a turn waits for some. */
+static int
+loop_fetch(struct loop *l, bool first)
+{
+	int n;
+
+	/*
+	 * Retry after a signal, without firing timers: a process that is
+	 * stopped and continued is interrupted here, and timeouts would discard
+	 * responses that are waiting to be read.
+	 */
+	do {
+		n = epoll_wait(l->epoll_fd, batch, LOOP_BATCH,
+		    first ? loop_wait_ms(l) : 0);
+		l->now = msec_now();
+	} while (n == -1 && errno == EINTR);
+	return MAX(n, 0);
+}
+
+/*
+ * Handle one batch. False when it was the last of this turn: the kernel goes
+ * round the ready descriptors, so one that comes again was behind all others.
+ */
+static bool
+loop_handle_batch(struct loop *l, bool first)
+{
+	struct loop_io *io;
+	bool more;
+	int i;
+
+	batch_len = loop_fetch(l, first);
+	more = batch_len == LOOP_BATCH;
+	for (i = 0; i < batch_len; i++) {
+		if ((io = batch[i].data.ptr) == NULL)
+			continue;
+		more = more && io->turn != l->turn;
+		io->turn = l->turn;
+		io->ready(io, batch[i].events);
+	}
+	batch_len = 0;
+	return more;
+}
+
 void
 loop_run(struct loop *l)
 {
-	struct epoll_event events[LOOP_BATCH];
-	struct loop_io *io;
-	int i, n;
+	bool first;
 
 	l->wait_start = msec_now();
 	while (!l->stopping) {
 		l->previous_wait_start = l->wait_start;
-		/*
-		 * Retry after a signal, without firing timers: a process that
-		 * is stopped and continued is interrupted here, and timeouts
-		 * would discard responses that are waiting to be read.
-		 */
-		do {
-			n = epoll_wait(
-			    l->epoll_fd, events, LOOP_BATCH, loop_wait_ms(l));
-			l->now = msec_now();
-		} while (n == -1 && errno == EINTR);
-		batch = events;
-		batch_len = MAX(n, 0);
-		for (i = 0; i < batch_len; i++) {
-			if ((io = events[i].data.ptr) != NULL)
-				io->ready(io, events[i].events);
-		}
-		batch_len = 0;
+		l->turn++;
+		for (first = true; loop_handle_batch(l, first) && !l->stopping;
+		     first = false)
+			;
 		loop_fire_timers(l);
 		if (l->iteration_done != NULL)
 			l->iteration_done(l, l->now);
--- a/loop.h
+++ b/loop.h
@@ -1,5 +1,7 @@
 /*
  * An event loop for one thread: descriptors through epoll, timers in a tree.
+ * Timers fire after the events that were ready before them, so that nothing is
+ * timed out while its answer lies unread because the process stood still.
  * All structs are allocated by the caller; only loop_run() blocks.
  */
 
@@ -18,6 +20,7 @@
 	void (*ready)(struct loop_io *, uint32_t);
 	int fd;		 /* -1: not open */
 	uint32_t events; /* EPOLL* bits watched; 0: not watched */
+	uint64_t turn;	 /* private: the iteration that called it last */
 };
 
 /* A one-shot timer. */
@@ -33,6 +36,7 @@
 struct loop {
 	int epoll_fd;
 	struct loop_timers timers;
+	uint64_t turn; /* number of the current iteration */
 	bool stopping;
 	/* Called at the end of each iteration; may be NULL. */
 	void (*iteration_done)(struct loop *, msec);
--- /dev/null
+++ b/tests/test-loop.c
@@ -0,0 +1,127 @@
+/*
+ * The event loop (loop.c): the order of events and timers.
+ */
+
+#include "loop.h"
+
+#include <unistd.h>
+
+/* More than one call takes from the kernel. */
+#define MANY 500
+
+struct peer {
+	struct loop_io io;
+	struct loop_timer timer;
+	struct loop *loop;
+	int write_fd;
+	bool answered;
+};
+
+static unsigned int nanswered, ntimed_out;
+
+static void
+peer_ready(struct loop_io *io, uint32_t events)
+{
+	struct peer *p = (struct peer *)io;
+	char byte;
+
+	g_assert_cmpint(read(io->fd, &byte, 1), ==, 1);
+	loop_timer_stop(p->loop, &p->timer);
+	p->answered = true;
+	if (++nanswered == MANY)
+		p->loop->stopping = true;
+}
+
+static void
+peer_timed_out(struct loop_timer *t, msec now)
+{
+	struct peer *p = t->arg;
+
+	ntimed_out++;
+	p->loop->stopping = true;
+}
+
+static void
+peer_open(struct peer *p, struct loop *l)
+{
+	int fds[2];
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	*p = (struct peer){
+		.io = { peer_ready, fds[0], 0 }, .loop = l, .write_fd = fds[1]
+	};
+	g_assert_true(loop_watch(l, &p->io, EPOLLIN));
+	loop_timer_init(&p->timer, peer_timed_out, p);
+}
+
+static void
+peer_close(struct peer *p)
+{
+	loop_timer_stop(p->loop, &p->timer);
+	loop_close(p->loop, &p->io);
+	close(p->write_fd);
+}
+
+/* What has arrived is timed out, as the process stood still. */
+static void
+test_events_before_timers(void)
+{
+	static struct peer peers[MANY];
+	struct loop l;
+	unsigned int i;
+
+	nanswered = ntimed_out = 0;
+	g_assert_true(loop_init(&l));
+	for (i = 0; i < MANY; i++) {
+		peer_open(&peers[i], &l);
+		loop_timer_set(&l, &peers[i].timer, msec_now() + 1);
+		g_assert_cmpint(write(peers[i].write_fd, "x", 1), ==, 1);
+	}
+	g_usleep(20 * 1000);
+	loop_run(&l);
+	g_assert_cmpuint(ntimed_out, ==, 0);
+	g_assert_cmpuint(nanswered, ==, MANY);
+	for (i = 0; i < MANY; i++)
+		peer_close(&peers[i]);
+	loop_finish(&l);
+}
+
+static void
+peer_stays_ready(struct loop_io *io, uint32_t events)
+{
+	nanswered++;
+}
+
+/* Descriptors that are always ready hold timers up. */
+static void
+test_timers_beside_busy(void)
+{
+	static struct peer peers[MANY];
+	struct loop l;
+	unsigned int i;
+
+	nanswered = ntimed_out = 0;
+	g_assert_true(loop_init(&l));
+	for (i = 0; i < MANY; i++) {
+		peer_open(&peers[i], &l);
+		peers[i].io.ready = peer_stays_ready;
+		g_assert_cmpint(write(peers[i].write_fd, "x", 1), ==, 1);
+	}
+	loop_timer_set(&l, &peers[0].timer, msec_now());
+	loop_run(&l);
+	g_assert_cmpuint(ntimed_out, ==, 1);
+	g_assert_cmpuint(nanswered, <, 2 * MANY);
+	for (i = 0; i < MANY; i++)
+		peer_close(&peers[i]);
+	loop_finish(&l);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/loop/events-before-timers", test_events_before_timers);
+	g_test_add_func("/loop/timers-beside-busy", test_timers_beside_busy);
+	return g_test_run();
+}
