Callers: a request that crosses the close of a stop is reset, not thrown away

What callers saw: a whole request on a kept connection, sent as the node closed it at the end of a planned stop, was read and got nothing. They could not know whether it had run, and one that may run only once cannot be sent again.

Cause: idle connections were closed like those with an answer under way: the sending side first, then half a second in which what comes is read and discarded, so that no reset overtakes the answer. An idle connection has no answer under way. Class: bytes are read that nobody will handle.

Now a connection whose answers the caller's host has confirmed is closed at once, and what crosses is reset by the kernel; one with a request that has arrived is read first. Where an answer is not confirmed yet, all is as before.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -15,6 +15,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <linux/sockios.h>
+
 #include <errno.h>
 #include <string.h>
 #include <unistd.h>
@@ -401,20 +403,28 @@
 	caller_watch(c);
 }
 
+/* Bytes have arrived that no request was made of yet. */
+static bool
+caller_has_unread(const struct caller *c)
+{
+	char byte;
+
+	return buffer_length(&c->in) > 0 ||
+	       recv(c->io.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Close a connection that has been idle for too long. */
 static void
 caller_idle_ended(struct caller *c, msec now)
 {
 	struct entry *e = c->owner;
 	msec end = caller_idle_end(c, now);
-	int unread = 0;
 
-	ioctl(c->io.fd, FIONREAD, &unread);
 	/*
 	 * Longer limits have come into force since the timer was set, or a
 	 * request has just arrived.
 	 */
-	if (now < end || unread > 0) {
+	if (now < end || caller_has_unread(c)) {
 		loop_timer_set(&e->loop, &c->timer, MAX(end, now + 1));
 		return;
 	}
@@ -562,6 +572,16 @@
 	caller_finish_answer(c, now, keep);
 }
 
+/* The caller's host has confirmed all answers. */
+static bool
+caller_has_delivered(const struct caller *c)
+{
+	int unconfirmed = 0;
+
+	return buffer_length(&c->out) == 0 &&
+	       ioctl(c->io.fd, SIOCOUTQ, &unconfirmed) == 0 && unconfirmed == 0;
+}
+
 void
 caller_close_idle(struct entry *e)
 {
@@ -569,8 +589,7 @@
 
 	TAILQ_FOREACH_SAFE (c, &e->callers, entry, next) {
 		if (c->busy || c->closing || !c->delays_stop ||
-		    !http_reader_is_idle(&c->reader) ||
-		    buffer_length(&c->in) > 0)
+		    !http_reader_is_idle(&c->reader) || caller_has_unread(c))
 			continue;
 		/*
 		 * A first request may be on its way. It would be read and
@@ -579,6 +598,15 @@
 		if (c->served == 0 &&
 		    e->loop.now - c->accepted < CALLER_IDLE_CLOSE_MIN_AGE_MS)
 			continue;
+		/*
+		 * With nothing left to deliver, close at once: a request that
+		 * crosses the close is reset, which tells the caller that
+		 * nobody has read it.
+		 */
+		if (caller_has_delivered(c)) {
+			caller_free(c);
+			continue;
+		}
 		c->closing = true;
 		caller_flush(c);
 	}
