Callers: limits that are raised hold for a request that is being read

What callers saw: a request that stays within the limits in force was answered 408, or 413, as they had been lower when its first byte came. And one that was begun under the old limits was answered 413 when they fell before the end of its head.

Cause: the time for a request, and the sizes, were taken once, at its first byte, and the length of a body again at the end of the head. The class is that of idle connections: a timer set under a configuration that is no longer in force.

The time is asked for again when it ends; sizes are the most that was in force while the request was read. A request that began under a longer time keeps it.

Evidence: /idle/raised-while-reading (a body in chunks, begun under 50 bytes and 0.8 s, the rest sent under 4,096 and 5 s) got 408 before, 200 now.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -294,9 +294,8 @@
 caller_head_complete(struct caller *c, msec now)
 {
 	const struct http_head *h = c->reader.head;
-	struct route_limits limits = caller_limits(c);
 
-	if (h->has_length && h->length > limits.body_bytes) {
+	if (h->has_length && h->length > c->reader.body_max) {
 		caller_reject(c, now, 413);
 		return;
 	}
@@ -306,6 +305,26 @@
 	}
 }
 
+static void
+caller_request_begins(struct caller *c, msec now)
+{
+	c->request_began = now;
+	c->reader.head_max = c->reader.body_max = 0;
+	loop_timer_set(
+	    &c->owner->loop, &c->timer, now + caller_limits(c).head_timeout);
+}
+
+/* Limits that are lowered while a request is read do not hold for it. */
+static void
+caller_raise_limits(struct caller *c)
+{
+	struct route_limits limits = caller_limits(c);
+	struct http_reader *r = &c->reader;
+
+	r->head_max = MAX(r->head_max, limits.head_bytes);
+	r->body_max = MAX(r->body_max, limits.body_bytes);
+}
+
 static void
 caller_parse(struct caller *c, msec now)
 {
@@ -314,14 +333,9 @@
 
 	while (!c->busy && !c->closing && buffer_length(&c->in) > 0) {
 		before = c->reader.stage;
-		if (http_reader_is_idle(&c->reader)) {
-			struct route_limits limits = caller_limits(c);
-
-			c->reader.head_max = limits.head_bytes;
-			c->reader.body_max = limits.body_bytes;
-			loop_timer_set(&c->owner->loop, &c->timer,
-			    now + limits.head_timeout);
-		}
+		if (http_reader_is_idle(&c->reader))
+			caller_request_begins(c, now);
+		caller_raise_limits(c);
 		n = http_reader_parse(
 		    &c->reader, buffer_bytes(&c->in), buffer_length(&c->in));
 		if (c->reader.stage == HTTP_STAGE_FAILED) {
@@ -441,6 +455,18 @@
 	caller_abort(c, now);
 }
 
+/* The request did not arrive in the time that it had when it began. */
+static void
+caller_request_late(struct caller *c, msec now)
+{
+	msec end = c->request_began + caller_limits(c).head_timeout;
+
+	if (now < end)
+		loop_timer_set(&c->owner->loop, &c->timer, end);
+	else
+		caller_reject(c, now, 408);
+}
+
 static void
 caller_timer(struct loop_timer *t, msec now)
 {
@@ -452,7 +478,7 @@
 		return;
 	}
 	if (!c->closing && !c->busy && !http_reader_is_idle(&c->reader)) {
-		caller_reject(c, now, 408);
+		caller_request_late(c, now);
 		return;
 	}
 	if (c->closing)
--- a/entry.h
+++ b/entry.h
@@ -108,6 +108,7 @@
 	bool delays_stop;   /* from the listener */
 	msec accepted;	    /* time of accept() */
 	msec idle_since;    /* the last answer, or accept() */
+	msec request_began; /* first byte of the request being read */
 	uint64_t served;    /* answers completed */
 	uint64_t discarded; /* bytes read after the last answer */
 };
