Nodes: a connection between nodes is not idle by the limit for callers

A node that hands requests off keeps connections to the others for up to 3.5 s (keep.c; carriers announce no time). They closed theirs by the idle limit that the configuration has for callers, which may be shorter. A request that crosses the close breaks, and one that may run once ends with 502. Found by looking for the class of the idle limit elsewhere; not seen by callers.

/idle/between-nodes failed before (closed within 3.5 s under a limit of 0.1 s), passes.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -32,6 +32,8 @@
  * caller that reads slowly takes nothing, and no server works for it any more.
  */
 #define CALLER_ANSWERED_UNACKED_MS (60 * MSEC_SECOND)
+/* Idle time of other nodes' connections: longer than they keep them. */
+#define CALLER_NODES_IDLE_MS 10000
 /* After shutdown of the sending side, the peer has so long to close. */
 #define CALLER_LINGER_MS 500
 /* A new connection is not closed as idle before this age. */
@@ -149,7 +151,12 @@
 static msec
 caller_idle_end(const struct caller *c, msec now)
 {
-	return idle_limit_end(&c->owner->idle, now, c->idle_since);
+	msec end = idle_limit_end(&c->owner->idle, now, c->idle_since);
+
+	/* The limit is one for callers. */
+	if (c->ops == &handoff_caller_ops)
+		end = MAX(end, c->idle_since + CALLER_NODES_IDLE_MS);
+	return end;
 }
 
 static void
