--- a/entry-state.c
+++ b/entry-state.c
@@ -286,7 +286,8 @@
 	    LOG_NUMBER(LOG_KEY_VERSION, t->version),
 	    LOG_NUMBER(LOG_KEY_ROUTES, t->nroutes),
 	    LOG_NUMBER(LOG_KEY_SERVICES, t->nservices),
-	    LOG_NUMBER(LOG_KEY_ORGANISATIONS, t->norganisations));
+	    LOG_NUMBER(LOG_KEY_ORGANISATIONS, t->norganisations),
+	    LOG_NUMBER(LOG_KEY_IDLE_LIMIT_MS, t->limits.idle_timeout));
 	route_table_drop(e->table);
 	e->table = t;
 	idle_limit_set(&e->idle, now, t->limits.idle_timeout);
