Requests: a check that fails leaves the request as it was admitted

What callers saw: all requests of a VM ended at once with neither an answer nor a refusal, beside a change of the configuration, as its process had crashed.

Cause: job_admit() looks a request up in the newest configuration and writes the result into the request as it goes. Where the route is gone it left a null route. Its callers end the request then, but for one: the move of a run off a leaving server asks it whether to stop the run, and where the answer is no the stream goes on. Its next event, or the next look at its move, read through the null route (SIGSEGV). So: a route is removed while a stream of it runs on a server that drains. Class: a query that changes what it is asked about; a decision taken again under a later configuration than the work began under.

Now the request takes the newer table only where that admits it.

A refused request is logged with the route that it had, as before with none.

--- a/entry-job.c
+++ b/entry-job.c
@@ -279,24 +279,15 @@
 
 /* ---- admission ---- */
 
-enum job_code
-job_admit(struct job *j, msec now)
+/* May its organisation send requests on the route now? */
+static enum job_code
+job_check_key(const struct job *j, msec now, const struct route *r,
+    const struct route_organisation *o)
 {
 	struct entry *e = j->owner;
 
-	if (e->table == NULL)
-		return JOB_STARTING;
-	if (j->table != e->table) {
-		route_table_drop(j->table);
-		j->table = route_table_take(e->table);
-	}
-	j->route = route_find(j->table, j->request.host, j->request.path);
-	j->organisation = NULL;
-	if (j->route == NULL)
-		return JOB_NO_ROUTE;
-	if (!j->table->keyed || j->route->anonymous)
+	if (!e->table->keyed || r->anonymous)
 		return JOB_SERVED;
-	j->organisation = route_organisation_of(j->table, j->request.key);
 	/*
 	 * Without a recent proof that the configuration is the newest, a key
 	 * may have been revoked without this node's knowledge, so requests with
@@ -305,7 +296,39 @@
 	 */
 	if (!fresh_is_valid(&e->fresh, now))
 		return JOB_NOT_FRESH;
-	return j->organisation == NULL ? JOB_NO_KEY : JOB_SERVED;
+	return o == NULL ? JOB_NO_KEY : JOB_SERVED;
+}
+
+static void
+job_take_table(
+    struct job *j, const struct route *r, const struct route_organisation *o)
+{
+	if (j->table != j->owner->table) {
+		route_table_drop(j->table);
+		j->table = route_table_take(j->owner->table);
+	}
+	j->route = r;
+	j->organisation = o;
+}
+
+enum job_code
+job_admit(struct job *j, msec now)
+{
+	const struct route_table *t = j->owner->table;
+	const struct route_organisation *o = NULL;
+	const struct route *r;
+	enum job_code code;
+
+	if (t == NULL)
+		return JOB_STARTING;
+	r = route_find(t, j->request.host, j->request.path);
+	if (r != NULL && t->keyed && !r->anonymous)
+		o = route_organisation_of(t, j->request.key);
+	code = r != NULL ? job_check_key(j, now, r, o) : JOB_NO_ROUTE;
+	/* One that is refused later ends as what it was admitted as. */
+	if (code == JOB_SERVED || j->route == NULL)
+		job_take_table(j, r, o);
+	return code;
 }
 
 static void
--- a/entry.h
+++ b/entry.h
@@ -394,7 +394,8 @@
 const char *job_fingerprint_text(const struct job *, char[POISON_ID_SIZE]);
 /*
  * Look up the request's route and key in the configuration in force now.
- * JOB_SERVED when it is admitted, else the reason for the refusal.
+ * JOB_SERVED when it is admitted, else the reason for the refusal; a request
+ * that was admitted before keeps the route that it was admitted on.
  */
 enum job_code job_admit(struct job *, msec);
 /* Least time until the deadline for which an attempt is started. */
