Requests: an answer that has begun keeps the route and key that admitted it

What callers saw: a stream was cut in the middle, beside a change of the configuration, though all its servers were sound.

Cause: each further attempt of a request was admitted anew in the newest configuration, also that of a stream whose first events the caller has. With the route or the key gone, or with no recent proof that the configuration is the newest, the request was refused, and a refusal after the first event is a cut. Class: a decision taken again under a later configuration than the work began under.

One whose answer has not begun is still admitted anew at each attempt, and refused.

Weighed: a new admission that looks at the key only (a stream that its server goes on with is not cut when its key goes either); the old table for all attempts (a request that waits would then run with a key that has been gone for as long).

Evidence: /move/route-removed, key-removed and resumed-without-route failed before, each time, and pass.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -262,7 +262,8 @@
 bool
 job_recheck_admission(struct job *j, msec now)
 {
-	enum job_code code = job_admit(j, now);
+	/* A later configuration does not take back an answer that has begun. */
+	enum job_code code = j->answer_began ? JOB_SERVED : job_admit(j, now);
 
 	if (code == JOB_SERVED && j->deadline - now < JOB_ATTEMPT_MIN_MS)
 		code = JOB_TIMEOUT;
--- a/entry.h
+++ b/entry.h
@@ -405,7 +405,8 @@
 /*
  * Check the request against the configuration in force at this attempt: a key
  * or route may have been removed while the request waited, or while the process
- * was paused. False when the request has ended.
+ * was paused. One whose answer has begun keeps what it was admitted on. False
+ * when the request has ended.
  */
 bool job_recheck_admission(struct job *, msec);
 /*
