Links: a request that may run once outlasts the silence of its server's host

What callers saw: a stream that may not be resumed was cut in the middle, and requests that may run once got 502, though their server had only been silent for a second or two and went on.

Cause: TCP_USER_TIMEOUT of 1.5 s on all connections to servers. It ends a connection on which sent bytes are unconfirmed for so long, and, with the keep-alive probes of an idle second, one on which nothing is under way, after two. For a request that another server can take over that is the way to find a lost one; for one that none can, it turns an answer that is coming into a failure. Class: a server is given up by its silence where nothing is gained.

15 s now for a request that may run only once, longer than any of their deadlines; 1.5 s as before for others and for idle connections. How a lost path to all servers is found does not rest on it (silence and probes, reach.c).

Evidence: /silence/stream-host, once-host (a host silent for 2.6 s) and sent-into-it (1.9 s, a request sent at its begin) failed before, each time, and pass. A process that is silent while its host confirms: all kinds passed before and after.

--- a/entry-link.c
+++ b/entry-link.c
@@ -27,6 +27,11 @@
 #define LINK_BODY_MAX ((uint64_t)1 << 40)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
+/*
+ * The same of a request that may run only once. A sound server may be silent
+ * for seconds, and no other one can take such a request over.
+ */
+#define LINK_ONCE_UNACKED_MS (15 * MSEC_SECOND)
 
 static unsigned char link_input[LINK_READ];
 
@@ -106,13 +111,19 @@
 
 /* ---- connecting and sending ---- */
 
+static void
+link_set_unacked(int fd, int most)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof most);
+}
+
 static void
 link_set_options(int fd)
 {
-	int on = 1, silent = LINK_UNACKED_MS, idle = 1, every = 1, count = 2;
+	int on = 1, idle = 1, every = 1, count = 2;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+	link_set_unacked(fd, LINK_UNACKED_MS);
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
@@ -179,6 +190,8 @@
 		k->connect_refused = errno == ECONNREFUSED;
 		return false;
 	}
+	if (k->once)
+		link_set_unacked(fd, LINK_ONCE_UNACKED_MS);
 	k->starts = v->starts;
 	k->connecting = true;
 	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
@@ -199,12 +212,13 @@
 }
 
 static struct link *
-link_connect(struct entry *e, struct server *v, msec now)
+link_connect(struct entry *e, struct server *v, bool once, msec now)
 {
 	struct link *k = g_new0(struct link, 1);
 
 	k->owner = e;
 	k->server = v;
+	k->once = once;
 	k->domain = strcmp(v->domain, e->settings->domain) == 0
 			? NET_OWN_DOMAIN
 			: NET_OTHER_DOMAIN;
@@ -419,8 +433,11 @@
 	msec idle = k != NULL ? now - k->idle_since : 0;
 	bool sent;
 
-	if (k == NULL && (k = link_connect(e, v, now)) == NULL)
+	if (k == NULL && (k = link_connect(e, v, once, now)) == NULL)
 		return NULL;
+	if (once && !k->once)
+		link_set_unacked(k->io.fd, LINK_ONCE_UNACKED_MS);
+	k->once = once;
 	k->job = j;
 	k->ops = ops;
 	k->sent = false;
@@ -504,6 +521,9 @@
 	    a.keep_alive_timeout, link_idle_most(k->owner, k->server) == 0);
 	k->idle_since = now;
 	k->used = true;
+	if (k->once)
+		link_set_unacked(k->io.fd, LINK_UNACKED_MS);
+	k->once = false;
 	http_reader_reset(&k->reader);
 	TAILQ_INSERT_HEAD(&p->idle, k, entry);
 	p->nidle++;
--- a/entry.h
+++ b/entry.h
@@ -200,6 +200,7 @@
 	bool discard_answer;  /* the current answer is discarded */
 	bool paused;	      /* the caller does not read fast enough */
 	bool connect_refused; /* the server refused the connection */
+	bool once;	      /* the request may run only once */
 	msec idle_limit;      /* longest idle time before it is closed */
 	msec idle_since;
 	/*
