HTTP: a message begins after four empty lines at the most

What callers saw: no answer until their deadline, from a server that sends empty lines without end. A caller that sends them kept a connection open for ever, as each began the time for its request anew.

Cause: any number of empty lines before a message was skipped, and what was skipped counted toward no limit.

--- a/http-message.c
+++ b/http-message.c
@@ -12,6 +12,9 @@
 	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz" \
 	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
+/* Empty lines that may precede a message. */
+#define HTTP_EMPTY_LINES_MAX 4
+
 static int on_headers_complete_cb(struct http_parser *);
 static int on_body_cb(struct http_parser *, const char *, size_t);
 static int on_message_complete_cb(struct http_parser *);
@@ -91,6 +94,7 @@
 	r->error = HTTP_ERROR_NONE;
 	r->body_len = 0;
 	r->line = 0;
+	r->empty_lines = 0;
 	http_parser_init(&r->parser, type);
 	r->parser.data = r;
 }
@@ -275,7 +279,9 @@
 				reader_finish_head(r);
 				return at;
 			}
-			/* An empty line before the first one is ignored. */
+			/* A few empty lines before the first are ignored. */
+			if (++r->empty_lines > HTTP_EMPTY_LINES_MAX)
+				return reader_fail(r, HTTP_ERROR_MALFORMED);
 			buffer_finish(&r->text);
 		}
 		r->line = r->text.len;
--- a/http-message.h
+++ b/http-message.h
@@ -75,6 +75,7 @@
 	struct http_parser parser;
 	struct buffer text;
 	size_t line; /* offset in `text` at which the current line begins */
+	unsigned int empty_lines; /* before the first line */
 };
 
 /* Parse requests or responses; head and body are limited to so many bytes. */
--- a/tests/test-http-message.c
+++ b/tests/test-http-message.c
@@ -123,6 +123,15 @@
 	check_refused(body, strlen(body), HTTP_ERROR_BODY_TOO_LARGE);
 }
 
+/* Empty lines before a message never end. */
+static void
+test_empty_lines(void)
+{
+	static const char lines[] = "\r\n\r\n\r\n\r\n\r\n";
+
+	check_refused(lines, strlen(lines), HTTP_ERROR_MALFORMED);
+}
+
 /* The second request of a pipeline is left until the first is answered. */
 static void
 test_pipeline(void)
@@ -243,6 +252,7 @@
 	g_test_add_func("/http-message/smuggling", test_smuggling);
 	g_test_add_func("/http-message/heads", test_heads);
 	g_test_add_func("/http-message/bounds", test_bounds);
+	g_test_add_func("/http-message/empty-lines", test_empty_lines);
 	g_test_add_func("/http-message/pipeline", test_pipeline);
 	g_test_add_func("/http-message/ends", test_ends);
 	g_test_add_func("/http-message/hops", test_hops);
