Links: a request reads past 1 MB of other answers at the most

What callers saw: no answer until their deadline, from a server that sends interim answers, or answers to other requests, or one such answer, without end.

Cause: what is not the answer to the request is read and discarded, as a late answer to an earlier request may come first; nothing bounded how much.

--- a/entry-link.c
+++ b/entry-link.c
@@ -25,6 +25,11 @@
 #define LINK_READ 65536
 #define LINK_HEAD_MAX 65536
 #define LINK_BODY_MAX ((uint64_t)1 << 40)
+/*
+ * Bytes of interim answers, and of late ones to others, that one request reads
+ * past.
+ */
+#define LINK_DISCARD_MAX (1024 * 1024)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
 /*
@@ -442,6 +447,7 @@
 	k->ops = ops;
 	k->sent = false;
 	k->paused = false;
+	k->discarded = 0;
 	k->reader.for_head_request = for_head_request;
 	k->out = *request;
 	*request = (struct buffer){ 0 };
@@ -570,6 +576,15 @@
 	return true;
 }
 
+/* False when a server sends too much that is not the answer. */
+static bool
+link_count_discarded(struct link *k, size_t n)
+{
+	if (k->discard_answer)
+		k->discarded += n;
+	return k->discarded <= LINK_DISCARD_MAX;
+}
+
 /* Parse bytes of an answer; may free the link. */
 static void
 link_parse(struct link *k, const char *bytes, size_t n, msec now)
@@ -588,6 +603,7 @@
 		if (good && before == HTTP_STAGE_HEAD &&
 		    k->reader.stage >= HTTP_STAGE_BODY)
 			good = link_answer_head(k, now);
+		good = good && link_count_discarded(k, took);
 		if (!good || k->job == NULL)
 			break;
 		if (k->reader.stage != HTTP_STAGE_COMPLETE)
--- a/entry.h
+++ b/entry.h
@@ -198,6 +198,7 @@
 	bool used;	      /* it has carried a complete answer */
 	bool sent;	      /* a byte of the request was sent */
 	bool discard_answer;  /* the current answer is discarded */
+	size_t discarded;     /* bytes discarded since the request */
 	bool paused;	      /* the caller does not read fast enough */
 	bool connect_refused; /* the server refused the connection */
 	bool once;	      /* the request may run only once */
