Attempts: the body of a refusal is waited for 100 ms

What callers saw: no answer until their deadline, though the server had said that it did not run the request, as what followed had no end, or did not come.

Cause: a refusal was acted on when it was complete. Its head says all; the body is read only so that the connection can be kept.

/endless/refusal failed before.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -20,6 +20,8 @@
 #define JOB_READING_SLOWDOWN_MAX 4
 /* Longest prompt of a service that does not configure its servers' memory. */
 #define JOB_PROMPT_TOKENS_MAX 1000000
+/* The body of a refusal comes at once, or is not waited for. */
+#define JOB_REFUSAL_BODY_MS 100
 /* Servers are a few milliseconds away; a later connection is not expected. */
 #define JOB_CONNECT_TIMEOUT_MS 600
 /* A request without a path to the servers waits for so long. */
@@ -609,6 +611,8 @@
 		j->refusal_result = entry_move_memory(j) != NULL
 					? SERVER_NO_RESULT
 					: job_refusal_result(h);
+		loop_timer_set(&j->owner->loop, &j->silence_timer,
+		    now + JOB_REFUSAL_BODY_MS);
 		return true;
 	case REPLY_INVALID:
 		job_count_run(j);
@@ -699,6 +703,26 @@
 		job_retry_or_fail(j, now, JOB_BROKEN);
 }
 
+/* The server has refused the request, which has not run. */
+static void
+job_refused(struct job *j, msec now)
+{
+	j->refused_by_server = false;
+	j->arrivals++;
+	job_release_server(j, now, j->refusal_result);
+	if (!entry_move_refused(j, now))
+		job_retry_or_fail(j, now, JOB_FULL);
+}
+
+/* The rest of a refusal does not come, or does not end. */
+static void
+job_leave_refusal(struct job *j, msec now)
+{
+	link_cancel(j->link);
+	j->link = NULL;
+	job_refused(j, now);
+}
+
 static bool
 attempt_complete(struct link *k, msec now)
 {
@@ -706,11 +730,7 @@
 
 	j->link = NULL;
 	if (j->refused_by_server) {
-		j->refused_by_server = false;
-		j->arrivals++;
-		job_release_server(j, now, j->refusal_result);
-		if (!entry_move_refused(j, now))
-			job_retry_or_fail(j, now, JOB_FULL);
+		job_refused(j, now);
 		return true;
 	}
 	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN &&
@@ -988,6 +1008,10 @@
 	}
 	if (j->server == NULL || j->link == NULL)
 		return;
+	if (j->refused_by_server) {
+		job_leave_refusal(j, now);
+		return;
+	}
 	if (entry_move_is_stopping(j)) {
 		job_recheck_silence_later(j, now);
 		return;
