Streams: bytes that hold no event end an answer after 256 KB

What callers saw: noise in the place of a stream, until their deadline.

Cause: events are found by the empty lines between them, and an event without a number was taken for one of a server that numbers none. Lines that are no fields of the standard have no end then. Events without a number, with data, pass as before, and so do comments between events.

--- a/entry-reply.c
+++ b/entry-reply.c
@@ -15,7 +15,10 @@
 
 /* Larger answers are forwarded as they arrive. */
 #define REPLY_BUFFER_MAX (256 * 1024)
-/* A longer event is taken as an error of the server. */
+/*
+ * A longer event is taken as an error of the server, and so are as many bytes
+ * that hold none.
+ */
 #define REPLY_EVENT_MAX (256 * 1024)
 
 enum reply_class
@@ -142,8 +145,9 @@
 {
 	uint64_t number;
 
+	j->no_event = event_has_field(event, n) ? 0 : j->no_event + n;
 	if (!event_number(event, n, &number))
-		return true;
+		return j->no_event <= REPLY_EVENT_MAX;
 	if (j->events > 0 && number != j->last_event + 1) {
 		entry_log(&j->owner->log, j->owner->loop.now, ENTRY_LOG_NEEDED,
 		    LOG_EVENT_EVENT_OUT_OF_ORDER,
--- a/entry.h
+++ b/entry.h
@@ -376,6 +376,7 @@
 	bool event_due;	     /* an attempt broke off inside the next event */
 	uint64_t last_event; /* number of the last event forwarded */
 	uint64_t events;     /* numbered events forwarded */
+	size_t no_event;     /* bytes forwarded since the last event */
 };
 
 extern const struct caller_ops job_caller_ops;
--- a/event-stream.c
+++ b/event-stream.c
@@ -55,6 +55,34 @@
 	return field;
 }
 
+static bool
+line_is_field(const char *line, size_t n)
+{
+	static const char *const names[] = { "data", "id", "event", "retry" };
+	size_t i, len;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		len = strlen(names[i]);
+		if (n >= len && memcmp(line, names[i], len) == 0 &&
+		    (n == len || line[len] == ':'))
+			return true;
+	}
+	return false;
+}
+
+bool
+event_has_field(const char *event, size_t n)
+{
+	const char *line = event, *end = event + n, *stop, *next;
+
+	while (line < end && (stop = line_end(line, end, &next)) != NULL) {
+		if (line_is_field(line, (size_t)(stop - line)))
+			return true;
+		line = next;
+	}
+	return false;
+}
+
 bool
 event_number(const char *event, size_t n, uint64_t *number)
 {
--- a/event-stream.h
+++ b/event-stream.h
@@ -19,6 +19,8 @@
  * another one: a field, or a line without its end. Complete comments are not.
  */
 bool event_is_unfinished(const char *, size_t);
+/* Has the event a field of the standard? Comments and other lines are none. */
+bool event_has_field(const char *, size_t);
 /* The number in an event's line "id: N"; false without such a line. */
 bool event_number(const char *, size_t, uint64_t *number);
 
--- a/tests/test-event-stream.c
+++ b/tests/test-event-stream.c
@@ -86,6 +86,18 @@
 	check_number(": id: 4\n\n", false, 0);
 }
 
+/* Bytes that are no events pass as a stream. */
+static void
+test_field(void)
+{
+	g_assert_true(event_has_field("data: a\n\n", 9));
+	g_assert_true(event_has_field("data\n\n", 6));
+	g_assert_true(event_has_field("x: 1\r\nid: 1\r\n\r\n", 15));
+	g_assert_false(event_has_field(": data: a\n\n", 11));
+	g_assert_false(event_has_field("database\n\n", 10));
+	g_assert_false(event_has_field("\n", 1));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -95,5 +107,6 @@
 	g_test_add_func("/event-stream/unfinished", test_unfinished);
 	g_test_add_func("/event-stream/finished", test_finished);
 	g_test_add_func("/event-stream/number", test_number);
+	g_test_add_func("/event-stream/field", test_field);
 	return g_test_run();
 }
