Answers to callers of HTTP/1.0 are held up to 8 MB

What callers saw: nothing until their deadline; the node held all that a server without an end sent, as far as its memory goes.

Cause: an answer without chunks ends with its connection, so that a caller of HTTP/1.0 cannot tell a broken one from a whole one; it is held until it is whole, and nothing bounded it. A longer one fails with 502 now.

/endless/old-caller failed before (until the deadline).

--- a/entry-reply.c
+++ b/entry-reply.c
@@ -15,6 +15,8 @@
 
 /* Larger answers are forwarded as they arrive. */
 #define REPLY_BUFFER_MAX (256 * 1024)
+/* Longer answers to callers of HTTP/1.0, who get only whole ones, fail. */
+#define REPLY_WHOLE_MAX (8 * 1024 * 1024)
 /*
  * A longer event is taken as an error of the server, and so are as many bytes
  * that hold none.
@@ -187,7 +189,7 @@
 {
 	buffer_add(&j->unsent_body, bytes, n);
 	if (j->head->is_http_1_0)
-		return true;
+		return buffer_length(&j->unsent_body) <= REPLY_WHOLE_MAX;
 	if (j->streamed)
 		return reply_forward_events(j, now);
 	if (j->answer_began ||
