entry-attempt.c: what is sent, and silence, in files of their own

1,037 lines held three jobs: the course of attempts (686 left), what a request asks for and how it is written (entry-request.c), and when a silent server is given up (entry-silence.c).

--- /dev/null
+++ b/entry-attempt-private.h
@@ -0,0 +1,25 @@
+/*
+ * Internal interface between entry-attempt.c, entry-request.c and
+ * entry-silence.c.
+ */
+
+#ifndef ENTRY_ATTEMPT_PRIVATE_H
+#define ENTRY_ATTEMPT_PRIVATE_H
+
+#include "entry.h"
+
+/* The server that the request is for. */
+void job_fill_wish(const struct job *, struct server_wish *);
+/* Write the request as it is sent to a server. */
+void
+job_write_request(struct job *, msec, const struct server *, struct buffer *);
+/* The attempt was sent, or something of its answer came: wait for more. */
+void job_arm_silence_timer(struct job *, msec);
+/* The current attempt may have run. */
+void job_count_run(struct job *);
+/* The current attempt has ended: start another one, or fail the request. */
+void job_retry_or_fail(struct job *, msec, enum job_code);
+/* The rest of a server's refusal does not come, or does not end. */
+void job_leave_refusal(struct job *, msec);
+
+#endif /* ENTRY_ATTEMPT_PRIVATE_H */
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -1,25 +1,17 @@
 /*
- * Attempts of a request: writes the request for a backend server, bounds how
- * long the server may stay silent, interprets its answer or failure, and
- * decides whether to try another server.
+ * Attempts of a request: chooses a backend server, sends the request to it,
+ * interprets its answer or failure, and decides whether to try another server.
+ * What is sent is written in entry-request.c; how long the server may stay
+ * silent is decided in entry-silence.c.
  */
 
 #define LOG_PART "attempt"
-#include "entry.h"
+#include "entry-attempt-private.h"
 
 #include <string.h>
 
 /* Attempts beyond the route's, for servers that answer "not executed". */
 #define JOB_EXTRA_ATTEMPTS 1
-/* Percentage of the route's target after which a silent server is checked. */
-#define JOB_SILENCE_CHECK_PERCENT 80
-/* Interval between further checks, and least silence of a dead server. */
-#define JOB_SILENCE_RECHECK_MS 250
-#define JOB_SERVER_DEAD_MS 1000
-/* Most that running streams slow down the reading of a prompt, as a factor. */
-#define JOB_READING_SLOWDOWN_MAX 4
-/* Longest prompt of a service that does not configure its servers' memory. */
-#define JOB_PROMPT_TOKENS_MAX 1000000
 /* The body of a refusal comes at once, or is not waited for. */
 #define JOB_REFUSAL_BODY_MS 100
 /* Servers are a few milliseconds away; a later connection is not expected. */
@@ -28,209 +20,17 @@
 #define JOB_PATH_WAIT_MS 60
 /* Waits of one that other nodes carry once they have the configuration. */
 #define JOB_PATH_WAITS_MOST 4
-/* A pause in a stream of more than this many times its target is a failure. */
-#define JOB_GAP_TIMEOUT_FACTOR 4
-#define JOB_GAP_TIMEOUT_MIN_MS 1200
 
 static bool attempt_may_send(struct link *, msec);
 static bool attempt_head(struct link *, const struct http_head *, msec);
 static void attempt_body(struct link *, const char *, size_t, msec);
 static bool attempt_complete(struct link *, msec);
 static void attempt_failed(struct link *, enum link_end, msec);
-static void job_retry_or_fail(struct job *, msec, enum job_code);
 
 static const struct link_ops job_link_ops = { attempt_may_send, attempt_head,
 	attempt_body, attempt_complete, attempt_failed,
 	JOB_CONNECT_TIMEOUT_MS };
 
-/*
- * Bound for the prompt length that a caller states. A request that states 4
- * billion tokens would count as ahead of all others of its tier, which would be
- * rejected while it waits. No server reads more than fits in its memory.
- */
-static uint64_t
-job_prompt_tokens_max(const struct job *j)
-{
-	const struct route_service *v =
-	    route_service_find(j->table, j->service);
-
-	if (v != NULL && v->memory_tokens > 0)
-		return MIN(v->memory_tokens, JOB_PROMPT_TOKENS_MAX);
-	return JOB_PROMPT_TOKENS_MAX;
-}
-
-static void
-job_fill_wish(const struct job *j, struct server_wish *w)
-{
-	const struct wire_request *r = &j->request;
-	uint64_t most = job_prompt_tokens_max(j), shared = 0;
-	unsigned int i;
-
-	*w = (struct server_wish){ .service = j->service,
-		.route = name_hash(j->route->name),
-		.gap_target = j->route->gap_target,
-		.target = j->route->target,
-		.rank = route_rank(j->table, j->route, j->organisation),
-		.software = j->software_id,
-		.repeat = j->fingerprint.high ^ j->fingerprint.low,
-		.organisation = j->organisation != NULL
-				    ? name_hash(j->organisation->name)
-				    : 0,
-		.navoid = j->ntried };
-	memcpy(w->avoid, j->tried, sizeof w->avoid);
-	if (!j->route->has_prompt_parts)
-		return;
-	/* The last part of the prompt is not shared with other requests. */
-	for (i = 0; i + 1 < r->nparts; i++) {
-		w->prompt = w->prompt * 0x9e3779b97f4a7c15ULL + r->parts[i].id;
-		shared += r->parts[i].tokens;
-	}
-	w->shared = (unsigned int)MIN(shared, most);
-	if (r->prompt_tokens > shared)
-		w->own = (unsigned int)MIN(
-		    r->prompt_tokens - shared, most - w->shared);
-}
-
-void
-job_fill_move_wish(const struct job *j, struct server_wish *w)
-{
-	job_fill_wish(j, w);
-	/* The copy takes memory for the whole prompt. */
-	w->own += w->shared;
-	w->shared = 0;
-	w->prompt = 0;
-	if (j->server->software_id != 0)
-		w->software = j->server->software_id;
-}
-
-void
-job_write_head(const struct job *j, const struct wire_terms *terms,
-    bool keep_key, struct buffer *out)
-{
-	const struct http_head *h = j->head;
-	enum wire_field use;
-	unsigned int i;
-
-	buffer_printf(out, "%s %s HTTP/1.1\r\n", h->method, h->target);
-	for (i = 0; i < h->nfields; i++) {
-		use = j->owner->wire->field(h->fields[i].name);
-		if (use == WIRE_FIELD_REMOVE ||
-		    (use == WIRE_FIELD_API_KEY && !keep_key &&
-			j->table->keyed) ||
-		    (use == WIRE_FIELD_RESUME && terms->resumed) ||
-		    g_ascii_strcasecmp(h->fields[i].name, HANDOFF_FIELD) == 0 ||
-		    http_field_is_hop_by_hop(h, h->fields[i].name))
-			continue;
-		buffer_add_text(out, h->fields[i].name);
-		buffer_add(out, ": ", 2);
-		buffer_add_text(out, h->fields[i].value);
-		buffer_add(out, "\r\n", 2);
-	}
-	j->owner->wire->terms(out, terms);
-}
-
-void
-job_write_body(const struct job *j, struct buffer *out)
-{
-	const struct http_head *h = j->head;
-	const struct buffer *body = &j->caller->body;
-
-	if (h->has_body || h->has_length)
-		buffer_printf(
-		    out, "Content-Length: %zu\r\n", buffer_length(body));
-	buffer_add(out, "\r\n", 2);
-	if (buffer_length(body) > 0)
-		buffer_add(out, buffer_bytes(body), buffer_length(body));
-}
-
-/* Time that a server, or another node, is given for the request, in ms. */
-static msec
-job_time_left(const struct job *j, msec now)
-{
-	return j->deadline != MSEC_NEVER ? MAX(j->deadline - now, 1) : 0;
-}
-
-void
-job_set_resume_terms(const struct job *j, struct wire_terms *terms)
-{
-	terms->resumed = j->events > 0;
-	terms->after = j->last_event;
-}
-
-/* The server that `to` is told to fetch the shared prompt from, or NULL. */
-static const struct server *
-job_fetch_source(const struct job *j, const struct server *to)
-{
-	struct server *v;
-
-	if (j->place.source == 0 || entry_move_memory(j) != NULL)
-		return NULL;
-	v = servers_find(&j->owner->servers, j->place.source);
-	if (v == NULL || v == to || v->service != to->service ||
-	    v->state == SERVER_GONE || v->failures > 0)
-		return NULL;
-	return v;
-}
-
-/* Write the request as it is sent to a server. */
-static void
-job_write_request(
-    struct job *j, msec now, const struct server *v, struct buffer *out)
-{
-	struct wire_terms terms = { .deadline = job_time_left(j, now),
-		.server = v->name,
-		.ranked = j->route->has_prompt_parts,
-		.priority = route_rank(j->table, j->route, j->organisation) };
-
-	if (j->organisation != NULL)
-		terms.organisation = j->organisation->name;
-	terms.source = job_fetch_source(j, v);
-	g_strlcpy(j->source_name,
-	    terms.source != NULL ? terms.source->name : "",
-	    sizeof j->source_name);
-	if ((terms.memory = entry_move_memory(j)) != NULL)
-		terms.weights = j->weights;
-	job_set_resume_terms(j, &terms);
-	job_write_head(j, &terms, false, out);
-	job_write_body(j, out);
-}
-
-/* How long the current server may be silent before it is checked, in ms. */
-static msec
-job_silence_check_ms(const struct job *j)
-{
-	msec wait = j->route->target * JOB_SILENCE_CHECK_PERCENT / 100;
-
-	if (j->answer_began)
-		return MAX(j->route->gap_target * JOB_GAP_TIMEOUT_FACTOR,
-		    JOB_GAP_TIMEOUT_MIN_MS);
-	return wait > 0 ? wait : MSEC_NEVER;
-}
-
-/*
- * How long a server may send this node nothing before it is taken as dead, in
- * ms. In a large fleet each node has few requests on each server, so a server
- * that is reading prompts of other nodes' requests is silent too. To allow for
- * them, the limit rises with the queue wait estimated when the request was
- * placed.
- */
-static msec
-job_server_dead_ms(const struct job *j)
-{
-	return MAX(
-	    JOB_SERVER_DEAD_MS, j->place.queue.wait * JOB_READING_SLOWDOWN_MAX);
-}
-
-static void
-job_arm_silence_timer(struct job *j, msec now)
-{
-	msec wait = job_silence_check_ms(j);
-
-	if (!j->repeatable || wait == MSEC_NEVER)
-		return;
-	loop_timer_set(&j->owner->loop, &j->silence_timer, now + wait);
-}
-
 /* Start an attempt on a server; false when no connection is possible. */
 static bool
 job_send(struct job *j, msec now, struct server *v)
@@ -489,8 +289,7 @@
 	return false;
 }
 
-/* The current attempt has ended: start another one, or fail the request. */
-static void
+void
 job_retry_or_fail(struct job *j, msec now, enum job_code why)
 {
 	struct server *v =
@@ -520,7 +319,7 @@
 	job_attempt(j, now);
 }
 
-static void
+void
 job_count_run(struct job *j)
 {
 	j->may_have_run = true;
@@ -714,8 +513,7 @@
 		job_retry_or_fail(j, now, JOB_FULL);
 }
 
-/* The rest of a refusal does not come, or does not end. */
-static void
+void
 job_leave_refusal(struct job *j, msec now)
 {
 	link_cancel(j->link);
@@ -886,152 +684,3 @@
 {
 	job_retry_or_fail(j, now, JOB_BROKEN);
 }
-
-/*
- * Is there another server? Without one, abandoning the current attempt would
- * turn an answer that may still arrive into a 502.
- */
-static bool
-job_has_other_server(struct job *j)
-{
-	struct server_wish w;
-
-	job_fill_wish(j, &w);
-	return servers_have_alternative(&j->owner->servers, &w);
-}
-
-/*
- * Can another attempt end before this node stops? A stream that has begun
- * continues in any case.
- */
-static bool
-job_has_time_to_retry(struct job *j, msec now)
-{
-	j->no_retry =
-	    !j->answer_began && !entry_stop_leaves_time(j->owner, j, now);
-	return !j->no_retry;
-}
-
-/*
- * The path is cut: may another node handle the request? The node that handed it
- * off tries again itself. Kept connections may still work, unless nothing at
- * all is heard.
- */
-static bool
-job_may_leave_cut_path(struct job *j, msec now)
-{
-	msec silence = now - MAX(j->server->received, j->sent_at);
-
-	if (silence < (reach_is_silent(&j->owner->reach.core, now)
-			      ? REACH_SILENT_MS
-			      : job_server_dead_ms(j)))
-		return false;
-	if (j->carried)
-		return true;
-	return !j->no_retry && j->runs + 1 < job_attempts_most(j) &&
-	       entry_handoff_has_carrier(j, now);
-}
-
-/*
- * May the current server be given up as silent? Not while this node's own
- * network link is saturated: no server's bytes arrive then, and another server
- * would read the prompt again for an answer that comes no sooner. During a
- * burst with stopping nodes these were a third of the requests given up (60
- * nodes, 90 servers).
- */
-static bool
-job_may_abandon_server(struct job *j, msec now)
-{
-	if (reach_is_cut(&j->owner->reach.core))
-		return job_may_leave_cut_path(j, now);
-	if (j->no_retry || j->runs + 1 >= job_attempts_most(j))
-		return false;
-	if (!servers_in_reach(&j->owner->servers, now))
-		return false;
-	if (!j->answer_began &&
-	    !server_lost_request(j->server, now, j->place.wish.rank, j->sent_at,
-		job_server_dead_ms(j)))
-		return false;
-	return job_has_other_server(j);
-}
-
-/*
- * Is less time left until the deadline than streams of this route usually take
- * after their first event? Hardly any request that still waits in a server's
- * queue then is served in time, but the server reads the prompts of half of
- * them. Cancelling saves that work, and lets the caller retry earlier.
- */
-static bool
-job_is_hopeless(const struct job *j, msec now)
-{
-	struct entry_route_stats *k;
-
-	if (j->answer_began || j->route->kind != ROUTE_STREAM ||
-	    j->deadline == MSEC_NEVER)
-		return false;
-	k = entry_route_stats_find(j->owner, j->route->name);
-	return k != NULL &&
-	       duration_mean(&k->stream_time, 0) > j->deadline - now;
-}
-
-static void
-job_cancel_hopeless(struct job *j, msec now)
-{
-	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_HOPELESS,
-	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
-	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
-	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at),
-	    LOG_NUMBER(LOG_KEY_LEFT_MS, j->deadline - now));
-	job_count_run(j);
-	/* The server is busy, not faulty. */
-	job_cancel(j, now, SERVER_NO_RESULT);
-	job_fail(j, now, JOB_TIMEOUT);
-}
-
-static void
-job_recheck_silence_later(struct job *j, msec now)
-{
-	loop_timer_set(
-	    &j->owner->loop, &j->silence_timer, now + JOB_SILENCE_RECHECK_MS);
-}
-
-/* The server is silent: try another one if that is allowed. */
-void
-job_check_silence(struct loop_timer *t, msec now)
-{
-	struct job *j = t->arg;
-
-	if (j->waits) {
-		j->waits = false;
-		job_attempt(j, now);
-		return;
-	}
-	if (j->server == NULL || j->link == NULL)
-		return;
-	if (j->refused_by_server) {
-		job_leave_refusal(j, now);
-		return;
-	}
-	if (entry_move_is_stopping(j)) {
-		job_recheck_silence_later(j, now);
-		return;
-	}
-	if (job_is_hopeless(j, now)) {
-		job_cancel_hopeless(j, now);
-		return;
-	}
-	if (!job_may_abandon_server(j, now) ||
-	    retry_budget_left(entry_budget(j->owner, j->service),
-		&j->owner->budget, now, j->owner->live_nodes) == 0 ||
-	    !job_has_time_to_retry(j, now)) {
-		job_recheck_silence_later(j, now);
-		return;
-	}
-	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
-	    LOG_EVENT_SERVER_SILENT, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
-	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
-	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
-	job_count_run(j);
-	job_cancel(j, now, SERVER_FAILED);
-	job_retry_or_fail(j, now, JOB_BROKEN);
-}
--- a/entry.h
+++ b/entry.h
@@ -6,7 +6,9 @@
  *
  *   entry-caller.c   connections of callers: parses requests, writes answers
  *   entry-job.c      life cycle of one request: admission, deadline, outcome
- *   entry-attempt.c  attempts of a request on backend servers, and retries
+ *   entry-attempt.c  attempts of a request on backend servers, and retries;
+ *                    entry-request.c writes what is sent, entry-silence.c
+ *                    gives silent servers up
  *   entry-link.c     connections to servers: transfers one attempt's bytes
  *   entry-reply.c    forwards a server's answer to the caller
  *   entry-poison.c   holds back requests that crash the servers that run them
