--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -279,6 +279,19 @@
 	    s, "callers", "gauge", "Connections of callers.", e->ncallers);
 }
 
+static void
+text_callers(GString *s, struct entry *e)
+{
+	const struct entry_counters *c = &e->counters;
+
+	text_value(s, "callers_idle_closed_total", "counter",
+	    "Connections of callers that were idle for too long.",
+	    (int64_t)c->idle_closed);
+	text_value(s, "callers_discarded_total", "counter",
+	    "Connections of callers closed with bytes that got no answer.",
+	    (int64_t)c->discarded);
+}
+
 static void
 text_counters(GString *s, struct entry *e)
 {
@@ -315,12 +328,6 @@
 	    (int64_t)c->rates_unreadable);
 	text_value(s, "configurations_total", "counter", "Taken up.",
 	    (int64_t)c->tables);
-	text_value(s, "callers_idle_closed_total", "counter",
-	    "Connections of callers that were idle for too long.",
-	    (int64_t)c->idle_closed);
-	text_value(s, "callers_discarded_total", "counter",
-	    "Connections of callers closed with bytes that got no answer.",
-	    (int64_t)c->discarded);
 	text_value(s, "placements_asked_total", "counter",
 	    "Coordinators asked.", (int64_t)p->asked);
 	text_value(s, "placements_alone_total", "counter",
@@ -384,6 +391,7 @@
 	text_servers(s, e);
 	text_budgets(s, e, now);
 	text_limits(s, e);
+	text_callers(s, e);
 	text_counters(s, e);
 	text_bytes(s, e);
 	e->source->ops->metrics(e->source, s);
