Attempts: a refusal holds although what follows its head breaks off

What callers saw: 502 for a request that may run once, though the server had said that it did not run it, as the body of the refusal was malformed or cut. Another server could have had it. The record of requests that end servers was charged with it as well.

Found by the review of the waiting for that body, which already acts on the head alone. /endless/refusal-broken.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -623,7 +623,11 @@
 	struct job *j = k->job;
 
 	j->link = NULL;
-	j->refused_by_server = false;
+	/* The head of the refusal has come; the rest says nothing. */
+	if (j->refused_by_server) {
+		job_refused(j, now);
+		return;
+	}
 	if (how == LINK_BROKEN && entry_move_broke(j, now))
 		return;
 	entry_poison_run_end(j, now, how == LINK_BROKEN);
