Callers: a stop waits for answers to arrive before it closes idle connections

Found by the review: with bytes of an answer unconfirmed, an idle connection was still closed in the old way, and a request that crossed the close was read and thrown away. The next look, 100 ms later, closes it; the end of the stop bounds that (a caller that takes nothing until then). By reading; no test brings about unconfirmed bytes at that moment.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -636,11 +636,7 @@
 		 * crosses the close is reset, which tells the caller that
 		 * nobody has read it.
 		 */
-		if (caller_has_delivered(c)) {
+		if (caller_has_delivered(c))
 			caller_free(c);
-			continue;
-		}
-		c->closing = true;
-		caller_flush(c);
 	}
 }
--- a/entry.h
+++ b/entry.h
@@ -142,7 +142,10 @@
 void caller_address(const struct caller *, char *);
 /* Number of bytes written but not yet sent. */
 size_t caller_unsent(const struct caller *);
-/* Close the connections without a request. */
+/*
+ * Close the connections without a request whose answers have arrived; call
+ * again for the others.
+ */
 void caller_close_idle(struct entry *);
 /*
  * Unsent bytes above which reading from the server is paused, and below which
