Links: other nodes are not waited for like silent servers

Found by the review: the longer wait of requests that may run once held for nodes that carry them, too, so that one handed to a VM that is gone waited until its deadline, where it had failed after 1.5 s. What may be silent and go on is a server.

--- a/entry-link.c
+++ b/entry-link.c
@@ -33,10 +33,10 @@
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
 /*
- * The same of a request that may run only once. A sound server may be silent
- * for seconds, and no other one can take such a request over.
+ * The same of a request that may run only once, at a server. A sound one may be
+ * silent for seconds, and no other can take such a request over.
  */
-#define LINK_ONCE_UNACKED_MS (15 * MSEC_SECOND)
+#define LINK_PATIENT_UNACKED_MS (15 * MSEC_SECOND)
 
 static unsigned char link_input[LINK_READ];
 
@@ -195,8 +195,8 @@
 		k->connect_refused = errno == ECONNREFUSED;
 		return false;
 	}
-	if (k->once)
-		link_set_unacked(fd, LINK_ONCE_UNACKED_MS);
+	if (k->patient)
+		link_set_unacked(fd, LINK_PATIENT_UNACKED_MS);
 	k->starts = v->starts;
 	k->connecting = true;
 	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
@@ -217,13 +217,13 @@
 }
 
 static struct link *
-link_connect(struct entry *e, struct server *v, bool once, msec now)
+link_connect(struct entry *e, struct server *v, bool patient, msec now)
 {
 	struct link *k = g_new0(struct link, 1);
 
 	k->owner = e;
 	k->server = v;
-	k->once = once;
+	k->patient = patient;
 	k->domain = strcmp(v->domain, e->settings->domain) == 0
 			? NET_OWN_DOMAIN
 			: NET_OTHER_DOMAIN;
@@ -436,13 +436,13 @@
 {
 	struct link *k = link_take_idle(e, v, now);
 	msec idle = k != NULL ? now - k->idle_since : 0;
-	bool sent;
+	bool sent, patient = once && link_leads_to_server(e, v);
 
-	if (k == NULL && (k = link_connect(e, v, once, now)) == NULL)
+	if (k == NULL && (k = link_connect(e, v, patient, now)) == NULL)
 		return NULL;
-	if (once && !k->once)
-		link_set_unacked(k->io.fd, LINK_ONCE_UNACKED_MS);
-	k->once = once;
+	if (patient && !k->patient)
+		link_set_unacked(k->io.fd, LINK_PATIENT_UNACKED_MS);
+	k->patient = patient;
 	k->job = j;
 	k->ops = ops;
 	k->sent = false;
@@ -527,9 +527,9 @@
 	    a.keep_alive_timeout, link_idle_most(k->owner, k->server) == 0);
 	k->idle_since = now;
 	k->used = true;
-	if (k->once)
+	if (k->patient)
 		link_set_unacked(k->io.fd, LINK_UNACKED_MS);
-	k->once = false;
+	k->patient = false;
 	http_reader_reset(&k->reader);
 	TAILQ_INSERT_HEAD(&p->idle, k, entry);
 	p->nidle++;
--- a/entry.h
+++ b/entry.h
@@ -206,7 +206,7 @@
 	size_t discarded;     /* bytes discarded since the request */
 	bool paused;	      /* the caller does not read fast enough */
 	bool connect_refused; /* the server refused the connection */
-	bool once;	      /* the request may run only once */
+	bool patient;	      /* the server may be silent for seconds */
 	msec idle_limit;      /* longest idle time before it is closed */
 	msec idle_since;
 	/*
