Moves: a run is not stopped for what would be refused its resumption

Found by the review: a request that is condemned between the copy of its run and the stop lost its sound server, and was refused then, which cuts the stream. The verdict is asked for before the stop, where the configuration was. By reading; no test condemns a request in that moment.

--- a/entry-move.c
+++ b/entry-move.c
@@ -289,7 +289,8 @@
 		return;
 	}
 	if (m->core.state == RUN_MOVE_COPYING && a == RUN_MOVE_COPIED && handle)
-		budget = move_take_budget(m, now);
+		budget = !entry_poison_refuses(m->job, now) &&
+			 move_take_budget(m, now);
 	move_do(m, run_move_answered(&m->core, now, a, handle, budget), now);
 }
 
