--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -353,14 +353,16 @@
 
 
 def ask(node, method, target, attempt, body=b"", more="", timeout=15,
-        deadline_ms=3000):
+        deadline_ms=3000, opened=None):
     """One request on a connection of its own: (status, fields, body, complete);
-    status 0: no answer."""
+    status 0: no answer. `opened`: a list that the connection is added to."""
     try:
         s = socket.create_connection(("127.0.0.1", node.caller), 1)
     except OSError:
         return 0, [], b"", False
     s.settimeout(timeout)
+    if opened is not None:
+        opened.append(s)
     try:
         s.sendall(("%s %s HTTP/1.1\r\nHost: %s\r\n"
                    "X-Savorypier-Attempt-Id: %s\r\n"
