A part of a server's failure is not passed on as a whole answer

Cause: server_error is set when the head of a 5xx comes. job_fail() took it to mean that a failure is stored and finished it with the length of what had come, for whatever reason the request ended: a break, a reset, the timeout, a stop of the node, a carrier's failure. job_retry_or_fail() and job_handoff_failed() kept the part for the same reason. Ruled out: that the end of the connection is taken for the end of the body; a success cut at the same byte was always 502, and a server that only falls silent gave the same wrong answer.

Now failure_stored says that a complete failure is stored while another attempt follows. Only that one is sent by job_fail(); a new head or a discard takes it back.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -314,7 +314,7 @@
 		job_fail(j, now, why);
 		return;
 	}
-	if (!j->server_error)
+	if (!j->failure_stored)
 		reply_discard(j);
 	job_attempt(j, now);
 }
@@ -546,6 +546,7 @@
 	job_began_to_run(j, now);
 	entry_poison_answered(j, k->server, k->reader.head, now);
 	if (j->server_error && j->repeatable) {
+		j->failure_stored = true;
 		job_release_server(j, now, SERVER_ANSWERED);
 		job_retry_or_fail(j, now, JOB_SERVER_ERROR);
 		return true;
@@ -678,7 +679,7 @@
 		job_fail(j, now, why);
 		return;
 	}
-	if (!j->server_error)
+	if (!j->failure_stored)
 		reply_discard(j);
 	job_attempt(j, now);
 }
--- a/entry-job.c
+++ b/entry-job.c
@@ -269,7 +269,7 @@
 		: SERVER_NO_RESULT);
 	if (j->answer_began)
 		caller_break_answer(c, now);
-	else if (j->server_error && j->may_have_run)
+	else if (j->failure_stored)
 		reply_finish(j, now);
 	else
 		reply_write_local(j, now, status,
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -63,6 +63,7 @@
 	buffer_finish(&j->unsent_body);
 	j->status = h->status;
 	j->server_error = h->status >= 500;
+	j->failure_stored = false;
 	j->streamed = j->route->kind == ROUTE_STREAM && h->status < 300 &&
 		      type != NULL &&
 		      g_str_has_prefix(type, "text/event-stream");
@@ -225,6 +226,7 @@
 reply_discard(struct job *j)
 {
 	j->event_due = j->streamed && (j->event_due || reply_unfinished(j) > 0);
+	j->failure_stored = false;
 	buffer_finish(&j->unsent_body);
 	if (!j->answer_began)
 		buffer_finish(&j->fields);
--- a/entry.h
+++ b/entry.h
@@ -363,12 +363,13 @@
 	name_id tried[SERVER_AVOID_MAX];
 	/* The answer: entry-reply.c. */
 	unsigned int status;
-	bool answer_began;	/* the head was written to the caller */
-	bool streamed;		/* forwarded event by event */
-	bool chunked;		/* written in chunked transfer coding */
-	bool keeps_connection;	/* the head announced a kept connection */
-	bool server_error;	/* the server's answer has status 5xx */
-	bool refused_by_server; /* the current attempt did not run */
+	bool answer_began;     /* the head was written to the caller */
+	bool streamed;	       /* forwarded event by event */
+	bool chunked;	       /* written in chunked transfer coding */
+	bool keeps_connection; /* the head announced a kept connection */
+	bool server_error;     /* the server's answer has status 5xx */
+	bool failure_stored;   /* a complete one, sent if no attempt succeeds */
+	bool refused_by_server;		   /* the current attempt did not run */
 	enum server_result refusal_result; /* how to count the refusal */
 	msec sent_at, first_at; /* of the attempt; of the answer's head */
 	bool parts_cleared;	/* by the attempt\'s answer */
