A whole failure larger than what is stored is not broken off

Callers of idempotent routes saw a failure of over 256 KiB cut in front of its last chunk, though the server had sent all of it.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -545,7 +545,8 @@
 	entry_move_heard(j, now);
 	job_began_to_run(j, now);
 	entry_poison_answered(j, k->server, k->reader.head, now);
-	if (j->server_error && j->repeatable) {
+	/* What has begun to be forwarded is not stored: it ends whole. */
+	if (j->server_error && j->repeatable && !j->answer_began) {
 		j->failure_stored = true;
 		job_release_server(j, now, SERVER_ANSWERED);
 		job_retry_or_fail(j, now, JOB_SERVER_ERROR);
