Versions of each service's software are kept in the platform's store

Cause: that there was one version in the time in which streams may be resumed was known to the nodes' memory only; a node that has just started waits until it has read the list of servers for 26 s, longer than any caller may come back. Ruled out: servers or links not back (new streams begin), nodes asked too briefly (all had answered).

A record for each service in keyed.versions now has its versions and whether others are ruled out. Two nodes write it when a version appears, and 36 s or more after its last server has left, on the condition that nothing was written since; every node reads it once, at its start. What it sees in the list is added; a record of another era of the store rules nothing out. Where nothing was written, nodes wait as before, except at the deployment's first start.

--- a/entry-log.c
+++ b/entry-log.c
@@ -138,6 +138,10 @@
 	    "Too much was to be read before the request: see ahead_ms." },
 	[LOG_EVENT_USAGE] = { "usage",
 	    "The usage of a window was reported to the platform." },
+	[LOG_EVENT_VERSIONS] = { "versions",
+	    "The versions of a service's software that the platform's store "
+	    "keeps: read at the start, or written; count: of them, complete or "
+	    "partial." },
 };
 
 const struct entry_log_description entry_log_keys[LOG_KEYS] = {
--- a/entry.h
+++ b/entry.h
@@ -29,6 +29,7 @@
  *   entry-reach.c    whether the network path to the servers works
  *   entry-query.c    readiness and directory listeners
  *   entry-version.c  versions of software that may resume a stream
+ *   entry-version-store.c  what the platform's store keeps of them
  *   entry-stop.c     planned stop
  *   entry.c          process start, tick and shutdown
  */
@@ -48,6 +49,7 @@
 #include "entry-start.h"
 #include "entry-table.h"
 #include "entry-version.h"
+#include "entry-version-store.h"
 #include "fresh.h"
 #include "http-message.h"
 #include "idle-limit.h"
@@ -597,6 +599,7 @@
 	struct entry_reach reach;
 	struct entry_handoff handoff;
 	struct entry_versions versions;
+	struct entry_version_store version_store;
 	struct entry_moves moves;
 	struct loop_timer place_timer;
 	struct relay relay;
--- a/server-version.c
+++ b/server-version.c
@@ -119,6 +119,42 @@
 	return seen;
 }
 
+void
+server_versions_set_known(struct server_versions *vs, name_id service)
+{
+	if (service == 0)
+		vs->all_known = true;
+	else if (!server_versions_are_known(vs, service) &&
+		 vs->nknown < SERVER_VERSIONS_MAX)
+		vs->known[vs->nknown++] = service;
+}
+
+bool
+server_versions_are_known(const struct server_versions *vs, name_id service)
+{
+	unsigned int i;
+
+	for (i = 0; i < vs->nknown; i++) {
+		if (vs->known[i] == service)
+			return true;
+	}
+	return vs->all_known;
+}
+
+unsigned int
+server_versions_since(const struct server_versions *vs, msec now,
+    name_id service, msec span, name_id *list, unsigned int most)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < vs->n && n < most; i++) {
+		if (vs->list[i].service == service &&
+		    vs->list[i].software != 0 && now - vs->list[i].seen < span)
+			list[n++] = vs->list[i].software;
+	}
+	return n;
+}
+
 bool
 server_version_is_held(const struct server_versions *vs, msec now,
     name_id service, name_id software)
--- a/server-version.h
+++ b/server-version.h
@@ -37,6 +37,10 @@
 	unsigned int n;
 	msec kept; /* a version counts for so long after its last server */
 	msec full; /* one was dropped that still counted; 0: never */
+	/* Services whose versions of before this node's start are known. */
+	name_id known[SERVER_VERSIONS_MAX];
+	unsigned int nknown;
+	bool all_known;
 };
 
 /*
@@ -53,6 +57,15 @@
 /* The only version that counts for a service; 0: none is told, or several. */
 name_id
 server_versions_only(const struct server_versions *, msec, name_id service);
+/*
+ * The list has all versions that a service had within `kept` before this node's
+ * start, too; 0: that holds for all services.
+ */
+void server_versions_set_known(struct server_versions *, name_id service);
+bool server_versions_are_known(const struct server_versions *, name_id service);
+/* Versions told within the last `span` ms; returns their number. */
+unsigned int server_versions_since(const struct server_versions *, msec,
+    name_id service, msec span, name_id *, unsigned int most);
 /* Returns true while a version is not to be used for new streams. */
 bool server_version_is_held(
     const struct server_versions *, msec, name_id service, name_id software);
--- a/server.c
+++ b/server.c
@@ -151,11 +151,14 @@
 	s->versions.kept = span;
 }
 
-static bool
-servers_list_is_current(const struct servers *s, msec now, msec confirmed)
+bool
+servers_know_versions(const struct servers *s, msec now, name_id service)
 {
-	return confirmed != MSEC_NEVER &&
-	       now - confirmed <= SERVER_LIST_AGE_MS && s->listed_since != 0 &&
+	if (!s->complete)
+		return false;
+	if (server_versions_are_known(&s->versions, service))
+		return true;
+	return s->listed_since != 0 &&
 	       now - s->listed_since >= s->versions.kept;
 }
 
@@ -165,8 +168,10 @@
 {
 	if (server_versions_differ(&s->versions, now, service))
 		return VERSION_VIEW_SEVERAL;
-	if (s->complete && (server_versions_untold(&s->versions, service) ||
-			       servers_list_is_current(s, now, confirmed)))
+	if (s->complete && server_versions_untold(&s->versions, service))
+		return VERSION_VIEW_ONE;
+	if (confirmed != MSEC_NEVER && now - confirmed <= SERVER_LIST_AGE_MS &&
+	    servers_know_versions(s, now, service))
 		return VERSION_VIEW_ONE;
 	return VERSION_VIEW_UNSURE;
 }
--- a/server.h
+++ b/server.h
@@ -257,6 +257,11 @@
  */
 enum version_view servers_version_view(
     const struct servers *, msec, name_id service, msec confirmed);
+/*
+ * Does the list show all versions of the service that count, also those that
+ * left before this node's start?
+ */
+bool servers_know_versions(const struct servers *, msec, name_id service);
 /*
  * For how many ms a version of a service's software counts after its last
  * server has left: as long as streams that it began may be resumed.
--- a/settings.c
+++ b/settings.c
@@ -77,6 +77,7 @@
 	    { "seeds", WALK_CUSTOM, .parse = parse_seeds },
 	    { "seeds_port", WALK_UINT, .offset = AT(s.seeds_port), .min = 1,
 		.max = 65535 },
+	    { "first_start", WALK_BOOL, .offset = AT(s.first_start) },
 	    { NULL } },
 	check_platform };
 
--- a/settings.h
+++ b/settings.h
@@ -36,6 +36,7 @@
 	struct endpoint seeds[SETTINGS_SEEDS_MAX];
 	unsigned int nseeds;
 	unsigned int seeds_port; /* replaces the seeds' ports; 0: none */
+	bool first_start; /* of the whole deployment: nothing ran before */
 	/* Parts of prompts that an operator declares sound; see poison.h. */
 	uint64_t sound_parts[SETTINGS_SOUND_PARTS_MAX];
 	unsigned int nsound_parts;
--- a/stream-version.c
+++ b/stream-version.c
@@ -16,6 +16,8 @@
 #define STREAM_RECORD_MARGIN_MS 500
 /* Interval of the search for records that keepers have to be told. */
 #define STREAM_SHARE_MS 200
+/* Takes the place of a stream's id in the choice of recorders. */
+#define STREAM_RECORDER_SEED 0
 
 RB_GENERATE(stream_record_tree, stream_record, entry, stream_record_compare)
 
@@ -122,21 +124,6 @@
 
 /* ---- nodes ---- */
 
-void
-stream_versions_set_nodes(struct stream_versions_state *s,
-    const struct stream_node *nodes, unsigned int n)
-{
-	unsigned int i;
-
-	g_free(s->nodes);
-	s->nodes = g_new(struct stream_node, MAX(n, 1));
-	s->nnodes = 0;
-	for (i = 0; i < n; i++) {
-		if (nodes[i].id != s->self)
-			s->nodes[s->nnodes++] = nodes[i];
-	}
-}
-
 static uint64_t
 keeper_weight(stream_id id, name_id node)
 {
@@ -145,32 +132,90 @@
 	return XXH64(words, sizeof words, 11);
 }
 
+/* Of a list of `n` names by descending weight, at most `most`, this one's place
+ * is found and taken. Returns the list's new length. */
+static unsigned int
+names_insert(name_id *best, uint64_t *weights, unsigned int n,
+    unsigned int most, name_id name, uint64_t weight)
+{
+	unsigned int k;
+
+	if (n == most && weight <= weights[n - 1])
+		return n;
+	for (k = n < most ? n++ : n - 1; k > 0; k--) {
+		if (weights[k - 1] >= weight)
+			break;
+		weights[k] = weights[k - 1];
+		best[k] = best[k - 1];
+	}
+	weights[k] = weight;
+	best[k] = name;
+	return n;
+}
+
 /* The nodes of greatest weight, in order; returns their number. */
 static unsigned int
 nodes_choose(const struct stream_versions_state *s, stream_id id, bool keepers,
     name_id *best, unsigned int most)
 {
-	uint64_t weights[STREAM_ASKED_MAX], weight;
-	unsigned int i, k, n = 0;
+	uint64_t weights[STREAM_ASKED_MAX];
+	unsigned int i, n = 0;
 
 	for (i = 0; i < s->nnodes; i++) {
-		if (keepers && !s->nodes[i].keeps)
-			continue;
-		weight = keeper_weight(id, s->nodes[i].id);
-		if (n == most && weight <= weights[n - 1])
-			continue;
-		for (k = n < most ? n++ : n - 1; k > 0; k--) {
-			if (weights[k - 1] >= weight)
-				break;
-			weights[k] = weights[k - 1];
-			best[k] = best[k - 1];
-		}
-		weights[k] = weight;
-		best[k] = s->nodes[i].id;
+		if (!keepers || s->nodes[i].keeps)
+			n = names_insert(best, weights, n, most, s->nodes[i].id,
+			    keeper_weight(id, s->nodes[i].id));
 	}
 	return n;
 }
 
+static void
+recorders_choose(struct stream_versions_state *s)
+{
+	uint64_t weights[STREAM_RECORDERS];
+	unsigned int i, n;
+
+	n = names_insert(s->recorders, weights, 0, STREAM_RECORDERS, s->self,
+	    keeper_weight(STREAM_RECORDER_SEED, s->self));
+	for (i = 0; i < s->nnodes; i++) {
+		if (s->nodes[i].keeps)
+			n = names_insert(s->recorders, weights, n,
+			    STREAM_RECORDERS, s->nodes[i].id,
+			    keeper_weight(
+				STREAM_RECORDER_SEED, s->nodes[i].id));
+	}
+	s->nrecorders = n;
+}
+
+bool
+stream_versions_record(
+    const struct stream_versions_state *s, unsigned int first)
+{
+	unsigned int i;
+
+	for (i = 0; i < MIN(first, s->nrecorders); i++) {
+		if (s->recorders[i] == s->self)
+			return true;
+	}
+	return false;
+}
+
+void
+stream_versions_set_nodes(struct stream_versions_state *s,
+    const struct stream_node *nodes, unsigned int n)
+{
+	unsigned int i;
+
+	g_free(s->nodes);
+	s->nodes = g_new(struct stream_node, MAX(n, 1));
+	s->nnodes = 0;
+	for (i = 0; i < n; i++) {
+		if (nodes[i].id != s->self)
+			s->nodes[s->nnodes++] = nodes[i];
+	}
+	recorders_choose(s);
+}
+
 static void
 record_tell(struct stream_versions_state *s, msec now, struct stream_record *r)
 {
--- a/stream-version.h
+++ b/stream-version.h
@@ -86,6 +86,9 @@
 };
 TAILQ_HEAD(stream_query_list, stream_query);
 
+/* Nodes that write to the platform's store for all nodes. */
+#define STREAM_RECORDERS 24
+
 /* Another live node. */
 struct stream_node {
 	name_id id;
@@ -126,6 +129,8 @@
 	struct stream_query_list queries;
 	struct stream_node *nodes;
 	unsigned int nnodes;
+	name_id recorders[STREAM_RECORDERS]; /* the same at all nodes */
+	unsigned int nrecorders;
 	unsigned int nqueries;
 	uint32_t seq;
 	msec next_share;
@@ -141,6 +146,8 @@
 /* Sets the other live nodes. */
 void stream_versions_set_nodes(
     struct stream_versions_state *, const struct stream_node *, unsigned int);
+/* Is this node one of the first so many recorders? */
+bool stream_versions_record(const struct stream_versions_state *, unsigned int);
 /* Never 0. `organisation`: "" if there is none. */
 stream_id stream_id_make(const char *organisation, const char *request);
 /*
--- a/wire.h
+++ b/wire.h
@@ -212,6 +212,14 @@
 	void (*duty_append)(
 	    struct source *, uint64_t at, bool claim, const char *notes);
 	void (*duty_look)(struct source *);
+	/*
+	 * The versions of services' software that the store keeps. A write
+	 * takes effect only if their log ends at `at`. They end with
+	 * entry_version_sets_read() and entry_version_set_written().
+	 */
+	void (*version_sets_read)(struct source *);
+	void (*version_set_write)(struct source *, uint64_t at,
+	    const char *service, const char *text);
 	/* Report a window's counts; then calls entry_duty_usage_reported(). */
 	void (*report_usage)(struct source *, uint64_t window, json_t *counts);
 	/* False: not possible now; else entry_duty_servers_ordered() is called
