Records of streams outlive all nodes while a service has several versions

Cause: which version began a stream was kept in the memory of three nodes only. Refusing is safe; with several versions nothing else is without a record.

While a service has several versions, the records (28 bytes) are now appended to a log in the platform's store: by each node itself up to 24 nodes, else by 24 recorders to which the others send them; at least 100 ms apart, 120 a second in all. A record of before the second version is written when that appears. A node that starts reads the log unless the store says that each service has one version; of a long log only recorders read more than 256 KB, and they are asked for records beside the likely keepers. A record that is missing still refuses. With one version nothing is written. The bound of a node's records is 131,072, as a recorder has those of all nodes after such a start; test-stream-version's mail is delivered without moving the rest of it, as its test of that bound took minutes else.

--- a/entry-era.c
+++ b/entry-era.c
@@ -53,6 +53,7 @@
 	servers_keep_gone(&e->servers, until);
 	relay_drop_confirmations(&e->relay);
 	entry_duty_log_rewound(e, now);
+	stream_versions_store_again(&e->versions.core);
 	e->source->ops->store_restored(e->source);
 	entry_era_log(e, now, "changed");
 }
--- a/entry-version-store.c
+++ b/entry-version-store.c
@@ -4,6 +4,7 @@
 
 #define LOG_PART "version"
 #include "entry.h"
+#include "stream-log.h"
 #include "version-set.h"
 
 #include <inttypes.h>
@@ -20,6 +21,11 @@
 /* First and longest pause after a failed call; up to as much is added. */
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MAX_MS 4000
+/*
+ * A log that is longer than what one read gives is read to its end by recorders
+ * only. Nodes that start know by then whether they are.
+ */
+#define STORE_LOG_WAIT_MS 1500
 
 static void
 store_log(struct entry *e, msec now, const char *state, const char *service,
@@ -66,6 +72,8 @@
 	s.complete = s.complete && s.era == e->era.number;
 	if (s.complete)
 		server_versions_set_known(vs, id);
+	if (!s.complete || s.n > 1)
+		e->version_store.log_wanted = true;
 	store_log(e, now, "read", service, &s);
 }
 
@@ -84,6 +92,71 @@
 		store_take_set(e, service, text, now);
 }
 
+/* ---- the log of streams ---- */
+
+void
+entry_version_store_streams(
+    struct entry *e, const sp_stream_record *list, unsigned int n)
+{
+	struct buffer bytes = { 0 };
+
+	stream_log_encode(&bytes, list, n);
+	e->source->ops->streams_append(
+	    e->source, buffer_bytes(&bytes), buffer_length(&bytes));
+	buffer_finish(&bytes);
+}
+
+void
+entry_streams_appended(struct entry *e, bool ok, msec now)
+{
+	stream_versions_stored(&e->versions.core, now, ok);
+	entry_versions_arm_timer(e);
+}
+
+void
+entry_streams_take(struct entry *e, const char *bytes, size_t n, msec now)
+{
+	sp_stream_record m;
+
+	for (; stream_log_decode(bytes, n, &m); bytes += STREAM_LOG_BYTES) {
+		stream_versions_load(&e->versions.core, now, &m);
+		n -= STREAM_LOG_BYTES;
+	}
+}
+
+void
+entry_streams_read(
+    struct entry *e, bool ok, uint64_t next, uint64_t end, msec now)
+{
+	struct entry_version_store *x = &e->version_store;
+	bool goes_on = ok && next < end;
+
+	x->log_busy = false;
+	x->log_was_read = ok && !goes_on;
+	if (ok)
+		x->log_at = next;
+	x->log_retry_at = now + (goes_on ? STORE_LOG_WAIT_MS : STORE_RETRY_MS);
+	if (goes_on &&
+	    stream_versions_record(&e->versions.core, STREAM_RECORDERS) &&
+	    now - e->started > STORE_LOG_WAIT_MS)
+		x->log_retry_at = now;
+}
+
+static void
+store_read_log(struct entry *e, msec now)
+{
+	struct entry_version_store *x = &e->version_store;
+
+	if (!x->log_wanted || x->log_busy || x->log_was_read ||
+	    now < x->log_retry_at)
+		return;
+	if (x->log_at > 0 &&
+	    !stream_versions_record(&e->versions.core, STREAM_RECORDERS))
+		return;
+	x->log_busy = true;
+	e->source->ops->streams_read(e->source, x->log_at);
+}
+
 /* ---- writing ---- */
 
 /* Has listed the servers for so long that others need not be kept. */
@@ -199,9 +272,10 @@
 		return;
 	}
 	x->failures = 0;
-	if (!x->was_read)
+	if (!x->was_read) {
 		store_take_sets(e, texts, now);
-	else if (e->table != NULL)
+		store_read_log(e, now);
+	} else if (e->table != NULL)
 		store_write_first(e, texts, end, now);
 }
 
@@ -222,6 +296,7 @@
 {
 	struct entry_version_store *x = &e->version_store;
 
+	store_read_log(e, now);
 	if (x->busy || now < x->retry_at)
 		return;
 	if (x->was_read) {
--- a/entry-version-store.h
+++ b/entry-version-store.h
@@ -1,12 +1,14 @@
 /*
  * What the platform's store keeps of software versions, so that it outlives all
- * nodes: the versions of each service (version-set.h). Two nodes write it, on
- * the condition that nothing was written since they read it.
+ * nodes: the versions of each service (version-set.h), which two nodes write,
+ * on the condition that nothing was written since they read it; and the records
+ * of streams that began while a service had several (stream-log.h).
  */
 
 #ifndef ENTRY_VERSION_STORE_H
 #define ENTRY_VERSION_STORE_H
 
+#include "proto.h"
 #include "savory.h"
 
 struct entry;
@@ -23,6 +25,10 @@
 	uint64_t wanted, done;
 	msec retry_at;
 	unsigned int failures; /* in a row */
+	/* The log of streams as it was at the start. */
+	bool log_wanted, log_busy, log_was_read;
+	uint64_t log_at; /* the next record to read */
+	msec log_retry_at;
 	struct entry_version_store_counters counters;
 };
 
@@ -36,6 +42,19 @@
 /* Called by the source; `conflict`: another node has written since. */
 void
 entry_version_set_written(struct entry *, bool written, bool conflict, msec);
+/* Appends to the log of streams; stream_versions_stored() follows. */
+void entry_version_store_streams(
+    struct entry *, const sp_stream_record *, unsigned int);
+/* Called by the source when an append to the log of streams ends. */
+void entry_streams_appended(struct entry *, bool ok, msec);
+/* Called by the source with the bytes of one record of that log. */
+void entry_streams_take(struct entry *, const char *, size_t, msec);
+/*
+ * Called by the source when a read of that log ends; `next` is the record to
+ * read next and `end` that which is written next.
+ */
+void
+entry_streams_read(struct entry *, bool ok, uint64_t next, uint64_t end, msec);
 void entry_version_store_metrics(const struct entry *, GString *);
 
 #endif /* ENTRY_VERSION_STORE_H */
--- a/entry-version.c
+++ b/entry-version.c
@@ -117,8 +117,15 @@
 		job_attempt(j, now);
 }
 
+static void
+version_store(struct stream_versions_state *s, const sp_stream_record *list,
+    unsigned int n)
+{
+	entry_version_store_streams(entry_of_versions(s), list, n);
+}
+
 static const struct stream_version_ops version_ops = { version_send,
-	version_decided, version_view_op };
+	version_decided, version_view_op, version_store };
 
 static const char *
 version_organisation(const struct job *j)
@@ -159,6 +166,15 @@
 	return false;
 }
 
+void
+entry_versions_arm_timer(struct entry *e)
+{
+	msec due = stream_versions_store_due(&e->versions.core);
+
+	if (due < e->versions.timer.due)
+		loop_timer_set(&e->loop, &e->versions.timer, due);
+}
+
 /* A caller comes back within its deadline, also after the route's timeout. */
 static msec
 version_stream_span(const struct job *j)
@@ -184,6 +200,7 @@
 	stream_version_begin(&e->versions.core, now,
 	    stream_id_make(version_organisation(j), j->request.id), j->service,
 	    j->software_id, j->arrived + version_stream_span(j));
+	entry_versions_arm_timer(e);
 }
 
 bool
@@ -293,6 +310,18 @@
 	    "room.\n"
 	    "# TYPE savory_entry_stream_records_dropped_total counter\n"
 	    "savory_entry_stream_records_dropped_total %" PRIu64 "\n"
+	    "# HELP savory_entry_stream_records_stored_total Written to the "
+	    "platform's store.\n"
+	    "# TYPE savory_entry_stream_records_stored_total counter\n"
+	    "savory_entry_stream_records_stored_total %" PRIu64 "\n"
+	    "# HELP savory_entry_stream_stores_failed_total Writes that "
+	    "failed.\n"
+	    "# TYPE savory_entry_stream_stores_failed_total counter\n"
+	    "savory_entry_stream_stores_failed_total %" PRIu64 "\n"
+	    "# HELP savory_entry_stream_records_loaded_total Read from the "
+	    "store at the start.\n"
+	    "# TYPE savory_entry_stream_records_loaded_total counter\n"
+	    "savory_entry_stream_records_loaded_total %" PRIu64 "\n"
 	    "# HELP savory_entry_stream_asked_total Nodes asked for a "
 	    "record.\n"
 	    "# TYPE savory_entry_stream_asked_total counter\n"
@@ -305,6 +334,7 @@
 	    "savory_entry_stream_verdicts_total{verdict=\"free\"} %" PRIu64 "\n"
 	    "savory_entry_stream_verdicts_total{verdict=\"unknown\"} %" PRIu64
 	    "\n",
-	    e->versions.core.count, n->told, n->dropped, n->asked, n->bound,
-	    n->free, n->unknown);
+	    e->versions.core.count, n->told, n->dropped, n->stored,
+	    n->store_failed, n->loaded, n->asked, n->bound, n->free,
+	    n->unknown);
 }
--- a/entry-version.h
+++ b/entry-version.h
@@ -25,6 +25,8 @@
 void entry_versions_finish(struct entry *);
 /* Passes the live nodes to the core. */
 void entry_versions_set_nodes(struct entry *);
+/* Records may have to be written to the platform's store. */
+void entry_versions_arm_timer(struct entry *);
 /* Apply a new configuration: how long streams may be resumed. */
 void entry_versions_take_table(struct entry *);
 void entry_versions_receive(struct entry *, name_id from, const sp_msg *, msec);
--- a/proto.h
+++ b/proto.h
@@ -544,6 +544,7 @@
 	SP_STREAM_TELL = 80,
 	SP_STREAM_ASK = 81,
 	SP_STREAM_ANSWER = 82,
+	SP_STREAM_STORE = 83,
 };
 typedef enum sp_kind sp_kind;
 
@@ -588,6 +589,7 @@
 		sp_stream_tell stream_tell;
 		sp_stream_ask stream_ask;
 		sp_stream_answer stream_answer;
+		sp_stream_tell stream_store;
 	} sp_msg_u;
 };
 typedef struct sp_msg sp_msg;
--- a/proto.x
+++ b/proto.x
@@ -461,7 +461,7 @@
 	unsigned int left_ms;		/* the stream is not resumed later */
 };
 
-/* Records for a keeper. */
+/* Records for a keeper, or for a node that stores them for the sender. */
 struct sp_stream_tell {
 	sp_stream_record list<SAVORY_STREAMS_MAX>;
 };
@@ -525,7 +525,8 @@
 	SP_POISON_DONE = 73,
 	SP_STREAM_TELL = 80,
 	SP_STREAM_ASK = 81,
-	SP_STREAM_ANSWER = 82
+	SP_STREAM_ANSWER = 82,
+	SP_STREAM_STORE = 83
 };
 
 union sp_msg switch (sp_kind kind) {
@@ -605,6 +606,8 @@
 	sp_stream_ask stream_ask;
 case SP_STREAM_ANSWER:
 	sp_stream_answer stream_answer;
+case SP_STREAM_STORE:
+	sp_stream_tell stream_store;
 };
 
 struct sp_batch {
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1484,6 +1484,10 @@
 		if (!xdr_sp_stream_answer(xdrs, &objp->sp_msg_u.stream_answer))
 			return FALSE;
 		break;
+	case SP_STREAM_STORE:
+		if (!xdr_sp_stream_tell(xdrs, &objp->sp_msg_u.stream_store))
+			return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/stream-version.c
+++ b/stream-version.c
@@ -16,6 +16,14 @@
 #define STREAM_RECORD_MARGIN_MS 500
 /* Interval of the search for records that keepers have to be told. */
 #define STREAM_SHARE_MS 200
+/* Least interval of a node's writes to the platform's store. */
+#define STREAM_STORE_MS 100
+/* Writes of all recorders. */
+#define STREAM_STORES_PER_S 120
+/* Longest interval after failures. */
+#define STREAM_STORE_MAX_MS (4 * MSEC_SECOND)
+/* Recorders that are asked for a record first, beside the likely keepers. */
+#define STREAM_ASKED_RECORDERS 2
 /* Takes the place of a stream's id in the choice of recorders. */
 #define STREAM_RECORDER_SEED 0
 
@@ -238,12 +246,14 @@
 stream_version_begin(struct stream_versions_state *s, msec now, stream_id id,
     name_id service, name_id software, msec until)
 {
+	enum version_view view = s->ops->view(s, service);
 	struct stream_record *r =
 	    record_put(s, now, id, service, software, until);
 
 	s->counters.recorded++;
 	r->own = true;
-	if (s->ops->view(s, service) != VERSION_VIEW_ONE)
+	s->to_store |= view == VERSION_VIEW_SEVERAL;
+	if (view != VERSION_VIEW_ONE)
 		record_tell(s, now, r);
 }
 
@@ -255,15 +265,181 @@
 records_share(struct stream_versions_state *s, msec now)
 {
 	struct stream_record *r;
+	enum version_view view;
 
 	if (now < s->next_share)
 		return;
 	s->next_share = now + STREAM_SHARE_MS;
 	TAILQ_FOREACH (r, &s->ages, age) {
-		if (r->own && !r->sent && r->until > now &&
-		    s->ops->view(s, r->service) != VERSION_VIEW_ONE)
+		if (!r->own || r->until <= now || (r->sent && r->stored))
+			continue;
+		view = s->ops->view(s, r->service);
+		if (!r->sent && view != VERSION_VIEW_ONE)
 			record_tell(s, now, r);
+		s->to_store |= !r->stored && view == VERSION_VIEW_SEVERAL;
+	}
+}
+
+/* ---- the platform's store ---- */
+
+static bool
+record_is_to_store(
+    struct stream_versions_state *s, const struct stream_record *r, msec now)
+{
+	if (r->stored || r->storing || r->until <= now)
+		return false;
+	return r->for_other ||
+	       (r->own && s->ops->view(s, r->service) == VERSION_VIEW_SEVERAL);
+}
+
+/* The one of the recorders that writes for this node. */
+static name_id
+recorder_choose(const struct stream_versions_state *s)
+{
+	name_id best = 0;
+	uint64_t weight, most = 0;
+	unsigned int i;
+
+	for (i = 0; i < s->nrecorders; i++) {
+		weight = keeper_weight(s->self, s->recorders[i]);
+		if (best == 0 || weight > most) {
+			best = s->recorders[i];
+			most = weight;
+		}
+	}
+	return best;
+}
+
+static msec
+store_interval(const struct stream_versions_state *s)
+{
+	return MAX(
+	    s->nrecorders * MSEC_SECOND / STREAM_STORES_PER_S, STREAM_STORE_MS);
+}
+
+static void
+records_write(struct stream_versions_state *s, msec now)
+{
+	sp_stream_record *list = g_new(sp_stream_record, STREAM_STORED_MAX);
+	struct stream_record *r;
+	unsigned int n = 0;
+
+	TAILQ_FOREACH (r, &s->ages, age) {
+		if (!record_is_to_store(s, r, now))
+			continue;
+		record_encode(r, now, &list[n]);
+		r->storing = true;
+		if (++n == STREAM_STORED_MAX) {
+			s->to_store = true;
+			break;
+		}
 	}
+	s->storing = n;
+	if (n > 0)
+		s->ops->store(s, list, n);
+	g_free(list);
+}
+
+static void
+records_send_batch(struct stream_versions_state *s, name_id to,
+    sp_stream_record *list, unsigned int n)
+{
+	sp_msg msg = { .kind = SP_STREAM_STORE };
+
+	msg.sp_msg_u.stream_store.list.list_val = list;
+	msg.sp_msg_u.stream_store.list.list_len = n;
+	if (n > 0)
+		s->ops->send(s, to, &msg);
+}
+
+/* A message that is lost costs the records in the store, not at the keepers. */
+static void
+records_send_to_recorder(struct stream_versions_state *s, msec now)
+{
+	sp_stream_record list[SAVORY_STREAMS_MAX];
+	name_id to = recorder_choose(s);
+	struct stream_record *r;
+	unsigned int n = 0;
+
+	TAILQ_FOREACH (r, &s->ages, age) {
+		if (!record_is_to_store(s, r, now))
+			continue;
+		record_encode(r, now, &list[n]);
+		r->stored = true;
+		if (++n == SAVORY_STREAMS_MAX) {
+			records_send_batch(s, to, list, n);
+			n = 0;
+		}
+	}
+	records_send_batch(s, to, list, n);
+}
+
+msec
+stream_versions_store_due(const struct stream_versions_state *s)
+{
+	if (!s->to_store || s->storing > 0 || s->ops->store == NULL ||
+	    s->nrecorders == 0)
+		return MSEC_NEVER;
+	return s->next_store;
+}
+
+/* Streams that began before there was a second version are written, too. */
+static void
+records_store(struct stream_versions_state *s, msec now)
+{
+	if (now < stream_versions_store_due(s))
+		return;
+	s->to_store = false;
+	s->next_store = now + store_interval(s);
+	if (stream_versions_record(s, STREAM_RECORDERS))
+		records_write(s, now);
+	else
+		records_send_to_recorder(s, now);
+}
+
+void
+stream_versions_stored(struct stream_versions_state *s, msec now, bool ok)
+{
+	struct stream_record *r;
+
+	TAILQ_FOREACH (r, &s->ages, age) {
+		if (r->storing)
+			r->stored = ok;
+		r->storing = false;
+	}
+	if (ok) {
+		s->counters.stored += s->storing;
+		s->store_failures = 0;
+	} else {
+		s->to_store = true;
+		s->counters.store_failed++;
+		s->next_store =
+		    now + MIN(store_interval(s) << MIN(s->store_failures, 8),
+			      STREAM_STORE_MAX_MS);
+		s->store_failures++;
+	}
+	s->storing = 0;
+}
+
+void
+stream_versions_store_again(struct stream_versions_state *s)
+{
+	struct stream_record *r;
+
+	s->to_store = true;
+	TAILQ_FOREACH (r, &s->ages, age)
+		r->stored = false;
+}
+
+void
+stream_versions_load(
+    struct stream_versions_state *s, msec now, const sp_stream_record *m)
+{
+	struct stream_record *r = record_put(
+	    s, now, m->id, m->service, m->software, now + m->left_ms);
+
+	r->stored = true;
+	s->counters.loaded++;
 }
 
 /* ---- queries ---- */
@@ -297,6 +473,26 @@
 	q->next = now + STREAM_ROUND_MS;
 }
 
+/* Puts recorders behind the likely keepers: they may have read the store. */
+static void
+query_add_recorders(
+    const struct stream_versions_state *s, struct stream_query *q)
+{
+	uint64_t weights[STREAM_ASKED_RECORDERS];
+	name_id best[STREAM_ASKED_RECORDERS];
+	unsigned int i, n = 0;
+
+	if (q->nnodes < STREAM_ASKED_MAX)
+		return;
+	for (i = 0; i < s->nrecorders; i++) {
+		if (s->recorders[i] != s->self)
+			n = names_insert(best, weights, n,
+			    STREAM_ASKED_RECORDERS, s->recorders[i],
+			    keeper_weight(q->id, s->recorders[i]));
+	}
+	memcpy(&q->asked[STREAM_ASKED_FIRST], best, n * sizeof best[0]);
+}
+
 static enum stream_verdict
 verdict_count(struct stream_versions_state *s, enum stream_verdict v)
 {
@@ -350,6 +546,7 @@
 		return verdict_count(s, record_verdict(r, q));
 	q->nasked = q->nanswered = q->rounds = 0;
 	q->nnodes = nodes_choose(s, q->id, false, q->asked, STREAM_ASKED_MAX);
+	query_add_recorders(s, q);
 	q->sure_of_one = q->several = false;
 	memset(q->answered, 0, sizeof q->answered);
 	if (q->nnodes == 0 || s->nqueries == STREAM_QUERIES_MAX ||
@@ -453,22 +650,34 @@
 	s->ops->send(s, from, &msg);
 }
 
+static void
+tell_received(struct stream_versions_state *s, msec now,
+    const sp_stream_tell *t, bool to_store)
+{
+	const sp_stream_record *m;
+	struct stream_record *r;
+	u_int i;
+
+	for (i = 0; i < t->list.list_len; i++) {
+		m = &t->list.list_val[i];
+		r = record_put(
+		    s, now, m->id, m->service, m->software, now + m->left_ms);
+		r->for_other |= to_store;
+		s->to_store |= to_store;
+		s->counters.kept++;
+	}
+}
+
 void
 stream_versions_receive(
     struct stream_versions_state *s, msec now, name_id from, const sp_msg *msg)
 {
-	const sp_stream_tell *t = &msg->sp_msg_u.stream_tell;
-	const sp_stream_record *r;
-	u_int i;
-
 	switch (msg->kind) {
 	case SP_STREAM_TELL:
-		for (i = 0; i < t->list.list_len; i++) {
-			r = &t->list.list_val[i];
-			record_put(s, now, r->id, r->service, r->software,
-			    now + r->left_ms);
-			s->counters.kept++;
-		}
+		tell_received(s, now, &msg->sp_msg_u.stream_tell, false);
+		break;
+	case SP_STREAM_STORE:
+		tell_received(s, now, &msg->sp_msg_u.stream_store, true);
 		break;
 	case SP_STREAM_ASK:
 		ask_received(s, now, from, &msg->sp_msg_u.stream_ask);
@@ -516,10 +725,12 @@
 	msec due;
 
 	records_share(s, now);
+	records_store(s, now);
 	/* Start over each time: a decision may end other queries. */
 	while ((q = query_find_due(s, now)) != NULL)
 		query_next(s, now, q);
 	due = s->next_share;
+	due = MIN(due, stream_versions_store_due(s));
 	TAILQ_FOREACH (q, &s->queries, entry)
 		due = MIN(due, q->next);
 	records_expire(s, now);
--- a/stream-version.h
+++ b/stream-version.h
@@ -14,6 +14,10 @@
  * know alone that there is only one version; it asks, too, and sends records as
  * if there were several.
  *
+ * When all nodes end at one moment, their records are gone. While a service has
+ * several versions, a few nodes, the recorders, therefore write the records of
+ * all to a log in the platform's store; nodes that start read it.
+ *
  * The module does no I/O; messages go through struct stream_version_ops.
  */
 
@@ -33,7 +37,9 @@
 /* Queries that wait at a time. */
 #define STREAM_QUERIES_MAX 256
 /* Records of one node. */
-#define STREAM_RECORDS_MAX 16384
+#define STREAM_RECORDS_MAX 131072
+/* Records that are written to the platform's store at a time. */
+#define STREAM_STORED_MAX 4096
 /* A record is kept no longer than this. */
 #define STREAM_RECORD_MAX_MS (2 * 60 * MSEC_SECOND)
 
@@ -50,6 +56,10 @@
 	msec until;
 	bool own;  /* it began at this node */
 	bool sent; /* to the keepers */
+	/* To be written to the platform's store for another node. */
+	bool for_other;
+	bool stored;  /* in the platform's store, or with a node that writes */
+	bool storing; /* being written */
 };
 /* By id. */
 RB_HEAD(stream_record_tree, stream_record);
@@ -97,7 +107,7 @@
 
 struct stream_versions_state;
 
-/* Callbacks; all are required. */
+/* Callbacks; all but store() are required. */
 struct stream_version_ops {
 	/* Sends a message to a node; it may be lost. Must not call back. */
 	void (*send)(struct stream_versions_state *, name_id, const sp_msg *);
@@ -107,6 +117,12 @@
 	/* This node's view of a service. */
 	enum version_view (*view)(
 	    struct stream_versions_state *, name_id service);
+	/*
+	 * Appends records to a log that outlives all nodes; then
+	 * stream_versions_stored() follows. NULL: there is none.
+	 */
+	void (*store)(struct stream_versions_state *, const sp_stream_record *,
+	    unsigned int);
 };
 
 /* Monotonic counters. */
@@ -117,6 +133,8 @@
 	uint64_t asked;		       /* messages of queries sent */
 	uint64_t bound, free, unknown; /* verdicts */
 	uint64_t dropped;	       /* records dropped for want of room */
+	uint64_t stored, store_failed; /* records written, failed writes */
+	uint64_t loaded;	       /* records read from the store */
 };
 
 /* State of one node; owned by the caller. */
@@ -134,6 +152,11 @@
 	unsigned int nqueries;
 	uint32_t seq;
 	msec next_share;
+	/* There may be records to write to the platform's store, and when. */
+	bool to_store;
+	msec next_store;
+	unsigned int storing;	     /* records being written */
+	unsigned int store_failures; /* in a row */
 	struct stream_version_counters counters;
 	void *arg; /* for the caller */
 };
@@ -148,6 +171,15 @@
     struct stream_versions_state *, const struct stream_node *, unsigned int);
 /* Is this node one of the first so many recorders? */
 bool stream_versions_record(const struct stream_versions_state *, unsigned int);
+/* The write that store() has begun ends. */
+void stream_versions_stored(struct stream_versions_state *, msec, bool ok);
+/* When the tick is due for a write to the store; MSEC_NEVER: it is not. */
+msec stream_versions_store_due(const struct stream_versions_state *);
+/* What was written may be lost: write it again. */
+void stream_versions_store_again(struct stream_versions_state *);
+/* Takes a record that was read from the platform's store. */
+void stream_versions_load(
+    struct stream_versions_state *, msec, const sp_stream_record *);
 /* Never 0. `organisation`: "" if there is none. */
 stream_id stream_id_make(const char *organisation, const char *request);
 /*
@@ -164,8 +196,7 @@
 enum stream_verdict
 stream_query_ask(struct stream_versions_state *, msec, struct stream_query *);
 void stream_query_cancel(struct stream_versions_state *, struct stream_query *);
-/* Handles a message of kind SP_STREAM_TELL, SP_STREAM_ASK or SP_STREAM_ANSWER.
- */
+/* Handles a message of a kind SP_STREAM_*. */
 void stream_versions_receive(
     struct stream_versions_state *, msec, name_id from, const sp_msg *);
 /* Runs due timers; returns the time of the next call. */
--- a/tests/test-stream-version.c
+++ b/tests/test-stream-version.c
@@ -35,7 +35,7 @@
 	unsigned int from, to;
 	uint64_t incarnation;
 	sp_msg msg;
-	sp_stream_record record;
+	sp_stream_record records[SAVORY_STREAMS_MAX];
 };
 
 struct world {
@@ -45,7 +45,9 @@
 	msec now;
 	GRand *rand;
 	GArray *mail;
-	uint64_t sent;
+	GArray *log; /* sp_stream_record: of the platform's store */
+	bool store_down;
+	uint64_t sent, writes;
 	/* Take-ups by verdict, and those bound to a wrong version. */
 	unsigned int verdicts[STREAM_UNKNOWN + 1], wrong;
 };
@@ -81,8 +83,11 @@
 		.msg = *msg };
 
 	w->sent++;
-	if (msg->kind == SP_STREAM_TELL)
-		m.record = msg->sp_msg_u.stream_tell.list.list_val[0];
+	/* Both kinds have their list at one place. */
+	if (msg->kind == SP_STREAM_TELL || msg->kind == SP_STREAM_STORE)
+		memcpy(m.records, msg->sp_msg_u.stream_tell.list.list_val,
+		    msg->sp_msg_u.stream_tell.list.list_len *
+			sizeof m.records[0]);
 	if (draw(w, 1000) >= w->lost_permille)
 		g_array_append_val(w->mail, m);
 }
@@ -109,8 +114,20 @@
 	return node_of(s)->view;
 }
 
+static void
+world_store(struct stream_versions_state *s, const sp_stream_record *list,
+    unsigned int n)
+{
+	struct world *w = node_of(s)->world;
+
+	w->writes++;
+	if (!w->store_down)
+		g_array_append_vals(w->log, list, n);
+	stream_versions_stored(s, w->now, !w->store_down);
+}
+
 static const struct stream_version_ops world_ops = { world_send, world_decided,
-	world_view };
+	world_view, world_store };
 
 static void
 world_tell_nodes(struct world *w)
@@ -166,6 +183,7 @@
 	w->n = n;
 	w->rand = g_rand_new_with_seed(seed);
 	w->mail = g_array_new(FALSE, FALSE, sizeof(struct mail));
+	w->log = g_array_new(FALSE, FALSE, sizeof(sp_stream_record));
 	for (i = 0; i < n; i++)
 		node_start(w, i, VERSION_VIEW_SEVERAL);
 	world_tell_nodes(w);
@@ -182,6 +200,7 @@
 	}
 	g_rand_free(w->rand);
 	g_array_unref(w->mail);
+	g_array_unref(w->log);
 }
 
 static void
@@ -192,28 +211,29 @@
 	if (!to->live || w->incarnations[m->to] != m->incarnation ||
 	    to->cut != w->nodes[m->from].cut)
 		return;
-	if (m->msg.kind == SP_STREAM_TELL)
-		m->msg.sp_msg_u.stream_tell.list.list_val = &m->record;
+	if (m->msg.kind == SP_STREAM_TELL || m->msg.kind == SP_STREAM_STORE)
+		m->msg.sp_msg_u.stream_tell.list.list_val = m->records;
 	stream_versions_receive(&to->state, w->now, m->from + 1, &m->msg);
 }
 
 static void
 world_step(struct world *w)
 {
-	struct mail m;
+	GArray *mail = w->mail;
+	struct mail *m;
 	unsigned int i;
 	guint k;
 
 	w->now++;
-	for (k = 0; k < w->mail->len;) {
-		m = g_array_index(w->mail, struct mail, k);
-		if (m.due > w->now) {
-			k++;
-			continue;
-		}
-		g_array_remove_index(w->mail, k);
-		mail_deliver(w, &m);
+	w->mail = g_array_new(FALSE, FALSE, sizeof(struct mail));
+	for (k = 0; k < mail->len; k++) {
+		m = &g_array_index(mail, struct mail, k);
+		if (m->due > w->now)
+			g_array_append_val(w->mail, *m);
+		else
+			mail_deliver(w, m);
 	}
+	g_array_unref(mail);
 	for (i = 0; i < w->n; i++) {
 		if (w->nodes[i].live)
 			stream_versions_tick(&w->nodes[i].state, w->now);
@@ -308,6 +328,119 @@
 	world_run(w, 500);
 }
 
+/* All nodes end at one moment; of those that start, recorders read the store.
+ */
+static void
+world_restart(struct world *w)
+{
+	unsigned int i, k;
+
+	for (i = 0; i < w->n; i++)
+		node_kill(w, i);
+	for (i = 0; i < w->n; i++)
+		node_start(w, i, VERSION_VIEW_SEVERAL);
+	world_tell_nodes(w);
+	for (i = 0; i < w->n; i++) {
+		if (!stream_versions_record(
+			&w->nodes[i].state, STREAM_RECORDERS))
+			continue;
+		for (k = 0; k < w->log->len; k++)
+			stream_versions_load(&w->nodes[i].state, w->now,
+			    &g_array_index(w->log, sp_stream_record, k));
+	}
+}
+
+/* Begins 300 streams within 3 s, and takes them up after a start of all. */
+static void
+world_play_restart(struct world *w, msec pause)
+{
+	struct stream streams[300];
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(streams); i++) {
+		stream_begin(w, &streams[i], draw(w, w->n));
+		world_run(w, 10);
+	}
+	world_run(w, pause);
+	world_restart(w);
+	for (i = 0; i < G_N_ELEMENTS(streams); i++)
+		stream_take_up(w, &streams[i], draw(w, w->n));
+	world_run(w, 500);
+}
+
+/* Guards against streams that nobody knows after all nodes were killed. */
+static void
+check_all_killed(unsigned int n, unsigned int lost_permille,
+    unsigned int part_percent, msec pause)
+{
+	struct world w;
+
+	world_init(&w, n, n + 3);
+	w.lost_permille = lost_permille;
+	world_play_restart(&w, pause);
+	world_check(&w, part_percent);
+	g_test_message("%u nodes: %" PRIu64 " writes", n, w.writes);
+	g_assert_cmpuint(w.writes, <=, 4 * 120);
+	world_finish(&w);
+}
+
+static void
+test_all_killed(void)
+{
+	check_all_killed(6, 0, 100, 500);
+	check_all_killed(24, 0, 100, 500);
+	check_all_killed(60, 0, 100, 700);
+	check_all_killed(350, 0, 100, 700);
+	/* What was not written yet is lost. */
+	check_all_killed(6, 0, 95, 0);
+	check_all_killed(60, 0, 80, 0);
+	check_all_killed(60, 100, 80, 700);
+}
+
+/* Guards against versions that are mixed as the store was away at the kill. */
+static void
+test_store_down(void)
+{
+	struct world w;
+
+	world_init(&w, 6, 5);
+	w.store_down = true;
+	world_play_restart(&w, 500);
+	g_assert_cmpuint(w.wrong, ==, 0);
+	g_assert_cmpuint(w.verdicts[STREAM_BOUND], ==, 0);
+	world_finish(&w);
+	/* It comes back in time. */
+	world_init(&w, 6, 6);
+	w.store_down = true;
+	world_run(&w, 3000);
+	w.store_down = false;
+	world_play_restart(&w, 500);
+	world_check(&w, 100);
+	world_finish(&w);
+}
+
+/* Guards against writes for a service that has one version. */
+static void
+test_one_version_writes(void)
+{
+	struct stream t;
+	struct world w;
+	unsigned int i;
+
+	world_init(&w, 6, 7);
+	world_set_views(&w, VERSION_VIEW_ONE);
+	for (i = 0; i < 100; i++) {
+		stream_begin(&w, &t, draw(&w, w.n));
+		world_run(&w, 20);
+	}
+	g_assert_cmpuint(w.writes, ==, 0);
+	/* A second one appears: what has begun is written now. */
+	world_set_views(&w, VERSION_VIEW_SEVERAL);
+	world_run(&w, 500);
+	g_assert_cmpuint(w.log->len, ==, 100);
+	world_finish(&w);
+}
+
 /* Guards against a stream that goes on at another version. */
 static void
 test_nodes(void)
@@ -617,6 +750,10 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stream-version/all-killed", test_all_killed);
+	g_test_add_func("/stream-version/store-down", test_store_down);
+	g_test_add_func(
+	    "/stream-version/one-version-writes", test_one_version_writes);
 	g_test_add_func("/stream-version/nodes", test_nodes);
 	g_test_add_func("/stream-version/killed", test_killed);
 	g_test_add_func("/stream-version/lost-messages", test_lost_messages);
--- a/wire.h
+++ b/wire.h
@@ -220,6 +220,13 @@
 	void (*version_sets_read)(struct source *);
 	void (*version_set_write)(struct source *, uint64_t at,
 	    const char *service, const char *text);
+	/*
+	 * The log of streams: appends a record; reads records from this one
+	 * on, each of which entry_streams_take() gets. They end with
+	 * entry_streams_appended() and entry_streams_read().
+	 */
+	void (*streams_append)(struct source *, const void *, size_t);
+	void (*streams_read)(struct source *, uint64_t from);
 	/* Report a window's counts; then calls entry_duty_usage_reported(). */
 	void (*report_usage)(struct source *, uint64_t window, json_t *counts);
 	/* False: not possible now; else entry_duty_servers_ordered() is called
