--- a/stream-version.c
+++ b/stream-version.c
@@ -166,7 +166,7 @@
 nodes_choose(const struct stream_versions_state *s, stream_id id, bool keepers,
     name_id *best, unsigned int most)
 {
-	uint64_t weights[STREAM_ASKED_MAX];
+	uint64_t weights[STREAM_ASKED_MAX] = { 0 };
 	unsigned int i, n = 0;
 
 	for (i = 0; i < s->nnodes; i++) {
@@ -180,7 +180,7 @@
 static void
 recorders_choose(struct stream_versions_state *s)
 {
-	uint64_t weights[STREAM_RECORDERS];
+	uint64_t weights[STREAM_RECORDERS] = { 0 };
 	unsigned int i, n;
 
 	n = names_insert(s->recorders, weights, 0, STREAM_RECORDERS, s->self,
@@ -478,7 +478,7 @@
 query_add_recorders(
     const struct stream_versions_state *s, struct stream_query *q)
 {
-	uint64_t weights[STREAM_ASKED_RECORDERS];
+	uint64_t weights[STREAM_ASKED_RECORDERS] = { 0 };
 	name_id best[STREAM_ASKED_RECORDERS];
 	unsigned int i, n = 0;
 
