A new version is written to the store though the two writers are cut off from it

The other recorders look, each half a second after the one before it, whether the record stands as it should, and write it if not. Records to be stored are taken in one place, for a write and for the messages to a recorder.

--- a/entry-version-store.c
+++ b/entry-version-store.c
@@ -11,8 +11,13 @@
 
 #include <xxhash.h>
 
-/* Nodes that write the sets, in case one of them is cut off. */
+/* Recorders that write the sets at once. */
 #define STORE_WRITERS 2
+/*
+ * Each further recorder looks so much later whether that was done: those before
+ * it may be cut off from the store.
+ */
+#define STORE_STEP_MS 500
 /*
  * A version is left out of its set so long after it has stopped to count, as
  * nodes do not see the last server leave at the same moment.
@@ -136,8 +141,7 @@
 	if (ok)
 		x->log_at = next;
 	x->log_retry_at = now + (goes_on ? STORE_LOG_WAIT_MS : STORE_RETRY_MS);
-	if (goes_on &&
-	    stream_versions_record(&e->versions.core, STREAM_RECORDERS) &&
+	if (goes_on && stream_versions_rank(&e->versions.core) != -1 &&
 	    now - e->started > STORE_LOG_WAIT_MS)
 		x->log_retry_at = now;
 }
@@ -150,8 +154,7 @@
 	if (!x->log_wanted || x->log_busy || x->log_was_read ||
 	    now < x->log_retry_at)
 		return;
-	if (x->log_at > 0 &&
-	    !stream_versions_record(&e->versions.core, STREAM_RECORDERS))
+	if (x->log_at > 0 && stream_versions_rank(&e->versions.core) == -1)
 		return;
 	x->log_busy = true;
 	e->source->ops->streams_read(e->source, x->log_at);
@@ -275,8 +278,9 @@
 	if (!x->was_read) {
 		store_take_sets(e, texts, now);
 		store_read_log(e, now);
-	} else if (e->table != NULL)
+	} else if (e->table != NULL) {
 		store_write_first(e, texts, end, now);
+	}
 }
 
 void
@@ -291,6 +295,28 @@
 		store_failed(e, now);
 }
 
+/* Is it this node's turn to write, if that is necessary? */
+static bool
+store_is_due(struct entry *e, msec now)
+{
+	struct entry_version_store *x = &e->version_store;
+	int rank = stream_versions_rank(&e->versions.core);
+	uint64_t wanted;
+
+	if (rank == -1 || e->phase != ENTRY_SERVING || !e->servers.complete) {
+		x->done = 0;
+		return false;
+	}
+	wanted = store_wanted(e, now);
+	if (wanted != x->wanted)
+		x->wanted_since = now;
+	x->wanted = wanted;
+	if (wanted == x->done)
+		return false;
+	return rank < STORE_WRITERS ||
+	       now - x->wanted_since >= rank * STORE_STEP_MS;
+}
+
 void
 entry_version_store_tick(struct entry *e, msec now)
 {
@@ -299,16 +325,8 @@
 	store_read_log(e, now);
 	if (x->busy || now < x->retry_at)
 		return;
-	if (x->was_read) {
-		if (e->phase != ENTRY_SERVING || !e->servers.complete ||
-		    !stream_versions_record(&e->versions.core, STORE_WRITERS)) {
-			x->done = 0;
-			return;
-		}
-		x->wanted = store_wanted(e, now);
-		if (x->wanted == x->done)
-			return;
-	}
+	if (x->was_read && !store_is_due(e, now))
+		return;
 	x->busy = true;
 	x->counters.reads++;
 	e->source->ops->version_sets_read(e->source);
--- a/entry-version-store.h
+++ b/entry-version-store.h
@@ -1,8 +1,9 @@
 /*
  * What the platform's store keeps of software versions, so that it outlives all
  * nodes: the versions of each service (version-set.h), which two nodes write,
- * on the condition that nothing was written since they read it; and the records
- * of streams that began while a service had several (stream-log.h).
+ * or others if these are cut off from the store, on the condition that nothing
+ * was written since they read it; and the records of streams that began while a
+ * service had several (stream-log.h).
  */
 
 #ifndef ENTRY_VERSION_STORE_H
@@ -23,6 +24,7 @@
 	bool busy;     /* a call is in progress */
 	/* Hashes of what there is to write, and of what needs no write. */
 	uint64_t wanted, done;
+	msec wanted_since;
 	msec retry_at;
 	unsigned int failures; /* in a row */
 	/* The log of streams as it was at the start. */
--- a/stream-version.c
+++ b/stream-version.c
@@ -140,8 +140,10 @@
 	return XXH64(words, sizeof words, 11);
 }
 
-/* Of a list of `n` names by descending weight, at most `most`, this one's place
- * is found and taken. Returns the list's new length. */
+/*
+ * Inserts a name into a list of `n` names by descending weight, of which it
+ * keeps the first `most`; returns the list's new length.
+ */
 static unsigned int
 names_insert(name_id *best, uint64_t *weights, unsigned int n,
     unsigned int most, name_id name, uint64_t weight)
@@ -195,17 +197,16 @@
 	s->nrecorders = n;
 }
 
-bool
-stream_versions_record(
-    const struct stream_versions_state *s, unsigned int first)
+int
+stream_versions_rank(const struct stream_versions_state *s)
 {
 	unsigned int i;
 
-	for (i = 0; i < MIN(first, s->nrecorders); i++) {
+	for (i = 0; i < s->nrecorders; i++) {
 		if (s->recorders[i] == s->self)
-			return true;
+			return (int)i;
 	}
-	return false;
+	return -1;
 }
 
 void
@@ -317,39 +318,48 @@
 	    s->nrecorders * MSEC_SECOND / STREAM_STORES_PER_S, STREAM_STORE_MS);
 }
 
-static void
-records_write(struct stream_versions_state *s, msec now)
+/* Encodes records that are to be stored; returns their number. */
+static unsigned int
+records_take(struct stream_versions_state *s, msec now, sp_stream_record *list,
+    unsigned int most)
 {
-	sp_stream_record *list = g_new(sp_stream_record, STREAM_STORED_MAX);
 	struct stream_record *r;
 	unsigned int n = 0;
 
 	TAILQ_FOREACH (r, &s->ages, age) {
+		if (n == most)
+			break;
 		if (!record_is_to_store(s, r, now))
 			continue;
-		record_encode(r, now, &list[n]);
+		record_encode(r, now, &list[n++]);
 		r->storing = true;
-		if (++n == STREAM_STORED_MAX) {
-			s->to_store = true;
-			break;
-		}
 	}
-	s->storing = n;
-	if (n > 0)
-		s->ops->store(s, list, n);
-	g_free(list);
+	return n;
 }
 
+/* What was taken is stored, or is to be taken again. */
 static void
-records_send_batch(struct stream_versions_state *s, name_id to,
-    sp_stream_record *list, unsigned int n)
+records_taken(struct stream_versions_state *s, bool ok)
 {
-	sp_msg msg = { .kind = SP_STREAM_STORE };
+	struct stream_record *r;
 
-	msg.sp_msg_u.stream_store.list.list_val = list;
-	msg.sp_msg_u.stream_store.list.list_len = n;
-	if (n > 0)
-		s->ops->send(s, to, &msg);
+	TAILQ_FOREACH (r, &s->ages, age) {
+		if (r->storing)
+			r->stored = ok;
+		r->storing = false;
+	}
+}
+
+static void
+records_write(struct stream_versions_state *s, msec now)
+{
+	sp_stream_record *list = g_new(sp_stream_record, STREAM_STORED_MAX);
+
+	s->storing = records_take(s, now, list, STREAM_STORED_MAX);
+	s->to_store = s->storing == STREAM_STORED_MAX;
+	if (s->storing > 0)
+		s->ops->store(s, list, s->storing);
+	g_free(list);
 }
 
 /* A message that is lost costs the records in the store, not at the keepers. */
@@ -358,20 +368,15 @@
 {
 	sp_stream_record list[SAVORY_STREAMS_MAX];
 	name_id to = recorder_choose(s);
-	struct stream_record *r;
-	unsigned int n = 0;
+	sp_msg msg = { .kind = SP_STREAM_STORE };
+	unsigned int n;
 
-	TAILQ_FOREACH (r, &s->ages, age) {
-		if (!record_is_to_store(s, r, now))
-			continue;
-		record_encode(r, now, &list[n]);
-		r->stored = true;
-		if (++n == SAVORY_STREAMS_MAX) {
-			records_send_batch(s, to, list, n);
-			n = 0;
-		}
+	msg.sp_msg_u.stream_store.list.list_val = list;
+	while ((n = records_take(s, now, list, SAVORY_STREAMS_MAX)) > 0) {
+		msg.sp_msg_u.stream_store.list.list_len = n;
+		s->ops->send(s, to, &msg);
 	}
-	records_send_batch(s, to, list, n);
+	records_taken(s, true);
 }
 
 msec
@@ -391,7 +396,7 @@
 		return;
 	s->to_store = false;
 	s->next_store = now + store_interval(s);
-	if (stream_versions_record(s, STREAM_RECORDERS))
+	if (stream_versions_rank(s) != -1)
 		records_write(s, now);
 	else
 		records_send_to_recorder(s, now);
@@ -400,13 +405,7 @@
 void
 stream_versions_stored(struct stream_versions_state *s, msec now, bool ok)
 {
-	struct stream_record *r;
-
-	TAILQ_FOREACH (r, &s->ages, age) {
-		if (r->storing)
-			r->stored = ok;
-		r->storing = false;
-	}
+	records_taken(s, ok);
 	if (ok) {
 		s->counters.stored += s->storing;
 		s->store_failures = 0;
--- a/stream-version.h
+++ b/stream-version.h
@@ -169,8 +169,8 @@
 /* Sets the other live nodes. */
 void stream_versions_set_nodes(
     struct stream_versions_state *, const struct stream_node *, unsigned int);
-/* Is this node one of the first so many recorders? */
-bool stream_versions_record(const struct stream_versions_state *, unsigned int);
+/* This node's place among the recorders; -1: it is none. */
+int stream_versions_rank(const struct stream_versions_state *);
 /* The write that store() has begun ends. */
 void stream_versions_stored(struct stream_versions_state *, msec, bool ok);
 /* When the tick is due for a write to the store; MSEC_NEVER: it is not. */
--- a/tests/test-stream-version.c
+++ b/tests/test-stream-version.c
@@ -341,8 +341,7 @@
 		node_start(w, i, VERSION_VIEW_SEVERAL);
 	world_tell_nodes(w);
 	for (i = 0; i < w->n; i++) {
-		if (!stream_versions_record(
-			&w->nodes[i].state, STREAM_RECORDERS))
+		if (stream_versions_rank(&w->nodes[i].state) == -1)
 			continue;
 		for (k = 0; k < w->log->len; k++)
 			stream_versions_load(&w->nodes[i].state, w->now,
