A silent server is not given up for where no other takes its request

Cause: a connection whose host acknowledges nothing is broken off after 1.5 s unless its request may run only once, whether another server can go on or not; and a server that is given up as silent is never asked again, so that the answer ends when the others refuse. Class: what is given up before something takes its place.

Now the connection of a request whose server is the only one that suits it (another version, others leaving) is kept for as long as that of one that may run only once. Where the others refuse, the silent server may be asked once more; a stream that has begun waits for it until its deadline.

A request without an answer at a host that is gone still ends early.

--- a/entry-attempt-private.h
+++ b/entry-attempt-private.h
@@ -15,6 +15,14 @@
 job_write_request(struct job *, msec, const struct server *, struct buffer *);
 /* The attempt was sent, or something of its answer came: wait for more. */
 void job_arm_silence_timer(struct job *, msec);
+/* The attempt's server fell silent, or its host did; it may go on later. */
+void job_note_silent(struct job *, const struct server *);
+/*
+ * No other server takes the request: the silent one may be tried again, at
+ * once or after a while. False if there is none.
+ */
+bool job_return_to_silent(struct job *);
+bool job_wait_for_silent(struct job *, msec);
 /* The current attempt may have run. */
 void job_count_run(struct job *);
 /* The current attempt has ended: start another one, or fail the request. */
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -212,6 +212,10 @@
 	if (v == NULL) {
 		if (job_wait_for_server(j, now))
 			return;
+		if (job_wait_for_silent(j, now)) {
+			place_end(p, now, r, SERVER_NO_RESULT);
+			return;
+		}
 		if (!job_ask_other_node(j, now))
 			job_fail(j, now, job_no_server_code(j));
 		return;
@@ -260,7 +264,8 @@
 	if (j->ntried == SERVER_AVOID_MAX)
 		return false;
 	if (j->runs >= job_attempts_most(j) ||
-	    j->sends >= job_attempts_most(j) + JOB_EXTRA_ATTEMPTS)
+	    j->sends >= job_attempts_most(j) + JOB_EXTRA_ATTEMPTS +
+			    j->returned_to_silent)
 		return false;
 	return j->deadline - now >= JOB_ATTEMPT_MIN_MS;
 }
@@ -297,6 +302,8 @@
 	char fingerprint[POISON_ID_SIZE], parts[JOB_PARTS_SIZE];
 
 	j->last = why;
+	if (why == JOB_FULL)
+		job_return_to_silent(j);
 	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
 	    LOG_EVENT_ATTEMPT_FAILED, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
@@ -637,6 +644,9 @@
 	job_release_server(j, now, attempt_server_result(k, how, now));
 	if (k->connect_refused)
 		entry_poison_connection_refused(k->owner, k->server, now);
+	if (k->timed_out ||
+	    (how == LINK_CONNECT_TIMED_OUT && j->returned_to_silent))
+		job_note_silent(j, k->server);
 	if (how == LINK_BROKEN) {
 		attempt_broke_off(k, now);
 		return;
--- a/entry-link.c
+++ b/entry-link.c
@@ -33,8 +33,8 @@
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
 /*
- * The same of a request that may run only once, at a server. A sound one may be
- * silent for seconds, and no other can take such a request over.
+ * The same of a request that no other server can take over, as it may run only
+ * once or there is none. A sound server may be silent for seconds.
  */
 #define LINK_PATIENT_UNACKED_MS (15 * MSEC_SECOND)
 
@@ -440,9 +440,8 @@
 
 	if (k == NULL && (k = link_connect(e, v, patient, now)) == NULL)
 		return NULL;
-	if (patient && !k->patient)
-		link_set_unacked(k->io.fd, LINK_PATIENT_UNACKED_MS);
-	k->patient = patient;
+	if (patient)
+		link_set_patient(k);
 	k->job = j;
 	k->ops = ops;
 	k->sent = false;
@@ -643,6 +642,7 @@
 	if (n == -1 && errno == EAGAIN)
 		return;
 	if (n == -1) {
+		k->timed_out = errno == ETIMEDOUT;
 		link_fail(k, now);
 		return;
 	}
@@ -719,6 +719,14 @@
 	link_watch(k);
 }
 
+void
+link_set_patient(struct link *k)
+{
+	if (!k->patient)
+		link_set_unacked(k->io.fd, LINK_PATIENT_UNACKED_MS);
+	k->patient = true;
+}
+
 void
 link_close_idle(struct entry *e, struct server *v)
 {
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -10,6 +10,8 @@
 #define JOB_SILENCE_CHECK_PERCENT 80
 /* Interval between further checks, and least silence of a dead server. */
 #define JOB_SILENCE_RECHECK_MS 250
+/* Silence of the only server after which its connection is kept for longer. */
+#define JOB_SILENCE_PATIENT_MS 1000
 #define JOB_SERVER_DEAD_MS 1000
 /* Most that running streams slow down the reading of a prompt, as a factor. */
 #define JOB_READING_SLOWDOWN_MAX 4
@@ -48,9 +50,11 @@
 {
 	msec wait = job_silence_check_ms(j);
 
-	if (!j->repeatable || wait == MSEC_NEVER)
+	if (!j->repeatable)
 		return;
-	loop_timer_set(&j->owner->loop, &j->silence_timer, now + wait);
+	j->silence_due = wait != MSEC_NEVER ? now + wait : MSEC_NEVER;
+	loop_timer_set(&j->owner->loop, &j->silence_timer,
+	    MIN(j->silence_due, now + JOB_SILENCE_PATIENT_MS));
 }
 
 /*
@@ -66,6 +70,14 @@
 	return servers_have_alternative(&j->owner->servers, &w);
 }
 
+/* No other server can take it over: the silence may be a pause. */
+static void
+job_wait_for_only_server(struct job *j)
+{
+	if (j->carrier == NULL && !job_has_other_server(j))
+		link_set_patient(j->link);
+}
+
 /*
  * Can another attempt end before this node stops? A stream that has begun
  * continues in any case.
@@ -182,6 +194,12 @@
 		job_recheck_silence_later(j, now);
 		return;
 	}
+	if (now < j->silence_due) {
+		job_wait_for_only_server(j);
+		loop_timer_set(
+		    &j->owner->loop, &j->silence_timer, j->silence_due);
+		return;
+	}
 	if (job_is_hopeless(j, now)) {
 		job_cancel_hopeless(j, now);
 		return;
@@ -190,6 +208,7 @@
 	    retry_budget_left(entry_budget(j->owner, j->service),
 		&j->owner->budget, now, j->owner->live_nodes) == 0 ||
 	    !job_has_time_to_retry(j, now)) {
+		job_wait_for_only_server(j);
 		job_recheck_silence_later(j, now);
 		return;
 	}
@@ -198,6 +217,41 @@
 	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
 	job_count_run(j);
+	job_note_silent(j, j->server);
 	job_cancel(j, now, SERVER_FAILED);
 	job_retry_or_fail(j, now, JOB_BROKEN);
 }
+
+bool
+job_return_to_silent(struct job *j)
+{
+	unsigned int i;
+
+	if (j->silent_server == 0)
+		return false;
+	for (i = 0; i < j->ntried; i++) {
+		if (j->tried[i] == j->silent_server)
+			j->tried[i] = j->tried[--j->ntried];
+	}
+	j->silent_server = 0;
+	j->returned_to_silent = true;
+	return true;
+}
+
+bool
+job_wait_for_silent(struct job *j, msec now)
+{
+	/* A request without an answer is refused early instead. */
+	if (!j->answer_began || !job_return_to_silent(j))
+		return false;
+	j->waits = true;
+	job_recheck_silence_later(j, now);
+	return true;
+}
+
+void
+job_note_silent(struct job *j, const struct server *v)
+{
+	if (j->repeatable)
+		j->silent_server = v->id;
+}
--- a/entry.h
+++ b/entry.h
@@ -208,6 +208,7 @@
 	size_t discarded;     /* bytes discarded since the request */
 	bool paused;	      /* the caller does not read fast enough */
 	bool connect_refused; /* the server refused the connection */
+	bool timed_out;	      /* the server's host acknowledged nothing */
 	bool patient;	      /* the server may be silent for seconds */
 	msec idle_limit;      /* longest idle time before it is closed */
 	msec idle_since;
@@ -239,6 +240,8 @@
 void link_cancel(struct link *);
 /* Stop or continue reading from the server. */
 void link_pause(struct link *, bool);
+/* Keep the connection while its server's host is silent for some seconds. */
+void link_set_patient(struct link *);
 /* Close the idle links of a server. */
 void link_close_idle(struct entry *, struct server *);
 /*
@@ -314,6 +317,10 @@
 	msec deadline; /* absolute: the caller's, or the route's timeout */
 	struct loop_timer timer;	 /* fires at the deadline */
 	struct loop_timer silence_timer; /* checks for a silent server */
+	/* The server has been silent for too long then, unless none may be. */
+	msec silence_due;
+	name_id silent_server;	 /* the last one given up as silent; 0: none */
+	bool returned_to_silent; /* it may be sent there once more */
 	struct link *link;		 /* of the current attempt, or NULL */
 	struct server *server;		 /* of the current attempt, or NULL */
 	/* Name of the last attempt's server; "": none. */
