A path is not taken for cut because most listed servers are gone

What callers saw: with four good servers of a service and forty entries at whose ports nothing listens, nodes answered 503 no-path from half a second on, for good.

Cause: the path to all servers was judged by probes drawn from all listed ones. Three dead servers and a round of three dead ones made it cut, and only two answers in a row from servers drawn the same way ended that. All nodes came to the same verdict, so there was no carrier either. Class: a verdict over all, drawn from a sample that one bad part can fill.

Now every other probe goes to a witness: a server that has answered this node on a new connection before. While the path is cut, a server that answered counts until it fails itself, whatever others do. That a connection is refused still proves nothing, since a partition may refuse, too.

The other tests of reach, with cuts that hang, refuse, reset or accept, pass.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -400,7 +400,7 @@
 	struct job *j = k->job;
 
 	servers_reached(&j->owner->servers, now);
-	entry_reach_heard(j->owner, !k->used, now);
+	entry_reach_heard(j->owner, k->server, !k->used, now);
 	entry_rate_read(k, h, now);
 	entry_room_read(k, h, now);
 	entry_leaving_read(k, h, now);
@@ -480,7 +480,7 @@
 	entry_poison_body_received(j, now);
 	entry_move_heard(j, now);
 	job_began_to_run(j, now);
-	entry_reach_heard(j->owner, false, now);
+	entry_reach_heard(j->owner, k->server, false, now);
 	/* An error does not show that the server has read the prompt. */
 	if (j->status < 300)
 		place_prompt_read(&j->owner->place, now, &j->place);
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -146,6 +146,23 @@
 	return NULL;
 }
 
+/* The server for the next probe; NULL: none may be probed. */
+static struct server *
+reach_choose_server(struct entry *e, msec now)
+{
+	name_id witness = reach_next_witness(&e->reach.core, now);
+	struct server *v =
+	    witness != 0 ? servers_find(&e->servers, witness) : NULL;
+
+	if (v != NULL && v->state == SERVER_READY)
+		return v;
+	if ((v = reach_next_server(e, false, now)) == NULL)
+		v = reach_next_server(e, true, now);
+	if (v != NULL)
+		e->reach.last_probed = v->id;
+	return v;
+}
+
 static void
 reach_timer(struct loop_timer *t, msec now)
 {
@@ -155,13 +172,10 @@
 
 	reach_check_silence(&x->core, now, reach_count_servers(e));
 	while (reach_probes_due(&x->core, now) > 0) {
-		if ((v = reach_next_server(e, false, now)) == NULL)
-			v = reach_next_server(e, true, now);
-		if (v == NULL) {
+		if ((v = reach_choose_server(e, now)) == NULL) {
 			reach_probe_none(&x->core);
 			break;
 		}
-		x->last_probed = v->id;
 		probe_start(e, v, now);
 	}
 	reach_arm_timer(e);
@@ -177,10 +191,11 @@
 }
 
 void
-entry_reach_heard(struct entry *e, bool first, msec now)
+entry_reach_heard(
+    struct entry *e, const struct server *v, bool first, msec now)
 {
 	if (first)
-		reach_answered(&e->reach.core, now);
+		reach_answered(&e->reach.core, now, v->id);
 	else
 		reach_heard(&e->reach.core, now);
 }
--- a/reach.c
+++ b/reach.c
@@ -23,7 +23,7 @@
 	r->since = now;
 	r->silent_since = MSEC_NEVER;
 	r->back = 0;
-	r->nback = 0;
+	r->other_due = false;
 	if (cut) {
 		r->counters.cuts++;
 		r->wanted = REACH_BACK_SERVERS;
@@ -111,6 +111,42 @@
 	r->answered_at = now;
 }
 
+/* ---- witnesses ---- */
+
+static void
+reach_add_witness(struct reach *r, name_id server)
+{
+	unsigned int i;
+
+	for (i = 0; i < r->nwitnesses; i++) {
+		if (r->witnesses[i] == server)
+			return;
+	}
+	if (r->nwitnesses < REACH_WITNESSES_MAX) {
+		r->witnesses[r->nwitnesses++] = server;
+		return;
+	}
+	r->witnesses[r->next_kept] = server;
+	r->next_kept = (r->next_kept + 1) % REACH_WITNESSES_MAX;
+}
+
+name_id
+reach_next_witness(struct reach *r, msec now)
+{
+	name_id server;
+	unsigned int i;
+
+	r->other_due = !r->other_due;
+	if (!r->other_due)
+		return 0;
+	for (i = 0; i < r->nwitnesses; i++) {
+		server = r->witnesses[r->next_witness++ % r->nwitnesses];
+		if (!reach_avoids(r, now, server))
+			return server;
+	}
+	return 0;
+}
+
 void
 reach_sent(struct reach *r, msec now)
 {
@@ -126,9 +162,10 @@
 }
 
 void
-reach_answered(struct reach *r, msec now)
+reach_answered(struct reach *r, msec now, name_id server)
 {
 	reach_heard(r, now);
+	reach_add_witness(r, server);
 	/* Only probes end a cut; see reach_probe_ended(). */
 	if (r->cut)
 		return;
@@ -144,6 +181,7 @@
 		return;
 	r->wanted = MIN(REACH_PROBES, nservers);
 	r->next_probe = now;
+	r->other_due = false;
 }
 
 void
@@ -223,17 +261,18 @@
 {
 	if (!works) {
 		reach_add_failure(r, now, server);
-		r->nback = 0;
-		r->back = 0;
+		/* The failures of others say nothing of one that answers. */
+		if (r->back == server)
+			r->back = 0;
 		return;
 	}
-	if (r->back != server)
-		r->nback++;
-	r->back = server;
-	if (r->nback >= MIN(REACH_BACK_SERVERS, n)) {
-		reach_clear_failures(r, now);
-		reach_set_cut(r, now, false);
+	reach_add_witness(r, server);
+	if (n >= REACH_BACK_SERVERS && (r->back == 0 || r->back == server)) {
+		r->back = server;
+		return;
 	}
+	reach_clear_failures(r, now);
+	reach_set_cut(r, now, false);
 }
 
 static bool
@@ -258,6 +297,8 @@
 		reach_cut_probe_ended(r, now, server, works, nservers);
 		return;
 	}
+	if (result == REACH_PROBE_ANSWERED)
+		reach_add_witness(r, server);
 	if (works) {
 		reach_clear_failures(r, now);
 		r->silent_since = MSEC_NEVER;
--- a/reach.h
+++ b/reach.h
@@ -12,6 +12,12 @@
  * connection in between, including all probes of a round. While it is cut,
  * pairs of probes show when it works again; requests are not used for that.
  *
+ * Most of the listed servers may be gone or refuse, for example after a failure
+ * domain was taken down. So every other probe goes to a witness, a server that
+ * has answered this node on a new connection before: if witnesses still answer,
+ * the failures are the servers' own. A refused connection proves nothing, as a
+ * partition may refuse connections, too.
+ *
  * The module does no I/O.
  */
 
@@ -41,12 +47,13 @@
 /* A failure counts for this time. */
 #define REACH_EVIDENCE_MS (4 * MSEC_SECOND)
 /*
- * Number of servers that must answer in a row before the path works again, and
- * of probes that are started together.
+ * Number of servers that must answer before the path works again, and of probes
+ * that are started together.
  */
 #define REACH_BACK_SERVERS 2
-/* Number of servers whose failures are kept. */
+/* Number of servers whose failures are kept, and of witnesses. */
 #define REACH_FAILED_MAX 8
+#define REACH_WITNESSES_MAX 8
 
 /* The newest failure of a server. */
 struct reach_failure {
@@ -93,8 +100,14 @@
 	unsigned int wanted;  /* probes to start */
 	msec next_probe;      /* no probes before */
 	msec last_probe;      /* the last one was started */
-	name_id back;	      /* while cut: last server that answered; 0 */
-	unsigned int nback;   /* servers that answered in a row */
+	/* While cut: a server that answered and has not failed since; 0. */
+	name_id back;
+	/* Servers that answered last on new connections. */
+	name_id witnesses[REACH_WITNESSES_MAX];
+	unsigned int nwitnesses;
+	unsigned int next_kept;	   /* place of the next new one, if full */
+	unsigned int next_witness; /* to be probed */
+	bool other_due;		   /* the next probe is not for a witness */
 	struct reach_counters counters;
 	void *arg; /* for the caller */
 };
@@ -106,7 +119,7 @@
 /* A server has sent something on a connection of a request. */
 void reach_heard(struct reach *, msec);
 /* A server's first answer on a new connection. */
-void reach_answered(struct reach *, msec);
+void reach_answered(struct reach *, msec, name_id server);
 /*
  * A request's connection to a server was refused, timed out or broke.
  * `nservers`: number of servers that may be used.
@@ -119,10 +132,13 @@
 void reach_suspect(struct reach *, msec, unsigned int nservers);
 /*
  * Number of probes to start now. The caller starts each with
- * reach_probe_started(), at servers for which reach_has_failed() is false if
- * there are any.
+ * reach_probe_started(): at the server that reach_next_witness() names, if it
+ * may be used, else at any, preferably one that reach_avoids() does not hold
+ * back.
  */
 unsigned int reach_probes_due(struct reach *, msec);
+/* The witness that the next probe is for; 0: it is for another server. */
+name_id reach_next_witness(struct reach *, msec);
 /* One of the probes that are due is in progress. */
 void reach_probe_started(struct reach *, msec);
 /* While the path is cut: a request waits for it, so probe soon. */
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -70,10 +70,11 @@
 		[ACCEPTS_SILENT] = REACH_PROBE_UNANSWERED,
 		[ACCEPTS_RESETS] = REACH_PROBE_UNANSWERED,
 	};
-	unsigned int i = 0, tries;
+	name_id witness = reach_next_witness(&w->reach, w->now);
+	unsigned int i = (unsigned int)witness - 1, tries;
 	bool times_out;
 
-	for (tries = 0; tries < 2 * w->nservers; tries++) {
+	for (tries = 0; witness == 0 && tries < 2 * w->nservers; tries++) {
 		i = w->next++ % w->nservers;
 		if (tries >= w->nservers ||
 		    !reach_avoids(&w->reach, w->now, i + 1))
@@ -193,6 +194,61 @@
 	g_assert_cmpuint(w.started, <=, 2 * REACH_PROBES + REACH_PROBES);
 }
 
+/* A request in 50 ms to a server that is gone, and to one that answers. */
+static void
+world_serve(struct world *w, unsigned int gone, unsigned int rounds)
+{
+	unsigned int i;
+
+	for (i = 0; i < rounds; i++) {
+		world_fail(w, i % gone);
+		if (!reach_is_cut(&w->reach))
+			reach_answered(&w->reach, w->now,
+			    gone + 1 + i % (SERVERS - gone));
+		world_run(w, 25);
+		world_fail(w, (i + 1) % gone);
+		world_run(w, 25);
+	}
+}
+
+/* Guards against a path that is taken for cut as most servers are gone. */
+static void
+test_most_gone(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS - 2, REFUSES);
+	reach_answered(&w.reach, w.now, SERVERS);
+	world_serve(&w, SERVERS - 2, 400);
+	g_assert_cmpuint(w.reach.counters.cuts, ==, 0);
+	/* The path is cut all the same when it is. */
+	world_set(&w, 0, SERVERS, REFUSES);
+	for (i = 0; i < STABLE_MS / 2 / 50; i++) {
+		world_fail(&w, SERVERS - 1);
+		world_run(&w, 50);
+	}
+	g_assert_true(reach_is_cut(&w.reach));
+}
+
+/* Guards against a node that starts so and never finds those that serve. */
+static void
+test_most_gone_at_start(void)
+{
+	struct world w;
+	unsigned int i;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS - 2, REFUSES);
+	for (i = 0; i < STABLE_MS / 50; i++) {
+		world_fail(&w, i % (SERVERS - 2));
+		world_run(&w, 50);
+	}
+	g_assert_false(reach_is_cut(&w.reach));
+	g_assert_cmpuint(w.reach.counters.cuts, ==, 1);
+}
+
 /* Guards against one service that is down as a whole. */
 static void
 test_one_service_down(void)
@@ -302,7 +358,7 @@
 	g_assert_false(reach_in_doubt(&w.reach));
 	g_assert_true(reach_is_cut(&w.reach));
 	/* A connection that was begun before does not end the cut. */
-	reach_answered(&w.reach, w.now);
+	reach_answered(&w.reach, w.now, 1);
 	g_assert_true(reach_is_cut(&w.reach));
 }
 
@@ -384,7 +440,7 @@
 	g_assert_true(reach_is_cut(&w.reach));
 	/* One that was just answered does not probe. */
 	world_init(&w);
-	reach_answered(&w.reach, w.now);
+	reach_answered(&w.reach, w.now, 1);
 	reach_suspect(&w.reach, w.now + 10, SERVERS);
 	world_run(&w, 100);
 	g_assert_cmpuint(w.started, ==, 0);
@@ -430,6 +486,8 @@
 	g_test_add_func("/reach/all-silent", test_all_silent);
 	g_test_add_func("/reach/all-refuse", test_all_refuse);
 	g_test_add_func("/reach/some-crash", test_some_crash);
+	g_test_add_func("/reach/most-gone", test_most_gone);
+	g_test_add_func("/reach/most-gone-at-start", test_most_gone_at_start);
 	g_test_add_func("/reach/one-service-down", test_one_service_down);
 	g_test_add_func("/reach/accept-reset", test_accept_reset);
 	g_test_add_func("/reach/accept-silent", test_accept_silent);
