A node that sees one version asks the likely keepers before a take-up

What callers would see: during a release a stream that began at a new version through another node is taken up at a node whose list is a second or two old, and goes on at the old version (ORDER).

Cause: a list that was confirmed as the newest within 2 s was taken as proof that there is one version, and nobody was asked. A new version begins no streams for these 2 s at nodes that know it, but only as long as another server takes them: when the old ones all leave or fail at once, it begins them at once. Class: not knowing is taken for a value.

Now such a node asks the four likely keepers once, as a node that is unsure does; without any answer within 40 ms its own view stands. Where versions are not told nothing is sent.

Evidence: test-stream-version out-of-step: 100 of 100 streams went on at a wrong version before, none now, and all are bound.

/stream-version/silent asserted that a take-up sends nothing where there is one version; that was the fault. It asserts the same for streams that begin, and at most four questions with their answers for each take-up, and that none is refused. alone-in-step guards against refusals at a node cut off from its peers.

--- a/entry-version.c
+++ b/entry-version.c
@@ -154,10 +154,9 @@
 	if (*j->request.began_as != '\0')
 		q->id = stream_id_make(
 		    version_organisation(j), j->request.began_as);
-	if (q->view == VERSION_VIEW_ONE) {
-		version_bind_only(j, now);
+	if (q->view == VERSION_VIEW_ONE &&
+	    server_versions_untold(&e->servers.versions, j->service))
 		return true;
-	}
 	v = stream_query_ask(&e->versions.core, now, q);
 	if (v != STREAM_WAIT)
 		return version_apply(j, v, now);
--- a/stream-version.c
+++ b/stream-version.c
@@ -12,6 +12,8 @@
 /* Time for the answers to each round of a query. */
 #define STREAM_ROUND_MS 40
 #define STREAM_ROUNDS 3
+/* Of a node that sees one version in a current list. */
+#define STREAM_ROUNDS_IN_STEP 1
 /* Records live this much longer than their streams may be resumed. */
 #define STREAM_RECORD_MARGIN_MS 500
 /* Interval of the search for records that keepers have to be told. */
@@ -525,7 +527,7 @@
 {
 	if (q->view == VERSION_VIEW_SEVERAL || q->several)
 		return STREAM_UNKNOWN;
-	if (q->sure_of_one)
+	if (q->sure_of_one || q->view == VERSION_VIEW_ONE)
 		return STREAM_FREE;
 	if (q->id == 0 && (q->nnodes == 0 || 2 * q->nanswered > q->nasked))
 		return STREAM_FREE;
@@ -539,7 +541,7 @@
 	struct stream_record *r;
 
 	q->waiting = false;
-	if (q->view == VERSION_VIEW_ONE)
+	if (q->id == 0 && q->view == VERSION_VIEW_ONE)
 		return STREAM_FREE;
 	if (q->id != 0 && (r = record_find(s, q->id)) != NULL && r->until > now)
 		return verdict_count(s, record_verdict(r, q));
@@ -585,8 +587,11 @@
 query_next(struct stream_versions_state *s, msec now, struct stream_query *q)
 {
 	bool all = q->nanswered == q->nasked;
+	unsigned int most = q->view == VERSION_VIEW_ONE && !q->several
+				? STREAM_ROUNDS_IN_STEP
+				: STREAM_ROUNDS;
 
-	if (q->rounds == STREAM_ROUNDS ||
+	if (q->rounds >= most ||
 	    (all &&
 		(q->nasked == q->nnodes || (q->view != VERSION_VIEW_SEVERAL &&
 					       q->sure_of_one && !q->several))))
