A stream goes on only at a process that says it is the listed one

Cause: the version that the list names was taken for that of the process which is sent the resumed stream, and nothing tied the two together.

Before a stream is resumed, within an answer or over a caller's tries, the node asks the process on the same connection what it says of itself; the start that it names must be the one that its entry names. A connection is asked once. A process that names another start is known to be new: nothing of the old one counts, nor its entries, until it is listed itself. Servers that do not name their start: the list must be current, and no connection to the server may have ended or been refused since it was confirmed. Runs that go on from memory are not asked, since memory ends with its process. What it costs: a question for each connection on which a stream is resumed, none for others.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -28,8 +28,8 @@
 static void attempt_failed(struct link *, enum link_end, msec);
 
 static const struct link_ops job_link_ops = { attempt_may_send, attempt_head,
-	attempt_body, attempt_complete, attempt_failed,
-	JOB_CONNECT_TIMEOUT_MS };
+	attempt_body, attempt_complete, attempt_failed, JOB_CONNECT_TIMEOUT_MS,
+	entry_version_told };
 
 /* Start an attempt on a server; false when no connection is possible. */
 static bool
@@ -43,7 +43,7 @@
 		j->tried[j->ntried++] = v->id;
 	job_write_request(j, now, v, &request);
 	j->link = link_send(e, v, j, &job_link_ops, &request, for_head_request,
-	    !j->repeatable, now);
+	    !j->repeatable, entry_version_needs_process(j), now);
 	buffer_finish(&request);
 	if (j->link == NULL)
 		return false;
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -36,7 +36,7 @@
 
 static const struct link_ops carrier_link_ops = { carrier_may_send,
 	carrier_head, carrier_body, carrier_complete, carrier_failed,
-	HANDOFF_CONNECT_TIMEOUT_MS };
+	HANDOFF_CONNECT_TIMEOUT_MS, NULL };
 
 /* ---- carriers ---- */
 
@@ -188,7 +188,7 @@
 	j->handoff_attempts = handoff_attempts(job_attempts_left(j));
 	handoff_write_request(j, now, &request);
 	j->link = link_send(e, &c->server, j, &carrier_link_ops, &request,
-	    strcmp(j->head->method, "HEAD") == 0, !j->repeatable, now);
+	    strcmp(j->head->method, "HEAD") == 0, !j->repeatable, false, now);
 	buffer_finish(&request);
 	if (j->link == NULL) {
 		carrier_avoid(c, now, JOB_UNREACHABLE, false);
--- a/entry-link.c
+++ b/entry-link.c
@@ -30,6 +30,8 @@
  * past.
  */
 #define LINK_DISCARD_MAX (1024 * 1024)
+/* Longest answer of a server that is asked what it says of itself. */
+#define LINK_TOLD_MAX (64 * 1024)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
 /*
@@ -61,6 +63,12 @@
 {
 	struct link *k = r->arg;
 
+	if (k->asking) {
+		if (!k->discard_answer &&
+		    buffer_length(&k->told) + n <= LINK_TOLD_MAX)
+			buffer_add(&k->told, bytes, n);
+		return;
+	}
 	if (!k->discard_answer && k->job != NULL)
 		k->ops->body(k, bytes, n, k->owner->loop.now);
 }
@@ -95,6 +103,8 @@
 	loop_close(&e->loop, &k->io);
 	http_reader_finish(&k->reader);
 	buffer_finish(&k->out);
+	buffer_finish(&k->held);
+	buffer_finish(&k->told);
 	v->links--;
 	g_free(k);
 }
@@ -193,6 +203,7 @@
 	k->io = (struct loop_io){ link_ready, fd, 0 };
 	if (fd == -1) {
 		k->connect_refused = errno == ECONNREFUSED;
+		server_doubt(v, e->loop.now);
 		return false;
 	}
 	if (k->patient)
@@ -301,7 +312,7 @@
 			break;
 		if (n <= 0)
 			return false;
-		k->sent = true;
+		k->sent = !k->asking;
 		k->owner->counters.request_bytes[k->domain] += (uint64_t)n;
 		buffer_consume(&k->out, (size_t)n);
 	}
@@ -429,10 +440,55 @@
 	}
 }
 
+/* ---- asking a server what it says of itself ---- */
+
+static void
+link_hold_request(struct link *k)
+{
+	k->held = k->out;
+	k->held_is_head = k->reader.for_head_request;
+	k->out = (struct buffer){ 0 };
+	k->reader.for_head_request = false;
+	k->asking = true;
+	k->owner->wire->probe(&k->out, true);
+}
+
+static void
+link_await_told(struct link *k, msec now)
+{
+	if (k->asking)
+		loop_timer_set(&k->owner->loop, &k->timer,
+		    now + k->ops->connect_timeout);
+}
+
+/* The answer is complete: send the request on the same connection. */
+static void
+link_was_told(struct link *k, bool keep, msec now)
+{
+	bool good = k->reader.head->status == 200;
+
+	loop_timer_stop(&k->owner->loop, &k->timer);
+	good = k->ops->told(k, good ? buffer_bytes(&k->told) : NULL,
+	    good ? buffer_length(&k->told) : 0, now);
+	buffer_finish(&k->told);
+	k->asking = false;
+	if (!good || !keep) {
+		link_end(k, LINK_SERVER_LEAVING, now);
+		return;
+	}
+	http_reader_reset(&k->reader);
+	k->reader.for_head_request = k->held_is_head;
+	buffer_finish(&k->out);
+	k->out = k->held;
+	k->held = (struct buffer){ 0 };
+	if (k->ops->may_send(k, now) && !link_flush(k))
+		link_fail(k, now);
+}
+
 struct link *
 link_send(struct entry *e, struct server *v, struct job *j,
     const struct link_ops *ops, struct buffer *request, bool for_head_request,
-    bool once, msec now)
+    bool once, bool ask, msec now)
 {
 	struct link *k = link_take_idle(e, v, now);
 	msec idle = k != NULL ? now - k->idle_since : 0;
@@ -450,6 +506,8 @@
 	k->reader.for_head_request = for_head_request;
 	k->out = *request;
 	*request = (struct buffer){ 0 };
+	if (ask && !k->known)
+		link_hold_request(k);
 	/*
 	 * A failure here is returned as NULL: the job cannot handle a callback
 	 * before this function returns.
@@ -458,6 +516,7 @@
 		loop_timer_set(&e->loop, &k->timer, now + ops->connect_timeout);
 	if (!k->connecting) {
 		loop_timer_stop(&e->loop, &k->timer);
+		link_await_told(k, now);
 		sent = keep_needs_proof(once, idle)
 			   ? link_begin_proof(k, now) || link_reopen(k, now)
 			   : link_flush(k);
@@ -480,6 +539,7 @@
 		log_debug("cannot connect to %s: %s", k->server->name,
 		    g_strerror(error));
 		k->connect_refused = error == ECONNREFUSED;
+		server_doubt(k->server, k->owner->loop.now);
 		return false;
 	}
 	link_connect_finished(k);
@@ -544,9 +604,13 @@
 {
 	bool keep = k->reader.head->keep_alive &&
 		    !k->reader.head->until_close && rest == 0 &&
-		    buffer_length(&k->out) == 0 && link_is_current(k) &&
-		    k->owner->idle_links < KEEP_IDLE_ALL;
+		    buffer_length(&k->out) == 0 && link_is_current(k);
 
+	if (k->asking) {
+		link_was_told(k, keep, now);
+		return;
+	}
+	keep = keep && k->owner->idle_links < KEEP_IDLE_ALL;
 	keep = k->ops->complete(k, now) && keep;
 	k->job = NULL;
 	if (keep)
@@ -566,7 +630,7 @@
 	struct http_head *h = k->reader.head;
 
 	/* After a 1xx status the final answer follows. */
-	if (h->status < 200 || !k->ops->head(k, h, now)) {
+	if (h->status < 200 || (!k->asking && !k->ops->head(k, h, now))) {
 		k->discard_answer = true;
 		k->owner->counters.strays += h->status >= 200;
 		return !h->until_close;
@@ -641,6 +705,8 @@
 	} while (n == -1 && errno == EINTR);
 	if (n == -1 && errno == EAGAIN)
 		return;
+	if (n <= 0)
+		server_doubt(k->server, now);
 	if (n == -1) {
 		k->timed_out = errno == ETIMEDOUT;
 		link_fail(k, now);
@@ -662,13 +728,18 @@
 
 	/* Any event on an idle connection means that it is unusable. */
 	if (k->job == NULL) {
+		server_doubt(k->server, now);
 		link_remove_idle(link_pool_of(k->server), k);
 		link_free(k);
 		return;
 	}
 	if (k->connecting) {
-		if (!link_connected(k) ||
-		    (k->ops->may_send(k, now) && !link_flush(k)))
+		if (!link_connected(k)) {
+			link_fail(k, now);
+			return;
+		}
+		link_await_told(k, now);
+		if (k->ops->may_send(k, now) && !link_flush(k))
 			link_fail(k, now);
 		return;
 	}
@@ -694,7 +765,7 @@
 	if (k->job == NULL) {
 		link_remove_idle(link_pool_of(k->server), k);
 		link_free(k);
-	} else if (k->connecting) {
+	} else if (k->connecting || k->asking) {
 		link_end(k, LINK_CONNECT_TIMED_OUT, now);
 	} else if (k->proof_bytes > 0) {
 		link_check_proof(k, now);
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -65,7 +65,7 @@
 	size_t length;
 	ssize_t n;
 
-	p->owner->wire->probe(&out);
+	p->owner->wire->probe(&out, false);
 	length = buffer_length(&out);
 	n = send(p->io.fd, buffer_bytes(&out), length, MSG_NOSIGNAL);
 	buffer_finish(&out);
--- a/entry-version.c
+++ b/entry-version.c
@@ -165,6 +165,47 @@
 	return false;
 }
 
+bool
+entry_version_needs_process(const struct job *j)
+{
+	/* Memory of a run goes with the process that holds it. */
+	return version_matters(j) && j->software_id != 0 &&
+	       (j->request.resumes || j->answer_began) &&
+	       entry_move_memory(j) == NULL;
+}
+
+/*
+ * A server that does not say when it was started: its process is the listed one
+ * if nothing happened to its connections since the list was confirmed.
+ */
+static bool
+version_process_is_listed(const struct entry *e, const struct server *v, msec now)
+{
+	msec confirmed = e->relay.known[RELAY_SERVERS].confirmed;
+
+	return confirmed != MSEC_NEVER && confirmed > v->doubted_at &&
+	       now - confirmed <= SERVER_LIST_AGE_MS;
+}
+
+bool
+entry_version_told(struct link *k, const char *bytes, size_t n, msec now)
+{
+	struct entry *e = k->owner;
+	struct server *v = k->server;
+	int64_t born;
+
+	if (bytes == NULL || v->born == 0 ||
+	    !e->wire->process_start(bytes, n, &born))
+		return version_process_is_listed(e, v, now);
+	if (born == v->born) {
+		k->known = true;
+		return true;
+	}
+	e->versions.replaced++;
+	servers_replaced(&e->servers, now, v, born);
+	return false;
+}
+
 void
 entry_versions_arm_timer(struct entry *e)
 {
@@ -332,8 +373,12 @@
 	    "\n"
 	    "savory_entry_stream_verdicts_total{verdict=\"free\"} %" PRIu64 "\n"
 	    "savory_entry_stream_verdicts_total{verdict=\"unknown\"} %" PRIu64
-	    "\n",
+	    "\n"
+	    "# HELP savory_entry_servers_replaced_total Servers that said "
+	    "they were another process than listed.\n"
+	    "# TYPE savory_entry_servers_replaced_total counter\n"
+	    "savory_entry_servers_replaced_total %" PRIu64 "\n",
 	    e->versions.core.count, n->told, n->dropped, n->stored,
 	    n->store_failed, n->loaded, n->asked, n->bound, n->free,
-	    n->unknown);
+	    n->unknown, e->versions.replaced);
 }
--- a/entry-version.h
+++ b/entry-version.h
@@ -12,6 +12,7 @@
 
 struct entry;
 struct job;
+struct link;
 
 /* The version, as a number, in a carrier's answer to the node that asked it. */
 #define VERSION_SOFTWARE_FIELD "Savory-Software"
@@ -19,6 +20,7 @@
 struct entry_versions {
 	struct stream_versions_state core;
 	struct loop_timer timer;
+	uint64_t replaced; /* servers whose process was another than listed */
 };
 
 void entry_versions_init(struct entry *);
@@ -36,6 +38,14 @@
  * job_attempt() follows, or has failed.
  */
 bool entry_version_admit(struct job *, msec);
+/*
+ * Must the server's process be known to be the listed one before the request is
+ * sent to it? A process may have been replaced by one of another version under
+ * the same name since the list was read. entry_version_told() decides by what
+ * the process says of itself.
+ */
+bool entry_version_needs_process(const struct job *);
+bool entry_version_told(struct link *, const char *, size_t, msec);
 /* The first event of the request's stream is about to be forwarded. */
 void entry_version_begin(struct job *, msec);
 /* Could another server resume the stream that has begun? */
--- a/entry.h
+++ b/entry.h
@@ -160,8 +160,9 @@
 
 /* How an attempt on a link ended without a whole answer. */
 enum link_end {
-	LINK_SERVER_LEAVING, /* the server stops taking work; nothing was sent
-			      */
+	/* The process stops taking work, or is another one; nothing was sent.
+	 */
+	LINK_SERVER_LEAVING,
 	LINK_UNSENT,	     /* the connection failed; nothing was sent */
 	LINK_CONNECT_TIMED_OUT, /* connecting timed out; nothing was sent */
 	LINK_BROKEN /* bytes of the request may have reached the server */
@@ -187,6 +188,12 @@
 	/* The attempt failed; the link no longer belongs to the job. */
 	void (*failed)(struct link *, enum link_end, msec);
 	msec connect_timeout; /* of a new connection, in ms */
+	/*
+	 * What the server says of itself, when it was asked before the request
+	 * is sent; NULL: nothing of use. Returns true if the request may be
+	 * sent on this connection. Only for link_send() with `ask`.
+	 */
+	bool (*told)(struct link *, const char *, size_t, msec);
 };
 
 struct link {
@@ -219,6 +226,11 @@
 	 */
 	size_t proof_bytes;
 	msec proof_since;
+	bool asking;	    /* what the server says of itself is awaited */
+	bool known;	    /* its process is the listed one, as it has said */
+	struct buffer held; /* the request, meanwhile */
+	bool held_is_head;  /* its method is HEAD */
+	struct buffer told; /* what the server said so far */
 };
 
 /* A server's links that are idle or connecting; in server->arg. */
@@ -231,11 +243,12 @@
  * Send a request to a server, on an idle connection or a new one. NULL when
  * that fails. `for_head_request`: the request's method is HEAD. `once`: it may
  * run only once, so a connection that was idle for a while has to prove first
- * that it leads to the server. Takes over the buffer's contents.
+ * that it leads to the server. `ask`: the server is asked first what it says of
+ * itself, unless the connection is known. Takes over the buffer's contents.
  */
 struct link *link_send(struct entry *, struct server *, struct job *,
     const struct link_ops *, struct buffer *request, bool for_head_request,
-    bool once, msec);
+    bool once, bool ask, msec);
 /* Cancel the attempt: closes the connection, so that the server stops work. */
 void link_cancel(struct link *);
 /* Stop or continue reading from the server. */
--- a/server.c
+++ b/server.c
@@ -18,6 +18,8 @@
 #define SERVER_FAILURES_MAX 3
 #define SERVER_REST_MS 500
 #define SERVER_REST_MAX_MS (4 * MSEC_SECOND)
+/* Entries of a process that has been replaced are read for so long. */
+#define SERVER_REPLACED_MS (10 * MSEC_SECOND)
 /* Decay time of the counts in struct server_reach. */
 #define REACH_DECAY_MS 1000
 /*
@@ -193,6 +195,37 @@
 		v->leaving_since = 0;
 }
 
+/* The entry of the previous process, from an older list. */
+static bool
+server_entry_is_old(
+    const struct servers *s, const struct server *v, msec now, int64_t born)
+{
+	if (born == 0 || born >= v->born)
+		return false;
+	return now < s->gone_kept_until ||
+	       (v->replaced_at != 0 &&
+		   now - v->replaced_at < SERVER_REPLACED_MS);
+}
+
+void
+servers_replaced(struct servers *s, msec now, struct server *v, int64_t born)
+{
+	log_info_of(LOG_NODE, v->name, "%s is another process", v->name);
+	server_reset(v);
+	server_set_software(v, NULL);
+	v->starts++;
+	v->new_at = now;
+	v->born = born;
+	v->replaced_at = now;
+	s->ops->changed(s, v);
+}
+
+void
+server_doubt(struct server *v, msec now)
+{
+	v->doubted_at = now;
+}
+
 void
 servers_list(struct servers *s, msec now, const struct server_entry *e)
 {
@@ -207,8 +240,7 @@
 		s->listed_since = now;
 	if (v == NULL)
 		v = servers_add(s, now, e, id);
-	/* The entry of the previous process, from an older list. */
-	if (now < s->gone_kept_until && e->born != 0 && e->born < v->born)
+	if (server_entry_is_old(s, v, now, e->born))
 		return;
 	anew = (e->born != 0 && e->born != v->born) ||
 	       e->address != v->address || e->port != v->port ||
--- a/server.h
+++ b/server.h
@@ -70,6 +70,8 @@
 	char software[SERVER_SOFTWARE_SIZE];
 	name_id software_id;
 	unsigned int starts; /* restarts of the process under this name */
+	msec replaced_at; /* its process said that it is a newer one; 0: no */
+	msec doubted_at;  /* a connection to it ended or was refused; 0 */
 	/* An answer of this process says that it leaves, whatever is listed. */
 	bool says_leaving;
 	msec leaving_since; /* this node learned that it leaves; 0: it stays */
@@ -165,6 +167,13 @@
 uint64_t server_cache_id(const struct server *);
 /* Adds a server or updates it by the platform's current entry. */
 void servers_list(struct servers *, msec, const struct server_entry *);
+/*
+ * The server's process says that it was started at `born`, not when its entry
+ * says: it is another one, of which nothing else is known until it is listed.
+ */
+void servers_replaced(struct servers *, msec, struct server *, int64_t born);
+/* A connection to the server ended or was refused: its process may have. */
+void server_doubt(struct server *, msec);
 /* The first list was read completely: servers added from now on are new. */
 void servers_set_complete(struct servers *);
 /* The platform does not list the server any more. */
--- a/wire.h
+++ b/wire.h
@@ -134,9 +134,15 @@
 	    const struct http_head *, const char *id, struct wire_answer *);
 	/*
 	 * Append a request that a backend server answers at once: it neither
-	 * takes a slot nor has any effect.
+	 * takes a slot nor has any effect. `keep`: requests follow it on the
+	 * connection.
 	 */
-	void (*probe)(struct buffer *);
+	void (*probe)(struct buffer *, bool keep);
+	/*
+	 * From the answer to that question: when the server's process was
+	 * started, as struct server_entry has it; false if it is not told.
+	 */
+	bool (*process_start)(const char *, size_t, int64_t *);
 	/*
 	 * The call that copies the memory of a run to another server: its
 	 * target and body. With `last` the run is stopped first.
