--- a/entry-link.c
+++ b/entry-link.c
@@ -457,8 +457,8 @@
 link_await_told(struct link *k, msec now)
 {
 	if (k->asking)
-		loop_timer_set(&k->owner->loop, &k->timer,
-		    now + k->ops->connect_timeout);
+		loop_timer_set(
+		    &k->owner->loop, &k->timer, now + k->ops->connect_timeout);
 }
 
 /* The answer is complete: send the request on the same connection. */
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -191,8 +191,7 @@
 }
 
 void
-entry_reach_heard(
-    struct entry *e, const struct server *v, bool first, msec now)
+entry_reach_heard(struct entry *e, const struct server *v, bool first, msec now)
 {
 	if (first)
 		reach_answered(&e->reach.core, now, v->id);
--- a/entry-reach.h
+++ b/entry-reach.h
@@ -36,8 +36,7 @@
 /* A request was sent to a server. */
 void entry_reach_sent(struct entry *, msec);
 /* A server has sent something; `first`: on a new connection. */
-void entry_reach_heard(
-    struct entry *, const struct server *, bool first, msec);
+void entry_reach_heard(struct entry *, const struct server *, bool first, msec);
 /* A request's connection to a server failed. */
 void entry_reach_failed(
     struct entry *, const struct server *, enum reach_failure_kind, msec);
--- a/entry-version.c
+++ b/entry-version.c
@@ -179,7 +179,8 @@
  * if nothing happened to its connections since the list was confirmed.
  */
 static bool
-version_process_is_listed(const struct entry *e, const struct server *v, msec now)
+version_process_is_listed(
+    const struct entry *e, const struct server *v, msec now)
 {
 	msec confirmed = e->relay.known[RELAY_SERVERS].confirmed;
 
@@ -379,6 +380,6 @@
 	    "# TYPE savory_entry_servers_replaced_total counter\n"
 	    "savory_entry_servers_replaced_total %" PRIu64 "\n",
 	    e->versions.core.count, n->told, n->dropped, n->stored,
-	    n->store_failed, n->loaded, n->asked, n->bound, n->free,
-	    n->unknown, e->versions.replaced);
+	    n->store_failed, n->loaded, n->asked, n->bound, n->free, n->unknown,
+	    e->versions.replaced);
 }
--- a/entry.h
+++ b/entry.h
@@ -163,7 +163,7 @@
 	/* The process stops taking work, or is another one; nothing was sent.
 	 */
 	LINK_SERVER_LEAVING,
-	LINK_UNSENT,	     /* the connection failed; nothing was sent */
+	LINK_UNSENT,		/* the connection failed; nothing was sent */
 	LINK_CONNECT_TIMED_OUT, /* connecting timed out; nothing was sent */
 	LINK_BROKEN /* bytes of the request may have reached the server */
 };
@@ -334,8 +334,8 @@
 	msec silence_due;
 	name_id silent_server;	 /* the last one given up as silent; 0: none */
 	bool returned_to_silent; /* it may be sent there once more */
-	struct link *link;		 /* of the current attempt, or NULL */
-	struct server *server;		 /* of the current attempt, or NULL */
+	struct link *link;	 /* of the current attempt, or NULL */
+	struct server *server;	 /* of the current attempt, or NULL */
 	/* Name of the last attempt's server; "": none. */
 	char server_name[SERVER_NAME_SIZE];
 	/* Name of the server that it was told to fetch from; "": none. */
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -203,8 +203,8 @@
 	for (i = 0; i < rounds; i++) {
 		world_fail(w, i % gone);
 		if (!reach_is_cut(&w->reach))
-			reach_answered(&w->reach, w->now,
-			    gone + 1 + i % (SERVERS - gone));
+			reach_answered(
+			    &w->reach, w->now, gone + 1 + i % (SERVERS - gone));
 		world_run(w, 25);
 		world_fail(w, (i + 1) % gone);
 		world_run(w, 25);
