A deadly request from another session is the same request

Cause: the identity of a request had all parts of its prompt, the last one too, which belongs to the request itself or to its session. So each was a new one. Class: what changes at each try is taken for what identifies it.

Now the last part is left out where there is a body; without one it stays, as nothing else would tell such requests apart. The other parts stay in, so that sound requests with like bodies are not taken for copies (/soak/alike).

--- a/entry-job.c
+++ b/entry-job.c
@@ -343,6 +343,19 @@
 	loop_timer_set(&j->owner->loop, &j->timer, j->deadline);
 }
 
+/*
+ * Parts of the prompt that identify a request. The last one is its own or its
+ * session's: a caller that sends the same again may name another. A body tells
+ * requests apart that share the others.
+ */
+static unsigned int
+job_count_identifying_parts(const struct job *j)
+{
+	unsigned int n = j->request.nparts;
+
+	return n > 0 && buffer_length(&j->caller->body) > 0 ? n - 1 : n;
+}
+
 /* Set the poison ids; a caller without a key is identified by its address. */
 static void
 job_set_fingerprint(struct job *j, const struct handoff_terms *terms)
@@ -360,7 +373,7 @@
 		.prompt_tokens = j->request.prompt_tokens,
 		.max_tokens = j->request.max_tokens,
 		.parts = parts,
-		.nparts = j->request.nparts };
+		.nparts = job_count_identifying_parts(j) };
 	unsigned int i;
 
 	for (i = 0; i < j->request.nparts; i++)
