A connection is kept through silence when nothing may follow the attempt

What callers saw: a stream was cut after 1.5 s without an acknowledgement, though its route allows no further attempt, or the budget for retries is used up.

Now the connection is kept as well when the attempts or the retry budget are used up, or what has begun cannot be resumed.

--- a/entry-silence.c
+++ b/entry-silence.c
@@ -70,11 +70,25 @@
 	return servers_have_alternative(&j->owner->servers, &w);
 }
 
-/* No other server can take it over: the silence may be a pause. */
+/* Could the request go on at another server, if the current one is lost? */
+static bool
+job_may_go_on_elsewhere(struct job *j, msec now)
+{
+	if (j->no_retry || j->runs + 1 >= job_attempts_most(j))
+		return false;
+	if (j->answer_began &&
+	    (!j->streamed || j->events == 0 || !entry_version_is_clear(j)))
+		return false;
+	return retry_budget_left(entry_budget(j->owner, j->service),
+		   &j->owner->budget, now, j->owner->live_nodes) > 0 &&
+	       job_has_other_server(j);
+}
+
+/* If nothing can take it over, the silence may be a pause. */
 static void
-job_wait_for_only_server(struct job *j)
+job_wait_for_only_server(struct job *j, msec now)
 {
-	if (j->carrier == NULL && !job_has_other_server(j))
+	if (j->carrier == NULL && !job_may_go_on_elsewhere(j, now))
 		link_set_patient(j->link);
 }
 
@@ -195,7 +209,7 @@
 		return;
 	}
 	if (now < j->silence_due) {
-		job_wait_for_only_server(j);
+		job_wait_for_only_server(j, now);
 		loop_timer_set(
 		    &j->owner->loop, &j->silence_timer, j->silence_due);
 		return;
@@ -208,7 +222,7 @@
 	    retry_budget_left(entry_budget(j->owner, j->service),
 		&j->owner->budget, now, j->owner->live_nodes) == 0 ||
 	    !job_has_time_to_retry(j, now)) {
-		job_wait_for_only_server(j);
+		job_wait_for_only_server(j, now);
 		job_recheck_silence_later(j, now);
 		return;
 	}
