--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -763,6 +763,41 @@
 	servers_list(s, now, &e);
 }
 
+/* Guards against an old entry that names the version of a newer process. */
+static void
+test_replaced(void)
+{
+	struct server_entry e = { .name = "a",
+		.service = "svc",
+		.domain = "d1",
+		.born = 100,
+		.software = "v1" };
+	struct server_wish w = { .service = name_hash("svc"),
+		.software = name_hash("v1") };
+	struct servers s;
+	struct server *v;
+
+	servers_init(&s, &ops);
+	servers_list(&s, 10, &e);
+	v = servers_find(&s, name_hash("a"));
+	g_assert_true(server_suits(v, &w));
+	servers_replaced(&s, 1000, v, 200);
+	g_assert_false(server_suits(v, &w));
+	servers_list(&s, 2000, &e);
+	g_assert_false(server_suits(v, &w));
+	e.born = 200;
+	e.software = "v2";
+	servers_list(&s, 3000, &e);
+	w.software = name_hash("v2");
+	g_assert_true(server_suits(v, &w));
+	/* An entry that is still there much later is no old one. */
+	e.born = 150;
+	e.software = "v1";
+	servers_list(&s, 20000, &e);
+	g_assert_false(server_suits(v, &w));
+	servers_finish(&s);
+}
+
 /* Guards against two processes under one name that are taken for one. */
 static void
 test_software(void)
@@ -925,6 +960,7 @@
 	g_test_add_func("/server/groups-stay", test_groups_stay);
 	g_test_add_func("/server/out-of-reach", test_out_of_reach);
 	g_test_add_func("/server/software", test_software);
+	g_test_add_func("/server/replaced", test_replaced);
 	g_test_add_func("/server/version-view", test_version_view);
 	g_test_add_func("/server/version-view-empty", test_version_view_empty);
 	g_test_add_func("/server/all-start", test_all_start);
