--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -37,13 +37,14 @@
 {
 	struct entry *e = j->owner;
 	struct buffer request = { 0 };
-	bool for_head_request = strcmp(j->head->method, "HEAD") == 0;
+	struct link_terms terms = { .is_head = job_is_head_request(j),
+		.once = !j->repeatable,
+		.ask = entry_version_needs_process(j) };
 
 	if (j->ntried < SERVER_AVOID_MAX)
 		j->tried[j->ntried++] = v->id;
 	job_write_request(j, now, v, &request);
-	j->link = link_send(e, v, j, &job_link_ops, &request, for_head_request,
-	    !j->repeatable, entry_version_needs_process(j), now);
+	j->link = link_send(e, v, j, &job_link_ops, &request, &terms, now);
 	buffer_finish(&request);
 	if (j->link == NULL)
 		return false;
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -184,11 +184,13 @@
 {
 	struct entry *e = j->owner;
 	struct buffer request = { 0 };
+	struct link_terms terms = { .is_head = job_is_head_request(j),
+		.once = !j->repeatable };
 
 	j->handoff_attempts = handoff_attempts(job_attempts_left(j));
 	handoff_write_request(j, now, &request);
-	j->link = link_send(e, &c->server, j, &carrier_link_ops, &request,
-	    strcmp(j->head->method, "HEAD") == 0, !j->repeatable, false, now);
+	j->link = link_send(
+	    e, &c->server, j, &carrier_link_ops, &request, &terms, now);
 	buffer_finish(&request);
 	if (j->link == NULL) {
 		carrier_avoid(c, now, JOB_UNREACHABLE, false);
--- a/entry-job.c
+++ b/entry-job.c
@@ -70,6 +70,12 @@
 	return span == MSEC_NEVER ? -1 : span;
 }
 
+bool
+job_is_head_request(const struct job *j)
+{
+	return strcmp(j->head->method, "HEAD") == 0;
+}
+
 const char *
 job_fingerprint_text(const struct job *j, char text[POISON_ID_SIZE])
 {
--- a/entry-link.c
+++ b/entry-link.c
@@ -487,12 +487,12 @@
 
 struct link *
 link_send(struct entry *e, struct server *v, struct job *j,
-    const struct link_ops *ops, struct buffer *request, bool for_head_request,
-    bool once, bool ask, msec now)
+    const struct link_ops *ops, struct buffer *request,
+    const struct link_terms *terms, msec now)
 {
 	struct link *k = link_take_idle(e, v, now);
 	msec idle = k != NULL ? now - k->idle_since : 0;
-	bool sent, patient = once && link_leads_to_server(e, v);
+	bool sent, patient = terms->once && link_leads_to_server(e, v);
 
 	if (k == NULL && (k = link_connect(e, v, patient, now)) == NULL)
 		return NULL;
@@ -503,10 +503,10 @@
 	k->sent = false;
 	k->paused = false;
 	k->discarded = 0;
-	k->reader.for_head_request = for_head_request;
+	k->reader.for_head_request = terms->is_head;
 	k->out = *request;
 	*request = (struct buffer){ 0 };
-	if (ask && !k->known)
+	if (terms->ask && !k->known)
 		link_hold_request(k);
 	/*
 	 * A failure here is returned as NULL: the job cannot handle a callback
@@ -517,7 +517,7 @@
 	if (!k->connecting) {
 		loop_timer_stop(&e->loop, &k->timer);
 		link_await_told(k, now);
-		sent = keep_needs_proof(once, idle)
+		sent = keep_needs_proof(terms->once, idle)
 			   ? link_begin_proof(k, now) || link_reopen(k, now)
 			   : link_flush(k);
 		if (!sent) {
--- a/entry.h
+++ b/entry.h
@@ -239,16 +239,28 @@
 	unsigned int nidle;
 };
 
+/* How a request is sent on a link. */
+struct link_terms {
+	bool is_head; /* its method is HEAD */
+	/*
+	 * It may run only once, so a connection that was idle for a while has
+	 * to prove first that it leads to the server.
+	 */
+	bool once;
+	/*
+	 * The server is asked first what it says of itself, unless the
+	 * connection is known; see link_ops.told.
+	 */
+	bool ask;
+};
+
 /*
  * Send a request to a server, on an idle connection or a new one. NULL when
- * that fails. `for_head_request`: the request's method is HEAD. `once`: it may
- * run only once, so a connection that was idle for a while has to prove first
- * that it leads to the server. `ask`: the server is asked first what it says of
- * itself, unless the connection is known. Takes over the buffer's contents.
+ * that fails. Takes over the buffer's contents.
  */
 struct link *link_send(struct entry *, struct server *, struct job *,
-    const struct link_ops *, struct buffer *request, bool for_head_request,
-    bool once, bool ask, msec);
+    const struct link_ops *, struct buffer *request, const struct link_terms *,
+    msec);
 /* Cancel the attempt: closes the connection, so that the server stops work. */
 void link_cancel(struct link *);
 /* Stop or continue reading from the server. */
@@ -431,6 +443,7 @@
 enum job_code job_admit(struct job *, msec);
 /* Least time until the deadline for which an attempt is started. */
 #define JOB_ATTEMPT_MIN_MS 20
+bool job_is_head_request(const struct job *);
 /* Start the first or another attempt; job_placed() may follow. */
 void job_attempt(struct job *, msec);
 /*
