A process is asked again on a new connection when the kept one is dead

By reading: a question on a kept connection that has gone silent or was closed counted as a server without a process, so that the stream looked elsewhere and the server rested. As for requests that may run once, a failed question on a connection that was used before is now put once more on a new one.

--- a/entry-link.c
+++ b/entry-link.c
@@ -44,6 +44,7 @@
 
 static void link_ready(struct loop_io *, uint32_t);
 static void link_timer(struct loop_timer *, msec);
+static bool link_ask_again(struct link *, msec);
 
 static struct link_pool *
 link_pool_of(struct server *v)
@@ -121,6 +122,8 @@
 static void
 link_fail(struct link *k, msec now)
 {
+	if (link_ask_again(k, now))
+		return;
 	link_end(k, k->sent ? LINK_BROKEN : LINK_UNSENT, now);
 }
 
@@ -461,6 +464,19 @@
 		    &k->owner->loop, &k->timer, now + k->ops->connect_timeout);
 }
 
+/* A kept connection may have been dead: ask on a new one. */
+static bool
+link_ask_again(struct link *k, msec now)
+{
+	if (!k->asking || !k->used)
+		return false;
+	http_reader_reset(&k->reader);
+	buffer_finish(&k->told);
+	buffer_finish(&k->out);
+	k->owner->wire->probe(&k->out, true);
+	return link_reopen(k, now);
+}
+
 /* The answer is complete: send the request on the same connection. */
 static void
 link_was_told(struct link *k, bool keep, msec now)
@@ -766,7 +782,8 @@
 		link_remove_idle(link_pool_of(k->server), k);
 		link_free(k);
 	} else if (k->connecting || k->asking) {
-		link_end(k, LINK_CONNECT_TIMED_OUT, now);
+		if (!link_ask_again(k, now))
+			link_end(k, LINK_CONNECT_TIMED_OUT, now);
 	} else if (k->proof_bytes > 0) {
 		link_check_proof(k, now);
 	}
