--- a/entry-link.c
+++ b/entry-link.c
@@ -30,6 +30,8 @@
  * past.
  */
 #define LINK_DISCARD_MAX (1024 * 1024)
+/* A server that is asked what it says of itself answers at once. */
+#define LINK_TOLD_MS 250
 /* Longest answer of a server that is asked what it says of itself. */
 #define LINK_TOLD_MAX (64 * 1024)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
@@ -212,6 +214,7 @@
 	if (k->patient)
 		link_set_unacked(fd, LINK_PATIENT_UNACKED_MS);
 	k->starts = v->starts;
+	k->known = false;
 	k->connecting = true;
 	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
 	e->counters.connects++;
@@ -460,8 +463,7 @@
 link_await_told(struct link *k, msec now)
 {
 	if (k->asking)
-		loop_timer_set(
-		    &k->owner->loop, &k->timer, now + k->ops->connect_timeout);
+		loop_timer_set(&k->owner->loop, &k->timer, now + LINK_TOLD_MS);
 }
 
 /* A kept connection may have been dead: ask on a new one. */
@@ -474,6 +476,7 @@
 	buffer_finish(&k->told);
 	buffer_finish(&k->out);
 	k->owner->wire->probe(&k->out, true);
+	k->timed_out = false;
 	return link_reopen(k, now);
 }
 
--- a/server-version.c
+++ b/server-version.c
@@ -77,6 +77,16 @@
 		    hold && beside ? now + SERVER_VERSION_HOLD_MS : 0 };
 }
 
+void
+server_versions_drop(
+    struct server_versions *vs, name_id service, name_id software)
+{
+	struct server_version *v = version_find(vs, service, software);
+
+	if (v != NULL)
+		*v = vs->list[--vs->n];
+}
+
 bool
 server_versions_differ(
     const struct server_versions *vs, msec now, name_id service)
--- a/server-version.h
+++ b/server-version.h
@@ -49,6 +49,9 @@
  */
 void server_versions_note(struct server_versions *, msec, name_id service,
     name_id software, bool hold);
+/* No server of the service ever had this version: forget it. */
+void server_versions_drop(
+    struct server_versions *, name_id service, name_id software);
 /* Returns true if the service has had several versions lately. */
 bool
 server_versions_differ(const struct server_versions *, msec, name_id service);
--- a/server.c
+++ b/server.c
@@ -213,6 +213,9 @@
 	log_info_of(LOG_NODE, v->name, "%s is another process", v->name);
 	server_reset(v);
 	server_set_software(v, NULL);
+	/* The process before may have been leaving. */
+	if (v->state == SERVER_DRAINING)
+		v->state = SERVER_READY;
 	v->starts++;
 	v->new_at = now;
 	v->born = born;
@@ -220,6 +223,23 @@
 	s->ops->changed(s, v);
 }
 
+/*
+ * The version of a process that replaced another is told: what counted as a
+ * version of its own meanwhile was none, unless another server tells none.
+ */
+static void
+servers_drop_untold(struct servers *s, name_id service)
+{
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (v->service == service && v->software_id == 0 &&
+		    v->state != SERVER_GONE)
+			return;
+	}
+	server_versions_drop(&s->versions, service, 0);
+}
+
 void
 server_doubt(struct server *v, msec now)
 {
@@ -232,7 +252,7 @@
 	name_id id = name_hash(e->name);
 	struct server *v = servers_find(s, id);
 	enum server_state state = e->draining ? SERVER_DRAINING : SERVER_READY;
-	bool anew;
+	bool anew, untold;
 
 	if (strlen(e->name) >= SERVER_NAME_SIZE)
 		return;
@@ -253,8 +273,11 @@
 	v->slots = e->slots;
 	v->reclaimable = e->reclaimable;
 	v->missing = false;
+	untold = v->replaced_at != 0 && v->software_id == 0;
 	if (anew || v->software_id == 0)
 		server_set_software(v, e->software);
+	if (untold && v->software_id != 0)
+		servers_drop_untold(s, v->service);
 	server_note_version(s, v, now);
 	if (anew) {
 		log_info_of(LOG_NODE, v->name, "%s restarted", v->name);
--- a/stream-version.c
+++ b/stream-version.c
@@ -13,7 +13,7 @@
 #define STREAM_ROUND_MS 40
 #define STREAM_ROUNDS 3
 /* Of a node that sees one version in a current list. */
-#define STREAM_ROUNDS_IN_STEP 1
+#define STREAM_ROUNDS_IN_STEP 2
 /* Records live this much longer than their streams may be resumed. */
 #define STREAM_RECORD_MARGIN_MS 500
 /* Interval of the search for records that keepers have to be told. */
--- a/stream-version.h
+++ b/stream-version.h
@@ -13,7 +13,7 @@
  * A node whose view of the servers may be old, or that has just started, cannot
  * know alone that there is only one version; it asks, too, and sends records as
  * if there were several. One that sees one version in a current list asks the
- * likely keepers once: its list may be a second or two behind theirs.
+ * likely keepers, too: its list may be a second or two behind theirs.
  *
  * When all nodes end at one moment, their records are gone. While a service has
  * several versions, a few nodes, the recorders, therefore write the records of
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -790,6 +790,21 @@
 	servers_list(&s, 3000, &e);
 	w.software = name_hash("v2");
 	g_assert_true(server_suits(v, &w));
+	/* The same version again is no second one. */
+	e.born = 300;
+	servers_keep_versions(&s, 26000);
+	servers_replaced(&s, 3100, v, 300);
+	servers_tick(&s, 3200);
+	servers_list(&s, 3300, &e);
+	g_assert_false(server_versions_differ(&s.versions, 50000, v->service));
+	/* One that takes the place of a leaving one does not leave. */
+	e.draining = true;
+	servers_list(&s, 3400, &e);
+	servers_replaced(&s, 3500, v, 400);
+	e.born = 400;
+	e.draining = false;
+	servers_list(&s, 3600, &e);
+	g_assert_true(server_takes_work(v, 3600));
 	/* An entry that is still there much later is no old one. */
 	e.born = 150;
 	e.software = "v1";
