--- a/entry-attempt-private.h
+++ b/entry-attempt-private.h
@@ -23,6 +23,11 @@
  */
 bool job_return_to_silent(struct job *);
 bool job_wait_for_silent(struct job *, msec);
+/*
+ * Is another attempt possible after so many that may have run, apart from the
+ * retry budget?
+ */
+bool job_could_retry(const struct job *, msec, unsigned int runs);
 /* The current attempt may have run. */
 void job_count_run(struct job *);
 /* The current attempt has ended: start another one, or fail the request. */
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -48,6 +48,8 @@
 	buffer_finish(&request);
 	if (j->link == NULL)
 		return false;
+	if (j->silent_server == v->id)
+		j->silent_server = 0;
 	j->server = v;
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
 	g_strlcpy(j->software, v->software, sizeof j->software);
@@ -252,25 +254,31 @@
 	return j->route->attempts;
 }
 
-/* Is another attempt possible, apart from the retry budget? */
-static bool
-job_can_retry(struct job *j, msec now)
+bool
+job_could_retry(const struct job *j, msec now, unsigned int runs)
 {
-	if (j->may_have_run && !j->repeatable)
-		return false;
 	if (j->answer_began && (!j->streamed || j->events == 0))
 		return false;
 	if (j->answer_began && !entry_version_is_clear(j))
 		return false;
 	if (j->ntried == SERVER_AVOID_MAX)
 		return false;
-	if (j->runs >= job_attempts_most(j) ||
+	if (runs >= job_attempts_most(j) ||
 	    j->sends >= job_attempts_most(j) + JOB_EXTRA_ATTEMPTS +
 			    j->returned_to_silent)
 		return false;
 	return j->deadline - now >= JOB_ATTEMPT_MIN_MS;
 }
 
+/* Is another attempt possible, apart from the retry budget? */
+static bool
+job_can_retry(const struct job *j, msec now)
+{
+	if (j->may_have_run && !j->repeatable)
+		return false;
+	return job_could_retry(j, now, j->runs);
+}
+
 /*
  * Is another attempt allowed? It counts against the retry budget if an earlier
  * one may have reached a server.
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -74,10 +74,7 @@
 static bool
 job_may_go_on_elsewhere(struct job *j, msec now)
 {
-	if (j->no_retry || j->runs + 1 >= job_attempts_most(j))
-		return false;
-	if (j->answer_began &&
-	    (!j->streamed || j->events == 0 || !entry_version_is_clear(j)))
+	if (j->no_retry || !job_could_retry(j, now, j->runs + 1))
 		return false;
 	return retry_budget_left(entry_budget(j->owner, j->service),
 		   &j->owner->budget, now, j->owner->live_nodes) > 0 &&
@@ -136,7 +133,7 @@
 {
 	if (reach_is_cut(&j->owner->reach.core))
 		return job_may_leave_cut_path(j, now);
-	if (j->no_retry || j->runs + 1 >= job_attempts_most(j))
+	if (j->no_retry || !job_could_retry(j, now, j->runs + 1))
 		return false;
 	if (!servers_in_reach(&j->owner->servers, now))
 		return false;
@@ -204,7 +201,8 @@
 		job_leave_refusal(j, now);
 		return;
 	}
-	if (entry_move_is_stopping(j)) {
+	/* Nothing was sent yet. */
+	if (entry_move_is_stopping(j) || j->link->asking) {
 		job_recheck_silence_later(j, now);
 		return;
 	}
@@ -247,7 +245,6 @@
 		if (j->tried[i] == j->silent_server)
 			j->tried[i] = j->tried[--j->ntried];
 	}
-	j->silent_server = 0;
 	j->returned_to_silent = true;
 	return true;
 }
@@ -255,8 +252,12 @@
 bool
 job_wait_for_silent(struct job *j, msec now)
 {
+	const struct server *v =
+	    servers_find(&j->owner->servers, j->silent_server);
+
 	/* A request without an answer is refused early instead. */
-	if (!j->answer_began || !job_return_to_silent(j))
+	if (!j->answer_began || v == NULL || v->state != SERVER_READY ||
+	    !job_return_to_silent(j))
 		return false;
 	j->waits = true;
 	job_recheck_silence_later(j, now);
