Requests and parts that end servers are kept in the platform's store

Cause: records of ended processes were in the memory of nodes only, and nobody was there whom a node that starts could ask. Ruled out: nodes that ask too late (alone, they are told), names that change with a start.

keyed.suspects has a record for each request under which two servers ended and each part under which three did. Its owner writes it when it changes, its deputy 2 s later; an answer that clears it takes it out; every node reads all once, at its start, and merges them like records of other nodes. What was written to a store that came back from an older copy is written again.

--- a/entry-era.c
+++ b/entry-era.c
@@ -54,6 +54,7 @@
 	relay_drop_confirmations(&e->relay);
 	entry_duty_log_rewound(e, now);
 	stream_versions_store_again(&e->versions.core);
+	entry_poison_store_again(e, now);
 	e->source->ops->store_restored(e->source);
 	entry_era_log(e, now, "changed");
 }
--- a/entry-log.c
+++ b/entry-log.c
@@ -131,6 +131,9 @@
 	    "A server ended under the request, or a part of its prompt, "
 	    "before: "
 	    "it waits for its turn, goes, or is refused." },
+	[LOG_EVENT_SUSPECTS_READ] = { "suspects-read",
+	    "Requests and parts that end servers, as the platform's store "
+	    "keeps them, were read at the start; count: of them." },
 	[LOG_EVENT_TAKEN_BACK] = { "taken-back",
 	    "Reclaimable servers of a failure domain left at once without an "
 	    "order; count: of them." },
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -401,6 +401,7 @@
 	entry_handoff_metrics(e, s);
 	entry_versions_metrics(e, s);
 	entry_version_store_metrics(e, s);
+	entry_poison_store_metrics(e, s);
 	entry_moves_metrics(e, s);
 	entry_duty_metrics(e, s);
 }
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -728,8 +728,15 @@
 	verdict_log(p, LOG_EVENT_CLEARED, id, now);
 }
 
+static void
+poison_op_unwritten(struct poisons *p, msec now)
+{
+	entry_poison_store_tick(p->arg, now);
+}
+
 static const struct poison_ops entry_poison_ops = { poison_op_send,
-	poison_op_decided, poison_op_condemned, poison_op_cleared };
+	poison_op_decided, poison_op_condemned, poison_op_cleared,
+	poison_op_unwritten };
 
 /* ---- live nodes and timer ---- */
 
--- a/entry-state.c
+++ b/entry-state.c
@@ -426,6 +426,7 @@
 	servers_tick(&e->servers, now);
 	entry_era_tick(e, now);
 	entry_version_store_tick(e, now);
+	entry_poison_store_tick(e, now);
 	members_set_self(&e->members, e->table != NULL ? e->table->version : 0,
 	    state_load(e, now));
 	entry_handoff_tick(e, now);
--- a/entry.h
+++ b/entry.h
@@ -30,6 +30,7 @@
  *   entry-query.c    readiness and directory listeners
  *   entry-version.c  versions of software that may resume a stream
  *   entry-version-store.c  what the platform's store keeps of them
+ *   entry-poison-store.c  and of requests that end servers
  *   entry-stop.c     planned stop
  *   entry.c          process start, tick and shutdown
  */
@@ -45,6 +46,7 @@
 #include "entry-move.h"
 #include "handoff.h"
 #include "entry-poison.h"
+#include "entry-poison-store.h"
 #include "entry-reach.h"
 #include "entry-start.h"
 #include "entry-table.h"
@@ -633,6 +635,7 @@
 	struct entry_handoff handoff;
 	struct entry_versions versions;
 	struct entry_version_store version_store;
+	struct entry_poison_store poison_store;
 	struct entry_moves moves;
 	struct loop_timer place_timer;
 	struct relay relay;
--- a/poison-private.h
+++ b/poison-private.h
@@ -1,7 +1,8 @@
 /*
  * Shared by the files for poison requests: poison.c decides which requests may
  * be sent, poison-part.c judges parts of prompts, poison-record.c stores
- * records, and poison-share.c exchanges records between nodes.
+ * records, poison-share.c exchanges records between nodes, and poison-store.c
+ * says which the platform's store keeps.
  */
 
 #ifndef POISON_PRIVATE_H
@@ -83,6 +84,10 @@
 void record_changed(struct poisons *, msec, struct poison_record *,
     unsigned int ends_before, bool seen_here);
 
+/* Merge a record that a node sent; 0: the platform's store. */
+void
+record_receive(struct poisons *, msec, name_id from, const sp_poison_record *);
+
 /* ---- distribution: poison-share.c ---- */
 
 /* The owner of a request, and its deputy; 0: there is no deputy. */
@@ -91,6 +96,9 @@
 /* Schedule sending a record that changed here (`seen_here`) or by a message. */
 void poison_share_changed(
     struct poisons *, msec, struct poison_record *, bool seen_here);
+/* Ends from which on all nodes are to receive a record, and the store keeps it.
+ */
+unsigned int poison_share_least(const struct poison_record *);
 /* Send a record to one node. */
 void
 poison_share_reply(struct poisons *, msec, struct poison_record *, name_id);
@@ -100,4 +108,12 @@
 /* Time of the next call of poison_share_tick(). */
 msec poison_share_next(const struct poisons *, msec);
 
+/* ---- the platform's store: poison-store.c ---- */
+
+/* A record has changed that had so many ends. */
+void poison_store_changed(
+    struct poisons *, msec, struct poison_record *, unsigned int ends_before);
+/* A record is about to be freed. */
+void poison_store_cancel(struct poisons *, struct poison_record *);
+
 #endif /* POISON_PRIVATE_H */
--- a/poison-record.c
+++ b/poison-record.c
@@ -53,6 +53,7 @@
 record_free(struct poisons *p, struct poison_record *r)
 {
 	poison_share_cancel(p, r);
+	poison_store_cancel(p, r);
 	TAILQ_REMOVE(record_list(p, r), r, age);
 	RB_REMOVE(poison_records, &p->tree, r);
 	p->counts[record_kind(r)]--;
@@ -112,7 +113,7 @@
 		record_evict(p, kind);
 	r->served =
 	    kind == POISON_KIND_PART ? part_answered_at(p, id) : MSEC_NEVER;
-	r->send_at = MSEC_NEVER;
+	r->send_at = r->write_at = MSEC_NEVER;
 	RB_INSERT(poison_records, &p->tree, r);
 	TAILQ_INSERT_TAIL(record_list(p, r), r, age);
 	p->counts[kind]++;
--- a/poison-share.c
+++ b/poison-share.c
@@ -136,14 +136,18 @@
 		*owner = p->self;
 }
 
+unsigned int
+poison_share_least(const struct poison_record *r)
+{
+	return record_kind(r) == POISON_KIND_PART ? POISON_PART_BROADCAST_ENDS
+						  : 2;
+}
+
 /* Whether all nodes are to receive the record. */
 static bool
 record_is_for_all(const struct poison_record *r)
 {
-	unsigned int least =
-	    record_kind(r) == POISON_KIND_PART ? POISON_PART_BROADCAST_ENDS : 2;
-
-	return r->broadcast || record_ends(r) >= least;
+	return r->broadcast || record_ends(r) >= poison_share_least(r);
 }
 
 /* Set how many times a record is still to be sent, and when. */
--- a/poison.c
+++ b/poison.c
@@ -379,6 +379,7 @@
 	struct poison_id id = r->id;
 
 	poison_share_changed(p, now, r, seen_here);
+	poison_store_changed(p, now, r, ends_before);
 	if (record_has_enough(r)) {
 		if (had_enough)
 			r->failed_trials += r->granted_node != 0;
@@ -457,8 +458,8 @@
 
 /* ---- messages ---- */
 
-static void
-handle_record(
+void
+record_receive(
     struct poisons *p, msec now, name_id from, const sp_poison_record *m)
 {
 	struct poison_id id = { m->high, m->low };
@@ -468,7 +469,8 @@
 
 	if (r == NULL)
 		return;
-	if (record_kind(r) == POISON_KIND_PART && record_corrects(r, now, m))
+	if (from != 0 && record_kind(r) == POISON_KIND_PART &&
+	    record_corrects(r, now, m))
 		poison_share_reply(p, now, r, from);
 	/* Last, as it may free the record. */
 	if (changed)
@@ -484,7 +486,7 @@
 	sp_poison_life lives[SAVORY_LIVES_MAX];
 	struct poison_record *r;
 
-	handle_record(p, now, from, &ask->record);
+	record_receive(p, now, from, &ask->record);
 	if ((r = record_find(p, id)) == NULL)
 		return;
 	a->seq = ask->seq;
@@ -516,7 +518,7 @@
 		run_decide(p, now, run, POISON_SEND, true);
 	else if (a->verdict == SP_POISON_NO)
 		run_decide(p, now, run, POISON_CONDEMNED, false);
-	handle_record(p, now, from, &a->record);
+	record_receive(p, now, from, &a->record);
 }
 
 void
@@ -529,7 +531,7 @@
 	switch (msg->kind) {
 	case SP_POISON_TELL:
 		for (i = 0; i < t->list.list_len; i++)
-			handle_record(p, now, from, &t->list.list_val[i]);
+			record_receive(p, now, from, &t->list.list_val[i]);
 		break;
 	case SP_POISON_ASK:
 		handle_ask(p, now, from, &msg->sp_msg_u.poison_ask);
--- a/poison.h
+++ b/poison.h
@@ -149,6 +149,7 @@
 	unsigned int sends_left;
 	msec send_at;
 	bool broadcast; /* it was sent to all nodes */
+	msec write_at;	/* to the platform's store; MSEC_NEVER: not */
 	/* On the owner: the node that may send the request now. */
 	name_id granted_node; /* 0: none */
 	uint32_t granted_seq;
@@ -199,6 +200,8 @@
 	void (*condemned)(struct poisons *, struct poison_id, msec);
 	/* A complete answer cleared a condemned request or part. */
 	void (*cleared)(struct poisons *, struct poison_id, msec);
+	/* A record is to be written: poisons_take_unwritten(), and no more. */
+	void (*unwritten)(struct poisons *, msec);
 };
 
 /* A live node. */
@@ -235,7 +238,9 @@
 	struct poison_parts sound;	    /* as an operator declared */
 	struct poison_part_answer *answers; /* a table by hash of the name */
 	bool closed;			    /* see poisons_hold_waiting() */
-	unsigned int nunsent; /* records still to be sent to other nodes */
+	unsigned int nunsent;	 /* records still to be sent to other nodes */
+	unsigned int nunwritten; /* records still to be written */
+	bool loading;		 /* a record of the platform's store */
 	struct poison_runs waiting, granted;
 	struct poison_releases releases;
 	struct poison_node *nodes;
@@ -313,6 +318,26 @@
 /* Number of parts that are condemned. */
 unsigned int poison_count_condemned_parts(const struct poisons *);
 
+/* ---- records in the platform's store, which outlive all nodes ---- */
+
+/* The key of a record: 32 hexadecimal digits and NUL. */
+#define POISON_KEY_SIZE 33
+void poison_key_print(struct poison_id, char[POISON_KEY_SIZE]);
+/*
+ * The next record that this node is to write now, as its owner or deputy, and
+ * its text, allocated; NULL: it is to be deleted. `wall` is the wall clock in
+ * ms. False: there is none.
+ */
+bool poisons_take_unwritten(
+    struct poisons *, msec, msec wall, struct poison_id *, char **text);
+/* A record was not written: it is taken again from `at` on. */
+void poisons_write_again(struct poisons *, struct poison_id, msec at);
+/* The store has lost what was written last; takes the records up to `at`. */
+void poisons_write_all(struct poisons *, msec at);
+/* Takes a record of the store; false: it is malformed. */
+bool poisons_load(
+    struct poisons *, msec, msec wall, const char *key, const char *text);
+
 /* Handle an SP_POISON_* message from a node. */
 void poisons_receive(struct poisons *, msec, name_id, const sp_msg *);
 /* Run due work. Returns the time of the next call. */
--- a/tests/test-pages.c
+++ b/tests/test-pages.c
@@ -86,8 +86,9 @@
 {
 	static const char *const files[] = { "entry-metrics.c", "entry-duty.c",
 		"entry-era.c", "entry-handoff.c", "entry-move.c",
-		"entry-poison.c", "entry-reach.c", "entry-version.c",
-		"entry-version-store.c", "platform/store.c" };
+		"entry-poison.c", "entry-poison-store.c", "entry-reach.c",
+		"entry-version.c", "entry-version-store.c",
+		"platform/store.c" };
 	const char *bare = g_str_has_prefix(name, "entry_") ? name + 6 : name;
 	g_autofree char *quoted = g_strdup_printf("\"%s\"", bare);
 	g_autofree char *printed = g_strdup_printf("savory_%s ", name);
--- a/tests/util-poison.c
+++ b/tests/util-poison.c
@@ -6,6 +6,10 @@
 
 #include <string.h>
 
+/* The wall clock at the start of the world's. */
+#define WALL_MS 1700000000000
+#define WRITE_RETRY_MS 500
+
 /* ---- messages ---- */
 
 static void
@@ -181,8 +185,52 @@
 {
 }
 
+/* ---- the platform's store ---- */
+
+msec
+poison_world_wall(const struct world *w)
+{
+	return WALL_MS + w->now;
+}
+
+static void
+node_unwritten(struct poisons *p, msec now)
+{
+	struct node *v = p->arg;
+	char key[POISON_KEY_SIZE], *text;
+	struct world *w = v->world;
+	struct poison_id id;
+
+	while (w->store != NULL && poisons_take_unwritten(p, now,
+				       poison_world_wall(w), &id, &text)) {
+		poison_key_print(id, key);
+		w->writes++;
+		w->written_bytes += sizeof key + (text ? strlen(text) : 0);
+		if (v->store_cut) {
+			poisons_write_again(p, id, now + WRITE_RETRY_MS);
+			g_free(text);
+		} else if (text != NULL) {
+			g_hash_table_replace(w->store, g_strdup(key), text);
+		} else {
+			g_hash_table_remove(w->store, key);
+		}
+	}
+}
+
+void
+poison_node_load(struct world *w, unsigned int i)
+{
+	gpointer key, text;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, w->store);
+	while (g_hash_table_iter_next(&it, &key, &text))
+		g_assert_true(poisons_load(&w->nodes[i].core, w->now,
+		    poison_world_wall(w), key, text));
+}
+
 static const struct poison_ops node_ops = { node_send, node_decided,
-	node_condemned, node_cleared };
+	node_condemned, node_cleared, node_unwritten };
 
 /* A part that ends servers stands at any place among the others. */
 static void
@@ -453,6 +501,7 @@
 		g_free(g_ptr_array_index(w->requests, k));
 	g_ptr_array_unref(w->requests);
 	mail_finish(&w->mail);
+	g_clear_pointer(&w->store, g_hash_table_unref);
 	g_rand_free(w->rand);
 }
 
@@ -484,8 +533,10 @@
 				poison_part_request_new(w, node_draw(w), i);
 		}
 		for (i = 0; i < w->n && w->now % 10 == 0; i++) {
-			if (!w->nodes[i].down)
-				poisons_tick(&w->nodes[i].core, w->now);
+			if (w->nodes[i].down)
+				continue;
+			poisons_tick(&w->nodes[i].core, w->now);
+			node_unwritten(&w->nodes[i].core, w->now);
 		}
 		if (w->now % 100 == 0) {
 			poison_nodes_push(w);
--- a/tests/util-poison.h
+++ b/tests/util-poison.h
@@ -34,6 +34,7 @@
 
 struct node {
 	struct poisons core;
+	bool store_cut; /* its writes to the platform's store fail */
 	struct world *world;
 	uint64_t incarnation;
 	bool cut;  /* hears and says nothing, and the others know */
@@ -80,6 +81,8 @@
 	unsigned int first, first_sent;
 	GPtrArray *requests;
 	struct mail mail;
+	GHashTable *store; /* of the platform, texts by keys; NULL: none */
+	uint64_t writes, written_bytes;
 	GRand *rand;
 	msec now;
 	uint64_t lives;
@@ -103,6 +106,10 @@
 /* Which nodes are there is known to all that are not cut off. */
 void poison_nodes_push(struct world *);
 void poison_node_start(struct world *, unsigned int);
+/* It reads the platform's store. */
+void poison_node_load(struct world *, unsigned int);
+/* The wall clock of all nodes, in ms. */
+msec poison_world_wall(const struct world *);
 /* Its process ends, with all that it had in hand. */
 void poison_node_kill(struct world *, unsigned int);
 void poison_world_init(
--- a/wire.h
+++ b/wire.h
@@ -179,6 +179,11 @@
 	unsigned int count; /* in total, not in addition */
 };
 
+/* A record that the source keeps, and its text; NULL: deleted. */
+struct source_record {
+	char *key, *text;
+};
+
 /*
  * The platform's source of configuration, backend servers and nodes. It
  * delivers what it reads through entry_take_*() of entry.h.
@@ -233,6 +238,14 @@
 	 */
 	void (*streams_append)(struct source *, const void *, size_t);
 	void (*streams_read)(struct source *, uint64_t from);
+	/*
+	 * Records of requests that end servers, by their keys; of one without
+	 * a text the key is deleted. They end with entry_suspects_read() and
+	 * entry_suspects_written().
+	 */
+	void (*suspects_read)(struct source *);
+	void (*suspects_write)(
+	    struct source *, const struct source_record *, unsigned int);
 	/* Report a window's counts; then calls entry_duty_usage_reported(). */
 	void (*report_usage)(struct source *, uint64_t window, json_t *counts);
 	/* False: not possible now; else entry_duty_servers_ordered() is called
