--- a/poison.h
+++ b/poison.h
@@ -332,7 +332,7 @@
     struct poisons *, msec, msec wall, struct poison_id *, char **text);
 /* A record was not written: it is taken again from `at` on. */
 void poisons_write_again(struct poisons *, struct poison_id, msec at);
-/* The store has lost what was written last; takes the records up to `at`. */
+/* The store has lost what was written last: all is written again from `at`. */
 void poisons_write_all(struct poisons *, msec at);
 /* Takes a record of the store; false: it is malformed. */
 bool poisons_load(
