The memory that buffers hold can be seen, and the limit be said

Now each allocation of a buffer is counted (buffers_bytes on /metrics), and the settings take limits.memory_mb, which the platform's limits.memory_mb fills.

--- a/buffer.c
+++ b/buffer.c
@@ -4,14 +4,24 @@
 
 #include "buffer.h"
 
+#include <ck_pr.h>
 #include <stdarg.h>
 #include <string.h>
 
 #define BUFFER_SIZE_MIN 512
 
+static uint64_t buffers_bytes;
+
+size_t
+buffers_allocated(void)
+{
+	return (size_t)ck_pr_load_64(&buffers_bytes);
+}
+
 void
 buffer_finish(struct buffer *b)
 {
+	ck_pr_sub_64(&buffers_bytes, b->size);
 	g_free(b->data);
 	*b = (struct buffer){ 0 };
 }
@@ -28,7 +38,9 @@
 	}
 	need = b->len + n;
 	if (need > b->size) {
+		ck_pr_sub_64(&buffers_bytes, b->size);
 		b->size = MAX(MAX(need, b->size * 2), BUFFER_SIZE_MIN);
+		ck_pr_add_64(&buffers_bytes, b->size);
 		b->data = g_realloc(b->data, b->size);
 	}
 	return b->data + b->len;
--- a/buffer.h
+++ b/buffer.h
@@ -18,6 +18,9 @@
 	size_t at, len, size;
 };
 
+/* Bytes that all buffers of the process have allocated, from any thread. */
+size_t buffers_allocated(void);
+
 /* Free the memory; the buffer is empty afterwards and may be used again. */
 void buffer_finish(struct buffer *);
 /*
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -277,6 +277,12 @@
 	text_value(s, "requests_open", "gauge", "In flight.", e->njobs);
 	text_value(
 	    s, "callers", "gauge", "Connections of callers.", e->ncallers);
+	text_value(s, "memory_limit_bytes", "gauge",
+	    "Memory that the process may use.",
+	    (int64_t)e->settings->memory_mb << 20);
+	text_value(s, "buffers_bytes", "gauge",
+	    "Allocated by buffers of requests, answers and messages.",
+	    (int64_t)buffers_allocated());
 }
 
 static void
--- a/settings.c
+++ b/settings.c
@@ -17,6 +17,7 @@
 #define PEER_KEY_MIN 16
 #define PEER_KEY_FILE_MAX 4096
 #define RETRY_FIXED_MAX 1000000 /* attempts in a window */
+#define MEMORY_MB_MIN 32
 
 /* The struct that the schema fills: the settings and temporary values. */
 struct settings_walk {
@@ -135,6 +136,8 @@
 		.min = 1, .max = 65536 },
 	    { "body_bytes", WALK_UINT, .offset = AT(s.max_body_bytes),
 		.min = 1024, .max = 64 * 1024 * 1024 },
+	    { "memory_mb", WALK_UINT, .offset = AT(s.memory_mb),
+		.min = MEMORY_MB_MIN, .max = 1024 * 1024 },
 	    { NULL } } };
 
 static const struct walk_schema threads_schema = { "threads", 0,
@@ -558,6 +561,7 @@
 	s->keep_answers = 30 * MSEC_SECOND;
 	s->max_connections = 4096;
 	s->max_body_bytes = 1024 * 1024;
+	s->memory_mb = 256;
 	s->caller_threads = 2;
 	s->engine_threads = 2;
 }
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -116,6 +116,7 @@
 	g_assert_cmpint(s.log_retention, ==, 86400000);
 	g_assert_cmpuint(s.max_connections, ==, 4096);
 	g_assert_cmpuint(s.max_body_bytes, ==, 1048576);
+	g_assert_cmpuint(s.memory_mb, ==, 256);
 	g_assert_cmpuint(s.caller_threads, ==, 2);
 	g_assert_cmpuint(s.engine_threads, ==, 2);
 	g_assert_null(s.tls_certificate);
