--- a/tests/proc-stops.c
+++ b/tests/proc-stops.c
@@ -133,6 +133,22 @@
 	stop_scenario(STOP_SIGNAL, true);
 }
 
+/* A reload, or the end of the terminal that it was started from, ends a VM. */
+static void
+test_hangup(void)
+{
+	struct nodes s;
+	struct caller c[STREAMS];
+
+	nodes_up(&s, &two_two);
+	streams_start(&s, 1, c, 100);
+	proc_signal(&s.entries[1].proc, SIGHUP);
+	streams_assert_whole(c, 100);
+	streams_start(&s, 1, c, 10);
+	streams_assert_whole(c, 10);
+	nodes_finish(&s);
+}
+
 static void
 test_tool(void)
 {
@@ -357,6 +373,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stops/signal", test_signal);
 	g_test_add_func("/stops/signal-twice", test_signal_twice);
+	g_test_add_func("/stops/hangup", test_hangup);
 	g_test_add_func("/stops/tool", test_tool);
 	g_test_add_func("/stops/list", test_list);
 	g_test_add_func("/stops/slow-reader", test_slow_reader);
