Signals are blocked first in main(), for both interfaces

Callers saw their connections refused, or cut: a SIGHUP during a node's start, or at any time under the product's own interface, ended the process. Cause: the signals were blocked after arguments, settings, logs and libraries' set-up, in two places, one of which left SIGHUP out. Now main() does it once, first; what arrives waits for the signalfd. The own interface logs a SIGHUP and goes on.

What remains is the loader's time.

--- a/daemon-core.c
+++ b/daemon-core.c
@@ -77,9 +77,13 @@
 {
 	struct signalfd_siginfo si;
 
-	/* A second SIGTERM has no effect: the daemon is leaving already. */
-	while (read(d->signal_fd, &si, sizeof si) == sizeof si)
-		daemon_leave(d, now);
+	while (read(d->signal_fd, &si, sizeof si) == sizeof si) {
+		if (si.ssi_signo == SIGHUP)
+			log_info("settings are read at the start only");
+		else
+			/* A second one has no effect: it leaves already. */
+			daemon_leave(d, now);
+	}
 }
 
 static void
@@ -129,6 +133,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	d->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	d->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	if (d->signal_fd == -1 || d->epoll_fd == -1)
--- a/entry.c
+++ b/entry.c
@@ -32,6 +32,7 @@
 	}
 }
 
+/* main() has blocked them. */
 static bool
 entry_watch_signals(struct entry *e)
 {
@@ -41,8 +42,6 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	sigaddset(&set, SIGHUP);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
 	e->signal_io = (struct loop_io){ entry_signal,
 		signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), 0 };
 	return e->signal_io.fd != -1 &&
--- a/savorypierd.c
+++ b/savorypierd.c
@@ -55,7 +55,10 @@
 	"Route language-model traffic with service levels and priorities.",
 	NULL, NULL, NULL };
 
-/* Blocked in all threads: the core reads SIGTERM and SIGINT from a signalfd. */
+/*
+ * Blocked in all threads; those that arrive during the start stay pending until
+ * the event loop reads them from a signalfd.
+ */
 static void
 main_block_signals(void)
 {
@@ -64,6 +67,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	sigaddset(&set, SIGPIPE);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
@@ -185,6 +189,7 @@
 	struct findings findings;
 	int rc = EXIT_SETTINGS;
 
+	main_block_signals();
 	argp_err_exit_status = EXIT_SETTINGS;
 	argp_parse(&argp, argc, argv, 0, NULL, &args);
 	findings_init(&findings);
@@ -194,10 +199,8 @@
 		rc = EXIT_SUCCESS;
 	else if (d.settings.store.port != 0)
 		rc = platform_main(&d.settings, args.config);
-	else if (log_open(d.settings.log_level, d.settings.log_json)) {
-		main_block_signals();
+	else if (log_open(d.settings.log_level, d.settings.log_json))
 		rc = main_run(&d);
-	}
 	findings_finish(&findings);
 	settings_finish(&d.settings);
 	return rc;
