A caller is not used after its answer was broken off

Evidence: proc-memory slow-reader-cut under AddressSanitizer (three callers that read 4 KB each 0.2 s, answers without an end, the route's timeout) aborted the daemon: freed heap region. With the job freed first it passes. The class, use after a call that frees, was looked for in the other callers of caller_break_answer() and caller_abort() by reading: no other.

--- a/entry-job.c
+++ b/entry-job.c
@@ -273,14 +273,18 @@
 	    code == JOB_TIMEOUT && j->may_have_run && !j->answer_began
 		? SERVER_FAILED
 		: SERVER_NO_RESULT);
-	if (j->answer_began)
+	if (j->answer_began) {
+		/* The job uses the caller, which is freed then. */
+		job_free(j, now, broken ? JOB_BROKEN : code);
 		caller_break_answer(c, now);
-	else if (j->failure_stored)
+		return;
+	}
+	if (j->failure_stored)
 		reply_finish(j, now);
 	else
 		reply_write_local(j, now, status,
 		    status == 503 ? job_retry_after(j, code) : 0, true);
-	job_free(j, now, broken ? JOB_BROKEN : code);
+	job_free(j, now, code);
 }
 
 /* ---- admission ---- */
