During a stop, a request that may run once must fit with its whole deadline

Callers got 504, outcome unknown, at the end of a planned stop for requests that may not be repeated and had been sent in its first 3 s. Cause: what such a request needs was estimated by mean and deviations of its route, in which one long run in ten hides. Class: work is begun by an estimate where its failure cannot be mended.

Evidence: proc-leaving once-long failed before (504 after 7.5 s, run at a server) and passes; one whose deadline fits is still taken. Streams keep the estimate: their deadlines never fit, and each stop would refuse all of them.

--- a/entry-stop.c
+++ b/entry-stop.c
@@ -56,18 +56,16 @@
 /*
  * Time to allow for a request that starts now, in ms; `most` is the time until
  * its deadline. While callers may still use this node's cached address, it is
- * an upper estimate of the durations of the route's requests. Later it is
- * `most`: a request is accepted only if its whole deadline fits. With the
- * estimate, when thirty of sixty nodes stopped at once so that callers had
- * nowhere else to go, one in a hundred of the late answers was cut off; with
- * twice as many deviations of the durations in the estimate, one in four
- * hundred.
+ * an upper estimate of the durations of the route's requests, which a few
+ * exceed. Later, and if the request may run only once, it is `most`: a refusal
+ * costs its caller one more try, a cut leaves it without the outcome.
  */
 static msec
-stop_time_needed(const struct entry *e, const struct entry_route_stats *k,
-    msec now, msec most)
+stop_time_needed(
+    const struct job *j, const struct entry_route_stats *k, msec now, msec most)
 {
-	if (k == NULL || now - e->leaving_since >= STOP_CALLERS_CACHE_MS)
+	if (k == NULL || j->route->kind == ROUTE_ONCE ||
+	    now - j->owner->leaving_since >= STOP_CALLERS_CACHE_MS)
 		return most;
 	return duration_upper_estimate(&k->total_time, most);
 }
@@ -88,7 +86,7 @@
 	if (j->deadline != MSEC_NEVER)
 		most = j->deadline - now;
 	k = entry_route_stats_find(e, j->route->name);
-	j->time_needed = stop_time_needed(e, k, now, most);
+	j->time_needed = stop_time_needed(j, k, now, most);
 	if (j->time_needed <= left)
 		return true;
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_NO_TIME_LEFT,
