What a node holds for all its requests is bounded together

Callers lost their requests, answered or not, as the machine that served them ran out of memory: a faulty server sent without an end to many callers at once. Cause: each holder was bounded (8 MB, 4 MB, 256 KB), their sum was not, and nothing knew limits.memory_mb. Class: a bound for each and none for the whole.

Now every buffer counts what it allocates; half of the memory allowed is the budget. Near it a node first reads answers that are kept a few at a time, the largest first and for 2 s at the most while others wait; then it ends what does not move; then it refuses new requests, 503, before their bodies are read. A silence of a server that is not read on is this node's, and is no reason to leave it.

The metrics' writer is one function for two files.

--- a/buffer.c
+++ b/buffer.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define BUFFER_SIZE_MIN 512
+/* Larger buffers grow by a quarter, smaller ones to twice their size. */
+#define BUFFER_SIZE_LARGE (256 * 1024)
 
 static uint64_t buffers_bytes;
 
@@ -26,6 +28,12 @@
 	*b = (struct buffer){ 0 };
 }
 
+static size_t
+buffer_next_size(size_t size)
+{
+	return size >= BUFFER_SIZE_LARGE ? size + size / 4 : size * 2;
+}
+
 char *
 buffer_reserve(struct buffer *b, size_t n)
 {
@@ -39,7 +47,8 @@
 	need = b->len + n;
 	if (need > b->size) {
 		ck_pr_sub_64(&buffers_bytes, b->size);
-		b->size = MAX(MAX(need, b->size * 2), BUFFER_SIZE_MIN);
+		b->size =
+		    MAX(MAX(need, buffer_next_size(b->size)), BUFFER_SIZE_MIN);
 		ck_pr_add_64(&buffers_bytes, b->size);
 		b->data = g_realloc(b->data, b->size);
 	}
@@ -61,6 +70,19 @@
 	b->len += n;
 }
 
+void
+buffer_move(struct buffer *to, struct buffer *from)
+{
+	if (buffer_length(to) == 0) {
+		buffer_finish(to);
+		*to = *from;
+		*from = (struct buffer){ 0 };
+		return;
+	}
+	buffer_add(to, buffer_bytes(from), buffer_length(from));
+	buffer_finish(from);
+}
+
 void
 buffer_add_text(struct buffer *b, const char *s)
 {
--- a/buffer.h
+++ b/buffer.h
@@ -34,6 +34,8 @@
 void buffer_add_text(struct buffer *, const char *);
 void buffer_printf(struct buffer *, const char *, ...)
     __attribute__((format(printf, 2, 3)));
+/* Append all of another buffer, which is empty afterwards. */
+void buffer_move(struct buffer *, struct buffer *);
 /* Remove so many bytes from the start; an emptied buffer frees its memory. */
 void buffer_consume(struct buffer *, size_t);
 /* The unread bytes, and their number. */
--- a/entry-caller.c
+++ b/entry-caller.c
@@ -23,6 +23,8 @@
 
 #define CALLER_LISTEN_BACKLOG 1024
 #define CALLER_READ_SIZE 16384
+/* Most that is read of one caller on one turn of the loop. */
+#define CALLER_READ_TURN 65536
 /* Most pipelined bytes that are buffered while a request is answered. */
 #define CALLER_PIPELINED_MAX 65536
 /* A peer that acknowledges no sent bytes for so long is taken as gone. */
@@ -102,8 +104,7 @@
 	g_free(c);
 }
 
-/* Close the connection at once; a request in progress is abandoned. */
-static void
+void
 caller_abort(struct caller *c, msec now)
 {
 	if (c->busy) {
@@ -178,7 +179,7 @@
 	c->ops = li->ops;
 	c->owner = e;
 	c->delays_stop = li->delays_stop;
-	c->accepted = c->idle_since = e->loop.now;
+	c->accepted = c->idle_since = c->progress = e->loop.now;
 	limits = caller_limits(c);
 	http_reader_init(&c->reader, true, limits.head_bytes, limits.body_bytes,
 	    caller_body, c);
@@ -281,9 +282,28 @@
 	entry_log(&c->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
 	    LOG_NUMBER(LOG_KEY_STATUS, status),
 	    LOG_TEXT(LOG_KEY_REASON, "not a valid HTTP/1.1 request"));
+	caller_refuse(c, now, status, "");
+}
+
+void
+caller_refuse(
+    struct caller *c, msec now, unsigned int status, const char *fields)
+{
 	c->busy = true;
 	buffer_finish(&c->in);
-	caller_answer(c, now, status, "", "text/plain", "", false);
+	caller_answer(c, now, status, fields, "text/plain", "", false);
+}
+
+bool
+caller_is_reading(const struct caller *c)
+{
+	return !c->busy && !c->closing && !http_reader_is_idle(&c->reader);
+}
+
+size_t
+caller_held(const struct caller *c)
+{
+	return c->in.size + c->body.size + c->out.size + c->reader.text.size;
 }
 
 static void
@@ -351,6 +371,12 @@
 			return;
 		}
 		buffer_consume(&c->in, n);
+		if (before == HTTP_STAGE_HEAD &&
+		    c->reader.stage >= HTTP_STAGE_BODY && c->delays_stop &&
+		    entry_memory_is_full(c->owner)) {
+			entry_memory_refuse(c, now);
+			return;
+		}
 		if (before == HTTP_STAGE_HEAD &&
 		    c->reader.stage == HTTP_STAGE_BODY)
 			caller_head_complete(c, now);
@@ -363,15 +389,19 @@
 static bool
 caller_read(struct caller *c, msec now)
 {
+	size_t took = 0;
 	ssize_t n;
 
-	for (;;) {
+	/* The rest is read on the next turn, after what others have sent. */
+	while (took < CALLER_READ_TURN) {
 		if (c->busy && buffer_length(&c->in) >= CALLER_PIPELINED_MAX)
 			return true;
 		n = recv(c->io.fd, buffer_reserve(&c->in, CALLER_READ_SIZE),
 		    CALLER_READ_SIZE, 0);
 		if (n > 0) {
 			buffer_commit(&c->in, (size_t)n);
+			c->progress = now;
+			took += (size_t)n;
 			if (c->closing) {
 				c->discarded += (uint64_t)n;
 				buffer_finish(&c->in);
@@ -393,6 +423,7 @@
 		c->eof = true;
 		return true;
 	}
+	return true;
 }
 
 static void
@@ -552,6 +583,7 @@
 			break;
 		}
 		buffer_consume(&c->out, (size_t)n);
+		c->progress = now;
 	}
 	if (before >= CALLER_LOW_WATER &&
 	    buffer_length(&c->out) < CALLER_LOW_WATER && c->busy)
--- a/entry-job.c
+++ b/entry-job.c
@@ -44,7 +44,7 @@
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
 		"broken", "timeout", "stopped", "leaving", "limited", "resting",
 		"no-room", "poison", "no-path", "version", "carrier-full",
-		"caller-gone" };
+		"no-memory", "caller-gone" };
 
 	return names[c];
 }
@@ -231,6 +231,20 @@
 	}
 }
 
+/* Spread retries of callers that were refused at the same time. */
+static msec
+job_spread(struct entry *e, msec after)
+{
+	return after + g_rand_int_range(e->rand, 0, (gint32)after);
+}
+
+msec
+job_retry_elsewhere(struct entry *e)
+{
+	return job_spread(e, entry_others_ready(e) ? JOB_RETRY_OTHER_NODE_MS
+						   : JOB_RETRY_UNAVAILABLE_MS);
+}
+
 static msec
 job_retry_after(struct job *j, enum job_code code)
 {
@@ -248,16 +262,15 @@
 	else if (code == JOB_POISON)
 		after = MAX(entry_poison_retry_after(j, j->owner->loop.now),
 		    JOB_RETRY_UNAVAILABLE_MS);
-	else if (code == JOB_LEAVING || code == JOB_STOPPED)
-		after = entry_others_ready(j->owner) ? JOB_RETRY_OTHER_NODE_MS
-						     : JOB_RETRY_UNAVAILABLE_MS;
+	else if (code == JOB_LEAVING || code == JOB_STOPPED ||
+		 code == JOB_NO_MEMORY)
+		return job_retry_elsewhere(j->owner);
 	else if (code == JOB_STARTING ||
 		 (code == JOB_NOT_FRESH && entry_others_ready(j->owner)))
 		after = JOB_RETRY_SOON_MS;
 	else if (code == JOB_NOT_FRESH)
 		after = JOB_RETRY_UNAVAILABLE_MS;
-	/* Spread retries of callers that were refused at the same time. */
-	return after + g_rand_int_range(j->owner->rand, 0, (gint32)after);
+	return job_spread(j->owner, after);
 }
 
 void
@@ -497,7 +510,7 @@
 job_caller_drained(struct caller *c, msec now)
 {
 	if (c->job != NULL && c->job->link != NULL)
-		link_pause(c->job->link, false);
+		link_pause(c->job->link, LINK_PAUSE_CALLER, false);
 }
 
 void
--- a/entry-link.c
+++ b/entry-link.c
@@ -295,7 +295,7 @@
 {
 	uint32_t events = 0;
 
-	if (!k->paused)
+	if (k->paused == 0)
 		events |= EPOLLIN | EPOLLRDHUP;
 	if (k->connecting ||
 	    (buffer_length(&k->out) > 0 && k->proof_bytes == 0))
@@ -520,7 +520,7 @@
 	k->job = j;
 	k->ops = ops;
 	k->sent = false;
-	k->paused = false;
+	k->paused = 0;
 	k->discarded = 0;
 	k->reader.for_head_request = terms->is_head;
 	k->out = *request;
@@ -720,7 +720,8 @@
 	ssize_t n;
 
 	do {
-		n = recv(k->io.fd, link_input, sizeof link_input, 0);
+		n = recv(k->io.fd, link_input,
+		    entry_memory_read_size(k->owner, sizeof link_input), 0);
 	} while (n == -1 && errno == EINTR);
 	if (n == -1 && errno == EAGAIN)
 		return;
@@ -802,12 +803,13 @@
 }
 
 void
-link_pause(struct link *k, bool paused)
+link_pause(struct link *k, unsigned int why, bool paused)
 {
-	if (k->paused == paused)
-		return;
-	k->paused = paused;
-	link_watch(k);
+	unsigned int before = k->paused;
+
+	k->paused = paused ? before | why : before & ~why;
+	if ((k->paused == 0) != (before == 0))
+		link_watch(k);
 }
 
 void
--- a/entry-log.c
+++ b/entry-log.c
@@ -64,6 +64,8 @@
 	    "A caller's connection was closed as it had been idle for ms." },
 	[LOG_EVENT_LOG_DROPPED] = { "log-dropped",
 	    "Lines were left out, to bound the volume or as nobody read." },
+	[LOG_EVENT_MEMORY] = { "memory",
+	    "How full the memory for requests and answers is has changed." },
 	[LOG_EVENT_NO_RETRY_BUDGET] = { "no-retry-budget",
 	    "Another attempt was due and the allowance of retries is used "
 	    "up." },
@@ -152,6 +154,7 @@
 	    "what servers had to read before it, as urgent or more" },
 	[LOG_KEY_BY_SHARE] = { "by_share",
 	    "1: only its organisation's share of the room was used up" },
+	[LOG_KEY_BYTES] = { "bytes", "held by requests and answers" },
 	[LOG_KEY_CAME] = { "came", "number of the event that came" },
 	[LOG_KEY_CARRIER] = { "carrier",
 	    "node that the request was handed off to" },
--- /dev/null
+++ b/entry-memory.c
@@ -0,0 +1,334 @@
+/*
+ * Holds the sum of what requests hold below a limit; see entry-memory.h.
+ */
+
+#define LOG_PART "memory"
+#include "entry.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Less than this is not worth a decision. */
+#define MEMORY_SMALL (16 * 1024)
+/* Bytes that a node reads at once while memory is short. */
+#define MEMORY_READ 16384
+/* An answer that others wait for may take so long to be read. */
+#define MEMORY_TURN_MS 2000
+/* A caller that has taken nothing for so long does not read. */
+#define MEMORY_REST_MS 500
+/* While memory is short all holders are looked at so often, or so many bytes
+ * later. */
+#define MEMORY_CHECK_MS 50
+#define MEMORY_CHECK_BYTES (1024 * 1024)
+/* Holders that one turn of the loop ends. */
+#define MEMORY_ENDS_MAX 256
+
+/* ---- what is held ---- */
+
+/* Buffers, and the records of connections and requests themselves. */
+static size_t
+memory_held(const struct entry *e)
+{
+	return buffers_allocated() +
+	       e->ncallers *
+		   (sizeof(struct caller) + sizeof(struct http_head)) +
+	       e->njobs * sizeof(struct job);
+}
+
+/* Of an answer that is kept until it, or an event of it, is whole. */
+static size_t
+memory_kept(const struct job *j)
+{
+	return j != NULL ? j->unsent_body.size : 0;
+}
+
+static size_t
+memory_all(const struct caller *c)
+{
+	const struct link *k = c->job != NULL ? c->job->link : NULL;
+	size_t n = caller_held(c) + memory_kept(c->job);
+
+	return k != NULL ? n + k->out.size + k->held.size : n;
+}
+
+/*
+ * What its end would free: a request that is being read, an answer that is kept
+ * or that its caller does not take. Requests that wait for their answers are
+ * not ended for others.
+ */
+static size_t
+memory_endable(const struct caller *c, msec now)
+{
+	const struct job *j = c->job;
+
+	if (caller_is_reading(c))
+		return caller_held(c);
+	if (c->out.size > MEMORY_SMALL && now - c->progress >= MEMORY_REST_MS)
+		return memory_all(c);
+	return memory_kept(j) > MEMORY_SMALL ? memory_all(c) : 0;
+}
+
+/* ---- ending holders ---- */
+
+static void
+memory_end_job(struct entry *e, struct job *j, msec now)
+{
+	e->memory.ended++;
+	if (j->link != NULL && j->link->sent)
+		j->may_have_run = true;
+	job_fail(j, now, JOB_NO_MEMORY);
+}
+
+static void
+memory_end(struct caller *c, msec now)
+{
+	if (c->job != NULL) {
+		memory_end_job(c->owner, c->job, now);
+		return;
+	}
+	c->owner->memory.ended++;
+	if (caller_is_reading(c))
+		entry_memory_refuse(c, now);
+	else
+		caller_abort(c, now);
+}
+
+/* End one holder; false if there is none. */
+static bool
+memory_end_one(struct entry *e, msec now, bool any)
+{
+	g_autoptr(GArray) list =
+	    g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
+	struct memory_holder h;
+	struct caller *c;
+	int i;
+
+	TAILQ_FOREACH (c, &e->callers, entry) {
+		h = (struct memory_holder){ any ? memory_all(c)
+						: memory_endable(c, now),
+			c->progress, c };
+		if (h.bytes >= MEMORY_SMALL)
+			g_array_append_val(list, h);
+	}
+	i = memory_choose_holder(
+	    (struct memory_holder *)list->data, list->len, MEMORY_SMALL);
+	if (i == -1)
+		return false;
+	memory_end(g_array_index(list, struct memory_holder, i).arg, now);
+	return true;
+}
+
+static void
+memory_end_holders(struct entry *e, msec now)
+{
+	struct memory_budget *m = &e->memory.budget;
+	unsigned int i;
+
+	for (i = 0; i < MEMORY_ENDS_MAX && m->level >= MEMORY_CRITICAL; i++) {
+		if (!memory_end_one(e, now, m->level == MEMORY_EXCEEDED))
+			return;
+		memory_budget_set(m, memory_held(e));
+	}
+}
+
+/* ---- reading answers a few at a time ---- */
+
+static GArray *
+memory_list_kept(struct entry *e)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
+	struct memory_holder h;
+	struct job *j;
+
+	TAILQ_FOREACH (j, &e->jobs, entry) {
+		h = (struct memory_holder){ memory_kept(j), 0, j };
+		if (j->link != NULL && h.bytes > MEMORY_SMALL)
+			g_array_append_val(list, h);
+	}
+	g_array_sort(list, memory_holder_compare);
+	return list;
+}
+
+/* True if it has been read for long enough. */
+static bool
+memory_read_on(struct job *j, msec now)
+{
+	if (j->read_on_since == 0)
+		j->read_on_since = now;
+	link_pause(j->link, LINK_PAUSE_MEMORY, false);
+	return now - j->read_on_since >= MEMORY_TURN_MS;
+}
+
+/*
+ * The largest go on: they are the nearest to their end, or to their limit. One
+ * that does not end in its turn is ended, so that the others get theirs.
+ */
+static void
+memory_share_reading(struct entry *e, msec now)
+{
+	struct entry_memory *m = &e->memory;
+	g_autoptr(GArray) list = memory_list_kept(e);
+	unsigned int go_on = memory_budget_read_on(&m->budget, REPLY_WHOLE_MAX);
+	struct job *j, *overdue = NULL;
+	guint i;
+
+	m->waiting = list->len > go_on ? list->len - go_on : 0;
+	for (i = 0; i < list->len; i++) {
+		j = g_array_index(list, struct memory_holder, i).arg;
+		if (i < go_on) {
+			if (memory_read_on(j, now))
+				overdue = j;
+			continue;
+		}
+		j->read_on_since = 0;
+		link_pause(j->link, LINK_PAUSE_MEMORY, true);
+	}
+	if (overdue != NULL && m->waiting > 0)
+		memory_end_job(e, overdue, now);
+}
+
+static void
+memory_read_all_on(struct entry *e)
+{
+	struct job *j;
+
+	e->memory.waiting = 0;
+	TAILQ_FOREACH (j, &e->jobs, entry) {
+		j->read_on_since = 0;
+		if (j->link != NULL)
+			link_pause(j->link, LINK_PAUSE_MEMORY, false);
+	}
+}
+
+/* ---- interface ---- */
+
+static void
+memory_log_level(struct entry *e, msec now, enum memory_level level)
+{
+	static const char *const names[] = {
+		[MEMORY_NORMAL] = "normal",
+		[MEMORY_HIGH] = "high",
+		[MEMORY_CRITICAL] = "critical",
+		[MEMORY_FULL] = "full",
+		[MEMORY_EXCEEDED] = "exceeded",
+	};
+
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_MEMORY,
+	    LOG_TEXT(LOG_KEY_STATE, names[level]),
+	    LOG_NUMBER(LOG_KEY_BYTES, e->memory.budget.held),
+	    LOG_NUMBER(LOG_KEY_REQUESTS, e->njobs));
+}
+
+void
+entry_memory_check(struct entry *e, msec now)
+{
+	struct entry_memory *m = &e->memory;
+	enum memory_level before = m->budget.level, level;
+
+	level = memory_budget_set(&m->budget, memory_held(e));
+	if (level != before)
+		memory_log_level(e, now, level);
+	if (level == MEMORY_NORMAL) {
+		if (before != MEMORY_NORMAL)
+			memory_read_all_on(e);
+		return;
+	}
+	if (level == before && level < MEMORY_CRITICAL &&
+	    now - m->checked_at < MEMORY_CHECK_MS &&
+	    m->budget.held < m->checked_held + MEMORY_CHECK_BYTES)
+		return;
+	m->checked_at = now;
+	m->checked_held = m->budget.held;
+	memory_share_reading(e, now);
+	memory_end_holders(e, now);
+}
+
+bool
+entry_memory_is_full(const struct entry *e)
+{
+	return e->memory.budget.level >= MEMORY_FULL;
+}
+
+size_t
+entry_memory_read_size(const struct entry *e, size_t most)
+{
+	return e->memory.budget.level == MEMORY_NORMAL
+		   ? most
+		   : MIN(most, (size_t)MEMORY_READ);
+}
+
+size_t
+entry_memory_high_water(const struct entry *e)
+{
+	return e->memory.budget.level == MEMORY_NORMAL ? CALLER_HIGH_WATER
+						       : CALLER_LOW_WATER;
+}
+
+void
+entry_memory_refuse(struct caller *c, msec now)
+{
+	struct entry *e = c->owner;
+	struct wire_request r = { 0 };
+	struct buffer fields = { 0 };
+	const char *reason = NULL;
+
+	e->memory.refused++;
+	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
+	    LOG_NUMBER(LOG_KEY_STATUS, 503),
+	    LOG_TEXT(LOG_KEY_REASON, "no memory"));
+	if (c->reader.head != NULL &&
+	    e->wire->request(c->reader.head, &r, &reason))
+		e->wire->own(&fields, r.id);
+	buffer_printf(&fields, "Retry-After: %.3f\r\n",
+	    (double)job_retry_elsewhere(e) / MSEC_SECOND);
+	if (c->ops == &handoff_caller_ops)
+		buffer_printf(&fields, HANDOFF_OUTCOME_FIELD ": %s no\r\n",
+		    job_code_name(JOB_CARRIER_FULL));
+	buffer_add(&fields, "", 1);
+	caller_refuse(c, now, 503, buffer_bytes(&fields));
+	buffer_finish(&fields);
+}
+
+void
+entry_memory_apply_settings(struct entry *e)
+{
+	struct memory_budget m;
+
+	memory_budget_init(&m, (size_t)e->settings->memory_mb << 20);
+	e->memory.budget.size = m.size;
+}
+
+void
+entry_memory_init(struct entry *e)
+{
+	memory_budget_init(
+	    &e->memory.budget, (size_t)e->settings->memory_mb << 20);
+}
+
+void
+entry_memory_metrics(const struct entry *e, GString *s)
+{
+	const struct entry_memory *m = &e->memory;
+
+	metrics_value(s, "memory_limit_bytes", "gauge",
+	    "Memory that the process may use.",
+	    (int64_t)e->settings->memory_mb << 20);
+	metrics_value(s, "memory_budget_bytes", "gauge",
+	    "Of it, what requests and answers may hold together.",
+	    (int64_t)m->budget.size);
+	metrics_value(s, "memory_held_bytes", "gauge", "What they hold.",
+	    (int64_t)m->budget.held);
+	metrics_value(s, "memory_held_most_bytes", "gauge",
+	    "The most that they have held.", (int64_t)m->budget.most);
+	metrics_value(s, "memory_level", "gauge",
+	    "0 normal, 1 high, 2 critical, 3 full, 4 exceeded.",
+	    m->budget.level);
+	metrics_value(s, "memory_answers_waiting", "gauge",
+	    "Answers that are not read on for want of memory.", m->waiting);
+	metrics_value(s, "memory_ended_total", "counter",
+	    "Requests and answers ended for want of memory.",
+	    (int64_t)m->ended);
+	metrics_value(s, "memory_refused_total", "counter",
+	    "Requests refused for want of memory.", (int64_t)m->refused);
+}
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -86,8 +86,8 @@
 	    help, name, type);
 }
 
-static void
-text_value(GString *s, const char *name, const char *type, const char *help,
+void
+metrics_value(GString *s, const char *name, const char *type, const char *help,
     int64_t value)
 {
 	text_head(s, name, type, help);
@@ -174,11 +174,11 @@
 	    "savory_entry_servers{state=\"draining\"} %u\n"
 	    "savory_entry_servers{state=\"gone\"} %u\n",
 	    n[SERVER_READY], n[SERVER_DRAINING], n[SERVER_GONE]);
-	text_value(s, "servers_rated", "gauge",
+	metrics_value(s, "servers_rated", "gauge",
 	    "Backend servers that name the rate of requests they take.", rated);
-	text_value(s, "servers_brittle", "gauge",
+	metrics_value(s, "servers_brittle", "gauge",
 	    "Backend servers that say that they are brittle.", brittle);
-	text_value(s, "servers_resting", "gauge",
+	metrics_value(s, "servers_resting", "gauge",
 	    "Backend servers that get less after failures.", resting);
 }
 
@@ -263,26 +263,20 @@
 {
 	msec age = fresh_age(&e->fresh, now);
 
-	text_value(s, "ready", "gauge", "Callers may be sent here.",
+	metrics_value(s, "ready", "gauge", "Callers may be sent here.",
 	    entry_is_ready(e, now));
-	text_value(s, "configuration_version", "gauge", "In force.",
+	metrics_value(s, "configuration_version", "gauge", "In force.",
 	    e->table != NULL ? (int64_t)e->table->version : 0);
-	text_value(s, "proof_age_ms", "gauge",
+	metrics_value(s, "proof_age_ms", "gauge",
 	    "Age of the proof that it is the newest; -1: none.",
 	    age == MSEC_NEVER ? -1 : age);
-	text_value(
+	metrics_value(
 	    s, "platform_up", "gauge", "The platform answers.", e->source_up);
-	text_value(
+	metrics_value(
 	    s, "nodes", "gauge", "Live nodes, with this one.", e->live_nodes);
-	text_value(s, "requests_open", "gauge", "In flight.", e->njobs);
-	text_value(
+	metrics_value(s, "requests_open", "gauge", "In flight.", e->njobs);
+	metrics_value(
 	    s, "callers", "gauge", "Connections of callers.", e->ncallers);
-	text_value(s, "memory_limit_bytes", "gauge",
-	    "Memory that the process may use.",
-	    (int64_t)e->settings->memory_mb << 20);
-	text_value(s, "buffers_bytes", "gauge",
-	    "Allocated by buffers of requests, answers and messages.",
-	    (int64_t)buffers_allocated());
 }
 
 static void
@@ -290,10 +284,10 @@
 {
 	const struct entry_counters *c = &e->counters;
 
-	text_value(s, "callers_idle_closed_total", "counter",
+	metrics_value(s, "callers_idle_closed_total", "counter",
 	    "Connections of callers that were idle for too long.",
 	    (int64_t)c->idle_closed);
-	text_value(s, "callers_discarded_total", "counter",
+	metrics_value(s, "callers_discarded_total", "counter",
 	    "Connections of callers closed with bytes that got no answer.",
 	    (int64_t)c->discarded);
 }
@@ -305,86 +299,86 @@
 	const struct place_counters *p = &e->place.counters;
 	const struct relay_counters *r = &e->relay.counters;
 
-	text_value(s, "attempts_total", "counter", "Sent to servers.",
+	metrics_value(s, "attempts_total", "counter", "Sent to servers.",
 	    (int64_t)c->attempts);
-	text_value(s, "rests_total", "counter",
+	metrics_value(s, "rests_total", "counter",
 	    "Times that a server asked for no requests.", (int64_t)c->rests);
-	text_value(s, "servers_leaving_total", "counter",
+	metrics_value(s, "servers_leaving_total", "counter",
 	    "Servers whose answers said that they leave.",
 	    (int64_t)c->servers_leaving);
-	text_value(s, "retries_total", "counter", "Beyond the first.",
+	metrics_value(s, "retries_total", "counter", "Beyond the first.",
 	    (int64_t)c->retries);
-	text_value(s, "connects_total", "counter", "New connections.",
+	metrics_value(s, "connects_total", "counter", "New connections.",
 	    (int64_t)c->connects);
-	text_value(s, "reused_total", "counter", "Kept connections used.",
+	metrics_value(s, "reused_total", "counter", "Kept connections used.",
 	    (int64_t)c->reused);
-	text_value(s, "kept_unproved_total", "counter",
+	metrics_value(s, "kept_unproved_total", "counter",
 	    "Kept connections that did not confirm a request's first bytes.",
 	    (int64_t)c->proofs_failed);
-	text_value(s, "streams_broken_off_total", "counter",
+	metrics_value(s, "streams_broken_off_total", "counter",
 	    "Streams that were complete by their framing alone.",
 	    (int64_t)c->streams_broken);
-	text_value(s, "strays_total", "counter", "Answers to nobody.",
+	metrics_value(s, "strays_total", "counter", "Answers to nobody.",
 	    (int64_t)c->strays);
-	text_value(s, "server_rates_total", "counter",
+	metrics_value(s, "server_rates_total", "counter",
 	    "Rates that servers named, changed or took back.",
 	    (int64_t)c->rates);
-	text_value(s, "server_rates_unreadable_total", "counter",
+	metrics_value(s, "server_rates_unreadable_total", "counter",
 	    "Answers with a rate that cannot be read.",
 	    (int64_t)c->rates_unreadable);
-	text_value(s, "configurations_total", "counter", "Taken up.",
+	metrics_value(s, "configurations_total", "counter", "Taken up.",
 	    (int64_t)c->tables);
-	text_value(s, "placements_asked_total", "counter",
+	metrics_value(s, "placements_asked_total", "counter",
 	    "Coordinators asked.", (int64_t)p->asked);
-	text_value(s, "placements_alone_total", "counter",
+	metrics_value(s, "placements_alone_total", "counter",
 	    "Placed without a coordinator's answer.", (int64_t)p->alone);
-	text_value(s, "placements_alone_away_total", "counter",
+	metrics_value(s, "placements_alone_away_total", "counter",
 	    "Of these, turned away as coordinators had done a moment before.",
 	    (int64_t)p->alone_refused);
-	text_value(s, "placements_made_total", "counter",
+	metrics_value(s, "placements_made_total", "counter",
 	    "Placed here as coordinator.", (int64_t)p->coordinated);
-	text_value(s, "placements_returned_total", "counter",
+	metrics_value(s, "placements_returned_total", "counter",
 	    "Admitted here as coordinator after an earlier refusal.",
 	    (int64_t)p->returned);
-	text_value(s, "placements_share_refused_total", "counter",
+	metrics_value(s, "placements_share_refused_total", "counter",
 	    "Refused here as coordinator by their organisations' shares only.",
 	    (int64_t)p->share_refused);
-	text_value(s, "placements_share_admitted_total", "counter",
+	metrics_value(s, "placements_share_admitted_total", "counter",
 	    "Admitted here as coordinator by their organisations' shares only.",
 	    (int64_t)p->share_admitted);
-	text_value(s, "prompt_tokens_total", "counter",
+	metrics_value(s, "prompt_tokens_total", "counter",
 	    "Prompt tokens of requests placed here as coordinator.",
 	    (int64_t)p->tokens);
-	text_value(s, "prompt_tokens_kept_total", "counter",
+	metrics_value(s, "prompt_tokens_kept_total", "counter",
 	    "Of these, thought to be kept by the server.",
 	    (int64_t)p->tokens_kept);
-	text_value(s, "placements_gap_missed_total", "counter",
+	metrics_value(s, "placements_gap_missed_total", "counter",
 	    "Streams placed where their pauses will probably be too long.",
 	    (int64_t)p->gaps_missed);
-	text_value(s, "prompt_fetches_total", "counter",
+	metrics_value(s, "prompt_fetches_total", "counter",
 	    "Requests for which a server was to fetch a cached prompt.",
 	    (int64_t)p->fetches);
-	text_value(s, "prompt_tokens_fetched_total", "counter",
+	metrics_value(s, "prompt_tokens_fetched_total", "counter",
 	    "Prompt tokens that servers were to fetch from others.",
 	    (int64_t)p->tokens_fetched);
-	text_value(s, "relay_asked_total", "counter",
+	metrics_value(s, "relay_asked_total", "counter",
 	    "Other nodes asked what they know.", (int64_t)r->asked);
-	text_value(s, "relay_told_total", "counter",
+	metrics_value(s, "relay_told_total", "counter",
 	    "Answers and news from other nodes.", (int64_t)r->told);
-	text_value(s, "relay_proofs_total", "counter",
+	metrics_value(s, "relay_proofs_total", "counter",
 	    "Of these, proofs that what is in force here is the newest.",
 	    (int64_t)r->proofs);
-	text_value(s, "configurations_handed_total", "counter",
+	metrics_value(s, "configurations_handed_total", "counter",
 	    "Taken up from another node, as the platform turned us away.",
 	    (int64_t)e->table_transfer.taken);
-	text_value(s, "configurations_handed_dropped_total", "counter",
+	metrics_value(s, "configurations_handed_dropped_total", "counter",
 	    "Not asked for, or not to be understood.",
 	    (int64_t)e->table_transfer.dropped);
-	text_value(s, "relay_news_total", "counter",
+	metrics_value(s, "relay_news_total", "counter",
 	    "Changes read here that others were told of.", (int64_t)r->news);
-	text_value(
+	metrics_value(
 	    s, "log_lines_total", "counter", "Written.", (int64_t)e->log.lines);
-	text_value(s, "log_dropped_total", "counter", "Left out.",
+	metrics_value(s, "log_dropped_total", "counter", "Left out.",
 	    (int64_t)e->log.dropped);
 }
 
@@ -409,6 +403,7 @@
 	entry_version_store_metrics(e, s);
 	entry_poison_store_metrics(e, s);
 	entry_moves_metrics(e, s);
+	entry_memory_metrics(e, s);
 	entry_duty_metrics(e, s);
 }
 
--- a/entry-move.c
+++ b/entry-move.c
@@ -487,7 +487,7 @@
 	    j->events == 0)
 		return false;
 	/* The events of a caller that reads slowly wait for it. */
-	if (j->link->paused) {
+	if (j->link->paused != 0) {
 		run_pace_restart(&j->pace);
 		return false;
 	}
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -15,8 +15,6 @@
 
 /* Larger answers are forwarded as they arrive. */
 #define REPLY_BUFFER_MAX (256 * 1024)
-/* Longer answers to callers of HTTP/1.0, who get only whole ones, fail. */
-#define REPLY_WHOLE_MAX (8 * 1024 * 1024)
 /*
  * A longer event is taken as an error of the server, and so are as many bytes
  * that hold none.
@@ -134,8 +132,9 @@
 	buffer_add(out, "\r\n", 2);
 	caller_flush(j->caller);
 	if (j->link != NULL)
-		link_pause(
-		    j->link, caller_unsent(j->caller) > CALLER_HIGH_WATER);
+		link_pause(j->link, LINK_PAUSE_CALLER,
+		    caller_unsent(j->caller) >
+			entry_memory_high_water(j->owner));
 }
 
 /*
@@ -188,6 +187,7 @@
 bool
 reply_body(struct job *j, const char *bytes, size_t n, msec now)
 {
+	j->caller->progress = now;
 	buffer_add(&j->unsent_body, bytes, n);
 	if (j->head->is_http_1_0)
 		return buffer_length(&j->unsent_body) <= REPLY_WHOLE_MAX;
@@ -285,9 +285,10 @@
 
 	if (!j->answer_began) {
 		reply_begin(j, now, true);
+		/* A long body is not copied: the head goes first. */
+		caller_flush(c);
 		if (strcmp(j->head->method, "HEAD") != 0)
-			buffer_add(&c->out, buffer_bytes(&j->unsent_body),
-			    buffer_length(&j->unsent_body));
+			buffer_move(&c->out, &j->unsent_body);
 	} else {
 		reply_forward(j, buffer_bytes(&j->unsent_body),
 		    buffer_length(&j->unsent_body), now);
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -54,6 +54,7 @@
 	to->retry_fixed = from->retry_fixed;
 	to->retry_window = from->retry_window;
 	to->stop_deadline = from->stop_deadline;
+	to->memory_mb = from->memory_mb;
 	memcpy(to->sound_parts, from->sound_parts, sizeof to->sound_parts);
 	to->nsound_parts = from->nsound_parts;
 }
@@ -89,6 +90,7 @@
 			: "settings applied");
 		settings_copy_limits(e->settings, &s);
 		entry_poison_set_sound_parts(e);
+		entry_memory_apply_settings(e);
 		entry_state_apply(e);
 		settings_finish(&s);
 	}
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -201,6 +201,11 @@
 		job_leave_refusal(j, now);
 		return;
 	}
+	/* Its bytes are not read: the silence is this node's. */
+	if (j->link->paused != 0) {
+		job_arm_silence_timer(j, now);
+		return;
+	}
 	/* Nothing was sent yet. */
 	if (entry_move_is_stopping(j) || j->link->asking) {
 		job_recheck_silence_later(j, now);
--- a/entry.c
+++ b/entry.c
@@ -10,6 +10,7 @@
 #include <sys/signalfd.h>
 
 #include <errno.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -17,6 +18,8 @@
 #define ENTRY_TICK_MS 100
 /* Interval between checks of the settings file for changes. */
 #define ENTRY_SETTINGS_CHECK_MS 1000
+#define ENTRY_MMAP_BYTES (128 * 1024)
+
 static void
 entry_signal(struct loop_io *io, uint32_t events)
 {
@@ -62,6 +65,12 @@
 	loop_timer_set(&e->loop, t, now + ENTRY_TICK_MS);
 }
 
+static void
+entry_batch_end(struct loop *l, msec now)
+{
+	entry_memory_check(l->arg, now);
+}
+
 static void
 entry_turn_end(struct loop *l, msec now)
 {
@@ -106,9 +115,11 @@
 	RB_INIT(&e->route_stats);
 	if (!loop_init(&e->loop))
 		return false;
+	e->loop.batch_done = entry_batch_end;
 	e->loop.iteration_done = entry_turn_end;
 	e->loop.arg = e;
 	entry_log_init(&e->log, e->settings->node);
+	entry_memory_init(e);
 	if (!entry_watch_signals(e) || !entry_state_init(e, now) ||
 	    !entry_listen(e))
 		return false;
@@ -140,6 +151,11 @@
 	e.settings_file = file;
 	e.wire = wire;
 	e.source = source;
+	/*
+	 * Large buffers have mappings of their own, so that what is freed goes
+	 * back to the system; glibc would raise this limit as they come.
+	 */
+	mallopt(M_MMAP_THRESHOLD, ENTRY_MMAP_BYTES);
 	if (!entry_start(&e)) {
 		log_warn("startup failed");
 		return EXIT_FAILURE;
--- a/entry.h
+++ b/entry.h
@@ -31,6 +31,7 @@
  *   entry-version.c  versions of software that may resume a stream
  *   entry-version-store.c  what the platform's store keeps of them
  *   entry-poison-store.c  and of requests that end servers
+ *   entry-memory.c   limit on what all requests hold together
  *   entry-stop.c     planned stop
  *   entry.c          process start, tick and shutdown
  */
@@ -43,6 +44,7 @@
 #include "entry-duty.h"
 #include "entry-era.h"
 #include "entry-log.h"
+#include "entry-memory.h"
 #include "entry-move.h"
 #include "handoff.h"
 #include "entry-poison.h"
@@ -114,6 +116,7 @@
 	bool delays_stop;   /* from the listener */
 	msec accepted;	    /* time of accept() */
 	msec idle_since;    /* the last answer, or accept() */
+	msec progress;	    /* bytes of its request or answer moved last */
 	msec request_began; /* first byte of the request being read */
 	uint64_t served;    /* answers completed */
 	uint64_t discarded; /* bytes read after the last answer */
@@ -142,6 +145,18 @@
  */
 void caller_answer(struct caller *, msec, unsigned int status,
     const char *fields, const char *type, const char *body, bool keep);
+/*
+ * The same of a request that is still being read, which is dropped; the
+ * connection is closed afterwards.
+ */
+void
+caller_refuse(struct caller *, msec, unsigned int status, const char *fields);
+/* Close the connection at once; a request in progress is abandoned. */
+void caller_abort(struct caller *, msec);
+/* Has a request begun to arrive that is not complete? */
+bool caller_is_reading(const struct caller *);
+/* Bytes that its buffers have allocated. */
+size_t caller_held(const struct caller *);
 /* The peer's address as text, in INET_ADDRSTRLEN bytes; "" if unknown. */
 void caller_address(const struct caller *, char *);
 /* Number of bytes written but not yet sent. */
@@ -215,7 +230,7 @@
 	bool sent;	      /* a byte of the request was sent */
 	bool discard_answer;  /* the current answer is discarded */
 	size_t discarded;     /* bytes discarded since the request */
-	bool paused;	      /* the caller does not read fast enough */
+	unsigned int paused;  /* LINK_PAUSE_*: why it is not read on */
 	bool connect_refused; /* the server refused the connection */
 	bool timed_out;	      /* the server's host acknowledged nothing */
 	bool patient;	      /* the server may be silent for seconds */
@@ -265,8 +280,11 @@
     msec);
 /* Cancel the attempt: closes the connection, so that the server stops work. */
 void link_cancel(struct link *);
-/* Stop or continue reading from the server. */
-void link_pause(struct link *, bool);
+/* Why reading from a server stops: any of these. */
+#define LINK_PAUSE_CALLER 1 /* the caller does not read fast enough */
+#define LINK_PAUSE_MEMORY 2 /* other answers are read first */
+/* Stop or continue reading from the server for a reason. */
+void link_pause(struct link *, unsigned int why, bool);
 /* Keep the connection while its server's host is silent for some seconds. */
 void link_set_patient(struct link *);
 /* Close the idle links of a server. */
@@ -310,6 +328,7 @@
 	JOB_NO_PATH,	  /* no server accepts connections of this node */
 	JOB_VERSION,	  /* which version began the stream is not known */
 	JOB_CARRIER_FULL, /* the node carries too many for other nodes */
+	JOB_NO_MEMORY,	  /* this node holds too much */
 	JOB_CALLER_GONE,  /* the caller disconnected */
 	JOB_CODES
 };
@@ -414,6 +433,8 @@
 	msec gap;	      /* longest pause between two forwarded parts */
 	struct buffer fields; /* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
+	/* Since when it is read on while others wait; 0: it is not. */
+	msec read_on_since;
 	uint64_t weights;    /* version that began the answer; 0: not told */
 	bool event_due;	     /* an attempt broke off inside the next event */
 	uint64_t last_event; /* number of the last event forwarded */
@@ -495,9 +516,14 @@
 void job_fail(struct job *, msec, enum job_code);
 /* Count and log the outcome, and free the request. */
 void job_free(struct job *, msec, enum job_code);
+/* Retry-After of a request that other nodes may take, in ms. */
+msec job_retry_elsewhere(struct entry *);
 /* End all requests in flight, at the end of a stop. */
 void job_stop_all(struct entry *, msec);
 
+/* Longer answers to callers of HTTP/1.0, who get only whole ones, fail. */
+#define REPLY_WHOLE_MAX ((size_t)8 * 1024 * 1024)
+
 /* Classification of a server's answer by its head. */
 enum reply_class {
 	REPLY_FORWARD,	     /* forward it */
@@ -637,6 +663,7 @@
 	struct entry_version_store version_store;
 	struct entry_poison_store poison_store;
 	struct entry_moves moves;
+	struct entry_memory memory;
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
@@ -717,6 +744,9 @@
 /* ---- metrics and dump: entry-metrics.c ---- */
 
 extern const struct caller_ops metrics_caller_ops;
+/* Write one metric without labels; `type` is "counter" or "gauge". */
+void metrics_value(
+    GString *, const char *name, const char *type, const char *help, int64_t);
 /* Count a request that has ended. */
 void entry_count(struct entry *, const struct job *, enum job_code, msec);
 /* Statistics of a route; NULL: no request has been counted. */
--- a/loop.c
+++ b/loop.c
@@ -173,6 +173,8 @@
 		io->ready(io, batch[i].events);
 	}
 	batch_len = 0;
+	if (l->batch_done != NULL)
+		l->batch_done(l, l->now);
 	return more;
 }
 
--- a/loop.h
+++ b/loop.h
@@ -39,6 +39,11 @@
 	struct loop_timers timers;
 	uint64_t turn; /* number of the current iteration */
 	bool stopping;
+	/*
+	 * Called after each batch of events, of which an iteration may handle
+	 * many; may be NULL.
+	 */
+	void (*batch_done)(struct loop *, msec);
 	/* Called at the end of each iteration; may be NULL. */
 	void (*iteration_done)(struct loop *, msec);
 	void *arg;
--- /dev/null
+++ b/memory-budget.h
@@ -0,0 +1,58 @@
+/*
+ * A limit on what a process holds for all its requests together: how near it
+ * is, which answers may be read on, and from which holder to take. The limits
+ * of single requests do not bound their sum.
+ *
+ * Does no I/O and allocates nothing.
+ */
+
+#ifndef MEMORY_BUDGET_H
+#define MEMORY_BUDGET_H
+
+#include "savory.h"
+
+/* How full the budget is. */
+enum memory_level {
+	MEMORY_NORMAL,
+	MEMORY_HIGH,	 /* what can wait is not read on */
+	MEMORY_CRITICAL, /* holders that do not progress are ended */
+	MEMORY_FULL,	 /* no new request is taken */
+	MEMORY_EXCEEDED	 /* any holder is ended */
+};
+
+struct memory_budget {
+	size_t size; /* bytes that may be held */
+	size_t held; /* bytes held now */
+	size_t most; /* the most so far */
+	enum memory_level level;
+};
+
+/* What a request, or an answer, holds. */
+struct memory_holder {
+	size_t bytes;
+	msec progress; /* when its bytes moved last */
+	void *arg;     /* the caller's */
+};
+
+/* The budget is that part of the memory that the process may use. */
+void memory_budget_init(struct memory_budget *, size_t memory);
+/*
+ * Bytes are held now. A level is left only at some distance below the mark at
+ * which it was reached.
+ */
+enum memory_level memory_budget_set(struct memory_budget *, size_t);
+/*
+ * How many answers of so many bytes at the most may be read on at the same time
+ * without the critical level; one at least, so that some end and free theirs.
+ */
+unsigned int memory_budget_read_on(const struct memory_budget *, size_t most);
+/* Order the largest first, for qsort(). */
+int memory_holder_compare(const void *, const void *);
+/*
+ * The holder to end: among those of half the largest and more, the one whose
+ * bytes have not moved for the longest. -1: none holds `least` bytes.
+ */
+int memory_choose_holder(
+    const struct memory_holder *, unsigned int n, size_t least);
+
+#endif /* MEMORY_BUDGET_H */
