A server that an older list names at the address of a living one waits

The class: what an old copy says is taken for news where nothing contradicts it by name. While a copy is doubted (servers_keep_gone()), a server that is unknown here and whose address another one has that began later is held back like one that is known to be gone: used if it is still listed afterwards.

Evidence: test-server-list address-taken failed before, passes; others (a new server meanwhile, one without a birth, the doubt over) pass both ways.

--- a/server.c
+++ b/server.c
@@ -246,19 +246,50 @@
 	v->doubted_at = now;
 }
 
+/* A server with the same address began later: this one's process has ended. */
+static bool
+servers_address_is_taken(struct servers *s, const struct server *v)
+{
+	struct server *w;
+
+	RB_FOREACH (w, server_tree, &s->tree) {
+		if (w != v && w->address == v->address && w->port == v->port &&
+		    w->state != SERVER_GONE && v->born != 0 &&
+		    w->born > v->born)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A server that is unknown here, in an older list than the one that named its
+ * successor: requests to it would reach that one. It is used if it stays.
+ */
+static bool
+servers_hold_back(
+    struct servers *s, struct server *v, msec now, const struct server_entry *e)
+{
+	if (now >= s->gone_kept_until || !servers_address_is_taken(s, v))
+		return false;
+	v->state = SERVER_GONE;
+	v->gone_since = now;
+	v->listed_again = !e->draining;
+	return true;
+}
+
 void
 servers_list(struct servers *s, msec now, const struct server_entry *e)
 {
 	name_id id = name_hash(e->name);
 	struct server *v = servers_find(s, id);
 	enum server_state state = e->draining ? SERVER_DRAINING : SERVER_READY;
-	bool anew, untold;
+	bool anew, untold, unknown = v == NULL;
 
 	if (strlen(e->name) >= SERVER_NAME_SIZE)
 		return;
 	if (s->listed_since == 0)
 		s->listed_since = now;
-	if (v == NULL)
+	if (unknown)
 		v = servers_add(s, now, e, id);
 	if (server_entry_is_old(s, v, now, e->born))
 		return;
@@ -273,6 +304,8 @@
 	v->slots = e->slots;
 	v->reclaimable = e->reclaimable;
 	v->missing = false;
+	if (unknown && servers_hold_back(s, v, now, e))
+		return;
 	untold = v->replaced_at != 0 && v->software_id == 0;
 	if (anew || v->software_id == 0)
 		server_set_software(v, e->software);
