Own interface: request bodies are bounded together

The same class elsewhere: limits.connections by limits.body_bytes, 4096 by 1 MB, bounded each body and not their sum. Now they hold at most half of limits.memory_mb, large ones 80% of that, so that small requests are served beside uploads that rest. A body that does not fit is read, dropped and answered 503, not run.

Answers of this interface are bounded one by one still (docs/design/MEMORY.md).

--- a/daemon-call.c
+++ b/daemon-call.c
@@ -49,6 +49,15 @@
 	return c;
 }
 
+void
+call_free_body(struct call *c)
+{
+	g_atomic_pointer_add(&c->daemon->body_bytes, -(gssize)c->body_size);
+	g_free(c->body);
+	c->body = NULL;
+	c->body_len = c->body_size = 0;
+}
+
 void
 call_drop(struct call *c)
 {
@@ -72,7 +81,7 @@
 	g_free(c->ticket);
 	g_free(c->key);
 	g_free(c->authorization);
-	g_free(c->body);
+	call_free_body(c);
 	g_free(c);
 }
 
--- a/daemon-caller.c
+++ b/daemon-caller.c
@@ -28,6 +28,10 @@
 #define CALLER_MEMORY (32 * 1024)
 #define CALLER_BLOCK (16 * 1024)
 #define CALLER_BACKLOG 1024
+/* Part of the memory that bodies may hold, and of it those that are large. */
+#define CALLER_BODIES_PERCENT 50
+#define CALLER_LARGE_PERCENT 80
+#define CALLER_BODY_SMALL (16 * 1024)
 #define CONTROL_CONNECTIONS 256
 
 static enum MHD_Result caller_handle(void *, struct MHD_Connection *,
@@ -109,10 +113,51 @@
 
 /* ---- the request ---- */
 
+/* Bytes that bodies may hold together; small ones find room beside large ones.
+ */
+static size_t
+caller_bodies_max(const struct daemon *d, size_t size)
+{
+	size_t max =
+	    ((size_t)d->settings.memory_mb << 20) / 100 * CALLER_BODIES_PERCENT;
+
+	return size <= CALLER_BODY_SMALL ? max
+					 : max / 100 * CALLER_LARGE_PERCENT;
+}
+
+/* Grows the body's memory; false when all bodies hold too much. */
+static bool
+caller_reserve(struct call *c, size_t size)
+{
+	struct daemon *d = c->daemon;
+	gsize more = size - c->body_size;
+
+	if ((gsize)g_atomic_pointer_add(&d->body_bytes, more) + more >
+	    caller_bodies_max(d, size)) {
+		g_atomic_pointer_add(&d->body_bytes, -(gssize)more);
+		return false;
+	}
+	c->body = g_realloc(c->body, size);
+	c->body_size = size;
+	return true;
+}
+
+/* The rest is read and dropped, so that the caller reads the answer. */
+static void
+caller_drop_body(struct call *c)
+{
+	call_free_body(c);
+	c->body_dropped = true;
+}
+
 static void
 caller_body(struct call *c, const char *data, size_t n)
 {
 	size_t max = c->daemon->settings.max_body_bytes;
+	size_t need = c->body_len + n + 1;
+
+	if (c->body_dropped)
+		return;
 
 	if (c->body_too_large || c->body_len + n > max) {
 		/* The rest is read and dropped, so that the caller reads the
@@ -120,9 +165,10 @@
 		c->body_too_large = true;
 		return;
 	}
-	if (c->body_len + n + 1 > c->body_size) {
-		c->body_size = MAX(c->body_size * 2, c->body_len + n + 1);
-		c->body = g_realloc(c->body, c->body_size);
+	if (need > c->body_size &&
+	    !caller_reserve(c, MAX(need, MIN(c->body_size * 2, max + 1)))) {
+		caller_drop_body(c);
+		return;
 	}
 	memcpy(c->body + c->body_len, data, n);
 	c->body_len += n;
--- a/daemon-route.c
+++ b/daemon-route.c
@@ -17,6 +17,7 @@
 /* Estimates prompt tokens without a tokenizer. */
 #define ROUTE_BYTES_PER_TOKEN 4
 #define ROUTE_JOINING_RETRY_MS 1000
+#define ROUTE_MEMORY_RETRY_MS 1000
 
 struct route {
 	const char *method; /* NULL is any */
@@ -485,6 +486,12 @@
 		return route_error(c, 413, "body_too_large",
 		    "The body is larger than this system takes.");
 	}
+	if (c->body_dropped) {
+		c->answer.close = true;
+		c->answer.retry_after = ROUTE_MEMORY_RETRY_MS;
+		return route_error(c, 503, "no_memory",
+		    "Too many bodies are being sent to this node.");
+	}
 	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
 		if (!route_matches(&routes[i], l, c->path))
 			continue;
--- a/daemon.h
+++ b/daemon.h
@@ -185,6 +185,7 @@
 	size_t body_len, body_size;
 	bool body_read;
 	bool body_too_large;
+	bool body_dropped;	     /* for want of memory */
 	struct call_headers headers; /* passed on to plain services */
 	char *content_type;
 	char *ticket;	     /* Savorypier-Ticket, or NULL */
@@ -230,6 +231,8 @@
 struct call *call_new(struct daemon *, struct MHD_Connection *);
 struct call *call_take(struct call *);
 void call_drop(struct call *);
+/* Free the request body before the call ends. */
+void call_free_body(struct call *);
 
 /* ---- events for the core ---- */
 
@@ -357,6 +360,7 @@
 	msec cut_at;	       /* when the stop deadline cut the rest, or 0 */
 	uint64_t stop_no_time; /* refused: could not end in time */
 	uint64_t stop_cut;     /* requests cut at the deadline */
+	gsize body_bytes;      /* allocated by request bodies; atomic */
 	gint unsent;	       /* answers not yet sent completely; atomic */
 	struct backend_tree backends;
 	msec load_due;
--- a/settings.h
+++ b/settings.h
@@ -53,7 +53,7 @@
 	msec keep_answers;  /* for retries with an idempotency key */
 	unsigned int max_connections;
 	unsigned int max_body_bytes;
-	unsigned int memory_mb; /* that the process may use; with a store */
+	unsigned int memory_mb; /* that the process may use */
 	unsigned int caller_threads;
 	unsigned int engine_threads;
 	/* With a store: the platform's guarantees and requirements. */
--- a/tests/proc-hostile.c
+++ b/tests/proc-hostile.c
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #define IDLE_CONNECTIONS 600
+#define RESTING 80
+#define RESTING_BYTES 900000
 #define CHAT "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
 #define KEY "Authorization: Bearer " NODES_KEY "\r\n"
 
@@ -83,6 +85,42 @@
 	nodes_finish(&s);
 }
 
+/* Bodies that are nearly whole, and rest, take the node's memory. */
+static void
+test_resting_bodies(void)
+{
+	static const struct nodes_config little = { .nodes = 1,
+		.engines = 1,
+		.settings = "leave_grace_ms: 500\n"
+			    "limits: {body_bytes: 1048576, memory_mb: 32}\n" };
+	g_autofree char *body = g_strnfill(RESTING_BYTES, 'x');
+	g_autofree char *request = g_strdup_printf(
+	    CHAT KEY "Content-Length: %d\r\n\r\n%s", RESTING_BYTES + 1, body);
+	unsigned int i, refused = 0;
+	int fds[RESTING];
+	struct nodes s;
+
+	nodes_up(&s, &little);
+	for (i = 0; i < RESTING; i++) {
+		fds[i] = raw_connect(s.entries[0].caller);
+		raw_write(fds[i], request);
+	}
+	assert_serves(&s, "beside-resting-bodies");
+	for (i = 0; i < RESTING; i++) {
+		g_autofree char *answer = NULL;
+
+		raw_write(fds[i], "x");
+		answer = raw_read(fds[i], "\r\n\r\n", 5000);
+		refused += g_str_has_prefix(answer, "HTTP/1.1 503");
+		close(fds[i]);
+	}
+	/* Those that did not fit into half of the memory. */
+	g_assert_cmpuint(refused, >=, RESTING - (16 << 20) / RESTING_BYTES);
+	g_assert_cmpuint(refused, <, RESTING);
+	assert_serves(&s, "after-resting-bodies");
+	nodes_finish(&s);
+}
+
 static void
 test_keys(void)
 {
@@ -210,6 +248,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/hostile/bodies", test_bodies);
+	g_test_add_func("/hostile/resting-bodies", test_resting_bodies);
 	g_test_add_func("/hostile/keys", test_keys);
 	g_test_add_func("/hostile/large-header", test_large_header);
 	g_test_add_func("/hostile/idle-connections", test_idle_connections);
