--- a/entry-link.c
+++ b/entry-link.c
@@ -608,6 +608,7 @@
 	if (k->patient)
 		link_set_unacked(k->io.fd, LINK_UNACKED_MS);
 	k->patient = false;
+	k->paused = 0;
 	http_reader_reset(&k->reader);
 	TAILQ_INSERT_HEAD(&p->idle, k, entry);
 	p->nidle++;
--- a/standins/common-cut.c
+++ b/standins/common-cut.c
@@ -78,17 +78,35 @@
 		log_warn("cannot lose packets: %s", g_strerror(errno));
 }
 
-enum cut_how
-cut_find_peer(const struct cut *c, int fd)
+/* IPv4, host byte order; 0: not connected. */
+static uint32_t
+cut_peer_address(int fd)
 {
 	struct sockaddr_in sin = { 0 };
 	socklen_t len = sizeof sin;
-	unsigned int i;
 
 	if (getpeername(fd, (struct sockaddr *)&sin, &len) == -1)
-		return CUT_NONE;
+		return 0;
+	return ntohl(sin.sin_addr.s_addr);
+}
+
+bool
+cut_is_from(int fd, const char *address)
+{
+	struct in_addr in;
+
+	return inet_pton(AF_INET, address, &in) == 1 &&
+	       cut_peer_address(fd) == ntohl(in.s_addr);
+}
+
+enum cut_how
+cut_find_peer(const struct cut *c, int fd)
+{
+	uint32_t address = cut_peer_address(fd);
+	unsigned int i;
+
 	for (i = 0; i < c->n; i++) {
-		if (c->from[i].address == ntohl(sin.sin_addr.s_addr))
+		if (c->from[i].address == address)
 			return c->from[i].how;
 	}
 	return CUT_NONE;
--- a/standins/common-cut.h
+++ b/standins/common-cut.h
@@ -41,6 +41,8 @@
 enum cut_how cut_parse(const char *);
 /* Loses packets on a socket; connections accepted on it later inherit it. */
 void cut_apply(const struct cut *, int fd);
+/* Is it a connection from that address, in dotted notation? */
+bool cut_is_from(int fd, const char *address);
 /* How the peer of a connection is cut off. */
 enum cut_how cut_find_peer(const struct cut *, int fd);
 
