--- a/entry-caller.c
+++ b/entry-caller.c
@@ -7,13 +7,13 @@
 
 #define LOG_PART "caller"
 #include "entry.h"
+#include "tcp-options.h"
 
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <linux/sockios.h>
 
@@ -29,6 +29,8 @@
 #define CALLER_PIPELINED_MAX 65536
 /* A peer that acknowledges no sent bytes for so long is taken as gone. */
 #define CALLER_UNACKED_MS 4000
+/* Idle time of a connection before its peer is probed, in s. */
+#define CALLER_KEEPALIVE_S 2
 /*
  * The same once the answer is whole. The kernel also counts the time in which a
  * caller that reads slowly takes nothing, and no server works for it any more.
@@ -52,25 +54,6 @@
 
 /* ---- opening and closing ---- */
 
-static void
-caller_set_unacked(int fd, int most)
-{
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof most);
-}
-
-static void
-caller_set_options(int fd)
-{
-	int on = 1, idle = 2, every = 1, count = 2;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	caller_set_unacked(fd, CALLER_UNACKED_MS);
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-}
-
 /* What came after the last answer: no request was made of it. */
 static void
 caller_log_discarded(const struct caller *c)
@@ -187,7 +170,7 @@
 	TAILQ_INSERT_TAIL(&e->callers, c, entry);
 	if (c->delays_stop)
 		e->ncallers++;
-	caller_set_options(fd);
+	tcp_set_options(fd, CALLER_KEEPALIVE_S, CALLER_UNACKED_MS);
 	loop_timer_set(&e->loop, &c->timer, caller_idle_end(c, e->loop.now));
 	if (!loop_watch(&e->loop, &c->io, EPOLLIN | EPOLLRDHUP))
 		caller_free(c);
@@ -311,7 +294,7 @@
 {
 	c->busy = true;
 	if (c->served > 0)
-		caller_set_unacked(c->io.fd, CALLER_UNACKED_MS);
+		tcp_set_unacked(c->io.fd, CALLER_UNACKED_MS);
 	loop_timer_stop(&c->owner->loop, &c->timer);
 	c->ops->request(c, now);
 }
@@ -612,7 +595,7 @@
 		loop_timer_set(
 		    &e->loop, &c->timer, now + CALLER_ANSWERED_UNACKED_MS);
 	}
-	caller_set_unacked(c->io.fd, CALLER_ANSWERED_UNACKED_MS);
+	tcp_set_unacked(c->io.fd, CALLER_ANSWERED_UNACKED_MS);
 	caller_flush(c);
 	/* Handle pipelined requests on the next turn, without recursion. */
 	if (!c->closing && buffer_length(&c->in) > 0)
--- a/entry-link.c
+++ b/entry-link.c
@@ -21,6 +21,7 @@
 #include <unistd.h>
 
 #include "keep.h"
+#include "tcp-options.h"
 
 #define LINK_READ 65536
 #define LINK_HEAD_MAX 65536
@@ -36,6 +37,8 @@
 #define LINK_TOLD_MAX (64 * 1024)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
+/* Idle time of a connection before its server is probed, in s. */
+#define LINK_KEEPALIVE_S 1
 /*
  * The same of a request that no other server can take over, as it may run only
  * once or there is none. A sound server may be silent for seconds.
@@ -131,25 +134,6 @@
 
 /* ---- connecting and sending ---- */
 
-static void
-link_set_unacked(int fd, int most)
-{
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof most);
-}
-
-static void
-link_set_options(int fd)
-{
-	int on = 1, idle = 1, every = 1, count = 2;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	link_set_unacked(fd, LINK_UNACKED_MS);
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-}
-
 static bool
 link_bind_outgoing(const struct entry *e, int fd)
 {
@@ -178,7 +162,7 @@
 		errno = error;
 		return -1;
 	}
-	link_set_options(fd);
+	tcp_set_options(fd, LINK_KEEPALIVE_S, LINK_UNACKED_MS);
 	sin.sin_addr.s_addr = htonl(address);
 	sin.sin_port = htons(port);
 	if (connect(fd, (struct sockaddr *)&sin, sizeof sin) == 0 ||
@@ -212,7 +196,7 @@
 		return false;
 	}
 	if (k->patient)
-		link_set_unacked(fd, LINK_PATIENT_UNACKED_MS);
+		tcp_set_unacked(fd, LINK_PATIENT_UNACKED_MS);
 	k->starts = v->starts;
 	k->known = false;
 	k->connecting = true;
@@ -606,7 +590,7 @@
 	k->idle_since = now;
 	k->used = true;
 	if (k->patient)
-		link_set_unacked(k->io.fd, LINK_UNACKED_MS);
+		tcp_set_unacked(k->io.fd, LINK_UNACKED_MS);
 	k->patient = false;
 	k->paused = 0;
 	http_reader_reset(&k->reader);
@@ -817,7 +801,7 @@
 link_set_patient(struct link *k)
 {
 	if (!k->patient)
-		link_set_unacked(k->io.fd, LINK_PATIENT_UNACKED_MS);
+		tcp_set_unacked(k->io.fd, LINK_PATIENT_UNACKED_MS);
 	k->patient = true;
 }
 
--- a/exchange.c
+++ b/exchange.c
@@ -4,12 +4,12 @@
 
 #define LOG_PART "exchange"
 #include "exchange.h"
+#include "tcp-options.h"
 
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <errno.h>
 #include <string.h>
@@ -19,6 +19,8 @@
 #define EXCHANGE_READ_BYTES 32768
 /* The path counts as lost when sent bytes stay unacknowledged for so long. */
 #define EXCHANGE_ACK_TIMEOUT_MS 1500
+/* Idle time of a connection before its peer is probed, in s. */
+#define EXCHANGE_KEEPALIVE_S 1
 
 static void exchange_ready(struct loop_io *, uint32_t);
 static void exchange_timer(struct loop_timer *, msec);
@@ -60,19 +62,12 @@
 exchange_connect(struct exchange *x)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET };
-	int on = 1, silent = EXCHANGE_ACK_TIMEOUT_MS, idle = 1, every = 1,
-	    count = 2;
 	int fd;
 
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd == -1)
 		return false;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+	tcp_set_options(fd, EXCHANGE_KEEPALIVE_S, EXCHANGE_ACK_TIMEOUT_MS);
 	sin.sin_addr.s_addr = htonl(x->address);
 	sin.sin_port = htons(x->port);
 	x->io.fd = fd;
--- /dev/null
+++ b/tcp-options.h
@@ -0,0 +1,17 @@
+/*
+ * Options of a TCP connection that notice a peer whose host, or the path to it,
+ * is gone: no reset comes from there.
+ */
+
+#ifndef TCP_OPTIONS_H
+#define TCP_OPTIONS_H
+
+/*
+ * Send without delay, probe a connection that has been idle for so many seconds
+ * each second, twice, and take the peer as gone after `unacked` ms.
+ */
+void tcp_set_options(int fd, int idle, int unacked);
+/* The peer is taken as gone when it confirms no sent bytes for so many ms. */
+void tcp_set_unacked(int fd, int unacked);
+
+#endif /* TCP_OPTIONS_H */
