--- a/entry-era.c
+++ b/entry-era.c
@@ -152,29 +152,18 @@
 {
 	const struct era_counters *c = &e->era.counters;
 
-	g_string_append_printf(s,
-	    "# HELP savory_entry_store_era Of the platform's store; 0: it "
-	    "names none.\n"
-	    "# TYPE savory_entry_store_era gauge\n"
-	    "savory_entry_store_era %" PRIu64 "\n"
-	    "# HELP savory_entry_store_settled What it lost had time to be "
-	    "written again.\n"
-	    "# TYPE savory_entry_store_settled gauge\n"
-	    "savory_entry_store_settled %d\n"
-	    "# HELP savory_entry_store_changes_total Times that it came back "
-	    "from an older copy.\n"
-	    "# TYPE savory_entry_store_changes_total counter\n"
-	    "savory_entry_store_changes_total %" PRIu64 "\n"
-	    "# HELP savory_entry_store_old_answers_total Answers of an era "
-	    "that is over, not believed.\n"
-	    "# TYPE savory_entry_store_old_answers_total counter\n"
-	    "savory_entry_store_old_answers_total %" PRIu64 "\n"
-	    "# HELP savory_entry_store_unnamed_answers_total Answers without "
-	    "an era, not believed.\n"
-	    "# TYPE savory_entry_store_unnamed_answers_total counter\n"
-	    "savory_entry_store_unnamed_answers_total %" PRIu64 "\n",
-	    e->era.number, era_is_settled(&e->era, now, e->settings->rewrite),
-	    c->changes, c->old, c->without_era);
+	metrics_value(s, "store_era", "gauge",
+	    "Of the platform's store; 0: it names none.",
+	    (int64_t)e->era.number);
+	metrics_value(s, "store_settled", "gauge",
+	    "What it lost had time to be written again.",
+	    era_is_settled(&e->era, now, e->settings->rewrite));
+	metrics_value(s, "store_changes_total", "counter",
+	    "Times that it came back from an older copy.", (int64_t)c->changes);
+	metrics_value(s, "store_old_answers_total", "counter",
+	    "Answers of an era that is over, not believed.", (int64_t)c->old);
+	metrics_value(s, "store_unnamed_answers_total", "counter",
+	    "Answers without an era, not believed.", (int64_t)c->without_era);
 }
 
 void
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -11,7 +11,6 @@
 #define LOG_PART "handoff"
 #include "entry.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -605,29 +604,16 @@
 {
 	const struct entry_handoff_counters *n = &e->handoff.counters;
 
-	g_string_append_printf(s,
-	    "# HELP savory_entry_handed_off_total Requests sent to other "
-	    "nodes.\n"
-	    "# TYPE savory_entry_handed_off_total counter\n"
-	    "savory_entry_handed_off_total %" PRIu64 "\n"
-	    "# HELP savory_entry_handoffs_failed_total Those that the node "
-	    "refused or broke off.\n"
-	    "# TYPE savory_entry_handoffs_failed_total counter\n"
-	    "savory_entry_handoffs_failed_total %" PRIu64 "\n"
-	    "# HELP savory_entry_handoffs_without_carrier_total No node could "
-	    "be reached.\n"
-	    "# TYPE savory_entry_handoffs_without_carrier_total counter\n"
-	    "savory_entry_handoffs_without_carrier_total %" PRIu64 "\n"
-	    "# HELP savory_entry_carried Requests of other nodes in flight.\n"
-	    "# TYPE savory_entry_carried gauge\n"
-	    "savory_entry_carried %u\n"
-	    "# HELP savory_entry_carried_total Accepted from other nodes.\n"
-	    "# TYPE savory_entry_carried_total counter\n"
-	    "savory_entry_carried_total %" PRIu64 "\n"
-	    "# HELP savory_entry_carried_refused_total Refused to other "
-	    "nodes.\n"
-	    "# TYPE savory_entry_carried_refused_total counter\n"
-	    "savory_entry_carried_refused_total %" PRIu64 "\n",
-	    n->handed_off, n->failed, n->without_carrier, n->carried, n->taken,
-	    n->refused);
+	metrics_value(s, "handed_off_total", "counter",
+	    "Requests sent to other nodes.", (int64_t)n->handed_off);
+	metrics_value(s, "handoffs_failed_total", "counter",
+	    "Those that the node refused or broke off.", (int64_t)n->failed);
+	metrics_value(s, "handoffs_without_carrier_total", "counter",
+	    "No node could be reached.", (int64_t)n->without_carrier);
+	metrics_value(s, "carried", "gauge",
+	    "Requests of other nodes in flight.", n->carried);
+	metrics_value(s, "carried_total", "counter",
+	    "Accepted from other nodes.", (int64_t)n->taken);
+	metrics_value(s, "carried_refused_total", "counter",
+	    "Refused to other nodes.", (int64_t)n->refused);
 }
