--- a/entry-memory.c
+++ b/entry-memory.c
@@ -134,6 +134,7 @@
 
 /* ---- reading answers a few at a time ---- */
 
+/* Those that hold little have no turn. */
 static GArray *
 memory_list_kept(struct entry *e)
 {
@@ -145,6 +146,8 @@
 		h = (struct memory_holder){ memory_kept(j), 0, j };
 		if (j->link != NULL && h.bytes > MEMORY_SMALL)
 			g_array_append_val(list, h);
+		else
+			j->read_on_since = 0;
 	}
 	g_array_sort(list, memory_holder_compare);
 	return list;
