An older list that was read before its successor's entry is held back too

Found by the review, by reading: with the old copy read first, the ended server was ready already as the living one at its address was listed. test-server-list successor failed before.

--- a/server.c
+++ b/server.c
@@ -277,6 +277,37 @@
 	return true;
 }
 
+static void
+server_set_gone(struct servers *s, struct server *v, msec now)
+{
+	if (v->state == SERVER_GONE)
+		return;
+	log_info_of(LOG_NODE, v->name, "%s removed", v->name);
+	v->missing = false;
+	v->state = SERVER_GONE;
+	server_set_leaving(v, now);
+	v->gone_since = now;
+	s->ops->changed(s, v);
+}
+
+/* The same if the older list was read first, and its successor comes now. */
+static void
+servers_hold_back_older(struct servers *s, const struct server *v, msec now)
+{
+	struct server *w;
+
+	if (now >= s->gone_kept_until)
+		return;
+	RB_FOREACH (w, server_tree, &s->tree) {
+		if (w == v || w->address != v->address || w->port != v->port ||
+		    w->born == 0 || w->born >= v->born ||
+		    w->state == SERVER_GONE)
+			continue;
+		w->listed_again = w->state == SERVER_READY && !w->missing;
+		server_set_gone(s, w, now);
+	}
+}
+
 void
 servers_list(struct servers *s, msec now, const struct server_entry *e)
 {
@@ -306,6 +337,8 @@
 	v->missing = false;
 	if (unknown && servers_hold_back(s, v, now, e))
 		return;
+	if (unknown)
+		servers_hold_back_older(s, v, now);
 	untold = v->replaced_at != 0 && v->software_id == 0;
 	if (anew || v->software_id == 0)
 		server_set_software(v, e->software);
@@ -343,19 +376,6 @@
 	s->ops->changed(s, v);
 }
 
-static void
-server_set_gone(struct servers *s, struct server *v, msec now)
-{
-	if (v->state == SERVER_GONE)
-		return;
-	log_info_of(LOG_NODE, v->name, "%s removed", v->name);
-	v->missing = false;
-	v->state = SERVER_GONE;
-	server_set_leaving(v, now);
-	v->gone_since = now;
-	s->ops->changed(s, v);
-}
-
 void
 servers_set_complete(struct servers *s)
 {
--- a/tests/test-server-list.c
+++ b/tests/test-server-list.c
@@ -60,6 +60,24 @@
 	servers_finish(&s);
 }
 
+/* The same where the older list was read first. */
+static void
+test_successor(void)
+{
+	struct servers s;
+
+	servers_init(&s, &ops);
+	servers_set_retention(&s, 10000);
+	servers_set_complete(&s);
+	servers_keep_gone(&s, KEPT_UNTIL);
+	list(&s, 100, "i-1", 100, 80);
+	g_assert_true(takes_work(&s, 100, "i-1"));
+	list(&s, 200, "i-2", 200, 80);
+	g_assert_false(takes_work(&s, 200, "i-1"));
+	g_assert_true(takes_work(&s, 200, "i-2"));
+	servers_finish(&s);
+}
+
 /* A server that comes meanwhile is left out, though nobody has its address. */
 static void
 test_others(void)
@@ -86,6 +104,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/server-list/address-taken", test_address_taken);
+	g_test_add_func("/server-list/successor", test_successor);
 	g_test_add_func("/server-list/others", test_others);
 	return g_test_run();
 }
