--- a/daemon-caller.c
+++ b/daemon-caller.c
@@ -162,6 +162,7 @@
 	if (c->body_too_large || c->body_len + n > max) {
 		/* The rest is read and dropped, so that the caller reads the
 		 * answer. */
+		call_free_body(c);
 		c->body_too_large = true;
 		return;
 	}
