--- a/entry-caller.c
+++ b/entry-caller.c
@@ -25,6 +25,8 @@
 #define CALLER_READ_SIZE 16384
 /* Most that is read of one caller on one turn of the loop. */
 #define CALLER_READ_TURN 65536
+/* The same while memory is short. */
+#define CALLER_READ_SHORT 4096
 /* Most pipelined bytes that are buffered while a request is answered. */
 #define CALLER_PIPELINED_MAX 65536
 /* A peer that acknowledges no sent bytes for so long is taken as gone. */
@@ -229,13 +231,20 @@
 
 /* ---- reading ---- */
 
+/* May bytes of later requests be read ahead? */
+static bool
+caller_reads_ahead(const struct caller *c)
+{
+	return !entry_memory_is_short(c->owner) &&
+	       buffer_length(&c->in) < CALLER_PIPELINED_MAX;
+}
+
 static void
 caller_watch(struct caller *c)
 {
 	uint32_t events = EPOLLRDHUP;
 
-	if (!c->eof &&
-	    (!c->busy || buffer_length(&c->in) < CALLER_PIPELINED_MAX))
+	if (!c->eof && (!c->busy || caller_reads_ahead(c)))
 		events |= EPOLLIN;
 	if (c->eof)
 		events = 0;
@@ -372,15 +381,17 @@
 static bool
 caller_read(struct caller *c, msec now)
 {
+	bool is_short = entry_memory_is_short(c->owner);
+	size_t size = is_short ? CALLER_READ_SHORT : CALLER_READ_SIZE;
+	size_t most = is_short ? CALLER_READ_SHORT : CALLER_READ_TURN;
 	size_t took = 0;
 	ssize_t n;
 
 	/* The rest is read on the next turn, after what others have sent. */
-	while (took < CALLER_READ_TURN) {
-		if (c->busy && buffer_length(&c->in) >= CALLER_PIPELINED_MAX)
+	while (took < most) {
+		if (c->busy && !caller_reads_ahead(c))
 			return true;
-		n = recv(c->io.fd, buffer_reserve(&c->in, CALLER_READ_SIZE),
-		    CALLER_READ_SIZE, 0);
+		n = recv(c->io.fd, buffer_reserve(&c->in, size), size, 0);
 		if (n > 0) {
 			buffer_commit(&c->in, (size_t)n);
 			c->progress = now;
@@ -389,7 +400,7 @@
 				c->discarded += (uint64_t)n;
 				buffer_finish(&c->in);
 			}
-			if (n < CALLER_READ_SIZE)
+			if ((size_t)n < size)
 				return true;
 			continue;
 		}
@@ -420,6 +431,11 @@
 		caller_abort(c, now);
 		return;
 	}
+	/* It is not read to its end while it is busy and sent much ahead. */
+	if ((events & (EPOLLRDHUP | EPOLLHUP)) && c->busy) {
+		caller_abort(c, now);
+		return;
+	}
 	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) && !c->eof &&
 	    !caller_read(c, now))
 		return;
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -368,7 +368,7 @@
 {
 	return code == JOB_NO_PATH || code == JOB_CARRIER_FULL ||
 	       code == JOB_STARTING || code == JOB_NOT_FRESH ||
-	       code == JOB_LEAVING;
+	       code == JOB_LEAVING || code == JOB_NO_MEMORY;
 }
 
 static void
--- a/entry-link.c
+++ b/entry-link.c
@@ -505,6 +505,7 @@
 	k->ops = ops;
 	k->sent = false;
 	k->paused = 0;
+	k->resumed_at = 0;
 	k->discarded = 0;
 	k->reader.for_head_request = terms->is_head;
 	k->out = *request;
@@ -793,8 +794,11 @@
 	unsigned int before = k->paused;
 
 	k->paused = paused ? before | why : before & ~why;
-	if ((k->paused == 0) != (before == 0))
-		link_watch(k);
+	if ((k->paused == 0) == (before == 0))
+		return;
+	if (k->paused == 0)
+		k->resumed_at = k->owner->loop.now;
+	link_watch(k);
 }
 
 void
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -9,11 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Less than this is not worth a decision. */
+/* Less than this is not worth a decision, until the memory is full. */
 #define MEMORY_SMALL (16 * 1024)
+#define MEMORY_SMALL_FULL 1024
 /* Bytes that a node reads at once while memory is short. */
 #define MEMORY_READ 16384
-/* An answer that others wait for may take so long to be read. */
+/* An answer that others wait for is read for so long at a time. */
 #define MEMORY_TURN_MS 2000
 /* A caller that has taken nothing for so long does not read. */
 #define MEMORY_REST_MS 500
@@ -36,37 +37,41 @@
 	       e->njobs * sizeof(struct job);
 }
 
-/* Of an answer that is kept until it, or an event of it, is whole. */
+/* Of an answer that is being read, and kept until it or an event is whole. */
 static size_t
 memory_kept(const struct job *j)
 {
-	return j != NULL ? j->unsent_body.size : 0;
+	return j != NULL && !j->failure_stored ? buffer_length(&j->unsent_body)
+					       : 0;
 }
 
 static size_t
 memory_all(const struct caller *c)
 {
 	const struct link *k = c->job != NULL ? c->job->link : NULL;
-	size_t n = caller_held(c) + memory_kept(c->job);
+	size_t n = caller_held(c);
 
+	if (c->job != NULL)
+		n += c->job->unsent_body.size;
 	return k != NULL ? n + k->out.size + k->held.size : n;
 }
 
 /*
- * What its end would free: a request that is being read, an answer that is kept
- * or that its caller does not take. Requests that wait for their answers are
- * not ended for others.
+ * What its end would free: a request that is being read, an answer that its
+ * caller does not take, or one that is kept, unless it can wait. Requests that
+ * wait for their answers are not ended for others.
  */
 static size_t
-memory_endable(const struct caller *c, msec now)
+memory_endable(const struct caller *c, msec now, bool can_wait)
 {
 	const struct job *j = c->job;
 
+	/* What is unsent of the answer before it stays. */
 	if (caller_is_reading(c))
-		return caller_held(c);
+		return caller_held(c) - c->out.size;
 	if (c->out.size > MEMORY_SMALL && now - c->progress >= MEMORY_REST_MS)
 		return memory_all(c);
-	return memory_kept(j) > MEMORY_SMALL ? memory_all(c) : 0;
+	return memory_kept(j) > MEMORY_SMALL && !can_wait ? memory_all(c) : 0;
 }
 
 /* ---- ending holders ---- */
@@ -96,23 +101,27 @@
 
 /* End one holder; false if there is none. */
 static bool
-memory_end_one(struct entry *e, msec now, bool any)
+memory_end_one(struct entry *e, msec now)
 {
+	enum memory_level level = e->memory.budget.level;
+	size_t least = level >= MEMORY_FULL ? MEMORY_SMALL_FULL : MEMORY_SMALL;
 	g_autoptr(GArray) list =
 	    g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
+	bool can_wait = level < MEMORY_FULL;
 	struct memory_holder h;
 	struct caller *c;
 	int i;
 
 	TAILQ_FOREACH (c, &e->callers, entry) {
-		h = (struct memory_holder){ any ? memory_all(c)
-						: memory_endable(c, now),
+		h = (struct memory_holder){ memory_endable(c, now, can_wait),
 			c->progress, c };
-		if (h.bytes >= MEMORY_SMALL)
+		if (level == MEMORY_EXCEEDED)
+			h.bytes = memory_all(c);
+		if (h.bytes >= least)
 			g_array_append_val(list, h);
 	}
 	i = memory_choose_holder(
-	    (struct memory_holder *)list->data, list->len, MEMORY_SMALL);
+	    (struct memory_holder *)list->data, list->len, least);
 	if (i == -1)
 		return false;
 	memory_end(g_array_index(list, struct memory_holder, i).arg, now);
@@ -126,7 +135,7 @@
 	unsigned int i;
 
 	for (i = 0; i < MEMORY_ENDS_MAX && m->level >= MEMORY_CRITICAL; i++) {
-		if (!memory_end_one(e, now, m->level == MEMORY_EXCEEDED))
+		if (!memory_end_one(e, now))
 			return;
 		memory_budget_set(m, memory_held(e));
 	}
@@ -134,61 +143,107 @@
 
 /* ---- reading answers a few at a time ---- */
 
-/* Those that hold little have no turn. */
+/*
+ * Its place in the order of reading: first what has its turn, then by the end
+ * of the last turn. What holds little has no turn.
+ */
+static msec
+memory_turn(struct job *j, msec now)
+{
+	if (j->read_on_since == 0)
+		return j->turn_ended;
+	if (now - j->read_on_since < MEMORY_TURN_MS)
+		return -1;
+	j->read_on_since = 0;
+	return j->turn_ended = now;
+}
+
+static void
+memory_set_reading(struct job *j, msec now, bool on)
+{
+	if (!on)
+		j->read_on_since = 0;
+	else if (j->read_on_since == 0)
+		j->read_on_since = now;
+	link_pause(j->link, LINK_PAUSE_MEMORY, !on);
+}
+
 static GArray *
-memory_list_kept(struct entry *e)
+memory_list_kept(struct entry *e, msec now)
 {
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
 	struct memory_holder h;
 	struct job *j;
 
 	TAILQ_FOREACH (j, &e->jobs, entry) {
-		h = (struct memory_holder){ memory_kept(j), 0, j };
-		if (j->link != NULL && h.bytes > MEMORY_SMALL)
-			g_array_append_val(list, h);
-		else
+		if (j->link == NULL)
+			continue;
+		if (memory_kept(j) <= MEMORY_SMALL) {
 			j->read_on_since = 0;
+			link_pause(j->link, LINK_PAUSE_MEMORY, false);
+			continue;
+		}
+		h = (struct memory_holder){ memory_kept(j), memory_turn(j, now),
+			j };
+		g_array_append_val(list, h);
 	}
 	g_array_sort(list, memory_holder_compare);
 	return list;
 }
 
-/* True if it has been read for long enough. */
+/* A caller is taking a long answer, which frees its memory. */
 static bool
-memory_read_on(struct job *j, msec now)
+memory_drains(const struct entry *e, msec now)
 {
-	if (j->read_on_since == 0)
-		j->read_on_since = now;
-	link_pause(j->link, LINK_PAUSE_MEMORY, false);
-	return now - j->read_on_since >= MEMORY_TURN_MS;
+	const struct caller *c;
+
+	TAILQ_FOREACH (c, &e->callers, entry) {
+		if (c->out.size > MEMORY_SMALL &&
+		    now - c->progress < MEMORY_REST_MS)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * How many answers are read on. With room for none, one is, unless there will
+ * be room in a moment.
+ */
+static unsigned int
+memory_count_read_on(struct entry *e, msec now)
+{
+	struct entry_memory *m = &e->memory;
+	/* A buffer is larger than what it holds by a quarter. */
+	unsigned int n = memory_budget_read_on(
+	    &m->budget, REPLY_WHOLE_MAX + REPLY_WHOLE_MAX / 4);
+
+	if (n > 0) {
+		m->none_read_since = 0;
+		return n;
+	}
+	if (m->none_read_since == 0)
+		m->none_read_since = now;
+	return now - m->none_read_since >= MEMORY_TURN_MS ||
+	       !memory_drains(e, now);
 }
 
 /*
  * The largest go on: they are the nearest to their end, or to their limit. One
- * that does not end in its turn is ended, so that the others get theirs.
+ * that does not end in its turn waits for its next one.
  */
 static void
 memory_share_reading(struct entry *e, msec now)
 {
 	struct entry_memory *m = &e->memory;
-	g_autoptr(GArray) list = memory_list_kept(e);
-	unsigned int go_on = memory_budget_read_on(&m->budget, REPLY_WHOLE_MAX);
-	struct job *j, *overdue = NULL;
+	g_autoptr(GArray) list = memory_list_kept(e, now);
+	unsigned int go_on = memory_count_read_on(e, now);
 	guint i;
 
 	m->waiting = list->len > go_on ? list->len - go_on : 0;
-	for (i = 0; i < list->len; i++) {
-		j = g_array_index(list, struct memory_holder, i).arg;
-		if (i < go_on) {
-			if (memory_read_on(j, now))
-				overdue = j;
-			continue;
-		}
-		j->read_on_since = 0;
-		link_pause(j->link, LINK_PAUSE_MEMORY, true);
-	}
-	if (overdue != NULL && m->waiting > 0)
-		memory_end_job(e, overdue, now);
+	for (i = 0; i < list->len; i++)
+		memory_set_reading(
+		    g_array_index(list, struct memory_holder, i).arg, now,
+		    i < go_on);
 }
 
 static void
@@ -223,28 +278,41 @@
 	    LOG_NUMBER(LOG_KEY_REQUESTS, e->njobs));
 }
 
+/* Little has changed since all holders were looked at last. */
+static bool
+memory_is_checked(const struct entry_memory *m, msec now)
+{
+	return m->budget.level < MEMORY_CRITICAL &&
+	       now - m->checked_at < MEMORY_CHECK_MS &&
+	       m->budget.held < m->checked_held + MEMORY_CHECK_BYTES;
+}
+
 void
 entry_memory_check(struct entry *e, msec now)
 {
 	struct entry_memory *m = &e->memory;
-	enum memory_level before = m->budget.level, level;
-
-	level = memory_budget_set(&m->budget, memory_held(e));
-	if (level != before)
-		memory_log_level(e, now, level);
-	if (level == MEMORY_NORMAL) {
-		if (before != MEMORY_NORMAL)
-			memory_read_all_on(e);
-		return;
+	enum memory_level before = m->budget.level;
+
+	memory_budget_set(&m->budget, memory_held(e));
+	if (m->budget.level != MEMORY_NORMAL &&
+	    (m->budget.level != before || !memory_is_checked(m, now))) {
+		m->checked_at = now;
+		m->checked_held = m->budget.held;
+		memory_share_reading(e, now);
+		memory_end_holders(e, now);
 	}
-	if (level == before && level < MEMORY_CRITICAL &&
-	    now - m->checked_at < MEMORY_CHECK_MS &&
-	    m->budget.held < m->checked_held + MEMORY_CHECK_BYTES)
+	if (m->budget.level == before)
 		return;
-	m->checked_at = now;
-	m->checked_held = m->budget.held;
-	memory_share_reading(e, now);
-	memory_end_holders(e, now);
+	memory_log_level(e, now, m->budget.level);
+	/* Also if it fell as holders were ended. */
+	if (m->budget.level == MEMORY_NORMAL)
+		memory_read_all_on(e);
+}
+
+bool
+entry_memory_is_short(const struct entry *e)
+{
+	return e->memory.budget.level != MEMORY_NORMAL;
 }
 
 bool
@@ -256,16 +324,13 @@
 size_t
 entry_memory_read_size(const struct entry *e, size_t most)
 {
-	return e->memory.budget.level == MEMORY_NORMAL
-		   ? most
-		   : MIN(most, (size_t)MEMORY_READ);
+	return entry_memory_is_short(e) ? MIN(most, (size_t)MEMORY_READ) : most;
 }
 
 size_t
 entry_memory_high_water(const struct entry *e)
 {
-	return e->memory.budget.level == MEMORY_NORMAL ? CALLER_HIGH_WATER
-						       : CALLER_LOW_WATER;
+	return entry_memory_is_short(e) ? CALLER_LOW_WATER : CALLER_HIGH_WATER;
 }
 
 void
--- a/entry-memory.h
+++ b/entry-memory.h
@@ -20,6 +20,7 @@
 	msec checked_at;      /* when all holders were looked at last */
 	size_t checked_held;  /* bytes held then */
 	unsigned int waiting; /* answers that are not read on */
+	msec none_read_since; /* none is, until callers have taken theirs; 0 */
 	/* Requests and answers ended, requests refused. */
 	uint64_t ended, refused;
 };
@@ -29,6 +30,8 @@
 void entry_memory_apply_settings(struct entry *);
 /* After each batch of events; may end requests. */
 void entry_memory_check(struct entry *, msec);
+/* Is what can wait not to be read? */
+bool entry_memory_is_short(const struct entry *);
 /* Must new requests be refused? */
 bool entry_memory_is_full(const struct entry *);
 /* Bytes to read at once from a server, of so many at the most. */
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -285,8 +285,9 @@
 
 	if (!j->answer_began) {
 		reply_begin(j, now, true);
-		/* A long body is not copied: the head goes first. */
-		caller_flush(c);
+		/* A long body is not copied: its head is sent before. */
+		if (buffer_length(&j->unsent_body) > REPLY_BUFFER_MAX)
+			caller_flush(c);
 		if (strcmp(j->head->method, "HEAD") != 0)
 			buffer_move(&c->out, &j->unsent_body);
 	} else {
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -201,8 +201,9 @@
 		job_leave_refusal(j, now);
 		return;
 	}
-	/* Its bytes are not read: the silence is this node's. */
-	if (j->link->paused != 0) {
+	/* Its bytes are not read, or not yet: the silence is this node's. */
+	if (j->link->paused != 0 ||
+	    now - j->link->resumed_at < JOB_SILENCE_RECHECK_MS) {
 		job_arm_silence_timer(j, now);
 		return;
 	}
--- a/entry.h
+++ b/entry.h
@@ -231,6 +231,7 @@
 	bool discard_answer;  /* the current answer is discarded */
 	size_t discarded;     /* bytes discarded since the request */
 	unsigned int paused;  /* LINK_PAUSE_*: why it is not read on */
+	msec resumed_at;      /* it was paused until then; 0: never */
 	bool connect_refused; /* the server refused the connection */
 	bool timed_out;	      /* the server's host acknowledged nothing */
 	bool patient;	      /* the server may be silent for seconds */
@@ -433,8 +434,9 @@
 	msec gap;	      /* longest pause between two forwarded parts */
 	struct buffer fields; /* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
-	/* Since when it is read on while others wait; 0: it is not. */
+	/* Since when it is read while memory is short; 0: it is not. */
 	msec read_on_since;
+	msec turn_ended;     /* that it was read for; 0: it had none */
 	uint64_t weights;    /* version that began the answer; 0: not told */
 	bool event_due;	     /* an attempt broke off inside the next event */
 	uint64_t last_event; /* number of the last event forwarded */
--- a/memory-budget.c
+++ b/memory-budget.c
@@ -12,7 +12,7 @@
 /* Marks of the levels, in percent of the budget. */
 static const unsigned int marks[] = {
 	[MEMORY_NORMAL] = 0,
-	[MEMORY_HIGH] = 50,
+	[MEMORY_HIGH] = 30,
 	[MEMORY_CRITICAL] = 75,
 	[MEMORY_FULL] = 90,
 	[MEMORY_EXCEEDED] = 100,
@@ -56,9 +56,7 @@
 {
 	size_t mark = memory_bytes(m, marks[MEMORY_CRITICAL]);
 
-	if (m->held >= mark)
-		return 1;
-	return (unsigned int)MAX((mark - m->held) / most, 1);
+	return m->held < mark ? (unsigned int)((mark - m->held) / most) : 0;
 }
 
 int
@@ -66,6 +64,8 @@
 {
 	const struct memory_holder *x = a, *y = b;
 
+	if (x->progress != y->progress)
+		return x->progress < y->progress ? -1 : 1;
 	return (x->bytes < y->bytes) - (x->bytes > y->bytes);
 }
 
--- a/memory-budget.h
+++ b/memory-budget.h
@@ -43,10 +43,10 @@
 enum memory_level memory_budget_set(struct memory_budget *, size_t);
 /*
  * How many answers of so many bytes at the most may be read on at the same time
- * without the critical level; one at least, so that some end and free theirs.
+ * without the critical level.
  */
 unsigned int memory_budget_read_on(const struct memory_budget *, size_t most);
-/* Order the largest first, for qsort(). */
+/* Order by `progress`, and the largest of equals first, for qsort(). */
 int memory_holder_compare(const void *, const void *);
 /*
  * The holder to end: among those of half the largest and more, the one whose
