--- a/entry-memory.c
+++ b/entry-memory.c
@@ -9,9 +9,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Less than this is not worth a decision, until the memory is full. */
+/* Answers that hold less are read on and kept. */
 #define MEMORY_SMALL (16 * 1024)
-#define MEMORY_SMALL_FULL 1024
+/* Holders of less are not ended. */
+#define MEMORY_END_MIN 1024
 /* Bytes that a node reads at once while memory is short. */
 #define MEMORY_READ 16384
 /* An answer that others wait for is read for so long at a time. */
@@ -104,7 +105,6 @@
 memory_end_one(struct entry *e, msec now)
 {
 	enum memory_level level = e->memory.budget.level;
-	size_t least = level >= MEMORY_FULL ? MEMORY_SMALL_FULL : MEMORY_SMALL;
 	g_autoptr(GArray) list =
 	    g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
 	bool can_wait = level < MEMORY_FULL;
@@ -117,11 +117,11 @@
 			c->progress, c };
 		if (level == MEMORY_EXCEEDED)
 			h.bytes = memory_all(c);
-		if (h.bytes >= least)
+		if (h.bytes >= MEMORY_END_MIN)
 			g_array_append_val(list, h);
 	}
 	i = memory_choose_holder(
-	    (struct memory_holder *)list->data, list->len, least);
+	    (struct memory_holder *)list->data, list->len, MEMORY_END_MIN);
 	if (i == -1)
 		return false;
 	memory_end(g_array_index(list, struct memory_holder, i).arg, now);
