Memory: many holders are ended from one walk

Beside 5,000 small uploads that rest, a caller of a sound server got 503 in the thread build, as the loop did nothing else for seconds: each end walked through all callers anew, up to 256 times a batch, and read nothing of the store meanwhile. A slow VM is such a build. Now one walk lists the holders in order, marks as many as free what is needed, and moves them to the head of the list of callers, from which they are taken: the end of one may free others, so no pointer is kept. At exceeded, holders that may be ended come first, and any other only if that was not enough.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -286,6 +286,30 @@
 	caller_answer(c, now, status, fields, "text/plain", "", false);
 }
 
+/* Those that are marked stand first. */
+void
+caller_mark_to_end(struct caller *c)
+{
+	struct entry *e = c->owner;
+
+	c->to_end = true;
+	TAILQ_REMOVE(&e->callers, c, entry);
+	TAILQ_INSERT_HEAD(&e->callers, c, entry);
+}
+
+struct caller *
+caller_take_to_end(struct entry *e)
+{
+	struct caller *c = TAILQ_FIRST(&e->callers);
+
+	if (c == NULL || !c->to_end)
+		return NULL;
+	c->to_end = false;
+	TAILQ_REMOVE(&e->callers, c, entry);
+	TAILQ_INSERT_TAIL(&e->callers, c, entry);
+	return c;
+}
+
 bool
 caller_is_reading(const struct caller *c)
 {
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -23,8 +23,6 @@
  * later. */
 #define MEMORY_CHECK_MS 50
 #define MEMORY_CHECK_BYTES (1024 * 1024)
-/* Holders that one turn of the loop ends. */
-#define MEMORY_ENDS_MAX 256
 
 /* ---- what is held ---- */
 
@@ -100,47 +98,57 @@
 		caller_abort(c, now);
 }
 
-/* End one holder; false if there is none. */
-static bool
-memory_end_one(struct entry *e, msec now)
+/* Holders of so much in all, in the order in which they are to be ended. */
+static GArray *
+memory_list_to_end(struct entry *e, msec now, bool any)
 {
-	enum memory_level level = e->memory.budget.level;
-	g_autoptr(GArray) list =
-	    g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
-	bool can_wait = level < MEMORY_FULL;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct memory_holder));
+	bool can_wait = e->memory.budget.level < MEMORY_FULL;
 	struct memory_holder h;
 	struct caller *c;
-	int i;
 
 	TAILQ_FOREACH (c, &e->callers, entry) {
-		h = (struct memory_holder){ memory_endable(c, now, can_wait),
-			c->progress, c };
-		if (level == MEMORY_EXCEEDED)
-			h.bytes = memory_all(c);
+		h = (struct memory_holder){
+			any ? memory_all(c) : memory_endable(c, now, can_wait),
+			c->progress, c
+		};
 		if (h.bytes >= MEMORY_END_MIN)
 			g_array_append_val(list, h);
 	}
-	i = memory_choose_holder(
-	    (struct memory_holder *)list->data, list->len, MEMORY_END_MIN);
-	if (i == -1)
-		return false;
-	memory_end(g_array_index(list, struct memory_holder, i).arg, now);
-	return true;
+	g_array_sort(list, memory_holder_compare_end);
+	return list;
 }
 
+/*
+ * The end of one request may end others, and free their callers. So those that
+ * are to be ended are moved to the head of the list, and taken from there.
+ */
 static void
-memory_end_holders(struct entry *e, msec now)
+memory_mark_to_end(struct entry *e, msec now, bool any)
 {
-	struct memory_budget *m = &e->memory.budget;
-	unsigned int i;
+	g_autoptr(GArray) list = memory_list_to_end(e, now, any);
+	size_t excess = memory_budget_excess(&e->memory.budget), sum = 0;
+	struct memory_holder *h;
+	guint i;
 
-	for (i = 0; i < MEMORY_ENDS_MAX && m->level >= MEMORY_CRITICAL; i++) {
-		if (!memory_end_one(e, now))
-			return;
-		memory_budget_set(m, memory_held(e));
+	for (i = 0; i < list->len && sum < excess; i++) {
+		h = &g_array_index(list, struct memory_holder, i);
+		caller_mark_to_end(h->arg);
+		sum += h->bytes;
 	}
 }
 
+static void
+memory_end_holders(struct entry *e, msec now, bool any)
+{
+	struct caller *c;
+
+	memory_mark_to_end(e, now, any);
+	while ((c = caller_take_to_end(e)) != NULL)
+		memory_end(c, now);
+	memory_budget_set(&e->memory.budget, memory_held(e));
+}
+
 /* ---- reading answers a few at a time ---- */
 
 /*
@@ -299,7 +307,10 @@
 		m->checked_at = now;
 		m->checked_held = m->budget.held;
 		memory_share_reading(e, now);
-		memory_end_holders(e, now);
+		if (m->budget.level >= MEMORY_CRITICAL)
+			memory_end_holders(e, now, false);
+		if (m->budget.level == MEMORY_EXCEEDED)
+			memory_end_holders(e, now, true);
 	}
 	if (m->budget.level == before)
 		return;
--- a/entry.h
+++ b/entry.h
@@ -114,6 +114,7 @@
 	bool write_closed;  /* the sending side is closed; waits for the peer */
 	bool eof;	    /* the peer has closed its sending side */
 	bool delays_stop;   /* from the listener */
+	bool to_end;	    /* see caller_mark_to_end() */
 	msec accepted;	    /* time of accept() */
 	msec idle_since;    /* the last answer, or accept() */
 	msec progress;	    /* bytes of its request or answer moved last */
@@ -153,6 +154,9 @@
 caller_refuse(struct caller *, msec, unsigned int status, const char *fields);
 /* Close the connection at once; a request in progress is abandoned. */
 void caller_abort(struct caller *, msec);
+/* The caller's request or answer is to be ended; the next such caller. */
+void caller_mark_to_end(struct caller *);
+struct caller *caller_take_to_end(struct entry *);
 /* Has a request begun to arrive that is not complete? */
 bool caller_is_reading(const struct caller *);
 /* Bytes that its buffers have allocated. */
--- a/memory-budget.c
+++ b/memory-budget.c
@@ -70,21 +70,21 @@
 }
 
 int
-memory_choose_holder(
-    const struct memory_holder *h, unsigned int n, size_t least)
+memory_holder_compare_end(const void *a, const void *b)
 {
-	size_t largest = 0;
-	unsigned int i;
-	int best = -1;
+	const struct memory_holder *x = a, *y = b;
+	unsigned int m = g_bit_storage(x->bytes), n = g_bit_storage(y->bytes);
 
-	for (i = 0; i < n; i++)
-		largest = MAX(largest, h[i].bytes);
-	if (largest < least)
-		return -1;
-	for (i = 0; i < n; i++) {
-		if (h[i].bytes >= MAX(largest / 2, least) &&
-		    (best == -1 || h[i].progress < h[best].progress))
-			best = (int)i;
-	}
-	return best;
+	if (m != n)
+		return m > n ? -1 : 1;
+	return (x->progress > y->progress) - (x->progress < y->progress);
+}
+
+size_t
+memory_budget_excess(const struct memory_budget *m)
+{
+	size_t mark =
+	    memory_bytes(m, marks[MEMORY_CRITICAL] - MEMORY_HYSTERESIS_PERCENT);
+
+	return m->held > mark ? m->held - mark : 0;
 }
--- a/memory-budget.h
+++ b/memory-budget.h
@@ -49,10 +49,12 @@
 /* Order by `progress`, and the largest of equals first, for qsort(). */
 int memory_holder_compare(const void *, const void *);
 /*
- * The holder to end: among those of half the largest and more, the one whose
- * bytes have not moved for the longest. -1: none holds `least` bytes.
+ * Order in which to end holders, for qsort(): those of about the same size, up
+ * to a factor of two, by how long their bytes have not moved; larger ones
+ * first.
  */
-int memory_choose_holder(
-    const struct memory_holder *, unsigned int n, size_t least);
+int memory_holder_compare_end(const void *, const void *);
+/* Bytes to free until holders need not be ended any more. */
+size_t memory_budget_excess(const struct memory_budget *);
 
 #endif /* MEMORY_BUDGET_H */
--- a/tests/test-memory-budget.c
+++ b/tests/test-memory-budget.c
@@ -60,17 +60,33 @@
 	g_assert_cmpuint(memory_budget_read_on(&m, PERCENT), ==, 0);
 }
 
-/* A request that progresses is ended beside one that rests. */
+/* A request that progresses is ended before one that rests. */
 static void
-test_choose(void)
+test_end_order(void)
 {
 	struct memory_holder h[] = { { 100, 1, NULL }, { 900, 50, NULL },
 		{ 1000, 60, NULL }, { 600, 40, NULL }, { 400, 2, NULL } };
 
-	g_assert_cmpint(memory_choose_holder(h, 5, 10), ==, 3);
-	g_assert_cmpint(memory_choose_holder(h, 5, 700), ==, 1);
-	g_assert_cmpint(memory_choose_holder(h, 5, 1001), ==, -1);
-	g_assert_cmpint(memory_choose_holder(h, 0, 0), ==, -1);
+	qsort(h, 5, sizeof *h, memory_holder_compare_end);
+	g_assert_cmpuint(h[0].bytes, ==, 600);
+	g_assert_cmpuint(h[1].bytes, ==, 900);
+	g_assert_cmpuint(h[2].bytes, ==, 1000);
+	g_assert_cmpuint(h[3].bytes, ==, 400);
+	g_assert_cmpuint(h[4].bytes, ==, 100);
+}
+
+/* So little is freed that the level stays, or more than that takes. */
+static void
+test_excess(void)
+{
+	struct memory_budget m;
+
+	memory_budget_init(&m, MEMORY);
+	memory_budget_set(&m, 80 * PERCENT);
+	g_assert_cmpuint(memory_budget_excess(&m), ==, 15 * PERCENT);
+	memory_budget_set(&m, 80 * PERCENT - memory_budget_excess(&m) - 1);
+	g_assert_cmpint(m.level, ==, MEMORY_HIGH);
+	g_assert_cmpuint(memory_budget_excess(&m), ==, 0);
 }
 
 /* An answer that had its turn is read before one that had none. */
@@ -94,7 +110,8 @@
 	g_test_add_func("/memory-budget/levels", test_levels);
 	g_test_add_func("/memory-budget/hysteresis", test_hysteresis);
 	g_test_add_func("/memory-budget/read-on", test_read_on);
-	g_test_add_func("/memory-budget/choose", test_choose);
+	g_test_add_func("/memory-budget/end-order", test_end_order);
+	g_test_add_func("/memory-budget/excess", test_excess);
 	g_test_add_func("/memory-budget/order", test_order);
 	return g_test_run();
 }
