A carrier that leaves is asked for requests that fit

A node without a path to the servers refused requests with 503 for a second, each time its only carrier, which was being stopped, had refused one that would not end in time. Cause: any refusal but two kinds leaves the carrier alone for 1 s. Class: a verdict on one request is taken for one on the node. Now such a refusal makes it a last resort, as a leaving node is in any case.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -75,6 +75,8 @@
 		f = HANDOFF_BEHIND;
 	else if (why == JOB_CARRIER_FULL)
 		f = HANDOFF_FULL;
+	else if (why == JOB_LEAVING)
+		f = HANDOFF_LEAVING;
 	else if (began)
 		f = HANDOFF_CUT_OFF;
 	handoff_rest_after(&c->rest, now, f);
--- a/handoff.c
+++ b/handoff.c
@@ -125,6 +125,8 @@
 	case HANDOFF_FAILED:
 		r->avoided_until = now + HANDOFF_AVOID_MS;
 		break;
+	case HANDOFF_LEAVING:
+		/* Shorter requests may end in time. */
 	case HANDOFF_CUT_OFF:
 		/* The server may have ended, or the time of that request. */
 		r->last_resort_until = now + HANDOFF_AVOID_MS;
--- a/handoff.h
+++ b/handoff.h
@@ -51,10 +51,11 @@
 
 /* Why a node did not carry a request. */
 enum handoff_failure {
-	HANDOFF_FAILED, /* not reached, refused, or no answer began */
-	HANDOFF_BEHIND, /* it is about to have the newest configuration */
-	HANDOFF_FULL,	/* it carries as many as it takes */
-	HANDOFF_CUT_OFF /* the answer had begun and broke off */
+	HANDOFF_FAILED,	 /* not reached, refused, or no answer began */
+	HANDOFF_BEHIND,	 /* it is about to have the newest configuration */
+	HANDOFF_FULL,	 /* it carries as many as it takes */
+	HANDOFF_LEAVING, /* it stops before that request would end */
+	HANDOFF_CUT_OFF	 /* the answer had begun and broke off */
 };
 
 /* Times until which a node is used less after failures, in ms. */
