Settings: a body that would always be refused is a finding

limits.body_bytes above what large bodies may hold together (40% of memory_mb, without a store) was accepted, and each such body got 503 for ever, with a Retry-After. Found by the review, by reading. The two percentages stand once, for the check and for the daemon. test-settings body-bytes; failed before, as nothing was found.

--- a/daemon-caller.c
+++ b/daemon-caller.c
@@ -28,9 +28,6 @@
 #define CALLER_MEMORY (32 * 1024)
 #define CALLER_BLOCK (16 * 1024)
 #define CALLER_BACKLOG 1024
-/* Part of the memory that bodies may hold, and of it those that are large. */
-#define CALLER_BODIES_PERCENT 50
-#define CALLER_LARGE_PERCENT 80
 #define CALLER_BODY_SMALL (16 * 1024)
 #define CONTROL_CONNECTIONS 256
 
@@ -118,11 +115,9 @@
 static size_t
 caller_bodies_max(const struct daemon *d, size_t size)
 {
-	size_t max =
-	    ((size_t)d->settings.memory_mb << 20) / 100 * CALLER_BODIES_PERCENT;
-
-	return size <= CALLER_BODY_SMALL ? max
-					 : max / 100 * CALLER_LARGE_PERCENT;
+	return settings_memory(&d->settings,
+	    size <= CALLER_BODY_SMALL ? SETTINGS_BODIES_PERCENT
+				      : SETTINGS_LARGE_BODIES_PERCENT);
 }
 
 /* Grows the body's memory; false when all bodies hold too much. */
--- a/settings.c
+++ b/settings.c
@@ -527,6 +527,24 @@
 		    w, listen, "missing key \"directory\" in listen");
 }
 
+size_t
+settings_memory(const struct settings *s, unsigned int percent)
+{
+	return ((size_t)s->memory_mb << 20) / 100 * percent;
+}
+
+static void
+check_body_bytes(struct walk *w, yaml_node_t *limits, const struct settings *s)
+{
+	size_t most = settings_memory(s, SETTINGS_LARGE_BODIES_PERCENT);
+
+	if (s->store.port == 0 && s->max_body_bytes > most)
+		walk_add_finding(w,
+		    limits != NULL ? walk_child(w, limits, "body_bytes") : NULL,
+		    "body_bytes: expected at most %zu with memory_mb: %u", most,
+		    s->memory_mb);
+}
+
 static void
 check_settings(struct walk *w, yaml_node_t *top, void *arg)
 {
@@ -536,6 +554,7 @@
 
 	check_peer_key(w, top, sw);
 	check_store(w, listen, &sw->s);
+	check_body_bytes(w, walk_child(w, top, "limits"), &sw->s);
 	if (a->port != 0 && a->address == b->address && a->port == b->port)
 		walk_add_finding(w, walk_child(w, listen, "control"),
 		    "expected another address than caller's");
--- a/settings.h
+++ b/settings.h
@@ -11,6 +11,13 @@
 #define SETTINGS_SEEDS_MAX 16
 #define SETTINGS_SOUND_PARTS_MAX 31
 
+/*
+ * Percentages of the memory that request bodies may hold together, and those
+ * that are large, without a store.
+ */
+#define SETTINGS_BODIES_PERCENT 50
+#define SETTINGS_LARGE_BODIES_PERCENT 40
+
 /* An IPv4 address and port, host byte order. */
 struct endpoint {
 	uint32_t address;
@@ -88,5 +95,7 @@
 /* Read and parse a file; an unreadable file is a finding too. */
 bool settings_load(struct settings *, const char *, struct findings *);
 void settings_finish(struct settings *);
+/* So many percent of the memory that the process may use, in bytes. */
+size_t settings_memory(const struct settings *, unsigned int percent);
 
 #endif /* SETTINGS_H */
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -146,6 +146,15 @@
 	    "8:23 expected a number from 0 to 1e+06, got \"-0.5\"\n");
 }
 
+/* A body that is always refused for want of memory is allowed. */
+static void
+test_body_bytes(void)
+{
+	check(VALID_SETTINGS "peer_key: 0123456789abcdef\n"
+			     "limits: {memory_mb: 32, body_bytes: 16777216}\n",
+	    "8:37 body_bytes: expected at most 13421760 with memory_mb: 32\n");
+}
+
 static void
 test_all_at_once(void)
 {
@@ -415,6 +424,7 @@
 	g_test_add_func("/settings/example", test_example);
 	g_test_add_func("/settings/deployments", test_deployments);
 	g_test_add_func("/settings/defaults", test_defaults);
+	g_test_add_func("/settings/body-bytes", test_body_bytes);
 	g_test_add_func("/settings/all-at-once", test_all_at_once);
 	g_test_add_func("/settings/peer-key", test_peer_key);
 	g_test_add_func("/settings/peer-key-file", test_peer_key_file);
