--- a/settings.c
+++ b/settings.c
@@ -536,11 +536,11 @@
 static void
 check_body_bytes(struct walk *w, yaml_node_t *limits, const struct settings *s)
 {
-	size_t most = settings_memory(s, SETTINGS_LARGE_BODIES_PERCENT);
+	/* One more byte ends it in memory. */
+	size_t most = settings_memory(s, SETTINGS_LARGE_BODIES_PERCENT) - 1;
 
 	if (s->store.port == 0 && s->max_body_bytes > most)
-		walk_add_finding(w,
-		    limits != NULL ? walk_child(w, limits, "body_bytes") : NULL,
+		walk_add_finding(w, walk_child(w, limits, "body_bytes"),
 		    "body_bytes: expected at most %zu with memory_mb: %u", most,
 		    s->memory_mb);
 }
