--- a/handoff.c
+++ b/handoff.c
@@ -20,7 +20,10 @@
 #define HANDOFF_RANKS 4
 /* Time for which a node that failed is avoided, or used as a last resort. */
 #define HANDOFF_AVOID_MS 1000
-/* The same for one that is about to have the newest configuration. */
+/*
+ * The same for one that is about to have the newest configuration, or that may
+ * take another request.
+ */
 #define HANDOFF_AVOID_BEHIND_MS 30
 /* The same for one that carries as many as it takes. */
 #define HANDOFF_AVOID_FULL_MS 200
@@ -126,7 +129,10 @@
 		r->avoided_until = now + HANDOFF_AVOID_MS;
 		break;
 	case HANDOFF_LEAVING:
-		/* Shorter requests may end in time. */
+		/* Shorter requests may end in time; others ask elsewhere. */
+		r->avoided_until = now + HANDOFF_AVOID_BEHIND_MS;
+		r->last_resort_until = now + HANDOFF_AVOID_MS;
+		break;
 	case HANDOFF_CUT_OFF:
 		/* The server may have ended, or the time of that request. */
 		r->last_resort_until = now + HANDOFF_AVOID_MS;
--- a/tests/test-handoff.c
+++ b/tests/test-handoff.c
@@ -167,7 +167,7 @@
 		enum handoff_failure why;
 		msec span;
 	} cases[] = { { HANDOFF_FAILED, 1000 }, { HANDOFF_BEHIND, 30 },
-		{ HANDOFF_FULL, 200 } };
+		{ HANDOFF_FULL, 200 }, { HANDOFF_LEAVING, 30 } };
 	struct handoff_rest r;
 	unsigned int i;
 
