--- a/server.c
+++ b/server.c
@@ -337,8 +337,6 @@
 	v->missing = false;
 	if (unknown && servers_hold_back(s, v, now, e))
 		return;
-	if (unknown)
-		servers_hold_back_older(s, v, now);
 	untold = v->replaced_at != 0 && v->software_id == 0;
 	if (anew || v->software_id == 0)
 		server_set_software(v, e->software);
@@ -367,13 +365,18 @@
 	if (e->draining && e->leaves > 0 &&
 	    (v->leaves_at == 0 || now + e->leaves < v->leaves_at))
 		v->leaves_at = now + e->leaves;
-	if (state == v->state && !anew)
+	if (state == v->state && !anew) {
+		if (unknown)
+			servers_hold_back_older(s, v, now);
 		return;
+	}
 	if (state != v->state)
 		log_info_of(LOG_NODE, v->name, "%s is %s", v->name,
 		    state == SERVER_READY ? "ready" : "draining");
 	v->state = state;
 	s->ops->changed(s, v);
+	if (unknown)
+		servers_hold_back_older(s, v, now);
 }
 
 void
