Silence of a server counts without the time in which it was not read

Pauses are added to the time instead, and a link that was resumed on this turn of the loop is looked at on a later one. proc-silence passes, 17 of 17. No test of its own.

--- a/entry-link.c
+++ b/entry-link.c
@@ -505,7 +505,7 @@
 	k->ops = ops;
 	k->sent = false;
 	k->paused = 0;
-	k->resumed_at = 0;
+	k->paused_ms = 0;
 	k->discarded = 0;
 	k->reader.for_head_request = terms->is_head;
 	k->out = *request;
@@ -796,8 +796,12 @@
 	k->paused = paused ? before | why : before & ~why;
 	if ((k->paused == 0) == (before == 0))
 		return;
-	if (k->paused == 0)
-		k->resumed_at = k->owner->loop.now;
+	if (k->paused != 0) {
+		k->paused_at = k->owner->loop.now;
+	} else {
+		k->paused_ms += k->owner->loop.now - k->paused_at;
+		k->resumed_turn = k->owner->loop.turn;
+	}
 	link_watch(k);
 }
 
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -53,6 +53,8 @@
 	if (!j->repeatable)
 		return;
 	j->silence_due = wait != MSEC_NEVER ? now + wait : MSEC_NEVER;
+	if (j->link != NULL)
+		j->link->paused_ms = 0;
 	loop_timer_set(&j->owner->loop, &j->silence_timer,
 	    MIN(j->silence_due, now + JOB_SILENCE_PATIENT_MS));
 }
@@ -177,6 +179,15 @@
 	job_fail(j, now, JOB_TIMEOUT);
 }
 
+/* The silence counts without the time in which no bytes were read. */
+static void
+job_take_pauses(struct job *j)
+{
+	if (j->silence_due != MSEC_NEVER)
+		j->silence_due += j->link->paused_ms;
+	j->link->paused_ms = 0;
+}
+
 static void
 job_recheck_silence_later(struct job *j, msec now)
 {
@@ -203,10 +214,11 @@
 	}
 	/* Its bytes are not read, or not yet: the silence is this node's. */
 	if (j->link->paused != 0 ||
-	    now - j->link->resumed_at < JOB_SILENCE_RECHECK_MS) {
-		job_arm_silence_timer(j, now);
+	    j->link->resumed_turn == j->owner->loop.turn) {
+		job_recheck_silence_later(j, now);
 		return;
 	}
+	job_take_pauses(j);
 	/* Nothing was sent yet. */
 	if (entry_move_is_stopping(j) || j->link->asking) {
 		job_recheck_silence_later(j, now);
--- a/entry.h
+++ b/entry.h
@@ -230,16 +230,18 @@
 	struct buffer out;
 	struct loop_timer timer;
 	bool connecting;
-	bool used;	      /* it has carried a complete answer */
-	bool sent;	      /* a byte of the request was sent */
-	bool discard_answer;  /* the current answer is discarded */
-	size_t discarded;     /* bytes discarded since the request */
-	unsigned int paused;  /* LINK_PAUSE_*: why it is not read on */
-	msec resumed_at;      /* it was paused until then; 0: never */
-	bool connect_refused; /* the server refused the connection */
-	bool timed_out;	      /* the server's host acknowledged nothing */
-	bool patient;	      /* the server may be silent for seconds */
-	msec idle_limit;      /* longest idle time before it is closed */
+	bool used;	       /* it has carried a complete answer */
+	bool sent;	       /* a byte of the request was sent */
+	bool discard_answer;   /* the current answer is discarded */
+	size_t discarded;      /* bytes discarded since the request */
+	unsigned int paused;   /* LINK_PAUSE_*: why it is not read on */
+	msec paused_at;	       /* since when it is paused */
+	msec paused_ms;	       /* pauses before, since its bytes came last */
+	uint64_t resumed_turn; /* iteration of the loop that ended the last */
+	bool connect_refused;  /* the server refused the connection */
+	bool timed_out;	       /* the server's host acknowledged nothing */
+	bool patient;	       /* the server may be silent for seconds */
+	msec idle_limit;       /* longest idle time before it is closed */
 	msec idle_since;
 	/*
 	 * Bytes of a request that were sent as a proof of the connection and
