--- a/entry-caller.c
+++ b/entry-caller.c
@@ -405,7 +405,8 @@
 static bool
 caller_read(struct caller *c, msec now)
 {
-	bool is_short = entry_memory_is_short(c->owner);
+	/* What is discarded is read fast, before the connection ends. */
+	bool is_short = entry_memory_is_short(c->owner) && !c->closing;
 	size_t size = is_short ? CALLER_READ_SHORT : CALLER_READ_SIZE;
 	size_t most = is_short ? CALLER_READ_SHORT : CALLER_READ_TURN;
 	size_t took = 0;
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -63,13 +63,14 @@
 static size_t
 memory_endable(const struct caller *c, msec now, bool can_wait)
 {
+	bool rests = now - c->progress >= MEMORY_REST_MS;
 	const struct job *j = c->job;
 
+	if (c->out.size > MEMORY_SMALL && rests)
+		return memory_all(c);
 	/* What is unsent of the answer before it stays. */
 	if (caller_is_reading(c))
 		return caller_held(c) - c->out.size;
-	if (c->out.size > MEMORY_SMALL && now - c->progress >= MEMORY_REST_MS)
-		return memory_all(c);
 	return memory_kept(j) > MEMORY_SMALL && !can_wait ? memory_all(c) : 0;
 }
 
@@ -92,7 +93,8 @@
 		return;
 	}
 	c->owner->memory.ended++;
-	if (caller_is_reading(c))
+	/* Else the answer before it is not taken. */
+	if (caller_is_reading(c) && c->out.size <= MEMORY_SMALL)
 		entry_memory_refuse(c, now);
 	else
 		caller_abort(c, now);
@@ -119,31 +121,50 @@
 	return list;
 }
 
+static size_t
+memory_sum(const GArray *holders)
+{
+	size_t sum = 0;
+	guint i;
+
+	for (i = 0; i < holders->len; i++)
+		sum += g_array_index(holders, struct memory_holder, i).bytes;
+	return sum;
+}
+
 /*
+ * Mark as many as free what it takes to leave a level; at the last one, any.
  * The end of one request may end others, and free their callers. So those that
  * are to be ended are moved to the head of the list, and taken from there.
  */
 static void
-memory_mark_to_end(struct entry *e, msec now, bool any)
+memory_mark_to_end(struct entry *e, msec now, enum memory_level level)
 {
-	g_autoptr(GArray) list = memory_list_to_end(e, now, any);
-	size_t excess = memory_budget_excess(&e->memory.budget), sum = 0;
+	g_autoptr(GArray) list =
+	    memory_list_to_end(e, now, level == MEMORY_EXCEEDED);
+	size_t excess = memory_budget_excess(&e->memory.budget, level);
+	bool enough = memory_sum(list) >= excess;
+	size_t sum = 0;
 	struct memory_holder *h;
 	guint i;
 
 	for (i = 0; i < list->len && sum < excess; i++) {
 		h = &g_array_index(list, struct memory_holder, i);
+		/* Small ones that move are not ended in vain. */
+		if (!enough && h->bytes < MEMORY_SMALL &&
+		    now - h->progress < MEMORY_REST_MS)
+			continue;
 		caller_mark_to_end(h->arg);
 		sum += h->bytes;
 	}
 }
 
 static void
-memory_end_holders(struct entry *e, msec now, bool any)
+memory_end_holders(struct entry *e, msec now, enum memory_level level)
 {
 	struct caller *c;
 
-	memory_mark_to_end(e, now, any);
+	memory_mark_to_end(e, now, level);
 	while ((c = caller_take_to_end(e)) != NULL)
 		memory_end(c, now);
 	memory_budget_set(&e->memory.budget, memory_held(e));
@@ -300,6 +321,7 @@
 {
 	struct entry_memory *m = &e->memory;
 	enum memory_level before = m->budget.level;
+	bool shared = before != MEMORY_NORMAL;
 
 	memory_budget_set(&m->budget, memory_held(e));
 	if (m->budget.level != MEMORY_NORMAL &&
@@ -307,16 +329,16 @@
 		m->checked_at = now;
 		m->checked_held = m->budget.held;
 		memory_share_reading(e, now);
+		shared = true;
 		if (m->budget.level >= MEMORY_CRITICAL)
-			memory_end_holders(e, now, false);
+			memory_end_holders(e, now, MEMORY_CRITICAL);
 		if (m->budget.level == MEMORY_EXCEEDED)
-			memory_end_holders(e, now, true);
+			memory_end_holders(e, now, MEMORY_EXCEEDED);
 	}
-	if (m->budget.level == before)
-		return;
-	memory_log_level(e, now, m->budget.level);
+	if (m->budget.level != before)
+		memory_log_level(e, now, m->budget.level);
 	/* Also if it fell as holders were ended. */
-	if (m->budget.level == MEMORY_NORMAL)
+	if (m->budget.level == MEMORY_NORMAL && shared)
 		memory_read_all_on(e);
 }
 
--- a/memory-budget.c
+++ b/memory-budget.c
@@ -81,10 +81,9 @@
 }
 
 size_t
-memory_budget_excess(const struct memory_budget *m)
+memory_budget_excess(const struct memory_budget *m, enum memory_level level)
 {
-	size_t mark =
-	    memory_bytes(m, marks[MEMORY_CRITICAL] - MEMORY_HYSTERESIS_PERCENT);
+	size_t mark = memory_bytes(m, marks[level] - MEMORY_HYSTERESIS_PERCENT);
 
 	return m->held > mark ? m->held - mark : 0;
 }
--- a/memory-budget.h
+++ b/memory-budget.h
@@ -54,7 +54,7 @@
  * first.
  */
 int memory_holder_compare_end(const void *, const void *);
-/* Bytes to free until holders need not be ended any more. */
-size_t memory_budget_excess(const struct memory_budget *);
+/* Bytes to free until a level is left. */
+size_t memory_budget_excess(const struct memory_budget *, enum memory_level);
 
 #endif /* MEMORY_BUDGET_H */
--- a/tests/test-memory-budget.c
+++ b/tests/test-memory-budget.c
@@ -83,10 +83,12 @@
 
 	memory_budget_init(&m, MEMORY);
 	memory_budget_set(&m, 80 * PERCENT);
-	g_assert_cmpuint(memory_budget_excess(&m), ==, 15 * PERCENT);
-	memory_budget_set(&m, 80 * PERCENT - memory_budget_excess(&m) - 1);
+	g_assert_cmpuint(
+	    memory_budget_excess(&m, MEMORY_CRITICAL), ==, 15 * PERCENT);
+	memory_budget_set(
+	    &m, 80 * PERCENT - memory_budget_excess(&m, MEMORY_CRITICAL) - 1);
 	g_assert_cmpint(m.level, ==, MEMORY_HIGH);
-	g_assert_cmpuint(memory_budget_excess(&m), ==, 0);
+	g_assert_cmpuint(memory_budget_excess(&m, MEMORY_CRITICAL), ==, 0);
 }
 
 /* An answer that had its turn is read before one that had none. */
