An attempt on a silent server is kept until another node answers

Callers got 502 and 503 with seconds left as all servers that a node can ask fell silent together for .7 to 2.4 s and went on.

Cause: silence of all servers and a cut of the node's own path look the same to one node. Its attempt was cancelled before a carrier had begun, and the carriers, whose path was 'cut' as well, refused 1 ms later. New requests were refused after 60 ms, though no node could serve them sooner. A verdict on oneself that all others share is one on something else.

Now the attempt is kept while a carrier is asked, and the first that answers is taken; a carrier that refuses counts neither as an attempt nor against the retry budget. What was not sent waits for up to 2 s after the cut, unless a server refuses connections. A carrier without a path is no end of a request that may be repeated. New counters: handoffs_kept, handoffs_kept_answered, path_waits.

--- a/entry-attempt-private.h
+++ b/entry-attempt-private.h
@@ -13,6 +13,8 @@
 /* Write the request as it is sent to a server. */
 void
 job_write_request(struct job *, msec, const struct server *, struct buffer *);
+/* The connection of the attempt that was kept has broken; the link is freed. */
+void job_kept_failed(struct job *, msec, const struct link *);
 /* The attempt was sent, or something of its answer came: wait for more. */
 void job_arm_silence_timer(struct job *, msec);
 /* The attempt's server fell silent, or its host did; it may go on later. */
@@ -28,6 +30,8 @@
  * retry budget?
  */
 bool job_could_retry(const struct job *, msec, unsigned int runs);
+/* Take a retry from the budget; false, and logged, when none is left. */
+bool job_take_budget(struct job *, msec, enum job_code why);
 /* The current attempt may have run. */
 void job_count_run(struct job *);
 /* The current attempt has ended: start another one, or fail the request. */
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -54,6 +54,7 @@
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
 	g_strlcpy(j->software, v->software, sizeof j->software);
 	j->sends++;
+	j->retry_taken = false;
 	v->rate.sent++;
 	j->sent_at = now;
 	j->attempt_began = 0;
@@ -64,8 +65,8 @@
 	return true;
 }
 
-bool
-job_recheck_admission(struct job *j, msec now)
+enum job_code
+job_check_admission(struct job *j, msec now)
 {
 	/* A later configuration does not take back an answer that has begun. */
 	enum job_code code = j->answer_began ? JOB_SERVED : job_admit(j, now);
@@ -78,6 +79,14 @@
 	else if (code == JOB_SERVED && !j->answer_began &&
 		 !entry_stop_leaves_time(j->owner, j, now))
 		code = JOB_LEAVING;
+	return code;
+}
+
+bool
+job_recheck_admission(struct job *j, msec now)
+{
+	enum job_code code = job_check_admission(j, now);
+
 	if (code != JOB_SERVED)
 		job_fail(j, now, code);
 	return code == JOB_SERVED;
@@ -97,17 +106,25 @@
 
 /*
  * No other node carries the request. Probes show within this time if the path
- * has come back; a request that is refused later than that is held in vain.
+ * has come back; a request that is refused later than that is held in vain,
+ * unless the servers have only paused: then no node can serve it any sooner.
  */
 static void
 job_wait_for_path(struct job *j, msec now)
 {
 	unsigned int most = j->last == JOB_STARTING ? JOB_PATH_WAITS_MOST : 1;
+	bool pause = reach_may_be_pause(&j->owner->reach.core, now);
 
-	if (j->path_waits >= most || j->carried) {
+	if (j->carried || (j->path_waits >= most && !pause)) {
 		job_fail(j, now, JOB_NO_PATH);
 		return;
 	}
+	/* Carriers that have no path are left alone for a while, and asked
+	 * anew. */
+	if (pause) {
+		j->handoffs = 0;
+		j->owner->handoff.counters.path_waits++;
+	}
 	j->waits = true;
 	j->path_waits++;
 	entry_reach_hurry(j->owner, now);
@@ -286,15 +303,20 @@
 static bool
 job_take_retry(struct job *j, msec now, enum job_code why)
 {
-	struct entry *e = j->owner;
-
 	if (!job_can_retry(j, now))
 		return false;
-	if (j->arrivals == 0)
-		return true;
+	return j->arrivals == 0 || job_take_budget(j, now, why);
+}
+
+bool
+job_take_budget(struct job *j, msec now, enum job_code why)
+{
+	struct entry *e = j->owner;
+
 	if (retry_budget_take(
 		entry_budget(e, j->service), &e->budget, now, e->live_nodes)) {
 		e->counters.retries++;
+		j->retry_taken = true;
 		return true;
 	}
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_NO_RETRY_BUDGET,
@@ -403,11 +425,24 @@
 	return h->status == 421 ? SERVER_DOWN : SERVER_FULL;
 }
 
+/* Its server goes on before a carrier that was asked has begun. */
+static void
+attempt_heard(struct link *k, msec now)
+{
+	struct job *j = k->job;
+
+	if (k != j->kept_link)
+		return;
+	j->owner->handoff.counters.kept_answered++;
+	job_return_to_kept(j, now);
+}
+
 static bool
 attempt_head(struct link *k, const struct http_head *h, msec now)
 {
 	struct job *j = k->job;
 
+	attempt_heard(k, now);
 	servers_reached(&j->owner->servers, now);
 	entry_reach_heard(j->owner, k->server, !k->used, now);
 	entry_rate_read(k, h, now);
@@ -484,6 +519,7 @@
 	struct job *j = k->job;
 	bool first = !j->answer_began;
 
+	attempt_heard(k, now);
 	if (j->refused_by_server)
 		return;
 	entry_poison_body_received(j, now);
@@ -542,6 +578,7 @@
 {
 	struct job *j = k->job;
 
+	attempt_heard(k, now);
 	j->link = NULL;
 	if (j->refused_by_server) {
 		job_refused(j, now);
@@ -640,6 +677,11 @@
 {
 	struct job *j = k->job;
 
+	if (k == j->kept_link) {
+		attempt_report_path(k, how, now);
+		job_kept_failed(j, now, k);
+		return;
+	}
 	j->link = NULL;
 	/* The head of the refusal has come; the rest says nothing. */
 	if (j->refused_by_server) {
@@ -684,6 +726,17 @@
 	job_retry_or_fail(j, now, JOB_UNREACHABLE);
 }
 
+void
+job_give_back_retry(struct job *j, msec now)
+{
+	struct entry *e = j->owner;
+
+	if (j->retry_taken)
+		retry_budget_give_back(
+		    entry_budget(e, j->service), &e->budget, now);
+	j->retry_taken = false;
+}
+
 void
 job_handoff_failed(struct job *j, msec now, enum job_code why)
 {
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -124,11 +124,16 @@
 
 /* ---- sending ---- */
 
-/* Attempts on servers that the route still allows. */
+/*
+ * Attempts on servers that the route still allows, beside one that has not
+ * ended.
+ */
 static unsigned int
 job_attempts_left(const struct job *j)
 {
-	return j->runs < j->route->attempts ? j->route->attempts - j->runs : 0;
+	unsigned int used = j->runs + (j->carrier == NULL && j->link != NULL);
+
+	return used < j->route->attempts ? j->route->attempts - used : 0;
 }
 
 bool
@@ -187,17 +192,22 @@
 	struct buffer request = { 0 };
 	struct link_terms terms = { .is_head = job_is_head_request(j),
 		.once = !j->repeatable };
+	struct link *k;
 
 	j->handoff_attempts = handoff_attempts(job_attempts_left(j));
 	handoff_write_request(j, now, &request);
-	j->link = link_send(
+	k = link_send(
 	    e, &c->server, j, &carrier_link_ops, &request, &terms, now);
 	buffer_finish(&request);
-	if (j->link == NULL) {
+	if (k == NULL) {
 		carrier_avoid(c, now, JOB_UNREACHABLE, false);
 		return false;
 	}
-	entry_poison_run_end(j, now, false);
+	if (j->link == NULL)
+		entry_poison_run_end(j, now, false);
+	j->kept_link = j->link;
+	j->kept_sent_at = j->sent_at;
+	j->link = k;
 	j->carrier = c;
 	j->sent_at = now;
 	j->has_outcome = false;
@@ -239,11 +249,11 @@
 
 /* ---- the carrier's answer ---- */
 
-/* The carrier, or servers that it sent the request to, may have run it. */
-static void
-handoff_count_runs(struct job *j)
+void
+entry_handoff_count_runs(struct job *j)
 {
 	j->may_have_run = true;
+	j->retry_taken = false;
 	j->counted = true;
 	j->runs += j->handoff_attempts;
 	j->arrivals++;
@@ -266,6 +276,11 @@
 	/* It is asked again; nothing was tried. */
 	if (why == JOB_STARTING)
 		j->handoffs--;
+	if (j->kept_link != NULL) {
+		job_stay_with_kept(j, now);
+		return;
+	}
+	job_give_back_retry(j, now);
 	entry_handoff_release(j);
 	job_handoff_failed(j, now, why);
 }
@@ -273,7 +288,14 @@
 static bool
 carrier_may_send(struct link *k, msec now)
 {
-	return job_recheck_admission(k->job, now);
+	struct job *j = k->job;
+
+	if (j->kept_link == NULL)
+		return job_recheck_admission(j, now);
+	if (job_check_admission(j, now) == JOB_SERVED)
+		return true;
+	job_stay_with_kept(j, now);
+	return false;
 }
 
 /*
@@ -320,7 +342,7 @@
 {
 	struct link *k = j->link;
 
-	handoff_count_runs(j);
+	entry_handoff_count_runs(j);
 	j->link = NULL;
 	link_cancel(k);
 	handoff_fail(j, now, JOB_BROKEN);
@@ -349,6 +371,8 @@
 		carrier_answer_broken(j, now);
 		return true;
 	}
+	if (j->kept_link != NULL)
+		job_give_up_kept(j, now);
 	j->carrier_began = true;
 	if (!j->answer_began)
 		reply_store_head(j, h);
@@ -377,11 +401,17 @@
 carrier_end_with_outcome(struct job *j, msec now)
 {
 	if (j->outcome_may_have_run) {
-		handoff_count_runs(j);
+		entry_handoff_count_runs(j);
 	} else if (outcome_is_of_carrier(j->outcome)) {
 		handoff_fail(j, now, j->outcome);
 		return;
 	}
+	/* Another node, or this one, may still have it run. */
+	if (j->kept_link != NULL ||
+	    (j->outcome == JOB_NO_PATH && j->repeatable)) {
+		handoff_fail(j, now, JOB_BROKEN);
+		return;
+	}
 	entry_handoff_release(j);
 	job_fail(j, now, j->outcome);
 }
@@ -396,7 +426,7 @@
 		carrier_end_with_outcome(j, now);
 		return true;
 	}
-	handoff_count_runs(j);
+	entry_handoff_count_runs(j);
 	reply_log_end(j, k->reader.head, now);
 	if (reply_end(j, k->reader.head) == REPLY_END_BROKEN) {
 		handoff_fail(j, now, JOB_BROKEN);
@@ -415,7 +445,7 @@
 
 	j->link = NULL;
 	if (how == LINK_BROKEN)
-		handoff_count_runs(j);
+		entry_handoff_count_runs(j);
 	handoff_fail(j, now, how == LINK_BROKEN ? JOB_BROKEN : JOB_UNREACHABLE);
 }
 
@@ -612,6 +642,14 @@
 	    "Those that the node refused or broke off.", (int64_t)n->failed);
 	metrics_value(s, "handoffs_without_carrier_total", "counter",
 	    "No node could be reached.", (int64_t)n->without_carrier);
+	metrics_value(s, "handoffs_kept_total", "counter",
+	    "Attempts on silent servers kept while a node was asked.",
+	    (int64_t)n->kept);
+	metrics_value(s, "handoffs_kept_answered_total", "counter",
+	    "Those whose server answered first.", (int64_t)n->kept_answered);
+	metrics_value(s, "path_waits_total", "counter",
+	    "Waits for servers that may all have paused.",
+	    (int64_t)n->path_waits);
 	metrics_value(s, "carried", "gauge",
 	    "Requests of other nodes in flight.", n->carried);
 	metrics_value(s, "carried_total", "counter",
--- a/entry-handoff.h
+++ b/entry-handoff.h
@@ -30,6 +30,9 @@
 	unsigned int carried; /* requests of other nodes in flight here */
 	uint64_t handed_off, failed, without_carrier;
 	uint64_t taken, refused;
+	uint64_t kept;		/* attempts on silent servers, meanwhile */
+	uint64_t kept_answered; /* those whose server answered first */
+	uint64_t path_waits;	/* waits, as the servers may have paused */
 };
 
 struct entry_handoff {
@@ -47,10 +50,15 @@
 /* Should the request's next attempt be on another node? */
 bool entry_handoff_wanted(const struct job *);
 /*
- * Hands the request off. False when no node can be reached; the request is then
- * as before.
+ * Hands the request off. A current attempt on a server is kept until the
+ * carrier answers. False when no node can be reached; the request is then as
+ * before.
  */
 bool entry_handoff_start(struct job *, msec);
+/*
+ * The carrier, or servers that it sent the request to, may have run it.
+ */
+void entry_handoff_count_runs(struct job *);
 /* The request's attempt on its carrier has ended. */
 void entry_handoff_release(struct job *);
 /* The path to the servers was cut: requests that wait for one go elsewhere. */
--- a/entry-job.c
+++ b/entry-job.c
@@ -76,6 +76,12 @@
 	return strcmp(j->head->method, "HEAD") == 0;
 }
 
+bool
+job_is_sent(const struct job *j)
+{
+	return j->kept_link != NULL || (j->link != NULL && j->link->sent);
+}
+
 const char *
 job_fingerprint_text(const struct job *j, char text[POISON_ID_SIZE])
 {
@@ -158,20 +164,30 @@
 }
 
 void
-job_cancel(struct job *j, msec now, enum server_result how)
+job_abandon_link(struct job *j, msec now, struct link *k)
 {
-	struct link *k = j->link;
-
-	entry_move_cancel(j, now);
-	j->link = NULL;
-	j->check = NULL;
-	if (k != NULL && k->sent && j->carrier == NULL) {
+	if (k->sent) {
 		entry_poison_request_abandoned(j, k->server, now);
 		/* It may yet end its server; the next one waits for that. */
 		entry_poison_run_end(j, now, true);
 	}
-	if (k != NULL)
+	link_cancel(k);
+}
+
+void
+job_cancel(struct job *j, msec now, enum server_result how)
+{
+	struct link *k = j->link, *kept = j->kept_link;
+
+	entry_move_cancel(j, now);
+	j->link = j->kept_link = NULL;
+	j->check = NULL;
+	if (k != NULL && j->carrier != NULL)
 		link_cancel(k);
+	else if (k != NULL)
+		job_abandon_link(j, now, k);
+	if (kept != NULL)
+		job_abandon_link(j, now, kept);
 	entry_handoff_release(j);
 	job_release_server(j, now, how);
 }
@@ -490,7 +506,7 @@
 {
 	struct job *j = t->arg;
 
-	if (j->link != NULL && j->link->sent) {
+	if (job_is_sent(j)) {
 		j->may_have_run = true;
 		place_mark_late(&j->owner->place, now, &j->place);
 	}
@@ -524,7 +540,7 @@
 	 */
 	poisons_hold_waiting(&e->poison.core);
 	TAILQ_FOREACH_SAFE (j, &e->jobs, entry, next) {
-		if (j->link != NULL && j->link->sent)
+		if (job_is_sent(j))
 			j->may_have_run = true;
 		job_fail(j, now, JOB_STOPPED);
 	}
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -80,7 +80,7 @@
 memory_end_job(struct entry *e, struct job *j, msec now)
 {
 	e->memory.ended++;
-	if (j->link != NULL && j->link->sent)
+	if (job_is_sent(j))
 		j->may_have_run = true;
 	job_fail(j, now, JOB_NO_MEMORY);
 }
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -717,7 +717,7 @@
 
 	verdict_log(p, LOG_EVENT_CONDEMNED, id, now);
 	while ((j = poison_find_unanswered(e, id, now)) != NULL) {
-		j->may_have_run |= j->link->sent;
+		j->may_have_run |= job_is_sent(j);
 		job_fail(j, now, JOB_POISON);
 	}
 }
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -91,8 +91,10 @@
 	}
 	if (getsockopt(io->fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1)
 		error = errno;
-	if (error != 0)
+	if (error == ETIMEDOUT)
 		probe_end(p, REACH_PROBE_FAILED, now);
+	else if (error != 0)
+		probe_end(p, REACH_PROBE_REFUSED, now);
 	else if (!probe_ask(p))
 		probe_end(p, REACH_PROBE_UNANSWERED, now);
 }
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -83,11 +83,12 @@
 	       job_has_other_server(j);
 }
 
-/* If nothing can take it over, the silence may be a pause. */
+/* If nothing has taken it over, the silence may be a pause. */
 static void
 job_wait_for_only_server(struct job *j, msec now)
 {
-	if (j->carrier == NULL && !job_may_go_on_elsewhere(j, now))
+	if (j->carrier == NULL && (reach_is_cut(&j->owner->reach.core) ||
+				      !job_may_go_on_elsewhere(j, now)))
 		link_set_patient(j->link);
 }
 
@@ -117,8 +118,9 @@
 			      ? REACH_SILENT_MS
 			      : job_server_dead_ms(j)))
 		return false;
+	/* The node that handed it off may have no other attempt left. */
 	if (j->carried)
-		return true;
+		return j->attempts_most > 1 || silence >= REACH_PAUSE_MS;
 	return !j->no_retry && j->runs + 1 < job_attempts_most(j) &&
 	       entry_handoff_has_carrier(j, now);
 }
@@ -179,6 +181,15 @@
 	job_fail(j, now, JOB_TIMEOUT);
 }
 
+static void
+job_log_silence(struct job *j, msec now)
+{
+	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
+	    LOG_EVENT_SERVER_SILENT, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
+	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
+	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
+}
+
 /* The silence counts without the time in which no bytes were read. */
 static void
 job_take_pauses(struct job *j)
@@ -195,6 +206,79 @@
 	    &j->owner->loop, &j->silence_timer, now + JOB_SILENCE_RECHECK_MS);
 }
 
+/* ---- asking a carrier while the attempt goes on ---- */
+
+/*
+ * All servers may have paused, not the path: the other nodes then refuse, and
+ * the server that has the request answers first.
+ */
+static void
+job_ask_carrier(struct job *j, msec now)
+{
+	link_set_patient(j->link);
+	if (job_check_admission(j, now) == JOB_SERVED &&
+	    job_take_budget(j, now, JOB_BROKEN) &&
+	    entry_handoff_start(j, now)) {
+		j->owner->handoff.counters.kept++;
+		return;
+	}
+	job_give_back_retry(j, now);
+	job_recheck_silence_later(j, now);
+}
+
+void
+job_return_to_kept(struct job *j, msec now)
+{
+	struct link *k = j->link;
+
+	if (k != NULL && k->sent)
+		entry_handoff_count_runs(j);
+	j->link = j->kept_link;
+	j->sent_at = j->kept_sent_at;
+	j->kept_link = NULL;
+	if (k != NULL)
+		link_cancel(k);
+	entry_handoff_release(j);
+}
+
+void
+job_stay_with_kept(struct job *j, msec now)
+{
+	job_return_to_kept(j, now);
+	/* A carrier that ran nothing does not count; it is left alone a while.
+	 */
+	if (j->retry_taken && j->handoffs > 0)
+		j->handoffs--;
+	job_give_back_retry(j, now);
+	loop_timer_set(&j->owner->loop, &j->silence_timer, now);
+}
+
+/* Nothing of it is forwarded any more. */
+static void
+job_end_kept(struct job *j, msec now)
+{
+	j->kept_link = NULL;
+	job_count_run(j);
+	job_release_server(j, now, SERVER_NO_RESULT);
+	if (!j->failure_stored)
+		reply_discard(j);
+}
+
+void
+job_give_up_kept(struct job *j, msec now)
+{
+	job_abandon_link(j, now, j->kept_link);
+	job_end_kept(j, now);
+}
+
+void
+job_kept_failed(struct job *j, msec now, const struct link *k)
+{
+	entry_poison_request_abandoned(j, k->server, now);
+	entry_poison_run_end(j, now, true);
+	job_end_kept(j, now);
+}
+
 /* The server is silent: try another one if that is allowed. */
 void
 job_check_silence(struct loop_timer *t, msec now)
@@ -242,10 +326,12 @@
 		job_recheck_silence_later(j, now);
 		return;
 	}
-	entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
-	    LOG_EVENT_SERVER_SILENT, LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
-	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
-	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
+	job_log_silence(j, now);
+	if (reach_is_cut(&j->owner->reach.core) && !j->carried &&
+	    j->link->sent) {
+		job_ask_carrier(j, now);
+		return;
+	}
 	job_count_run(j);
 	job_note_silent(j, j->server);
 	job_cancel(j, now, SERVER_FAILED);
--- a/entry.h
+++ b/entry.h
@@ -401,6 +401,13 @@
 	enum job_code outcome;
 	msec retry_after;   /* that it names, in ms; 0: none */
 	bool carrier_began; /* the carrier passed on an answer's head */
+	/*
+	 * The attempt on `server`, which has fallen silent, while a carrier is
+	 * asked; NULL: none.
+	 */
+	struct link *kept_link;
+	msec kept_sent_at;
+	bool retry_taken; /* from the budget, for the carrier */
 	/* This node is the carrier. */
 	bool carried;
 	bool counted_as_carried;    /* in the number of carried requests */
@@ -475,6 +482,8 @@
 /* Least time until the deadline for which an attempt is started. */
 #define JOB_ATTEMPT_MIN_MS 20
 bool job_is_head_request(const struct job *);
+/* May a server be running it now? */
+bool job_is_sent(const struct job *);
 /* Start the first or another attempt; job_placed() may follow. */
 void job_attempt(struct job *, msec);
 /*
@@ -484,6 +493,8 @@
  * when the request has ended.
  */
 bool job_recheck_admission(struct job *, msec);
+/* The same without ending the request: JOB_SERVED, or why it would end. */
+enum job_code job_check_admission(struct job *, msec);
 /*
  * Write the request's head without its last empty line: `keep_key` false
  * removes the API key if the configuration has keys.
@@ -494,6 +505,16 @@
 void job_set_resume_terms(const struct job *, struct wire_terms *);
 /* Write the body's length, the empty line and the body. */
 void job_write_body(const struct job *, struct buffer *);
+/*
+ * The attempt that was kept while a carrier was asked is the current one again.
+ */
+void job_return_to_kept(struct job *, msec);
+/* The carrier answers: give up the attempt that was kept. */
+void job_give_up_kept(struct job *, msec);
+/* No carrier took it over: ask another one, or wait for the server. */
+void job_stay_with_kept(struct job *, msec);
+/* A retry that was taken from the budget for a carrier has not run. */
+void job_give_back_retry(struct job *, msec);
 /* The attempt on a carrier failed: start another attempt, or fail. */
 void job_handoff_failed(struct job *, msec, enum job_code);
 /* Leave a server to which nothing was sent, and start another attempt. */
@@ -518,7 +539,9 @@
 void job_check_silence(struct loop_timer *, msec);
 /* End the current attempt in placement. */
 void job_release_server(struct job *, msec, enum server_result);
-/* The same, and close the attempt's connection. */
+/* Close the connection of an attempt on a server. */
+void job_abandon_link(struct job *, msec, struct link *);
+/* End the current attempt in placement, and close its connections. */
 void job_cancel(struct job *, msec, enum server_result);
 /* Answer the caller with an error, or break off the answer; then free. */
 void job_fail(struct job *, msec, enum job_code);
--- a/reach.c
+++ b/reach.c
@@ -108,6 +108,7 @@
 reach_clear_failures(struct reach *r, msec now)
 {
 	r->nfailed = 0;
+	r->refused = false;
 	r->answered_at = now;
 }
 
@@ -292,6 +293,7 @@
 	bool works = probe_shows_path(r, now, result);
 
 	r->probing--;
+	r->refused |= result == REACH_PROBE_REFUSED;
 	r->counters.probes_failed += result != REACH_PROBE_ANSWERED;
 	if (r->cut) {
 		reach_cut_probe_ended(r, now, server, works, nservers);
@@ -319,6 +321,12 @@
 	return r->cut;
 }
 
+bool
+reach_may_be_pause(const struct reach *r, msec now)
+{
+	return r->cut && !r->refused && now - r->since < REACH_PAUSE_MS;
+}
+
 bool
 reach_is_silent(const struct reach *r, msec now)
 {
--- a/reach.h
+++ b/reach.h
@@ -46,6 +46,8 @@
 #define REACH_HURRY_MS 50
 /* A failure counts for this time. */
 #define REACH_EVIDENCE_MS (4 * MSEC_SECOND)
+/* All servers may be silent for so long after the cut, and go on. */
+#define REACH_PAUSE_MS (2 * MSEC_SECOND)
 /*
  * Number of servers that must answer before the path works again, and of probes
  * that are started together.
@@ -73,7 +75,8 @@
 
 /* How a probe ended. */
 enum reach_probe_result {
-	REACH_PROBE_FAILED,	/* not connected in time, or refused */
+	REACH_PROBE_REFUSED,	/* refused or reset, not connected */
+	REACH_PROBE_FAILED,	/* not connected in time */
 	REACH_PROBE_UNANSWERED, /* connected; then silent, closed or reset */
 	REACH_PROBE_ANSWERED,
 };
@@ -88,7 +91,8 @@
 struct reach {
 	const struct reach_ops *ops;
 	bool cut;
-	msec since; /* last change of `cut` */
+	msec since;   /* last change of `cut` */
+	bool refused; /* a probe was refused since the last answer */
 	/* Failures since the last answer, one entry per server. */
 	struct reach_failure failed[REACH_FAILED_MAX];
 	unsigned int nfailed;
@@ -159,6 +163,11 @@
 bool reach_avoids(const struct reach *, msec, name_id server);
 /* The path to all servers is cut. */
 bool reach_is_cut(const struct reach *);
+/*
+ * The path was cut a moment ago, and no server refuses connections: they may
+ * all have paused, for example on a host or switch that they share.
+ */
+bool reach_may_be_pause(const struct reach *, msec);
 /* No server has sent anything lately, on kept connections either. */
 bool reach_is_silent(const struct reach *, msec);
 /*
--- a/retry-budget.c
+++ b/retry-budget.c
@@ -84,3 +84,18 @@
 	b->taken++;
 	return true;
 }
+
+void
+retry_budget_give_back(
+    struct retry_budget *b, const struct retry_budget_config *c, msec now)
+{
+	unsigned int i, slice = budget_advance(b, c, now) + RETRY_SLICES;
+
+	/* From the newest slice on; it may have left the window. */
+	for (i = 0; i < RETRY_SLICES; i++) {
+		if (b->retries[(slice - i) % RETRY_SLICES] == 0)
+			continue;
+		b->retries[(slice - i) % RETRY_SLICES]--;
+		return;
+	}
+}
--- a/retry-budget.h
+++ b/retry-budget.h
@@ -50,6 +50,9 @@
  */
 bool retry_budget_take(struct retry_budget *,
     const struct retry_budget_config *, msec, unsigned int nodes);
+/* The retry that was taken last did not reach a server. */
+void retry_budget_give_back(
+    struct retry_budget *, const struct retry_budget_config *, msec);
 /* Number of retries that could be taken now. */
 unsigned int retry_budget_left(struct retry_budget *,
     const struct retry_budget_config *, msec, unsigned int nodes);
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -65,7 +65,7 @@
 {
 	static const enum reach_probe_result results[] = {
 		[TAKES] = REACH_PROBE_ANSWERED,
-		[REFUSES] = REACH_PROBE_FAILED,
+		[REFUSES] = REACH_PROBE_REFUSED,
 		[SILENT] = REACH_PROBE_FAILED,
 		[ACCEPTS_SILENT] = REACH_PROBE_UNANSWERED,
 		[ACCEPTS_RESETS] = REACH_PROBE_UNANSWERED,
@@ -427,6 +427,30 @@
 	g_assert_cmpint(reach_next(r), ==, MSEC_NEVER);
 }
 
+/* Guards against waits for servers that are gone or silent for long. */
+static void
+test_pause(void)
+{
+	struct world w;
+	msec cut;
+
+	world_init(&w);
+	g_assert_false(reach_may_be_pause(&w.reach, w.now));
+	world_set(&w, 0, SERVERS, SILENT);
+	reach_suspect(&w.reach, w.now, SERVERS);
+	world_run(&w, REACH_PROBE_TIMEOUT_MS + 10);
+	cut = w.reach.since;
+	g_assert_true(reach_may_be_pause(&w.reach, cut + REACH_PAUSE_MS - 1));
+	g_assert_false(reach_may_be_pause(&w.reach, cut + REACH_PAUSE_MS));
+	world_set(&w, 0, SERVERS, REFUSES);
+	world_run(&w, REACH_CUT_PROBE_MS + 10);
+	g_assert_false(reach_may_be_pause(&w.reach, w.now));
+	world_set(&w, 0, SERVERS, TAKES);
+	world_run(&w, 1500);
+	g_assert_false(reach_is_cut(&w.reach));
+	g_assert_false(w.reach.refused);
+}
+
 /* Guards against idle nodes that take requests and find out one by one. */
 static void
 test_suspect(void)
@@ -497,6 +521,7 @@
 	g_test_add_func("/reach/back", test_back);
 	g_test_add_func("/reach/series", test_series);
 	g_test_add_func("/reach/one-server", test_one_server);
+	g_test_add_func("/reach/pause", test_pause);
 	g_test_add_func("/reach/suspect", test_suspect);
 	g_test_add_func("/reach/hurry", test_hurry);
 	g_test_add_func("/reach/evidence-expires", test_evidence_expires);
--- a/tests/test-retry-budget.c
+++ b/tests/test-retry-budget.c
@@ -86,6 +86,28 @@
 	    retry_budget_left(&b, &config, 100 * WINDOW, 56), ==, 0);
 }
 
+/* Guards against retries that are lost to attempts that reached no server. */
+static void
+test_give_back(void)
+{
+	struct retry_budget b;
+	unsigned int i;
+
+	retry_budget_init(&b, 1, -WINDOW);
+	for (i = 0; i < 50; i++)
+		retry_budget_request(&b, &config, 0);
+	g_assert_cmpuint(retry_budget_left(&b, &config, 0, 56), ==, 8);
+	for (i = 0; i < 8; i++)
+		g_assert_true(retry_budget_take(&b, &config, 0, 56));
+	g_assert_false(retry_budget_take(&b, &config, 0, 56));
+	/* Taken in an earlier slice. */
+	retry_budget_give_back(&b, &config, WINDOW / 2);
+	g_assert_cmpuint(retry_budget_left(&b, &config, WINDOW / 2, 56), ==, 1);
+	/* It has left the window. */
+	retry_budget_give_back(&b, &config, 2 * WINDOW);
+	g_assert_cmpuint(retry_budget_left(&b, &config, 2 * WINDOW, 56), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -93,5 +115,6 @@
 	g_test_add_func("/retry-budget/sum", test_sum);
 	g_test_add_func("/retry-budget/start", test_start);
 	g_test_add_func("/retry-budget/long-silence", test_long_silence);
+	g_test_add_func("/retry-budget/give-back", test_give_back);
 	return g_test_run();
 }
