A stop allows streams the longest that their route took lately

A stream was cut in the middle of a 200 at the end of a stop, 7.5 s after SIGTERM: taken 2.6 to 2.94 s after it, as the estimate of the route's duration hides few long ones among many short ones.

Cause: mean and deviations follow the many; one in 25 or 50 that lasts sixteen times as long hardly moves them. What has begun to stream cannot move to another node, so a miss costs half an answer, a refusal one more try.

Now the longest of the last 256 to 512 requests of the route, and a tenth, must fit for streams; other requests keep the estimate, and from 3 s on the whole deadline must fit as before.

--- a/duration.c
+++ b/duration.c
@@ -16,12 +16,27 @@
  * of rolling restarts of 60 and 82 nodes).
  */
 #define DURATION_DEVIATIONS 5
+/* Samples after which the longest one is forgotten: from one to two times. */
+#define DURATION_LONGEST_SAMPLES 256
+/* The next long request may take a little longer than the longest one. */
+#define DURATION_LONGEST_MARGIN_PERCENT 10
+
+static void
+duration_add_longest(struct duration *d, msec took)
+{
+	if (d->samples % DURATION_LONGEST_SAMPLES == 0) {
+		d->longest_before = d->longest;
+		d->longest = 0;
+	}
+	d->longest = MAX(d->longest, took);
+}
 
 void
 duration_add(struct duration *d, msec took)
 {
 	double alpha, off;
 
+	duration_add_longest(d, took);
 	if (d->samples++ == 0) {
 		d->mean = (double)took;
 		d->deviation = (double)took / 2;
@@ -58,6 +73,15 @@
 	return MIN(longest, most);
 }
 
+msec
+duration_longest_estimate(const struct duration *d, msec most)
+{
+	msec longest = MAX(d->longest, d->longest_before);
+
+	longest += longest * DURATION_LONGEST_MARGIN_PERCENT / 100;
+	return MIN(MAX(longest, duration_upper_estimate(d, most)), most);
+}
+
 msec
 duration_mean(const struct duration *d, msec unknown)
 {
--- a/duration.h
+++ b/duration.h
@@ -2,7 +2,8 @@
  * Estimates how long requests of one kind take, so that a node that is shutting
  * down can decide which requests it has time to finish. A smoothed mean and
  * mean deviation (Jacobson: "Congestion Avoidance and Control", 1988) follow a
- * change of load within a few dozen requests and store no single durations.
+ * change of load within a few dozen requests and store no single durations. Of
+ * those the longest are kept as well: a few long ones hardly move the mean.
  *
  * Does no I/O.
  */
@@ -16,6 +17,8 @@
 struct duration {
 	double mean, deviation; /* ms, smoothed */
 	uint64_t samples;	/* samples */
+	/* Longest of the newest samples, and of as many before them; ms. */
+	msec longest, longest_before;
 };
 
 /* Add the duration of a finished request, in ms. */
@@ -30,6 +33,10 @@
  * also returned while there are too few samples.
  */
 msec duration_upper_estimate(const struct duration *, msec most);
+/*
+ * The same, and no less than the longest of the last few hundred requests took.
+ */
+msec duration_longest_estimate(const struct duration *, msec most);
 /* The mean duration in ms; `unknown` while there are too few samples. */
 msec duration_mean(const struct duration *, msec unknown);
 
--- a/entry-stop.c
+++ b/entry-stop.c
@@ -57,8 +57,9 @@
  * Time to allow for a request that starts now, in ms; `most` is the time until
  * its deadline. While callers may still use this node's cached address, it is
  * an upper estimate of the durations of the route's requests, which a few
- * exceed. Later, and if the request may run only once, it is `most`: a refusal
- * costs its caller one more try, a cut leaves it without the outcome.
+ * exceed; for streams, which cannot move to another node once they have begun,
+ * hardly any. Later, and if the request may run only once, it is `most`: a
+ * refusal costs its caller one more try, a cut leaves it without the outcome.
  */
 static msec
 stop_time_needed(
@@ -67,6 +68,8 @@
 	if (k == NULL || j->route->kind == ROUTE_ONCE ||
 	    now - j->owner->leaving_since >= STOP_CALLERS_CACHE_MS)
 		return most;
+	if (j->route->kind == ROUTE_STREAM)
+		return duration_longest_estimate(&k->total_time, most);
 	return duration_upper_estimate(&k->total_time, most);
 }
 
--- a/tests/test-duration.c
+++ b/tests/test-duration.c
@@ -128,6 +128,31 @@
 	g_assert_cmpint(duration_upper_estimate(&d, 0), ==, 0);
 }
 
+/* Guards against an estimate that forgets the few long requests of a kind. */
+static void
+test_longest(void)
+{
+	struct duration d = { 0 };
+	unsigned int i;
+
+	g_assert_cmpint(duration_longest_estimate(&d, TIMEOUT), ==, TIMEOUT);
+	for (i = 0; i < 600; i++) {
+		duration_add(&d, i % 50 == 20 ? 5000 : 300);
+		if (i < 100)
+			continue;
+		g_assert_cmpint(
+		    duration_longest_estimate(&d, TIMEOUT), >=, 5000);
+		g_assert_cmpint(
+		    duration_longest_estimate(&d, TIMEOUT), <, 6000);
+	}
+	g_assert_cmpint(duration_upper_estimate(&d, TIMEOUT), <, 5000);
+	g_assert_cmpint(duration_longest_estimate(&d, 4000), ==, 4000);
+	/* All are short from now on. */
+	for (i = 0; i < 600; i++)
+		duration_add(&d, 300);
+	g_assert_cmpint(duration_longest_estimate(&d, TIMEOUT), <, 400);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -138,5 +163,6 @@
 	g_test_add_func("/duration/slower", test_slower);
 	g_test_add_func("/duration/given-up", test_given_up);
 	g_test_add_func("/duration/bounded", test_bounded);
+	g_test_add_func("/duration/longest", test_longest);
 	return g_test_run();
 }
