Own interface: a stop answers those who came while the process stood still

Callers that connected while the process stood still (SIGSTOP, a paused VM) got a reset as it went on and its stop ended: neither an answer nor a refusal.

Cause: the core wakes, sees that no request has come for half a second, and shuts the listening socket down, while connections wait in the kernel's queue and requests in their buffers. The platform's side knows of pauses, this one did not.

Now a stop goes on no sooner than 1 s after two ticks that were more than 1 s apart, the stop deadline included, and not while connections wait to be accepted (but for the bound on quiet, as before).

--- a/daemon-caller.c
+++ b/daemon-caller.c
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 
 #include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -348,6 +349,17 @@
 	return true;
 }
 
+static int
+caller_listen_fd(struct daemon *d)
+{
+	const union MHD_DaemonInfo *info;
+
+	info = MHD_get_daemon_info(d->caller_http, MHD_DAEMON_INFO_LISTEN_FD);
+	return info != NULL && info->listen_fd != MHD_INVALID_SOCKET
+		   ? info->listen_fd
+		   : -1;
+}
+
 /*
  * Stops accepting connections: the kernel refuses new ones, which proves to the
  * caller that nothing ran.
@@ -360,11 +372,18 @@
 void
 daemon_http_quiesce(struct daemon *d)
 {
-	const union MHD_DaemonInfo *info;
+	int fd = caller_listen_fd(d);
 
-	info = MHD_get_daemon_info(d->caller_http, MHD_DAEMON_INFO_LISTEN_FD);
-	if (info != NULL && info->listen_fd != MHD_INVALID_SOCKET)
-		shutdown(info->listen_fd, SHUT_RD);
+	if (fd != -1)
+		shutdown(fd, SHUT_RD);
+}
+
+bool
+daemon_http_has_waiting(struct daemon *d)
+{
+	struct pollfd p = { caller_listen_fd(d), POLLIN, 0 };
+
+	return p.fd != -1 && poll(&p, 1, 0) == 1;
 }
 
 unsigned int
--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -18,6 +18,10 @@
  */
 #define STOP_QUIET_MS 500
 #define STOP_QUIET_MAX_MS 5000
+/* Between two ticks that are further apart the process stood still. */
+#define STOP_PAUSED_MS 1000
+/* What came meanwhile is answered first, even after the stop deadline. */
+#define STOP_AFTER_RESUME_MS 1000
 
 void
 daemon_leave(struct daemon *d, msec now)
@@ -101,10 +105,13 @@
  * for a while; each is answered "not run" with the addresses of other nodes.
  */
 static bool
-stop_is_quiet(const struct daemon *d, msec since)
+stop_is_quiet(struct daemon *d, msec since)
 {
 	if (since >= d->settings.leave_grace + STOP_QUIET_MAX_MS)
 		return true;
+	/* Once accepting has stopped, the socket is always ready. */
+	if (d->quiesced_at == 0 && daemon_http_has_waiting(d))
+		return false;
 	return msec_now() - d->last_call >= STOP_QUIET_MS;
 }
 
@@ -179,6 +186,19 @@
 		d->stopping = true;
 }
 
+/*
+ * Callers have connected while the process stood still, and their requests wait
+ * in the kernel.
+ */
+static bool
+stop_has_just_resumed(struct daemon *d, msec now)
+{
+	if (d->stop_ticked_at != 0 && now - d->stop_ticked_at >= STOP_PAUSED_MS)
+		d->resumed_at = now;
+	d->stop_ticked_at = now;
+	return d->resumed_at != 0 && now - d->resumed_at < STOP_AFTER_RESUME_MS;
+}
+
 void
 daemon_stop_tick(struct daemon *d, msec now)
 {
@@ -187,6 +207,8 @@
 	if (d->state != DAEMON_LEAVING || d->stopping)
 		return;
 	daemon_call_refuse_late(d, now);
+	if (stop_has_just_resumed(d, now))
+		return;
 	if (d->cut_at == 0 && since >= d->settings.leave_grace &&
 	    stop_is_done(d, since))
 		stop_end(d, now);
--- a/daemon.h
+++ b/daemon.h
@@ -356,6 +356,8 @@
 	struct MHD_Daemon *control_http;
 	struct listener caller_listener;
 	struct listener control_listener;
+	msec stop_ticked_at;   /* last daemon_stop_tick(), or 0 */
+	msec resumed_at;       /* the process had stood still until then */
 	msec quiesced_at;      /* when accepting connections stopped, or 0 */
 	msec cut_at;	       /* when the stop deadline cut the rest, or 0 */
 	uint64_t stop_no_time; /* refused: could not end in time */
@@ -478,6 +480,8 @@
 /* daemon-caller.c: HTTP server for callers, the tool and peers */
 bool daemon_http_start(struct daemon *);
 void daemon_http_quiesce(struct daemon *);
+/* Do connections of callers wait to be accepted? */
+bool daemon_http_has_waiting(struct daemon *);
 unsigned int daemon_http_connections(struct daemon *);
 void daemon_http_stop(struct daemon *);
 /* daemon-query.c: requests that the core answers */
--- a/tests/proc-stops.c
+++ b/tests/proc-stops.c
@@ -16,6 +16,10 @@
 #define GRACE "leave_grace_ms: 500\n"
 /* From the first notice to the last new work. */
 #define LEAVE_MS 3000
+/* A node stands still so long after it was told to stop, and for so long. */
+#define PAUSE_AFTER_MS 300
+#define PAUSE_MS 6000
+#define PAUSED_CALLERS 40
 #define LOAD_SECONDS 15
 
 static const struct nodes_config two_two = {
@@ -133,6 +137,36 @@
 	stop_scenario(STOP_SIGNAL, true);
 }
 
+/* Callers whose connections wait to be accepted as a stop ends are reset. */
+static void
+test_paused(void)
+{
+	struct nodes s;
+	struct caller c[PAUSED_CALLERS];
+	char user[16];
+	unsigned int i;
+
+	nodes_up(&s, &two_two);
+	stop_begin(&s, 1, STOP_SIGNAL);
+	g_usleep(PAUSE_AFTER_MS * 1000);
+	proc_pause(&s.entries[1].proc);
+	for (i = 0; i < PAUSED_CALLERS; i++) {
+		g_snprintf(user, sizeof user, "paused-%u", i);
+		caller_ask(&c[i], s.entries[1].caller, user, 3);
+		caller_start(&c[i]);
+	}
+	g_usleep(PAUSE_MS * 1000);
+	proc_resume(&s.entries[1].proc);
+	for (i = 0; i < PAUSED_CALLERS; i++) {
+		caller_wait(&c[i]);
+		g_assert_cmpint(c[i].curl, ==, CURLE_OK);
+		g_assert_cmpstr(c[i].outcome, ==, "not-run");
+		caller_finish(&c[i]);
+	}
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	nodes_finish(&s);
+}
+
 /* A reload, or the end of the terminal that it was started from, ends a VM. */
 static void
 test_hangup(void)
@@ -373,6 +407,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stops/signal", test_signal);
 	g_test_add_func("/stops/signal-twice", test_signal_twice);
+	g_test_add_func("/stops/paused", test_paused);
 	g_test_add_func("/stops/hangup", test_hangup);
 	g_test_add_func("/stops/tool", test_tool);
 	g_test_add_func("/stops/list", test_list);
