Own interface: what may run once must end before a stop by its deadline

A request that may run once could be cut at the stop deadline: it was taken if requests of its class mostly take less time. Its caller cannot know whether it ran, and may not ask again.

Now its whole deadline must fit, as on the platform's side; without one it is refused. A request that may be repeated keeps the estimate.

proc-leave once is new and failed before (200 in place of 503, one run); the whole of proc-leave passes, once.

--- a/daemon-stop.c
+++ b/daemon-stop.c
@@ -92,6 +92,9 @@
 	most = left + 1;
 	if (c->slot.deadline != MSEC_NEVER)
 		most = c->slot.deadline - now;
+	/* A refusal costs one more try, a cut the knowledge of the outcome. */
+	if (!c->repeatable)
+		return most <= left;
 	mc = stop_class(d, c);
 	return duration_upper_estimate(
 		   ahead == STOP_REMAINING_RUN ? &mc->runs : &mc->lasts,
--- a/tests/proc-leave.c
+++ b/tests/proc-leave.c
@@ -144,6 +144,35 @@
 	nodes_finish(&s);
 }
 
+/* A request that may run once is cut, as its class mostly takes less time. */
+static void
+test_once(void)
+{
+	static const char shorts[] = "Savorypier-Class: foreman-question";
+	struct caller once, again;
+	struct nodes s;
+	msec begin, asked;
+
+	nodes_up(&s, &bounded);
+	warm(&s, 1, shorts, SHORT_TOKENS);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	begin = msec_now();
+	wait_since(begin, LATE_MS);
+	ask(&s, &once, 1, shorts, "once", SHORT_TOKENS);
+	caller_add_header(&once, "Savorypier-Repeatable: no");
+	caller_add_header(&once, "Savorypier-Deadline-Ms: 30000");
+	asked = msec_now();
+	caller_run(&once);
+	assert_turned_away(&s, &once, asked);
+	caller_finish(&once);
+	ask(&s, &again, 1, shorts, "again", SHORT_TOKENS);
+	caller_add_header(&again, "Savorypier-Deadline-Ms: 30000");
+	caller_run(&again);
+	caller_assert_whole(&again, SHORT_TOKENS);
+	caller_finish(&again);
+	nodes_finish(&s);
+}
+
 static const char unseen[] = "Savorypier-Class: foreman-question";
 
 /*
@@ -669,6 +698,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/leave/long-answer", test_long_answer);
+	g_test_add_func("/leave/once", test_once);
 	g_test_add_func("/leave/unseen-drain", test_unseen_drain);
 	g_test_add_func("/leave/unseen-list", test_unseen_list);
 	g_test_add_func("/leave/unseen-replaced", test_unseen_replaced);
