Carriers in a file of their own; an attempt that is kept is left alone

While a carrier is asked, neither the silence nor a move of the kept attempt is looked at: its server and connection are not those of the current one. Found by reading; no run showed it. proc-silent-servers all-long, only, only-long and real-cut pass, once each.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -9,7 +9,7 @@
  */
 
 #define LOG_PART "handoff"
-#include "entry.h"
+#include "entry-carrier.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -22,8 +22,6 @@
 #define HANDOFF_CONNECT_TIMEOUT_MS 200
 /* The carrier's answer is to arrive before the deadline passes here. */
 #define HANDOFF_DEADLINE_MARGIN_MS 20
-/* Nodes without a path to the servers report at least this load. */
-#define HANDOFF_NO_PATH_PERMILLE ENTRY_LOAD_NO_PATH
 /* Longest Retry-After of a carrier that is passed on, in seconds. */
 #define HANDOFF_RETRY_AFTER_MAX_S 60.0
 
@@ -37,91 +35,6 @@
 	carrier_head, carrier_body, carrier_complete, carrier_failed,
 	HANDOFF_CONNECT_TIMEOUT_MS, NULL };
 
-/* ---- carriers ---- */
-
-static struct entry_carrier *
-carrier_get(struct entry *e, const struct member *m)
-{
-	struct entry_carrier *c;
-
-	TAILQ_FOREACH (c, &e->handoff.carriers, entry) {
-		if (c->server.id == m->id)
-			break;
-	}
-	if (c == NULL) {
-		c = g_new0(struct entry_carrier, 1);
-		c->server.id = m->id;
-		g_strlcpy(c->server.name, m->name, sizeof c->server.name);
-		c->server.state = SERVER_READY;
-		TAILQ_INSERT_TAIL(&e->handoff.carriers, c, entry);
-	}
-	/* Connections to an earlier process are not used any more. */
-	if (c->incarnation != m->incarnation) {
-		c->incarnation = m->incarnation;
-		c->server.starts++;
-		link_close_idle(e, &c->server);
-	}
-	c->server.address = m->address;
-	c->server.port = m->peer_port;
-	return c;
-}
-
-static void
-carrier_avoid(struct entry_carrier *c, msec now, enum job_code why, bool began)
-{
-	enum handoff_failure f = HANDOFF_FAILED;
-
-	if (why == JOB_STARTING)
-		f = HANDOFF_BEHIND;
-	else if (why == JOB_CARRIER_FULL)
-		f = HANDOFF_FULL;
-	else if (why == JOB_LEAVING)
-		f = HANDOFF_LEAVING;
-	else if (began)
-		f = HANDOFF_CUT_OFF;
-	handoff_rest_after(&c->rest, now, f);
-}
-
-static bool
-member_may_carry(const struct member *m)
-{
-	if (m->state == MEMBER_LEAVING)
-		return m->peer_port != 0;
-	return m->state == MEMBER_ALIVE && m->peer_port != 0 &&
-	       (m->load_at == MSEC_NEVER ||
-		   m->load_permille < ENTRY_LOAD_NOT_READY);
-}
-
-static struct entry_carrier *
-carrier_choose(struct entry *e, msec now)
-{
-	g_autoptr(GArray) list =
-	    g_array_new(FALSE, FALSE, sizeof(struct handoff_candidate));
-	struct handoff_candidate candidate;
-	struct entry_carrier *c;
-	struct member *m;
-	int i;
-
-	RB_FOREACH (m, member_tree, &e->members.tree) {
-		if (!member_may_carry(m))
-			continue;
-		c = carrier_get(e, m);
-		candidate = (struct handoff_candidate){ m->id, c->requests,
-			now < c->rest.avoided_until,
-			m->leaving || now < c->rest.last_resort_until ||
-			    (m->load_at != MSEC_NEVER &&
-				m->load_permille >= HANDOFF_NO_PATH_PERMILLE) };
-		g_array_append_val(list, candidate);
-	}
-	i = handoff_choose(
-	    (struct handoff_candidate *)list->data, list->len, e->rand);
-	if (i == -1)
-		return NULL;
-	m = members_find(
-	    &e->members, g_array_index(list, struct handoff_candidate, i).id);
-	return carrier_get(e, m);
-}
-
 /* ---- sending ---- */
 
 /*
@@ -147,7 +60,7 @@
 entry_handoff_has_carrier(const struct job *j, msec now)
 {
 	return entry_handoff_possible(j) &&
-	       carrier_choose(j->owner, now) != NULL;
+	       entry_carrier_choose(j->owner, now) != NULL;
 }
 
 bool
@@ -200,7 +113,7 @@
 	    e, &c->server, j, &carrier_link_ops, &request, &terms, now);
 	buffer_finish(&request);
 	if (k == NULL) {
-		carrier_avoid(c, now, JOB_UNREACHABLE, false);
+		entry_carrier_avoid(c, now, JOB_UNREACHABLE, false);
 		return false;
 	}
 	if (j->link == NULL)
@@ -230,7 +143,7 @@
 	struct entry_carrier *c;
 
 	while (j->handoffs < HANDOFF_CARRIERS_MAX &&
-	       (c = carrier_choose(j->owner, now)) != NULL) {
+	       (c = entry_carrier_choose(j->owner, now)) != NULL) {
 		j->handoffs++;
 		if (handoff_send(j, now, c))
 			return true;
@@ -272,7 +185,7 @@
 	    LOG_TEXT(LOG_KEY_REASON, job_code_name(why)),
 	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
-	carrier_avoid(c, now, why, j->carrier_began);
+	entry_carrier_avoid(c, now, why, j->carrier_began);
 	/* It is asked again; nothing was tried. */
 	if (why == JOB_STARTING)
 		j->handoffs--;
@@ -522,19 +435,11 @@
 void
 entry_handoff_tick(struct entry *e, msec now)
 {
-	struct entry_carrier *c, *next;
 	struct job *j;
 
 	while ((j = handoff_find_lost(e)) != NULL)
 		carrier_answer_broken(j, now);
-	TAILQ_FOREACH_SAFE (c, &e->handoff.carriers, entry, next) {
-		if (c->requests > 0 || c->server.links > 0 ||
-		    members_find(&e->members, c->server.id) != NULL)
-			continue;
-		TAILQ_REMOVE(&e->handoff.carriers, c, entry);
-		link_pool_free(&c->server);
-		g_free(c);
-	}
+	entry_carriers_tick(e);
 }
 
 void
@@ -548,15 +453,8 @@
 void
 entry_handoff_finish(struct entry *e)
 {
-	struct entry_carrier *c;
-
 	loop_timer_stop(&e->loop, &e->handoff.timer);
-	while ((c = TAILQ_FIRST(&e->handoff.carriers)) != NULL) {
-		TAILQ_REMOVE(&e->handoff.carriers, c, entry);
-		link_close_idle(e, &c->server);
-		link_pool_free(&c->server);
-		g_free(c);
-	}
+	entry_carriers_finish(e);
 }
 
 /* ---- carrying ---- */
--- a/entry-move.c
+++ b/entry-move.c
@@ -532,7 +532,7 @@
 {
 	bool measured;
 
-	if (j->server == NULL)
+	if (j->server == NULL || j->carrier != NULL)
 		return;
 	measured = move_record_pace(j, now);
 	if (j->server->leaving_since != 0) {
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -290,7 +290,7 @@
 		job_attempt(j, now);
 		return;
 	}
-	if (j->server == NULL || j->link == NULL)
+	if (j->server == NULL || j->link == NULL || j->carrier != NULL)
 		return;
 	if (j->refused_by_server) {
 		job_leave_refusal(j, now);
--- a/entry.h
+++ b/entry.h
@@ -14,7 +14,7 @@
  *   entry-poison.c   holds back requests that crash the servers that run them
  *   entry-move.c     moves running streams off servers that leave
  *   entry-handoff.c  requests that other nodes carry for this one, and its own
- *                    for them
+ *                    for them; entry-carrier.c chooses the node
  *
  * Other files:
  *
