--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -119,8 +119,7 @@
 		job_fail(j, now, JOB_NO_PATH);
 		return;
 	}
-	/* Carriers that have no path are left alone for a while, and asked
-	 * anew. */
+	/* Carriers without a path are asked anew after a while. */
 	if (pause) {
 		j->handoffs = 0;
 		j->owner->handoff.counters.path_waits++;
