A carrier keeps what it carries while the servers may have paused

A carrier now holds on for as long as the servers may have paused; the node that asked it has no path either.

--- a/entry-silence.c
+++ b/entry-silence.c
@@ -118,9 +118,9 @@
 			      ? REACH_SILENT_MS
 			      : job_server_dead_ms(j)))
 		return false;
-	/* The node that handed it off may have no other attempt left. */
+	/* The node that handed it off has no path either, and fewer retries. */
 	if (j->carried)
-		return j->attempts_most > 1 || silence >= REACH_PAUSE_MS;
+		return !reach_may_be_pause(&j->owner->reach.core, now);
 	return !j->no_retry && j->runs + 1 < job_attempts_most(j) &&
 	       entry_handoff_has_carrier(j, now);
 }
@@ -245,8 +245,7 @@
 job_stay_with_kept(struct job *j, msec now)
 {
 	job_return_to_kept(j, now);
-	/* A carrier that ran nothing does not count; it is left alone a while.
-	 */
+	/* A carrier that ran nothing does not count. */
 	if (j->retry_taken && j->handoffs > 0)
 		j->handoffs--;
 	job_give_back_retry(j, now);
