A request waits for a pause to end only if another node has no path either

A stream that has begun waits on in any case, as it can go on nowhere else, and a carrier that gave a request back with 'may have run' is not left alone for that.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -107,20 +107,24 @@
 /*
  * No other node carries the request. Probes show within this time if the path
  * has come back; a request that is refused later than that is held in vain,
- * unless the servers have only paused: then no node can serve it any sooner.
+ * unless other nodes have no path either and the servers may have paused: then
+ * no node can serve it any sooner.
  */
 static void
 job_wait_for_path(struct job *j, msec now)
 {
 	unsigned int most = j->last == JOB_STARTING ? JOB_PATH_WAITS_MOST : 1;
-	bool pause = reach_may_be_pause(&j->owner->reach.core, now);
+	bool pause = reach_may_be_pause(&j->owner->reach.core, now) &&
+		     entry_handoff_others_lack_path(j->owner, now);
 
-	if (j->carried || (j->path_waits >= most && !pause)) {
+	/* A stream that has begun can go on through this node only. */
+	if (j->carried ||
+	    (j->path_waits >= most && !pause && !j->answer_began)) {
 		job_fail(j, now, JOB_NO_PATH);
 		return;
 	}
 	/* Carriers without a path are asked anew after a while. */
-	if (pause) {
+	if (pause || j->answer_began) {
 		j->handoffs = 0;
 		j->owner->handoff.counters.path_waits++;
 	}
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -38,8 +38,8 @@
 /* ---- sending ---- */
 
 /*
- * Attempts on servers that the route still allows, beside one that has not
- * ended.
+ * Attempts on servers that the route still allows, beside one that was sent and
+ * has not ended.
  */
 static unsigned int
 job_attempts_left(const struct job *j)
@@ -63,6 +63,14 @@
 	       entry_carrier_choose(j->owner, now) != NULL;
 }
 
+bool
+entry_handoff_others_lack_path(const struct entry *e, msec now)
+{
+	msec told = e->handoff.no_path_at;
+
+	return told != 0 && now - told < REACH_PAUSE_MS;
+}
+
 bool
 entry_handoff_wanted(const struct job *j)
 {
@@ -172,6 +180,19 @@
 	j->arrivals++;
 }
 
+/* Without this carrier: with the attempt that was kept, or a new one. */
+static void
+handoff_go_on(struct job *j, msec now, enum job_code why)
+{
+	if (j->kept_link != NULL) {
+		job_stay_with_kept(j, now);
+		return;
+	}
+	job_give_back_retry(j, now);
+	entry_handoff_release(j);
+	job_handoff_failed(j, now, why);
+}
+
 static void
 handoff_fail(struct job *j, msec now, enum job_code why)
 {
@@ -186,16 +207,12 @@
 	    LOG_TEXT(LOG_KEY_MAY_HAVE_RUN, j->may_have_run ? "yes" : "no"),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
 	entry_carrier_avoid(c, now, why, j->carrier_began);
+	if (why == JOB_NO_PATH)
+		e->handoff.no_path_at = now;
 	/* It is asked again; nothing was tried. */
 	if (why == JOB_STARTING)
 		j->handoffs--;
-	if (j->kept_link != NULL) {
-		job_stay_with_kept(j, now);
-		return;
-	}
-	job_give_back_retry(j, now);
-	entry_handoff_release(j);
-	job_handoff_failed(j, now, why);
+	handoff_go_on(j, now, why);
 }
 
 static bool
@@ -322,7 +339,7 @@
 	/* Another node, or this one, may still have it run. */
 	if (j->kept_link != NULL ||
 	    (j->outcome == JOB_NO_PATH && j->repeatable)) {
-		handoff_fail(j, now, JOB_BROKEN);
+		handoff_go_on(j, now, JOB_BROKEN);
 		return;
 	}
 	entry_handoff_release(j);
--- a/entry-handoff.h
+++ b/entry-handoff.h
@@ -38,6 +38,7 @@
 struct entry_handoff {
 	struct entry_carrier_list carriers;
 	struct loop_timer timer;
+	msec no_path_at; /* another node had no path either; 0: never */
 	struct entry_handoff_counters counters;
 };
 
@@ -47,6 +48,8 @@
 bool entry_handoff_possible(const struct job *);
 /* The same, and there is such a node. */
 bool entry_handoff_has_carrier(const struct job *, msec);
+/* Has another node lately said that it has no path to the servers, either? */
+bool entry_handoff_others_lack_path(const struct entry *, msec);
 /* Should the request's next attempt be on another node? */
 bool entry_handoff_wanted(const struct job *);
 /*
