What is still connecting does not count as an attempt of its route

The fault came with: an attempt that is kept counts, and one that has sent nothing was counted, too.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -44,7 +44,7 @@
 static unsigned int
 job_attempts_left(const struct job *j)
 {
-	unsigned int used = j->runs + (j->carrier == NULL && j->link != NULL);
+	unsigned int used = j->runs + (j->carrier == NULL && job_is_sent(j));
 
 	return used < j->route->attempts ? j->route->attempts - used : 0;
 }
