A server that was left for the path's sake is not tried

proc-silent-servers all-long, on: one of 386 requests got 502 in a run of check, one of 402 in two of eight copies, all beside load.

Traced by the nodes' logs: two servers had been given up as silent, the request was connecting to the third as the path was found cut, 2.3 s into a pause of 2.4 s. It was handed off, refused, and waited; the path came back after 100 ms, but all three servers counted as tried, so there was none left.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -723,6 +723,9 @@
 void
 job_leave_server(struct job *j, msec now)
 {
+	/* Its cause is the path: the server may be tried again. */
+	if (j->ntried > 0 && j->tried[j->ntried - 1] == j->server->id)
+		j->ntried--;
 	j->sends--;
 	j->unreachable++;
 	job_cancel(j, now, SERVER_NO_RESULT);
