--- a/entry-caller.c
+++ b/entry-caller.c
@@ -273,6 +273,7 @@
 {
 	entry_log(&c->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
 	    LOG_NUMBER(LOG_KEY_STATUS, status),
+	    LOG_TEXT(LOG_KEY_KIND, c->ops->name),
 	    LOG_TEXT(LOG_KEY_REASON, "not a valid HTTP/1.1 request"));
 	caller_refuse(c, now, status, "");
 }
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -479,7 +479,7 @@
 static void handoff_request(struct caller *, msec);
 
 const struct caller_ops handoff_caller_ops = { handoff_request, job_caller_gone,
-	job_caller_drained };
+	job_caller_drained, "node" };
 
 static void
 handoff_request(struct caller *c, msec now)
--- a/entry-job.c
+++ b/entry-job.c
@@ -34,7 +34,7 @@
 static void job_request(struct caller *, msec);
 
 const struct caller_ops job_caller_ops = { job_request, job_caller_gone,
-	job_caller_drained };
+	job_caller_drained, "caller" };
 
 const char *
 job_code_name(enum job_code c)
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -377,6 +377,7 @@
 	e->memory.refused++;
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
 	    LOG_NUMBER(LOG_KEY_STATUS, 503),
+	    LOG_TEXT(LOG_KEY_KIND, c->ops->name),
 	    LOG_TEXT(LOG_KEY_REASON, "no memory"));
 	if (c->reader.head != NULL &&
 	    e->wire->request(c->reader.head, &r, &reason))
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -14,7 +14,7 @@
 static void metrics_ignore(struct caller *, msec);
 
 const struct caller_ops metrics_caller_ops = { metrics_answer_request,
-	metrics_ignore, metrics_ignore };
+	metrics_ignore, metrics_ignore, "metrics" };
 
 int
 entry_route_stats_compare(
--- a/entry-query.c
+++ b/entry-query.c
@@ -29,7 +29,7 @@
 static void query_ignore(struct caller *, msec);
 
 const struct caller_ops query_caller_ops = { query_request, query_ignore,
-	query_ignore };
+	query_ignore, "query" };
 
 static void
 query_ignore(struct caller *c, msec now)
--- a/entry.h
+++ b/entry.h
@@ -89,6 +89,7 @@
 	void (*gone)(struct caller *, msec);
 	/* The unsent bytes have fallen below CALLER_LOW_WATER. */
 	void (*drained)(struct caller *, msec);
+	const char *name; /* of the kind of caller, for the log */
 };
 
 struct listener_io {
