A carrier reads what another node hands off by fixed limits, and its refusals say so

What callers saw: beside a change of the configuration 502 with seconds left and "may have run", though no server ever saw the request; after it 503 for a second, as a sound carrier was left alone.

Cause: the port for nodes held requests to this node's own limits of head, body and time, before the handoff's version could be looked at, and the refusal (400, 408, 413, 431, 403) named no outcome. An answer without one is read as broken, so as a run. Class: what one node has decided at admission is decided again by another that holds another version; and a refusal without its proof is read as its opposite.

Now the limits belong to the node that speaks to the caller. Between nodes there are fixed ones: the largest that a configuration may set, 10 s to read; bodies stay in the account of memory as before. Every refusal on that port carries an outcome (not-read, or carrier-full for want of memory) that says "no", and the node that handed off asks another one. The listener's ops hold the limits, so that entry-caller.c and entry-memory.c do not ask any more which kind it is.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -38,8 +38,6 @@
  * caller that reads slowly takes nothing, and no server works for it any more.
  */
 #define CALLER_ANSWERED_UNACKED_MS (60 * MSEC_SECOND)
-/* Idle time of other nodes' connections: longer than they keep them. */
-#define CALLER_NODES_IDLE_MS 10000
 /* After shutdown of the sending side, the peer has so long to close. */
 #define CALLER_LINGER_MS 500
 /* A new connection is not closed as idle before this age. */
@@ -47,8 +45,6 @@
 /* Limits of a request while this node has no configuration. */
 #define CALLER_HEAD_MAX 16384
 #define CALLER_BODY_MAX (4 * 1024 * 1024)
-/* Most that another node adds to the head of a request. */
-#define CALLER_HANDOFF_HEAD 1024
 
 static void caller_ready(struct loop_io *, uint32_t);
 static void caller_parse(struct caller *, msec);
@@ -122,27 +118,21 @@
 caller_limits(const struct caller *c)
 {
 	const struct route_table *t = c->owner->table;
-	struct route_limits limits = { CALLER_HEAD_MAX, CALLER_BODY_MAX,
+	const struct route_limits limits = { CALLER_HEAD_MAX, CALLER_BODY_MAX,
 		CALLER_TIMEOUT_MS, CALLER_TIMEOUT_MS };
 
-	if (t != NULL)
-		limits = t->limits;
-	/* The node that hands a request off adds fields to it. */
-	if (c->ops == &handoff_caller_ops)
-		limits.head_bytes += CALLER_HANDOFF_HEAD;
-	return limits;
+	if (c->ops->limits != NULL)
+		return *c->ops->limits;
+	return t != NULL ? t->limits : limits;
 }
 
 /* When the caller's connection, idle now, may be closed. */
 static msec
 caller_idle_end(const struct caller *c, msec now)
 {
-	msec end = idle_limit_end(&c->owner->idle, now, c->idle_since);
-
-	/* The limit is one for callers. */
-	if (c->ops == &handoff_caller_ops)
-		end = MAX(end, c->idle_since + CALLER_NODES_IDLE_MS);
-	return end;
+	if (c->ops->limits != NULL)
+		return c->idle_since + c->ops->limits->idle_timeout;
+	return idle_limit_end(&c->owner->idle, now, c->idle_since);
 }
 
 static void
@@ -271,20 +261,27 @@
 static void
 caller_reject(struct caller *c, msec now, unsigned int status)
 {
+	struct buffer fields = { 0 };
+
 	entry_log(&c->owner->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
 	    LOG_NUMBER(LOG_KEY_STATUS, status),
 	    LOG_TEXT(LOG_KEY_KIND, c->ops->name),
 	    LOG_TEXT(LOG_KEY_REASON, "not a valid HTTP/1.1 request"));
-	caller_refuse(c, now, status, "");
+	caller_refuse(c, now, status, JOB_NOT_READ, &fields);
 }
 
 void
-caller_refuse(
-    struct caller *c, msec now, unsigned int status, const char *fields)
+caller_refuse(struct caller *c, msec now, unsigned int status,
+    enum job_code why, struct buffer *fields)
 {
 	c->busy = true;
 	buffer_finish(&c->in);
-	caller_answer(c, now, status, fields, "text/plain", "", false);
+	if (c->ops->add_refusal_fields != NULL)
+		c->ops->add_refusal_fields(fields, why);
+	buffer_add(fields, "", 1);
+	caller_answer(
+	    c, now, status, buffer_bytes(fields), "text/plain", "", false);
+	buffer_finish(fields);
 }
 
 /* Those that are marked stand first. */
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -24,6 +24,10 @@
 #define HANDOFF_DEADLINE_MARGIN_MS 20
 /* Longest Retry-After of a carrier that is passed on, in seconds. */
 #define HANDOFF_RETRY_AFTER_MAX_S 60.0
+/* Idle time of other nodes' connections: longer than they keep them. */
+#define HANDOFF_IDLE_MS 10000
+/* From the first byte of another node's request to its last. */
+#define HANDOFF_READ_MS 10000
 
 static bool carrier_may_send(struct link *, msec);
 static bool carrier_head(struct link *, const struct http_head *, msec);
@@ -324,7 +328,8 @@
 {
 	return code == JOB_NO_PATH || code == JOB_CARRIER_FULL ||
 	       code == JOB_STARTING || code == JOB_NOT_FRESH ||
-	       code == JOB_LEAVING || code == JOB_NO_MEMORY;
+	       code == JOB_LEAVING || code == JOB_NO_MEMORY ||
+	       code == JOB_NOT_READ;
 }
 
 static void
@@ -477,9 +482,26 @@
 /* ---- carrying ---- */
 
 static void handoff_request(struct caller *, msec);
+static void handoff_add_outcome(struct buffer *, enum job_code);
+
+/*
+ * The node that speaks to the caller has applied the limits of its
+ * configuration, which may be another one.
+ */
+static const struct route_limits handoff_limits = { ROUTE_HEAD_BYTES_MAX +
+							HANDOFF_HEAD_BYTES,
+	ROUTE_BODY_BYTES_MAX, HANDOFF_READ_MS, HANDOFF_IDLE_MS };
 
 const struct caller_ops handoff_caller_ops = { handoff_request, job_caller_gone,
-	job_caller_drained, "node" };
+	job_caller_drained, "node", &handoff_limits, handoff_add_outcome };
+
+/* Nothing was made of the request, so nothing can have run. */
+static void
+handoff_add_outcome(struct buffer *fields, enum job_code why)
+{
+	buffer_printf(
+	    fields, HANDOFF_OUTCOME_FIELD ": %s no\r\n", job_code_name(why));
+}
 
 static void
 handoff_request(struct caller *c, msec now)
@@ -490,13 +512,14 @@
 	struct handoff_request r = { h->method, h->target,
 		buffer_bytes(&c->body), buffer_length(&c->body) };
 	struct handoff_terms terms;
+	struct buffer fields = { 0 };
 
 	if (text == NULL || http_head_count(h, HANDOFF_FIELD) != 1 ||
 	    !handoff_decode(&terms, e->settings->peer_key, &r, text)) {
 		entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
 		    LOG_TEXT(LOG_KEY_REASON,
 			"not handed off by a node of this deployment"));
-		caller_answer(c, now, 403, "", "text/plain", "", false);
+		caller_refuse(c, now, 403, JOB_NOT_READ, &fields);
 		return;
 	}
 	job_begin(c, now, &terms);
--- a/entry-job.c
+++ b/entry-job.c
@@ -44,7 +44,7 @@
 		"no-server", "full", "overloaded", "unreachable", "no-budget",
 		"broken", "timeout", "stopped", "leaving", "limited", "resting",
 		"no-room", "poison", "no-path", "version", "carrier-full",
-		"no-memory", "caller-gone" };
+		"not-read", "no-memory", "caller-gone" };
 
 	return names[c];
 }
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -384,12 +384,7 @@
 		e->wire->own(&fields, r.id);
 	buffer_printf(&fields, "Retry-After: %.3f\r\n",
 	    (double)job_retry_elsewhere(e) / MSEC_SECOND);
-	if (c->ops == &handoff_caller_ops)
-		buffer_printf(&fields, HANDOFF_OUTCOME_FIELD ": %s no\r\n",
-		    job_code_name(JOB_CARRIER_FULL));
-	buffer_add(&fields, "", 1);
-	caller_refuse(c, now, 503, buffer_bytes(&fields));
-	buffer_finish(&fields);
+	caller_refuse(c, now, 503, JOB_CARRIER_FULL, &fields);
 }
 
 void
--- a/entry.h
+++ b/entry.h
@@ -79,6 +79,42 @@
 TAILQ_HEAD(job_list, job);
 TAILQ_HEAD(link_list, link);
 
+/* ---- outcomes: entry-job.c ---- */
+
+/* Outcome of a request or an attempt. */
+enum job_code {
+	JOB_SERVED,	  /* a server's complete answer */
+	JOB_SERVER_ERROR, /* a server's complete answer with status 5xx */
+	JOB_BAD_REQUEST,
+	JOB_NO_ROUTE,
+	JOB_NO_KEY,	  /* the key is missing or unknown */
+	JOB_NOT_FRESH,	  /* no recent proof that the keys are current */
+	JOB_STARTING,	  /* no configuration yet */
+	JOB_NO_SERVER,	  /* no server exists, or all were tried */
+	JOB_FULL,	  /* servers rejected it without running it */
+	JOB_OVERLOADED,	  /* the queue of prompts before it is too long */
+	JOB_UNREACHABLE,  /* connecting to the server failed */
+	JOB_NO_BUDGET,	  /* the retry budget is used up */
+	JOB_BROKEN,	  /* a server's answer failed; it may have run */
+	JOB_TIMEOUT,	  /* of the route, or the caller's deadline */
+	JOB_STOPPED,	  /* this node's stop ended it */
+	JOB_LEAVING,	  /* this node stops before it could end */
+	JOB_LIMITED,	  /* the servers' rate limits allow none now */
+	JOB_RESTING,	  /* all servers have asked for rest */
+	JOB_NO_ROOM,	  /* brittle servers have no room for it */
+	JOB_POISON,	  /* it crashes the servers that run it */
+	JOB_NO_PATH,	  /* no server accepts connections of this node */
+	JOB_VERSION,	  /* which version began the stream is not known */
+	JOB_CARRIER_FULL, /* the node carries too many for other nodes */
+	JOB_NOT_READ,	  /* a carrier could not read it as a request */
+	JOB_NO_MEMORY,	  /* this node holds too much */
+	JOB_CALLER_GONE,  /* the caller disconnected */
+	JOB_CODES
+};
+const char *job_code_name(enum job_code);
+/* The code with a name; JOB_NO_SERVER if there is none. */
+enum job_code job_code_parse(const char *);
+
 /* ---- connections of callers: entry-caller.c ---- */
 
 /* Callbacks of the code that handles the requests of a listener. */
@@ -90,6 +126,10 @@
 	/* The unsent bytes have fallen below CALLER_LOW_WATER. */
 	void (*drained)(struct caller *, msec);
 	const char *name; /* of the kind of caller, for the log */
+	/* Limits of its requests; NULL: those of the configuration. */
+	const struct route_limits *limits;
+	/* Append fields to the refusal of what was not read; NULL: none. */
+	void (*add_refusal_fields)(struct buffer *, enum job_code);
 };
 
 struct listener_io {
@@ -149,10 +189,10 @@
     const char *fields, const char *type, const char *body, bool keep);
 /*
  * The same of a request that is still being read, which is dropped; the
- * connection is closed afterwards.
+ * connection is closed afterwards. Takes over the contents of `fields`.
  */
-void
-caller_refuse(struct caller *, msec, unsigned int status, const char *fields);
+void caller_refuse(struct caller *, msec, unsigned int status, enum job_code,
+    struct buffer *fields);
 /* Close the connection at once; a request in progress is abandoned. */
 void caller_abort(struct caller *, msec);
 /* The caller's request or answer is to be ended; the next such caller. */
@@ -311,39 +351,6 @@
 
 /* ---- requests: entry-job.c, entry-attempt.c, entry-reply.c ---- */
 
-/* Outcome of a request or an attempt. */
-enum job_code {
-	JOB_SERVED,	  /* a server's complete answer */
-	JOB_SERVER_ERROR, /* a server's complete answer with status 5xx */
-	JOB_BAD_REQUEST,
-	JOB_NO_ROUTE,
-	JOB_NO_KEY,	  /* the key is missing or unknown */
-	JOB_NOT_FRESH,	  /* no recent proof that the keys are current */
-	JOB_STARTING,	  /* no configuration yet */
-	JOB_NO_SERVER,	  /* no server exists, or all were tried */
-	JOB_FULL,	  /* servers rejected it without running it */
-	JOB_OVERLOADED,	  /* the queue of prompts before it is too long */
-	JOB_UNREACHABLE,  /* connecting to the server failed */
-	JOB_NO_BUDGET,	  /* the retry budget is used up */
-	JOB_BROKEN,	  /* a server's answer failed; it may have run */
-	JOB_TIMEOUT,	  /* of the route, or the caller's deadline */
-	JOB_STOPPED,	  /* this node's stop ended it */
-	JOB_LEAVING,	  /* this node stops before it could end */
-	JOB_LIMITED,	  /* the servers' rate limits allow none now */
-	JOB_RESTING,	  /* all servers have asked for rest */
-	JOB_NO_ROOM,	  /* brittle servers have no room for it */
-	JOB_POISON,	  /* it crashes the servers that run it */
-	JOB_NO_PATH,	  /* no server accepts connections of this node */
-	JOB_VERSION,	  /* which version began the stream is not known */
-	JOB_CARRIER_FULL, /* the node carries too many for other nodes */
-	JOB_NO_MEMORY,	  /* this node holds too much */
-	JOB_CALLER_GONE,  /* the caller disconnected */
-	JOB_CODES
-};
-const char *job_code_name(enum job_code);
-/* The code with a name; JOB_NO_SERVER if there is none. */
-enum job_code job_code_parse(const char *);
-
 struct job {
 	TAILQ_ENTRY(job) entry;
 	struct entry *owner;
--- a/handoff.h
+++ b/handoff.h
@@ -20,6 +20,8 @@
 /* Field of a request that was handed off, and its longest value. */
 #define HANDOFF_FIELD "Savory-Handoff"
 #define HANDOFF_TEXT_SIZE 256
+/* Most that a node adds to a head that it passes on to another one. */
+#define HANDOFF_HEAD_BYTES 1024
 /* Field of a carrier's own answers, which no server has given. */
 #define HANDOFF_OUTCOME_FIELD "Savory-Outcome"
 /* Longest text of a caller's address. */
--- a/route.h
+++ b/route.h
@@ -68,6 +68,10 @@
 	unsigned int priority; /* see route_rank() */
 };
 
+/* Largest limits that a configuration may set, in bytes. */
+#define ROUTE_HEAD_BYTES_MAX (1 << 20)
+#define ROUTE_BODY_BYTES_MAX (1 << 30)
+
 /* Limits on callers' requests. */
 struct route_limits {
 	unsigned int head_bytes;
