A head with the most fields can be handed off

What callers saw: 502 at a node without a path to the servers, for a request with 128 fields that every other node takes.

Cause: the first node adds fields of its own, and the carrier's reader stopped at the same 128. The same holds on the way back: a carrier adds fields to the answer that it passes on. Between nodes a reader now takes 144 fields, and 1,024 bytes more of an answer's head.

Evidence: /carrier/most-fields.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -158,6 +158,8 @@
 	limits = caller_limits(c);
 	http_reader_init(&c->reader, true, limits.head_bytes, limits.body_bytes,
 	    caller_body, c);
+	if (c->ops->fields_max > 0)
+		c->reader.fields_max = c->ops->fields_max;
 	loop_timer_init(&c->timer, caller_timer, c);
 	TAILQ_INSERT_TAIL(&e->callers, c, entry);
 	if (c->delays_stop)
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -493,7 +493,8 @@
 	ROUTE_BODY_BYTES_MAX, HANDOFF_READ_MS, HANDOFF_IDLE_MS };
 
 const struct caller_ops handoff_caller_ops = { handoff_request, job_caller_gone,
-	job_caller_drained, "node", &handoff_limits, handoff_add_outcome };
+	job_caller_drained, "node", &handoff_limits, HTTP_FIELDS_MAX_NODES,
+	handoff_add_outcome };
 
 /* Nothing was made of the request, so nothing can have run. */
 static void
--- a/entry-link.c
+++ b/entry-link.c
@@ -217,6 +217,19 @@
 	link_free(k);
 }
 
+/* A node adds fields to the answer that it passes on. */
+static void
+link_init_reader(struct link *k)
+{
+	bool node = !link_leads_to_server(k->owner, k->server);
+
+	http_reader_init(&k->reader, false,
+	    LINK_HEAD_MAX + (node ? HANDOFF_HEAD_BYTES : 0), LINK_BODY_MAX,
+	    link_answer_body, k);
+	if (node)
+		k->reader.fields_max = HTTP_FIELDS_MAX_NODES;
+}
+
 static struct link *
 link_connect(struct entry *e, struct server *v, bool patient, msec now)
 {
@@ -229,8 +242,7 @@
 			? NET_OWN_DOMAIN
 			: NET_OTHER_DOMAIN;
 	v->links++;
-	http_reader_init(&k->reader, false, LINK_HEAD_MAX, LINK_BODY_MAX,
-	    link_answer_body, k);
+	link_init_reader(k);
 	loop_timer_init(&k->timer, link_timer, k);
 	if (!link_begin_connect(k)) {
 		link_discard(k, now);
--- a/entry.h
+++ b/entry.h
@@ -128,6 +128,7 @@
 	const char *name; /* of the kind of caller, for the log */
 	/* Limits of its requests; NULL: those of the configuration. */
 	const struct route_limits *limits;
+	unsigned int fields_max; /* of a head; 0: HTTP_FIELDS_MAX */
 	/* Append fields to the refusal of what was not read; NULL: none. */
 	void (*add_refusal_fields)(struct buffer *, enum job_code);
 };
--- a/http-message.c
+++ b/http-message.c
@@ -70,6 +70,7 @@
 {
 	*r = (struct http_reader){ .body = body,
 		.arg = arg,
+		.fields_max = HTTP_FIELDS_MAX,
 		.head_max = head_max,
 		.body_max = body_max };
 	http_parser_init(&r->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
@@ -226,7 +227,7 @@
 				return false;
 			continue;
 		}
-		if (h->nfields == HTTP_FIELDS_MAX)
+		if (h->nfields == r->fields_max)
 			return false;
 		if (!field_split(
 			line, (size_t)(crlf - line), &h->fields[h->nfields]))
--- a/http-message.h
+++ b/http-message.h
@@ -16,6 +16,8 @@
 
 /* Heads with more fields are rejected. */
 #define HTTP_FIELDS_MAX 128
+/* The same between nodes, which add fields to what they pass on. */
+#define HTTP_FIELDS_MAX_NODES 144
 
 /* One header field; the strings point into the reader's memory. */
 struct http_field {
@@ -35,7 +37,7 @@
 	bool until_close;    /* the body ends when the connection closes */
 	uint64_t length;     /* of the body, if sized */
 	unsigned int nfields;
-	struct http_field fields[HTTP_FIELDS_MAX];
+	struct http_field fields[HTTP_FIELDS_MAX_NODES];
 };
 
 /* How far a message has been parsed. */
@@ -66,7 +68,8 @@
 	void *arg;
 	enum http_stage stage;
 	enum http_error error;
-	struct http_head *head; /* from HTTP_STAGE_BODY on */
+	struct http_head *head;	 /* from HTTP_STAGE_BODY on */
+	unsigned int fields_max; /* HTTP_FIELDS_MAX, unless set by the user */
 	size_t head_max;
 	uint64_t body_max;
 	uint64_t body_len;     /* passed to body() so far */
