A node whose listed servers are mostly gone finds those that serve at once

Cause: the path is taken for cut, rightly doubted, and its probes go to two of 43 servers each 250 ms, though each is refused at once. Besides, a probe that connect() itself refuses counted as one that timed out, so that it was no sign against a pause of all servers.

Now pairs of probes follow each other while answers or refusals come at once, 32 pairs a cut at the most; what times out waits as before. Class: a verdict over all from a sample that one bad part fills.

--- a/entry-log.c
+++ b/entry-log.c
@@ -90,7 +90,8 @@
 	    "A backend server names the requests a second that it takes, "
 	    "another number of them, or none any more." },
 	[LOG_EVENT_REFUSED] = { "refused",
-	    "What came is no request that can be understood." },
+	    "What came is no request that can be understood; kind: "
+	    "from whom." },
 	[LOG_EVENT_RELOAD] = { "reload", "The settings were read again: taken "
 					 "up, or what is wrong with them." },
 	[LOG_EVENT_REQUEST] = { "request", "A request has ended." },
--- a/entry-reach.c
+++ b/entry-reach.c
@@ -122,7 +122,10 @@
 	e->counters.connects++;
 	p->io.fd = link_open_socket(e, v->address, v->port);
 	if (p->io.fd == -1 || !loop_watch(&e->loop, &p->io, EPOLLOUT)) {
-		probe_end(p, REACH_PROBE_FAILED, now);
+		probe_end(p,
+		    errno == ECONNREFUSED ? REACH_PROBE_REFUSED
+					  : REACH_PROBE_FAILED,
+		    now);
 		return;
 	}
 	loop_timer_set(&e->loop, &p->timer, now + REACH_PROBE_TIMEOUT_MS);
--- a/reach.c
+++ b/reach.c
@@ -27,7 +27,8 @@
 	if (cut) {
 		r->counters.cuts++;
 		r->wanted = REACH_BACK_SERVERS;
-		r->next_probe = now + REACH_CUT_PROBE_MS;
+		r->next_probe = r->refused ? now : now + REACH_CUT_PROBE_MS;
+		r->sweep = REACH_SWEEP_PAIRS;
 	} else {
 		r->wanted = 0;
 		r->next_probe = now + REACH_ROUND_MS;
@@ -276,6 +277,16 @@
 	reach_set_cut(r, now, false);
 }
 
+/* What is told at once costs no time, so the next servers are asked. */
+static void
+reach_sweep_on(struct reach *r, msec now)
+{
+	if (!r->cut || r->probing > 0 || r->sweep == 0)
+		return;
+	r->sweep--;
+	r->next_probe = now;
+}
+
 static bool
 probe_shows_path(
     const struct reach *r, msec now, enum reach_probe_result result)
@@ -297,6 +308,9 @@
 	r->counters.probes_failed += result != REACH_PROBE_ANSWERED;
 	if (r->cut) {
 		reach_cut_probe_ended(r, now, server, works, nservers);
+		if (result == REACH_PROBE_REFUSED ||
+		    result == REACH_PROBE_ANSWERED)
+			reach_sweep_on(r, now);
 		return;
 	}
 	if (result == REACH_PROBE_ANSWERED)
--- a/reach.h
+++ b/reach.h
@@ -44,6 +44,11 @@
 /* While the path is cut: interval between pairs, at least if requests wait. */
 #define REACH_CUT_PROBE_MS 250
 #define REACH_HURRY_MS 50
+/*
+ * After a cut, so many pairs follow each other at once while servers refuse
+ * connections: most of those that are listed may be gone.
+ */
+#define REACH_SWEEP_PAIRS 32
 /* A failure counts for this time. */
 #define REACH_EVIDENCE_MS (4 * MSEC_SECOND)
 /* All servers may be silent for so long after the cut, and go on. */
@@ -104,6 +109,7 @@
 	unsigned int wanted;  /* probes to start */
 	msec next_probe;      /* no probes before */
 	msec last_probe;      /* the last one was started */
+	unsigned int sweep;   /* pairs that may still follow at once */
 	/* While cut: a server that answered and has not failed since; 0. */
 	name_id back;
 	/* Servers that answered last on new connections. */
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -249,6 +249,45 @@
 	g_assert_cmpuint(w.reach.counters.cuts, ==, 1);
 }
 
+/* Guards against the same for seconds, as it asks two of them at a time. */
+static void
+test_most_gone_at_start_long(void)
+{
+	struct world w;
+	msec begin;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS - 2, REFUSES);
+	begin = w.now;
+	do {
+		world_fail(&w, 0);
+		world_fail(&w, 1);
+		world_run(&w, 10);
+	} while (w.reach.counters.cuts == 0);
+	world_run(&w, 100);
+	g_assert_false(reach_is_cut(&w.reach));
+	g_assert_cmpint(w.now - begin, <, REACH_CUT_PROBE_MS);
+}
+
+/* Guards against a storm of probes where all connections are refused. */
+static void
+test_refused_sweep(void)
+{
+	struct world w;
+
+	world_init(&w);
+	world_set(&w, 0, SERVERS, REFUSES);
+	while (!reach_is_cut(&w.reach)) {
+		world_fail(&w, 0);
+		world_run(&w, 10);
+	}
+	world_run(&w, STABLE_MS);
+	w.started = 0;
+	world_run(&w, MSEC_SECOND);
+	g_assert_cmpuint(w.started, <=,
+	    REACH_BACK_SERVERS * MSEC_SECOND / REACH_CUT_PROBE_MS);
+}
+
 /* Guards against one service that is down as a whole. */
 static void
 test_one_service_down(void)
@@ -512,6 +551,9 @@
 	g_test_add_func("/reach/some-crash", test_some_crash);
 	g_test_add_func("/reach/most-gone", test_most_gone);
 	g_test_add_func("/reach/most-gone-at-start", test_most_gone_at_start);
+	g_test_add_func(
+	    "/reach/most-gone-at-start-long", test_most_gone_at_start_long);
+	g_test_add_func("/reach/refused-sweep", test_refused_sweep);
 	g_test_add_func("/reach/one-service-down", test_one_service_down);
 	g_test_add_func("/reach/accept-reset", test_accept_reset);
 	g_test_add_func("/reach/accept-silent", test_accept_silent);
