What was admitted to run once is carried so

What callers saw: a request that may run once (a route of that kind, or a stream that is not resumable) could be run by two servers, if it was handed off to a node whose newer configuration calls the route idempotent.

Cause: the carrier took from its own route whether a request may be sent to a second server. Class: what one node has decided at admission is decided again by another that holds another version.

The handoff now says whether the request was admitted as one that may run once (the field's version is 3; a node with the version before refuses it as not-read and is passed over), and the carrier sends it anew only if its own route says so, too.

Evidence (x86_64, plain build): /carrier/kind, servers that reset, failed before: seen 2 times, 1 expected. It passes, and what was admitted as repeatable is still seen twice there. /handoff/field failed before for want of the word, and passes.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -91,7 +91,8 @@
 	struct handoff_terms ht = { .configuration = j->table->version,
 		.attempts = j->handoff_attempts,
 		.counted = j->counted,
-		.software = j->software_id };
+		.software = j->software_id,
+		.once = !j->repeatable };
 	struct handoff_request r = { j->head->method, j->head->target,
 		buffer_bytes(&j->caller->body),
 		buffer_length(&j->caller->body) };
--- a/entry-job.c
+++ b/entry-job.c
@@ -488,7 +488,8 @@
 		return;
 	}
 	job_set_fingerprint(j, terms);
-	j->repeatable = route_is_repeatable(j->route);
+	j->repeatable =
+	    route_is_repeatable(j->route) && (terms == NULL || !terms->once);
 	j->service = route_service_draw(j->route, g_rand_int(e->rand));
 	job_set_deadline(j, now);
 	if (!entry_stop_leaves_time(e, j, now)) {
--- a/handoff.c
+++ b/handoff.c
@@ -9,9 +9,9 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define HANDOFF_VERSION "2"
+#define HANDOFF_VERSION "3"
 /* Words of the field before its code. */
-#define HANDOFF_WORDS 7
+#define HANDOFF_WORDS 8
 /*
  * Requests that a carrier carries at a time, which bounds its memory; requests
  * of rank r leave r / HANDOFF_RANKS of them to more urgent ones.
@@ -55,9 +55,9 @@
 	char words[HANDOFF_TEXT_SIZE], hex[2 * MAC_SIZE + 1];
 
 	g_snprintf(words, sizeof words,
-	    HANDOFF_VERSION " %s %s %" PRIu64 " %u %u %" PRIu64, t->node,
+	    HANDOFF_VERSION " %s %s %" PRIu64 " %u %u %" PRIu64 " %u", t->node,
 	    *t->caller != '\0' ? t->caller : "-", t->configuration, t->attempts,
-	    t->counted, t->software);
+	    t->counted, t->software, t->once);
 	handoff_code(key, words, r, hex);
 	g_snprintf(text, HANDOFF_TEXT_SIZE, "%s %s", words, hex);
 }
@@ -71,7 +71,7 @@
 static bool
 words_parse(struct handoff_terms *t, char **w)
 {
-	uint64_t attempts, counted;
+	uint64_t attempts, counted, once;
 
 	*t = (struct handoff_terms){ 0 };
 	if (g_strv_length(w) != HANDOFF_WORDS ||
@@ -80,13 +80,15 @@
 	    !number_parse(w[3], UINT64_MAX, &t->configuration) ||
 	    !number_parse(w[4], G_MAXUINT, &attempts) || attempts == 0 ||
 	    !number_parse(w[5], 1, &counted) ||
-	    !number_parse(w[6], UINT64_MAX, &t->software))
+	    !number_parse(w[6], UINT64_MAX, &t->software) ||
+	    !number_parse(w[7], 1, &once))
 		return false;
 	g_strlcpy(t->node, w[1], sizeof t->node);
 	if (strcmp(w[2], "-") != 0)
 		g_strlcpy(t->caller, w[2], sizeof t->caller);
 	t->attempts = (unsigned int)attempts;
 	t->counted = counted != 0;
+	t->once = once != 0;
 	return true;
 }
 
--- a/handoff.h
+++ b/handoff.h
@@ -35,6 +35,7 @@
 	unsigned int attempts;	/* servers that it may be sent to */
 	bool counted;		/* counted for the retry budget already */
 	name_id software;	/* version that must serve it; 0: any */
+	bool once;		/* it may run once, whatever its route says */
 };
 
 /* The request that the terms belong to. */
--- a/tests/test-handoff.c
+++ b/tests/test-handoff.c
@@ -11,7 +11,8 @@
 #define CANDIDATES 10
 
 static const struct handoff_request request = { "POST", "/a/b", "body", 4 };
-static const struct handoff_terms terms = { "n-1", "192.0.2.7", 17, 2, true };
+static const struct handoff_terms terms = { "n-1", "192.0.2.7", 17, 2, true, 9,
+	true };
 
 static void
 test_field(void)
@@ -26,6 +27,8 @@
 	g_assert_cmpuint(got.configuration, ==, 17);
 	g_assert_cmpuint(got.attempts, ==, 2);
 	g_assert_true(got.counted);
+	g_assert_cmpuint(got.software, ==, 9);
+	g_assert_true(got.once);
 }
 
 /* Guards against a caller that writes the field itself, or copies one. */
