A carrier keeps to the time that a request was admitted with

What callers saw: 504 before the time that the route allowed when the request was admitted, if it was handed off to a node whose newer configuration has a shorter timeout; what may run once is lost with it.

Cause: the carrier took the smaller one of its own route's timeout and the deadline that was handed over. The node that speaks to the caller has applied its route's timeout already. Class: what one node has decided at admission is decided again by another that holds another version.

A carrier now takes the deadline that is handed over; its own route's timeout holds only if there is none.

--- a/entry-job.c
+++ b/entry-job.c
@@ -375,9 +375,11 @@
 {
 	msec wait = j->route->timeout;
 
-	if (j->request.deadline > 0)
-		wait = wait > 0 ? MIN(wait, j->request.deadline)
-				: j->request.deadline;
+	/* The node that handed it off has applied its route's timeout. */
+	if (j->request.deadline > 0 && (wait == 0 || j->carried))
+		wait = j->request.deadline;
+	else if (j->request.deadline > 0)
+		wait = MIN(wait, j->request.deadline);
 	j->deadline = wait > 0 ? j->arrived + wait : MSEC_NEVER;
 	loop_timer_set(&j->owner->loop, &j->timer, j->deadline);
 }
