404 and 401 are not said of what may have run

What callers saw: 404, or 401, for a request that a server had got, as its route or its key was taken away between that attempt and the next one; alone at one node, and at a carrier that is ahead. Both read as 'was not run'.

Cause: job_status() asked whether the request may have run for all reasons but these two. Class: a decision that is taken anew under a newer configuration, and a refusal that is read as its opposite.

Such a request now ends with 502, like others whose attempt broke; it is still not sent again, and the log and the carrier's outcome name the reason (no-route yes).

Evidence (x86_64, plain build): /carrier/route-removed and key-revoked failed before (404 'no-route yes' and 401 'no-key yes') and pass.

--- a/entry-job.c
+++ b/entry-job.c
@@ -1,10 +1,10 @@
 /*
  * Life cycle of one request, from admission to its answer.
  *
- * The status of an error answer reports whether a server may have executed the
- * request: 429, 503 and 408 mean that it did not and will not run, 502 and 504
- * that it may have run. Once a byte has been sent to a server the request may
- * have run, unless that server answers that it did not.
+ * The status of an error answer of this node reports whether a server may have
+ * executed the request: 503 and 4xx mean that it did not and will not run, 502
+ * and 504 that it may have run. Once a byte has been sent to a server the
+ * request may have run, unless that server answers that it did not.
  */
 
 #define LOG_PART "job"
@@ -232,6 +232,8 @@
 static unsigned int
 job_status(const struct job *j, enum job_code code)
 {
+	if (j->may_have_run)
+		return code == JOB_TIMEOUT || code == JOB_STOPPED ? 504 : 502;
 	switch (code) {
 	case JOB_BAD_REQUEST:
 		return 400;
@@ -239,11 +241,8 @@
 		return 404;
 	case JOB_NO_KEY:
 		return 401;
-	case JOB_TIMEOUT:
-	case JOB_STOPPED:
-		return j->may_have_run ? 504 : 503;
 	default:
-		return j->may_have_run ? 502 : 503;
+		return 503;
 	}
 }
 
