A carrier that can't read a request's head leaves it to another node

What callers saw: 400 for a request that the node which speaks to them had taken, if a carrier (of another version of the software, say) read its fields more strictly.

Cause: job_begin() refused it as a caller's bad request; the node that handed it off passes that on. Class: what one node has decided at admission is decided again by another.

Now the outcome is 'not-read no', and another node is asked.

Evidence (x86_64, plain build): /carrier/unreadable with a head of two keys failed before (400 'bad-request no') and passes.

--- a/entry-job.c
+++ b/entry-job.c
@@ -474,7 +474,8 @@
 		entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_REFUSED,
 		    LOG_TEXT(LOG_KEY_REASON, reason));
 		j->request.id = "";
-		job_fail(j, now, JOB_BAD_REQUEST);
+		job_fail(
+		    j, now, terms != NULL ? JOB_NOT_READ : JOB_BAD_REQUEST);
 		return;
 	}
 	/* The log line needs the id after the head has been freed. */
