A head may be as long as the configuration allows

What callers saw: 400 for a head of more than 80 KB, though max_header_bytes may be up to 1 MB; and, at a node without a path to the servers, the refusal of every carrier for a head a little shorter, as the handoff adds fields to it.

Cause: http-parser has a limit of its own for the whole process, 80 KB; the reader's was checked beside it.

It is raised once to 2 MB, more than any reader is given; each keeps to its own. What follows a chunked body counts against the same and stays bounded.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -493,6 +493,9 @@
 							HANDOFF_HEAD_BYTES,
 	ROUTE_BODY_BYTES_MAX, HANDOFF_READ_MS, HANDOFF_IDLE_MS };
 
+G_STATIC_ASSERT(
+    ROUTE_HEAD_BYTES_MAX + HANDOFF_HEAD_BYTES <= HTTP_HEAD_BYTES_MAX);
+
 const struct caller_ops handoff_caller_ops = { handoff_request, job_caller_gone,
 	job_caller_drained, "node", &handoff_limits, HTTP_FIELDS_MAX_NODES,
 	handoff_add_outcome };
--- a/http-message.c
+++ b/http-message.c
@@ -64,6 +64,18 @@
 
 /* ---- init and finish ---- */
 
+/* The parser's own limit is the process's; each reader has one of its own. */
+static void
+parser_raise_limit(void)
+{
+	static gsize done;
+
+	if (g_once_init_enter(&done)) {
+		http_parser_set_max_header_size(HTTP_HEAD_BYTES_MAX);
+		g_once_init_leave(&done, 1);
+	}
+}
+
 void
 http_reader_init(struct http_reader *r, bool requests, size_t head_max,
     uint64_t body_max, http_body body, void *arg)
@@ -73,6 +85,7 @@
 		.fields_max = HTTP_FIELDS_MAX,
 		.head_max = head_max,
 		.body_max = body_max };
+	parser_raise_limit();
 	http_parser_init(&r->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->parser.data = r;
 }
--- a/http-message.h
+++ b/http-message.h
@@ -14,6 +14,8 @@
 
 #include <http_parser.h>
 
+/* Most that a reader's limit of a head can be. */
+#define HTTP_HEAD_BYTES_MAX (2 << 20)
 /* Heads with more fields are rejected. */
 #define HTTP_FIELDS_MAX 128
 /* The same between nodes, which add fields to what they pass on. */
--- a/tests/test-http-message.c
+++ b/tests/test-http-message.c
@@ -245,6 +245,54 @@
 	g_string_free(g.body, TRUE);
 }
 
+/* Feeds it whole and in pieces; each time it has to end so. */
+static void
+check_long(const GString *text, enum http_stage stage)
+{
+	const size_t pieces[] = { 4096, text->len };
+	struct body_collector g = { g_string_new(NULL) };
+	struct http_reader r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(pieces); i++) {
+		http_reader_init(
+		    &r, true, HTTP_HEAD_BYTES_MAX, BODY_MAX, collect_body, &g);
+		feed_in_pieces(&r, text->str, text->len, pieces[i]);
+		g_assert_cmpint(r.stage, ==, stage);
+		http_reader_finish(&r);
+	}
+	g_string_free(g.body, TRUE);
+}
+
+/* Guards against a smaller limit of the parser's than the reader was given. */
+static void
+test_longest_head(void)
+{
+	static const char start[] = "GET / HTTP/1.1\r\nHost: h\r\nX: ";
+	g_autoptr(GString) text = g_string_new(start);
+	size_t most = HTTP_HEAD_BYTES_MAX - strlen("\r\n\r\n");
+
+	while (text->len < most)
+		g_string_append_c(text, 'v');
+	g_string_append(text, "\r\n\r\n");
+	check_long(text, HTTP_STAGE_COMPLETE);
+	g_string_insert_c(text, (gssize)strlen(start), 'v');
+	check_long(text, HTTP_STAGE_FAILED);
+}
+
+/* Guards against fields after a body without an end. */
+static void
+test_long_trailer(void)
+{
+	g_autoptr(GString) text =
+	    g_string_new("POST / HTTP/1.1\r\nHost: h\r\n"
+			 "Transfer-Encoding: chunked\r\n\r\n0\r\n");
+
+	while (text->len < 2 * HTTP_HEAD_BYTES_MAX)
+		g_string_append(text, "X: some value\r\n");
+	check_long(text, HTTP_STAGE_FAILED);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -256,5 +304,7 @@
 	g_test_add_func("/http-message/pipeline", test_pipeline);
 	g_test_add_func("/http-message/ends", test_ends);
 	g_test_add_func("/http-message/hops", test_hops);
+	g_test_add_func("/http-message/longest-head", test_longest_head);
+	g_test_add_func("/http-message/long-trailer", test_long_trailer);
 	return g_test_run();
 }
