Tests' proxy: its port is not one that the kernel hands out while it refuses

Cause: a proxy took any port that the kernel gave it (bind to port 0). To refuse, it closes its listener; in plans with deadly requests the proxies of servers that ended do so for some 3 s. Meanwhile the port is among those that the kernel gives to whoever connects, and as the source port of a connection elsewhere it cannot be bound again. The ports that test programs draw themselves (port_free_*()) are below the kernel's and held at an address of their own until the program ends: those are not it.

Shown outside of the tests: a listener's port, closed, and a connection that is told to take just this source port: bind() fails with errno 98, as in the log.

Now a proxy draws its port as the others are drawn. No other place listens a second time at a port of the kernel's: stand-ins that start again have a drawn one or take a new one.

--- a/tests/proc-proxy.c
+++ b/tests/proc-proxy.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -188,6 +189,31 @@
 	front_finish(&f);
 }
 
+/* The kernel gives these to whoever connects, or asks for any port. */
+static unsigned int
+kernel_ports_first(void)
+{
+	g_autofree char *text = NULL;
+
+	g_assert_true(g_file_get_contents(
+	    "/proc/sys/net/ipv4/ip_local_port_range", &text, NULL, NULL));
+	return (unsigned int)strtoul(text, NULL, 10);
+}
+
+/* Guards against a port that is another program's after a refusal. */
+static void
+test_ports(void)
+{
+	unsigned int first = kernel_ports_first();
+	struct proxy *tcp = proxy_start(PROXY_TCP, 9, 1);
+	struct proxy *udp = proxy_start(PROXY_UDP, 9, 1);
+
+	g_assert_cmpuint(proxy_port(tcp), <, first);
+	g_assert_cmpuint(proxy_port(udp), <, first);
+	proxy_stop(tcp);
+	proxy_stop(udp);
+}
+
 static void *
 blackhole_call(void *arg)
 {
@@ -447,6 +473,7 @@
 	g_test_add_func("/tcp/cut-request", test_tcp_cut_request);
 	g_test_add_func("/tcp/half-close", test_tcp_half_close);
 	g_test_add_func("/tcp/refuse", test_tcp_refuse);
+	g_test_add_func("/proxy/ports", test_ports);
 	g_test_add_func("/tcp/blackhole", test_tcp_blackhole);
 	g_test_add_func("/tcp/cut-now", test_tcp_cut_now);
 	g_test_add_func("/udp/passes", test_udp_passes);
--- a/tests/util-proxy.c
+++ b/tests/util-proxy.c
@@ -7,6 +7,8 @@
 #define LOG_PART "proxy"
 #include "util-proxy.h"
 
+#include "util-proc.h"
+
 #include <arpa/inet.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -105,16 +107,12 @@
 proxy_listen(struct proxy *x)
 {
 	struct sockaddr_in sin = proxy_address(x->port);
-	socklen_t n = sizeof sin;
 	int one = 1;
 
 	x->listener = proxy_socket(x);
 	setsockopt(x->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-	g_assert_no_errno(bind(x->listener, (struct sockaddr *)&sin, n));
 	g_assert_no_errno(
-	    getsockname(x->listener, (struct sockaddr *)&sin, &n));
-	if (x->port == 0)
-		x->port = ntohs(sin.sin_port);
+	    bind(x->listener, (struct sockaddr *)&sin, sizeof sin));
 	if (x->ops->type == SOCK_STREAM)
 		g_assert_no_errno(listen(x->listener, PROXY_BACKLOG));
 }
@@ -587,6 +585,8 @@
 	struct proxy *x = g_new0(struct proxy, 1);
 
 	x->ops = kind == PROXY_TCP ? &tcp_ops : &udp_ops;
+	/* Not of those that the kernel would hand out while it refuses. */
+	x->port = kind == PROXY_TCP ? port_free_tcp() : port_free_udp();
 	x->target = target;
 	x->faults = proxy_no_faults;
 	x->rand = g_rand_new_with_seed(seed);
