A caller is not refused as late for time in which the node did not run

proc-platform early-answer, thread build, on beside load: 408 where 200 was due, for a body of 16 MB that had 800 ms from its first byte to its last.

Cause: the time of a request went on while the node did not take the bytes that waited for it. It reads 64 KB of a caller on a turn, and a caller whose socket is full can send no more; with the process paused, or slow, the timer fired after one read of what had arrived, and the rest was refused unread.

loop.lost counts the time in which the process did not run, as far as its clock shows it: a wait longer than its timeout or a step longer than 100 ms, by more than 100 ms each, and a wait that a stop interrupted. A request's time goes without it, and without the time for which bytes were left unread at the end of a turn. Bytes that are there as the time ends are read before the verdict, for at most as long again, so that a caller that trickles does not go on for ever.

A sender that itself does not run for 800 ms would get a 408 as before.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -352,6 +352,8 @@
 caller_request_begins(struct caller *c, msec now)
 {
 	c->request_began = now;
+	c->lost_before = c->owner->loop.lost;
+	c->delayed = 0;
 	c->reader.head_max = c->reader.body_max = 0;
 	loop_timer_set(
 	    &c->owner->loop, &c->timer, now + caller_limits(c).head_timeout);
@@ -401,6 +403,15 @@
 	}
 }
 
+/* Since the last reading, bytes of the request have waited for this node. */
+static void
+caller_count_delay(struct caller *c, msec now)
+{
+	if (c->behind)
+		c->delayed += now - MAX(c->progress, c->request_began);
+	c->behind = false;
+}
+
 /* False when the caller is freed. */
 static bool
 caller_read(struct caller *c, msec now)
@@ -412,6 +423,7 @@
 	size_t took = 0;
 	ssize_t n;
 
+	caller_count_delay(c, now);
 	/* The rest is read on the next turn, after what others have sent. */
 	while (took < most) {
 		if (c->busy && !caller_reads_ahead(c))
@@ -442,6 +454,7 @@
 		c->eof = true;
 		return true;
 	}
+	c->behind = true;
 	return true;
 }
 
@@ -517,14 +530,29 @@
 	caller_abort(c, now);
 }
 
-/* The request did not arrive in the time that it had when it began. */
+/*
+ * When the request is late: the time in which this node did not run, or did not
+ * take the bytes that had arrived, is not the caller's.
+ */
+static msec
+caller_request_end(const struct caller *c)
+{
+	return c->request_began + caller_limits(c).head_timeout + c->delayed +
+	       c->owner->loop.lost - c->lost_before;
+}
+
+/*
+ * The request did not arrive in the time that it had when it began. What has
+ * arrived is read first; without end, a caller that trickles could go on so.
+ */
 static void
 caller_request_late(struct caller *c, msec now)
 {
-	msec end = c->request_began + caller_limits(c).head_timeout;
+	msec end = caller_request_end(c);
+	msec last = end + caller_limits(c).head_timeout;
 
-	if (now < end)
-		loop_timer_set(&c->owner->loop, &c->timer, end);
+	if (now < end || (now < last && caller_has_unread(c)))
+		loop_timer_set(&c->owner->loop, &c->timer, MAX(end, now + 1));
 	else
 		caller_reject(c, now, 408);
 }
--- a/entry.h
+++ b/entry.h
@@ -150,17 +150,20 @@
 	struct buffer body;
 	struct buffer out;
 	struct loop_timer timer;
-	struct job *job;    /* the current request, or NULL */
-	bool busy;	    /* a request waits for its answer */
-	bool closing;	    /* closes when all is written */
-	bool write_closed;  /* the sending side is closed; waits for the peer */
-	bool eof;	    /* the peer has closed its sending side */
-	bool delays_stop;   /* from the listener */
-	bool to_end;	    /* see caller_mark_to_end() */
-	msec accepted;	    /* time of accept() */
-	msec idle_since;    /* the last answer, or accept() */
-	msec progress;	    /* bytes of its request or answer moved last */
-	msec request_began; /* first byte of the request being read */
+	struct job *job;   /* the current request, or NULL */
+	bool busy;	   /* a request waits for its answer */
+	bool closing;	   /* closes when all is written */
+	bool write_closed; /* the sending side is closed; waits for the peer */
+	bool eof;	   /* the peer has closed its sending side */
+	bool delays_stop;  /* from the listener */
+	bool to_end;	   /* see caller_mark_to_end() */
+	bool behind;	   /* not all that had arrived was read */
+	msec accepted;	   /* time of accept() */
+	msec idle_since;   /* the last answer, or accept() */
+	msec progress;	   /* bytes of its request or answer moved last */
+	/* First byte of the request being read, and loop.lost at that time. */
+	msec request_began, lost_before;
+	msec delayed;	    /* of it, bytes waited so long for this node */
 	uint64_t served;    /* answers completed */
 	uint64_t discarded; /* bytes read after the last answer */
 };
--- a/loop.c
+++ b/loop.c
@@ -12,6 +12,8 @@
 #define LOOP_BATCH 64
 /* Timers wait for so long at the most, in ms, while events are handled. */
 #define LOOP_TURN_MS 100
+/* A step that takes so much longer than it should was held up. */
+#define LOOP_HELD_UP_MS 100
 /* The longest wait, also without a timer. */
 #define LOOP_IDLE_MS 1000
 
@@ -111,11 +113,11 @@
 }
 
 static int
-loop_wait_ms(struct loop *l)
+loop_wait_ms(struct loop *l, msec start)
 {
 	struct loop_timer *t = RB_MIN(loop_timers, &l->timers);
 
-	l->wait_start = msec_now();
+	l->wait_start = start;
 	if (t == NULL)
 		return LOOP_IDLE_MS;
 	return (int)CLAMP(t->due - l->wait_start, 0, LOOP_IDLE_MS);
@@ -133,6 +135,32 @@
 	}
 }
 
+static void
+loop_count_lost(struct loop *l, msec span, msec expected)
+{
+	if (span - expected > LOOP_HELD_UP_MS)
+		l->lost += span - expected;
+}
+
+/* Wait for events, or only look. */
+static int
+loop_wait(struct loop *l, bool waits)
+{
+	msec start = msec_now();
+	int most = waits ? loop_wait_ms(l, start) : 0;
+	int n;
+
+	loop_count_lost(l, start - l->now, LOOP_TURN_MS);
+	n = epoll_wait(l->epoll_fd, batch, LOOP_BATCH, most);
+	l->now = msec_now();
+	/* Only a process that was stopped is interrupted. */
+	if (n == -1 && errno == EINTR)
+		l->lost += l->now - start;
+	else
+		loop_count_lost(l, l->now - start, most);
+	return n;
+}
+
 /* Fetch the events that are ready; the first batch of a turn waits for some. */
 static int
 loop_fetch(struct loop *l, bool first)
@@ -145,9 +173,7 @@
 	 * responses that are waiting to be read.
 	 */
 	do {
-		n = epoll_wait(l->epoll_fd, batch, LOOP_BATCH,
-		    first ? loop_wait_ms(l) : 0);
-		l->now = msec_now();
+		n = loop_wait(l, first);
 	} while (n == -1 && errno == EINTR);
 	return MAX(n, 0);
 }
--- a/loop.h
+++ b/loop.h
@@ -56,6 +56,8 @@
 	 */
 	msec previous_wait_start;
 	msec wait_start; /* when this iteration's wait started */
+	/* Time so far in which the process did not run, as far as it shows. */
+	msec lost;
 };
 
 bool loop_init(struct loop *);
--- a/tests/test-loop.c
+++ b/tests/test-loop.c
@@ -4,10 +4,15 @@
 
 #include "loop.h"
 
+#include <sys/wait.h>
+
+#include <signal.h>
 #include <unistd.h>
 
 /* More than one call takes from the kernel. */
 #define MANY 500
+/* The process does not run for so long. */
+#define HELD_UP_MS 300
 
 struct peer {
 	struct loop_io io;
@@ -119,6 +124,76 @@
 	loop_finish(&l);
 }
 
+static void
+loop_ends(struct loop_timer *t, msec now)
+{
+	struct loop *l = t->arg;
+
+	l->stopping = true;
+}
+
+static void
+loop_is_held_up(struct loop_timer *t, msec now)
+{
+	g_usleep(HELD_UP_MS * 1000);
+}
+
+/* How much of the time the loop takes as lost. */
+static msec
+loop_lost(void (*fire)(struct loop_timer *, msec))
+{
+	struct loop_timer held_up, end;
+	struct loop l;
+
+	g_assert_true(loop_init(&l));
+	loop_timer_init(&held_up, fire, &l);
+	loop_timer_init(&end, loop_ends, &l);
+	loop_timer_set(&l, &held_up, l.now + 1);
+	loop_timer_set(&l, &end, l.now + 3 * (msec)HELD_UP_MS);
+	loop_run(&l);
+	loop_finish(&l);
+	return l.lost;
+}
+
+/* A callback that took the process's time counts as time of others. */
+static void
+test_lost_in_step(void)
+{
+	msec lost = loop_lost(loop_is_held_up);
+
+	g_assert_cmpint(lost, >=, HELD_UP_MS / 2);
+	g_assert_cmpint(lost, <, 2 * HELD_UP_MS);
+}
+
+static pid_t stopper;
+
+/* Another process stops this one, and lets it go on. */
+static void
+loop_is_stopped(struct loop_timer *t, msec now)
+{
+	pid_t self = getpid();
+
+	stopper = fork();
+	if (stopper != 0)
+		return;
+	usleep(HELD_UP_MS / 3 * 1000);
+	kill(self, SIGSTOP);
+	usleep(HELD_UP_MS * 1000);
+	kill(self, SIGCONT);
+	_exit(0);
+}
+
+/* Time in which a process was stopped while it waited counts as its wait. */
+static void
+test_lost_in_wait(void)
+{
+	msec lost = loop_lost(loop_is_stopped);
+
+	g_assert_cmpint(waitpid(stopper, NULL, 0), ==, stopper);
+	g_assert_cmpint(lost, >=, HELD_UP_MS);
+	g_assert_cmpint(lost, <, 3 * HELD_UP_MS);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -126,5 +201,7 @@
 	g_test_add_func(
 	    "/loop/events-before-timers", test_events_before_timers);
 	g_test_add_func("/loop/timers-beside-busy", test_timers_beside_busy);
+	g_test_add_func("/loop/lost-in-step", test_lost_in_step);
+	g_test_add_func("/loop/lost-in-wait", test_lost_in_wait);
 	return g_test_run();
 }
