An answer that has begun and cannot be resumed stays with its server

What callers saw: as a node's path to the servers was cut, or the servers paused, an answer of a request that may be repeated, of more than 256 KB and in part forwarded, went on with another server's whole answer, and ended as if it were sound.

Cause: a silent server is kept while a carrier is asked, and the carrier's answer replaces what is left. On that way nobody asked whether the answer can go on elsewhere: before attempts were kept, the rule stood in job_take_retry(), which the way to a carrier does not pass any more. Now the rule has a function of its own, and a server is not left for the path's sake where it forbids to go on. Nor does a carrier that lost its path give such an answer up: nobody could go on with it.

--- a/entry-attempt-private.h
+++ b/entry-attempt-private.h
@@ -25,6 +25,8 @@
  */
 bool job_return_to_silent(struct job *);
 bool job_wait_for_silent(struct job *, msec);
+/* Has nothing been forwarded, or only events that another server resumes? */
+bool job_can_go_on_elsewhere(const struct job *);
 /*
  * Is another attempt possible after so many that may have run, apart from the
  * retry budget?
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -274,12 +274,18 @@
 	return j->route->attempts;
 }
 
+bool
+job_can_go_on_elsewhere(const struct job *j)
+{
+	if (!j->answer_began)
+		return true;
+	return j->streamed && j->events > 0 && entry_version_is_clear(j);
+}
+
 bool
 job_could_retry(const struct job *j, msec now, unsigned int runs)
 {
-	if (j->answer_began && (!j->streamed || j->events == 0))
-		return false;
-	if (j->answer_began && !entry_version_is_clear(j))
+	if (!job_can_go_on_elsewhere(j))
 		return false;
 	if (j->ntried == SERVER_AVOID_MAX)
 		return false;
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -114,6 +114,8 @@
 {
 	msec silence = now - MAX(j->server->received, j->sent_at);
 
+	if (!job_can_go_on_elsewhere(j))
+		return false;
 	if (silence < (reach_is_silent(&j->owner->reach.core, now)
 			      ? REACH_SILENT_MS
 			      : job_server_dead_ms(j)))
