A request that is kept and that carriers refuse is not handed off without end

What servers saw: one request of a node without a path, whose own server was silent, 15,000 times in 3 s, as long as the others refused it. The same for any refusal of the request as such (overloaded, limited, a key that is gone), then between nodes.

Cause: while an attempt is kept, a carrier that ran nothing did not count and the next one was asked at once. That fits refusals of the carrier itself, which is left alone for a while then; one that refuses the request is not. Now only the first kind does not count, so at most three carriers refuse a request, and the next one is asked 250 ms later. JOB_STARTING took two handoffs off; it takes one.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -24,6 +24,8 @@
 #define HANDOFF_DEADLINE_MARGIN_MS 20
 /* Longest Retry-After of a carrier that is passed on, in seconds. */
 #define HANDOFF_RETRY_AFTER_MAX_S 60.0
+/* A request that a node refuses as such goes to the next one so much later. */
+#define HANDOFF_REFUSED_PAUSE_MS 250
 /* Idle time of other nodes' connections: longer than they keep them. */
 #define HANDOFF_IDLE_MS 10000
 /* From the first byte of another node's request to its last. */
@@ -190,7 +192,7 @@
 handoff_go_on(struct job *j, msec now, enum job_code why)
 {
 	if (j->kept_link != NULL) {
-		job_stay_with_kept(j, now);
+		job_stay_with_kept(j, now, 0);
 		return;
 	}
 	job_give_back_retry(j, now);
@@ -215,7 +217,7 @@
 	if (why == JOB_NO_PATH)
 		e->handoff.no_path_at = now;
 	/* It is asked again; nothing was tried. */
-	if (why == JOB_STARTING)
+	if (why == JOB_STARTING || (j->kept_link != NULL && j->retry_taken))
 		j->handoffs--;
 	handoff_go_on(j, now, why);
 }
@@ -229,7 +231,7 @@
 		return job_recheck_admission(j, now);
 	if (job_check_admission(j, now) == JOB_SERVED)
 		return true;
-	job_stay_with_kept(j, now);
+	job_stay_with_kept(j, now, 0);
 	return false;
 }
 
@@ -342,9 +344,13 @@
 		handoff_fail(j, now, j->outcome);
 		return;
 	}
+	if (j->kept_link != NULL) {
+		job_stay_with_kept(j, now,
+		    j->outcome_may_have_run ? 0 : HANDOFF_REFUSED_PAUSE_MS);
+		return;
+	}
 	/* Another node, or this one, may still have it run. */
-	if (j->kept_link != NULL ||
-	    (j->outcome == JOB_NO_PATH && j->repeatable)) {
+	if (j->outcome == JOB_NO_PATH && j->repeatable) {
 		handoff_go_on(j, now, JOB_BROKEN);
 		return;
 	}
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -244,14 +244,11 @@
 }
 
 void
-job_stay_with_kept(struct job *j, msec now)
+job_stay_with_kept(struct job *j, msec now, msec pause)
 {
 	job_return_to_kept(j, now);
-	/* A carrier that ran nothing does not count. */
-	if (j->retry_taken && j->handoffs > 0)
-		j->handoffs--;
 	job_give_back_retry(j, now);
-	loop_timer_set(&j->owner->loop, &j->silence_timer, now);
+	loop_timer_set(&j->owner->loop, &j->silence_timer, now + pause);
 }
 
 /* Nothing of it is forwarded any more. */
--- a/entry.h
+++ b/entry.h
@@ -523,8 +523,11 @@
 void job_return_to_kept(struct job *, msec);
 /* The carrier answers: give up the attempt that was kept. */
 void job_give_up_kept(struct job *, msec);
-/* No carrier took it over: ask another one, or wait for the server. */
-void job_stay_with_kept(struct job *, msec);
+/*
+ * No carrier took it over: after a pause ask another one, or wait for the
+ * server.
+ */
+void job_stay_with_kept(struct job *, msec now, msec pause);
 /* A retry that was taken from the budget for a carrier has not run. */
 void job_give_back_retry(struct job *, msec);
 /* The attempt on a carrier failed: start another attempt, or fail. */
