A server that refuses a kept attempt does not end the carrier that was asked

What callers and servers saw: a node whose server was silent had asked another node, which was at work on the request; then the first server answered "not executed". The other node's attempt was cancelled and counted as a run, a further retry was taken from the budget, and the request sent a third time. By reading: where budget or attempts ended with that, the caller got 502 though its request was being served.

Cause: any head of the kept server's answer counted as its beginning. Now the head is looked at first. One that says that the request did not run, or that cannot be forwarded, ends the kept attempt alone, and a late answer to another request ends neither. Answers that do not resume a stream that has begun are told apart at the same place.

--- a/entry-attempt-private.h
+++ b/entry-attempt-private.h
@@ -15,6 +15,8 @@
 job_write_request(struct job *, msec, const struct server *, struct buffer *);
 /* The connection of the attempt that was kept has broken; the link is freed. */
 void job_kept_failed(struct job *, msec, const struct link *);
+/* The server of the attempt that was kept has not executed it. */
+void job_kept_refused(struct job *, msec, enum server_result);
 /* The attempt was sent, or something of its answer came: wait for more. */
 void job_arm_silence_timer(struct job *, msec);
 /* The attempt's server fell silent, or its host did; it may go on later. */
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -446,19 +446,51 @@
 	job_return_to_kept(j, now);
 }
 
+/* The answer's class; one that does not resume the stream is of no use. */
+static enum reply_class
+attempt_classify(const struct job *j, const struct http_head *h)
+{
+	enum reply_class class = reply_classify(j, h);
+
+	if ((class == REPLY_FORWARD || class == REPLY_SERVER_ERROR) &&
+	    j->answer_began && h->status >= 300)
+		return REPLY_INVALID;
+	return class;
+}
+
+/* The server of a kept attempt does not serve it; the carrier goes on. */
+static bool
+attempt_kept_useless(
+    struct link *k, const struct http_head *h, enum reply_class class, msec now)
+{
+	struct job *j = k->job;
+
+	if (k != j->kept_link)
+		return false;
+	if (class == REPLY_REJECTED)
+		job_kept_refused(j, now, job_refusal_result(h));
+	else if (class == REPLY_INVALID)
+		job_give_up_kept(j, now, SERVER_FAILED);
+	return class == REPLY_REJECTED || class == REPLY_INVALID;
+}
+
 static bool
 attempt_head(struct link *k, const struct http_head *h, msec now)
 {
 	struct job *j = k->job;
+	enum reply_class class = attempt_classify(j, h);
 
-	attempt_heard(k, now);
 	servers_reached(&j->owner->servers, now);
 	entry_reach_heard(j->owner, k->server, !k->used, now);
 	entry_rate_read(k, h, now);
 	entry_room_read(k, h, now);
 	entry_leaving_read(k, h, now);
 	entry_rest_read(k, h, now);
-	switch (reply_classify(j, h)) {
+	if (attempt_kept_useless(k, h, class, now))
+		return true;
+	if (class != REPLY_OTHER_REQUEST)
+		attempt_heard(k, now);
+	switch (class) {
 	case REPLY_OTHER_REQUEST:
 		entry_log(&j->owner->log, now, ENTRY_LOG_NEEDED,
 		    LOG_EVENT_STRAY_ANSWER,
@@ -484,13 +516,6 @@
 	}
 	if (!j->answer_began)
 		reply_store_head(j, h);
-	else if (h->status >= 300) {
-		/* The answer does not resume the stream that has begun. */
-		job_count_run(j);
-		job_cancel(j, now, SERVER_FAILED);
-		job_retry_or_fail(j, now, JOB_BROKEN);
-		return true;
-	}
 	if (!j->streamed)
 		job_arm_silence_timer(j, now);
 	return true;
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -309,7 +309,7 @@
 		return true;
 	}
 	if (j->kept_link != NULL)
-		job_give_up_kept(j, now);
+		job_give_up_kept(j, now, SERVER_NO_RESULT);
 	j->carrier_began = true;
 	if (!j->answer_began)
 		reply_store_head(j, h);
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -253,20 +253,29 @@
 
 /* Nothing of it is forwarded any more. */
 static void
-job_end_kept(struct job *j, msec now)
+job_end_kept(struct job *j, msec now, enum server_result how)
 {
 	j->kept_link = NULL;
 	job_count_run(j);
-	job_release_server(j, now, SERVER_NO_RESULT);
+	job_release_server(j, now, how);
 	if (!j->failure_stored)
 		reply_discard(j);
 }
 
 void
-job_give_up_kept(struct job *j, msec now)
+job_give_up_kept(struct job *j, msec now, enum server_result how)
 {
 	job_abandon_link(j, now, j->kept_link);
-	job_end_kept(j, now);
+	job_end_kept(j, now, how);
+}
+
+void
+job_kept_refused(struct job *j, msec now, enum server_result how)
+{
+	link_cancel(j->kept_link);
+	j->kept_link = NULL;
+	j->arrivals++;
+	job_release_server(j, now, how);
 }
 
 void
@@ -274,7 +283,7 @@
 {
 	entry_poison_request_abandoned(j, k->server, now);
 	entry_poison_run_end(j, now, true);
-	job_end_kept(j, now);
+	job_end_kept(j, now, SERVER_NO_RESULT);
 }
 
 /* The server is silent: try another one if that is allowed. */
--- a/entry.h
+++ b/entry.h
@@ -521,8 +521,8 @@
  * The attempt that was kept while a carrier was asked is the current one again.
  */
 void job_return_to_kept(struct job *, msec);
-/* The carrier answers: give up the attempt that was kept. */
-void job_give_up_kept(struct job *, msec);
+/* Give up the attempt that was kept; the carrier goes on. */
+void job_give_up_kept(struct job *, msec, enum server_result);
 /*
  * No carrier took it over: after a pause ask another one, or wait for the
  * server.
