A kept server that answers gives the unused retry back and may be given up again

By reading, no test: as the kept server's answer begins while the carrier is still being connected to, the retry that was taken for the carrier was neither used nor given back; and with the head of a stream no timer was set any more, so that a server that fell silent again before its first event was waited for until the deadline.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -444,6 +444,8 @@
 		return;
 	j->owner->handoff.counters.kept_answered++;
 	job_return_to_kept(j, now);
+	job_give_back_retry(j, now);
+	job_arm_silence_timer(j, now);
 }
 
 /* The answer's class; one that does not resume the stream is of no use. */
