A carrier that is lost while it is connected to has run nothing

By reading, no test: the tick gives up carriers that have died or started anew. One to which nothing had been sent counted as a run, so that a request that may run once got 502 and went to no other node.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -279,7 +279,8 @@
 {
 	struct link *k = j->link;
 
-	entry_handoff_count_runs(j);
+	if (k->sent)
+		entry_handoff_count_runs(j);
 	j->link = NULL;
 	link_cancel(k);
 	handoff_fail(j, now, JOB_BROKEN);
