A request that waited for the path is admitted again before another node is asked

By reading, no test: waits for a pause set the number of nodes asked to zero, and with it went the check of route, key and stop that precedes a further attempt. A request on a kept connection to a carrier was sent without it.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -140,7 +140,7 @@
 {
 	struct entry *e = j->owner;
 
-	if ((j->ntried > 0 || j->handoffs > 0) &&
+	if ((j->ntried > 0 || j->handoffs > 0 || j->path_waits > 0) &&
 	    !job_recheck_admission(j, now))
 		return;
 	if (entry_handoff_wanted(j) && entry_handoff_start(j, now))
