What the stop of a carrier ends goes on at another node

What callers saw: 504 with 6 s left for a request that may be repeated, as the node that carried it ended its stop; 503 if the carrier had not sent it yet (by reading).

Cause: of a carrier's own answers only those of a list let the first node go on, and "stopped" was not on it. It says something of the carrier alone, as "no-path" does: what has not run goes to the next node, and what may have run and may be repeated takes a retry. Where none is left, the caller gets 502 in place of 504.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -333,7 +333,14 @@
 	return code == JOB_NO_PATH || code == JOB_CARRIER_FULL ||
 	       code == JOB_STARTING || code == JOB_NOT_FRESH ||
 	       code == JOB_LEAVING || code == JOB_NO_MEMORY ||
-	       code == JOB_NOT_READ;
+	       code == JOB_NOT_READ || code == JOB_STOPPED;
+}
+
+/* It lost its path, or its stop ended what it was running. */
+static bool
+outcome_is_end_of_carrier(enum job_code code)
+{
+	return code == JOB_NO_PATH || code == JOB_STOPPED;
 }
 
 static void
@@ -351,7 +358,7 @@
 		return;
 	}
 	/* Another node, or this one, may still have it run. */
-	if (j->outcome == JOB_NO_PATH && j->repeatable) {
+	if (outcome_is_end_of_carrier(j->outcome) && j->repeatable) {
 		handoff_go_on(j, now, JOB_BROKEN);
 		return;
 	}
