A request waits for carriers that are behind, whichever request they told so

Cause: a carrier that has an older configuration is left alone for 30 ms, and a request waits for carriers four times (240 ms) only if it was itself told so last. One that came while they rested, or that was told by another node that it has no path, waited once and was refused. What the node was told lately counts now.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -113,7 +113,8 @@
 static void
 job_wait_for_path(struct job *j, msec now)
 {
-	unsigned int most = j->last == JOB_STARTING ? JOB_PATH_WAITS_MOST : 1;
+	bool behind = entry_handoff_others_are_behind(j->owner, now);
+	unsigned int most = behind ? JOB_PATH_WAITS_MOST : 1;
 	bool pause = reach_may_be_pause(&j->owner->reach.core, now) &&
 		     entry_handoff_others_lack_path(j->owner, now);
 
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -30,6 +30,8 @@
 #define HANDOFF_IDLE_MS 10000
 /* From the first byte of another node's request to its last. */
 #define HANDOFF_READ_MS 10000
+/* A node that had an older configuration has the newest after this time. */
+#define HANDOFF_BEHIND_MS 200
 
 static bool carrier_may_send(struct link *, msec);
 static bool carrier_head(struct link *, const struct http_head *, msec);
@@ -77,6 +79,14 @@
 	return told != 0 && now - told < REACH_PAUSE_MS;
 }
 
+bool
+entry_handoff_others_are_behind(const struct entry *e, msec now)
+{
+	msec told = e->handoff.behind_at;
+
+	return told != 0 && now - told < HANDOFF_BEHIND_MS;
+}
+
 bool
 entry_handoff_wanted(const struct job *j)
 {
@@ -217,6 +227,8 @@
 	if (why == JOB_NO_PATH)
 		e->handoff.no_path_at = now;
 	/* It is asked again; nothing was tried. */
+	if (why == JOB_STARTING)
+		e->handoff.behind_at = now;
 	if (why == JOB_STARTING || (j->kept_link != NULL && j->retry_taken))
 		j->handoffs--;
 	handoff_go_on(j, now, why);
--- a/entry-handoff.h
+++ b/entry-handoff.h
@@ -39,6 +39,7 @@
 	struct entry_carrier_list carriers;
 	struct loop_timer timer;
 	msec no_path_at; /* another node had no path either; 0: never */
+	msec behind_at;	 /* another node had an older configuration; 0: never */
 	struct entry_handoff_counters counters;
 };
 
@@ -50,6 +51,8 @@
 bool entry_handoff_has_carrier(const struct job *, msec);
 /* Has another node lately said that it has no path to the servers, either? */
 bool entry_handoff_others_lack_path(const struct entry *, msec);
+/* Has another node just said that it has an older configuration? */
+bool entry_handoff_others_are_behind(const struct entry *, msec);
 /* Should the request's next attempt be on another node? */
 bool entry_handoff_wanted(const struct job *);
 /*
