--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # savorypier: GNU make. One flat directory of sources; a file's family prefix
 # says what it belongs to:
 #   savorypierd.c daemon-*.c   the daemon        (not in the library)
+#   savorypierd-entry.c        the same for a platform alone, small
 #   entry*.c platform/*.c      the daemon on a platform with a store
 #   savorypier.c  cmd-*.c      the tool          (not in the library)
 #   anything else              libsavorypier
@@ -33,14 +34,20 @@
 ALLCFLAGS = $(CFLAGS) $(DEFS) -I. -pthread $(PKGCFLAGS)
 LDFLAGS	=
 LDLIBS	= $(SANFLAGS_$(SAN)) $(LDFLAGS) $(PKGLIBS) -lm -pthread
+# Few libraries to load: those that are small are linked in.
+ENTRY_LIBS = glib-2.0 pcre2-8 tirpc jansson xxhash yaml http_parser
+ENTRY_LDLIBS = $(SANFLAGS_$(SAN)) $(LDFLAGS) -Wl,-Bstatic \
+	  $(ENTRY_LIBS:%=-l%) -Wl,-Bdynamic -lm -pthread
 
 GEN_SRCS := proto_xdr.c
 # platform/test-*.c, standin-*.c and common-*.c speak the platform's names too.
 ADAPTER_SRCS := $(filter-out platform/test-%.c platform/standin-%.c platform/proc-%.c platform/util-%.c platform/soak-%.c platform/common-%.c,$(wildcard platform/*.c))
 ENTRY_SRCS := $(wildcard entry*.c) $(ADAPTER_SRCS)
 DAEMON_SRCS := savorypierd.c $(wildcard daemon-*.c) $(ENTRY_SRCS)
+# The daemon on a platform only.
+ENTRY_MAIN_SRCS := savorypierd-entry.c daemon-main.c $(ENTRY_SRCS)
 TOOL_SRCS := savorypier.c $(wildcard cmd-*.c)
-LIB_SRCS := $(filter-out $(DAEMON_SRCS) $(TOOL_SRCS),$(wildcard *.c))
+LIB_SRCS := $(filter-out $(DAEMON_SRCS) $(ENTRY_MAIN_SRCS) $(TOOL_SRCS),$(wildcard *.c))
 STANDIN_COMMON := $(wildcard standins/common-*.c)
 STANDIN_MAINS := $(filter-out $(STANDIN_COMMON),$(wildcard standins/*.c)) $(wildcard platform/standin-*.c)
 TEST_COMMON := $(wildcard tests/util-*.c)
@@ -66,7 +73,7 @@
 	      server.h fair-share.h prompt-fetch.h returns.h server-speed.h server-limit.h server-memory.h server-mix.h server-pace.h server-rate.h server-room.h server-version.h place.h relay.h \
 	      duty.h usage.h capacity.h era.h poison.h reach.h handoff.h stream-version.h version-set.h stream-log.h \
 	      run-move.h run-pace.h
-MAINS	= $(if $(wildcard savorypierd.c),$(B)/savorypierd) \
+MAINS	= $(if $(wildcard savorypierd.c),$(B)/savorypierd $(B)/savorypierd-entry) \
 	  $(if $(wildcard savorypier.c),$(B)/savorypier)
 STANDINS = $(call prog,$(STANDIN_MAINS))
 TESTS	= $(call prog,$(TEST_MAINS))
@@ -101,6 +108,8 @@
 
 $(B)/savorypierd: $(call obj,$(DAEMON_SRCS)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
+$(B)/savorypierd-entry: $(call obj,$(ENTRY_MAIN_SRCS)) $(LIB)
+	@echo "ld $@"; $(CC) -o $@ $^ $(ENTRY_LDLIBS)
 $(B)/savorypier: $(call obj,$(TOOL_SRCS)) $(LIB)
 	@echo "ld $@"; $(CC) -o $@ $^ $(LDLIBS)
 PLATFORM_STANDINS = $(filter $(B)/standin-%,$(STANDINS))
@@ -205,7 +214,7 @@
 install: install-bin install-lib install-man install-examples
 install-bin: $(MAINS)
 	$(INSTALL) -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/bin
-	$(INSTALL) -m 755 $(B)/savorypierd $(DESTDIR)$(PREFIX)/sbin
+	$(INSTALL) -m 755 $(B)/savorypierd $(B)/savorypierd-entry $(DESTDIR)$(PREFIX)/sbin
 	$(INSTALL) -m 755 $(B)/savorypier $(DESTDIR)$(PREFIX)/bin
 install-lib: $(LIB) $(SHLIB)
 	$(INSTALL) -d $(DESTDIR)$(PREFIX)/include/savorypier $(DESTDIR)$(LIBDIR)/pkgconfig
--- a/savorypierd.c
+++ b/savorypierd.c
@@ -1,77 +1,21 @@
 /*
- * savorypierd: the daemon on every entry VM. Reads arguments and settings, then
- * starts and stops the daemon's parts in order.
+ * savorypierd: the daemon on every entry VM. Starts and stops the daemon's
+ * parts in order.
  */
 
 #define LOG_PART "main"
+#include "daemon-main.h"
 #include "daemon.h"
 #include "platform/main.h"
 
 #include <sys/random.h>
 
-#include <argp.h>
 #include <curl/curl.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define EXIT_SETTINGS 2
-
 const char *argp_program_version = "savorypierd " SAVORY_VERSION;
 
-struct arguments {
-	const char *config;
-	bool check;
-};
-
-static const struct argp_option options[] = {
-	{ "config", 'c', "FILE", 0, "Settings in YAML (required)", 0 },
-	{ "check", 'n', NULL, 0, "Check the settings and exit", 0 },
-	{ 0 },
-};
-
-static error_t
-parse_option(int key, char *arg, struct argp_state *state)
-{
-	struct arguments *a = state->input;
-
-	switch (key) {
-	case 'c':
-		a->config = arg;
-		return 0;
-	case 'n':
-		a->check = true;
-		return 0;
-	case ARGP_KEY_END:
-		if (a->config == NULL)
-			argp_error(state, "--config is missing");
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
-static const struct argp argp = { options, parse_option, NULL,
-	"Route language-model traffic with service levels and priorities.",
-	NULL, NULL, NULL };
-
-/*
- * Blocked in all threads; those that arrive during the start stay pending until
- * the event loop reads them from a signalfd.
- */
-static void
-main_block_signals(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	sigaddset(&set, SIGPIPE);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-}
-
 /*
  * Returns a number that grows with each start of a node, on any VM: the wall
  * clock in microseconds. If the clock was set back, peers report their higher
@@ -182,26 +126,18 @@
 }
 
 int
-main(int argc, char **argv)
+daemon_main(struct settings *settings, const char *file)
 {
 	static struct daemon d;
-	struct arguments args = { 0 };
-	struct findings findings;
-	int rc = EXIT_SETTINGS;
-
-	main_block_signals();
-	argp_err_exit_status = EXIT_SETTINGS;
-	argp_parse(&argp, argc, argv, 0, NULL, &args);
-	findings_init(&findings);
-	if (!settings_load(&d.settings, args.config, &findings))
-		findings_print(&findings, stderr);
-	else if (args.check)
-		rc = EXIT_SUCCESS;
-	else if (d.settings.store.port != 0)
-		rc = platform_main(&d.settings, args.config);
-	else if (log_open(d.settings.log_level, d.settings.log_json))
-		rc = main_run(&d);
-	findings_finish(&findings);
+	int rc;
+
+	if (settings->store.port != 0)
+		return platform_main(settings, file);
+	if (!log_open(settings->log_level, settings->log_json))
+		return DAEMON_EXIT_SETTINGS;
+	d.settings = *settings;
+	*settings = (struct settings){ 0 };
+	rc = main_run(&d);
 	settings_finish(&d.settings);
 	return rc;
 }
--- a/tests/test-library.c
+++ b/tests/test-library.c
@@ -230,10 +230,11 @@
 test_install(void)
 {
 	static const char *const files[] = { "sbin/savorypierd",
-		"bin/savorypier", "include/savorypier/savory.h",
-		"include/savorypier/dispatch.h", "lib/libsavorypier.a",
-		"lib/libsavorypier.so", "lib/libsavorypier.so.0",
-		"lib/pkgconfig/savorypier.pc", "share/man/man1/savorypier.1",
+		"sbin/savorypierd-entry", "bin/savorypier",
+		"include/savorypier/savory.h", "include/savorypier/dispatch.h",
+		"lib/libsavorypier.a", "lib/libsavorypier.so",
+		"lib/libsavorypier.so.0", "lib/pkgconfig/savorypier.pc",
+		"share/man/man1/savorypier.1",
 		"share/man/man5/savorypier-document.5",
 		"share/man/man8/savorypierd.8",
 		"share/bash-completion/completions/savorypier",
--- a/tests/test-man.c
+++ b/tests/test-man.c
@@ -163,7 +163,7 @@
 test_daemon(void)
 {
 	g_autofree char *page = file_read("man/savorypierd.8");
-	g_autofree char *code = file_read("savorypierd.c");
+	g_autofree char *code = file_read("daemon-main.c");
 	g_autoptr(GRegex) option =
 	    g_regex_new("\\{ \"([a-z-]+)\", '(.)', (\"FILE\")?", 0, 0, NULL);
 	g_autoptr(GMatchInfo) match = NULL;
