A move that is copying ends as another node is asked for the run

By reading, no test: a stream whose run was being copied off a leaving server, and whose path was then cut, kept its move while a carrier was asked. The copy's answer would have resumed the run at a server beside the carrier, with the kept connection still open; if that broke, an answer would have met a request without a server. A resuming move ends with the kept attempt that it belongs to.

--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -226,9 +226,9 @@
 	entry_carrier_avoid(c, now, why, j->carrier_began);
 	if (why == JOB_NO_PATH)
 		e->handoff.no_path_at = now;
-	/* It is asked again; nothing was tried. */
 	if (why == JOB_STARTING)
 		e->handoff.behind_at = now;
+	/* It is asked again; nothing was tried. */
 	if (why == JOB_STARTING || (j->kept_link != NULL && j->retry_taken))
 		j->handoffs--;
 	handoff_go_on(j, now, why);
--- a/entry-silence.c
+++ b/entry-silence.c
@@ -218,6 +218,10 @@
 job_ask_carrier(struct job *j, msec now)
 {
 	link_set_patient(j->link);
+	/* A move that is still copying would resume the run beside a carrier.
+	 */
+	if (entry_move_memory(j) == NULL)
+		entry_move_cancel(j, now);
 	if (job_check_admission(j, now) == JOB_SERVED &&
 	    job_take_budget(j, now, JOB_BROKEN) &&
 	    entry_handoff_start(j, now)) {
@@ -255,6 +259,7 @@
 static void
 job_end_kept(struct job *j, msec now, enum server_result how)
 {
+	entry_move_cancel(j, now);
 	j->kept_link = NULL;
 	job_count_run(j);
 	job_release_server(j, now, how);
@@ -272,6 +277,7 @@
 void
 job_kept_refused(struct job *j, msec now, enum server_result how)
 {
+	entry_move_cancel(j, now);
 	link_cancel(j->kept_link);
 	j->kept_link = NULL;
 	j->arrivals++;
