--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -18,8 +18,11 @@
 #define JOB_CONNECT_TIMEOUT_MS 600
 /* A request without a path to the servers waits for so long. */
 #define JOB_PATH_WAIT_MS 60
-/* Waits of one that other nodes carry once they have the configuration. */
-#define JOB_PATH_WAITS_MOST 4
+/*
+ * Waits of one that other nodes carry once they have the configuration: longer
+ * than the pause after which nodes ask each other for a newer one.
+ */
+#define JOB_PATH_WAITS_MOST 12
 
 static bool attempt_may_send(struct link *, msec);
 static bool attempt_head(struct link *, const struct http_head *, msec);
