Sanitizer builds of the platform's program link its libraries dynamically

In the address build each node ended at its first message: the sanitizer has its own xdr_*() functions, which call those of a shared library, and with libtirpc linked in there is none (address 0). The plain build is as it was.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,10 @@
 ALLCFLAGS = $(CFLAGS) $(DEFS) -I. -pthread $(PKGCFLAGS)
 LDFLAGS	=
 LDLIBS	= $(SANFLAGS_$(SAN)) $(LDFLAGS) $(PKGLIBS) -lm -pthread
-# Few libraries to load: those that are small are linked in.
+# Few libraries to load: those that are small are linked in, but for sanitizers,
+# whose own functions of these names call those of a shared library.
 ENTRY_LIBS = glib-2.0 pcre2-8 tirpc jansson xxhash yaml http_parser
-ENTRY_LDLIBS = $(SANFLAGS_$(SAN)) $(LDFLAGS) -Wl,-Bstatic \
+ENTRY_LDLIBS = $(SANFLAGS_$(SAN)) $(LDFLAGS) $(if $(SAN),,-Wl,-Bstatic) \
 	  $(ENTRY_LIBS:%=-l%) -Wl,-Bdynamic -lm -pthread
 
 GEN_SRCS := proto_xdr.c
