A head that http-parser understood differently is malformed

Cause: http-parser ends CONNECT at its head; head_framing() has read a length. Now a head goes on only if both found the same framing, CONNECT is refused with 400, and answers 1xx and 204 with a body are malformed, as http-parser reads one where RFC 9112 has none. 304 never has a body.

Upgrades with a body, and the own interface (405, the body is read as a body), were right before; their tests are new.

--- a/http-message.c
+++ b/http-message.c
@@ -34,8 +34,10 @@
 
 	r->head->keep_alive = http_should_keep_alive(p) != 0;
 	r->stage = HTTP_STAGE_BODY;
+	r->parsed_chunked = (p->flags & F_CHUNKED) != 0;
+	r->parsed_length = p->content_length;
 	/* 1: no body follows, whatever the head contains. */
-	return r->for_head_request ? 1 : 0;
+	return r->for_head_request || p->status_code == 304 ? 1 : 0;
 }
 
 static int
@@ -180,7 +182,8 @@
 	*a = *b = '\0';
 	h->method = line;
 	h->target = a + 1;
-	return true;
+	/* Its target is no path, and what follows its head is no body. */
+	return strcmp(h->method, "CONNECT") != 0;
 }
 
 /*
@@ -215,12 +218,33 @@
 	if (r->parser.type == HTTP_REQUEST)
 		return http_head_count(h, "Host") == 1 ||
 		       (h->is_http_1_0 && http_head_count(h, "Host") == 0);
+	/* These have no body, though http-parser would read one. */
+	if (h->has_body && (h->status < 200 || h->status == 204))
+		return false;
 	h->until_close = lengths == 0 && codings == 0 && !r->for_head_request &&
 			 h->status >= 200 && h->status != 204 &&
 			 h->status != 304;
 	return true;
 }
 
+/*
+ * Guards against request smuggling by a head that http-parser, which delimits
+ * the body, has understood differently: the rest of the body would be read as
+ * the next message.
+ */
+static bool
+head_framing_is_agreed(const struct http_reader *r)
+{
+	const struct http_head *h = r->head;
+	bool chunked = h->has_body && !h->has_length;
+	uint64_t length = h->has_length ? h->length : UINT64_MAX;
+	bool bodiless = r->for_head_request || h->status == 304;
+	bool body_follows = !bodiless && (h->has_body || h->until_close);
+
+	return r->parsed_chunked == chunked && r->parsed_length == length &&
+	       (r->stage == HTTP_STAGE_BODY) == body_follows;
+}
+
 static bool
 head_split(struct http_reader *r)
 {
@@ -265,7 +289,7 @@
 		reader_fail(r, HTTP_ERROR_MALFORMED);
 		return;
 	}
-	if (!head_split(r) || !head_framing(r))
+	if (!head_split(r) || !head_framing(r) || !head_framing_is_agreed(r))
 		reader_fail(r, HTTP_ERROR_MALFORMED);
 }
 
--- a/http-message.h
+++ b/http-message.h
@@ -78,6 +78,8 @@
 	bool for_head_request; /* the response to a HEAD request: no body */
 	/* Private from here. */
 	struct http_parser parser;
+	bool parsed_chunked;	/* how http-parser understood the head */
+	uint64_t parsed_length; /* the same; UINT64_MAX: no length */
 	struct buffer text;
 	size_t line; /* offset in `text` at which the current line begins */
 	unsigned int empty_lines; /* before the first line */
--- a/tests/proc-hostile.c
+++ b/tests/proc-hostile.c
@@ -121,6 +121,32 @@
 	nodes_finish(&s);
 }
 
+/* Guards against a request in the body of CONNECT that engines execute. */
+static void
+test_connect(void)
+{
+	g_autofree char *hidden =
+	    request_with_body("{\"model\":\"tanker-planner\"}");
+	g_autofree char *request = NULL, *text = NULL;
+	struct nodes s;
+	int fd;
+
+	nodes_up(&s, &small);
+	request = g_strdup_printf(
+	    "CONNECT /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" KEY
+	    "Content-Length: %zu\r\n\r\n%s",
+	    strlen(hidden), hidden);
+	fd = raw_connect(s.entries[0].caller);
+	raw_write(fd, request);
+	text = raw_read(fd, "\r\n\r\n", 5000);
+	g_test_message("%s", text);
+	g_assert_true(g_str_has_prefix(text, "HTTP/1.1 405 "));
+	assert_serves(&s, "after-connect");
+	close(fd);
+	g_assert_cmpint(nodes_engine_sum(&s, "executed"), ==, 1);
+	nodes_finish(&s);
+}
+
 static void
 test_keys(void)
 {
@@ -249,6 +275,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/hostile/bodies", test_bodies);
 	g_test_add_func("/hostile/resting-bodies", test_resting_bodies);
+	g_test_add_func("/hostile/connect", test_connect);
 	g_test_add_func("/hostile/keys", test_keys);
 	g_test_add_func("/hostile/large-header", test_large_header);
 	g_test_add_func("/hostile/idle-connections", test_idle_connections);
--- a/tests/test-http-message.c
+++ b/tests/test-http-message.c
@@ -91,6 +91,48 @@
 		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
 }
 
+/* Guards against a body that is read as the next request. */
+static void
+test_connect(void)
+{
+	REFUSED("CONNECT /a HTTP/1.1\r\nHost: a\r\n"
+		"Content-Length: 19\r\n\r\nPOST /b HTTP/1.1\r\n");
+	REFUSED("CONNECT /a HTTP/1.1\r\nHost: a\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n");
+	REFUSED("CONNECT /a HTTP/1.1\r\nHost: a\r\n\r\n");
+	REFUSED("CONNECT /a HTTP/1.0\r\nHost: a\r\nContent-Length: 1\r\n\r\na");
+	REFUSED("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n");
+}
+
+/* Guards against an upgrade that ends a request before its body. */
+static void
+test_upgrade(void)
+{
+	static const char head[] = "POST /a HTTP/1.1\r\nHost: a\r\n"
+				   "Connection: upgrade\r\nUpgrade: b\r\n";
+	static const char *const bodies[] = { "Content-Length: 3\r\n\r\nabc",
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+		"Connection: upgrade\r\nUpgrade: b\r\n\r\n" };
+	struct http_reader r;
+	size_t i, n;
+
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		struct body_collector g = { g_string_new(NULL) };
+		g_autofree char *text =
+		    g_strconcat(head, bodies[i], "GET", NULL);
+
+		http_reader_init(
+		    &r, true, HEAD_MAX, BODY_MAX, collect_body, &g);
+		n = feed_in_pieces(&r, text, strlen(text), 7);
+		g_assert_cmpint(r.stage, ==, HTTP_STAGE_COMPLETE);
+		g_assert_cmpstr(g.body->str, ==, "abc");
+		g_assert_cmpstr(text + n, ==, "GET");
+		http_reader_finish(&r);
+		g_string_free(g.body, TRUE);
+	}
+}
+
 static void
 test_heads(void)
 {
@@ -225,6 +267,56 @@
 	}
 }
 
+/*
+ * Guards against an answer whose body two parsers end in different places: the
+ * bytes after it would be taken for the answer to another request.
+ */
+static void
+test_answer_framing(void)
+{
+	static const struct {
+		const char *text;
+		enum http_stage stage;
+		const char *body;
+	} cases[] = {
+		{ "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nab",
+		    HTTP_STAGE_FAILED, "" },
+		{ "HTTP/1.1 103 Early Hints\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		    HTTP_STAGE_FAILED, "" },
+		{ "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nab",
+		    HTTP_STAGE_FAILED, "" },
+		{ "HTTP/1.1 204 No Content\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		    HTTP_STAGE_FAILED, "" },
+		{ "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+		  "Upgrade: b\r\nContent-Length: 2\r\n\r\nab",
+		    HTTP_STAGE_FAILED, "" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\t\r\n\r\n"
+		  "2\r\nab\r\n0\r\n\r\n",
+		    HTTP_STAGE_FAILED, "" },
+		{ "HTTP/1.1 200 OK\r\nConnection: upgrade\r\nUpgrade: b\r\n"
+		  "Content-Length: 2\r\n\r\nab",
+		    HTTP_STAGE_COMPLETE, "ab" },
+		{ "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+		    HTTP_STAGE_COMPLETE, "" },
+		{ "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+		    HTTP_STAGE_COMPLETE, "" },
+		{ "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+		    HTTP_STAGE_COMPLETE, "" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *body = NULL;
+		enum http_stage stage;
+
+		stage = answer_stage(cases[i].text, false, &body);
+		g_assert_cmpint(stage, ==, cases[i].stage);
+		g_assert_cmpstr(body, ==, cases[i].body);
+	}
+}
+
 static void
 test_hops(void)
 {
@@ -298,11 +390,14 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-message/smuggling", test_smuggling);
+	g_test_add_func("/http-message/connect", test_connect);
+	g_test_add_func("/http-message/upgrade", test_upgrade);
 	g_test_add_func("/http-message/heads", test_heads);
 	g_test_add_func("/http-message/bounds", test_bounds);
 	g_test_add_func("/http-message/empty-lines", test_empty_lines);
 	g_test_add_func("/http-message/pipeline", test_pipeline);
 	g_test_add_func("/http-message/ends", test_ends);
+	g_test_add_func("/http-message/answer-framing", test_answer_framing);
 	g_test_add_func("/http-message/hops", test_hops);
 	g_test_add_func("/http-message/longest-head", test_longest_head);
 	g_test_add_func("/http-message/long-trailer", test_long_trailer);
