Names that do not fit keep the hash of the whole

Cause: server_set_software() cut the name and hashed what was left; server_software_differs() compared no more. name_fit() replaces the end of a name that is too long by the hash of the whole, and what is stored, told to other nodes and hashed is that form.

--- a/daemon-peers.c
+++ b/daemon-peers.c
@@ -180,8 +180,8 @@
 		return false;
 	g_strlcpy(vm->name, name, sizeof vm->name);
 	g_strlcpy(vm->kind, kind, sizeof vm->kind);
-	g_strlcpy(vm->service, service, sizeof vm->service);
-	g_strlcpy(vm->domain, domain, sizeof vm->domain);
+	name_fit(vm->service, sizeof vm->service, service);
+	name_fit(vm->domain, sizeof vm->domain, domain);
 	vm->leaving = strcmp(state, "leaving") == 0;
 	return vm_decode_address(address, vm);
 }
--- a/daemon-placement.c
+++ b/daemon-placement.c
@@ -161,8 +161,8 @@
 		"version", &version, "state", &state) != 0)
 		return false;
 	memset(m, 0, sizeof *m);
-	g_strlcpy(m->name, name, sizeof m->name);
-	g_strlcpy(m->version, version, sizeof m->version);
+	name_fit(m->name, sizeof m->name, name);
+	name_fit(m->version, sizeof m->version, version);
 	m->load = strcmp(state, "ready") == 0	 ? PLACEMENT_READY
 		  : strcmp(state, "failed") == 0 ? PLACEMENT_FAILED
 						 : PLACEMENT_LOADING;
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -31,7 +31,7 @@
 {
 	struct entry_route_stats find;
 
-	g_strlcpy(find.route, route, sizeof find.route);
+	name_fit(find.route, sizeof find.route, route);
 	return RB_FIND(entry_route_stats_tree, &e->route_stats, &find);
 }
 
@@ -48,7 +48,7 @@
 			return;
 		e->nroute_stats++;
 		k = g_new0(struct entry_route_stats, 1);
-		g_strlcpy(k->route, j->route->name, sizeof k->route);
+		name_fit(k->route, sizeof k->route, j->route->name);
 		RB_INSERT(entry_route_stats_tree, &e->route_stats, k);
 	}
 	k->codes[code]++;
--- a/savory-util.c
+++ b/savory-util.c
@@ -5,6 +5,7 @@
 #define LOG_PART "main"
 #include "savory.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,9 @@
 #include <jansson.h>
 #include <xxhash.h>
 
+/* "~" and 16 hexadecimal digits. */
+#define NAME_HASH_SIZE 18
+
 static GLogLevelFlags log_min_level = G_LOG_LEVEL_INFO;
 static bool log_json;
 static bool log_writer_is_set;
@@ -47,6 +51,22 @@
 	return XXH64(name, strlen(name), 0);
 }
 
+void
+name_fit(char *to, size_t size, const char *name)
+{
+	char hash[NAME_HASH_SIZE];
+	size_t n;
+
+	if (g_strlcpy(to, name, size) < size)
+		return;
+	n = size - sizeof hash;
+	/* Keep whole characters of UTF-8. */
+	while (n > 0 && ((guchar)name[n] & 0xc0) == 0x80)
+		n--;
+	g_snprintf(hash, sizeof hash, "~%016" PRIx64, name_hash(name));
+	g_strlcpy(to + n, hash, sizeof hash);
+}
+
 bool
 name_valid(const char *name)
 {
--- a/savory.h
+++ b/savory.h
@@ -49,6 +49,13 @@
 
 /* xxHash64 with seed 0 of the bytes of a name: the same on every node. */
 name_id name_hash(const char *);
+/*
+ * Copies a name into a buffer of this size, at least NAME_FIT_MIN. The end of a
+ * longer one is replaced by the hash of the whole, so that names which begin
+ * alike stay different.
+ */
+#define NAME_FIT_MIN 24
+void name_fit(char *, size_t, const char *);
 /* True for 1 to NAME_LEN characters of [a-z0-9._-], starting with [a-z0-9]. */
 bool name_valid(const char *);
 
--- a/server.c
+++ b/server.c
@@ -110,8 +110,8 @@
 static void
 server_set_software(struct server *v, const char *software)
 {
-	g_strlcpy(
-	    v->software, software != NULL ? software : "", sizeof v->software);
+	name_fit(
+	    v->software, sizeof v->software, software != NULL ? software : "");
 	v->software_id = *v->software != '\0' ? name_hash(v->software) : 0;
 }
 
@@ -122,8 +122,12 @@
 static bool
 server_software_differs(const struct server *v, const char *software)
 {
-	return software != NULL && *software != '\0' && v->software_id != 0 &&
-	       strncmp(software, v->software, sizeof v->software - 1) != 0;
+	char fitted[SERVER_SOFTWARE_SIZE];
+
+	if (software == NULL || *software == '\0' || v->software_id == 0)
+		return false;
+	name_fit(fitted, sizeof fitted, software);
+	return strcmp(fitted, v->software) != 0;
 }
 
 static struct server *
@@ -328,8 +332,8 @@
 	       e->address != v->address || e->port != v->port ||
 	       server_software_differs(v, e->software);
 	v->service = name_hash(e->service);
-	g_strlcpy(v->service_name, e->service, sizeof v->service_name);
-	g_strlcpy(v->domain, e->domain, sizeof v->domain);
+	name_fit(v->service_name, sizeof v->service_name, e->service);
+	name_fit(v->domain, sizeof v->domain, e->domain);
 	v->address = e->address;
 	v->port = e->port;
 	v->slots = e->slots;
--- a/server.h
+++ b/server.h
@@ -19,7 +19,7 @@
 /* Size limit of names, which platforms choose; longer names are ignored. */
 #define SERVER_NAME_SIZE 128
 #define SERVER_RANKS 10
-/* Size limit of software versions; longer ones are cut. */
+/* Size limit of software versions; longer ones are kept as by name_fit(). */
 #define SERVER_SOFTWARE_SIZE 48
 
 /* State of a server by the platform's list. */
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -857,6 +857,60 @@
 	servers_finish(&s);
 }
 
+/* Guards against two versions that are one as their names are shortened. */
+static void
+test_software_long(void)
+{
+	static const char first[] =
+	    "release-2026-12-07-of-the-model-engine-for-schedule-plans+build-1";
+	static const char second[] =
+	    "release-2026-12-07-of-the-model-engine-for-schedule-plans+build-2";
+	g_autofree char *cut = g_strndup(first, SERVER_SOFTWARE_SIZE - 1);
+	const struct server *v;
+	struct servers s;
+	name_id id;
+
+	servers_init(&s, &ops);
+	list_software(&s, 0, first);
+	v = servers_find(&s, name_hash("a"));
+	id = v->software_id;
+	g_assert_cmpuint(id, !=, 0);
+	list_software(&s, 1, first);
+	g_assert_cmpuint(v->starts, ==, 0);
+	list_software(&s, 2, second);
+	g_assert_cmpuint(v->software_id, !=, id);
+	g_assert_cmpuint(v->starts, ==, 1);
+	id = v->software_id;
+	list_software(&s, 3, cut);
+	g_assert_cmpuint(v->software_id, !=, id);
+	g_assert_cmpuint(v->starts, ==, 2);
+	servers_finish(&s);
+}
+
+/* Guards against another node that takes one long version for another. */
+static void
+test_software_passed_on(void)
+{
+	static const char first[] =
+	    "release-2026-12-07-of-the-model-engine-for-schedule-plans+build-1";
+	g_autofree char *passed_on = NULL;
+	struct servers here, there;
+	uint64_t mark;
+
+	servers_init(&here, &ops);
+	servers_init(&there, &ops);
+	list_software(&here, 0, first);
+	mark = servers_mark(&here);
+	passed_on = g_strdup(servers_find(&here, name_hash("a"))->software);
+	list_software(&there, 0, passed_on);
+	g_assert_cmpuint(servers_mark(&there), ==, mark);
+	list_software(&there, 1, first);
+	g_assert_cmpuint(servers_mark(&there), ==, mark);
+	g_assert_cmpuint(servers_find(&there, name_hash("a"))->starts, ==, 0);
+	servers_finish(&here);
+	servers_finish(&there);
+}
+
 /* Guards against a node that is sure of one version without a list to show it.
  */
 static void
@@ -993,6 +1047,8 @@
 	g_test_add_func("/server/groups-stay", test_groups_stay);
 	g_test_add_func("/server/out-of-reach", test_out_of_reach);
 	g_test_add_func("/server/software", test_software);
+	g_test_add_func("/server/software-long", test_software_long);
+	g_test_add_func("/server/software-passed-on", test_software_passed_on);
 	g_test_add_func("/server/replaced", test_replaced);
 	g_test_add_func("/server/replaced-same", test_replaced_same);
 	g_test_add_func("/server/version-view", test_version_view);
