An API key is compared whole

Cause: wire_request() kept 255 characters of a key. It is not copied any more but points into the head, as the request's other texts do.

--- a/wire.h
+++ b/wire.h
@@ -21,7 +21,6 @@
 #include <jansson.h>
 
 #define WIRE_PARTS_MAX 32
-#define WIRE_KEY_SIZE 256
 #define WIRE_HANDLE_SIZE 64
 
 /* A part of a prompt that other prompts may share, in the prompt's order. */
@@ -34,10 +33,10 @@
 struct wire_request {
 	const char *id; /* the caller's request id; "": none */
 	const char *host;
-	const char *path;	 /* including the query */
-	char key[WIRE_KEY_SIZE]; /* the caller's API key; "": none */
-	msec deadline;		 /* ms that the caller waits; 0: not given */
-	uint64_t after; /* resume a stream after this event; 0: start */
+	const char *path; /* including the query */
+	const char *key;  /* the caller's API key; "": none */
+	msec deadline;	  /* ms that the caller waits; 0: not given */
+	uint64_t after;	  /* resume a stream after this event; 0: start */
 	/*
 	 * It resumes a stream that an earlier request of the caller began, with
 	 * this id; "": not given, or not clear.
