All parts of a prompt are read and may be suspects

Cause: wire_parse_parts() kept 32 parts and dropped the rest, and the last of what it kept counted as the request's own. A malformed part ended the list too.

Now parts are a list of any length, which the request, waiting answers and checks of servers share. What thousands of them may cost is bounded where evidence is recorded: an end counts against all parts with a record first, then at most 1,024 new records are made of it, shared out among its requests.

The flood of test-poison-part is as before, with its size as a number.

--- a/entry-job.c
+++ b/entry-job.c
@@ -91,18 +91,20 @@
 	return text;
 }
 
-/* The last part is not shared with other requests. */
 const char *
 job_parts_text(const struct job *j, char text[JOB_PARTS_SIZE])
 {
+	unsigned int i, n = MIN(j->parts.n, JOB_PARTS_LOGGED);
 	size_t used = 0;
-	unsigned int i;
 
-	if (j->request.nparts < 2)
+	if (n == 0)
 		return NULL;
-	for (i = 0; i + 1 < j->request.nparts; i++)
+	for (i = 0; i < n; i++)
 		used += (size_t)g_snprintf(text + used, JOB_PARTS_SIZE - used,
-		    "%s%" PRIx64, i > 0 ? "," : "", j->request.parts[i].id);
+		    "%s%" PRIx64, i > 0 ? "," : "", j->parts.names[i]);
+	if (n < j->parts.n)
+		g_snprintf(
+		    text + used, JOB_PARTS_SIZE - used, ",+%u", j->parts.n - n);
 	return text;
 }
 
@@ -218,6 +220,8 @@
 	route_table_drop(j->table);
 	g_free(j->id);
 	g_free(j->began_as);
+	wire_request_finish(&j->request);
+	poison_parts_drop(&j->parts);
 	buffer_finish(&j->fields);
 	buffer_finish(&j->unsent_body);
 	TAILQ_REMOVE(&e->jobs, j, entry);
@@ -402,7 +406,7 @@
 {
 	struct caller *c = j->caller;
 	char address[INET_ADDRSTRLEN] = "";
-	uint64_t parts[WIRE_PARTS_MAX];
+	struct wire_request *w = &j->request;
 	struct poison_request r = { .method = j->head->method,
 		.host = j->request.host,
 		.path = j->request.path,
@@ -412,12 +416,9 @@
 		.model = j->request.model,
 		.prompt_tokens = j->request.prompt_tokens,
 		.max_tokens = j->request.max_tokens,
-		.parts = parts,
+		.parts = w->parts,
 		.nparts = job_count_identifying_parts(j) };
-	unsigned int i;
 
-	for (i = 0; i < j->request.nparts; i++)
-		parts[i] = j->request.parts[i].id;
 	if (j->organisation != NULL)
 		r.caller = j->organisation->name;
 	else if (terms != NULL)
@@ -426,8 +427,9 @@
 		caller_address(c, address);
 	j->fingerprint = poison_id_make(j->owner->settings->peer_key, &r);
 	/* The last part is the request's own. */
-	for (i = 0; i + 1 < j->request.nparts; i++)
-		j->parts.ids[j->parts.n++] = poison_part_id(parts[i]);
+	if (w->nparts > 1)
+		j->parts = poison_parts_make(w->parts, w->nparts - 1);
+	wire_request_finish(w);
 }
 
 static void
--- a/entry-memory.c
+++ b/entry-memory.c
@@ -382,6 +382,7 @@
 	if (c->reader.head != NULL &&
 	    e->wire->request(c->reader.head, &r, &reason))
 		e->wire->own(&fields, r.id);
+	wire_request_finish(&r);
 	buffer_printf(&fields, "Retry-After: %.3f\r\n",
 	    (double)job_retry_elsewhere(e) / MSEC_SECOND);
 	caller_refuse(c, now, 503, JOB_CARRIER_FULL, &fields);
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -52,6 +52,13 @@
  */
 #define POISON_PART_BEGUN_MS 300
 
+/*
+ * Parts without a record that become suspects by the end of a process: of all
+ * its requests together, and of one even if there are many of these.
+ */
+#define SUSPECT_PARTS_MAX 1024
+#define SUSPECT_PARTS_LEAST 32
+
 enum check_state {
 	CHECK_DELAYED,	  /* waits for the delay of the next connection */
 	CHECK_CONNECTING, /* the connection is being established */
@@ -75,7 +82,8 @@
 	struct loop_timer timer;      /* ends the state */
 	struct loop_timer wait_timer; /* resumes the requests that wait */
 	msec since;
-	GArray *requests; /* struct poison_aboard: requests it was running */
+	GArray *requests;    /* struct poison_aboard: requests it was running */
+	unsigned int nended; /* of them, since the process has ended */
 };
 
 static void check_connected(struct loop_io *, uint32_t);
@@ -93,6 +101,24 @@
 	return XXH64(words, sizeof words, 8);
 }
 
+/* ---- requests that a process was running ---- */
+
+static void
+aboard_drop(struct poison_aboard *a)
+{
+	poison_parts_drop(&a->parts);
+	*a = (struct poison_aboard){ 0 };
+}
+
+static GArray *
+aboard_list_new(void)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct poison_aboard));
+
+	g_array_set_clear_func(list, (GDestroyNotify)aboard_drop);
+	return list;
+}
+
 /* ---- results of a check ---- */
 
 static struct job *
@@ -148,16 +174,40 @@
 		if (list[i].process != c->process || list[i].at < since)
 			continue;
 		g_array_append_val(c->requests, list[i]);
-		list[i].process = 0;
+		list[i] = (struct poison_aboard){ .at = list[i].at };
 	}
 }
 
+/* `n`: requests that the process was running, as far as they are known. */
 static void
-suspect_add(
-    struct entry *e, const struct poison_aboard *a, uint64_t process, msec now)
+suspect_add(struct entry *e, const struct poison_aboard *a, uint64_t process,
+    unsigned int n, msec now)
 {
 	poison_server_ended(&e->poison.core, now, a->id, process);
-	poison_parts_ended(&e->poison.core, now, &a->parts, process, a->at);
+	poison_parts_ended(&e->poison.core, now, &a->parts, process, a->at,
+	    MAX(SUSPECT_PARTS_MAX / n, SUSPECT_PARTS_LEAST));
+}
+
+/*
+ * Ends are first counted against the parts that have records, so that the new
+ * records of some requests do not displace those of others.
+ */
+static void
+suspects_add(struct server_check *c, const GArray *list, msec now)
+{
+	struct poisons *p = &c->owner->poison.core;
+	const struct poison_aboard *a;
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		a = &g_array_index(list, struct poison_aboard, i);
+		poison_parts_ended(p, now, &a->parts, c->process, a->at, 0);
+	}
+	for (i = 0; i < list->len; i++)
+		suspect_add(c->owner,
+		    &g_array_index(list, struct poison_aboard, i), c->process,
+		    list->len, now);
+	c->nended = list->len;
 }
 
 /* The process has ended: all requests that it was running are suspects. */
@@ -166,13 +216,12 @@
 {
 	struct entry *e = c->owner;
 	g_autoptr(GArray) requests = NULL;
-	guint i;
 
 	check_take_aboard(c, e->poison.abandoned, POISON_ABANDONED_MAX,
 	    now - POISON_ABANDONED_MS);
 	check_take_aboard(c, e->poison.answered, POISON_ANSWERED_MAX, 0);
 	requests = c->requests;
-	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_aboard));
+	c->requests = aboard_list_new();
 	c->state = CHECK_ENDED;
 	e->poison.servers_ended++;
 	e->poison.ended_at = now;
@@ -183,10 +232,7 @@
 		    LOG_EVENT_SERVER_ENDED, LOG_TEXT(LOG_KEY_SERVER, c->name),
 		    LOG_NUMBER(LOG_KEY_REQUESTS, requests->len),
 		    LOG_NUMBER(LOG_KEY_MS, now - c->since));
-	for (i = 0; i < requests->len; i++)
-		suspect_add(e,
-		    &g_array_index(requests, struct poison_aboard, i),
-		    c->process, now);
+	suspects_add(c, requests, now);
 	check_resume_requests(c, now);
 }
 
@@ -326,7 +372,7 @@
 	c->port = v->port;
 	c->since = now;
 	c->state = CHECK_DELAYED;
-	c->requests = g_array_new(FALSE, FALSE, sizeof(struct poison_aboard));
+	c->requests = aboard_list_new();
 	loop_timer_init(&c->timer, check_state_timer, c);
 	loop_timer_init(&c->wait_timer, check_wait_timer, c);
 	TAILQ_INSERT_TAIL(&e->poison.checks, c, entry);
@@ -367,7 +413,7 @@
 	};
 
 	if (!job_has_begun(j, now))
-		a.parts = j->parts;
+		a.parts = poison_parts_share(&j->parts);
 	return a;
 }
 
@@ -386,16 +432,19 @@
 	return c;
 }
 
-/* Adds a request to the check; false: the process is known to have ended. */
+/*
+ * Adds a request, which it takes over, to the check; false: the process is
+ * known to have ended.
+ */
 static bool
-check_add_request(
-    struct server_check *c, const struct poison_aboard *a, msec now)
+check_add_request(struct server_check *c, struct poison_aboard *a, msec now)
 {
 	if (c->state != CHECK_ENDED) {
 		g_array_append_vals(c->requests, a, 1);
 		return true;
 	}
-	suspect_add(c->owner, a, c->process, now);
+	suspect_add(c->owner, a, c->process, ++c->nended, now);
+	aboard_drop(a);
 	return false;
 }
 
@@ -403,12 +452,13 @@
 entry_poison_connection_broke(
     struct job *j, const struct server *v, bool waits, msec now)
 {
-	struct poison_aboard a = aboard_of(j, v, now);
+	struct poison_aboard a;
 	struct server_check *c;
 
 	/* A server that is not ready ends as planned. */
 	if (!server_takes_work(v, now) || poison_id_is_none(j->fingerprint))
 		return false;
+	a = aboard_of(j, v, now);
 	c = check_begin(j->owner, v, now);
 	if (!check_add_request(c, &a, now) || !waits || !c->wait_timer.set)
 		return false;
@@ -424,12 +474,14 @@
 	/* Its place may be taken meanwhile. */
 	struct poison_aboard a = x->answered[x->first_answered];
 
+	x->answered[x->first_answered] = (struct poison_aboard){ 0 };
 	x->first_answered = (x->first_answered + 1) % POISON_ANSWERED_MAX;
 	x->nanswered--;
-	if (a.process == 0)
-		return;
-	poison_answered(&x->core, now, a.id);
-	poison_parts_answered(&x->core, now, &a.parts, a.at);
+	if (a.process != 0) {
+		poison_answered(&x->core, now, a.id);
+		poison_parts_answered(&x->core, now, &a.parts, a.at);
+	}
+	aboard_drop(&a);
 }
 
 static void
@@ -446,6 +498,7 @@
 		    x->answered[x->first_answered].at + POISON_OUTLIVE_MS);
 }
 
+/* Takes the request over. */
 static void
 answered_add(struct entry *e, const struct poison_aboard *a, msec now)
 {
@@ -487,7 +540,7 @@
 	if (h->status < 300 && job_has_begun(j, now))
 		poison_parts_answered(p, now, &j->parts, now);
 	else if (h->status < 300)
-		a.parts = j->parts;
+		a.parts = poison_parts_share(&j->parts);
 	if (h->until_close || a.parts.n > 0)
 		answered_add(e, &a, now);
 }
@@ -511,6 +564,7 @@
 
 	if (!server_takes_work(v, now) || poison_id_is_none(j->fingerprint))
 		return;
+	aboard_drop(&x->abandoned[x->next_abandoned]);
 	x->abandoned[x->next_abandoned] = aboard_of(j, v, now);
 	x->next_abandoned = (x->next_abandoned + 1) % POISON_ABANDONED_MAX;
 }
@@ -764,13 +818,11 @@
 entry_poison_set_sound_parts(struct entry *e)
 {
 	const struct settings *s = e->settings;
-	struct poison_parts parts = { 0 };
+	struct poison_parts parts =
+	    poison_parts_make(s->sound_parts, s->nsound_parts);
 
-	while (parts.n < s->nsound_parts) {
-		parts.ids[parts.n] = poison_part_id(s->sound_parts[parts.n]);
-		parts.n++;
-	}
 	poisons_set_sound_parts(&e->poison.core, &parts);
+	poison_parts_drop(&parts);
 }
 
 static void
@@ -806,9 +858,14 @@
 entry_poison_finish(struct entry *e)
 {
 	struct server_check *c, *next;
+	unsigned int i;
 
 	TAILQ_FOREACH_SAFE (c, &e->poison.checks, entry, next)
 		check_free(c);
+	for (i = 0; i < POISON_ABANDONED_MAX; i++)
+		aboard_drop(&e->poison.abandoned[i]);
+	for (i = 0; i < POISON_ANSWERED_MAX; i++)
+		aboard_drop(&e->poison.answered[i]);
 	loop_timer_stop(&e->loop, &e->poison.timer);
 	loop_timer_stop(&e->loop, &e->poison.answered_timer);
 	poisons_finish(&e->poison.core);
--- a/entry-request.c
+++ b/entry-request.c
@@ -27,11 +27,19 @@
 	return JOB_PROMPT_TOKENS_MAX;
 }
 
+void
+wire_request_finish(struct wire_request *r)
+{
+	g_free(r->parts);
+	r->parts = NULL;
+	r->nparts = 0;
+}
+
 void
 job_fill_wish(const struct job *j, struct server_wish *w)
 {
 	const struct wire_request *r = &j->request;
-	uint64_t most = job_prompt_tokens_max(j), shared = 0;
+	uint64_t most = job_prompt_tokens_max(j);
 	unsigned int i;
 
 	*w = (struct server_wish){ .service = j->service,
@@ -48,15 +56,13 @@
 	memcpy(w->avoid, j->tried, sizeof w->avoid);
 	if (!j->route->has_prompt_parts)
 		return;
-	/* The last part of the prompt is not shared with other requests. */
-	for (i = 0; i + 1 < r->nparts; i++) {
-		w->prompt = w->prompt * 0x9e3779b97f4a7c15ULL + r->parts[i].id;
-		shared += r->parts[i].tokens;
-	}
-	w->shared = (unsigned int)MIN(shared, most);
-	if (r->prompt_tokens > shared)
+	for (i = 0; i < j->parts.n; i++)
+		w->prompt =
+		    w->prompt * 0x9e3779b97f4a7c15ULL + j->parts.names[i];
+	w->shared = (unsigned int)MIN(r->shared_tokens, most);
+	if (r->prompt_tokens > r->shared_tokens)
 		w->own = (unsigned int)MIN(
-		    r->prompt_tokens - shared, most - w->shared);
+		    r->prompt_tokens - r->shared_tokens, most - w->shared);
 }
 
 void
--- a/entry.h
+++ b/entry.h
@@ -481,7 +481,8 @@
 /* Called by placement with the server for a request, or NULL. */
 void job_placed(struct place *, struct place_request *, struct server *, msec);
 /* Names of the prompt parts that others may share, for logs; NULL: none. */
-#define JOB_PARTS_SIZE (WIRE_PARTS_MAX * 17)
+#define JOB_PARTS_LOGGED 64
+#define JOB_PARTS_SIZE ((JOB_PARTS_LOGGED + 1) * 17)
 const char *job_parts_text(const struct job *, char[JOB_PARTS_SIZE]);
 /* The poison id as text for logs, or NULL if it is not set yet. */
 const char *job_fingerprint_text(const struct job *, char[POISON_ID_SIZE]);
--- a/poison-private.h
+++ b/poison-private.h
@@ -63,16 +63,14 @@
 /* Entries of the table of answers. */
 #define POISON_ANSWERS_BITS 11
 #define POISON_ANSWERS (1U << POISON_ANSWERS_BITS)
+/* An answer to a request with more parts does not displace recent ones. */
+#define POISON_ANSWERS_OF_ONE (POISON_ANSWERS / 16)
 /* Ends of two processes within this time are one moment. */
 #define POISON_MOMENT_MS 10
 /* The last complete answer of this node with a part; MSEC_NEVER: none. */
 msec part_answered_at(const struct poisons *, struct poison_id);
-/*
- * Can the ends in a part's record all be the work of other condemned parts, not
- * counting those of `except`, which may be NULL?
- */
-bool part_is_explained(const struct poisons *, const struct poison_record *,
-    const struct poison_parts *except);
+/* Can the ends in a part's record all be the work of other condemned parts? */
+bool part_is_explained(const struct poisons *, const struct poison_record *);
 
 /* ---- decisions: poison.c ---- */
 
--- a/poison.c
+++ b/poison.c
@@ -365,8 +365,7 @@
 record_refuses(const struct poisons *p, const struct poison_record *r, msec now)
 {
 	return record_is_condemned(r, now) &&
-	       (record_kind(r) != POISON_KIND_PART ||
-		   !part_is_explained(p, r, NULL));
+	       (record_kind(r) != POISON_KIND_PART || !part_is_explained(p, r));
 }
 
 void
@@ -667,6 +666,7 @@
 	TAILQ_FOREACH_SAFE (out, &p->releases, entry, next)
 		g_free(out);
 	records_free(p);
+	poison_parts_drop(&p->sound);
 	g_free(p->answers);
 	g_free(p->nodes);
 	p->answers = NULL;
--- a/poison.h
+++ b/poison.h
@@ -68,15 +68,18 @@
 #define POISON_ID_SIZE 17
 void poison_id_print(struct poison_id, char[POISON_ID_SIZE]);
 
-/* Most parts of one request that are considered. */
-#define POISON_REQUEST_PARTS 31
-
-/* The parts of a request's prompt that other requests may share, as ids. */
+/* The parts of a request's prompt that other requests may share, by name. */
 struct poison_parts {
 	unsigned int n;
-	struct poison_id ids[POISON_REQUEST_PARTS];
+	const uint64_t *names;	/* in the prompt's order */
+	const uint64_t *sorted; /* the same, ascending */
 };
 
+/* Copies the names; users share the copy, which the last of them frees. */
+struct poison_parts poison_parts_make(const uint64_t *names, unsigned int n);
+struct poison_parts poison_parts_share(const struct poison_parts *);
+void poison_parts_drop(struct poison_parts *);
+
 /* The id of a part by its name in requests; logs show that name. */
 struct poison_id poison_part_id(uint64_t name);
 bool poison_id_is_part(struct poison_id);
@@ -96,7 +99,7 @@
  * the fewest ended processes is evicted first, condemned ones last.
  */
 #define POISON_RECORDS_MAX 1024
-#define POISON_PARTS_MAX 4096
+#define POISON_PARTS_MAX 8192
 
 /* Whether a request may be sent to a server. */
 enum poison_verdict {
@@ -300,10 +303,11 @@
     const struct poison_parts *, struct poison_run *, struct poison_id *which);
 /*
  * A server process ended at `at` before it had answered a request with these
- * parts for some time.
+ * parts for some time. That counts against those that have a record, and for
+ * so many others, drawn at random, a record is made.
  */
 void poison_parts_ended(struct poisons *, msec, const struct poison_parts *,
-    uint64_t life, msec at);
+    uint64_t life, msec at, unsigned int most_new);
 /*
  * At `at` a server had answered such a request, completely and successfully, or
  * for some time.
--- a/tests/test-poison-part.c
+++ b/tests/test-poison-part.c
@@ -202,19 +202,9 @@
 
 /* ---- single records ---- */
 
-static struct poison_parts
-parts_of(unsigned int n, const uint64_t *names)
-{
-	struct poison_parts parts = { .n = n };
-	unsigned int i;
-
-	for (i = 0; i < n; i++)
-		parts.ids[i] = poison_part_id(names[i]);
-	return parts;
-}
-#define PARTS(...)                                                       \
-	parts_of(sizeof((uint64_t[]){ __VA_ARGS__ }) / sizeof(uint64_t), \
-	    (const uint64_t[]){ __VA_ARGS__ })
+#define PARTS(...)                                           \
+	poison_test_parts((const uint64_t[]){ __VA_ARGS__ }, \
+	    sizeof((uint64_t[]){ __VA_ARGS__ }) / sizeof(uint64_t))
 
 /* Servers end under requests with these parts, at any node. */
 static void
@@ -224,7 +214,7 @@
 
 	for (i = 0; i < n; i++) {
 		poison_parts_ended(&w->nodes[i % w->n].core, w->now, &parts,
-		    ++w->lives, w->now);
+		    ++w->lives, w->now, SUSPECT_PARTS);
 		poison_world_run(w, 100, 0, 0, 1);
 	}
 }
@@ -364,13 +354,25 @@
 
 	poison_world_init(&w, 6, 4, 1);
 	for (i = 0; i < 100; i++)
-		poison_parts_ended(
-		    &w.nodes[i % 6].core, w.now, &parts, ++w.lives, w.now);
+		poison_parts_ended(&w.nodes[i % 6].core, w.now, &parts,
+		    ++w.lives, w.now, SUSPECT_PARTS);
 	poison_world_run(&w, 1000, 0, 0, 1);
 	g_assert_cmpuint(condemned_parts(&w), ==, 0);
 	poison_world_finish(&w);
 }
 
+/* Parts that no other request has. */
+static struct poison_parts
+parts_new(uint64_t *name, unsigned int n)
+{
+	g_autofree uint64_t *names = g_new(uint64_t, n);
+	unsigned int i;
+
+	for (i = 0; i < n; i++)
+		names[i] = (*name)++;
+	return poison_parts_make(names, n);
+}
+
 /* Guards against a deadly part whose record made-up parts evict. */
 static void
 test_flood(void)
@@ -379,18 +381,19 @@
 	struct poisons *p;
 	struct world w;
 	uint64_t name = 1000;
-	unsigned int i, k, n;
+	unsigned int i, k;
 
 	poison_world_init(&w, 1, 4, 1);
 	p = &w.nodes[0].core;
 	for (i = 0; i < POISON_PART_ENDS; i++) {
-		poison_parts_ended(p, w.now, &deadly, ++w.lives, w.now);
+		poison_parts_ended(
+		    p, w.now, &deadly, ++w.lives, w.now, SUSPECT_PARTS);
 		/* After the first end it is as suspect as they are. */
 		for (k = 0; k < (i == 0 ? 50 : 1000); k++) {
-			flood.n = POISON_REQUEST_PARTS;
-			for (n = 0; n < flood.n; n++)
-				flood.ids[n] = poison_part_id(name++);
-			poison_parts_ended(p, w.now, &flood, w.lives, w.now);
+			flood = parts_new(&name, 31);
+			poison_parts_ended(
+			    p, w.now, &flood, w.lives, w.now, SUSPECT_PARTS);
+			poison_parts_drop(&flood);
 		}
 		w.now += 100;
 	}
@@ -399,6 +402,98 @@
 	poison_world_finish(&w);
 }
 
+/*
+ * Guards against the same by requests with as many parts as fit into a head:
+ * each time LONG_REQUESTS of them run beside the deadly one.
+ */
+#define LONG_REQUESTS 128
+#define LONG_PARTS 4000
+#define LATE_PARTS 39
+static void
+test_flood_long(void)
+{
+	struct poison_parts flood[LONG_REQUESTS], deadly;
+	uint64_t name = 1000, late[LATE_PARTS + 1];
+	unsigned int i, k, ends = 0;
+	struct poisons *p;
+	struct world w;
+
+	poison_world_init(&w, 1, 4, 1);
+	p = &w.nodes[0].core;
+	for (i = 0; i < LATE_PARTS; i++)
+		late[i] = 100 + i;
+	late[LATE_PARTS] = 66;
+	deadly = poison_test_parts(late, LATE_PARTS + 1);
+	do {
+		w.lives++;
+		for (k = 0; k < LONG_REQUESTS; k++)
+			flood[k] = parts_new(&name, LONG_PARTS);
+		poison_parts_ended(p, w.now, &deadly, w.lives, w.now, 0);
+		poison_parts_ended(
+		    p, w.now, &deadly, w.lives, w.now, SUSPECT_PARTS);
+		for (k = 0; k < LONG_REQUESTS; k++) {
+			poison_parts_ended(
+			    p, w.now, &flood[k], w.lives, w.now, SUSPECT_PARTS);
+			poison_parts_drop(&flood[k]);
+		}
+		w.now += 100;
+	} while (judge(&w, 0, deadly) != POISON_CONDEMNED &&
+		 ++ends < POISON_PART_ENDS);
+	g_assert_cmpint(judge(&w, 0, deadly), ==, POISON_CONDEMNED);
+	g_assert_cmpuint(p->counts[POISON_KIND_PART], <=, POISON_PARTS_MAX);
+	poison_world_finish(&w);
+}
+
+/* Guards against part of a long prompt that is never a suspect. */
+static void
+test_any_of_many(void)
+{
+	uint64_t names[LONG_PARTS], name = 1000;
+	struct poison_parts parts;
+	struct poisons *p;
+	struct world w;
+	unsigned int i, k;
+
+	poison_world_init(&w, 1, 4, 1);
+	p = &w.nodes[0].core;
+	/* One is common to all, and stands last. */
+	for (i = 0; i < 2000 && judge(&w, 0, PARTS(66)) == POISON_SEND; i++) {
+		for (k = 0; k < LONG_PARTS; k++)
+			names[k] = name++;
+		names[LONG_PARTS - 1] = 66;
+		parts = poison_parts_make(names, LONG_PARTS);
+		poison_parts_ended(
+		    p, w.now, &parts, ++w.lives, w.now, SUSPECT_PARTS);
+		poison_parts_drop(&parts);
+		w.now += 100;
+	}
+	g_assert_cmpint(judge(&w, 0, PARTS(66)), !=, POISON_SEND);
+	poison_world_finish(&w);
+}
+
+/*
+ * Guards against a prompt of many parts whose answer makes this node forget
+ * those that it has just had answers with.
+ */
+static void
+test_answered_many(void)
+{
+	uint64_t name = 1000;
+	struct poison_parts hot = PARTS(7), many;
+	struct poisons *p;
+	struct world w;
+
+	poison_world_init(&w, 1, 4, 1);
+	p = &w.nodes[0].core;
+	poison_parts_answered(p, w.now, &hot, w.now);
+	many = parts_new(&name, LONG_PARTS);
+	poison_parts_answered(p, w.now, &many, w.now);
+	poison_parts_drop(&many);
+	poison_parts_ended(p, w.now, &hot, ++w.lives, w.now, SUSPECT_PARTS);
+	g_assert_cmpuint(p->counts[POISON_KIND_PART], ==, 0);
+	poison_world_finish(&w);
+}
+
 /* Guards against updates that exceed the bandwidth of a large fleet's links. */
 static void
 test_large(void)
@@ -440,6 +535,9 @@
 	g_test_add_func("/poison-part/declared-sound", test_declared_sound);
 	g_test_add_func("/poison-part/answered-before", test_answered_before);
 	g_test_add_func("/poison-part/one-moment", test_one_moment);
+	g_test_add_func("/poison-part/flood-long", test_flood_long);
+	g_test_add_func("/poison-part/any-of-many", test_any_of_many);
+	g_test_add_func("/poison-part/answered-many", test_answered_many);
 	g_test_add_func("/poison-part/flood", test_flood);
 	g_test_add_func("/poison-part/large", test_large);
 	return g_test_run();
--- a/tests/test-poison-store.c
+++ b/tests/test-poison-store.c
@@ -128,10 +128,7 @@
 static struct poison_parts
 parts_one(uint64_t name)
 {
-	struct poison_parts parts = { .n = 1 };
-
-	parts.ids[0] = poison_part_id(name);
-	return parts;
+	return poison_test_parts(&name, 1);
 }
 
 static void
@@ -140,8 +137,8 @@
 	struct poison_parts parts = parts_one(name);
 
 	for (; n > 0; n--) {
-		poison_parts_ended(
-		    &v->core, w->now, &parts, ++w->lives, w->now);
+		poison_parts_ended(&v->core, w->now, &parts, ++w->lives, w->now,
+		    SUSPECT_PARTS);
 		poison_world_run(w, 1000, 0, 0, 1);
 	}
 }
--- a/tests/util-poison.c
+++ b/tests/util-poison.c
@@ -155,7 +155,7 @@
 	unsigned int i;
 
 	for (i = 0; i < r->parts.n; i++) {
-		if (poison_id_equal(r->parts.ids[i], id))
+		if (poison_id_equal(poison_part_id(r->parts.names[i]), id))
 			return true;
 	}
 	return false;
@@ -242,14 +242,16 @@
 		PART_MANY +
 		    (uint64_t)g_rand_int_range(w->rand, 0, PART_MANY_COUNT) };
 	unsigned int i, place = (unsigned int)g_rand_int_range(w->rand, 0, 4);
+	uint64_t drawn[G_N_ELEMENTS(names) + 1];
+	unsigned int n = 0;
 
 	for (i = 0; i <= G_N_ELEMENTS(names); i++) {
 		if (i == place && r->part != 0)
-			r->parts.ids[r->parts.n++] =
-			    poison_part_id(PART_DEADLY + r->part);
+			drawn[n++] = PART_DEADLY + r->part;
 		if (i < G_N_ELEMENTS(names))
-			r->parts.ids[r->parts.n++] = poison_part_id(names[i]);
+			drawn[n++] = names[i];
 	}
+	r->parts = poison_parts_make(drawn, n);
 }
 
 struct request *
@@ -325,8 +327,8 @@
 		runs_end(r, w->now, true);
 		poison_server_ended(&r->node->core, w->now, r->run.id, life);
 		if (w->now < r->begins + BEGUN_MS)
-			poison_parts_ended(
-			    &r->node->core, w->now, &r->parts, life, w->now);
+			poison_parts_ended(&r->node->core, w->now, &r->parts,
+			    life, w->now, SUSPECT_PARTS);
 		poison_server_checked(&r->node->core, w->now, r->run.id);
 		poison_server_checked(&r->node->core, w->now, r->part_run.id);
 		if (r->attempts < ATTEMPTS)
@@ -399,6 +401,7 @@
 		if (!r->done || r->run.waiting || r->run.granted ||
 		    r->part_run.waiting || r->part_run.granted)
 			continue;
+		poison_parts_drop(&r->parts);
 		g_free(r);
 		g_ptr_array_remove_index_fast(w->requests, i);
 	}
@@ -544,3 +547,13 @@
 		}
 	}
 }
+
+struct poison_parts
+poison_test_parts(const uint64_t *names, unsigned int n)
+{
+	struct poison_parts parts = poison_parts_make(names, n);
+
+	g_test_queue_destroy(
+	    (GDestroyNotify)g_rc_box_release, (gpointer)parts.names);
+	return parts;
+}
--- a/tests/util-poison.h
+++ b/tests/util-poison.h
@@ -22,6 +22,8 @@
 #define BEGUN_MS 300
 /* Ends under a part from which the bound of STABLE_MS and LATER_MAX counts. */
 #define PART_BOUND_ENDS 5
+/* Parts of a request that become suspects by an end; as many as it has. */
+#define SUSPECT_PARTS 32
 /* Other parts of prompts: one in all, some in many requests, some in few. */
 #define PART_COMMON 1
 #define PART_SOME 100
@@ -122,4 +124,7 @@
 void poison_world_run(struct world *, msec span, unsigned int every,
     unsigned int poisons, unsigned int poison_every);
 
+/* Parts that are freed when the test ends. */
+struct poison_parts poison_test_parts(const uint64_t *, unsigned int);
+
 #endif /* UTIL_POISON_H */
--- a/wire.h
+++ b/wire.h
@@ -20,16 +20,12 @@
 
 #include <jansson.h>
 
-#define WIRE_PARTS_MAX 32
 #define WIRE_HANDLE_SIZE 64
 
-/* A part of a prompt that other prompts may share, in the prompt's order. */
-struct wire_part {
-	uint64_t id;
-	unsigned int tokens;
-};
-
-/* A caller's request, decoded from its head; strings point into the head. */
+/*
+ * A caller's request, decoded from its head; strings point into the head. Ends
+ * with wire_request_finish().
+ */
 struct wire_request {
 	const char *id; /* the caller's request id; "": none */
 	const char *host;
@@ -46,10 +42,14 @@
 	const char *model; /* that is to answer; "": not given */
 	unsigned int prompt_tokens, max_tokens; /* 0: not given */
 	unsigned int expected_tokens; /* of output, an estimate; 0: not given */
+	/* Ids of the prompt's parts, in order; the last one is its own. */
 	unsigned int nparts;
-	struct wire_part parts[WIRE_PARTS_MAX];
+	uint64_t *parts;
+	uint64_t shared_tokens; /* of all parts but the last */
 };
 
+void wire_request_finish(struct wire_request *);
+
 /* Memory of a run that servers keep, see run-move.h. */
 struct wire_run_memory {
 	uint32_t address; /* of the server where the run was, host byte order */
@@ -121,7 +121,10 @@
 };
 
 struct wire_ops {
-	/* Decode a caller's head. False and a reason if it is invalid. */
+	/*
+	 * Decode a caller's head. False and a reason if it is invalid; then
+	 * nothing has to be finished.
+	 */
 	bool (*request)(
 	    const struct http_head *, struct wire_request *, const char **);
 	/* How to treat the header field with this name. */
