A status is three digits, 100 to 599

Cause: the status was what strtoul() made of the text, and all below 200 was interim. http_status_parse() takes three digits, 100 to 599; anything else is an answer that broke off. The own interface checks libcurl's status lines with it.

--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -6,6 +6,7 @@
 
 #define LOG_PART "engine"
 #include "daemon.h"
+#include "http-message.h"
 
 #include <sys/epoll.h>
 
@@ -138,12 +139,25 @@
 	return true;
 }
 
+/* libcurl hands on answers whose status is none. */
+static bool
+attempt_status(const char *p, size_t n)
+{
+	unsigned int status;
+
+	while (n > 0 && (p[n - 1] == '\r' || p[n - 1] == '\n'))
+		n--;
+	return http_status_parse(p, n, &status);
+}
+
 static size_t
 attempt_header(char *p, size_t size, size_t n, void *arg)
 {
 	struct attempt *a = arg;
 
 	n *= size;
+	if (n > 5 && strncmp(p, "HTTP/", 5) == 0 && !attempt_status(p, n))
+		return 0;
 	/* Interim answers (1xx) have headers too; trailers may follow the
 	 * final ones. */
 	if (n > 5 && strncmp(p, "HTTP/", 5) == 0)
--- a/http-message.c
+++ b/http-message.c
@@ -12,6 +12,8 @@
 	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz" \
 	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
+/* Of "HTTP/1.1 ". */
+#define HTTP_VERSION_BYTES 9
 /* Empty lines that may precede a message. */
 #define HTTP_EMPTY_LINES_MAX 4
 
@@ -155,6 +157,23 @@
 	return true;
 }
 
+bool
+http_status_parse(const char *line, size_t n, unsigned int *status)
+{
+	const char *s = line + HTTP_VERSION_BYTES;
+
+	if (n < HTTP_VERSION_BYTES + 3 || strncmp(line, "HTTP/1.", 7) != 0 ||
+	    (line[7] != '0' && line[7] != '1') || line[8] != ' ' ||
+	    !g_ascii_isdigit(s[0]) || !g_ascii_isdigit(s[1]) ||
+	    !g_ascii_isdigit(s[2]))
+		return false;
+	if (n > HTTP_VERSION_BYTES + 3 && s[3] != ' ')
+		return false;
+	*status = (unsigned int)(s[0] - '0') * 100 +
+		  (unsigned int)(s[1] - '0') * 10 + (unsigned int)(s[2] - '0');
+	return *status >= 100 && *status < 600;
+}
+
 /* Split "METHOD target HTTP/1.x" or "HTTP/1.x status reason" in place. */
 static bool
 start_split(struct http_reader *r, char *line, size_t n)
@@ -170,9 +189,8 @@
 	if (a == NULL)
 		return false;
 	if (r->parser.type == HTTP_RESPONSE) {
-		h->status = (unsigned int)strtoul(a + 1, NULL, 10);
 		h->is_http_1_0 = g_str_has_prefix(line, "HTTP/1.0 ");
-		return h->is_http_1_0 || g_str_has_prefix(line, "HTTP/1.1 ");
+		return http_status_parse(line, n, &h->status);
 	}
 	if ((b = strchr(a + 1, ' ')) == NULL || a[1] != '/')
 		return false;
--- a/http-message.h
+++ b/http-message.h
@@ -114,6 +114,12 @@
 bool http_head_has_token(const struct http_head *, const char *, const char *);
 /* True for hop-by-hop fields: by their name, or listed in Connection. */
 bool http_field_is_hop_by_hop(const struct http_head *, const char *);
+/*
+ * The status of a first line "HTTP/1.x status reason" without its line end. One
+ * that is not of three digits, 100 to 599, is none: parsers differ in what they
+ * make of it.
+ */
+bool http_status_parse(const char *, size_t, unsigned int *);
 /* The reason phrase of a status. */
 const char *http_status_text(unsigned int);
 
--- a/tests/proc-answers.c
+++ b/tests/proc-answers.c
@@ -570,6 +570,30 @@
 	nodes_finish(&s);
 }
 
+/* Guards against an answer whose status is none and that is passed on. */
+static void
+test_booking_odd_status(void)
+{
+	static const char *const faults[] = { "{\"status\": 600}",
+		"{\"status\": 999}" };
+	struct caller c;
+	struct nodes s;
+	size_t i;
+
+	nodes_up(&s, &one_one);
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		g_autofree char *id = g_strdup_printf("odd-booking-%zu", i);
+
+		http_fault(s.plain.proc.port, faults[i]);
+		caller_book(&c, nodes_entry_port(&s, 0), id);
+		caller_run(&c);
+		caller_assert_broken(&c, "unknown");
+		g_assert_cmpint(nodes_plain_executions(&s, id), ==, 1);
+		caller_finish(&c);
+	}
+	nodes_finish(&s);
+}
+
 static void
 test_booking_refused(void)
 {
@@ -705,6 +729,7 @@
 	g_test_add_func(
 	    "/answers/booking-read-and-close", test_booking_read_and_close);
 	g_test_add_func("/answers/booking-cut", test_booking_cut);
+	g_test_add_func("/answers/booking-odd-status", test_booking_odd_status);
 	g_test_add_func("/answers/booking-refused", test_booking_refused);
 	g_test_add_func("/answers/entry-killed", test_entry_killed);
 	g_test_add_func(
--- a/tests/test-http-message.c
+++ b/tests/test-http-message.c
@@ -317,6 +317,31 @@
 	}
 }
 
+/* Guards against an answer whose status is none. */
+static void
+test_statuses(void)
+{
+	static const char *const good[] = { "100 Continue", "200 OK", "204 ",
+		"200", "599 Odd" };
+	static const char *const odd[] = { "000 Odd", "001 Odd", "099 Odd",
+		"1 Odd", "20 Odd", "00200 OK", "0200 OK", "2000 OK", "600 Odd",
+		"999 Odd", "2x0 OK", "200x OK", "-20 OK", "+200 OK", " 200 OK",
+		"", "0x0c8 OK" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(good) + G_N_ELEMENTS(odd); i++) {
+		bool is_good = i < G_N_ELEMENTS(good);
+		g_autofree char *text =
+		    g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n",
+			is_good ? good[i] : odd[i - G_N_ELEMENTS(good)]);
+		g_autofree char *body = NULL;
+
+		g_test_message("%s", text);
+		g_assert_cmpint(answer_stage(text, false, &body), ==,
+		    is_good ? HTTP_STAGE_COMPLETE : HTTP_STAGE_FAILED);
+	}
+}
+
 static void
 test_hops(void)
 {
@@ -398,6 +423,7 @@
 	g_test_add_func("/http-message/pipeline", test_pipeline);
 	g_test_add_func("/http-message/ends", test_ends);
 	g_test_add_func("/http-message/answer-framing", test_answer_framing);
+	g_test_add_func("/http-message/statuses", test_statuses);
 	g_test_add_func("/http-message/hops", test_hops);
 	g_test_add_func("/http-message/longest-head", test_longest_head);
 	g_test_add_func("/http-message/long-trailer", test_long_trailer);
