An unframed success is whole once its server has taken the request

Cause: the end of the connection alone made the answer whole; that the request was not written out or confirmed was not looked at. Now the rest is written on first; an error, a reset or 2 s without confirmation end the attempt as broken off. The own interface has no such wait and takes it as broken off.

--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -9,6 +9,9 @@
 #include "http-message.h"
 
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
+
+#include <linux/sockios.h>
 
 #include <curl/curl.h>
 #include <stdlib.h>
@@ -53,7 +56,10 @@
 	char content_type[128];
 	char outcome[16]; /* Savorypier-Outcome of the node forwarded to */
 	long status;
-	bool head_whole; /* the final headers are complete */
+	bool head_whole;  /* the final headers are complete */
+	bool is_framed;	  /* they say where the body ends */
+	curl_socket_t fd; /* that it came on; CURL_SOCKET_BAD: closed */
+	bool unconfirmed; /* as it was closed, not all sent had arrived */
 	bool is_stream;
 	bool passed; /* EVENT_FIRST has been posted */
 	bool cancelled;
@@ -110,6 +116,24 @@
 	return 0;
 }
 
+/* Keeps of the attempt what only its open socket tells. */
+static int
+engine_close_socket(void *arg, curl_socket_t fd)
+{
+	struct engine_thread *t = arg;
+	struct attempt *a;
+	int unsent = 0;
+
+	TAILQ_FOREACH (a, &t->attempts, entry) {
+		if (a->fd != fd)
+			continue;
+		a->unconfirmed =
+		    ioctl(fd, SIOCOUTQ, &unsent) != 0 || unsent > 0;
+		a->fd = CURL_SOCKET_BAD;
+	}
+	return close(fd);
+}
+
 /* The attempt runs on a model engine: not on a plain service or another node.
  */
 static bool
@@ -118,12 +142,20 @@
 	return !a->call->plain && a->call->forward_to == 0;
 }
 
+static bool
+header_begins(const char *p, size_t n, const char *name)
+{
+	size_t len = strlen(name);
+
+	return n > len && g_ascii_strncasecmp(p, name, len) == 0;
+}
+
 static bool
 header_match(const char *p, size_t n, const char *name, char *out, size_t size)
 {
 	size_t len = strlen(name);
 
-	if (n <= len || g_ascii_strncasecmp(p, name, len) != 0)
+	if (!header_begins(p, n, name))
 		return false;
 	p += len;
 	n -= len;
@@ -160,10 +192,13 @@
 		return 0;
 	/* Interim answers (1xx) have headers too; trailers may follow the
 	 * final ones. */
-	if (n > 5 && strncmp(p, "HTTP/", 5) == 0)
-		a->head_whole = false;
-	else if (n <= 2 && (n == 0 || p[0] == '\r' || p[0] == '\n'))
+	if (n > 5 && strncmp(p, "HTTP/", 5) == 0) {
+		a->head_whole = a->is_framed = false;
+		curl_easy_getinfo(a->easy, CURLINFO_ACTIVESOCKET, &a->fd);
+	} else if (n <= 2 && (n == 0 || p[0] == '\r' || p[0] == '\n'))
 		a->head_whole = true;
+	a->is_framed |= header_begins(p, n, "Content-Length:") ||
+			header_begins(p, n, "Transfer-Encoding:");
 	if (header_match(p, n, "X-Request-Id:", a->echo, sizeof a->echo))
 		return n;
 	if (a->call->forward_to != 0 &&
@@ -344,6 +379,9 @@
 	curl_easy_setopt(a->easy, CURLOPT_HEADERDATA, a);
 	curl_easy_setopt(a->easy, CURLOPT_WRITEFUNCTION, attempt_body);
 	curl_easy_setopt(a->easy, CURLOPT_WRITEDATA, a);
+	curl_easy_setopt(
+	    a->easy, CURLOPT_CLOSESOCKETFUNCTION, engine_close_socket);
+	curl_easy_setopt(a->easy, CURLOPT_CLOSESOCKETDATA, a->thread);
 	curl_easy_setopt(a->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(a->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(a->easy, CURLOPT_PROXY, "");
@@ -375,12 +413,30 @@
 	a->resume_at = cmd->resume_at;
 	sse_init(&a->sse);
 	a->easy = curl_easy_init();
+	a->fd = CURL_SOCKET_BAD;
 	attempt_set_headers(a, cmd);
 	attempt_set_options(a, cmd);
 	TAILQ_INSERT_TAIL(&t->attempts, a, entry);
 	curl_multi_add_handle(t->multi, a->easy);
 }
 
+/*
+ * Guards against a part of a success that is passed on as whole: nothing but
+ * the end of the connection ends it, and a server that has not taken the whole
+ * request may go on to reset the connection.
+ */
+static bool
+attempt_end_is_doubtful(const struct attempt *a)
+{
+	curl_off_t sent = 0;
+
+	if (a->is_framed || a->status >= 300 || a->status == 204 ||
+	    strcmp(a->call->method, "HEAD") == 0)
+		return false;
+	curl_easy_getinfo(a->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return a->unconfirmed || sent < (curl_off_t)a->call->body_len;
+}
+
 /* Classifies the end of the attempt by the result of the transfer. */
 static enum attempt_end
 attempt_classify_end(const struct attempt *a, CURLcode rc)
@@ -407,7 +463,7 @@
 	 * If the connection closes within the headers, libcurl reports a
 	 * complete answer without a body; it must not be taken as whole.
 	 */
-	if (!a->head_whole)
+	if (!a->head_whole || attempt_end_is_doubtful(a))
 		return ATTEMPT_BROKEN;
 	if (attempt_is_engine(a) && (a->status == 503 || a->status == 404))
 		return ATTEMPT_REJECTED;
--- a/entry-link.c
+++ b/entry-link.c
@@ -37,6 +37,12 @@
 #define LINK_TOLD_MAX (64 * 1024)
 /* Sent bytes unacknowledged for so long: the network path is lost. */
 #define LINK_UNACKED_MS 1500
+/*
+ * A server whose answer has ended takes the rest of the request within this
+ * time, or has broken off; and how often that is looked at.
+ */
+#define LINK_TAKE_MS (2 * MSEC_SECOND)
+#define LINK_TAKE_CHECK_MS 5
 /* Idle time of a connection before its server is probed, in s. */
 #define LINK_KEEPALIVE_S 1
 /*
@@ -291,7 +297,7 @@
 {
 	uint32_t events = 0;
 
-	if (k->paused == 0)
+	if (k->paused == 0 && !k->ended)
 		events |= EPOLLIN | EPOLLRDHUP;
 	if (k->connecting ||
 	    (buffer_length(&k->out) > 0 && k->proof_bytes == 0))
@@ -352,8 +358,7 @@
 {
 	int unconfirmed = 0;
 
-	return link_is_open(k) &&
-	       ioctl(k->io.fd, SIOCOUTQ, &unconfirmed) == 0 && unconfirmed == 0;
+	return ioctl(k->io.fd, SIOCOUTQ, &unconfirmed) == 0 && unconfirmed == 0;
 }
 
 /* Mean round trip to the server's host, in ms; 0: not known. */
@@ -429,7 +434,7 @@
 
 	if (!link_is_current(k)) {
 		link_end(k, LINK_SERVER_LEAVING, now);
-	} else if (link_is_confirmed(k)) {
+	} else if (link_is_open(k) && link_is_confirmed(k)) {
 		buffer_consume(&k->out, k->proof_bytes);
 		e->counters.request_bytes[k->domain] += k->proof_bytes;
 		k->proof_bytes = 0;
@@ -702,14 +707,58 @@
 		link_answer_complete(k, n, now);
 }
 
+/*
+ * Guards against a part of a success that is passed on as whole: nothing but
+ * the end of the connection ends it, and a server that has not taken the whole
+ * request may go on to reset the connection.
+ */
+static bool
+link_end_is_doubtful(const struct link *k)
+{
+	const struct http_head *h = k->reader.head;
+
+	return h->until_close && h->status < 300 &&
+	       (buffer_length(&k->out) > 0 || !link_is_confirmed(k));
+}
+
 static void
-link_end_of_input(struct link *k, msec now)
+link_check_ended(struct link *k, msec now)
 {
-	http_reader_close(&k->reader);
-	if (k->reader.stage == HTTP_STAGE_COMPLETE && !k->discard_answer)
+	if (!link_end_is_doubtful(k))
 		link_answer_complete(k, 0, now);
+	else if (now - k->ended_since >= LINK_TAKE_MS)
+		link_fail(k, now);
+	else
+		loop_timer_set(
+		    &k->owner->loop, &k->timer, now + LINK_TAKE_CHECK_MS);
+}
+
+/* The answer has ended: write the rest of the request. */
+static void
+link_ended_ready(struct link *k, uint32_t events, msec now)
+{
+	if ((events & (EPOLLERR | EPOLLHUP)) || !link_flush(k))
+		link_fail(k, now);
 	else
+		link_check_ended(k, now);
+}
+
+static void
+link_end_of_input(struct link *k, msec now)
+{
+	http_reader_close(&k->reader);
+	if (k->reader.stage != HTTP_STAGE_COMPLETE || k->discard_answer) {
 		link_fail(k, now);
+		return;
+	}
+	if (!link_end_is_doubtful(k)) {
+		link_answer_complete(k, 0, now);
+		return;
+	}
+	k->ended = true;
+	k->ended_since = now;
+	link_watch(k);
+	link_check_ended(k, now);
 }
 
 static void
@@ -751,6 +800,10 @@
 		link_free(k);
 		return;
 	}
+	if (k->ended) {
+		link_ended_ready(k, events, now);
+		return;
+	}
 	if (k->connecting) {
 		if (!link_connected(k)) {
 			link_fail(k, now);
@@ -788,6 +841,8 @@
 			link_end(k, LINK_CONNECT_TIMED_OUT, now);
 	} else if (k->proof_bytes > 0) {
 		link_check_proof(k, now);
+	} else if (k->ended) {
+		link_check_ended(k, now);
 	}
 }
 
--- a/entry.h
+++ b/entry.h
@@ -295,6 +295,9 @@
 	 */
 	size_t proof_bytes;
 	msec proof_since;
+	/* The answer has ended, and the server has not taken the request. */
+	bool ended;
+	msec ended_since;
 	bool asking;	    /* what the server says of itself is awaited */
 	bool known;	    /* its process is the listed one, as it has said */
 	struct buffer held; /* the request, meanwhile */
--- a/tests/proc-answers.c
+++ b/tests/proc-answers.c
@@ -22,6 +22,11 @@
 static const struct nodes_config one_one = {
 	.nodes = 1, .engines = 1, .engine_proxy = true, .plain_proxy = true
 };
+static const struct nodes_config large_bodies = { .nodes = 1,
+	.engines = 1,
+	.engine_proxy = true,
+	.plain_proxy = true,
+	.settings = "limits: {body_bytes: 4194304}\n" };
 static const struct nodes_config two_two = { .nodes = 2,
 	.engines = 2,
 	.engine_proxy = true,
@@ -570,6 +575,38 @@
 	nodes_finish(&s);
 }
 
+/*
+ * Guards against the part of an answer without a length that a service sent
+ * before it reset the connection, having read part of the request only.
+ */
+static void
+test_booking_early_end(void)
+{
+	struct proxy_faults f = { .cut_to_server = -1,
+		.cut_to_client = -1,
+		.early_answer = "HTTP/1.1 200 OK\r\n"
+				"Content-Type: application/json\r\n\r\n{}" };
+	static const unsigned int sizes[] = { 900000, 2000000 };
+	struct caller c;
+	struct nodes s;
+	size_t i;
+
+	nodes_up(&s, &large_bodies);
+	proxy_set(s.plain.proxy, &f);
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		g_autofree char *id = g_strdup_printf("early-%zu", i);
+		g_autofree char *long_text = g_strnfill(sizes[i], 'u');
+
+		caller_book(&c, nodes_entry_port(&s, 0), id);
+		g_free(c.body);
+		c.body = g_strdup_printf("{\"slot\":\"%s\"}", long_text);
+		caller_run(&c);
+		caller_assert_broken(&c, "unknown");
+		caller_finish(&c);
+	}
+	nodes_finish(&s);
+}
+
 /* Guards against an answer whose status is none and that is passed on. */
 static void
 test_booking_odd_status(void)
@@ -729,6 +766,7 @@
 	g_test_add_func(
 	    "/answers/booking-read-and-close", test_booking_read_and_close);
 	g_test_add_func("/answers/booking-cut", test_booking_cut);
+	g_test_add_func("/answers/booking-early-end", test_booking_early_end);
 	g_test_add_func("/answers/booking-odd-status", test_booking_odd_status);
 	g_test_add_func("/answers/booking-refused", test_booking_refused);
 	g_test_add_func("/answers/entry-killed", test_entry_killed);
--- a/tests/util-proxy.c
+++ b/tests/util-proxy.c
@@ -19,6 +19,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#define PROXY_EARLY_RESET_MS 2
 #define PROXY_PIECE_MAX 65536
 #define PROXY_QUEUE_MAX (1024 * 1024) /* then reading waits */
 #define PROXY_REORDER_MS 20
@@ -222,6 +223,19 @@
 	return (size_t)MAX(limit - d->passed, 0);
 }
 
+static void
+tcp_answer_early(struct proxy *x, struct link *l)
+{
+	const char *text = x->faults.early_answer;
+
+	send(l->client, text, strlen(text), MSG_NOSIGNAL);
+	shutdown(l->client, SHUT_WR);
+	g_usleep(PROXY_EARLY_RESET_MS * 1000);
+	link_reset(l);
+	l->dead = true;
+	x->counters.cut++;
+}
+
 static void
 tcp_read(struct proxy *x, struct link *l, int which)
 {
@@ -232,6 +246,10 @@
 
 	if (d->ended)
 		return;
+	if (which == TO_SERVER && x->faults.early_answer != NULL) {
+		tcp_answer_early(x, l);
+		return;
+	}
 	got = recv(d->from, buf, sizeof buf, 0);
 	if (got == -1 && (errno == EAGAIN || errno == EINTR))
 		return;
--- a/tests/util-proxy.h
+++ b/tests/util-proxy.h
@@ -28,6 +28,11 @@
 	enum proxy_cut cut;
 	bool refuse;	/* connections are refused; open ones go on */
 	bool blackhole; /* connections open, nothing passes */
+	/*
+	 * Nothing passes: clients get this as soon as they send something, then
+	 * an end, then a reset; NULL is off.
+	 */
+	const char *early_answer;
 
 	/* UDP: shares of the datagrams. */
 	unsigned int drop_permille;
