Ids of events may rise by more than one

Cause: each event had to have the last id and one. That matters only where another server goes on. event-order.c takes any rise within one answer; the first event of another attempt has to be the one that is due by the step so far.

Evidence: proc-stream-ends ids-rise fails with the daemon of (the stream is broken off) and passes, also where a server breaks off and another goes on.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -47,6 +47,7 @@
 	if (j->ntried < SERVER_AVOID_MAX)
 		j->tried[j->ntried++] = v->id;
 	job_write_request(j, now, v, &request);
+	event_order_join(&j->order);
 	j->link = link_send(e, v, j, &job_link_ops, &request, &terms, now);
 	buffer_finish(&request);
 	if (j->link == NULL)
@@ -283,7 +284,7 @@
 {
 	if (!j->answer_began)
 		return true;
-	return j->streamed && j->events > 0 && entry_version_is_clear(j);
+	return j->streamed && j->order.count > 0 && entry_version_is_clear(j);
 }
 
 bool
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -145,6 +145,7 @@
 		entry_poison_run_end(j, now, false);
 	j->kept_link = j->link;
 	j->kept_sent_at = j->sent_at;
+	event_order_join(&j->order);
 	j->link = k;
 	j->carrier = c;
 	j->sent_at = now;
--- a/entry-job.c
+++ b/entry-job.c
@@ -483,7 +483,7 @@
 	/* The log line needs the id after the head has been freed. */
 	j->request.id = j->id = g_strdup(j->request.id);
 	j->request.began_as = j->began_as = g_strdup(j->request.began_as);
-	j->last_event = j->request.after;
+	event_order_init(&j->order, j->request.after);
 	code = job_admit(j, now);
 	if (terms != NULL)
 		code = entry_handoff_admit(j, terms, code);
--- a/entry-move.c
+++ b/entry-move.c
@@ -127,7 +127,7 @@
 	    LOG_TEXT(LOG_KEY_REQUEST, m->job->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, move_server_name(m, m->source)),
 	    LOG_TEXT(LOG_KEY_REASON, run_move_reason_name(reason)),
-	    LOG_NUMBER(LOG_KEY_LAST, m->job->last_event),
+	    LOG_NUMBER(LOG_KEY_LAST, m->job->order.last),
 	    LOG_NUMBER(LOG_KEY_MS, now - m->since));
 	move_detach(m, now);
 }
@@ -146,7 +146,7 @@
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_RUN_MOVED,
 	    LOG_TEXT(LOG_KEY_REQUEST, m->job->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, m->job->server_name),
-	    LOG_NUMBER(LOG_KEY_LAST, m->job->last_event),
+	    LOG_NUMBER(LOG_KEY_LAST, m->job->order.last),
 	    LOG_NUMBER(LOG_KEY_MS, now - m->since));
 	m->dropping = true;
 	move_detach(m, now);
@@ -314,7 +314,7 @@
 	const struct route_service *v =
 	    route_service_find(j->table, j->service);
 	uint64_t tokens =
-	    j->request.prompt_tokens + j->events * v->tokens_per_event;
+	    j->request.prompt_tokens + j->order.count * v->tokens_per_event;
 
 	if (t->memory_tokens > 0)
 		tokens = MIN(tokens, t->memory_tokens);
@@ -346,7 +346,7 @@
 	if (j->move != NULL || j->link == NULL || j->carrier != NULL ||
 	    j->carried)
 		return false;
-	if (j->server == NULL || !j->streamed || j->events == 0 ||
+	if (j->server == NULL || !j->streamed || j->order.count == 0 ||
 	    *j->request.id == '\0')
 		return false;
 	/* A server that was to resume the stream may not have answered yet. */
@@ -434,7 +434,7 @@
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_SERVER, j->server->name),
 	    LOG_TEXT(LOG_KEY_REASON, m->slow ? "slow" : "leaves"),
-	    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
+	    LOG_NUMBER(LOG_KEY_LAST, j->order.last),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS,
 		j->deadline != MSEC_NEVER ? j->deadline - now : -1));
 	run_move_begin(&m->core, now, view);
@@ -484,14 +484,14 @@
 {
 	/* All streams are measured, as others are compared with them. */
 	if (!j->table->moves_when_slow || j->link == NULL || !j->streamed ||
-	    j->events == 0)
+	    j->order.count == 0)
 		return false;
 	/* The events of a caller that reads slowly wait for it. */
 	if (j->link->paused != 0) {
 		run_pace_restart(&j->pace);
 		return false;
 	}
-	if (!run_pace_record(&j->pace, j->server->id, now, j->events))
+	if (!run_pace_record(&j->pace, j->server->id, now, j->order.count))
 		return false;
 	run_paces_add(&j->owner->moves.paces, j->service, j->server->id, now,
 	    j->pace.newest);
@@ -508,7 +508,7 @@
 	msec since;
 	struct run_move_pace pace = {
 		.pace = run_pace_kept(&j->pace, &since),
-		.made = j->last_event,
+		.made = event_order_made(&j->order),
 		.expected = move_events(j, j->request.expected_tokens),
 		.most = move_events(j, j->request.max_tokens),
 		.mean = k != NULL ? duration_mean(&k->stream_time, MSEC_NEVER)
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -137,31 +137,27 @@
 			entry_memory_high_water(j->owner));
 }
 
-/*
- * Check an event's number: a stream that another server resumes must continue
- * with the event after the last one that the caller was sent, without gaps or
- * repeated events.
- */
+/* Check that an event follows the last one that the caller was sent. */
 static bool
 reply_check_event(struct job *j, const char *event, size_t n)
 {
 	uint64_t number;
+	bool first;
 
 	j->no_event = event_has_field(event, n) ? 0 : j->no_event + n;
 	if (!event_number(event, n, &number))
 		return j->no_event <= REPLY_EVENT_MAX;
-	if (j->events > 0 && number != j->last_event + 1) {
+	first = j->order.count == 0;
+	if (!event_order_add(&j->order, number)) {
 		entry_log(&j->owner->log, j->owner->loop.now, ENTRY_LOG_NEEDED,
 		    LOG_EVENT_EVENT_OUT_OF_ORDER,
 		    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
-		    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
+		    LOG_NUMBER(LOG_KEY_LAST, j->order.last),
 		    LOG_NUMBER(LOG_KEY_CAME, number));
 		return false;
 	}
-	if (j->events == 0)
+	if (first)
 		entry_version_begin(j, j->owner->loop.now);
-	j->last_event = number;
-	j->events++;
 	j->event_due = false;
 	return true;
 }
@@ -274,7 +270,7 @@
 	    LOG_TEXT(LOG_KEY_SERVER, j->server_name),
 	    LOG_TEXT(LOG_KEY_OUTCOME, names[how]),
 	    LOG_TEXT(LOG_KEY_FRAMING, reply_framing(h)),
-	    LOG_NUMBER(LOG_KEY_LAST, j->last_event),
+	    LOG_NUMBER(LOG_KEY_LAST, j->order.last),
 	    LOG_NUMBER(LOG_KEY_UNFINISHED, reply_unfinished(j)));
 }
 
--- a/entry-request.c
+++ b/entry-request.c
@@ -127,8 +127,8 @@
 void
 job_set_resume_terms(const struct job *j, struct wire_terms *terms)
 {
-	terms->resumed = j->events > 0;
-	terms->after = j->last_event;
+	terms->resumed = j->order.count > 0;
+	terms->after = j->order.last;
 }
 
 /* The server that `to` is told to fetch the shared prompt from, or NULL. */
--- a/entry.h
+++ b/entry.h
@@ -54,6 +54,7 @@
 #include "entry-table.h"
 #include "entry-version.h"
 #include "entry-version-store.h"
+#include "event-order.h"
 #include "fresh.h"
 #include "http-message.h"
 #include "idle-limit.h"
@@ -464,12 +465,11 @@
 	struct buffer unsent_body; /* body bytes not forwarded yet */
 	/* Since when it is read while memory is short; 0: it is not. */
 	msec read_on_since;
-	msec turn_ended;     /* that it was read for; 0: it had none */
-	uint64_t weights;    /* version that began the answer; 0: not told */
-	bool event_due;	     /* an attempt broke off inside the next event */
-	uint64_t last_event; /* number of the last event forwarded */
-	uint64_t events;     /* numbered events forwarded */
-	size_t no_event;     /* bytes forwarded since the last event */
+	msec turn_ended;  /* that it was read for; 0: it had none */
+	uint64_t weights; /* version that began the answer; 0: not told */
+	bool event_due;	  /* an attempt broke off inside the next event */
+	struct event_order order; /* of the events forwarded */
+	size_t no_event;	  /* bytes forwarded since the last event */
 };
 
 extern const struct caller_ops job_caller_ops;
