A node hears of servers that leave in answers that others carry for it

Cause: the answer did not say which server had given it. A carrier names the server's process now, and the node reads from the head whether it leaves and which rate it names. server_process_id() has moved from entry-poison.c.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -489,9 +489,9 @@
 
 	servers_reached(&j->owner->servers, now);
 	entry_reach_heard(j->owner, k->server, !k->used, now);
-	entry_rate_read(k, h, now);
+	if (k->starts == k->server->starts)
+		entry_answer_read(j, k->server, h, now);
 	entry_room_read(k, h, now);
-	entry_leaving_read(k, h, now);
 	entry_rest_read(k, h, now);
 	if (attempt_kept_useless(k, h, class, now))
 		return true;
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -274,17 +274,31 @@
 	return true;
 }
 
-/* The version of the server at which the carrier's answer began. */
-static void
-carrier_read_software(struct job *j, const struct http_head *h)
+/* A number that the carrier adds to a server's answer; 0: none. */
+static uint64_t
+carrier_read_number(const struct http_head *h, const char *field)
 {
-	const char *s = http_head_get(h, VERSION_SOFTWARE_FIELD);
+	const char *s = http_head_get(h, field);
 	guint64 n;
 
-	j->carrier_software = 0;
 	if (s != NULL &&
 	    g_ascii_string_to_unsigned(s, 10, 0, G_MAXUINT64, &n, NULL))
-		j->carrier_software = n;
+		return n;
+	return 0;
+}
+
+/*
+ * Guards against requests to a server that has said in an answer which this
+ * node passed on that it leaves, once the node reaches it again.
+ */
+static void
+carrier_read_server(struct job *j, const struct http_head *h, msec now)
+{
+	uint64_t process = carrier_read_number(h, HANDOFF_SERVER_FIELD);
+	struct server *v = servers_find_process(&j->owner->servers, process);
+
+	if (process != 0 && v != NULL)
+		entry_answer_read(j, v, h, now);
 }
 
 static void
@@ -317,7 +331,8 @@
 	case REPLY_SERVER_ERROR:
 		break;
 	}
-	carrier_read_software(j, h);
+	j->carrier_software = carrier_read_number(h, VERSION_SOFTWARE_FIELD);
+	carrier_read_server(j, h, now);
 	if (j->answer_began && h->status >= 300) {
 		carrier_answer_broken(j, now);
 		return true;
--- a/entry-poison.c
+++ b/entry-poison.c
@@ -91,16 +91,6 @@
 static void check_wait_timer(struct loop_timer *, msec);
 static void check_start_connection(struct server_check *, msec);
 
-/* Hashes the identity of a server's process, the same on all nodes. */
-static uint64_t
-server_process_id(const struct server *v)
-{
-	uint64_t words[3] = { v->id, (uint64_t)v->born,
-		((uint64_t)v->address << 16) | v->port };
-
-	return XXH64(words, sizeof words, 8);
-}
-
 /* ---- requests that a process was running ---- */
 
 static void
--- a/entry-rate.c
+++ b/entry-rate.c
@@ -40,21 +40,20 @@
 	v->rate.unreadable = true;
 }
 
-void
-entry_rate_read(struct link *k, const struct http_head *h, msec now)
+static void
+entry_rate_read(
+    struct job *j, struct server *v, const struct http_head *h, msec now)
 {
-	struct entry *e = k->owner;
-	struct server *v = k->server;
+	struct entry *e = j->owner;
 	uint64_t sent = v->rate.sent;
 	struct wire_answer a;
 
-	e->wire->answer(h, k->job->request.id, &a);
+	e->wire->answer(h, j->request.id, &a);
 	/*
-	 * Ignore answers of another server (421) or of an earlier process, to
-	 * another request, or neither signed nor marked as not executed.
+	 * Ignore answers of another server (421), to another request, or
+	 * neither signed nor marked as not executed.
 	 */
-	if (h->status == 421 || k->starts != v->starts || a.other ||
-	    (!a.is_signed && !a.not_executed))
+	if (h->status == 421 || a.other || (!a.is_signed && !a.not_executed))
 		return;
 	if (a.rate == WIRE_RATE_UNREADABLE) {
 		rate_log_unreadable(e, v, now);
@@ -90,16 +89,15 @@
 	link_close_stale(e, v);
 }
 
-void
-entry_leaving_read(struct link *k, const struct http_head *h, msec now)
+static void
+entry_leaving_read(
+    struct job *j, struct server *v, const struct http_head *h, msec now)
 {
-	struct entry *e = k->owner;
-	struct server *v = k->server;
+	struct entry *e = j->owner;
 	struct wire_answer a;
 
-	e->wire->answer(h, k->job->request.id, &a);
-	if (!a.leaving || h->status == 421 || k->starts != v->starts ||
-	    a.other || v->says_leaving)
+	e->wire->answer(h, j->request.id, &a);
+	if (!a.leaving || h->status == 421 || a.other || v->says_leaving)
 		return;
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_SERVER_LEAVING,
 	    LOG_TEXT(LOG_KEY_SERVER, v->name),
@@ -133,6 +131,14 @@
 	place_mark_brittle(&e->place, now, &k->job->place);
 }
 
+void
+entry_answer_read(
+    struct job *j, struct server *v, const struct http_head *h, msec now)
+{
+	entry_rate_read(j, v, h, now);
+	entry_leaving_read(j, v, h, now);
+}
+
 void
 entry_rate_log_received(struct place *p, struct server *v, msec now)
 {
--- a/entry-reply.c
+++ b/entry-reply.c
@@ -70,6 +70,8 @@
 		if (http_field_is_hop_by_hop(h, h->fields[i].name) ||
 		    g_ascii_strcasecmp(
 			h->fields[i].name, HANDOFF_OUTCOME_FIELD) == 0 ||
+		    g_ascii_strcasecmp(
+			h->fields[i].name, HANDOFF_SERVER_FIELD) == 0 ||
 		    g_ascii_strcasecmp(
 			h->fields[i].name, VERSION_SOFTWARE_FIELD) == 0)
 			continue;
@@ -101,6 +103,9 @@
 	if (j->carried && j->software_id != 0)
 		buffer_printf(out, VERSION_SOFTWARE_FIELD ": %" PRIu64 "\r\n",
 		    j->software_id);
+	if (j->carried && j->server != NULL)
+		buffer_printf(out, HANDOFF_SERVER_FIELD ": %" PRIu64 "\r\n",
+		    server_process_id(j->server));
 	j->keeps_connection = reply_keeps_connection(j);
 	if (!j->keeps_connection)
 		buffer_add_text(out, "Connection: close\r\n");
--- a/entry.h
+++ b/entry.h
@@ -619,12 +619,14 @@
 
 /* ---- rate limits that servers report: entry-rate.c ---- */
 
-/* Read the rate limit from the head of an answer on a link. */
-void entry_rate_read(struct link *, const struct http_head *, msec);
-/* The same: whether its server asks for rest. */
+/*
+ * Read from the head of an answer of a server's current process, also one that
+ * another node passes on, its rate limit and whether it leaves.
+ */
+void entry_answer_read(
+    struct job *, struct server *, const struct http_head *, msec);
+/* Read from one on a link whether its server asks for rest. */
 void entry_rest_read(struct link *, const struct http_head *, msec);
-/* The same: whether its server's process leaves. */
-void entry_leaving_read(struct link *, const struct http_head *, msec);
 /* The same: whether its server is brittle (server-room.h). */
 void entry_room_read(struct link *, const struct http_head *, msec);
 /* Placement received a server's rate limit from another node: log it. */
--- a/handoff.h
+++ b/handoff.h
@@ -24,6 +24,8 @@
 #define HANDOFF_HEAD_BYTES 1024
 /* Field of a carrier's own answers, which no server has given. */
 #define HANDOFF_OUTCOME_FIELD "Savory-Outcome"
+/* Field of an answer that a carrier passes on: its server's process. */
+#define HANDOFF_SERVER_FIELD "Savory-Server"
 /* Longest text of a caller's address. */
 #define HANDOFF_CALLER_SIZE 48
 
--- a/server.c
+++ b/server.c
@@ -101,6 +101,27 @@
 	memset(v->begun_sent, 0, sizeof v->begun_sent);
 }
 
+uint64_t
+server_process_id(const struct server *v)
+{
+	uint64_t words[3] = { v->id, (uint64_t)v->born,
+		((uint64_t)v->address << 16) | v->port };
+
+	return XXH64(words, sizeof words, 8);
+}
+
+struct server *
+servers_find_process(struct servers *s, uint64_t process)
+{
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (server_process_id(v) == process)
+			return v;
+	}
+	return NULL;
+}
+
 uint64_t
 server_cache_id(const struct server *v)
 {
--- a/server.h
+++ b/server.h
@@ -163,6 +163,10 @@
 void servers_finish(struct servers *);
 /* Returns a server by its id, or NULL. */
 struct server *servers_find(struct servers *, name_id);
+/* Identifies the server's process, the same on all nodes. */
+uint64_t server_process_id(const struct server *);
+/* Returns the server that runs this process, or NULL. */
+struct server *servers_find_process(struct servers *, uint64_t);
 /* Identifies the cache of the server's current process. */
 uint64_t server_cache_id(const struct server *);
 /* Adds a server or updates it by the platform's current entry. */
