Checks of servers' processes have a file of their own

entry-poison.c had grown to 910 lines: checks whether a process has ended and the requests that may have ended it are in entry-poison-check.c now, unchanged. A test of statuses asserts on a value, not on a call, as cppcheck asks.

--- a/entry-poison.h
+++ b/entry-poison.h
@@ -53,6 +53,10 @@
 	msec ended_at; /* the last of these */
 };
 
+/* Checks of servers' processes, and requests at these: entry-poison-check.c. */
+void entry_poison_checks_init(struct entry *);
+void entry_poison_checks_finish(struct entry *);
+
 void entry_poison_init(struct entry *);
 void entry_poison_finish(struct entry *);
 /*
--- a/entry.h
+++ b/entry.h
@@ -12,6 +12,7 @@
  *   entry-link.c     connections to servers: transfers one attempt's bytes
  *   entry-reply.c    forwards a server's answer to the caller
  *   entry-poison.c   holds back requests that crash the servers that run them
+ *   entry-poison-check.c  checks whether the process of a server has ended
  *   entry-move.c     moves running streams off servers that leave
  *   entry-handoff.c  requests that other nodes carry for this one, and its own
  *                    for them; entry-carrier.c chooses the node
@@ -551,7 +552,7 @@
 void job_resume_run(struct job *, msec, struct server *);
 /* The run was to be moved and runs nowhere: start another attempt, or fail. */
 void job_run_lost(struct job *, msec);
-/* The check of a server whose connection broke has ended (entry-poison.c). */
+/* The check of a server whose connection broke has ended. */
 void job_server_checked(struct job *, msec);
 /* Timer callback: the server of the current attempt is silent, or the wait for
  * a path has ended. */
--- a/tests/test-http-message.c
+++ b/tests/test-http-message.c
@@ -335,9 +335,11 @@
 		    g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n",
 			is_good ? good[i] : odd[i - G_N_ELEMENTS(good)]);
 		g_autofree char *body = NULL;
+		enum http_stage stage;
 
 		g_test_message("%s", text);
-		g_assert_cmpint(answer_stage(text, false, &body), ==,
+		stage = answer_stage(text, false, &body);
+		g_assert_cmpint(stage, ==,
 		    is_good ? HTTP_STAGE_COMPLETE : HTTP_STAGE_FAILED);
 	}
 }
