Test: a slow reader is looked at once its answer has begun

KNOWN-RED's line of proc-answers-callers slow-reader, traced there: under ThreadSanitizer the first byte comes 5.5 to 12 s after the request, so that the 3 s in which the answer is looked at had ended before it began (59 of 59 runs), and the caller left as the first byte came. The test waits for the first event now, at most as long as for the rest; what it checks is as before and looks at the answer itself, so it is stricter.

--- a/tests/proc-answers-callers.c
+++ b/tests/proc-answers-callers.c
@@ -22,6 +22,8 @@
 #define LATE_FIRST_MS 3000
 #define HELD_TIMEOUT (60 * MSEC_SECOND)
 #define HELD_LOOK_MS 50
+/* Of an event at the least. */
+#define BEGUN_BYTES 100
 /* A caller that leaves is seen well within this; the queue lasts longer. */
 #define LEFT_TIMEOUT MSEC_SECOND
 /* More than an engine's slots. */
@@ -274,6 +276,15 @@
 	g_test_message("%" G_GINT64_FORMAT " bytes held at the most", most);
 }
 
+/* For wait_until(): the caller's answer has begun. */
+static bool
+answer_has_begun(void *arg)
+{
+	const struct caller *c = arg;
+
+	return g_atomic_int_get(&c->received) >= BEGUN_BYTES;
+}
+
 static void
 test_slow_reader(void)
 {
@@ -301,6 +312,8 @@
 	caller_ask(&slow, nodes_entry_port(&s, 0), "slow", 2000000);
 	slow.read_pause = 200;
 	caller_start(&slow);
+	/* Under ThreadSanitizer that takes several seconds. */
+	g_assert_true(wait_until(answer_has_begun, &slow, HELD_TIMEOUT));
 	assert_held_back(&s);
 	g_assert_cmpint(g_atomic_int_get(&slow.ended), ==, 0);
 	nodes_assert_serves(&s, "beside-slow");
