Own interface: an attempt finds its connection by the local port

Cause, from a trial build that prints it: libcurl does not tell a transfer's socket while it runs, so that no connection was found as it was closed; where the kernel's buffers had taken all of the 2 MB, nothing else told that the server had not. The attempt is found by the connection's local port now.

The tests' proxy has a small receive buffer where it answers early: else the kernel takes the whole request of a server that does not read, which is not the case that the test is for.

--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -10,6 +10,9 @@
 
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <netinet/in.h>
 
 #include <linux/sockios.h>
 
@@ -58,7 +61,6 @@
 	long status;
 	bool head_whole;  /* the final headers are complete */
 	bool is_framed;	  /* they say where the body ends */
-	curl_socket_t fd; /* that it came on; CURL_SOCKET_BAD: closed */
 	bool unconfirmed; /* as it was closed, not all sent had arrived */
 	bool is_stream;
 	bool passed; /* EVENT_FIRST has been posted */
@@ -116,20 +118,32 @@
 	return 0;
 }
 
+/* libcurl names no socket while a transfer runs, but its local port. */
+static bool
+attempt_has_port(const struct attempt *a, long port)
+{
+	long own = 0;
+
+	curl_easy_getinfo(a->easy, CURLINFO_LOCAL_PORT, &own);
+	return own == port;
+}
+
 /* Keeps of the attempt what only its open socket tells. */
 static int
 engine_close_socket(void *arg, curl_socket_t fd)
 {
 	struct engine_thread *t = arg;
+	struct sockaddr_in sin = { 0 };
+	socklen_t len = sizeof sin;
 	struct attempt *a;
 	int unsent = 0;
+	bool confirmed;
 
-	TAILQ_FOREACH (a, &t->attempts, entry) {
-		if (a->fd != fd)
-			continue;
-		a->unconfirmed =
-		    ioctl(fd, SIOCOUTQ, &unsent) != 0 || unsent > 0;
-		a->fd = CURL_SOCKET_BAD;
+	confirmed = ioctl(fd, SIOCOUTQ, &unsent) == 0 && unsent == 0;
+	if (!confirmed && getsockname(fd, (struct sockaddr *)&sin, &len) == 0) {
+		TAILQ_FOREACH (a, &t->attempts, entry)
+			a->unconfirmed |=
+			    attempt_has_port(a, ntohs(sin.sin_port));
 	}
 	return close(fd);
 }
@@ -192,10 +206,9 @@
 		return 0;
 	/* Interim answers (1xx) have headers too; trailers may follow the
 	 * final ones. */
-	if (n > 5 && strncmp(p, "HTTP/", 5) == 0) {
+	if (n > 5 && strncmp(p, "HTTP/", 5) == 0)
 		a->head_whole = a->is_framed = false;
-		curl_easy_getinfo(a->easy, CURLINFO_ACTIVESOCKET, &a->fd);
-	} else if (n <= 2 && (n == 0 || p[0] == '\r' || p[0] == '\n'))
+	else if (n <= 2 && (n == 0 || p[0] == '\r' || p[0] == '\n'))
 		a->head_whole = true;
 	a->is_framed |= header_begins(p, n, "Content-Length:") ||
 			header_begins(p, n, "Transfer-Encoding:");
@@ -413,7 +426,6 @@
 	a->resume_at = cmd->resume_at;
 	sse_init(&a->sse);
 	a->easy = curl_easy_init();
-	a->fd = CURL_SOCKET_BAD;
 	attempt_set_headers(a, cmd);
 	attempt_set_options(a, cmd);
 	TAILQ_INSERT_TAIL(&t->attempts, a, entry);
--- a/tests/util-proxy.c
+++ b/tests/util-proxy.c
@@ -20,6 +20,7 @@
 #include <unistd.h>
 
 #define PROXY_EARLY_RESET_MS 2
+#define PROXY_EARLY_ROOM 16384
 #define PROXY_PIECE_MAX 65536
 #define PROXY_QUEUE_MAX (1024 * 1024) /* then reading waits */
 #define PROXY_REORDER_MS 20
@@ -195,11 +196,14 @@
 tcp_accept(struct proxy *x)
 {
 	struct sockaddr_in sin = proxy_address(x->target);
-	int client, server;
+	int client, server, room = PROXY_EARLY_ROOM;
 
 	client = accept4(x->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (client == -1)
 		return;
+	/* Or the kernel takes a whole request that is not read at once. */
+	if (x->faults.early_answer != NULL)
+		setsockopt(client, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
 	server = proxy_socket(x);
 	if (connect(server, (struct sockaddr *)&sin, sizeof sin) == -1 &&
 	    errno != EINPROGRESS) {
