--- a/tests/util-poison.c
+++ b/tests/util-poison.c
@@ -500,8 +500,11 @@
 		if (!w->nodes[i].down)
 			poisons_finish(&w->nodes[i].core);
 	}
-	for (k = 0; k < w->requests->len; k++)
-		g_free(g_ptr_array_index(w->requests, k));
+	for (k = 0; k < w->requests->len; k++) {
+		r = g_ptr_array_index(w->requests, k);
+		poison_parts_drop(&r->parts);
+		g_free(r);
+	}
 	g_ptr_array_unref(w->requests);
 	mail_finish(&w->mail);
 	g_clear_pointer(&w->store, g_hash_table_unref);
