Log: who told of a server, how old the list was, and what is kept unlisted

Lines could not tell whether a server that had left was used because the node kept it, because it had no news, or because the choice was older than the news. server has told_by and list_ms, server-kept says when a server was found unlisted and kept, request and attempt-failed have list_ms and unlisted_ms.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -61,6 +61,8 @@
 	j->retry_taken = false;
 	v->rate.sent++;
 	j->sent_at = now;
+	j->list_age = entry_list_age(e, now);
+	j->unlisted_for = v->missing ? now - v->missing_since : -1;
 	j->attempt_began = 0;
 	j->parts_cleared = false;
 	e->counters.attempts++;
@@ -357,6 +359,8 @@
 	    LOG_TEXT(LOG_KEY_PARTS, job_parts_text(j, parts)),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v != NULL ? v->own.running : 0),
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
+	    LOG_NUMBER(LOG_KEY_LIST_MS, j->list_age),
+	    LOG_NUMBER(LOG_KEY_UNLISTED_MS, j->unlisted_for),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
 	if (entry_poison_refuses(j, now)) {
 		job_fail(j, now, JOB_POISON);
--- a/entry-job.c
+++ b/entry-job.c
@@ -147,6 +147,9 @@
 	    LOG_TEXT(LOG_KEY_LAST, last),
 	    LOG_NUMBER(LOG_KEY_FIRST_MS, job_span(first)),
 	    LOG_NUMBER(LOG_KEY_GAP_MS, j->gap),
+	    LOG_NUMBER(LOG_KEY_LIST_MS, j->sends > 0 ? j->list_age : -1),
+	    LOG_NUMBER(
+		LOG_KEY_UNLISTED_MS, j->sends > 0 ? j->unlisted_for : -1),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS, job_span(left)),
 	    LOG_NUMBER(LOG_KEY_LEAVING_MS, job_span(leaving)),
--- a/entry-log.c
+++ b/entry-log.c
@@ -111,6 +111,9 @@
 	[LOG_EVENT_SERVER_ENDED] = { "server-ended",
 	    "A backend server's process ended while it had requests of ours; "
 	    "these are suspect." },
+	[LOG_EVENT_SERVER_KEPT] = { "server-kept",
+	    "A backend server is not listed any more, and kept in use for now: "
+	    "its entry may have expired while the platform was away." },
 	[LOG_EVENT_SERVER_LEAVING] = { "server-leaving",
 	    "An answer of a backend server says that it leaves: its process "
 	    "is sent nothing more, whatever is listed." },
@@ -185,6 +188,9 @@
 	[LOG_KEY_LIMIT_MS] = { "limit_ms",
 	    "the most that may be read before it, as learned" },
 	[LOG_KEY_LINES] = { "lines", "lines left out" },
+	[LOG_KEY_LIST_MS] = { "list_ms",
+	    "age of the proof that the list of backend servers is the newest, "
+	    "at the last attempt or before the change; -1: none" },
 	[LOG_KEY_MAY_HAVE_RUN] = { "may_have_run",
 	    "may a backend server have run it?" },
 	[LOG_KEY_MS] = { "ms", "how long it took" },
@@ -238,8 +244,14 @@
 	[LOG_KEY_TOKEN] = { "token", "fencing token of the duty; 0: none" },
 	[LOG_KEY_TOKENS_PER_MS] = { "tokens_per_ms",
 	    "prompt tokens to be read in a ms, at the peak" },
+	[LOG_KEY_TOLD_BY] = { "told_by",
+	    "node that passed the change on; null: read from the platform, or "
+	    "due by the clock" },
 	[LOG_KEY_UNFINISHED] = { "unfinished",
 	    "bytes of an event that had begun at the end of the stream" },
+	[LOG_KEY_UNLISTED_MS] = { "unlisted_ms",
+	    "from the news that its server is not listed to the last attempt; "
+	    "-1: it was listed" },
 	[LOG_KEY_UNREAD] = { "unread", "bytes of a caller that get no answer" },
 	[LOG_KEY_VERSION] = { "version",
 	    "of the configuration, or of the program" },
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -179,6 +179,14 @@
 		servers_list(&e->servers, now, &entry);
 }
 
+static const char *
+relay_node_name(const struct entry *e, name_id node)
+{
+	struct member *m = members_find((struct members *)&e->members, node);
+
+	return m != NULL ? m->name : "?";
+}
+
 void
 entry_relay_receive_servers(
     struct entry *e, name_id from, const sp_relay_servers *m, msec now)
@@ -192,8 +200,10 @@
 		if (!server_is_valid(&m->list.list_val[i]))
 			return;
 	}
+	e->servers_told_by = relay_node_name(e, from);
 	for (i = 0; i < m->list.list_len; i++)
 		server_apply_change(e, &m->list.list_val[i], now);
+	e->servers_told_by = NULL;
 	mark = entry_era_mix_into_mark(e, servers_mark(&e->servers));
 	if (mark != m->after)
 		return;
@@ -247,6 +257,14 @@
 	    entry_era_mix_into_mark(e, servers_mark(&e->servers)), asked);
 }
 
+msec
+entry_list_age(const struct entry *e, msec now)
+{
+	msec at = e->relay.known[RELAY_SERVERS].confirmed;
+
+	return at != MSEC_NEVER ? now - at : -1;
+}
+
 void
 entry_read_failed(struct entry *e, enum relay_subject s, msec now)
 {
--- a/entry-state.c
+++ b/entry-state.c
@@ -49,6 +49,8 @@
 				    : v->state == SERVER_DRAINING ? "draining"
 								  : "gone"),
 	    LOG_TEXT(LOG_KEY_SOFTWARE, v->software),
+	    LOG_TEXT(LOG_KEY_TOLD_BY, e->servers_told_by),
+	    LOG_NUMBER(LOG_KEY_LIST_MS, entry_list_age(e, e->loop.now)),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
 	entry_poison_server_changed(e, v, e->loop.now);
 	link_close_stale(e, v);
@@ -62,8 +64,20 @@
 	link_pool_free(v);
 }
 
+static void
+state_server_kept(struct servers *s, struct server *v)
+{
+	struct entry *e = s->arg;
+
+	entry_log(&e->log, e->loop.now, ENTRY_LOG_NEEDED, LOG_EVENT_SERVER_KEPT,
+	    LOG_TEXT(LOG_KEY_SERVER, v->name),
+	    LOG_TEXT(LOG_KEY_TOLD_BY, e->servers_told_by),
+	    LOG_NUMBER(LOG_KEY_LIST_MS, entry_list_age(e, e->loop.now)),
+	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
+}
+
 static const struct server_ops state_server_ops = { state_server_changed,
-	state_server_removed };
+	state_server_removed, state_server_kept };
 
 /* ---- other nodes ---- */
 
--- a/entry.h
+++ b/entry.h
@@ -458,7 +458,9 @@
 	bool refused_by_server;		   /* the current attempt did not run */
 	enum server_result refusal_result; /* how to count the refusal */
 	msec sent_at, first_at; /* of the attempt; of the answer's head */
-	bool parts_cleared;	/* by the attempt\'s answer */
+	msec list_age;	   /* of the server list at the attempt; -1: unproven */
+	msec unlisted_for; /* the server, at the attempt, in ms; -1: listed */
+	bool parts_cleared;   /* by the attempt\'s answer */
 	msec attempt_began;   /* first byte of the attempt's answer; 0: none */
 	msec forwarded_at;    /* the newest part was forwarded */
 	msec gap;	      /* longest pause between two forwarded parts */
@@ -707,6 +709,8 @@
 	struct entry_start start;
 	struct entry_table_transfer table_transfer;
 	struct servers servers;
+	/* Node that told what is being changed in `servers`; NULL: none. */
+	const char *servers_told_by;
 	bool own_domain_changed; /* tell the socket; see net_set_own_domain() */
 	struct place place;
 	struct entry_poison poison;
@@ -755,6 +759,11 @@
 void entry_take_unusable(struct entry *, enum relay_subject, msec asked);
 /* A read sent at `asked` showed that the server list is the newest. */
 void entry_take_servers(struct entry *, msec asked);
+/*
+ * Time since the server list was last proven to be the newest, in ms; -1:
+ * never.
+ */
+msec entry_list_age(const struct entry *, msec);
 /* A read of a subject failed; entry_read_due() returns when to retry. */
 void entry_read_failed(struct entry *, enum relay_subject, msec);
 /* Time until the next read of a subject, in ms; 0: it is due. */
--- a/server.c
+++ b/server.c
@@ -424,9 +424,13 @@
 		server_set_gone(s, v, now);
 		return;
 	}
+	if (v->missing)
+		return;
 	log_info_of(LOG_NODE, v->name, "%s not listed, kept for now", v->name);
 	v->missing = true;
 	v->missing_since = now;
+	if (s->ops->kept != NULL)
+		s->ops->kept(s, v);
 }
 
 void
--- a/server.h
+++ b/server.h
@@ -133,12 +133,14 @@
 
 struct servers;
 
-/* Callbacks; both are required. */
+/* Callbacks. */
 struct server_ops {
 	/* The server's state changed, or its process was restarted. */
 	void (*changed)(struct servers *, struct server *);
 	/* The server is about to be freed. */
 	void (*removed)(struct servers *, struct server *);
+	/* Not listed any more, but kept in use for now; may be NULL. */
+	void (*kept)(struct servers *, struct server *);
 };
 
 /* All servers; owned by the caller. */
