A call that fails is no outage of the platform for all

What callers saw: requests reached servers up to 9.6 s after the store had removed their entries (DRAIN), while a part of the calls to the store failed. Cause: each failed call, of any topic and at one node alone, kept unlisted servers in use for 2.3 s more, without a bound. The hold is meant for entries that expire while the store is away for everybody. A later failure does not move it; outages in quick succession keep an unlisted server for 4.6 s in all.

--- a/entry-duty.c
+++ b/entry-duty.c
@@ -532,7 +532,7 @@
 	struct entry_duty *x = e->duty;
 	struct server *v;
 
-	if (!e->source_up || now < e->servers.unlisted_kept_until)
+	if (!e->source_up || !servers_list_is_settled(&e->servers, now))
 		return;
 	x->capacity.nodes = x->nprocesses;
 	capacity_clear_ready(&x->capacity, e->servers.complete);
--- a/entry-log.c
+++ b/entry-log.c
@@ -78,6 +78,10 @@
 	    "domain." },
 	[LOG_EVENT_ORDER_FAILED] = { "order-failed",
 	    "An order of backend servers was not taken." },
+	[LOG_EVENT_OUTAGE] = { "outage",
+	    "The platform has served no node for a while, as far as this one "
+	    "knows, or has served one again; then ms: until servers without an "
+	    "entry count as gone." },
 	[LOG_EVENT_PATH] = { "path",
 	    "No backend server answers on new connections of this node any "
 	    "more, or servers answer again; count: servers that failed, ms: "
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -272,6 +272,12 @@
 	    age == MSEC_NEVER ? -1 : age);
 	metrics_value(
 	    s, "platform_up", "gauge", "The platform answers.", e->source_up);
+	metrics_value(s, "platform_outage", "gauge",
+	    "The platform serves no node, as far as this one knows.",
+	    e->outage.is_on);
+	metrics_value(s, "servers_kept", "gauge",
+	    "Servers in use though they are not listed any more.",
+	    e->servers.nmissing);
 	metrics_value(
 	    s, "nodes", "gauge", "Live nodes, with this one.", e->live_nodes);
 	metrics_value(s, "requests_open", "gauge", "In flight.", e->njobs);
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -52,8 +52,11 @@
 static void
 entry_relay_proven(struct relay *r, enum relay_subject s, msec then)
 {
+	struct entry *e = entry_of_relay(r);
+
+	entry_outage_served(e, then, e->loop.now);
 	if (s == RELAY_CONFIGURATION)
-		fresh_record_proof(&entry_of_relay(r)->fresh, then);
+		fresh_record_proof(&e->fresh, then);
 }
 
 static void
--- a/entry-state.c
+++ b/entry-state.c
@@ -17,11 +17,6 @@
  * two VMs run at different rates.
  */
 #define STATE_PROOF_MARGIN_MS 700
-/*
- * After the source has answered again, servers whose registrations expired
- * during the outage register again within two seconds.
- */
-#define STATE_SERVERS_HOLD_MS 2300
 
 struct retry_budget *
 entry_budget(struct entry *e, name_id service)
@@ -74,6 +69,7 @@
 	    LOG_TEXT(LOG_KEY_TOLD_BY, e->servers_told_by),
 	    LOG_NUMBER(LOG_KEY_LIST_MS, entry_list_age(e, e->loop.now)),
 	    LOG_NUMBER(LOG_KEY_RUNNING, v->own.running));
+	entry_outage_ask(e, e->loop.now);
 }
 
 static const struct server_ops state_server_ops = { state_server_changed,
@@ -127,6 +123,8 @@
 		    address, port, msg);
 	else if (msg->kind >= SP_DUTY_BEAT)
 		entry_duty_receive(e, from, incarnation, msg, msec_now());
+	else if (msg->kind == SP_OUTAGE_ASK || msg->kind == SP_OUTAGE_TELL)
+		entry_outage_receive(e, from, address, port, msg, msec_now());
 	else if (msg->kind == SP_RELAY_SERVERS)
 		entry_relay_receive_servers(
 		    e, from, &msg->sp_msg_u.relay_servers, msec_now());
@@ -333,7 +331,6 @@
 void
 entry_source_down(struct entry *e, msec now, const char *why)
 {
-	servers_keep_unlisted(&e->servers, now + STATE_SERVERS_HOLD_MS);
 	if (!e->source_up)
 		return;
 	e->source_up = false;
@@ -346,10 +343,10 @@
 void
 entry_source_up(struct entry *e, msec now)
 {
+	entry_outage_served(e, now, now);
 	if (e->source_up)
 		return;
 	e->source_up = true;
-	servers_keep_unlisted(&e->servers, now + STATE_SERVERS_HOLD_MS);
 	entry_log(&e->log, now, ENTRY_LOG_NEEDED, LOG_EVENT_PLATFORM_BACK,
 	    LOG_NUMBER(LOG_KEY_MS, now - e->source_lost_since));
 }
@@ -398,6 +395,7 @@
 	entry_start_init(e);
 	entry_table_init(e);
 	entry_relay_init(e, now);
+	entry_outage_init(e);
 	entry_state_apply(e);
 	servers_init(&e->servers, &state_server_ops);
 	e->servers.arg = e;
@@ -437,7 +435,7 @@
 void
 entry_state_tick(struct entry *e, msec now)
 {
-	servers_tick(&e->servers, now);
+	entry_outage_tick(e, now);
 	entry_era_tick(e, now);
 	entry_version_store_tick(e, now);
 	entry_poison_store_tick(e, now);
--- a/entry.h
+++ b/entry.h
@@ -48,6 +48,7 @@
 #include "entry-memory.h"
 #include "entry-move.h"
 #include "handoff.h"
+#include "entry-outage.h"
 #include "entry-poison.h"
 #include "entry-poison-store.h"
 #include "entry-reach.h"
@@ -63,6 +64,7 @@
 #include "member.h"
 #include "metrics.h"
 #include "net.h"
+#include "outage.h"
 #include "place.h"
 #include "poison.h"
 #include "relay.h"
@@ -724,6 +726,7 @@
 	struct loop_timer place_timer;
 	struct relay relay;
 	struct loop_timer relay_timer;
+	struct entry_outage outage;
 	struct entry_duty *duty; /* NULL: no duties configured */
 	struct members members;
 	struct net net;
--- a/proto.h
+++ b/proto.h
@@ -297,6 +297,18 @@
 	sp_relay_known known[2];
 };
 typedef struct sp_relay_tell sp_relay_tell;
+
+struct sp_outage_ask {
+	u_int seq;
+};
+typedef struct sp_outage_ask sp_outage_ask;
+
+struct sp_outage_tell {
+	u_int seq;
+	u_int served_age_ms;
+	u_int steady_ms;
+};
+typedef struct sp_outage_tell sp_outage_tell;
 #define SAVORY_STANDBYS_MAX 4
 #define SAVORY_COUNTS_MAX 80
 
@@ -529,6 +541,8 @@
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
+	SP_OUTAGE_ASK = 43,
+	SP_OUTAGE_TELL = 44,
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
@@ -574,6 +588,8 @@
 		sp_relay_ask relay_ask;
 		sp_relay_tell relay_tell;
 		sp_relay_servers relay_servers;
+		sp_outage_ask outage_ask;
+		sp_outage_tell outage_tell;
 		sp_duty_beat duty_beat;
 		sp_usage_counts usage_counts;
 		sp_usage_time usage_time;
@@ -654,6 +670,8 @@
 extern  bool_t xdr_sp_relay_known (XDR *, sp_relay_known*);
 extern  bool_t xdr_sp_relay_ask (XDR *, sp_relay_ask*);
 extern  bool_t xdr_sp_relay_tell (XDR *, sp_relay_tell*);
+extern  bool_t xdr_sp_outage_ask (XDR *, sp_outage_ask*);
+extern  bool_t xdr_sp_outage_tell (XDR *, sp_outage_tell*);
 extern  bool_t xdr_sp_duty_beat (XDR *, sp_duty_beat*);
 extern  bool_t xdr_sp_usage_count (XDR *, sp_usage_count*);
 extern  bool_t xdr_sp_usage_counts (XDR *, sp_usage_counts*);
@@ -714,6 +732,8 @@
 extern bool_t xdr_sp_relay_known ();
 extern bool_t xdr_sp_relay_ask ();
 extern bool_t xdr_sp_relay_tell ();
+extern bool_t xdr_sp_outage_ask ();
+extern bool_t xdr_sp_outage_tell ();
 extern bool_t xdr_sp_duty_beat ();
 extern bool_t xdr_sp_usage_count ();
 extern bool_t xdr_sp_usage_counts ();
--- a/proto.x
+++ b/proto.x
@@ -292,6 +292,20 @@
 	sp_relay_known known[2];	/* configuration, servers */
 };
 
+/* ---- outages of the platform, as other nodes know of them ---- */
+
+/* Requests sp_outage_tell. */
+struct sp_outage_ask {
+	unsigned int seq;
+};
+
+/* The platform served nodes without an outage for some time; see outage.h. */
+struct sp_outage_tell {
+	unsigned int seq;
+	unsigned int served_age_ms;	/* since it served one last */
+	unsigned int steady_ms;		/* since the start of that time */
+};
+
 /* ---- duties that one node holds at a time ---- */
 
 const SAVORY_STANDBYS_MAX = 4;
@@ -511,6 +525,8 @@
 	SP_RELAY_ASK = 40,
 	SP_RELAY_TELL = 41,
 	SP_RELAY_SERVERS = 42,
+	SP_OUTAGE_ASK = 43,
+	SP_OUTAGE_TELL = 44,
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
@@ -576,6 +592,10 @@
 	sp_relay_tell relay_tell;
 case SP_RELAY_SERVERS:
 	sp_relay_servers relay_servers;
+case SP_OUTAGE_ASK:
+	sp_outage_ask outage_ask;
+case SP_OUTAGE_TELL:
+	sp_outage_tell outage_tell;
 case SP_DUTY_BEAT:
 	sp_duty_beat duty_beat;
 case SP_USAGE_COUNTS:
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -897,6 +897,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_outage_ask(XDR *xdrs, sp_outage_ask *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_outage_tell(XDR *xdrs, sp_outage_tell *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->served_age_ms))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->steady_ms))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_duty_beat(XDR *xdrs, sp_duty_beat *objp)
 {
@@ -1424,6 +1448,14 @@
 		if (!xdr_sp_relay_servers(xdrs, &objp->sp_msg_u.relay_servers))
 			return FALSE;
 		break;
+	case SP_OUTAGE_ASK:
+		if (!xdr_sp_outage_ask(xdrs, &objp->sp_msg_u.outage_ask))
+			return FALSE;
+		break;
+	case SP_OUTAGE_TELL:
+		if (!xdr_sp_outage_tell(xdrs, &objp->sp_msg_u.outage_tell))
+			return FALSE;
+		break;
 	case SP_DUTY_BEAT:
 		if (!xdr_sp_duty_beat(xdrs, &objp->sp_msg_u.duty_beat))
 			return FALSE;
--- a/server.c
+++ b/server.c
@@ -36,6 +36,9 @@
  */
 #define REACH_MISSES_MIN 2
 
+/* A longer time between two ticks is a pause of this process. */
+#define SERVER_TICK_MAX_MS 200
+
 /* Distance of the cache ids of a server's processes; odd, so none repeats. */
 #define CACHE_ID_STEP 0x9e3779b97f4a7c15ULL
 
@@ -410,6 +413,16 @@
 	s->complete = true;
 }
 
+static bool
+server_is_kept(const struct servers *s, const struct server *v, msec now)
+{
+	if (now < s->unlisted_kept_until)
+		return true;
+	if (v->missing && v->missing_for >= SERVER_MISSING_MS)
+		return false;
+	return s->outage_is_on || now < s->outage_hold_end;
+}
+
 void
 servers_unlist(struct servers *s, msec now, const char *name)
 {
@@ -420,7 +433,7 @@
 	v->listed_again = false;
 	if (v->state == SERVER_GONE)
 		return;
-	if (now >= s->unlisted_kept_until) {
+	if (!server_is_kept(s, v, now)) {
 		server_set_gone(s, v, now);
 		return;
 	}
@@ -429,6 +442,8 @@
 	log_info_of(LOG_NODE, v->name, "%s not listed, kept for now", v->name);
 	v->missing = true;
 	v->missing_since = now;
+	v->missing_for = 0;
+	s->nmissing++;
 	if (s->ops->kept != NULL)
 		s->ops->kept(s, v);
 }
@@ -439,6 +454,20 @@
 	s->unlisted_kept_until = MAX(s->unlisted_kept_until, until);
 }
 
+void
+servers_set_outage(struct servers *s, bool is_on, msec hold_end)
+{
+	s->outage_is_on = is_on;
+	s->outage_hold_end = hold_end;
+}
+
+bool
+servers_list_is_settled(const struct servers *s, msec now)
+{
+	return !s->outage_is_on &&
+	       now >= MAX(s->unlisted_kept_until, s->outage_hold_end);
+}
+
 void
 servers_keep_gone(struct servers *s, msec until)
 {
@@ -496,12 +525,18 @@
 void
 servers_tick(struct servers *s, msec now)
 {
+	msec span = CLAMP(now - s->ticked, 0, SERVER_TICK_MAX_MS);
 	struct server *v, *next;
 
+	s->ticked = now;
+	s->nmissing = 0;
 	RB_FOREACH_SAFE (v, server_tree, &s->tree, next) {
 		server_note_version(s, v, now);
-		if (v->missing && now >= s->unlisted_kept_until)
+		if (v->missing && !s->outage_is_on)
+			v->missing_for += span;
+		if (v->missing && !server_is_kept(s, v, now))
 			server_set_gone(s, v, now);
+		s->nmissing += v->missing;
 		if (v->listed_again && now >= s->gone_kept_until)
 			server_set_ready(s, v);
 		if (v->state == SERVER_GONE && v->links == 0 &&
--- a/server.h
+++ b/server.h
@@ -81,8 +81,9 @@
 	 * few until it answers one. 0: none.
 	 */
 	msec rest_until;
-	bool missing; /* unlisted; SERVER_GONE after servers_keep_unlisted() */
+	bool missing; /* unlisted; SERVER_GONE after the hold */
 	msec missing_since;
+	msec missing_for; /* of that, while the platform was not away, in ms */
 	msec gone_since;
 	bool listed_again;	/* while SERVER_GONE; see servers_keep_gone() */
 	struct server_load own; /* requests of this node */
@@ -152,6 +153,11 @@
 	struct server_memory all_memory; /* of all nodes, as coordinator */
 	bool complete;			 /* set by servers_set_complete() */
 	msec unlisted_kept_until; /* no server becomes SERVER_GONE before */
+	/* Set by servers_set_outage(); the same, within a bound. */
+	bool outage_is_on;
+	msec outage_hold_end;
+	msec ticked;	       /* last call of servers_tick() */
+	unsigned int nmissing; /* at that call */
 	msec retention;	      /* how long SERVER_GONE entries are kept, in ms */
 	msec gone_kept_until; /* no server leaves SERVER_GONE before */
 	struct server_reach reach;
@@ -190,6 +196,16 @@
  * listed again soon after it.
  */
 void servers_keep_unlisted(struct servers *, msec until);
+/*
+ * The same while the platform is away for all nodes and until the given time,
+ * which may also be put forward. A server that is unlisted for
+ * SERVER_MISSING_MS without an outage becomes SERVER_GONE all the same, so that
+ * outages in quick succession do not keep it for ever.
+ */
+#define SERVER_MISSING_MS 4600
+void servers_set_outage(struct servers *, bool is_on, msec hold_end);
+/* Returns true if no server counts as present without being listed. */
+bool servers_list_is_settled(const struct servers *, msec);
 /*
  * Keeps servers in SERVER_GONE until the given time, even if they are listed,
  * unless their process was restarted. Guards against a platform that returns an
@@ -199,8 +215,8 @@
 void servers_keep_gone(struct servers *, msec until);
 void servers_set_retention(struct servers *, msec);
 /*
- * State by the platform's list, without servers_keep_unlisted() and
- * servers_keep_gone().
+ * State by the platform's list, without servers_keep_unlisted(),
+ * servers_set_outage() and servers_keep_gone().
  */
 enum server_state server_listed_as(const struct server *);
 /*
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -150,6 +150,44 @@
 	servers_finish(&s);
 }
 
+/*
+ * Guards against servers that are kept though they have left: an outage that
+ * was none, and outages in quick succession.
+ */
+static void
+test_outage_hold(void)
+{
+	struct servers s;
+	msec now;
+
+	servers_init(&s, &ops);
+	list_server(&s, 0, "a", false, 0);
+	list_server(&s, 0, "b", false, 0);
+	servers_set_outage(&s, false, 5000);
+	servers_unlist(&s, 1000, "a");
+	servers_tick(&s, 1100);
+	g_assert_cmpint(server_state_of(&s, "a"), ==, SERVER_READY);
+	g_assert_false(servers_list_is_settled(&s, 1100));
+	/* Another node was served all the while. */
+	servers_set_outage(&s, false, 900);
+	servers_tick(&s, 1200);
+	g_assert_null(servers_find(&s, name_hash("a")));
+	g_assert_true(servers_list_is_settled(&s, 1200));
+	servers_set_outage(&s, true, 900);
+	servers_unlist(&s, 2000, "b");
+	for (now = 2000; now < 20000; now += 100)
+		servers_tick(&s, now);
+	g_assert_cmpint(server_state_of(&s, "b"), ==, SERVER_READY);
+	for (; now < 20000 + SERVER_MISSING_MS; now += 100) {
+		g_assert_cmpint(server_state_of(&s, "b"), ==, SERVER_READY);
+		servers_set_outage(&s, false, now + 2300);
+		servers_tick(&s, now);
+	}
+	servers_tick(&s, now);
+	g_assert_null(servers_find(&s, name_hash("b")));
+	servers_finish(&s);
+}
+
 /* Guards against requests to a server that has left, after an older list. */
 static void
 test_doubt(void)
@@ -1031,6 +1069,7 @@
 	g_test_add_func("/server/leaves-at", test_leaves_at);
 	g_test_add_func("/server/listed-again", test_listed_again);
 	g_test_add_func("/server/hold", test_hold);
+	g_test_add_func("/server/outage-hold", test_outage_hold);
 	g_test_add_func("/server/doubt", test_doubt);
 	g_test_add_func("/server/doubt-ends", test_doubt_ends);
 	g_test_add_func("/server/mark-of-held", test_mark_of_held);
