A node that the platform refuses asks others for the list of servers

What callers saw: nodes whose calls the store refused sent requests to servers that had left up to 33 s before, and none to servers that came, while other nodes knew both and told them. Cause: the only way from node to node was single changes, which fit only a list that is the same as the sender's; after one that was lost, or more than 32 at once, a node reads the platform itself, which is what it could not do. Now a node whose list is not confirmed in time, or differs while its reads fail, asks three other nodes, drawn anew each 0.3 s (entry-list.c). It sends its position in the log and marks of 16 ranges of ids; one that has read further sends the ranges that differ. Older parts, and older records of a read that comes late, change nothing: a server that has left must not come back. The sending of changes moved from entry-relay.c, unchanged.

--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -380,6 +380,12 @@
 	metrics_value(s, "configurations_handed_dropped_total", "counter",
 	    "Not asked for, or not to be understood.",
 	    (int64_t)e->table_transfer.dropped);
+	metrics_value(s, "list_parts_total", "counter",
+	    "Parts of the list of servers taken from other nodes.",
+	    (int64_t)e->list.parts);
+	metrics_value(s, "list_parts_dropped_total", "counter",
+	    "Not asked for, not newer, or not to be understood.",
+	    (int64_t)e->list.dropped);
 	metrics_value(s, "relay_news_total", "counter",
 	    "Changes read here that others were told of.", (int64_t)r->news);
 	metrics_value(
--- a/entry-relay.c
+++ b/entry-relay.c
@@ -1,8 +1,7 @@
 /*
  * The entry VM's side of relay.c, which shares reads of the platform among the
- * nodes: passes changes of the server list to the nodes that poll this one,
- * applies those that this node receives, and decides when this node reads the
- * platform itself.
+ * nodes: decides when this node reads the platform itself. Changes of the
+ * server list are passed on in entry-list.c.
  */
 
 #define LOG_PART "relay"
@@ -19,13 +18,6 @@
 #define RELAY_CHANGE_BOUND_PERCENT 45
 #define RELAY_AGE_MAX_MS 1000
 
-/* Servers in one message: fits a datagram even with names of maximum length. */
-#define RELAY_SERVERS_PER_MESSAGE 4
-/*
- * When more servers change at once, it is cheaper for each node to read the
- * list than to be sent the changes.
- */
-#define RELAY_SERVERS_SENT_MAX 32
 /* Interval between reads of the server list before a configuration exists. */
 #define RELAY_SERVERS_UNUSED_MS 5000
 /*
@@ -67,156 +59,16 @@
 	e->source->ops->read(e->source, s);
 }
 
-/* ---- changes of the server list, passed between nodes ---- */
-
-static void
-server_encode(sp_server *m, const struct server *v)
-{
-	*m = (sp_server){ .name = (char *)v->name,
-		.service = (char *)v->service_name,
-		.domain = (char *)v->domain,
-		.address = v->address,
-		.port = v->port,
-		.slots = v->slots,
-		.born = (uint64_t)v->born,
-		.state = (sp_server_state)server_listed_as(v),
-		.reclaimable = v->reclaimable,
-		.software = (char *)v->software };
-}
-
-static void
-relay_send_all(
-    struct relay *r, const name_id *to, unsigned int n, const sp_msg *msg)
-{
-	unsigned int i;
-
-	for (i = 0; i < n; i++)
-		entry_relay_send(r, to[i], msg);
-}
-
-/* Number of servers that changed since the last message about them. */
-static unsigned int
-servers_count_changed(struct servers *all)
-{
-	struct server *v;
-	unsigned int n = 0;
-
-	RB_FOREACH (v, server_tree, &all->tree)
-		n += server_mark(v) != v->sent_mark;
-	return n;
-}
-
-/*
- * Sends changed servers to the nodes that poll this one, so that not every node
- * reads the platform for each server that is added or removed. Each message
- * names the state of the whole list that it applies to. If it arrives late, or
- * an earlier one was lost, the receiver ignores it and reads the platform.
- */
 static void
-entry_relay_send_servers(
+entry_relay_news(
     struct relay *r, enum relay_subject s, const name_id *to, unsigned int n)
 {
-	struct entry *e = entry_of_relay(r);
-	sp_server list[RELAY_SERVERS_PER_MESSAGE];
-	sp_msg msg = { .kind = SP_RELAY_SERVERS };
-	sp_relay_servers *m = &msg.sp_msg_u.relay_servers;
-	struct server *v;
-	uint64_t mark = 0, own;
-
-	if (s != RELAY_SERVERS)
-		return;
-	RB_FOREACH (v, server_tree, &e->servers.tree)
-		mark += v->sent_mark;
-	if (mark == 0 ||
-	    servers_count_changed(&e->servers) > RELAY_SERVERS_SENT_MAX) {
-		RB_FOREACH (v, server_tree, &e->servers.tree)
-			v->sent_mark = server_mark(v);
-		return;
-	}
-	m->before = entry_era_mix_into_mark(e, mark);
-	m->list.list_val = list;
-	RB_FOREACH (v, server_tree, &e->servers.tree) {
-		own = server_mark(v);
-		if (own == v->sent_mark)
-			continue;
-		server_encode(&list[m->list.list_len++], v);
-		mark += own - v->sent_mark;
-		v->sent_mark = own;
-		if (m->list.list_len < RELAY_SERVERS_PER_MESSAGE)
-			continue;
-		m->after = entry_era_mix_into_mark(e, mark);
-		relay_send_all(r, to, n, &msg);
-		m->before = m->after;
-		m->list.list_len = 0;
-	}
-	m->after = entry_era_mix_into_mark(e, mark);
-	m->position = e->source->ops->servers_position(e->source);
-	relay_send_all(r, to, n, &msg);
-}
-
-static bool
-server_is_valid(const sp_server *m)
-{
-	return *m->name != '\0' && *m->service != '\0' && m->address != 0 &&
-	       m->port > 0 && m->port <= UINT16_MAX &&
-	       (unsigned int)m->state <= SP_SERVER_GONE;
-}
-
-static void
-server_apply_change(struct entry *e, const sp_server *m, msec now)
-{
-	struct server_entry entry = { .name = m->name,
-		.service = m->service,
-		.domain = m->domain,
-		.address = m->address,
-		.port = (uint16_t)m->port,
-		.slots = m->slots,
-		.draining = m->state == SP_SERVER_DRAINING,
-		.born = (int64_t)m->born,
-		.reclaimable = m->reclaimable,
-		.software = m->software };
-
-	if (m->state == SP_SERVER_GONE)
-		servers_unlist(&e->servers, now, m->name);
-	else
-		servers_list(&e->servers, now, &entry);
-}
-
-static const char *
-relay_node_name(const struct entry *e, name_id node)
-{
-	struct member *m = members_find((struct members *)&e->members, node);
-
-	return m != NULL ? m->name : "?";
-}
-
-void
-entry_relay_receive_servers(
-    struct entry *e, name_id from, const sp_relay_servers *m, msec now)
-{
-	uint64_t mark = entry_era_mix_into_mark(e, servers_mark(&e->servers));
-	u_int i;
-
-	if (from != e->relay.reader || m->before != mark)
-		return;
-	for (i = 0; i < m->list.list_len; i++) {
-		if (!server_is_valid(&m->list.list_val[i]))
-			return;
-	}
-	e->servers_told_by = relay_node_name(e, from);
-	for (i = 0; i < m->list.list_len; i++)
-		server_apply_change(e, &m->list.list_val[i], now);
-	e->servers_told_by = NULL;
-	mark = entry_era_mix_into_mark(e, servers_mark(&e->servers));
-	if (mark != m->after)
-		return;
-	relay_state_received(&e->relay, RELAY_SERVERS, mark);
-	if (m->position > 0)
-		e->source->ops->set_servers_position(e->source, m->position);
+	if (s == RELAY_SERVERS)
+		entry_list_send_changes(entry_of_relay(r), to, n);
 }
 
 static const struct relay_ops entry_relay_ops = { entry_relay_send,
-	entry_relay_proven, entry_relay_read_source, entry_relay_send_servers };
+	entry_relay_proven, entry_relay_read_source, entry_relay_news };
 
 static msec
 entry_relay_max_age(const struct entry *e)
--- a/entry-state.c
+++ b/entry-state.c
@@ -126,8 +126,10 @@
 	else if (msg->kind == SP_OUTAGE_ASK || msg->kind == SP_OUTAGE_TELL)
 		entry_outage_receive(e, from, address, port, msg, msec_now());
 	else if (msg->kind == SP_RELAY_SERVERS)
-		entry_relay_receive_servers(
+		entry_list_receive_changes(
 		    e, from, &msg->sp_msg_u.relay_servers, msec_now());
+	else if (msg->kind == SP_LIST_ASK || msg->kind == SP_LIST_PART)
+		entry_list_receive(e, from, address, port, msg, msec_now());
 	else if (msg->kind >= SP_RELAY_ASK)
 		relay_receive(&e->relay, msec_now(), from, msg);
 	else
@@ -396,6 +398,7 @@
 	entry_table_init(e);
 	entry_relay_init(e, now);
 	entry_outage_init(e);
+	entry_list_init(e);
 	entry_state_apply(e);
 	servers_init(&e->servers, &state_server_ops);
 	e->servers.arg = e;
@@ -436,6 +439,7 @@
 entry_state_tick(struct entry *e, msec now)
 {
 	entry_outage_tick(e, now);
+	entry_list_tick(e, now);
 	entry_era_tick(e, now);
 	entry_version_store_tick(e, now);
 	entry_poison_store_tick(e, now);
--- a/entry.h
+++ b/entry.h
@@ -44,6 +44,7 @@
 #include "duration.h"
 #include "entry-duty.h"
 #include "entry-era.h"
+#include "entry-list.h"
 #include "entry-log.h"
 #include "entry-memory.h"
 #include "entry-move.h"
@@ -727,6 +728,7 @@
 	struct relay relay;
 	struct loop_timer relay_timer;
 	struct entry_outage outage;
+	struct entry_list list;
 	struct entry_duty *duty; /* NULL: no duties configured */
 	struct members members;
 	struct net net;
@@ -798,9 +800,6 @@
 
 /* Interval between reads of the list of nodes, in ms. */
 msec entry_nodes_interval(const struct entry *);
-/* Changed servers, in a message from another node. */
-void entry_relay_receive_servers(
-    struct entry *, name_id from, const sp_relay_servers *, msec);
 void entry_relay_init(struct entry *, msec);
 /* Apply changed settings. */
 void entry_relay_apply_settings(struct entry *);
--- a/proto.h
+++ b/proto.h
@@ -391,6 +391,28 @@
 	} list;
 };
 typedef struct sp_relay_servers sp_relay_servers;
+#define SAVORY_LIST_RANGES 16
+
+struct sp_list_ask {
+	u_int seq;
+	u_quad_t position;
+	u_quad_t marks[SAVORY_LIST_RANGES];
+};
+typedef struct sp_list_ask sp_list_ask;
+
+struct sp_list_part {
+	u_int seq;
+	u_quad_t era;
+	u_quad_t position;
+	u_quad_t mark;
+	u_quad_t first;
+	u_quad_t last;
+	struct {
+		u_int list_len;
+		sp_server *list_val;
+	} list;
+};
+typedef struct sp_list_part sp_list_part;
 
 struct sp_start_ask {
 	u_int seq;
@@ -543,6 +565,8 @@
 	SP_RELAY_SERVERS = 42,
 	SP_OUTAGE_ASK = 43,
 	SP_OUTAGE_TELL = 44,
+	SP_LIST_ASK = 45,
+	SP_LIST_PART = 46,
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
@@ -590,6 +614,8 @@
 		sp_relay_servers relay_servers;
 		sp_outage_ask outage_ask;
 		sp_outage_tell outage_tell;
+		sp_list_ask list_ask;
+		sp_list_part list_part;
 		sp_duty_beat duty_beat;
 		sp_usage_counts usage_counts;
 		sp_usage_time usage_time;
@@ -680,6 +706,8 @@
 extern  bool_t xdr_sp_server_state (XDR *, sp_server_state*);
 extern  bool_t xdr_sp_server (XDR *, sp_server*);
 extern  bool_t xdr_sp_relay_servers (XDR *, sp_relay_servers*);
+extern  bool_t xdr_sp_list_ask (XDR *, sp_list_ask*);
+extern  bool_t xdr_sp_list_part (XDR *, sp_list_part*);
 extern  bool_t xdr_sp_start_ask (XDR *, sp_start_ask*);
 extern  bool_t xdr_sp_start_tell (XDR *, sp_start_tell*);
 extern  bool_t xdr_sp_table_ask (XDR *, sp_table_ask*);
@@ -742,6 +770,8 @@
 extern bool_t xdr_sp_server_state ();
 extern bool_t xdr_sp_server ();
 extern bool_t xdr_sp_relay_servers ();
+extern bool_t xdr_sp_list_ask ();
+extern bool_t xdr_sp_list_part ();
 extern bool_t xdr_sp_start_ask ();
 extern bool_t xdr_sp_start_tell ();
 extern bool_t xdr_sp_table_ask ();
--- a/proto.x
+++ b/proto.x
@@ -382,6 +382,29 @@
 	sp_server list<SAVORY_SERVERS_MAX>;
 };
 
+/* ---- the list of servers, for nodes that the platform refuses ---- */
+
+/* Ranges of server ids, each by the first bits of the id. */
+const SAVORY_LIST_RANGES = 16;
+
+/* Requests sp_list_part for the ranges that differ. */
+struct sp_list_ask {
+	unsigned int seq;
+	unsigned hyper position;	/* in the log, of the sender's list */
+	unsigned hyper marks[SAVORY_LIST_RANGES];
+};
+
+/* All listed servers with ids from `first` to `last`. */
+struct sp_list_part {
+	unsigned int seq;
+	unsigned hyper era;
+	unsigned hyper position;
+	unsigned hyper mark;		/* of the sender's whole list */
+	unsigned hyper first;
+	unsigned hyper last;
+	sp_server list<SAVORY_SERVERS_MAX>;
+};
+
 /* ---- start of a node ---- */
 
 /* Requests sp_start_tell, which is sent to the datagram's source address. */
@@ -527,6 +550,8 @@
 	SP_RELAY_SERVERS = 42,
 	SP_OUTAGE_ASK = 43,
 	SP_OUTAGE_TELL = 44,
+	SP_LIST_ASK = 45,
+	SP_LIST_PART = 46,
 	SP_DUTY_BEAT = 50,
 	SP_USAGE_COUNTS = 51,
 	SP_USAGE_TIME = 52,
@@ -596,6 +621,10 @@
 	sp_outage_ask outage_ask;
 case SP_OUTAGE_TELL:
 	sp_outage_tell outage_tell;
+case SP_LIST_ASK:
+	sp_list_ask list_ask;
+case SP_LIST_PART:
+	sp_list_part list_part;
 case SP_DUTY_BEAT:
 	sp_duty_beat duty_beat;
 case SP_USAGE_COUNTS:
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1121,6 +1121,46 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sp_list_ask(XDR *xdrs, sp_list_ask *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->position))
+		return FALSE;
+	if (!xdr_vector(xdrs, (char *)objp->marks, SAVORY_LIST_RANGES,
+		sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+		return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sp_list_part(XDR *xdrs, sp_list_part *objp)
+{
+	register int32_t *buf;
+
+	if (!xdr_u_int(xdrs, &objp->seq))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->era))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->position))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->mark))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->first))
+		return FALSE;
+	if (!xdr_u_quad_t(xdrs, &objp->last))
+		return FALSE;
+	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
+		(u_int *)&objp->list.list_len, SAVORY_SERVERS_MAX,
+		sizeof(sp_server), (xdrproc_t)xdr_sp_server))
+		return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sp_start_ask(XDR *xdrs, sp_start_ask *objp)
 {
@@ -1456,6 +1496,14 @@
 		if (!xdr_sp_outage_tell(xdrs, &objp->sp_msg_u.outage_tell))
 			return FALSE;
 		break;
+	case SP_LIST_ASK:
+		if (!xdr_sp_list_ask(xdrs, &objp->sp_msg_u.list_ask))
+			return FALSE;
+		break;
+	case SP_LIST_PART:
+		if (!xdr_sp_list_part(xdrs, &objp->sp_msg_u.list_part))
+			return FALSE;
+		break;
 	case SP_DUTY_BEAT:
 		if (!xdr_sp_duty_beat(xdrs, &objp->sp_msg_u.duty_beat))
 			return FALSE;
