Proofs and configurations come from any node, not from three candidates

What callers saw: 503 for all requests with a key at a node that the store refuses, where the three nodes that it may poll are refused as well, though another one is served. Now a query goes to nodes drawn anew, too, while the last one brought nothing recent or reads fail, and any answer to it counts; a configuration is asked of drawn nodes as well, and taken from any member. In calm nothing more is sent.

--- a/entry-table.c
+++ b/entry-table.c
@@ -9,6 +9,11 @@
 
 #include <string.h>
 
+/*
+ * Nodes in each request, drawn anew: the node that this one polls may be
+ * refused by the platform as well.
+ */
+#define TABLE_ASKED_NODES 3
 /* Longer texts are not transferred: the part mask has 64 bits. */
 #define TABLE_TEXT_MAX (64 * SAVORY_TABLE_PART_MAX)
 
@@ -50,22 +55,26 @@
 entry_table_request(struct entry *e, msec now)
 {
 	struct entry_table_transfer *t = &e->table_transfer;
-	struct member *m = members_find(&e->members, e->relay.reader);
+	struct member *nodes[TABLE_ASKED_NODES + 1];
 	sp_msg msg = { .kind = SP_TABLE_ASK };
 	sp_table_ask *ask = &msg.sp_msg_u.table_ask;
+	unsigned int i, n;
 
-	if (m == NULL || !other_table_reported(e))
+	if (!other_table_reported(e))
 		return;
 	ask->have = e->table->version;
 	ask->want = t->version;
 	ask->parts = t->parts;
-	log_debug("requesting the configuration from %s", m->name);
+	n = entry_draw_nodes(e, nodes, TABLE_ASKED_NODES);
+	nodes[n] = members_find(&e->members, e->relay.reader);
+	n += nodes[n] != NULL;
 	/*
 	 * In a datagram of its own: older versions of the program reject a
 	 * batch with this message kind.
 	 */
 	net_flush(&e->net);
-	net_send(&e->net, m->address, m->peer_port, &msg);
+	for (i = 0; i < n; i++)
+		net_send(&e->net, nodes[i]->address, nodes[i]->peer_port, &msg);
 	net_flush(&e->net);
 }
 
@@ -183,11 +192,10 @@
 			    e, address, port, &msg->sp_msg_u.table_ask);
 		return;
 	}
-	if (from == e->relay.reader) {
+	if (members_find(&e->members, from) != NULL) {
 		table_receive_part(e, &msg->sp_msg_u.table_part, now);
 		return;
 	}
-	log_debug("dropped a configuration part from a node other than the "
-		  "reader");
+	log_debug("dropped a configuration part from an unknown node");
 	e->table_transfer.dropped++;
 }
--- a/entry-table.h
+++ b/entry-table.h
@@ -1,7 +1,7 @@
 /*
  * Transfer of the configuration (struct route_table) between nodes. A node that
- * the platform refuses learns from its reader, the node that it polls, that a
- * configuration other than its own is in force. Without the transfer it could
+ * the platform refuses learns from the nodes that it polls that a configuration
+ * other than its own is in force. Without the transfer it could
  * not serve callers with an API key until the platform accepts it again.
  */
 
@@ -25,8 +25,8 @@
 void entry_table_init(struct entry *);
 void entry_table_finish(struct entry *);
 /*
- * Request the configuration from this node's reader, if another node has
- * reported a different one.
+ * Request the configuration from some nodes, if one has reported a different
+ * one.
  */
 void entry_table_request(struct entry *, msec);
 /* Handle a message of kind SP_TABLE_ASK or SP_TABLE_PART from a node. */
--- a/relay.c
+++ b/relay.c
@@ -158,6 +158,7 @@
 	uint64_t own = relay_weight(r->self, 0) % groups, group;
 	name_id best[RELAY_CANDIDATES], first = r->candidates[0];
 
+	relay_candidates(nodes, n, ~(uint64_t)r->seq, r->drawn);
 	memset(r->candidates, 0, sizeof r->candidates);
 	for (group = 0; group < groups && n > 0; group++) {
 		relay_candidates(nodes, n, group, best);
@@ -381,11 +382,11 @@
 relay_receive_marks(
     struct relay *r, msec now, name_id from, const sp_relay_tell *t)
 {
-	bool answer = from == r->reader && t->seq != 0 && t->seq == r->seq;
+	bool answer = t->seq != 0 && t->seq == r->seq;
 	unsigned int i;
 
 	r->counters.told++;
-	if (answer) {
+	if (answer && from == r->reader) {
 		r->answered = true;
 		r->unconfirmed =
 		    relay_unconfirmed(r, t->known[RELAY_CONFIGURATION].age_ms);
@@ -416,11 +417,29 @@
 	}
 }
 
-msec
-relay_tick(struct relay *r, msec now)
+/*
+ * The reader, and drawn nodes as well if the last query brought nothing recent
+ * or reads of this node fail.
+ */
+static void
+relay_send_query(struct relay *r)
 {
 	sp_msg msg = { .kind = SP_RELAY_ASK };
+	unsigned int i;
 
+	msg.sp_msg_u.relay_ask.seq = r->seq;
+	if (r->reader != r->self)
+		r->ops->send(r, r->reader, &msg);
+	for (i = 0; i < RELAY_CANDIDATES && r->unconfirmed > 0; i++) {
+		if (r->drawn[i] != 0 && r->drawn[i] != r->self &&
+		    r->drawn[i] != r->reader)
+			r->ops->send(r, r->drawn[i], &msg);
+	}
+}
+
+msec
+relay_tick(struct relay *r, msec now)
+{
 	if (now < r->next_ask)
 		return r->next_ask;
 	relay_check_reader(r, now);
@@ -428,14 +447,13 @@
 				(r->reader == r->self ? RELAY_POLL_PERCENT
 						      : RELAY_REPOLL_PERCENT) /
 				100;
-	if (r->reader == r->self)
+	if (r->reader == r->self && r->unconfirmed == 0)
 		return r->next_ask;
 	if (++r->seq == 0)
 		r->seq = 1;
 	r->answered = false;
 	r->asked = now;
 	r->counters.asked++;
-	msg.sp_msg_u.relay_ask.seq = r->seq;
-	r->ops->send(r, r->reader, &msg);
+	relay_send_query(r);
 	return r->next_ask;
 }
--- a/relay.h
+++ b/relay.h
@@ -15,7 +15,9 @@
  * confirmation in time reads from the platform itself. If the reader does not
  * reply, or has nothing recent because the platform refuses its calls, the
  * candidate with the next lower weight is polled, and a node that is polled
- * repeatedly begins to read.
+ * repeatedly begins to read. Until one of them has something recent, nodes
+ * drawn anew for each query are polled as well: the platform may refuse all
+ * candidates.
  *
  * The module does no I/O; messages go through struct relay_ops.
  */
@@ -94,8 +96,10 @@
 	struct relay_freshness known[RELAY_SUBJECTS];
 	name_id reader; /* node that is polled; `self`: this node reads */
 	name_id candidates[RELAY_CANDIDATES]; /* by weight; 0: none */
-	unsigned int current;		      /* index of the reader in it */
-	msec switched_at;		      /* last change of `current` */
+	/* Nodes drawn for the next query; 0: none. */
+	name_id drawn[RELAY_CANDIDATES];
+	unsigned int current; /* index of the reader in it */
+	msec switched_at;     /* last change of `current` */
 	/* Consecutive queries without a recent reply. */
 	unsigned int unconfirmed;
 	bool answered; /* the last query has a reply */
