Servers with the longest names fit a message between nodes

Four servers with names of the full length do not fit a datagram since their software's version stands in it: such a message was dropped, and with it the news. Three a message now; test-net longest-servers fails with four.

--- a/entry-list.c
+++ b/entry-list.c
@@ -7,8 +7,6 @@
 
 #include <string.h>
 
-/* Servers in one message: fits a datagram even with names of maximum length. */
-#define LIST_SERVERS_PER_MESSAGE 4
 /*
  * When more servers change at once, it is cheaper for each node to read the
  * list than to be sent the changes.
--- a/entry-list.h
+++ b/entry-list.h
@@ -14,6 +14,9 @@
 
 struct entry;
 
+/* Servers in one message: fits a datagram even with names of maximum length. */
+#define LIST_SERVERS_PER_MESSAGE 3
+
 struct entry_list {
 	uint32_t seq;
 	msec asked; /* last query; MSEC_NEVER: none */
--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -3,6 +3,7 @@
  * accepted.
  */
 
+#include "entry-list.h"
 #include "net.h"
 
 #include <arpa/inet.h>
@@ -332,6 +333,41 @@
 	net_finish(&n);
 }
 
+/*
+ * Guards against servers with long names of which other nodes are never told,
+ * as the message does not fit a datagram.
+ */
+static void
+test_longest_servers(void)
+{
+	char id[SAVORY_SERVER_NAME_MAX + 1], other[SAVORY_NAME_MAX + 1],
+	    software[SAVORY_SOFTWARE_MAX + 1];
+	sp_server list[LIST_SERVERS_PER_MESSAGE];
+	sp_msg msg = { .kind = SP_LIST_PART };
+	struct net_frame f;
+	unsigned int i;
+
+	memset(id, 'n', sizeof id - 1);
+	memset(other, 'o', sizeof other - 1);
+	memset(software, 's', sizeof software - 1);
+	id[sizeof id - 1] = other[sizeof other - 1] = '\0';
+	software[sizeof software - 1] = '\0';
+	for (i = 0; i < G_N_ELEMENTS(list); i++)
+		list[i] = (sp_server){ .name = id,
+			.service = other,
+			.domain = other,
+			.software = software };
+	msg.sp_msg_u.list_part.list.list_val = list;
+	msg.sp_msg_u.list_part.list.list_len = G_N_ELEMENTS(list);
+	net_frame_init(&f, 1, 1);
+	g_assert_true(net_frame_add(&f, &msg));
+	msg = (sp_msg){ .kind = SP_RELAY_SERVERS };
+	msg.sp_msg_u.relay_servers.list.list_val = list;
+	msg.sp_msg_u.relay_servers.list.list_len = G_N_ELEMENTS(list);
+	net_frame_init(&f, 1, 1);
+	g_assert_true(net_frame_add(&f, &msg));
+}
+
 /* Guards against a kind of message that is counted for another subject. */
 static void
 test_subjects(void)
@@ -409,6 +445,7 @@
 	g_test_add_func("/net/loopback", test_loopback);
 	g_test_add_func("/net/domains", test_domains);
 	g_test_add_func("/net/subjects", test_subjects);
+	g_test_add_func("/net/longest-servers", test_longest_servers);
 	g_test_add_func("/net/strangers", test_strangers);
 	return g_test_run();
 }
