Messages that older versions do not know are sent in one place

The same three lines stood in entry-table.c, entry-outage.c and entry-list.c; the drawing of nodes moves beside them. No change of what is sent.

--- a/entry-list.c
+++ b/entry-list.c
@@ -251,10 +251,6 @@
 	return position < e->list.applied[list_range(name_hash(name))];
 }
 
-/*
- * In datagrams of their own: older versions of the program reject a batch with
- * this message kind.
- */
 static void
 list_ask(struct entry *e, msec now)
 {
@@ -268,10 +264,9 @@
 	ask->position = list_position(e);
 	list_mark_ranges(e, ask->marks);
 	n = entry_draw_nodes(e, nodes, G_N_ELEMENTS(nodes));
-	net_flush(&e->net);
 	for (i = 0; i < n; i++)
-		net_send(&e->net, nodes[i]->address, nodes[i]->peer_port, &msg);
-	net_flush(&e->net);
+		entry_send_apart(
+		    e, nodes[i]->address, nodes[i]->peer_port, &msg);
 }
 
 /* Sends a range in parts that join; returns how many there were. */
--- a/entry-outage.c
+++ b/entry-outage.c
@@ -43,37 +43,6 @@
 	outage_apply(e, now);
 }
 
-/*
- * In a datagram of its own: older versions of the program reject a batch with
- * this message kind.
- */
-static void
-outage_send(struct entry *e, uint32_t address, uint16_t port, const sp_msg *msg)
-{
-	net_flush(&e->net);
-	net_send(&e->net, address, port, msg);
-	net_flush(&e->net);
-}
-
-unsigned int
-entry_draw_nodes(struct entry *e, struct member **nodes, unsigned int most)
-{
-	unsigned int seen = 0, at;
-	struct member *m;
-
-	RB_FOREACH (m, member_tree, &e->members.tree) {
-		if (m->state != MEMBER_ALIVE)
-			continue;
-		at = seen < most ? seen
-				 : (unsigned int)g_rand_int_range(
-				       e->rand, 0, (gint32)seen + 1);
-		if (at < most)
-			nodes[at] = m;
-		seen++;
-	}
-	return MIN(seen, most);
-}
-
 void
 entry_outage_ask(struct entry *e, msec now)
 {
@@ -88,7 +57,8 @@
 	msg.sp_msg_u.outage_ask.seq = ++x->seq;
 	n = entry_draw_nodes(e, nodes, G_N_ELEMENTS(nodes));
 	for (i = 0; i < n; i++)
-		outage_send(e, nodes[i]->address, nodes[i]->peer_port, &msg);
+		entry_send_apart(
+		    e, nodes[i]->address, nodes[i]->peer_port, &msg);
 }
 
 static void
@@ -104,7 +74,7 @@
 	t->seq = ask->seq;
 	t->served_age_ms = (u_int)MIN(now - o->served, UINT32_MAX);
 	t->steady_ms = (u_int)MIN(now - o->steady, UINT32_MAX);
-	outage_send(e, address, port, &msg);
+	entry_send_apart(e, address, port, &msg);
 }
 
 /*
--- a/entry-outage.h
+++ b/entry-outage.h
@@ -13,7 +13,6 @@
 #include "savory.h"
 
 struct entry;
-struct member;
 
 struct entry_outage {
 	struct outage core;
@@ -31,8 +30,5 @@
 void entry_outage_receive(struct entry *, name_id from, uint32_t address,
     uint16_t port, const sp_msg *, msec);
 void entry_outage_tick(struct entry *, msec);
-/* Draws up to `most` of the nodes that are alive; returns how many. */
-unsigned int
-entry_draw_nodes(struct entry *, struct member **, unsigned int most);
 
 #endif /* ENTRY_OUTAGE_H */
--- a/entry-state.c
+++ b/entry-state.c
@@ -158,6 +158,34 @@
 		net_send(&e->net, m->address, m->peer_port, msg);
 }
 
+void
+entry_send_apart(
+    struct entry *e, uint32_t address, uint16_t port, const sp_msg *msg)
+{
+	net_flush(&e->net);
+	net_send(&e->net, address, port, msg);
+	net_flush(&e->net);
+}
+
+unsigned int
+entry_draw_nodes(struct entry *e, struct member **nodes, unsigned int most)
+{
+	unsigned int seen = 0, at;
+	struct member *m;
+
+	RB_FOREACH (m, member_tree, &e->members.tree) {
+		if (m->state != MEMBER_ALIVE)
+			continue;
+		at = seen < most ? seen
+				 : (unsigned int)g_rand_int_range(
+				       e->rand, 0, (gint32)seen + 1);
+		if (at < most)
+			nodes[at] = m;
+		seen++;
+	}
+	return MIN(seen, most);
+}
+
 static void
 state_place_send(struct place *p, name_id node, const sp_msg *msg)
 {
--- a/entry-table.c
+++ b/entry-table.c
@@ -68,14 +68,9 @@
 	n = entry_draw_nodes(e, nodes, TABLE_ASKED_NODES);
 	nodes[n] = members_find(&e->members, e->relay.reader);
 	n += nodes[n] != NULL;
-	/*
-	 * In a datagram of its own: older versions of the program reject a
-	 * batch with this message kind.
-	 */
-	net_flush(&e->net);
 	for (i = 0; i < n; i++)
-		net_send(&e->net, nodes[i]->address, nodes[i]->peer_port, &msg);
-	net_flush(&e->net);
+		entry_send_apart(
+		    e, nodes[i]->address, nodes[i]->peer_port, &msg);
 }
 
 static uint32_t
--- a/entry.h
+++ b/entry.h
@@ -783,6 +783,15 @@
 msec entry_process_age(uint64_t incarnation);
 /* Send a message to another node; it may be lost. */
 void entry_send(struct entry *, name_id, const sp_msg *);
+/*
+ * The same in a datagram of its own: older versions of the program reject a
+ * batch with a kind of message that they do not know.
+ */
+void entry_send_apart(
+    struct entry *, uint32_t address, uint16_t port, const sp_msg *);
+/* Draws up to `most` of the nodes that are alive; returns how many. */
+unsigned int
+entry_draw_nodes(struct entry *, struct member **, unsigned int most);
 /* Does another node take work? */
 bool entry_others_ready(const struct entry *);
 /* Can this node serve callers, including those with a key? */
