--- a/entry-list.c
+++ b/entry-list.c
@@ -298,6 +298,7 @@
 	}
 	p->last = list_range_last(range);
 	net_send(&e->net, address, port, msg);
+	p->list.list_val = NULL;
 	return sent + 1;
 }
 
