--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -298,12 +298,40 @@
 	    (int64_t)c->discarded);
 }
 
+/* What other nodes are asked and tell. */
+static void
+text_nodes_counters(GString *s, const struct entry *e)
+{
+	const struct relay_counters *r = &e->relay.counters;
+
+	metrics_value(s, "relay_asked_total", "counter",
+	    "Other nodes asked what they know.", (int64_t)r->asked);
+	metrics_value(s, "relay_told_total", "counter",
+	    "Answers and news from other nodes.", (int64_t)r->told);
+	metrics_value(s, "relay_proofs_total", "counter",
+	    "Of these, proofs that what is in force here is the newest.",
+	    (int64_t)r->proofs);
+	metrics_value(s, "configurations_handed_total", "counter",
+	    "Taken up from another node, as the platform turned us away.",
+	    (int64_t)e->table_transfer.taken);
+	metrics_value(s, "configurations_handed_dropped_total", "counter",
+	    "Not asked for, or not to be understood.",
+	    (int64_t)e->table_transfer.dropped);
+	metrics_value(s, "list_parts_total", "counter",
+	    "Parts of the list of servers taken from other nodes.",
+	    (int64_t)e->list.parts);
+	metrics_value(s, "list_parts_dropped_total", "counter",
+	    "Not asked for, not newer, or not to be understood.",
+	    (int64_t)e->list.dropped);
+	metrics_value(s, "relay_news_total", "counter",
+	    "Changes read here that others were told of.", (int64_t)r->news);
+}
+
 static void
 text_counters(GString *s, struct entry *e)
 {
 	const struct entry_counters *c = &e->counters;
 	const struct place_counters *p = &e->place.counters;
-	const struct relay_counters *r = &e->relay.counters;
 
 	metrics_value(s, "attempts_total", "counter", "Sent to servers.",
 	    (int64_t)c->attempts);
@@ -367,27 +395,6 @@
 	metrics_value(s, "prompt_tokens_fetched_total", "counter",
 	    "Prompt tokens that servers were to fetch from others.",
 	    (int64_t)p->tokens_fetched);
-	metrics_value(s, "relay_asked_total", "counter",
-	    "Other nodes asked what they know.", (int64_t)r->asked);
-	metrics_value(s, "relay_told_total", "counter",
-	    "Answers and news from other nodes.", (int64_t)r->told);
-	metrics_value(s, "relay_proofs_total", "counter",
-	    "Of these, proofs that what is in force here is the newest.",
-	    (int64_t)r->proofs);
-	metrics_value(s, "configurations_handed_total", "counter",
-	    "Taken up from another node, as the platform turned us away.",
-	    (int64_t)e->table_transfer.taken);
-	metrics_value(s, "configurations_handed_dropped_total", "counter",
-	    "Not asked for, or not to be understood.",
-	    (int64_t)e->table_transfer.dropped);
-	metrics_value(s, "list_parts_total", "counter",
-	    "Parts of the list of servers taken from other nodes.",
-	    (int64_t)e->list.parts);
-	metrics_value(s, "list_parts_dropped_total", "counter",
-	    "Not asked for, not newer, or not to be understood.",
-	    (int64_t)e->list.dropped);
-	metrics_value(s, "relay_news_total", "counter",
-	    "Changes read here that others were told of.", (int64_t)r->news);
 	metrics_value(
 	    s, "log_lines_total", "counter", "Written.", (int64_t)e->log.lines);
 	metrics_value(s, "log_dropped_total", "counter", "Left out.",
@@ -405,6 +412,7 @@
 	text_limits(s, e);
 	text_callers(s, e);
 	text_counters(s, e);
+	text_nodes_counters(s, e);
 	text_bytes(s, e);
 	e->source->ops->metrics(e->source, s);
 	entry_era_metrics(e, s, now);
