Logs: silence of the server at the sending, bytes that no host had taken

Two counters of attempts given up, with and without unacknowledged bytes. A served request's line is needed, not routine, where the server was unlisted, silent for 1 s or leaving, or the list 2 s old: only lines of that kind are kept past the log's 40 a second.

--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 	      ledger.h $(if $(wildcard lease.c),lease.h) member.h net.h \
 	      proto.h directory.h dispatch.h ticket.h share.h request.h sse.h event-stream.h \
 	      ring.h buffer.h http-message.h fresh.h retry-budget.h route.h \
-	      server.h fair-share.h prompt-fetch.h returns.h server-speed.h server-limit.h server-memory.h server-mix.h server-pace.h server-rate.h server-room.h server-version.h place.h relay.h \
+	      server.h fair-share.h prompt-fetch.h returns.h server-speed.h server-limit.h server-memory.h server-mix.h server-pace.h server-rate.h server-room.h server-sign.h server-version.h place.h relay.h \
 	      duty.h usage.h capacity.h era.h poison.h reach.h handoff.h stream-version.h version-set.h stream-log.h \
 	      run-move.h run-pace.h
 MAINS	= $(if $(wildcard savorypierd.c),$(B)/savorypierd $(B)/savorypierd-entry) \
--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -43,6 +43,7 @@
 	struct link_terms terms = { .is_head = job_is_head_request(j),
 		.once = !j->repeatable,
 		.ask = entry_version_needs_process(j) };
+	msec silent_for = server_sign_awaited(&v->sign, now);
 
 	if (j->ntried < SERVER_AVOID_MAX)
 		j->tried[j->ntried++] = v->id;
@@ -63,6 +64,7 @@
 	j->sent_at = now;
 	j->list_age = entry_list_age(e, now);
 	j->unlisted_for = v->missing ? now - v->missing_since : -1;
+	j->silent_for = silent_for;
 	j->attempt_began = 0;
 	j->parts_cleared = false;
 	e->counters.attempts++;
@@ -361,6 +363,8 @@
 	    LOG_NUMBER(LOG_KEY_SENDS, j->sends),
 	    LOG_NUMBER(LOG_KEY_LIST_MS, j->list_age),
 	    LOG_NUMBER(LOG_KEY_UNLISTED_MS, j->unlisted_for),
+	    LOG_NUMBER(LOG_KEY_SILENT_MS, j->silent_for),
+	    LOG_NUMBER(LOG_KEY_HELD, j->held_bytes),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->sent_at));
 	if (entry_poison_refuses(j, now)) {
 		job_fail(j, now, JOB_POISON);
@@ -744,6 +748,7 @@
 	    (how == LINK_CONNECT_TIMED_OUT && j->returned_to_silent))
 		job_note_silent(j, k->server);
 	if (how == LINK_BROKEN) {
+		j->held_bytes = link_unacknowledged(k);
 		attempt_broke_off(k, now);
 		return;
 	}
--- a/entry-job.c
+++ b/entry-job.c
@@ -29,6 +29,12 @@
  * caller needs for a new connection.
  */
 #define JOB_RETRY_OTHER_NODE_MS 20
+/*
+ * Logged as needed: a request to a server without a sign of life for so long,
+ * or by a list of servers that was confirmed so long ago.
+ */
+#define JOB_SILENT_NOTABLE_MS MSEC_SECOND
+#define JOB_LIST_NOTABLE_MS (2 * MSEC_SECOND)
 
 static void job_deadline_passed(struct loop_timer *, msec);
 static void job_request(struct caller *, msec);
@@ -108,12 +114,37 @@
 	return text;
 }
 
+/* What its host has not acknowledged of the attempt that is given up. */
+static void
+job_note_held(struct job *j, const struct link *k)
+{
+	if (k != NULL && k->sent)
+		job_note_held(j, k);
+}
+
+/* Was it sent to a server that may have been leaving, or ended at one? */
+static bool
+job_server_is_doubtful(struct job *j)
+{
+	const struct server *v =
+	    servers_find(&j->owner->servers, name_hash(j->server_name));
+
+	if (j->sends == 0)
+		return false;
+	if (j->unlisted_for >= 0 || j->silent_for >= JOB_SILENT_NOTABLE_MS ||
+	    j->list_age >= JOB_LIST_NOTABLE_MS)
+		return true;
+	return v == NULL || v->state != SERVER_READY || v->says_leaving;
+}
+
 static void
 job_log(struct job *j, msec now, enum job_code code)
 {
 	struct entry *e = j->owner;
 	enum entry_log_priority weight =
-	    code == JOB_SERVED ? ENTRY_LOG_ROUTINE : ENTRY_LOG_NEEDED;
+	    code == JOB_SERVED && !job_server_is_doubtful(j)
+		? ENTRY_LOG_ROUTINE
+		: ENTRY_LOG_NEEDED;
 	const char *route = j->route != NULL ? j->route->name : NULL;
 	const char *organisation =
 	    j->organisation != NULL ? j->organisation->name : NULL;
@@ -130,6 +161,8 @@
 	msec leaving =
 	    j->arrived_during_stop ? j->arrived - e->leaving_since : MSEC_NEVER;
 
+	job_note_held(j, j->carrier == NULL ? j->link : j->kept_link);
+
 	entry_log(&e->log, now, weight, LOG_EVENT_REQUEST,
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_OUTCOME, job_code_name(code)),
@@ -150,6 +183,8 @@
 	    LOG_NUMBER(LOG_KEY_LIST_MS, j->sends > 0 ? j->list_age : -1),
 	    LOG_NUMBER(
 		LOG_KEY_UNLISTED_MS, j->sends > 0 ? j->unlisted_for : -1),
+	    LOG_NUMBER(LOG_KEY_SILENT_MS, j->sends > 0 ? j->silent_for : -1),
+	    LOG_NUMBER(LOG_KEY_HELD, j->held_bytes),
 	    LOG_NUMBER(LOG_KEY_MS, now - j->arrived),
 	    LOG_NUMBER(LOG_KEY_LEFT_MS, job_span(left)),
 	    LOG_NUMBER(LOG_KEY_LEAVING_MS, job_span(leaving)),
@@ -172,6 +207,7 @@
 job_abandon_link(struct job *j, msec now, struct link *k)
 {
 	if (k->sent) {
+		j->held_bytes = link_unacknowledged(k);
 		entry_poison_request_abandoned(j, k->server, now);
 		/* It may yet end its server; the next one waits for that. */
 		entry_poison_run_end(j, now, true);
@@ -469,6 +505,7 @@
 	j->arrived = now;
 	j->arrived_during_stop = e->phase == ENTRY_LEAVING;
 	j->deadline = MSEC_NEVER;
+	j->silent_for = j->held_bytes = -1;
 	job_take_terms(j, terms);
 	loop_timer_init(&j->timer, job_deadline_passed, j);
 	loop_timer_init(&j->silence_timer, job_check_silence, j);
--- a/entry-link.c
+++ b/entry-link.c
@@ -103,6 +103,28 @@
 	k->connecting = false;
 }
 
+int64_t
+link_unacknowledged(const struct link *k)
+{
+	int bytes = 0;
+
+	return ioctl(k->io.fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
+
+/* A request that was sent is given up, as its answer is not complete. */
+static void
+link_count_given_up(const struct link *k)
+{
+	struct entry_counters *c = &k->owner->counters;
+
+	if (!k->sent || k->reader.stage == HTTP_STAGE_COMPLETE)
+		return;
+	if (link_unacknowledged(k) == 0)
+		c->given_up_taken++;
+	else
+		c->given_up_held++;
+}
+
 /* The link must not be in the pool. */
 static void
 link_free(struct link *k)
@@ -110,6 +132,7 @@
 	struct entry *e = k->owner;
 	struct server *v = k->server;
 
+	link_count_given_up(k);
 	link_connect_finished(k);
 	loop_timer_stop(&e->loop, &k->timer);
 	loop_close(&e->loop, &k->io);
@@ -320,6 +343,8 @@
 			break;
 		if (n <= 0)
 			return false;
+		if (!k->asking && !k->sent)
+			server_sign_sent(&k->server->sign, k->owner->loop.now);
 		k->sent = !k->asking;
 		k->owner->counters.request_bytes[k->domain] += (uint64_t)n;
 		buffer_consume(&k->out, (size_t)n);
@@ -356,9 +381,7 @@
 static bool
 link_is_confirmed(const struct link *k)
 {
-	int unconfirmed = 0;
-
-	return ioctl(k->io.fd, SIOCOUTQ, &unconfirmed) == 0 && unconfirmed == 0;
+	return link_unacknowledged(k) == 0;
 }
 
 /* Mean round trip to the server's host, in ms; 0: not known. */
@@ -784,6 +807,8 @@
 		return;
 	}
 	k->owner->counters.answer_bytes[k->domain] += (uint64_t)n;
+	if (k->starts == k->server->starts)
+		server_sign_heard(&k->server->sign);
 	link_parse(k, (const char *)link_input, (size_t)n, now);
 }
 
--- a/entry-log.c
+++ b/entry-log.c
@@ -181,6 +181,9 @@
 	    "close of the connection" },
 	[LOG_KEY_GAP_MS] = { "gap_ms",
 	    "longest pause between two parts of the answer" },
+	[LOG_KEY_HELD] = { "held",
+	    "bytes that the server's host had not acknowledged as the last "
+	    "attempt was given up; -1: none was" },
 	[LOG_KEY_IDLE_LIMIT_MS] = { "idle_limit_ms",
 	    "how long callers may leave a connection idle" },
 	[LOG_KEY_KIND] = { "kind", "of server: lasting or reclaimable" },
@@ -236,6 +239,9 @@
 	[LOG_KEY_SERVER] = { "server", "name of the backend server" },
 	[LOG_KEY_SERVICE] = { "service", "that the backend servers are of" },
 	[LOG_KEY_SERVICES] = { "services", "in the configuration" },
+	[LOG_KEY_SILENT_MS] = { "silent_ms",
+	    "for how long its server had sent nothing, though it was sent "
+	    "something, as the last attempt was sent; -1: it had" },
 	[LOG_KEY_SOFTWARE] = { "software",
 	    "version of the backend server's software" },
 	[LOG_KEY_SOURCE] = { "source", "backend server that its server was "
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -349,6 +349,12 @@
 	metrics_value(s, "kept_unproved_total", "counter",
 	    "Kept connections that did not confirm a request's first bytes.",
 	    (int64_t)c->proofs_failed);
+	metrics_value(s, "given_up_taken_total", "counter",
+	    "Attempts given up that the server's host had taken.",
+	    (int64_t)c->given_up_taken);
+	metrics_value(s, "given_up_held_total", "counter",
+	    "Attempts given up with bytes that no host had acknowledged.",
+	    (int64_t)c->given_up_held);
 	metrics_value(s, "streams_broken_off_total", "counter",
 	    "Streams that were complete by their framing alone.",
 	    (int64_t)c->streams_broken);
--- a/entry.h
+++ b/entry.h
@@ -338,6 +338,8 @@
 struct link *link_send(struct entry *, struct server *, struct job *,
     const struct link_ops *, struct buffer *request, const struct link_terms *,
     msec);
+/* Bytes that the server's host has not acknowledged; -1: not known. */
+int64_t link_unacknowledged(const struct link *);
 /* Cancel the attempt: closes the connection, so that the server stops work. */
 void link_cancel(struct link *);
 /* Why reading from a server stops: any of these. */
@@ -463,6 +465,9 @@
 	msec sent_at, first_at; /* of the attempt; of the answer's head */
 	msec list_age;	   /* of the server list at the attempt; -1: unproven */
 	msec unlisted_for; /* the server, at the attempt, in ms; -1: listed */
+	msec silent_for;   /* server_sign_awaited() at the attempt */
+	int64_t held_bytes; /* unacknowledged as the last attempt was given up;
+			       -1: none was */
 	bool parts_cleared;   /* by the attempt\'s answer */
 	msec attempt_began;   /* first byte of the attempt's answer; 0: none */
 	msec forwarded_at;    /* the newest part was forwarded */
@@ -685,6 +690,9 @@
 	uint64_t streams_broken;	  /* though complete by their framing */
 	uint64_t rests;			  /* that servers asked for */
 	uint64_t servers_leaving;	  /* by their answers */
+	/* Attempts given up after the server's host took all of the request. */
+	uint64_t given_up_taken;
+	uint64_t given_up_held; /* before: bytes were unacknowledged */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
 	/* On connections to servers, by the server's failure domain. */
 	uint64_t request_bytes[NET_DOMAINS], answer_bytes[NET_DOMAINS];
--- a/server.c
+++ b/server.c
@@ -98,6 +98,7 @@
 	v->received = 0;
 	server_rate_reset(&v->rate);
 	v->room = (struct server_room){ 0 };
+	v->sign = (struct server_sign){ 0 };
 	v->says_leaving = false;
 	v->leaving_since = v->leaves_at = 0;
 	v->rest_until = 0;
--- a/server.h
+++ b/server.h
@@ -13,6 +13,7 @@
 #include "server-pace.h"
 #include "server-rate.h"
 #include "server-room.h"
+#include "server-sign.h"
 #include "server-speed.h"
 #include "server-version.h"
 
@@ -107,6 +108,7 @@
 	unsigned int links;	 /* connections of this node, busy and idle */
 	struct server_rate rate; /* rate limit reported by the server */
 	struct server_room room; /* while it says that it is brittle */
+	struct server_sign sign; /* of its process, to this node */
 	/* When added after servers_set_complete(), or restarted; 0: neither. */
 	msec new_at;
 	uint64_t sent_mark; /* server_mark() when last sent to other nodes */
