--- a/entry-job.c
+++ b/entry-job.c
@@ -142,9 +142,8 @@
 {
 	struct entry *e = j->owner;
 	enum entry_log_priority weight =
-	    code == JOB_SERVED && !job_server_is_doubtful(j)
-		? ENTRY_LOG_ROUTINE
-		: ENTRY_LOG_NEEDED;
+	    code == JOB_SERVED && !job_server_is_doubtful(j) ? ENTRY_LOG_ROUTINE
+							     : ENTRY_LOG_NEEDED;
 	const char *route = j->route != NULL ? j->route->name : NULL;
 	const char *organisation =
 	    j->organisation != NULL ? j->organisation->name : NULL;
