A request that is given up before its server's host took it is withdrawn

Cause: link_free() closed in an orderly way whatever was under way, and a host goes on sending what is unacknowledged after that, for up to 1.5 s, or 15 s where the request may run only once.

A connection is reset at its close if a request was sent, its answer is not complete and bytes are unacknowledged. Where all is acknowledged the close stays orderly: nothing lies here any more, and a reset is sent once and may be lost, so that the server would work on for nobody, while an orderly close is repeated. Between nodes the same code holds for requests that are handed off.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -98,8 +98,6 @@
 void
 caller_break_answer(struct caller *c, msec now)
 {
-	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-
 	c->busy = false;
 	/* With all bytes sent, close without a reset, so that they arrive. */
 	if (buffer_length(&c->out) == 0 && !c->write_closed) {
@@ -110,7 +108,7 @@
 		loop_watch(&c->owner->loop, &c->io, EPOLLIN | EPOLLRDHUP);
 		return;
 	}
-	setsockopt(c->io.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+	tcp_set_reset(c->io.fd);
 	caller_free(c);
 }
 
--- a/entry-link.c
+++ b/entry-link.c
@@ -111,18 +111,24 @@
 	return ioctl(k->io.fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
 }
 
-/* A request that was sent is given up, as its answer is not complete. */
+/*
+ * Guards against a request that was given up and runs later: after an orderly
+ * close this host would go on sending what is unacknowledged. Where nothing is,
+ * an orderly close is better, as it is repeated until it arrives.
+ */
 static void
-link_count_given_up(const struct link *k)
+link_give_up(struct link *k)
 {
 	struct entry_counters *c = &k->owner->counters;
 
 	if (!k->sent || k->reader.stage == HTTP_STAGE_COMPLETE)
 		return;
-	if (link_unacknowledged(k) == 0)
+	if (link_unacknowledged(k) == 0) {
 		c->given_up_taken++;
-	else
-		c->given_up_held++;
+		return;
+	}
+	c->given_up_held++;
+	tcp_set_reset(k->io.fd);
 }
 
 /* The link must not be in the pool. */
@@ -132,7 +138,7 @@
 	struct entry *e = k->owner;
 	struct server *v = k->server;
 
-	link_count_given_up(k);
+	link_give_up(k);
 	link_connect_finished(k);
 	loop_timer_stop(&e->loop, &k->timer);
 	loop_close(&e->loop, &k->io);
--- a/tcp-options.c
+++ b/tcp-options.c
@@ -18,6 +18,14 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
 }
 
+void
+tcp_set_reset(int fd)
+{
+	struct linger reset = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 void
 tcp_set_options(int fd, int idle, int unacked)
 {
--- a/tcp-options.h
+++ b/tcp-options.h
@@ -13,5 +13,10 @@
 void tcp_set_options(int fd, int idle, int unacked);
 /* The peer is taken as gone when it confirms no sent bytes for so many ms. */
 void tcp_set_unacked(int fd, int unacked);
+/*
+ * Closing the connection resets it: this host does not go on sending what the
+ * peer has not confirmed.
+ */
+void tcp_set_reset(int fd);
 
 #endif /* TCP_OPTIONS_H */
