Requests that no host has taken are withdrawn as their server leaves

A server's links are in one of three lists now, busy ones too. What can be repeated goes to another server; what may run only once gets 502.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -688,6 +688,8 @@
 		return attempt_connect_timed_out(k, now);
 	case LINK_UNSENT:
 		return SERVER_DOWN;
+	case LINK_HELD:
+		return SERVER_NO_RESULT;
 	case LINK_BROKEN:
 		break;
 	}
@@ -715,6 +717,7 @@
 		[LINK_UNSENT] = REACH_FAILED_REFUSED,
 		[LINK_CONNECT_TIMED_OUT] = REACH_FAILED_TIMEOUT,
 		[LINK_BROKEN] = REACH_FAILED_BROKEN,
+		[LINK_HELD] = REACH_FAILED_TIMEOUT,
 	};
 
 	if (how != LINK_SERVER_LEAVING)
@@ -739,7 +742,7 @@
 	}
 	if (how == LINK_BROKEN && entry_move_broke(j, now))
 		return;
-	entry_poison_run_end(j, now, how == LINK_BROKEN);
+	entry_poison_run_end(j, now, how == LINK_BROKEN || how == LINK_HELD);
 	attempt_report_path(k, how, now);
 	job_release_server(j, now, attempt_server_result(k, how, now));
 	if (k->connect_refused)
@@ -752,6 +755,12 @@
 		attempt_broke_off(k, now);
 		return;
 	}
+	if (how == LINK_HELD) {
+		j->held_bytes = link_unacknowledged(k);
+		job_count_run(j);
+		job_retry_or_fail(j, now, JOB_BROKEN);
+		return;
+	}
 	/* No byte was sent, so the attempt does not count. */
 	j->sends--;
 	j->unreachable += how != LINK_SERVER_LEAVING;
--- a/entry-link.c
+++ b/entry-link.c
@@ -43,6 +43,13 @@
  */
 #define LINK_TAKE_MS (2 * MSEC_SECOND)
 #define LINK_TAKE_CHECK_MS 5
+/*
+ * As a server leaves: no byte more of a request is acknowledged for so long, so
+ * it is withdrawn; and of one that no other server can take over. A lost packet
+ * is repeated within the first.
+ */
+#define LINK_HELD_MS 300
+#define LINK_HELD_PATIENT_MS 800
 /* Idle time of a connection before its server is probed, in s. */
 #define LINK_KEEPALIVE_S 1
 /*
@@ -66,10 +73,22 @@
 		p = v->arg = g_new0(struct link_pool, 1);
 		TAILQ_INIT(&p->idle);
 		TAILQ_INIT(&p->connecting);
+		TAILQ_INIT(&p->busy);
 	}
 	return p;
 }
 
+/* Move the link to another list of its server's pool; NULL: to none. */
+static void
+link_set_list(struct link *k, struct link_list *list)
+{
+	if (k->list != NULL)
+		TAILQ_REMOVE(k->list, k, entry);
+	k->list = list;
+	if (list != NULL)
+		TAILQ_INSERT_HEAD(list, k, entry);
+}
+
 static void
 link_answer_body(struct http_reader *r, const char *bytes, size_t n)
 {
@@ -89,20 +108,11 @@
 static void
 link_remove_idle(struct link_pool *p, struct link *k)
 {
-	TAILQ_REMOVE(&p->idle, k, entry);
+	link_set_list(k, NULL);
 	p->nidle--;
 	k->owner->idle_links--;
 }
 
-/* The connection is established, or the link is about to be freed. */
-static void
-link_connect_finished(struct link *k)
-{
-	if (k->connecting)
-		TAILQ_REMOVE(&link_pool_of(k->server)->connecting, k, entry);
-	k->connecting = false;
-}
-
 int64_t
 link_unacknowledged(const struct link *k)
 {
@@ -139,7 +149,7 @@
 	struct server *v = k->server;
 
 	link_give_up(k);
-	link_connect_finished(k);
+	link_set_list(k, NULL);
 	loop_timer_stop(&e->loop, &k->timer);
 	loop_close(&e->loop, &k->io);
 	http_reader_finish(&k->reader);
@@ -235,7 +245,7 @@
 	k->starts = v->starts;
 	k->known = false;
 	k->connecting = true;
-	TAILQ_INSERT_TAIL(&link_pool_of(v)->connecting, k, entry);
+	link_set_list(k, &link_pool_of(v)->connecting);
 	e->counters.connects++;
 	return loop_watch(&e->loop, &k->io, EPOLLOUT);
 }
@@ -316,6 +326,7 @@
 			continue;
 		}
 		e->counters.reused++;
+		link_set_list(k, &p->busy);
 		return k;
 	}
 	return NULL;
@@ -553,6 +564,7 @@
 	k->paused = 0;
 	k->paused_ms = 0;
 	k->discarded = 0;
+	k->held_bytes = 0;
 	k->reader.for_head_request = terms->is_head;
 	k->out = *request;
 	*request = (struct buffer){ 0 };
@@ -592,7 +604,8 @@
 		server_doubt(k->server, k->owner->loop.now);
 		return false;
 	}
-	link_connect_finished(k);
+	k->connecting = false;
+	link_set_list(k, &link_pool_of(k->server)->busy);
 	loop_timer_stop(&k->owner->loop, &k->timer);
 	return true;
 }
@@ -641,7 +654,7 @@
 	k->patient = false;
 	k->paused = 0;
 	http_reader_reset(&k->reader);
-	TAILQ_INSERT_HEAD(&p->idle, k, entry);
+	link_set_list(k, &p->idle);
 	p->nidle++;
 	k->owner->idle_links++;
 	loop_timer_set(&k->owner->loop, &k->timer, now + k->idle_limit);
@@ -859,6 +872,56 @@
 		link_fail(k, now);
 }
 
+/* ---- a server that leaves ---- */
+
+/* Bytes of the request that are on the way; 0: the host has taken all. */
+static size_t
+link_bytes_held(const struct link *k)
+{
+	int64_t unacknowledged = link_unacknowledged(k);
+
+	if (!k->sent || k->ended || unacknowledged <= 0)
+		return 0;
+	return (size_t)unacknowledged + buffer_length(&k->out);
+}
+
+static void
+link_check_held_later(struct link *k, msec now)
+{
+	loop_timer_set(&k->owner->loop, &k->timer,
+	    now + (k->patient ? LINK_HELD_PATIENT_MS : LINK_HELD_MS));
+}
+
+/* Guards against a request that arrives long after its server has left. */
+static void
+link_check_held(struct link *k, msec now)
+{
+	size_t held = link_bytes_held(k);
+
+	if (link_is_current(k) || held == 0) {
+		k->held_bytes = 0;
+	} else if (held < k->held_bytes) {
+		k->held_bytes = held;
+		link_check_held_later(k, now);
+	} else {
+		link_end(k, LINK_HELD, now);
+	}
+}
+
+/* Its server takes no more work. The timers end it, on the next turn or later.
+ */
+static void
+link_server_leaves(struct link *k, msec now)
+{
+	if (k->asking || k->proof_bytes > 0) {
+		loop_timer_set(&k->owner->loop, &k->timer, now);
+	} else if (k->held_bytes == 0) {
+		k->held_bytes = link_bytes_held(k);
+		if (k->held_bytes > 0)
+			link_check_held_later(k, now);
+	}
+}
+
 static void
 link_timer(struct loop_timer *t, msec now)
 {
@@ -867,6 +930,8 @@
 	if (k->job == NULL) {
 		link_remove_idle(link_pool_of(k->server), k);
 		link_free(k);
+	} else if (k->asking && !link_is_current(k)) {
+		link_end(k, LINK_SERVER_LEAVING, now);
 	} else if (k->connecting || k->asking) {
 		if (!link_ask_again(k, now))
 			link_end(k, LINK_CONNECT_TIMED_OUT, now);
@@ -874,6 +939,8 @@
 		link_check_proof(k, now);
 	} else if (k->ended) {
 		link_check_ended(k, now);
+	} else if (k->held_bytes > 0) {
+		link_check_held(k, now);
 	}
 }
 
@@ -938,6 +1005,10 @@
 		if (!link_is_current(k))
 			link_end(k, LINK_SERVER_LEAVING, e->loop.now);
 	}
+	TAILQ_FOREACH (k, &p->busy, entry) {
+		if (!link_is_current(k))
+			link_server_leaves(k, e->loop.now);
+	}
 }
 
 void
--- a/entry.h
+++ b/entry.h
@@ -236,7 +236,12 @@
 	LINK_SERVER_LEAVING,
 	LINK_UNSENT,		/* the connection failed; nothing was sent */
 	LINK_CONNECT_TIMED_OUT, /* connecting timed out; nothing was sent */
-	LINK_BROKEN /* bytes of the request may have reached the server */
+	LINK_BROKEN, /* bytes of the request may have reached the server */
+	/*
+	 * The process stops taking work, and its host has not acknowledged all
+	 * of the request: withdrawn, but its bytes may have reached the server.
+	 */
+	LINK_HELD
 };
 
 /* Callbacks for the attempt on a link. */
@@ -270,7 +275,8 @@
 struct link {
 	struct loop_io io;
 	const struct link_ops *ops;
-	TAILQ_ENTRY(link) entry; /* in link_pool's `idle` or `connecting` */
+	TAILQ_ENTRY(link) entry;
+	struct link_list *list; /* of link_pool that it is in; NULL: none */
 	struct entry *owner;
 	struct server *server;
 	unsigned int starts;	/* the server's `starts` at connect() */
@@ -300,6 +306,11 @@
 	 */
 	size_t proof_bytes;
 	msec proof_since;
+	/*
+	 * Bytes of the request that the server's host had not acknowledged as
+	 * its process was about to leave; 0: none.
+	 */
+	size_t held_bytes;
 	/* The answer has ended, and the server has not taken the request. */
 	bool ended;
 	msec ended_since;
@@ -310,9 +321,9 @@
 	struct buffer told; /* what the server said so far */
 };
 
-/* A server's links that are idle or connecting; in server->arg. */
+/* A server's links; in server->arg. */
 struct link_pool {
-	struct link_list idle, connecting;
+	struct link_list idle, connecting, busy;
 	unsigned int nidle;
 };
 
@@ -468,11 +479,11 @@
 	msec silent_for;   /* server_sign_awaited() at the attempt */
 	int64_t held_bytes; /* unacknowledged as the last attempt was given up;
 			       -1: none was */
-	bool parts_cleared;   /* by the attempt\'s answer */
-	msec attempt_began;   /* first byte of the attempt's answer; 0: none */
-	msec forwarded_at;    /* the newest part was forwarded */
-	msec gap;	      /* longest pause between two forwarded parts */
-	struct buffer fields; /* header lines for the caller */
+	bool parts_cleared; /* by the attempt\'s answer */
+	msec attempt_began; /* first byte of the attempt's answer; 0: none */
+	msec forwarded_at;  /* the newest part was forwarded */
+	msec gap;	    /* longest pause between two forwarded parts */
+	struct buffer fields;	   /* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
 	/* Since when it is read while memory is short; 0: it is not. */
 	msec read_on_since;
@@ -684,12 +695,12 @@
 struct entry_counters {
 	uint64_t codes[JOB_CODES];
 	uint64_t attempts, retries, connects, reused, strays, proofs_failed;
-	uint64_t tables;		  /* configurations put in force */
-	uint64_t idle_closed;		  /* connections of callers */
-	uint64_t discarded;		  /* the same, with bytes discarded */
-	uint64_t streams_broken;	  /* though complete by their framing */
-	uint64_t rests;			  /* that servers asked for */
-	uint64_t servers_leaving;	  /* by their answers */
+	uint64_t tables;	  /* configurations put in force */
+	uint64_t idle_closed;	  /* connections of callers */
+	uint64_t discarded;	  /* the same, with bytes discarded */
+	uint64_t streams_broken;  /* though complete by their framing */
+	uint64_t rests;		  /* that servers asked for */
+	uint64_t servers_leaving; /* by their answers */
 	/* Attempts given up after the server's host took all of the request. */
 	uint64_t given_up_taken;
 	uint64_t given_up_held; /* before: bytes were unacknowledged */
