A server without a sign of life is asked before it gets another request

Once a server has sent nothing for 500 ms though it was sent something, a request to it is held back and GET /report asked on its connection first, as for the process of a stream's version. Any whole answer lets it go; without one within 250 ms, and again on a new connection, the server counts as down here and at its coordinator, and the request goes elsewhere: nothing of it was sent. No answer that is under way ends for this. Weighed: holding back the last byte of the head (the server keeps connections with heads that it can't run, and there must be a question anyway to learn that it goes on); a health check (it waits for a slot); asking before each request (a probe each).

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -45,6 +45,7 @@
 		.ask = entry_version_needs_process(j) };
 	msec silent_for = server_sign_awaited(&v->sign, now);
 
+	terms.await_sign = silent_for >= SERVER_SIGN_WAIT_MS;
 	if (j->ntried < SERVER_AVOID_MAX)
 		j->tried[j->ntried++] = v->id;
 	job_write_request(j, now, v, &request);
--- a/entry-link.c
+++ b/entry-link.c
@@ -446,7 +446,6 @@
 {
 	struct entry *e = k->owner;
 
-	e->counters.proofs_failed++;
 	k->proof_bytes = 0;
 	k->used = false;
 	loop_timer_stop(&e->loop, &k->timer);
@@ -457,12 +456,19 @@
 	return true;
 }
 
+static bool
+link_prove_anew(struct link *k, msec now)
+{
+	k->owner->counters.proofs_failed++;
+	return link_reopen(k, now);
+}
+
 static void
 link_proof_failed(struct link *k, msec now)
 {
 	if (!link_is_current(k))
 		link_end(k, LINK_SERVER_LEAVING, now);
-	else if (!link_reopen(k, now))
+	else if (!link_prove_anew(k, now))
 		link_fail(k, now);
 }
 
@@ -490,8 +496,10 @@
 /* ---- asking a server what it says of itself ---- */
 
 static void
-link_hold_request(struct link *k)
+link_hold_request(struct link *k, const struct link_terms *terms)
 {
+	k->needs_known = terms->ask && !k->known;
+	k->owner->counters.signs_asked += !k->needs_known;
 	k->held = k->out;
 	k->held_is_head = k->reader.for_head_request;
 	k->out = (struct buffer){ 0 };
@@ -528,11 +536,15 @@
 	bool good = k->reader.head->status == 200;
 
 	loop_timer_stop(&k->owner->loop, &k->timer);
-	good = k->ops->told(k, good ? buffer_bytes(&k->told) : NULL,
-	    good ? buffer_length(&k->told) : 0, now);
+	/* Of a sign of life any answer is enough. */
+	if (k->needs_known)
+		good = k->ops->told(k, good ? buffer_bytes(&k->told) : NULL,
+		    good ? buffer_length(&k->told) : 0, now);
+	else
+		good = link_is_current(k);
 	buffer_finish(&k->told);
 	k->asking = false;
-	if (!good || !keep) {
+	if (!good || (!keep && k->needs_known)) {
 		link_end(k, LINK_SERVER_LEAVING, now);
 		return;
 	}
@@ -541,6 +553,11 @@
 	buffer_finish(&k->out);
 	k->out = k->held;
 	k->held = (struct buffer){ 0 };
+	if (!keep) {
+		if (!link_reopen(k, now))
+			link_fail(k, now);
+		return;
+	}
 	if (k->ops->may_send(k, now) && !link_flush(k))
 		link_fail(k, now);
 }
@@ -568,8 +585,8 @@
 	k->reader.for_head_request = terms->is_head;
 	k->out = *request;
 	*request = (struct buffer){ 0 };
-	if (terms->ask && !k->known)
-		link_hold_request(k);
+	if ((terms->ask && !k->known) || terms->await_sign)
+		link_hold_request(k, terms);
 	/*
 	 * A failure here is returned as NULL: the job cannot handle a callback
 	 * before this function returns.
@@ -580,7 +597,7 @@
 		loop_timer_stop(&e->loop, &k->timer);
 		link_await_told(k, now);
 		sent = keep_needs_proof(terms->once, idle)
-			   ? link_begin_proof(k, now) || link_reopen(k, now)
+			   ? link_begin_proof(k, now) || link_prove_anew(k, now)
 			   : link_flush(k);
 		if (!sent) {
 			link_discard(k, now);
--- a/entry-metrics.c
+++ b/entry-metrics.c
@@ -349,6 +349,9 @@
 	metrics_value(s, "kept_unproved_total", "counter",
 	    "Kept connections that did not confirm a request's first bytes.",
 	    (int64_t)c->proofs_failed);
+	metrics_value(s, "signs_asked_total", "counter",
+	    "Servers asked for a sign of life before a request.",
+	    (int64_t)c->signs_asked);
 	metrics_value(s, "given_up_taken_total", "counter",
 	    "Attempts given up that the server's host had taken.",
 	    (int64_t)c->given_up_taken);
--- a/entry.h
+++ b/entry.h
@@ -315,6 +315,7 @@
 	bool ended;
 	msec ended_since;
 	bool asking;	    /* what the server says of itself is awaited */
+	bool needs_known;   /* of that, which process it is */
 	bool known;	    /* its process is the listed one, as it has said */
 	struct buffer held; /* the request, meanwhile */
 	bool held_is_head;  /* its method is HEAD */
@@ -340,6 +341,11 @@
 	 * connection is known; see link_ops.told.
 	 */
 	bool ask;
+	/*
+	 * The server's process may stand still: it is asked first, on any
+	 * connection, as what its host takes is read once it goes on.
+	 */
+	bool await_sign;
 };
 
 /*
@@ -703,6 +709,7 @@
 	uint64_t servers_leaving; /* by their answers */
 	/* Attempts given up after the server's host took all of the request. */
 	uint64_t given_up_taken;
+	uint64_t signs_asked;	/* of life, before a request is sent */
 	uint64_t given_up_held; /* before: bytes were unacknowledged */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
 	/* On connections to servers, by the server's failure domain. */
--- a/server-sign.h
+++ b/server-sign.h
@@ -12,6 +12,12 @@
 
 #include "savory.h"
 
+/*
+ * A process that has sent nothing for so long may stand still: it is asked
+ * before it gets another request.
+ */
+#define SERVER_SIGN_WAIT_MS 500
+
 /* All zero bytes: nothing was sent to the server yet. */
 struct server_sign {
 	bool awaited; /* something was sent since the last sign */
