A node that stood still begins nothing for callers that have gone

The same class elsewhere: a request that was given up is left lying where it is still found. A node that goes on after a pause read one turn of bytes of each connection, began their requests, and saw the close of the caller on the turn after that. A request that another node had handed off and given up ran that way too.

--- a/entry-caller.c
+++ b/entry-caller.c
@@ -456,6 +456,19 @@
 	return true;
 }
 
+/*
+ * The peer has closed its side. A busy one is not read to its end, as it may
+ * have sent much ahead. Of another one nothing must be begun: if this process
+ * stood still, its requests have lain here since before it gave them up.
+ */
+static bool
+caller_has_given_up(const struct caller *c)
+{
+	if (c->busy)
+		return true;
+	return !c->closing && !c->write_closed && buffer_length(&c->out) == 0;
+}
+
 static void
 caller_ready(struct loop_io *io, uint32_t events)
 {
@@ -467,8 +480,7 @@
 		caller_abort(c, now);
 		return;
 	}
-	/* It is not read to its end while it is busy and sent much ahead. */
-	if ((events & (EPOLLRDHUP | EPOLLHUP)) && c->busy) {
+	if ((events & (EPOLLRDHUP | EPOLLHUP)) && caller_has_given_up(c)) {
 		caller_abort(c, now);
 		return;
 	}
