Own interface: a call that is given up is withdrawn from its engine's host

The same class elsewhere: libcurl closes the connection of a cancelled attempt in an orderly way, and the node's host goes on sending what is unacknowledged. The callback that closes resets the connection if its attempt was cancelled or has no whole head, and something is unacknowledged.

The tests' proxy can lose clients' segments with data (a socket filter).

--- a/daemon-engine.c
+++ b/daemon-engine.c
@@ -7,6 +7,7 @@
 #define LOG_PART "engine"
 #include "daemon.h"
 #include "http-message.h"
+#include "tcp-options.h"
 
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
@@ -141,9 +142,14 @@
 
 	confirmed = ioctl(fd, SIOCOUTQ, &unsent) == 0 && unsent == 0;
 	if (!confirmed && getsockname(fd, (struct sockaddr *)&sin, &len) == 0) {
-		TAILQ_FOREACH (a, &t->attempts, entry)
-			a->unconfirmed |=
-			    attempt_has_port(a, ntohs(sin.sin_port));
+		TAILQ_FOREACH (a, &t->attempts, entry) {
+			if (!attempt_has_port(a, ntohs(sin.sin_port)))
+				continue;
+			a->unconfirmed = true;
+			/* This host would go on sending what is given up. */
+			if (a->cancelled || !a->head_whole)
+				tcp_set_reset(fd);
+		}
 	}
 	return close(fd);
 }
--- a/tests/proc-answers.c
+++ b/tests/proc-answers.c
@@ -16,6 +16,11 @@
 
 #include <curl/curl.h>
 
+/* From the request to its caller's leaving, and on to the path's return. */
+#define GIVEN_UP_MS 500
+/* The host of the node would have repeated the request within this time. */
+#define REPEATED_MS 3500
+
 static const struct nodes_config one_two = {
 	.nodes = 1, .engines = 2, .engine_proxy = true
 };
@@ -246,6 +251,30 @@
 	nodes_finish(&s);
 }
 
+/* What a caller gave up runs later, as the node's host goes on sending it. */
+static void
+test_given_up(void)
+{
+	struct proxy_faults lose = proxy_no_faults;
+	struct nodes s;
+	struct caller c;
+
+	lose.lose_data = true;
+	nodes_up(&s, &one_two);
+	proxies_set(&s, &lose);
+	caller_ask(&c, nodes_entry_port(&s, 0), "given-up", 5);
+	caller_start(&c);
+	g_usleep(GIVEN_UP_MS * 1000);
+	caller_leave(&c);
+	caller_finish(&c);
+	g_usleep(GIVEN_UP_MS * 1000);
+	proxies_set(&s, &proxy_no_faults);
+	g_usleep(REPEATED_MS * 1000);
+	g_assert_cmpint(nodes_executions(&s, "given-up"), ==, 0);
+	nodes_assert_serves(&s, "after-given-up");
+	nodes_finish(&s);
+}
+
 static void
 test_refused(void)
 {
@@ -769,6 +798,7 @@
 	g_test_add_func("/answers/booking-early-end", test_booking_early_end);
 	g_test_add_func("/answers/booking-odd-status", test_booking_odd_status);
 	g_test_add_func("/answers/booking-refused", test_booking_refused);
+	g_test_add_func("/answers/given-up", test_given_up);
 	g_test_add_func("/answers/entry-killed", test_entry_killed);
 	g_test_add_func(
 	    "/answers/log-and-engine-down", test_log_and_engine_down);
--- a/tests/util-proxy.c
+++ b/tests/util-proxy.c
@@ -10,6 +10,7 @@
 #include "util-proc.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 
@@ -20,6 +21,9 @@
 #include <unistd.h>
 
 #define PROXY_EARLY_RESET_MS 2
+/* Offset of an IP packet's length in it, and the most of one without data. */
+#define PROXY_IP_LENGTH 2
+#define PROXY_NO_DATA_MAX 60
 #define PROXY_EARLY_ROOM 16384
 #define PROXY_PIECE_MAX 65536
 #define PROXY_QUEUE_MAX (1024 * 1024) /* then reading waits */
@@ -192,6 +196,39 @@
 
 /* TCP. */
 
+/* Of what arrives for the socket: nothing but connections is let through. */
+static void
+tcp_filter(int fd, bool lose_data)
+{
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_H | BPF_ABS,
+		    (uint32_t)SKF_NET_OFF + PROXY_IP_LENGTH),
+		BPF_JUMP(BPF_JMP | BPF_JGT | BPF_K, PROXY_NO_DATA_MAX, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = { G_N_ELEMENTS(code), code };
+	int none = 0;
+
+	if (lose_data)
+		setsockopt(
+		    fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+	else
+		setsockopt(
+		    fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof none);
+}
+
+static void
+tcp_filter_all(struct proxy *x)
+{
+	struct link *l;
+
+	if (x->listener != -1)
+		tcp_filter(x->listener, x->faults.lose_data);
+	TAILQ_FOREACH (l, &x->links, entry)
+		tcp_filter(l->client, x->faults.lose_data);
+}
+
 static void
 tcp_accept(struct proxy *x)
 {
@@ -201,6 +238,7 @@
 	client = accept4(x->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (client == -1)
 		return;
+	tcp_filter(client, x->faults.lose_data);
 	/* Or the kernel takes a whole request that is not read at once. */
 	if (x->faults.early_answer != NULL)
 		setsockopt(client, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
@@ -459,6 +497,8 @@
 		proxy_listen(x);
 	proxy_apply_cut(x);
 	if (x->applied != x->changes) {
+		if (x->ops == &tcp_ops)
+			tcp_filter_all(x);
 		x->applied = x->changes;
 		pthread_cond_broadcast(&x->applied_cond);
 	}
--- a/tests/util-proxy.h
+++ b/tests/util-proxy.h
@@ -28,6 +28,11 @@
 	enum proxy_cut cut;
 	bool refuse;	/* connections are refused; open ones go on */
 	bool blackhole; /* connections open, nothing passes */
+	/*
+	 * Connections open, and of what clients send no segment arrives: their
+	 * hosts get no acknowledgement, and repeat it.
+	 */
+	bool lose_data;
 	/*
 	 * Nothing passes: clients get this as soon as they send something, then
 	 * an end, then a reset; NULL is off.
