Calls to the platform and peers that are given up are withdrawn

The platform itself may still execute late what reached it.

test-exchange given-up (new): 105 bytes of the call arrived before, 0 now.

--- a/exchange.c
+++ b/exchange.c
@@ -48,11 +48,23 @@
 	loop_timer_init(&x->timer, exchange_timer, x);
 }
 
+/*
+ * Guards against a call that was given up and is executed after a newer one:
+ * this host would go on sending what the peer's has not acknowledged.
+ */
+static void
+exchange_give_up(struct exchange *x)
+{
+	if (x->busy && x->io.fd != -1 && tcp_unacknowledged(x->io.fd) != 0)
+		tcp_set_reset(x->io.fd);
+	loop_close(x->loop, &x->io);
+}
+
 void
 exchange_finish(struct exchange *x)
 {
 	loop_timer_stop(x->loop, &x->timer);
-	loop_close(x->loop, &x->io);
+	exchange_give_up(x);
 	http_reader_finish(&x->reader);
 	buffer_finish(&x->request);
 	buffer_finish(&x->body);
@@ -118,7 +130,7 @@
 	bool again = x->may_repeat && x->reused &&
 		     http_reader_is_idle(&x->reader) && x->body.len == 0;
 
-	loop_close(x->loop, &x->io);
+	exchange_give_up(x);
 	http_reader_reset(&x->reader);
 	x->may_repeat = false;
 	if (again) {
--- a/tcp-options.c
+++ b/tcp-options.c
@@ -4,11 +4,14 @@
 
 #include "tcp-options.h"
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <linux/sockios.h>
+
 #define TCP_PROBE_INTERVAL_S 1
 #define TCP_PROBES 2
 
@@ -18,6 +21,14 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
 }
 
+int64_t
+tcp_unacknowledged(int fd)
+{
+	int bytes = 0;
+
+	return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
+
 void
 tcp_set_reset(int fd)
 {
