A request waits for its silent server unless a lively one can take it

A sound server may be silent for a second or so.

The question stays out until the deadline unless a server that has given a sign of life can take the request, or the path is found to be cut, or its server leaves. The end of such an attempt says nothing about this node's network link.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -29,10 +29,11 @@
 static void attempt_body(struct link *, const char *, size_t, msec);
 static bool attempt_complete(struct link *, msec);
 static void attempt_failed(struct link *, enum link_end, msec);
+static bool attempt_may_leave(struct link *, msec);
 
 static const struct link_ops job_link_ops = { attempt_may_send, attempt_head,
 	attempt_body, attempt_complete, attempt_failed, JOB_CONNECT_TIMEOUT_MS,
-	entry_version_told };
+	entry_version_told, attempt_may_leave };
 
 /* Start an attempt on a server; false when no connection is possible. */
 static bool
@@ -688,6 +689,7 @@
 	case LINK_CONNECT_TIMED_OUT:
 		return attempt_connect_timed_out(k, now);
 	case LINK_UNSENT:
+	case LINK_SILENT:
 		return SERVER_DOWN;
 	case LINK_HELD:
 		return SERVER_NO_RESULT;
@@ -717,6 +719,7 @@
 	static const enum reach_failure_kind kinds[] = {
 		[LINK_UNSENT] = REACH_FAILED_REFUSED,
 		[LINK_CONNECT_TIMED_OUT] = REACH_FAILED_TIMEOUT,
+		[LINK_SILENT] = REACH_FAILED_TIMEOUT,
 		[LINK_BROKEN] = REACH_FAILED_BROKEN,
 		[LINK_HELD] = REACH_FAILED_TIMEOUT,
 	};
@@ -725,6 +728,16 @@
 		entry_reach_failed(k->owner, k->server, kinds[how], now);
 }
 
+/* Only for a server that may answer sooner: all may have paused together. */
+static bool
+attempt_may_leave(struct link *k, msec now)
+{
+	struct server_wish w;
+
+	job_fill_wish(k->job, &w);
+	return servers_have_lively(&k->owner->servers, &w, now);
+}
+
 static void
 attempt_failed(struct link *k, enum link_end how, msec now)
 {
@@ -764,7 +777,7 @@
 	}
 	/* No byte was sent, so the attempt does not count. */
 	j->sends--;
-	j->unreachable += how != LINK_SERVER_LEAVING;
+	j->unreachable += how != LINK_SERVER_LEAVING && how != LINK_SILENT;
 	if (entry_move_refused(j, now))
 		return;
 	if (how == LINK_CONNECT_TIMED_OUT && job_network_is_saturated(j, now) &&
--- a/entry-handoff.c
+++ b/entry-handoff.c
@@ -437,7 +437,8 @@
 job_is_connecting(const struct job *j)
 {
 	return j->link != NULL && j->carrier == NULL &&
-	       (j->link->connecting || j->link->proof_bytes > 0);
+	       (j->link->connecting || j->link->proof_bytes > 0 ||
+		   j->link->asking);
 }
 
 static struct job *
--- a/entry-link.c
+++ b/entry-link.c
@@ -8,14 +8,11 @@
 #define LOG_PART "link"
 #include "entry.h"
 
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-#include <linux/sockios.h>
-
 #include <errno.h>
 #include <string.h>
 #include <unistd.h>
@@ -116,9 +113,7 @@
 int64_t
 link_unacknowledged(const struct link *k)
 {
-	int bytes = 0;
-
-	return ioctl(k->io.fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+	return tcp_unacknowledged(k->io.fd);
 }
 
 /*
@@ -529,6 +524,18 @@
 	return link_reopen(k, now);
 }
 
+/* A process that only paused answers what it was asked as it goes on. */
+static void
+link_await_sign_on(struct link *k, msec now)
+{
+	if (link_ask_again(k, now))
+		return;
+	if (k->ops->may_leave == NULL || k->ops->may_leave(k, now))
+		link_end(k, LINK_SILENT, now);
+	else
+		link_await_told(k, now);
+}
+
 /* The answer is complete: send the request on the same connection. */
 static void
 link_was_told(struct link *k, bool keep, msec now)
@@ -949,6 +956,8 @@
 		link_free(k);
 	} else if (k->asking && !link_is_current(k)) {
 		link_end(k, LINK_SERVER_LEAVING, now);
+	} else if (k->asking && !k->connecting && !k->needs_known) {
+		link_await_sign_on(k, now);
 	} else if (k->connecting || k->asking) {
 		if (!link_ask_again(k, now))
 			link_end(k, LINK_CONNECT_TIMED_OUT, now);
--- a/entry.h
+++ b/entry.h
@@ -236,6 +236,7 @@
 	LINK_SERVER_LEAVING,
 	LINK_UNSENT,		/* the connection failed; nothing was sent */
 	LINK_CONNECT_TIMED_OUT, /* connecting timed out; nothing was sent */
+	LINK_SILENT, /* the process gave no sign of life; nothing was sent */
 	LINK_BROKEN, /* bytes of the request may have reached the server */
 	/*
 	 * The process stops taking work, and its host has not acknowledged all
@@ -270,6 +271,11 @@
 	 * sent on this connection. Only for link_send() with `ask`.
 	 */
 	bool (*told)(struct link *, const char *, size_t, msec);
+	/*
+	 * The server's process gives no sign of life. False if the request
+	 * waits for one on; NULL: it never does.
+	 */
+	bool (*may_leave)(struct link *, msec);
 };
 
 struct link {
@@ -446,7 +452,7 @@
 	 */
 	struct link *kept_link;
 	msec kept_sent_at;
-	bool retry_taken; /* from the budget, for the carrier */
+	bool retry_taken; /* from the budget, and nothing was sent since */
 	/* This node is the carrier. */
 	bool carried;
 	bool counted_as_carried;    /* in the number of carried requests */
--- a/server-choose.c
+++ b/server-choose.c
@@ -180,16 +180,35 @@
 	return n;
 }
 
+static bool
+choose_is_alternative(const struct server *v, const struct server_wish *w)
+{
+	const struct server_view whole = { .groups = 1 };
+
+	return choose_in_view(v, w->service, &whole) && v->rate.per_s == 0 &&
+	       !wish_excludes(w, v->id) && server_suits(v, w);
+}
+
 bool
 servers_have_alternative(struct servers *s, const struct server_wish *w)
 {
-	const struct server_view whole = { .groups = 1 };
 	struct server *v;
 
 	RB_FOREACH (v, server_tree, &s->tree) {
-		if (choose_in_view(v, w->service, &whole) &&
-		    v->rate.per_s == 0 && !wish_excludes(w, v->id) &&
-		    server_suits(v, w))
+		if (choose_is_alternative(v, w))
+			return true;
+	}
+	return false;
+}
+
+bool
+servers_have_lively(struct servers *s, const struct server_wish *w, msec now)
+{
+	struct server *v;
+
+	RB_FOREACH (v, server_tree, &s->tree) {
+		if (choose_is_alternative(v, w) && !v->down &&
+		    server_sign_awaited(&v->sign, now) < SERVER_SIGN_WAIT_MS)
 			return true;
 	}
 	return false;
--- a/server.h
+++ b/server.h
@@ -358,6 +358,8 @@
     struct servers *, name_id service, const struct server_view *);
 /* Returns true if a ready server has no rate limit and is not excluded. */
 bool servers_have_alternative(struct servers *, const struct server_wish *);
+/* The same of servers that have given a sign of life; see server-sign.h. */
+bool servers_have_lively(struct servers *, const struct server_wish *, msec);
 /* Returns true if a ready server of the service says that it is brittle. */
 bool servers_have_brittle(struct servers *, name_id service, msec);
 /*
