A round of probes asks different servers

A round of three probes asked one server twice, as a witness and in its turn, so that it showed two failures where three are needed, and the next one came a second later. A server that is being asked is passed over.

--- a/entry-reach.c
+++ b/entry-reach.c
@@ -131,6 +131,19 @@
 	loop_timer_set(&e->loop, &p->timer, now + REACH_PROBE_TIMEOUT_MS);
 }
 
+/* Guards against a round that asks one server twice, and decides nothing. */
+static bool
+reach_is_probing(const struct entry *e, name_id server)
+{
+	const struct reach_probe *p;
+
+	TAILQ_FOREACH (p, &e->reach.probes, entry) {
+		if (p->server == server)
+			return true;
+	}
+	return false;
+}
+
 /* The next server by id that may be probed; NULL: none. */
 static struct server *
 reach_next_server(struct entry *e, bool avoided_too, msec now)
@@ -144,7 +157,8 @@
 		if (v == NULL)
 			v = RB_MIN(server_tree, &e->servers.tree);
 		if (v->state == SERVER_READY &&
-		    (avoided_too || !reach_avoids(&x->core, now, v->id)))
+		    (avoided_too || (!reach_avoids(&x->core, now, v->id) &&
+					!reach_is_probing(e, v->id))))
 			return v;
 		v = RB_NEXT(server_tree, &e->servers.tree, v);
 	}
@@ -159,7 +173,8 @@
 	struct server *v =
 	    witness != 0 ? servers_find(&e->servers, witness) : NULL;
 
-	if (v != NULL && v->state == SERVER_READY)
+	if (v != NULL && v->state == SERVER_READY &&
+	    !reach_is_probing(e, v->id))
 		return v;
 	if ((v = reach_next_server(e, false, now)) == NULL)
 		v = reach_next_server(e, true, now);
