A retry that was not sent costs nothing of the retry budget

It counts once its first bytes are sent now, and is given back if the attempt ends before. An arrival is what the bound is about.

--- a/entry-attempt.c
+++ b/entry-attempt.c
@@ -61,7 +61,7 @@
 	g_strlcpy(j->server_name, v->name, sizeof j->server_name);
 	g_strlcpy(j->software, v->software, sizeof j->software);
 	j->sends++;
-	j->retry_taken = false;
+	j->retry_taken = j->retry_taken && !j->link->sent;
 	v->rate.sent++;
 	j->sent_at = now;
 	j->list_age = entry_list_age(e, now);
@@ -434,7 +434,12 @@
 attempt_may_send(struct link *k, msec now)
 {
 	servers_reached(&k->owner->servers, now);
-	return job_recheck_admission(k->job, now);
+	if (!job_recheck_admission(k->job, now))
+		return false;
+	/* The request follows, not the question before it. */
+	if (!k->asking)
+		k->job->retry_taken = false;
+	return true;
 }
 
 /*
@@ -777,6 +782,7 @@
 	}
 	/* No byte was sent, so the attempt does not count. */
 	j->sends--;
+	job_give_back_retry(j, now);
 	j->unreachable += how != LINK_SERVER_LEAVING && how != LINK_SILENT;
 	if (entry_move_refused(j, now))
 		return;
@@ -798,6 +804,7 @@
 		j->ntried--;
 	j->sends--;
 	j->unreachable++;
+	job_give_back_retry(j, now);
 	job_cancel(j, now, SERVER_NO_RESULT);
 	job_retry_or_fail(j, now, JOB_UNREACHABLE);
 }
