Own interface: what a node asks as it ends is freed with the question

proc-stops paused (known red, SAN=address): the node that stopped exited with 1, 72 bytes of a struct state_query. A question to an engine owned its argument only through done(), which is not called once the core has ended, and questions under way were not freed at all. The fetch owns its argument now (arg_free), and the thread frees what is under way at its end. Callers lost nothing.

--- a/daemon-core.c
+++ b/daemon-core.c
@@ -33,6 +33,8 @@
 {
 	if (f->json != NULL)
 		json_decref(f->json);
+	if (f->arg != NULL && f->arg_free != NULL)
+		f->arg_free(f->arg);
 	g_free(f->url);
 	g_free(f->post);
 	g_free(f->authorization);
--- a/daemon-fetch.c
+++ b/daemon-fetch.c
@@ -12,15 +12,19 @@
 #define FETCH_TEXT_MAX (16 * 1024 * 1024)
 #define FETCH_POLL_MS 1000
 
+TAILQ_HEAD(fetch_job_list, fetch_job);
+
 struct fetch_thread {
 	struct daemon *daemon;
 	pthread_t thread;
 	struct ring commands;
 	CURLM *multi;
+	struct fetch_job_list jobs;
 	gint quit;
 };
 
 struct fetch_job {
+	TAILQ_ENTRY(fetch_job) entry;
 	struct fetch *fetch;
 	CURL *easy;
 	struct curl_slist *headers;
@@ -65,6 +69,17 @@
 	if (f->post != NULL)
 		curl_easy_setopt(j->easy, CURLOPT_POSTFIELDS, f->post);
 	curl_multi_add_handle(t->multi, j->easy);
+	TAILQ_INSERT_TAIL(&t->jobs, j, entry);
+}
+
+static void
+fetch_job_free(struct fetch_thread *t, struct fetch_job *j)
+{
+	TAILQ_REMOVE(&t->jobs, j, entry);
+	curl_multi_remove_handle(t->multi, j->easy);
+	curl_easy_cleanup(j->easy);
+	curl_slist_free_all(j->headers);
+	g_free(j);
 }
 
 static void
@@ -80,13 +95,27 @@
 	f->text = g_string_free(j->text, FALSE);
 	if (f->status != 0)
 		f->json = json_loadb(f->text, f->text_len, 0, NULL);
-	curl_multi_remove_handle(t->multi, j->easy);
-	curl_easy_cleanup(j->easy);
-	curl_slist_free_all(j->headers);
-	g_free(j);
+	fetch_job_free(t, j);
 	event_post(t->daemon, &e);
 }
 
+/* The thread ends: nobody waits for these any more. */
+static void
+fetch_drop_all(struct fetch_thread *t)
+{
+	struct fetch_job *j;
+	struct fetch *f;
+
+	while ((f = ring_get(&t->commands)) != NULL)
+		fetch_free(f);
+	while ((j = TAILQ_FIRST(&t->jobs)) != NULL) {
+		f = j->fetch;
+		g_string_free(j->text, TRUE);
+		fetch_job_free(t, j);
+		fetch_free(f);
+	}
+}
+
 static void *
 fetch_run(void *arg)
 {
@@ -111,6 +140,7 @@
 		}
 		curl_multi_poll(t->multi, NULL, 0, FETCH_POLL_MS, NULL);
 	}
+	fetch_drop_all(t);
 	return NULL;
 }
 
@@ -120,6 +150,7 @@
 	struct fetch_thread *t = g_new0(struct fetch_thread, 1);
 
 	t->daemon = d;
+	TAILQ_INIT(&t->jobs);
 	t->multi = curl_multi_init();
 	if (!ring_init(&t->commands, 1024))
 		return NULL;
--- a/daemon-ledger.c
+++ b/daemon-ledger.c
@@ -295,10 +295,8 @@
 	bool has_first;
 
 	waiting = claim_remove_waiting(d, &c->claim);
-	if (waiting == NULL) {
-		call_drop(c);
+	if (waiting == NULL)
 		return;
-	}
 	if (f->status == 200) {
 		answer = name_index(answer_names, G_N_ELEMENTS(answer_names),
 		    json_string_value(json_object_get(o, "answer")));
@@ -313,7 +311,12 @@
 	ledger_apply_verdict(d, c, now, (enum ledger_answer)answer,
 	    (enum ledger_verdict)verdict, has_first ? &first : NULL);
 	call_drop(waiting);
-	call_drop(c);
+}
+
+static void
+claim_drop_call(void *arg)
+{
+	call_drop(arg);
 }
 
 static void
@@ -340,6 +343,7 @@
 	f->timeout = CLAIM_WAIT_MS;
 	f->done = c != NULL ? claim_post_done : claim_end_post_done;
 	f->arg = c != NULL ? call_take(c) : NULL;
+	f->arg_free = claim_drop_call;
 	free(text);
 	json_decref(o);
 	fetch_start(d, f);
--- a/daemon-load.c
+++ b/daemon-load.c
@@ -22,7 +22,6 @@
 			json_object_get(f->json, "running")),
 		    (unsigned int)json_integer_value(
 			json_object_get(f->json, "waiting")));
-	g_free(engine);
 }
 
 static void
@@ -36,6 +35,7 @@
 	f->timeout = LOAD_TIMEOUT_MS;
 	f->done = load_fetched;
 	f->arg = g_memdup2(&b->id, sizeof b->id);
+	f->arg_free = g_free;
 	fetch_start(d, f);
 }
 
--- a/daemon-placement.c
+++ b/daemon-placement.c
@@ -187,7 +187,6 @@
 		}
 		placement_engine_state(&s->placement, q->engine, has, n);
 	}
-	g_free(q);
 }
 
 static void
@@ -209,6 +208,7 @@
 	f->timeout = STATE_TIMEOUT_MS;
 	f->done = state_fetched;
 	f->arg = q;
+	f->arg_free = g_free;
 	fetch_start(s->daemon, f);
 }
 
--- a/daemon.h
+++ b/daemon.h
@@ -277,8 +277,10 @@
 	char *post; /* NULL is GET */
 	char *authorization;
 	msec timeout;
+	/* Not called when the core ends before the fetch does. */
 	void (*done)(struct daemon *, struct fetch *, msec);
 	void *arg;
+	GDestroyNotify arg_free; /* of `arg`, with the fetch; NULL: not freed */
 	/* The result. */
 	bool sent;   /* the receiver may have acted on it */
 	long status; /* 0: no answer */
--- a/tests/proc-stops.c
+++ b/tests/proc-stops.c
@@ -167,6 +167,23 @@
 	nodes_finish(&s);
 }
 
+/* What a node asks engines as it ends is not freed; under AddressSanitizer. */
+static void
+test_questions_open(void)
+{
+	struct nodes s;
+	unsigned int i;
+
+	nodes_up(&s, &two_two);
+	for (i = 0; i < 2; i++)
+		proc_pause(&s.engines[i].proc);
+	proc_signal(&s.entries[1].proc, SIGTERM);
+	g_assert_cmpint(proc_wait(&s.entries[1].proc, PROC_STOP_MS), ==, 0);
+	for (i = 0; i < 2; i++)
+		proc_resume(&s.engines[i].proc);
+	nodes_finish(&s);
+}
+
 /* A reload, or the end of the terminal that it was started from, ends a VM. */
 static void
 test_hangup(void)
@@ -407,6 +424,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stops/signal", test_signal);
 	g_test_add_func("/stops/signal-twice", test_signal_twice);
+	g_test_add_func("/stops/questions-open", test_questions_open);
 	g_test_add_func("/stops/paused", test_paused);
 	g_test_add_func("/stops/hangup", test_hangup);
 	g_test_add_func("/stops/tool", test_tool);
