--- a/daemon-fetch.c
+++ b/daemon-fetch.c
@@ -103,12 +103,12 @@
 static void
 fetch_drop_all(struct fetch_thread *t)
 {
-	struct fetch_job *j;
+	struct fetch_job *j, *next;
 	struct fetch *f;
 
 	while ((f = ring_get(&t->commands)) != NULL)
 		fetch_free(f);
-	while ((j = TAILQ_FIRST(&t->jobs)) != NULL) {
+	TAILQ_FOREACH_SAFE (j, &t->jobs, entry, next) {
 		f = j->fetch;
 		g_string_free(j->text, TRUE);
 		fetch_job_free(t, j);
