--- a/entry-job.c
+++ b/entry-job.c
@@ -119,7 +119,7 @@
 job_note_held(struct job *j, const struct link *k)
 {
 	if (k != NULL && k->sent)
-		job_note_held(j, k);
+		j->held_bytes = link_unacknowledged(k);
 }
 
 /* Was it sent to a server that may have been leaving, or ended at one? */
@@ -161,7 +161,6 @@
 	    j->arrived_during_stop ? j->arrived - e->leaving_since : MSEC_NEVER;
 
 	job_note_held(j, j->carrier == NULL ? j->link : j->kept_link);
-
 	entry_log(&e->log, now, weight, LOG_EVENT_REQUEST,
 	    LOG_TEXT(LOG_KEY_REQUEST, j->request.id),
 	    LOG_TEXT(LOG_KEY_OUTCOME, job_code_name(code)),
@@ -206,7 +205,7 @@
 job_abandon_link(struct job *j, msec now, struct link *k)
 {
 	if (k->sent) {
-		j->held_bytes = link_unacknowledged(k);
+		job_note_held(j, k);
 		entry_poison_request_abandoned(j, k->server, now);
 		/* It may yet end its server; the next one waits for that. */
 		entry_poison_run_end(j, now, true);
--- a/entry.h
+++ b/entry.h
@@ -489,13 +489,13 @@
 	msec list_age;	   /* of the server list at the attempt; -1: unproven */
 	msec unlisted_for; /* the server, at the attempt, in ms; -1: listed */
 	msec silent_for;   /* server_sign_awaited() at the attempt */
-	int64_t held_bytes; /* unacknowledged as the last attempt was given up;
-			       -1: none was */
-	bool parts_cleared; /* by the attempt\'s answer */
-	msec attempt_began; /* first byte of the attempt's answer; 0: none */
-	msec forwarded_at;  /* the newest part was forwarded */
-	msec gap;	    /* longest pause between two forwarded parts */
-	struct buffer fields;	   /* header lines for the caller */
+	/* Unacknowledged as the last attempt was given up; -1: none was. */
+	int64_t held_bytes;
+	bool parts_cleared;   /* by the attempt\'s answer */
+	msec attempt_began;   /* first byte of the attempt's answer; 0: none */
+	msec forwarded_at;    /* the newest part was forwarded */
+	msec gap;	      /* longest pause between two forwarded parts */
+	struct buffer fields; /* header lines for the caller */
 	struct buffer unsent_body; /* body bytes not forwarded yet */
 	/* Since when it is read while memory is short; 0: it is not. */
 	msec read_on_since;
@@ -715,8 +715,8 @@
 	uint64_t servers_leaving; /* by their answers */
 	/* Attempts given up after the server's host took all of the request. */
 	uint64_t given_up_taken;
-	uint64_t signs_asked;	/* of life, before a request is sent */
 	uint64_t given_up_held; /* before: bytes were unacknowledged */
+	uint64_t signs_asked;	/* of life, before a request is sent */
 	uint64_t rates, rates_unreadable; /* changed rate limits; invalid */
 	/* On connections to servers, by the server's failure domain. */
 	uint64_t request_bytes[NET_DOMAINS], answer_bytes[NET_DOMAINS];
